--- /dev/null
+++ b/crates/core/src/ids/mod.rs
@@ -0,0 +1,14 @@
+//! Identifiers: checked newtypes with `Display` and `FromStr`.
+
+mod errors;
+mod names;
+mod numbers;
+mod request_id;
+
+pub use errors::IdError;
+pub use names::{
+    AdapterName, FailureDomain, IdempotencyKey, ModelName, ModelVersion, OperatorName, PlanId,
+    ServiceName, UpstreamId, VmId, WorkspaceId,
+};
+pub use numbers::{AttemptNumber, BlockHash, BodyHash, FencingNumber, Generation, Incarnation};
+pub use request_id::{AttemptId, RequestId};
--- /dev/null
+++ b/crates/core/src/ids/numbers.rs
@@ -0,0 +1,95 @@
+//! Identifiers that are numbers.
+
+use super::IdError;
+use serde::{Deserialize, Serialize};
+use std::{fmt, str::FromStr};
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident, $inner:ty, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Clone,
+            Copy,
+            Debug,
+            Default,
+            Deserialize,
+            Eq,
+            Hash,
+            Ord,
+            PartialEq,
+            PartialOrd,
+            Serialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name($inner);
+
+        impl $name {
+            /// Wraps a number.
+            pub const fn new(number: $inner) -> Self {
+                Self(number)
+            }
+
+            /// The number.
+            pub const fn get(self) -> $inner {
+                self.0
+            }
+
+            /// The next higher number.
+            pub const fn next(self) -> Self {
+                Self(self.0.saturating_add(1))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                let parsed = text.parse().map(Self);
+                parsed.map_err(|_| IdError::Number { kind: $kind, text: text.into() })
+            }
+        }
+    };
+}
+
+number!(
+    /// The number of an attempt of one request, from 0.
+    AttemptNumber,
+    u32,
+    "attempt"
+);
+number!(
+    /// The hash of a prompt's prefix up to the end of one block, salted by workspace.
+    BlockHash,
+    u64,
+    "block hash"
+);
+number!(
+    /// The hash of a call's method, path and body.
+    BodyHash,
+    u64,
+    "body hash"
+);
+number!(
+    /// A fencing number: an owner of an upstream with a higher one goes before lower ones.
+    FencingNumber,
+    u64,
+    "fencing number"
+);
+number!(
+    /// A generation of the configuration.
+    Generation,
+    u64,
+    "generation"
+);
+number!(
+    /// One run of a daemon's process: a restart has a higher one.
+    Incarnation,
+    u64,
+    "incarnation"
+);
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,25 @@
+//! Every decision of persimmonfront: admission, queueing, routing, limits, retries, membership,
+//! ownership, configuration and placement.
+//!
+//! The crate has no sockets, files, threads or clocks. An [`Event`] goes in with the time, and
+//! [`Action`]s come out.
+
+mod action;
+mod context;
+mod directory;
+mod event;
+
+pub mod config;
+pub mod decision;
+pub mod ids;
+pub mod message;
+pub mod operator;
+pub mod platform;
+pub mod request;
+pub mod units;
+pub mod upstream;
+
+pub use action::Action;
+pub use context::{Context, View};
+pub use directory::Directory;
+pub use event::Event;
--- /dev/null
+++ b/crates/core/src/message/mod.rs
@@ -0,0 +1,13 @@
+//! What daemons tell each other.
+
+mod config_push;
+mod grant;
+mod heartbeat;
+mod peer_message;
+
+pub use config_push::ConfigMessage;
+pub use grant::{
+    GrantAnswer, GrantDenial, GrantEnd, GrantMessage, GrantOffer, GrantRequest, HeldGrant,
+};
+pub use heartbeat::{Heartbeat, Member, ModelCapacity, OwnerSummary};
+pub use peer_message::{PeerMessage, TicketMessage};
--- /dev/null
+++ b/crates/core/src/operator/mod.rs
@@ -0,0 +1,14 @@
+//! What operators ask for and what they are told.
+
+mod command;
+mod errors;
+mod intent;
+mod reply;
+
+pub use command::OperatorCommand;
+pub use errors::OperatorError;
+pub use intent::Intent;
+pub use reply::{
+    ConfirmReport, DomainCapacity, FleetReport, OperatorReply, Plan, PlanEffect, PlanState,
+    StatusReport, UpstreamStatus,
+};
--- /dev/null
+++ b/crates/core/src/request/mod.rs
@@ -0,0 +1,11 @@
+//! What callers ask for and what they are told.
+
+mod attempt;
+mod errors;
+mod refusal;
+mod spec;
+
+pub use attempt::{AttemptEnd, AttemptPlan, CallerEnd, Priority, StoredResult};
+pub use errors::UpstreamError;
+pub use refusal::{Outcome, Refusal, RefusalCode};
+pub use spec::{CallTarget, LengthClass, ModelCall, RequestSpec, ServiceCall};
--- /dev/null
+++ b/crates/core/src/units/mod.rs
@@ -0,0 +1,11 @@
+//! Sizes, rates and times: newtypes with `Display` and `FromStr`.
+
+mod errors;
+mod rates;
+mod sizes;
+mod time;
+
+pub use errors::UnitError;
+pub use rates::{BytesPerSecond, TokensPerSecond};
+pub use sizes::{KvBytes, Tokens};
+pub use time::{Millis, Time};
--- /dev/null
+++ b/crates/core/src/upstream/mod.rs
@@ -0,0 +1,9 @@
+//! What owners ask of upstreams and what upstreams report.
+
+mod cache_event;
+mod load_report;
+mod order;
+
+pub use cache_event::{CacheBatch, CacheChange};
+pub use load_report::LoadReport;
+pub use order::{Order, OrderKind, Role};
