--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,10 +12,13 @@
 pub mod config;
 pub mod decision;
 pub mod ids;
+pub mod membership;
 pub mod message;
 pub mod operator;
+pub mod ownership;
 pub mod platform;
 pub mod request;
+pub mod routing;
 pub mod units;
 pub mod upstream;
 
--- /dev/null
+++ b/crates/core/src/ownership/mod.rs
@@ -0,0 +1,5 @@
+//! Which daemon owns which upstream.
+
+mod ownership_change;
+
+pub use ownership_change::OwnershipChange;
