Join daemons by QUIC with TLS on both sides

Each VM's certificate names it and is signed by the deployment's CA; a peer without one, or under another name, is refused. Ordered messages share one stream a connection; heartbeats go as datagrams.

--- /dev/null
+++ b/crates/io/src/peer/identity.rs
@@ -0,0 +1,157 @@
+//! Who a daemon is to its peers, and what it demands of theirs.
+
+use super::{Keys, PeerError};
+use persimmon_core::ids::VmId;
+use quinn::{
+    crypto::rustls::{QuicClientConfig, QuicServerConfig},
+    ClientConfig, Connection, IdleTimeout, ServerConfig, TransportConfig, VarInt,
+};
+use rustls::{
+    crypto::ring,
+    pki_types::{pem::PemObject, CertificateDer, PrivateKeyDer},
+    server::WebPkiClientVerifier,
+    version::TLS13,
+    RootCertStore,
+};
+use std::{fmt, sync::Arc, time::Duration};
+use x509_parser::parse_x509_certificate;
+
+/// A silent connection is closed after this time.
+const IDLE_TIMEOUT_MS: u32 = 10_000;
+
+/// Name of the protocol in the TLS handshake.
+const PROTOCOL: &[u8] = b"persimmonfront/1";
+
+/// A daemon's side of the TLS handshake.
+#[derive(Clone)]
+pub struct Identity {
+    pub(super) vm: VmId,
+    pub(super) server: ServerConfig,
+    pub(super) client: ClientConfig,
+}
+
+impl Identity {
+    /// Checks keys and prepares both directions.
+    ///
+    /// # Errors
+    ///
+    /// Names the malformed key, or the VM where the certificate is of another one.
+    pub fn new(vm: &VmId, keys: &Keys) -> Result<Self, PeerError> {
+        let certificate = certificate(&keys.own.certificate, "VM certificate")?;
+        let named = vm_of(&certificate)?;
+        if named != *vm {
+            return Err(PeerError::OtherVm {
+                found: named.to_string(),
+                wanted: vm.to_string(),
+            });
+        }
+        let mut roots = RootCertStore::empty();
+        let ca = self::certificate(&keys.ca, "CA certificate")?;
+        roots.add(ca).map_err(|e| malformed("CA certificate", &e))?;
+        let roots = Arc::new(roots);
+        let server = server_config(certificate.clone(), private_key(keys)?, roots.clone())?;
+        let client = client_config(certificate, private_key(keys)?, roots)?;
+        Ok(Self {
+            vm: vm.clone(),
+            server,
+            client,
+        })
+    }
+}
+
+impl fmt::Debug for Identity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Identity")
+            .field("vm", &self.vm)
+            .finish_non_exhaustive()
+    }
+}
+
+/// The VM that a connection's certificate names.
+pub(super) fn peer_of(connection: &Connection) -> Result<VmId, PeerError> {
+    let chain = connection
+        .peer_identity()
+        .and_then(|any| any.downcast::<Chain>().ok());
+    match chain.as_deref().map(Vec::as_slice) {
+        Some([first, ..]) => vm_of(first),
+        _ => Err(PeerError::Connection("the peer sent no certificate".into())),
+    }
+}
+
+type Chain = Vec<CertificateDer<'static>>;
+
+fn server_config(
+    certificate: CertificateDer<'static>,
+    key: PrivateKeyDer<'static>,
+    roots: Arc<RootCertStore>,
+) -> Result<ServerConfig, PeerError> {
+    let provider = Arc::new(ring::default_provider());
+    let verifier = WebPkiClientVerifier::builder_with_provider(roots, provider.clone())
+        .build()
+        .map_err(|e| malformed("CA certificate", &e))?;
+    let mut tls = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&TLS13])
+        .map_err(|e| malformed("TLS", &e))?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(vec![certificate], key)
+        .map_err(|e| malformed("VM key", &e))?;
+    tls.alpn_protocols = vec![PROTOCOL.to_vec()];
+    let crypto = QuicServerConfig::try_from(tls).map_err(|e| malformed("TLS", &e))?;
+    let mut config = ServerConfig::with_crypto(Arc::new(crypto));
+    config.transport_config(transport());
+    Ok(config)
+}
+
+fn client_config(
+    certificate: CertificateDer<'static>,
+    key: PrivateKeyDer<'static>,
+    roots: Arc<RootCertStore>,
+) -> Result<ClientConfig, PeerError> {
+    let provider = Arc::new(ring::default_provider());
+    let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&TLS13])
+        .map_err(|e| malformed("TLS", &e))?
+        .with_root_certificates(roots)
+        .with_client_auth_cert(vec![certificate], key)
+        .map_err(|e| malformed("VM key", &e))?;
+    tls.alpn_protocols = vec![PROTOCOL.to_vec()];
+    let crypto = QuicClientConfig::try_from(tls).map_err(|e| malformed("TLS", &e))?;
+    let mut config = ClientConfig::new(Arc::new(crypto));
+    config.transport_config(transport());
+    Ok(config)
+}
+
+fn transport() -> Arc<TransportConfig> {
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))));
+    transport.initial_rtt(Duration::from_millis(10));
+    transport.max_concurrent_bidi_streams(VarInt::from_u32(0));
+    Arc::new(transport)
+}
+
+fn certificate(pem: &str, what: &'static str) -> Result<CertificateDer<'static>, PeerError> {
+    CertificateDer::from_pem_slice(pem.as_bytes()).map_err(|e| malformed(what, &e))
+}
+
+fn private_key(keys: &Keys) -> Result<PrivateKeyDer<'static>, PeerError> {
+    PrivateKeyDer::from_pem_slice(keys.own.key.as_bytes()).map_err(|e| malformed("VM key", &e))
+}
+
+fn vm_of(certificate: &CertificateDer<'_>) -> Result<VmId, PeerError> {
+    let what = "VM certificate";
+    let (_, parsed) = parse_x509_certificate(certificate).map_err(|e| malformed(what, &e))?;
+    let name = parsed
+        .subject()
+        .iter_common_name()
+        .next()
+        .and_then(|name| name.as_str().ok());
+    let name = name.ok_or_else(|| malformed(what, &"no common name"))?;
+    name.parse().map_err(|e| malformed(what, &e))
+}
+
+fn malformed(what: &'static str, reason: &dyn fmt::Display) -> PeerError {
+    PeerError::Malformed {
+        what,
+        reason: reason.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/io/src/peer/mod.rs
@@ -0,0 +1,13 @@
+//! Messages between daemons over QUIC, with TLS on both sides.
+
+mod connection;
+mod envelope;
+mod errors;
+mod identity;
+mod keys;
+mod quic_link;
+
+pub use errors::PeerError;
+pub use identity::Identity;
+pub use keys::{KeyPairPem, Keys};
+pub use quic_link::{EventSink, QuicLink};
--- /dev/null
+++ b/crates/io/src/peer/quic_link.rs
@@ -0,0 +1,293 @@
+//! The peer link over QUIC.
+
+use super::{
+    connection,
+    envelope::Envelope,
+    identity::{self, Identity},
+    keys::SERVER_NAME,
+    PeerError,
+};
+use crate::link::PeerLink;
+use bytes::Bytes;
+use persimmon_core::{
+    ids::{Incarnation, VmId},
+    message::PeerMessage,
+    Event,
+};
+use quinn::{Connection, Endpoint, SendStream};
+use std::{
+    collections::HashMap,
+    fmt,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    runtime::{Builder, Runtime},
+    sync::mpsc,
+    time::timeout,
+};
+
+/// Where the link hands in events.
+pub type EventSink = Arc<dyn Fn(Event) + Send + Sync>;
+
+/// Most messages that wait for one peer; further ones are dropped.
+const QUEUE_LEN: usize = 4096;
+
+/// Time for a connection to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Time for peers to be told that the link closes.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// A peer's queue ends after this time without a message.
+const QUEUE_IDLE: Duration = Duration::from_secs(30);
+
+/// Heartbeats up to this size go as datagrams, which need no stream.
+const DATAGRAM_MAX_BYTES: usize = 1_000;
+
+/// Messages between daemons over QUIC.
+pub struct QuicLink {
+    shared: Arc<Shared>,
+    runtime: Option<Runtime>,
+    local_address: SocketAddr,
+}
+
+struct Shared {
+    endpoint: Endpoint,
+    incarnation: Incarnation,
+    sink: EventSink,
+    peers: Mutex<HashMap<VmId, Peer>>,
+}
+
+#[derive(Default)]
+struct Peer {
+    queue: Option<mpsc::Sender<Outgoing>>,
+    connection: Option<Connection>,
+}
+
+struct Outgoing {
+    address: SocketAddr,
+    coded: Bytes,
+    datagram: bool,
+}
+
+impl QuicLink {
+    /// Listens on `address` (port 0 for any) and hands every message to `sink`.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be used, or no thread can be started.
+    pub fn start(
+        address: SocketAddr,
+        identity: Identity,
+        incarnation: Incarnation,
+        sink: EventSink,
+    ) -> Result<Self, PeerError> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(1)
+            .thread_name("peer-link")
+            .enable_all()
+            .build()
+            .map_err(PeerError::Runtime)?;
+        let listen = |source| PeerError::Listen { address, source };
+        let guard = runtime.enter();
+        let mut endpoint = Endpoint::server(identity.server.clone(), address).map_err(listen)?;
+        drop(guard);
+        endpoint.set_default_client_config(identity.client.clone());
+        let local_address = endpoint.local_addr().map_err(listen)?;
+        let peers = Mutex::default();
+        let shared = Arc::new(Shared {
+            endpoint,
+            incarnation,
+            sink,
+            peers,
+        });
+        runtime.spawn(accept(shared.clone()));
+        Ok(Self {
+            shared,
+            runtime: Some(runtime),
+            local_address,
+        })
+    }
+
+    /// Bytes sent and received over all open connections, with UDP payloads counted whole.
+    pub fn traffic_bytes(&self) -> (u64, u64) {
+        let peers = self.shared.lock();
+        let stats = peers
+            .values()
+            .filter_map(|peer| peer.connection.as_ref())
+            .map(|c| c.stats());
+        stats.fold((0, 0), |(tx, rx), s| {
+            (tx + s.udp_tx.bytes, rx + s.udp_rx.bytes)
+        })
+    }
+}
+
+impl PeerLink for QuicLink {
+    fn send(&self, to: &VmId, address: SocketAddr, message: PeerMessage) {
+        let heartbeat = matches!(message, PeerMessage::Heartbeat(_));
+        let envelope = Envelope {
+            incarnation: self.shared.incarnation,
+            message,
+        };
+        let coded = match envelope.encode() {
+            Ok(coded) => coded,
+            Err(error) => return log::error!(peer:% = to; "{error}"),
+        };
+        let datagram = heartbeat && coded.len() <= DATAGRAM_MAX_BYTES;
+        let outgoing = Outgoing {
+            address,
+            coded,
+            datagram,
+        };
+        if let Some(runtime) = &self.runtime {
+            self.shared.clone().enqueue(runtime, to, outgoing);
+        }
+    }
+
+    fn local_address(&self) -> SocketAddr {
+        self.local_address
+    }
+}
+
+impl Drop for QuicLink {
+    fn drop(&mut self) {
+        self.shared.endpoint.close(0u32.into(), b"stopped");
+        if let Some(runtime) = self.runtime.take() {
+            let endpoint = self.shared.endpoint.clone();
+            let _ = runtime.block_on(async { timeout(CLOSE_TIMEOUT, endpoint.wait_idle()).await });
+            runtime.shutdown_timeout(CLOSE_TIMEOUT);
+        }
+    }
+}
+
+impl fmt::Debug for QuicLink {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("QuicLink")
+            .field("local_address", &self.local_address)
+            .finish()
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<VmId, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn enqueue(self: Arc<Self>, runtime: &Runtime, to: &VmId, outgoing: Outgoing) {
+        let mut peers = self.lock();
+        let peer = peers.entry(to.clone()).or_default();
+        let outgoing = match &peer.queue {
+            Some(queue) => match queue.try_send(outgoing) {
+                Ok(()) => return,
+                Err(mpsc::error::TrySendError::Full(_)) => {
+                    return log::warn!(peer:% = to; "message dropped: the peer's queue is full");
+                }
+                Err(mpsc::error::TrySendError::Closed(outgoing)) => outgoing,
+            },
+            None => outgoing,
+        };
+        let (sender, receiver) = mpsc::channel(QUEUE_LEN);
+        // The channel is new and holds more than one message.
+        let _ = sender.try_send(outgoing);
+        peer.queue = Some(sender);
+        drop(peers);
+        runtime.spawn(write_queue(self.clone(), to.clone(), receiver));
+    }
+
+    fn keep(&self, vm: &VmId, connection: &Connection) {
+        self.lock().entry(vm.clone()).or_default().connection = Some(connection.clone());
+    }
+
+    fn open_connection(&self, vm: &VmId) -> Option<Connection> {
+        let peers = self.lock();
+        let connection = peers.get(vm)?.connection.as_ref()?;
+        connection
+            .close_reason()
+            .is_none()
+            .then(|| connection.clone())
+    }
+
+    async fn connect(
+        self: &Arc<Self>,
+        vm: &VmId,
+        address: SocketAddr,
+    ) -> Result<Connection, PeerError> {
+        if let Some(connection) = self.open_connection(vm) {
+            return Ok(connection);
+        }
+        let failed = |e: &dyn fmt::Display| PeerError::Connection(e.to_string());
+        let connecting = self
+            .endpoint
+            .connect(address, SERVER_NAME)
+            .map_err(|e| failed(&e))?;
+        let connection = timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|e| failed(&e))?
+            .map_err(|e| failed(&e))?;
+        let named = identity::peer_of(&connection)?;
+        if named != *vm {
+            connection.close(1u32.into(), b"other VM");
+            return Err(failed(&format_args!("{address} is VM {named}, not {vm}")));
+        }
+        self.keep(vm, &connection);
+        let reader = connection::read(connection.clone(), named, self.sink.clone());
+        tokio::spawn(reader);
+        Ok(connection)
+    }
+}
+
+async fn accept(shared: Arc<Shared>) {
+    while let Some(incoming) = shared.endpoint.accept().await {
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let Ok(connection) = incoming.await else {
+                return;
+            };
+            match identity::peer_of(&connection) {
+                Ok(vm) => {
+                    shared.keep(&vm, &connection);
+                    connection::read(connection, vm, shared.sink.clone()).await;
+                }
+                Err(error) => log::warn!("peer refused: {error}"),
+            }
+        });
+    }
+}
+
+async fn write_queue(shared: Arc<Shared>, to: VmId, mut queue: mpsc::Receiver<Outgoing>) {
+    let mut stream: Option<(usize, SendStream)> = None;
+    while let Ok(Some(outgoing)) = timeout(QUEUE_IDLE, queue.recv()).await {
+        if let Err(error) = write(&shared, &to, &outgoing, &mut stream).await {
+            log::debug!(peer:% = to; "{error}");
+            stream = None;
+            (shared.sink)(Event::PeerUnreachable { vm: to.clone() });
+        }
+    }
+}
+
+async fn write(
+    shared: &Arc<Shared>,
+    to: &VmId,
+    outgoing: &Outgoing,
+    stream: &mut Option<(usize, SendStream)>,
+) -> Result<(), PeerError> {
+    let connection = shared.connect(to, outgoing.address).await?;
+    let datagram_fits = connection
+        .max_datagram_size()
+        .is_some_and(|m| outgoing.coded.len() <= m);
+    if outgoing.datagram && datagram_fits {
+        let sent = connection.send_datagram(outgoing.coded.clone());
+        return sent.map_err(|e| PeerError::Connection(e.to_string()));
+    }
+    let writer = match stream {
+        Some((id, writer)) if *id == connection.stable_id() => writer,
+        _ => {
+            let opened = connection.open_uni().await;
+            let opened = opened.map_err(|e| PeerError::Connection(e.to_string()))?;
+            &mut stream.insert((connection.stable_id(), opened)).1
+        }
+    };
+    connection::write_frame(writer, &outgoing.coded).await
+}
--- /dev/null
+++ b/crates/io/tests/peer_link.rs
@@ -0,0 +1,102 @@
+//! The QUIC link between daemons: delivery, order, and refusal of strangers.
+
+use flume::Receiver;
+use persimmon_core::{
+    ids::{Generation, Incarnation, VmId},
+    message::{ConfigMessage, PeerMessage},
+    Event,
+};
+use persimmon_io::{
+    link::PeerLink,
+    peer::{Identity, KeyPairPem, QuicLink},
+};
+use std::{sync::Arc, time::Duration};
+
+const WAIT: Duration = Duration::from_secs(10);
+
+fn vm(name: &str) -> VmId {
+    name.parse().unwrap()
+}
+
+fn start(name: &str, ca: &KeyPairPem) -> (QuicLink, Receiver<Event>) {
+    let (sender, receiver) = flume::unbounded();
+    let identity = Identity::new(&vm(name), &ca.new_vm(&vm(name)).unwrap()).unwrap();
+    let sink = Arc::new(move |event| drop(sender.send(event)));
+    let address = "127.0.0.1:0".parse().unwrap();
+    (
+        QuicLink::start(address, identity, Incarnation::new(7), sink).unwrap(),
+        receiver,
+    )
+}
+
+fn pull(generation: u64) -> PeerMessage {
+    PeerMessage::Config(ConfigMessage::Pull {
+        after: Generation::new(generation),
+    })
+}
+
+#[test]
+fn messages_arrive_in_order_with_the_senders_name() {
+    let ca = KeyPairPem::new_ca().unwrap();
+    let (a, _) = start("vm-a", &ca);
+    let (b, heard) = start("vm-b", &ca);
+    for generation in 0..100 {
+        a.send(&vm("vm-b"), b.local_address(), pull(generation));
+    }
+    for generation in 0..100 {
+        let expected = Event::Peer {
+            from: vm("vm-a"),
+            incarnation: Incarnation::new(7),
+            message: pull(generation),
+        };
+        assert_eq!(heard.recv_timeout(WAIT).unwrap(), expected);
+    }
+}
+
+#[test]
+fn a_daemon_of_another_ca_is_refused() {
+    let (a, told) = start("vm-a", &KeyPairPem::new_ca().unwrap());
+    let (b, heard) = start("vm-b", &KeyPairPem::new_ca().unwrap());
+    a.send(&vm("vm-b"), b.local_address(), pull(1));
+    let unreachable = Event::PeerUnreachable { vm: vm("vm-b") };
+    assert_eq!(told.recv_timeout(WAIT).unwrap(), unreachable);
+    assert!(heard.is_empty());
+}
+
+#[test]
+fn a_daemon_under_another_name_is_refused() {
+    let ca = KeyPairPem::new_ca().unwrap();
+    let (a, told) = start("vm-a", &ca);
+    let (b, heard) = start("vm-b", &ca);
+    a.send(&vm("vm-c"), b.local_address(), pull(1));
+    let unreachable = Event::PeerUnreachable { vm: vm("vm-c") };
+    assert_eq!(told.recv_timeout(WAIT).unwrap(), unreachable);
+    assert!(heard.is_empty());
+}
+
+#[test]
+fn a_restarted_peer_is_reached_again() {
+    let ca = KeyPairPem::new_ca().unwrap();
+    let (a, heard_by_a) = start("vm-a", &ca);
+    let (b, heard) = start("vm-b", &ca);
+    a.send(&vm("vm-b"), b.local_address(), pull(1));
+    heard.recv_timeout(WAIT).unwrap();
+    drop(b);
+    let (b, heard) = start("vm-b", &ca);
+    b.send(&vm("vm-a"), a.local_address(), pull(2));
+    heard_by_a.recv_timeout(WAIT).unwrap();
+    a.send(&vm("vm-b"), b.local_address(), pull(3));
+    let arrived = heard.recv_timeout(WAIT).unwrap();
+    assert!(matches!(arrived, Event::Peer { message, .. } if message == pull(3)));
+}
+
+#[test]
+fn keys_of_another_vm_are_refused() {
+    let ca = KeyPairPem::new_ca().unwrap();
+    let keys = ca.new_vm(&vm("vm-a")).unwrap();
+    let error = Identity::new(&vm("vm-b"), &keys).unwrap_err();
+    insta::assert_snapshot!(
+        error,
+        @"the certificate names VM vm-a, the settings vm-b: use the keys of vm-b"
+    );
+}
