--- /dev/null
+++ b/crates/persimmonctl/src/client/mod.rs
@@ -0,0 +1,7 @@
+//! Asking a daemon.
+
+mod http_client;
+mod operator_client;
+
+pub use http_client::HttpClient;
+pub use operator_client::OperatorClient;
--- /dev/null
+++ b/crates/persimmonctl/src/keys.rs
@@ -0,0 +1,40 @@
+//! `persimmonctl keys new`.
+
+use crate::{args::KeysNewArgs, CtlError};
+use persimmon_io::peer::KeyPairPem;
+use std::{fs, path::Path};
+
+/// Makes the keys and says what was written.
+pub(crate) fn new_keys(args: &KeysNewArgs) -> Result<String, CtlError> {
+    let out = &args.out;
+    fs::create_dir_all(out).map_err(|source| CtlError::File {
+        path: out.clone(),
+        source,
+    })?;
+    let mut text = String::new();
+    let ca = ca(out, &mut text)?;
+    for vm in &args.vms {
+        let keys = ca.new_vm(vm)?;
+        let name = vm.as_str().replace('/', "_");
+        let certificate = out.join(format!("{name}.pem"));
+        keys.own
+            .write(&certificate, &out.join(format!("{name}.key")))?;
+        text += &format!("made {}\n", certificate.display());
+    }
+    Ok(text)
+}
+
+fn ca(out: &Path, text: &mut String) -> Result<KeyPairPem, CtlError> {
+    let (certificate, key) = (out.join("ca.pem"), out.join("ca.key"));
+    if certificate.exists() {
+        return Ok(KeyPairPem::read(&certificate, &key)?);
+    }
+    let ca = KeyPairPem::new_ca()?;
+    ca.write(&certificate, &key)?;
+    *text += &format!(
+        "made {}; keep {} off the VMs\n",
+        certificate.display(),
+        key.display()
+    );
+    Ok(ca)
+}
--- a/crates/persimmonctl/src/lib.rs
+++ b/crates/persimmonctl/src/lib.rs
@@ -1,1 +1,14 @@
-//! Placeholder.
+//! The operators' client: asks a daemon and prints what it answers.
+
+pub mod args;
+pub mod client;
+pub mod report;
+
+mod errors;
+mod exit;
+mod keys;
+mod run;
+
+pub use errors::CtlError;
+pub use exit::Exit;
+pub use run::run;
--- /dev/null
+++ b/crates/persimmonctl/src/report/mod.rs
@@ -0,0 +1,7 @@
+//! How replies are printed.
+
+mod plan;
+mod status;
+mod text;
+
+pub use text::{json, text};
