--- /dev/null
+++ b/crates/core/src/daemon/known.rs
@@ -0,0 +1,65 @@
+//! What a daemon knows of the others.
+
+use crate::{
+    config::ConfigStore,
+    context::{Context, View},
+    directory::Directory,
+    ids::{FailureDomain, Incarnation, UpstreamId, VmId},
+    membership::Membership,
+    message::{Member, OwnerSummary},
+    ownership::Ownership,
+};
+
+/// Membership, ownership and configuration, read by all other parts.
+#[derive(Debug)]
+pub(super) struct Known {
+    pub(super) me: Member,
+    pub(super) peers: Peers,
+    pub(super) config: ConfigStore,
+}
+
+/// The other daemons and what they own.
+#[derive(Debug)]
+pub(super) struct Peers {
+    pub(super) membership: Membership,
+    pub(super) ownership: Ownership,
+}
+
+impl Known {
+    pub(super) fn view(&self) -> View<'_> {
+        View { me: &self.me, config: self.config.current(), directory: &self.peers }
+    }
+
+    pub(super) fn refresh_ownership(&mut self, ctx: &mut Context<'_>) {
+        self.peers.ownership.refresh(ctx, &self.peers.membership, self.config.current());
+    }
+
+    /// Lets `act` change the configuration while it reads the rest.
+    pub(super) fn with_config(&mut self, act: impl FnOnce(&mut ConfigStore, &View<'_>)) {
+        let current = self.config.current().clone();
+        let view = View { me: &self.me, config: &current, directory: &self.peers };
+        act(&mut self.config, &view);
+    }
+}
+
+impl Directory for Peers {
+    fn member(&self, vm: &VmId) -> Option<&Member> {
+        self.membership.member(vm)
+    }
+
+    fn is_alive(&self, vm: &VmId, incarnation: Incarnation) -> bool {
+        self.membership.is_alive(vm, incarnation)
+    }
+
+    fn live_in(&self, domain: &FailureDomain) -> &[Member] {
+        self.membership.live_in(domain)
+    }
+
+    fn owner_of(&self, upstream: &UpstreamId) -> Option<&VmId> {
+        self.ownership.owner_of(upstream)
+    }
+
+    fn summary_of(&self, vm: &VmId) -> Option<&OwnerSummary> {
+        self.membership.summary_of(vm)
+    }
+}
--- /dev/null
+++ b/crates/core/src/daemon/settings.rs
@@ -0,0 +1,54 @@
+//! Settings of a daemon's core.
+
+use crate::{
+    claim::ClaimSettings,
+    config::ConfigSettings,
+    entry::EntrySettings,
+    grant::GrantSettings,
+    membership::MembershipSettings,
+    message::Member,
+    ownership::OwnershipSettings,
+    placement::PlacementSettings,
+    plan::PlanSettings,
+    platform::VmRecord,
+    routing::RoutingSettings,
+    units::Millis,
+};
+
+/// What a daemon's core is made from.
+#[derive(Clone, Debug)]
+pub struct DaemonSettings {
+    /// This daemon.
+    pub me: Member,
+    /// Daemons to ask first.
+    pub seeds: Vec<VmRecord>,
+    /// Seed of the generator.
+    pub seed: u64,
+    /// Settings of the parts.
+    pub parts: PartSettings,
+    /// Time that requests get to finish after a shutdown.
+    pub shutdown_grace_ms: Millis,
+}
+
+/// Settings of the parts.
+#[derive(Clone, Debug, Default)]
+pub struct PartSettings {
+    /// At-most-once claims.
+    pub claim: ClaimSettings,
+    /// Configuration.
+    pub config: ConfigSettings,
+    /// Requests.
+    pub entry: EntrySettings,
+    /// Grants.
+    pub grant: GrantSettings,
+    /// Membership.
+    pub membership: MembershipSettings,
+    /// Ownership.
+    pub ownership: OwnershipSettings,
+    /// Placement of models.
+    pub placement: PlacementSettings,
+    /// Plans.
+    pub plan: PlanSettings,
+    /// Routing.
+    pub routing: RoutingSettings,
+}
