--- /dev/null
+++ b/crates/core/src/grant/lapse.rs
@@ -0,0 +1,183 @@
+//! The end of grants: release, lapse, cancel and revocation.
+
+use super::{ledger::HoldState, owner::Owner, timers::Timer};
+use crate::{
+    action::Action,
+    context::{Context, View},
+    ids::{AttemptId, UpstreamId},
+    membership::MemberChange,
+    message::{GrantEnd, GrantMessage, Member, PeerMessage},
+    platform::{CallToken, Part},
+    request::UpstreamError,
+    upstream::{Order, OrderKind},
+};
+
+impl Owner {
+    /// A member joined, leaves or died.
+    pub fn on_member(&mut self, ctx: &mut Context<'_>, view: &View<'_>, change: &MemberChange) {
+        match change {
+            MemberChange::Died(member) => {
+                let vm = &member.vm;
+                let gone =
+                    |entry: &Member| entry.vm == *vm && entry.incarnation <= member.incarnation;
+                let waiting = self.queue.iter().filter(|w| gone(&w.entry));
+                let waiting: Vec<AttemptId> = waiting.map(|w| w.request.attempt).collect();
+                for attempt in waiting {
+                    self.queue.remove(&attempt);
+                }
+                let held = self.running(|entry| gone(entry));
+                for (upstream, attempt) in held {
+                    self.cancel(ctx, &upstream, attempt);
+                }
+                self.pump(ctx, view);
+            }
+            MemberChange::Joined(member) => self.collect_from(ctx, view, member),
+            MemberChange::Leaving(_) => {}
+        }
+    }
+
+    fn collect_from(&self, ctx: &mut Context<'_>, view: &View<'_>, member: &Member) {
+        for (upstream, ledger) in &self.ledgers {
+            if ctx.now < ledger.learning_until {
+                let message = GrantMessage::Collect {
+                    upstreams: vec![upstream.clone()],
+                    fencing: ledger.fencing,
+                };
+                view.send(ctx, &member.vm, PeerMessage::Grant(message));
+            }
+        }
+    }
+
+    fn running(&self, wanted: impl Fn(&Member) -> bool) -> Vec<(UpstreamId, AttemptId)> {
+        let mut found = Vec::new();
+        for (upstream, ledger) in &self.ledgers {
+            for (attempt, holding) in ledger.holdings() {
+                if holding.state == HoldState::Running && wanted(&holding.entry) {
+                    found.push((upstream.clone(), *attempt));
+                }
+            }
+        }
+        found
+    }
+
+    pub(super) fn on_release(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        attempt: AttemptId,
+        end: &GrantEnd,
+    ) {
+        self.queue.remove(&attempt);
+        match self.granted.get(&attempt).cloned() {
+            Some(upstream) if !self.is_running(&upstream, &attempt) => {}
+            Some(upstream) if end.needs_cancel => self.cancel(ctx, &upstream, attempt),
+            _ => self.finish(ctx.now, attempt),
+        }
+        self.pump(ctx, view);
+    }
+
+    /// Orders the upstream to end a stream. Its account is given back with the answer.
+    pub(super) fn cancel(
+        &mut self,
+        ctx: &mut Context<'_>,
+        upstream: &UpstreamId,
+        attempt: AttemptId,
+    ) {
+        let Some(ledger) = self.ledgers.get_mut(upstream) else {
+            return;
+        };
+        let token = ctx.token(Part::Grant);
+        ledger.set_state(&attempt, HoldState::Cancelling(token));
+        ctx.act(Action::Order(Box::new(Order {
+            token,
+            upstream: upstream.clone(),
+            address: ledger.config.address,
+            fencing: ledger.fencing,
+            kind: OrderKind::Cancel {
+                request: attempt.request,
+            },
+        })));
+        self.cancels.insert(token, (upstream.clone(), attempt));
+        let retry = ctx.now + self.settings.cancel_retry_ms;
+        let timer = Timer::Cancel(upstream.clone(), attempt);
+        self.timers.replace(retry, timer);
+    }
+
+    pub(super) fn resend_cancel(
+        &mut self,
+        ctx: &mut Context<'_>,
+        upstream: &UpstreamId,
+        attempt: AttemptId,
+    ) {
+        let ledger = self.ledgers.get(upstream);
+        let state = ledger.and_then(|l| l.holding(&attempt)).map(|h| h.state);
+        if let Some(HoldState::Cancelling(token)) = state {
+            self.cancels.remove(&token);
+            self.cancel(ctx, upstream, attempt);
+        }
+    }
+
+    pub(super) fn resend_cancels(&mut self, ctx: &mut Context<'_>, upstream: &UpstreamId) {
+        let open = self.cancels.values().filter(|(at, _)| at == upstream);
+        let open: Vec<AttemptId> = open.map(|(_, attempt)| *attempt).collect();
+        for attempt in open {
+            self.resend_cancel(ctx, upstream, attempt);
+        }
+    }
+
+    /// An upstream answered an order.
+    pub fn on_order(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        _upstream: &UpstreamId,
+        token: CallToken,
+        answer: Result<(), UpstreamError>,
+    ) {
+        if answer.is_err() {
+            return;
+        }
+        if let Some((_, attempt)) = self.cancels.remove(&token) {
+            self.finish(ctx.now, attempt);
+            self.pump(ctx, view);
+        }
+    }
+
+    /// Tells the entry daemon to end an attempt.
+    pub(super) fn revoke(
+        &self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        upstream: &UpstreamId,
+        attempt: &AttemptId,
+    ) {
+        let ledger = self.ledgers.get(upstream);
+        if let Some(holding) = ledger.and_then(|l| l.holding(attempt)) {
+            let message = GrantMessage::Revoke { attempt: *attempt };
+            view.send(ctx, &holding.entry.vm, PeerMessage::Grant(message));
+        }
+    }
+
+    pub(super) fn on_drain_over(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        upstream: &UpstreamId,
+    ) {
+        let Some(ledger) = self.ledgers.get(upstream) else {
+            return;
+        };
+        let Some(since) = ledger.drained_since else {
+            return;
+        };
+        if ctx.now < since + self.settings.drain_grace_ms {
+            return;
+        }
+        // Calls of plain services can't be moved: they run to their end.
+        let streams = ledger.holdings().filter(|(_, h)| h.model.is_some());
+        let streams: Vec<AttemptId> = streams.map(|(attempt, _)| *attempt).collect();
+        for attempt in streams {
+            self.revoke(ctx, view, upstream, &attempt);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/grant/ledger.rs
@@ -0,0 +1,215 @@
+//! The account of one owned upstream.
+
+use crate::{
+    config::{EngineConfig, UpstreamConfig, UpstreamKind},
+    ids::{AttemptId, FencingNumber, Incarnation, ModelVersion, RequestId},
+    message::{GrantOffer, HeldGrant, Member},
+    platform::CallToken,
+    request::Priority,
+    units::{KvBytes, Millis, Time, Tokens, TokensPerSecond},
+    upstream::LoadReport,
+};
+use std::collections::BTreeMap;
+
+/// How a grant's account stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum HoldState {
+    /// The entry daemon holds it.
+    Running,
+    /// A cancel was ordered and is not answered yet.
+    Cancelling(CallToken),
+}
+
+/// One grant's share of an upstream.
+#[derive(Clone, Debug)]
+pub(super) struct Holding {
+    /// The entry daemon.
+    pub(super) entry: Member,
+    /// The version it runs on.
+    pub(super) model: Option<ModelVersion>,
+    /// KV memory reserved.
+    pub(super) kv_bytes: KvBytes,
+    /// The answer given, to repeat it.
+    pub(super) offer: GrantOffer,
+    /// When it probably ends.
+    pub(super) expected_end: Time,
+    /// How it stands.
+    pub(super) state: HoldState,
+}
+
+/// The account of one owned upstream.
+#[derive(Clone, Debug)]
+pub(super) struct Ledger {
+    /// Its configuration.
+    pub(super) config: UpstreamConfig,
+    /// Most calls at a time.
+    pub(super) limit_requests: u32,
+    /// The owner's fencing number.
+    pub(super) fencing: FencingNumber,
+    /// Until then only a share of the limit is granted.
+    pub(super) learning_until: Time,
+    /// Since when it is drained.
+    pub(super) drained_since: Option<Time>,
+    /// When the prefills granted so far are probably done.
+    pub(super) prefill_free_at: Time,
+    /// The last load report.
+    pub(super) report: Option<LoadReport>,
+    holdings: BTreeMap<AttemptId, Holding>,
+    kv_held_bytes: KvBytes,
+}
+
+impl Ledger {
+    pub(super) fn new(
+        config: UpstreamConfig,
+        limit_requests: u32,
+        fencing: FencingNumber,
+        learning_until: Time,
+    ) -> Self {
+        Self {
+            config,
+            limit_requests,
+            fencing,
+            learning_until,
+            drained_since: None,
+            prefill_free_at: Time::START,
+            report: None,
+            holdings: BTreeMap::new(),
+            kv_held_bytes: KvBytes::ZERO,
+        }
+    }
+
+    pub(super) fn holdings(&self) -> impl Iterator<Item = (&AttemptId, &Holding)> {
+        self.holdings.iter()
+    }
+
+    pub(super) fn holding(&self, attempt: &AttemptId) -> Option<&Holding> {
+        self.holdings.get(attempt)
+    }
+
+    pub(super) fn set_state(&mut self, attempt: &AttemptId, state: HoldState) {
+        if let Some(holding) = self.holdings.get_mut(attempt) {
+            holding.state = state;
+        }
+    }
+
+    pub(super) fn hold(&mut self, attempt: AttemptId, holding: Holding) {
+        self.kv_held_bytes += holding.kv_bytes;
+        if let Some(earlier) = self.holdings.insert(attempt, holding) {
+            self.kv_held_bytes -= earlier.kv_bytes;
+        }
+    }
+
+    /// Takes over a grant that an earlier owner gave.
+    pub(super) fn hold_again(&mut self, now: Time, entry: &Member, grant: HeldGrant) {
+        let offer = GrantOffer {
+            upstream: grant.upstream,
+            address: self.config.address,
+            fencing: self.fencing,
+            priority: Priority::default(),
+            predicted_ms: Millis::ZERO,
+            runner_up: None,
+            cached_tokens: Tokens::ZERO,
+            resume: false,
+        };
+        let holding = Holding {
+            entry: entry.clone(),
+            model: grant.model,
+            kv_bytes: grant.kv_bytes,
+            offer,
+            expected_end: now + grant.remaining_ms,
+            state: HoldState::Running,
+        };
+        self.hold(grant.attempt, holding);
+    }
+
+    pub(super) fn give_back(&mut self, attempt: &AttemptId) -> Option<Holding> {
+        let holding = self.holdings.remove(attempt)?;
+        self.kv_held_bytes -= holding.kv_bytes;
+        Some(holding)
+    }
+
+    pub(super) fn in_flight(&self) -> u32 {
+        self.holdings.len() as u32
+    }
+
+    pub(super) fn kv_held(&self) -> KvBytes {
+        self.kv_held_bytes
+    }
+
+    pub(super) fn kv_total(&self) -> KvBytes {
+        match &self.config.kind {
+            UpstreamKind::Engine(engine) => engine.kv_bytes,
+            UpstreamKind::Service(_) => KvBytes::ZERO,
+        }
+    }
+
+    /// Calls that may be in flight now.
+    pub(super) fn allowed(&self, now: Time, learning_percent: u32) -> u32 {
+        let bearable = self.report.as_ref().and_then(|r| r.bearable_requests);
+        let limit = self.limit_requests.min(bearable.unwrap_or(u32::MAX));
+        if now < self.learning_until {
+            return (limit * learning_percent / 100).max(1).min(limit);
+        }
+        limit
+    }
+
+    /// Calls in flight; while grants are collected, the upstream's own figure counts as well.
+    pub(super) fn busy(&self, now: Time) -> u32 {
+        let reported = self.report.as_ref().map_or(0, |r| r.in_flight_requests);
+        match now < self.learning_until {
+            true => self.in_flight().max(reported),
+            false => self.in_flight(),
+        }
+    }
+
+    /// Free KV memory; while grants are collected, the upstream's own figure counts as well.
+    pub(super) fn kv_free(&self, now: Time) -> KvBytes {
+        let reported = self
+            .report
+            .as_ref()
+            .map_or(KvBytes::ZERO, |r| r.kv_held_bytes);
+        let held = match now < self.learning_until {
+            true => self.kv_held_bytes.max(reported),
+            false => self.kv_held_bytes,
+        };
+        self.kv_total().saturating_sub(held)
+    }
+
+    /// Whether a cancel of this request is still on its way to the upstream.
+    pub(super) fn is_cancelling(&self, request: RequestId) -> bool {
+        let of = |(id, h): (&AttemptId, &Holding)| {
+            id.request == request && h.state != HoldState::Running
+        };
+        self.holdings.iter().any(of)
+    }
+
+    /// The attempts of a request that run here.
+    pub(super) fn running_of(&self, request: RequestId) -> Vec<AttemptId> {
+        let of = |(id, h): &(&AttemptId, &Holding)| {
+            id.request == request && h.state == HoldState::Running
+        };
+        let found = self.holdings.iter().filter(of);
+        found.map(|(id, _)| *id).collect()
+    }
+
+    pub(super) fn incarnation(&self) -> Option<Incarnation> {
+        self.report.as_ref().map(|r| r.incarnation)
+    }
+
+    /// Time that a prefill takes.
+    pub(super) fn prefill_span(&self, tokens: Tokens) -> Millis {
+        self.span(|engine| engine.prefill_tokens_per_s, tokens)
+    }
+
+    /// Time that decoding takes.
+    pub(super) fn decode_span(&self, tokens: Tokens) -> Millis {
+        self.span(|engine| engine.decode_tokens_per_s, tokens)
+    }
+
+    fn span(&self, rate: impl Fn(&EngineConfig) -> TokensPerSecond, tokens: Tokens) -> Millis {
+        match &self.config.kind {
+            UpstreamKind::Engine(engine) => rate(engine).span(tokens),
+            UpstreamKind::Service(_) => Millis::ZERO,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/grant/mod.rs
@@ -0,0 +1,16 @@
+//! The owner's side of grants: exact accounts of each owned upstream, a queue, lapse and cancel.
+
+mod admit;
+mod errors;
+mod lapse;
+mod ledger;
+mod owner;
+mod settings;
+mod summary;
+mod timers;
+mod waiting;
+
+pub use errors::GrantSettingsError;
+pub use owner::Owner;
+pub use settings::{GrantSettings, RawGrantSettings};
+pub use summary::OwnedStatus;
--- /dev/null
+++ b/crates/core/src/grant/owner.rs
@@ -0,0 +1,332 @@
+//! The owner of upstreams: who gets a grant, and what becomes of it.
+
+use super::{
+    ledger::{HoldState, Ledger},
+    settings::GrantSettings,
+    timers::{Timer, Timers},
+    waiting::Queue,
+};
+use crate::{
+    action::Action,
+    config::{UpstreamConfig, UpstreamKind},
+    context::{Context, View},
+    ids::{AttemptId, UpstreamId, VmId},
+    message::{GrantAnswer, GrantMessage, HeldGrant, Member, PeerMessage},
+    ownership::OwnershipChange,
+    platform::CallToken,
+    request::UpstreamError,
+    units::Time,
+    upstream::{CacheBatch, LoadReport},
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The owner's side of grants: one account for each owned upstream and a queue before them.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    pub(super) settings: GrantSettings,
+    pub(super) ledgers: BTreeMap<UpstreamId, Ledger>,
+    pub(super) granted: BTreeMap<AttemptId, UpstreamId>,
+    pub(super) queue: Queue,
+    pub(super) cancels: BTreeMap<CallToken, (UpstreamId, AttemptId)>,
+    pub(super) timers: Timers,
+    pub(super) leaving: bool,
+    finished: BTreeSet<AttemptId>,
+}
+
+impl Owner {
+    /// An owner of nothing yet.
+    pub fn new(settings: GrantSettings) -> Self {
+        Self {
+            settings,
+            ledgers: BTreeMap::new(),
+            granted: BTreeMap::new(),
+            queue: Queue::default(),
+            cancels: BTreeMap::new(),
+            timers: Timers::default(),
+            leaving: false,
+            finished: BTreeSet::new(),
+        }
+    }
+
+    /// A generation came in force.
+    pub fn on_config(&mut self, ctx: &mut Context<'_>, view: &View<'_>) {
+        let owned: Vec<UpstreamId> = self.ledgers.keys().cloned().collect();
+        for upstream in owned {
+            match view.config.upstreams.get(&upstream) {
+                Some(config) => self.refresh_ledger(ctx, view, &upstream, config),
+                None => self.drop_ledger(&upstream),
+            }
+        }
+        self.recheck_waiting(ctx, view);
+        self.pump(ctx, view);
+    }
+
+    fn refresh_ledger(
+        &mut self,
+        ctx: &Context<'_>,
+        view: &View<'_>,
+        upstream: &UpstreamId,
+        config: &UpstreamConfig,
+    ) {
+        let Some(ledger) = self.ledgers.get_mut(upstream) else {
+            return;
+        };
+        ledger.limit_requests = limit_of(view, config);
+        ledger.config = config.clone();
+        if view.config.serves_upstream(upstream) {
+            ledger.drained_since = None;
+        } else if ledger.drained_since.is_none() {
+            ledger.drained_since = Some(ctx.now);
+            let end = ctx.now + self.settings.drain_grace_ms;
+            self.timers.set(end, Timer::Drain(upstream.clone()));
+        }
+    }
+
+    /// This daemon gained or lost an upstream.
+    pub fn on_ownership(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        change: &OwnershipChange,
+    ) {
+        match change {
+            OwnershipChange::Gained {
+                upstream,
+                fencing,
+                learning_until,
+            } => {
+                let Some(config) = view.config.upstreams.get(upstream) else {
+                    return;
+                };
+                let limit_requests = limit_of(view, config);
+                let fresh =
+                    || Ledger::new(config.clone(), limit_requests, *fencing, *learning_until);
+                let ledger = self.ledgers.entry(upstream.clone()).or_insert_with(fresh);
+                ledger.fencing = *fencing;
+                self.refresh_ledger(ctx, view, upstream, config);
+                self.learn(ctx, view, upstream, *learning_until);
+                self.timers.replace(ctx.now, Timer::Poll(upstream.clone()));
+            }
+            OwnershipChange::Lost { upstream } => {
+                self.drop_ledger(upstream);
+                self.recheck_waiting(ctx, view);
+            }
+        }
+    }
+
+    fn learn(&mut self, ctx: &mut Context<'_>, view: &View<'_>, upstream: &UpstreamId, end: Time) {
+        let Some(ledger) = self.ledgers.get_mut(upstream) else {
+            return;
+        };
+        ledger.learning_until = end;
+        let message = GrantMessage::Collect {
+            upstreams: vec![upstream.clone()],
+            fencing: ledger.fencing,
+        };
+        self.timers.set(end, Timer::Learning(upstream.clone()));
+        for domain in view.config.domains.keys() {
+            for member in view.directory.live_in(domain) {
+                view.send(ctx, &member.vm, PeerMessage::Grant(message.clone()));
+            }
+        }
+    }
+
+    fn drop_ledger(&mut self, upstream: &UpstreamId) {
+        self.ledgers.remove(upstream);
+        self.granted.retain(|_, at| at != upstream);
+        self.cancels.retain(|_, (at, _)| at != upstream);
+    }
+
+    /// The process was paused: its view of outstanding grants may be old.
+    pub fn on_paused(&mut self, ctx: &mut Context<'_>) {
+        let end = ctx.now + self.settings.learning_ms;
+        for (upstream, ledger) in &mut self.ledgers {
+            ledger.learning_until = ledger.learning_until.max(end);
+            self.timers.set(end, Timer::Learning(upstream.clone()));
+        }
+    }
+
+    /// A peer sent a message of the entry's side.
+    pub fn on_message(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        from: &Member,
+        message: GrantMessage,
+    ) {
+        match message {
+            GrantMessage::Request(request) => self.on_request(ctx, view, from, *request),
+            GrantMessage::Withdraw { attempt } => {
+                self.queue.remove(&attempt);
+                self.finish(ctx.now, attempt);
+                self.pump(ctx, view);
+            }
+            GrantMessage::Release { attempt, end, .. } => {
+                self.on_release(ctx, view, attempt, &end);
+            }
+            GrantMessage::Held { grants, .. } => {
+                for grant in grants {
+                    self.on_held(ctx, from, grant);
+                }
+            }
+            GrantMessage::Answer { .. }
+            | GrantMessage::Collect { .. }
+            | GrantMessage::Revoke { .. } => {}
+        }
+    }
+
+    fn on_held(&mut self, ctx: &Context<'_>, from: &Member, grant: HeldGrant) {
+        let known =
+            self.finished.contains(&grant.attempt) || self.granted.contains_key(&grant.attempt);
+        let Some(ledger) = self.ledgers.get_mut(&grant.upstream) else {
+            return;
+        };
+        if known {
+            return;
+        }
+        let (attempt, upstream) = (grant.attempt, grant.upstream.clone());
+        let lapse = ctx.now + grant.remaining_ms + self.settings.lapse_slack_ms;
+        ledger.hold_again(ctx.now, from, grant);
+        self.granted.insert(attempt, upstream.clone());
+        self.timers.set(lapse, Timer::Lapse(upstream, attempt));
+    }
+
+    /// An upstream reported its load, or did not.
+    pub fn on_load(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        upstream: &UpstreamId,
+        answer: Result<&LoadReport, UpstreamError>,
+    ) {
+        let Some(ledger) = self.ledgers.get_mut(upstream) else {
+            return;
+        };
+        let Ok(report) = answer else { return };
+        let restarted = ledger
+            .incarnation()
+            .is_some_and(|i| i != report.incarnation);
+        ledger.report = Some(report.clone());
+        if restarted {
+            ledger.prefill_free_at = ctx.now;
+            self.resend_cancels(ctx, upstream);
+        }
+        self.pump(ctx, view);
+    }
+
+    /// An engine published cache events.
+    pub fn on_cache(
+        &mut self,
+        _ctx: &mut Context<'_>,
+        _view: &View<'_>,
+        _upstream: &UpstreamId,
+        _batch: CacheBatch,
+    ) {
+    }
+
+    /// Fires the timers that are due.
+    pub fn on_tick(&mut self, ctx: &mut Context<'_>, view: &View<'_>) {
+        while let Some(timer) = self.timers.pop(ctx.now) {
+            self.on_timer(ctx, view, timer);
+        }
+        if self.leaving {
+            self.recheck_waiting(ctx, view);
+        }
+    }
+
+    fn on_timer(&mut self, ctx: &mut Context<'_>, view: &View<'_>, timer: Timer) {
+        match timer {
+            Timer::Waiting(attempt) => self.on_wait_over(ctx, view, &attempt),
+            Timer::Lapse(upstream, attempt) => {
+                if self.is_running(&upstream, &attempt) {
+                    self.revoke(ctx, view, &upstream, &attempt);
+                    self.cancel(ctx, &upstream, attempt);
+                }
+            }
+            Timer::Cancel(upstream, attempt) => self.resend_cancel(ctx, &upstream, attempt),
+            Timer::Poll(upstream) => self.poll(ctx, upstream),
+            Timer::Learning(_) => self.pump(ctx, view),
+            Timer::Drain(upstream) => self.on_drain_over(ctx, view, &upstream),
+            Timer::Finished(attempt) => {
+                self.finished.remove(&attempt);
+            }
+        }
+    }
+
+    fn poll(&mut self, ctx: &mut Context<'_>, upstream: UpstreamId) {
+        let Some(ledger) = self.ledgers.get(&upstream) else {
+            return;
+        };
+        ctx.act(Action::PollLoad {
+            upstream: upstream.clone(),
+            address: ledger.config.address,
+        });
+        let next = ctx.now + self.settings.poll_ms;
+        self.timers.replace(next, Timer::Poll(upstream));
+    }
+
+    /// When `on_tick` is due next.
+    pub fn next_wakeup(&self) -> Option<Time> {
+        if self.leaving && self.queue.len() > 0 {
+            return Some(Time::START);
+        }
+        self.timers.next()
+    }
+
+    /// The daemon leaves: no new grants from now on.
+    pub fn set_leaving(&mut self) {
+        self.leaving = true;
+    }
+
+    /// The VMs with which grants are shared.
+    pub fn peers(&self) -> BTreeSet<VmId> {
+        let holdings = self.ledgers.values().flat_map(Ledger::holdings);
+        let held = holdings.map(|(_, holding)| holding.entry.vm.clone());
+        let waiting = self.queue.iter().map(|w| w.entry.vm.clone());
+        held.chain(waiting).collect()
+    }
+
+    pub(super) fn is_running(&self, upstream: &UpstreamId, attempt: &AttemptId) -> bool {
+        let ledger = self.ledgers.get(upstream);
+        let holding = ledger.and_then(|ledger| ledger.holding(attempt));
+        holding.is_some_and(|holding| holding.state == HoldState::Running)
+    }
+
+    pub(super) fn is_finished(&self, attempt: &AttemptId) -> bool {
+        self.finished.contains(attempt)
+    }
+
+    /// Takes an attempt's share back and remembers that it is over.
+    pub(super) fn finish(&mut self, now: Time, attempt: AttemptId) {
+        if let Some(upstream) = self.granted.remove(&attempt) {
+            if let Some(ledger) = self.ledgers.get_mut(&upstream) {
+                ledger.give_back(&attempt);
+            }
+        }
+        if self.finished.insert(attempt) {
+            let end = now + self.settings.finished_ms;
+            self.timers.set(end, Timer::Finished(attempt));
+        }
+    }
+
+    pub(super) fn answer(
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        to: &Member,
+        attempt: AttemptId,
+        answer: GrantAnswer,
+    ) {
+        let message = GrantMessage::Answer { attempt, answer };
+        view.send(ctx, &to.vm, PeerMessage::Grant(message));
+    }
+}
+
+fn limit_of(view: &View<'_>, config: &UpstreamConfig) -> u32 {
+    match &config.kind {
+        UpstreamKind::Engine(engine) => engine.max_in_flight_requests,
+        UpstreamKind::Service(name) => {
+            let service = view.config.services.get(name);
+            service.map_or(0, |service| service.max_in_flight_requests)
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/grant/settings.rs
@@ -0,0 +1,101 @@
+//! Settings of the owner's side of grants.
+
+use super::GrantSettingsError;
+use crate::units::Millis;
+use serde::{Deserialize, Serialize};
+
+/// Grant settings as written in the settings file.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawGrantSettings {
+    /// Time between two load polls of an upstream.
+    pub poll_ms: u64,
+    /// Time after which an unanswered cancel is sent again.
+    pub cancel_retry_ms: u64,
+    /// Time past its deadline after which an attempt's grant lapses.
+    pub lapse_slack_ms: u64,
+    /// Time for which finished attempts are remembered.
+    pub finished_ms: u64,
+    /// Time that work in flight at a drained upstream gets.
+    pub drain_grace_ms: u64,
+    /// Time for which outstanding grants are collected after a pause.
+    pub learning_ms: u64,
+    /// Share of the limit that is granted while outstanding grants are collected.
+    pub learning_percent: u32,
+    /// Most requests that wait.
+    pub queue_requests: u32,
+}
+
+impl Default for RawGrantSettings {
+    fn default() -> Self {
+        Self {
+            poll_ms: 500,
+            cancel_retry_ms: 500,
+            lapse_slack_ms: 2_000,
+            finished_ms: 60_000,
+            drain_grace_ms: 20_000,
+            learning_ms: 3_000,
+            learning_percent: 25,
+            queue_requests: 4_096,
+        }
+    }
+}
+
+/// Checked grant settings.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(try_from = "RawGrantSettings")]
+pub struct GrantSettings {
+    /// Time between two load polls of an upstream.
+    pub poll_ms: Millis,
+    /// Time after which an unanswered cancel is sent again.
+    pub cancel_retry_ms: Millis,
+    /// Time past its deadline after which an attempt's grant lapses.
+    pub lapse_slack_ms: Millis,
+    /// Time for which finished attempts are remembered.
+    pub finished_ms: Millis,
+    /// Time that work in flight at a drained upstream gets.
+    pub drain_grace_ms: Millis,
+    /// Time for which outstanding grants are collected after a pause.
+    pub learning_ms: Millis,
+    /// Share of the limit that is granted while outstanding grants are collected.
+    pub learning_percent: u32,
+    /// Most requests that wait.
+    pub queue_requests: u32,
+}
+
+fn check(key: &'static str, value: u64, min: u64, max: u64) -> Result<u64, GrantSettingsError> {
+    if (min..=max).contains(&value) {
+        return Ok(value);
+    }
+    Err(GrantSettingsError::Range {
+        key,
+        value,
+        min,
+        max,
+    })
+}
+
+impl TryFrom<RawGrantSettings> for GrantSettings {
+    type Error = GrantSettingsError;
+
+    fn try_from(raw: RawGrantSettings) -> Result<Self, GrantSettingsError> {
+        let span = |key, value, min, max| check(key, value, min, max).map(Millis::new);
+        let count = |key, value: u32, max| check(key, value.into(), 1, max).map(|v| v as u32);
+        Ok(Self {
+            poll_ms: span("poll_ms", raw.poll_ms, 50, 60_000)?,
+            cancel_retry_ms: span("cancel_retry_ms", raw.cancel_retry_ms, 50, 60_000)?,
+            lapse_slack_ms: span("lapse_slack_ms", raw.lapse_slack_ms, 100, 600_000)?,
+            finished_ms: span("finished_ms", raw.finished_ms, 1_000, 3_600_000)?,
+            drain_grace_ms: span("drain_grace_ms", raw.drain_grace_ms, 0, 3_600_000)?,
+            learning_ms: span("learning_ms", raw.learning_ms, 100, 60_000)?,
+            learning_percent: count("learning_percent", raw.learning_percent, 100)?,
+            queue_requests: count("queue_requests", raw.queue_requests, 1_000_000)?,
+        })
+    }
+}
+
+impl Default for GrantSettings {
+    fn default() -> Self {
+        Self::try_from(RawGrantSettings::default()).expect("the defaults are in range")
+    }
+}
--- /dev/null
+++ b/crates/core/src/grant/summary.rs
@@ -0,0 +1,102 @@
+//! What an owner says of its upstreams.
+
+use super::{ledger::Ledger, owner::Owner};
+use crate::{
+    config::UpstreamKind,
+    context::View,
+    ids::{ModelVersion, ServiceName, UpstreamId},
+    message::{ModelCapacity, OwnerSummary},
+    units::{KvBytes, Millis, Time, Tokens},
+};
+use std::collections::BTreeMap;
+
+/// The account of one owned upstream, as operators and plans see it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OwnedStatus {
+    /// Calls in flight.
+    pub in_flight_requests: u32,
+    /// Most calls in flight.
+    pub limit_requests: u32,
+    /// KV memory reserved.
+    pub kv_held_bytes: KvBytes,
+    /// Models that are loaded.
+    pub models: Vec<ModelVersion>,
+}
+
+impl Owner {
+    /// What the owned upstreams can take now.
+    pub fn summary(&self, now: Time, view: &View<'_>) -> OwnerSummary {
+        let mut models: BTreeMap<ModelVersion, ModelCapacity> = BTreeMap::new();
+        let mut services: BTreeMap<ServiceName, u32> = BTreeMap::new();
+        let serving = self.ledgers.values().filter(|l| l.drained_since.is_none());
+        for ledger in serving.filter(|_| !self.leaving) {
+            let free_requests = self.free_places(now, ledger);
+            match &ledger.config.kind {
+                UpstreamKind::Service(name) => {
+                    *services.entry(name.clone()).or_default() += free_requests;
+                }
+                UpstreamKind::Engine(_) => {
+                    let report = ledger.report.iter();
+                    for version in report.flat_map(|report| report.models.keys()) {
+                        let capacity = models.entry(version.clone()).or_default();
+                        self.add_engine(now, view, ledger, version, capacity);
+                    }
+                }
+            }
+        }
+        OwnerSummary {
+            models: models.into_iter().collect(),
+            services: services.into_iter().collect(),
+        }
+    }
+
+    fn add_engine(
+        &self,
+        now: Time,
+        view: &View<'_>,
+        ledger: &Ledger,
+        version: &ModelVersion,
+        capacity: &mut ModelCapacity,
+    ) {
+        let model = view.config.models.get(version);
+        let per_token = model.map_or(1, |m| m.kv_bytes_per_token.get().max(1));
+        let context = model.map_or(Tokens::ZERO, |m| m.context_tokens);
+        let held = Tokens::new(ledger.kv_total().get() / per_token);
+        let wait = self.wait_at(now, ledger);
+        let first = capacity.engines == 0;
+        capacity.engines += 1;
+        capacity.free_requests += self.free_places(now, ledger);
+        capacity.free_kv_bytes += ledger.kv_free(now);
+        capacity.max_prompt_tokens = capacity.max_prompt_tokens.max(held.min(context));
+        if first || wait < capacity.short_wait_ms {
+            capacity.short_wait_ms = wait;
+            capacity.long_wait_ms = wait;
+        }
+    }
+
+    fn wait_at(&self, now: Time, ledger: &Ledger) -> Millis {
+        let prefill = ledger.prefill_free_at.since(now);
+        if self.free_places(now, ledger) > 0 {
+            return prefill;
+        }
+        let ends = ledger.holdings().map(|(_, h)| h.expected_end.since(now));
+        prefill + ends.min().unwrap_or(self.settings.poll_ms)
+    }
+
+    fn free_places(&self, now: Time, ledger: &Ledger) -> u32 {
+        let allowed = ledger.allowed(now, self.settings.learning_percent);
+        allowed.saturating_sub(ledger.busy(now))
+    }
+
+    /// The account of an owned upstream.
+    pub fn status(&self, upstream: &UpstreamId) -> Option<OwnedStatus> {
+        let ledger = self.ledgers.get(upstream)?;
+        let report = ledger.report.iter();
+        Some(OwnedStatus {
+            in_flight_requests: ledger.in_flight(),
+            limit_requests: ledger.limit_requests,
+            kv_held_bytes: ledger.kv_held(),
+            models: report.flat_map(|r| r.models.keys().cloned()).collect(),
+        })
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod config;
 pub mod decision;
+pub mod grant;
 pub mod ids;
 pub mod membership;
 pub mod message;
--- /dev/null
+++ b/crates/core/src/routing/candidates.rs
@@ -0,0 +1,181 @@
+//! The owners that may be asked for a request.
+
+use super::{Route, RouteQuery, RoutingSettings};
+use crate::{
+    config::ServiceState,
+    context::View,
+    ids::{FailureDomain, ModelVersion, VmId},
+    message::{Member, ModelCapacity},
+    request::{CallTarget, Refusal, RefusalCode},
+};
+
+/// How sure it is that an owner has a fitting upstream, best first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Tier {
+    /// An owner of the own failure domain whose summary names one.
+    Known,
+    /// An owner of the own failure domain without a summary yet.
+    Unheard,
+    /// An owner of another failure domain.
+    Remote,
+}
+
+/// An owner that may be asked.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate<'a> {
+    /// The owner.
+    pub(super) member: &'a Member,
+    /// The model version to ask for.
+    pub(super) model: Option<&'a ModelVersion>,
+    /// How sure it is.
+    pub(super) tier: Tier,
+    /// What its summary says of the model version.
+    pub(super) capacity: Option<&'a ModelCapacity>,
+    /// What its summary says of the plain service.
+    pub(super) free_places: Option<u32>,
+}
+
+impl Candidate<'_> {
+    pub(super) fn route(&self, runner_up: Option<VmId>, reason: &'static str) -> Route {
+        Route {
+            owner: self.member.vm.clone(),
+            model: self.model.cloned(),
+            runner_up,
+            reason,
+        }
+    }
+}
+
+/// The candidates of the best tier that has any, in the order of domains and names.
+pub(super) fn best_tier<'a>(candidates: &[Candidate<'a>]) -> Vec<Candidate<'a>> {
+    let best = candidates.iter().map(|c| c.tier).min();
+    let of_best = candidates.iter().filter(|c| Some(c.tier) == best);
+    of_best.copied().collect()
+}
+
+/// Every owner that may be asked now.
+///
+/// # Errors
+///
+/// The refusal for the caller where there is none.
+pub(super) fn candidates<'a>(
+    view: &View<'a>,
+    settings: &RoutingSettings,
+    query: &RouteQuery<'_>,
+) -> Result<Vec<Candidate<'a>>, Refusal> {
+    check_target(view, query)?;
+    let mut found = Vec::new();
+    let mut serving = false;
+    for (domain, config) in &view.config.domains {
+        if config.state != ServiceState::Serving || !serves(view, domain, query) {
+            continue;
+        }
+        serving = true;
+        if query.tried.len() >= settings.asked_count {
+            continue;
+        }
+        let members = view.directory.live_in(domain).iter();
+        let untried = members.filter(|m| !query.tried.contains(&m.vm));
+        found.extend(untried.filter_map(|member| candidate(view, domain, member, query)));
+    }
+    if found.is_empty() {
+        return Err(none_left(settings, query, serving));
+    }
+    Ok(found)
+}
+
+fn check_target(view: &View<'_>, query: &RouteQuery<'_>) -> Result<(), Refusal> {
+    let workspace = &query.spec.workspace;
+    if !view.config.workspaces.contains_key(workspace) {
+        let text = format!("no workspace {workspace}: check the X-Workspace header");
+        return Err(Refusal::not_run(RefusalCode::UnknownWorkspace, text));
+    }
+    match &query.spec.target {
+        CallTarget::Service(call) if !view.config.services.contains_key(&call.service) => {
+            let text = format!("no service {}: check the path", call.service);
+            Err(Refusal::not_run(RefusalCode::UnknownService, text))
+        }
+        CallTarget::Model(call) => {
+            let mut domains = view.config.domains.keys();
+            let version = |domain| view.config.version_for(&call.model, workspace, domain);
+            if domains.any(|domain| version(domain).is_some()) {
+                return Ok(());
+            }
+            let text = format!(
+                "no model {} for workspace {workspace}: check the name, or have it served",
+                call.model
+            );
+            Err(Refusal::not_run(RefusalCode::UnknownModel, text))
+        }
+        CallTarget::Service(_) => Ok(()),
+    }
+}
+
+fn version<'a>(
+    view: &View<'a>,
+    domain: &FailureDomain,
+    query: &RouteQuery<'_>,
+) -> Option<&'a ModelVersion> {
+    match &query.spec.target {
+        CallTarget::Model(call) => {
+            let config = view.config;
+            config.version_for(&call.model, &query.spec.workspace, domain)
+        }
+        CallTarget::Service(_) => None,
+    }
+}
+
+fn serves(view: &View<'_>, domain: &FailureDomain, query: &RouteQuery<'_>) -> bool {
+    matches!(query.spec.target, CallTarget::Service(_)) || version(view, domain, query).is_some()
+}
+
+fn candidate<'a>(
+    view: &View<'a>,
+    domain: &FailureDomain,
+    member: &'a Member,
+    query: &RouteQuery<'_>,
+) -> Option<Candidate<'a>> {
+    let model = version(view, domain, query);
+    let summary = view.directory.summary_of(&member.vm);
+    let capacity = summary.zip(model).and_then(|(summary, model)| {
+        let found = summary.models.iter().find(|(version, _)| version == model);
+        found.map(|(_, capacity)| capacity)
+    });
+    let free_places = summary.and_then(|summary| match &query.spec.target {
+        CallTarget::Service(call) => {
+            let found = summary.services.iter().find(|(s, _)| *s == call.service);
+            found.map(|(_, free)| *free)
+        }
+        CallTarget::Model(_) => None,
+    });
+    let named = capacity.is_some() || free_places.is_some();
+    if summary.is_some() && !named {
+        return None;
+    }
+    let tier = match (*domain == view.me.domain, named) {
+        (true, true) => Tier::Known,
+        (true, false) => Tier::Unheard,
+        (false, _) => Tier::Remote,
+    };
+    Some(Candidate {
+        member,
+        model,
+        tier,
+        capacity,
+        free_places,
+    })
+}
+
+fn none_left(settings: &RoutingSettings, query: &RouteQuery<'_>, serving: bool) -> Refusal {
+    let refusal = if !serving {
+        let text = "every failure domain that serves this is drained: return one, or come back";
+        Refusal::not_run(RefusalCode::NoCapacity, text)
+    } else if query.tried.is_empty() {
+        let text = "no daemon with a fitting upstream can be reached: check peers and models";
+        Refusal::not_run(RefusalCode::Unreachable, text)
+    } else {
+        let text = "no capacity before the deadline: come back, or give a longer timeout";
+        Refusal::not_run(RefusalCode::NoCapacity, text)
+    };
+    refusal.retry_after(settings.retry_after_ms)
+}
--- /dev/null
+++ b/crates/core/src/routing/cost.rs
@@ -0,0 +1,117 @@
+//! The owner with the least predicted wait among a few sampled ones.
+
+use super::{
+    candidates::{candidates, Candidate, Tier},
+    Route, RouteQuery, Router, RoutingSettings,
+};
+use crate::{
+    context::{Context, View},
+    ids::{UpstreamId, VmId},
+    message::{GrantAnswer, GrantDenial, GrantEnd},
+    request::{CallTarget, LengthClass, Refusal},
+    units::{Millis, Time},
+};
+use rand::RngExt;
+use std::collections::BTreeMap;
+
+/// Cost of an owner that has no free place, in milliseconds.
+const FULL_MS: u64 = 1_000;
+/// Cost of an owner none of whose engines holds the prompt, in milliseconds.
+const TOO_SMALL_MS: u64 = 10_000;
+
+/// Compares a few sampled owners by their summaries.
+#[derive(Debug)]
+pub(super) struct Cost {
+    settings: RoutingSettings,
+    busy_until: BTreeMap<VmId, Time>,
+}
+
+impl Cost {
+    pub(super) fn new(settings: RoutingSettings) -> Self {
+        Self {
+            settings,
+            busy_until: BTreeMap::new(),
+        }
+    }
+
+    fn cost(&self, now: Time, candidate: &Candidate<'_>, query: &RouteQuery<'_>) -> Millis {
+        let wait = match (
+            &query.spec.target,
+            candidate.capacity,
+            candidate.free_places,
+        ) {
+            (CallTarget::Model(call), Some(capacity), _) => {
+                let wait = match call.class() {
+                    LengthClass::Short | LengthClass::Medium => capacity.short_wait_ms,
+                    LengthClass::Long | LengthClass::Huge => capacity.long_wait_ms,
+                };
+                let small = capacity.max_prompt_tokens < call.prompt_tokens;
+                let small = if small { TOO_SMALL_MS } else { 0 };
+                let full = if capacity.free_requests == 0 {
+                    FULL_MS
+                } else {
+                    0
+                };
+                wait + Millis::new(small + full)
+            }
+            (CallTarget::Service(_), _, Some(0)) => Millis::new(FULL_MS),
+            (CallTarget::Service(_), _, Some(_)) => Millis::ZERO,
+            _ => self.settings.no_summary_ms,
+        };
+        let busy = self.busy_until.get(&candidate.member.vm);
+        let busy = busy.map_or(Millis::ZERO, |until| until.since(now));
+        let away = match candidate.tier {
+            Tier::Remote => self.settings.cross_domain_ms,
+            Tier::Known | Tier::Unheard => Millis::ZERO,
+        };
+        wait.max(busy) + away
+    }
+
+    /// Moves a few candidates, chosen at random, to the front.
+    fn sample(&self, ctx: &mut Context<'_>, all: &mut Vec<Candidate<'_>>) {
+        let count = self.settings.sampled_count.min(all.len());
+        for index in 0..count {
+            let other = ctx.rng.random_range(index..all.len());
+            all.swap(index, other);
+        }
+        all.truncate(count);
+    }
+}
+
+impl Router for Cost {
+    fn route(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        query: &RouteQuery<'_>,
+    ) -> Result<Route, Refusal> {
+        let mut all = candidates(view, &self.settings, query)?;
+        let named = |c: &&Candidate<'_>| Some(&c.member.vm) == query.better;
+        if let Some(better) = all.iter().find(named) {
+            return Ok(better.route(None, "named by the last denial"));
+        }
+        self.sample(ctx, &mut all);
+        let cost = |c: &Candidate<'_>| (self.cost(ctx.now, c, query), c.tier);
+        all.sort_by_key(cost);
+        let runner_up = all.get(1).map(|c| c.member.vm.clone());
+        Ok(all[0].route(runner_up, "least predicted wait"))
+    }
+
+    fn on_answer(&mut self, ctx: &mut Context<'_>, owner: &VmId, answer: &GrantAnswer) {
+        let busy_ms = match answer {
+            GrantAnswer::Granted(_) => {
+                self.busy_until.remove(owner);
+                return;
+            }
+            GrantAnswer::Queued { wait_ms } => *wait_ms,
+            GrantAnswer::Denied(
+                GrantDenial::Busy { retry_after_ms, .. } | GrantDenial::Learning { retry_after_ms },
+            ) => *retry_after_ms,
+            GrantAnswer::Denied(_) => return,
+        };
+        self.busy_until.retain(|_, until| *until > ctx.now);
+        self.busy_until.insert(owner.clone(), ctx.now + busy_ms);
+    }
+
+    fn on_end(&mut self, _owner: &VmId, _upstream: &UpstreamId, _end: &GrantEnd) {}
+}
--- /dev/null
+++ b/crates/core/src/routing/round_robin.rs
@@ -0,0 +1,47 @@
+//! Each owner in turn: a baseline.
+
+use super::{
+    candidates::{best_tier, candidates},
+    Route, RouteQuery, Router, RoutingSettings,
+};
+use crate::{
+    context::{Context, View},
+    ids::{UpstreamId, VmId},
+    message::{GrantAnswer, GrantEnd},
+    request::Refusal,
+};
+
+/// Asks each owner in turn.
+#[derive(Debug)]
+pub(super) struct RoundRobin {
+    settings: RoutingSettings,
+    turn_index: usize,
+}
+
+impl RoundRobin {
+    pub(super) fn new(settings: RoutingSettings) -> Self {
+        Self {
+            settings,
+            turn_index: 0,
+        }
+    }
+}
+
+impl Router for RoundRobin {
+    fn route(
+        &mut self,
+        _ctx: &mut Context<'_>,
+        view: &View<'_>,
+        query: &RouteQuery<'_>,
+    ) -> Result<Route, Refusal> {
+        let all = candidates(view, &self.settings, query)?;
+        let best = best_tier(&all);
+        let chosen = &best[self.turn_index % best.len()];
+        self.turn_index = self.turn_index.wrapping_add(1);
+        Ok(chosen.route(None, "next in turn"))
+    }
+
+    fn on_answer(&mut self, _ctx: &mut Context<'_>, _owner: &VmId, _answer: &GrantAnswer) {}
+
+    fn on_end(&mut self, _owner: &VmId, _upstream: &UpstreamId, _end: &GrantEnd) {}
+}
--- /dev/null
+++ b/crates/core/tests/grant_interleavings.rs
@@ -0,0 +1,376 @@
+//! Random interleavings of grants, releases, deaths and lost messages against fake engines.
+
+#[path = "common/grant_bench.rs"]
+#[allow(dead_code)]
+mod grant_bench;
+
+use grant_bench::{
+    end_of, engine, grant_request, member, model_spec, upstream, warm_report, Rig,
+    KV_BYTES_PER_TOKEN,
+};
+use persimmon_core::{
+    ids::{AttemptId, Incarnation, RequestId, UpstreamId},
+    message::{GrantAnswer, GrantMessage, Member, PeerMessage},
+    request::UpstreamError,
+    units::Millis,
+    upstream::{LoadReport, OrderKind},
+    Action,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use std::collections::BTreeMap;
+
+const LIMITS: [(&str, u64, u32); 2] = [("e1", 4_000, 3), ("e2", 9_000, 5)];
+const ENTRIES_COUNT: usize = 2;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask {
+        entry: usize,
+        prompt_tokens: u64,
+        timeout_ms: u64,
+    },
+    AskAgain {
+        index: usize,
+    },
+    Withdraw {
+        index: usize,
+    },
+    End {
+        index: usize,
+        needs_cancel: bool,
+        lost: bool,
+    },
+    EndAgain {
+        index: usize,
+    },
+    EntryDies {
+        entry: usize,
+    },
+    EngineRestarts {
+        engine: usize,
+    },
+    LoseOrders,
+    Wait {
+        ms: u64,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let index = 0..64usize;
+    prop_oneof![
+        8 => (0..ENTRIES_COUNT, 100..6_000u64, 500..20_000u64).prop_map(
+            |(entry, prompt_tokens, timeout_ms)| Step::Ask { entry, prompt_tokens, timeout_ms }),
+        2 => index.clone().prop_map(|index| Step::AskAgain { index }),
+        1 => index.clone().prop_map(|index| Step::Withdraw { index }),
+        6 => (index.clone(), any::<bool>(), prop::bool::weighted(0.2)).prop_map(
+            |(index, needs_cancel, lost)| Step::End { index, needs_cancel, lost }),
+        2 => index.prop_map(|index| Step::EndAgain { index }),
+        1 => (0..ENTRIES_COUNT).prop_map(|entry| Step::EntryDies { entry }),
+        1 => (0..LIMITS.len()).prop_map(|engine| Step::EngineRestarts { engine }),
+        2 => Just(Step::LoseOrders),
+        4 => (1..3_000u64).prop_map(|ms| Step::Wait { ms }),
+    ]
+}
+
+struct Asked {
+    entry: Member,
+    message: GrantMessage,
+    attempt: AttemptId,
+    /// Whether its end, if it ended, asked for a cancel.
+    ended: Option<bool>,
+}
+
+struct World {
+    rig: Rig,
+    entries: Vec<Member>,
+    asked: Vec<Asked>,
+    streams: BTreeMap<UpstreamId, BTreeMap<RequestId, u64>>,
+    incarnations: BTreeMap<UpstreamId, u64>,
+    lose_orders: bool,
+}
+
+impl World {
+    fn new() -> Self {
+        let engines = LIMITS.iter();
+        let engines = engines.map(|(id, kv, limit)| (*id, engine("a", *kv, *limit)));
+        let mut rig = Rig::new(engines.collect());
+        let entries = (0..ENTRIES_COUNT).map(|i| member(&format!("entry-{i}"), "a"));
+        let entries: Vec<Member> = entries.collect();
+        for entry in &entries {
+            rig.bench.directory.add(entry);
+        }
+        Self {
+            rig,
+            entries,
+            asked: Vec::new(),
+            streams: LIMITS
+                .iter()
+                .map(|l| (upstream(l.0), BTreeMap::new()))
+                .collect(),
+            incarnations: LIMITS.iter().map(|l| (upstream(l.0), 1)).collect(),
+            lose_orders: false,
+        }
+    }
+
+    fn send(&mut self, index: usize, message: GrantMessage) {
+        let entry = self.asked[index].entry.clone();
+        if self.entries.contains(&entry) {
+            self.rig.message_from(&entry, message);
+        }
+    }
+
+    fn run(&mut self, step: Step) {
+        let count = self.asked.len().max(1);
+        let known = !self.asked.is_empty();
+        match step {
+            Step::Ask {
+                entry,
+                prompt_tokens,
+                timeout_ms,
+            } => {
+                self.ask(entry, prompt_tokens, timeout_ms);
+            }
+            Step::AskAgain { index } if known => {
+                let message = self.asked[index % count].message.clone();
+                self.send(index % count, message);
+            }
+            Step::Withdraw { index } if known && !self.runs(index % count) => {
+                let attempt = self.asked[index % count].attempt;
+                self.send(index % count, GrantMessage::Withdraw { attempt });
+            }
+            Step::End {
+                index,
+                needs_cancel,
+                lost,
+            } if known => {
+                self.end(index % count, needs_cancel, lost);
+            }
+            Step::EndAgain { index } if known => {
+                if let Some(needs_cancel) = self.asked[index % count].ended {
+                    self.release(index % count, needs_cancel);
+                }
+            }
+            Step::EntryDies { entry } => self.entry_dies(entry),
+            Step::EngineRestarts { engine } => self.engine_restarts(engine),
+            Step::LoseOrders => self.lose_orders = true,
+            Step::Wait { ms } => {
+                self.lose_orders = false;
+                self.wait(ms);
+            }
+            _ => {}
+        }
+        self.deliver();
+        self.check();
+    }
+
+    fn ask(&mut self, entry: usize, prompt_tokens: u64, timeout_ms: u64) {
+        let mut spec = model_spec(self.asked.len() as u128 + 1, prompt_tokens, 100);
+        spec.timeout_ms = Millis::new(timeout_ms);
+        let request = grant_request(spec);
+        let attempt = request.attempt;
+        let message = GrantMessage::Request(Box::new(request));
+        let entry = self.entries[entry].clone();
+        self.asked.push(Asked {
+            entry,
+            message: message.clone(),
+            attempt,
+            ended: None,
+        });
+        self.send(self.asked.len() - 1, message);
+    }
+
+    fn runs(&self, index: usize) -> bool {
+        let request = self.asked[index].attempt.request;
+        self.streams
+            .values()
+            .any(|streams| streams.contains_key(&request))
+    }
+
+    /// The stream ends at its engine, or the entry daemon gives it up and it runs on.
+    fn end(&mut self, index: usize, needs_cancel: bool, lost: bool) {
+        let alive = self.entries.contains(&self.asked[index].entry);
+        if !self.runs(index) || !alive {
+            return;
+        }
+        let request = self.asked[index].attempt.request;
+        if !needs_cancel {
+            for streams in self.streams.values_mut() {
+                streams.remove(&request);
+            }
+        }
+        self.asked[index].ended = Some(needs_cancel);
+        if !lost {
+            self.release(index, needs_cancel);
+        }
+    }
+
+    fn release(&mut self, index: usize, needs_cancel: bool) {
+        let message = GrantMessage::Release {
+            attempt: self.asked[index].attempt,
+            upstream: upstream("e1"),
+            end: end_of(needs_cancel),
+        };
+        self.send(index, message);
+    }
+
+    fn entry_dies(&mut self, entry: usize) {
+        let old = self.entries[entry].clone();
+        self.rig.bench.directory.remove(&old.vm);
+        self.rig.dies(&old);
+        self.entries[entry].incarnation = old.incarnation.next();
+        let new = self.entries[entry].clone();
+        self.rig.bench.directory.add(&new);
+    }
+
+    fn engine_restarts(&mut self, engine: usize) {
+        let id = upstream(LIMITS[engine].0);
+        self.streams.get_mut(&id).unwrap().clear();
+        *self.incarnations.get_mut(&id).unwrap() += 1;
+    }
+
+    fn wait(&mut self, ms: u64) {
+        self.rig.bench.advance(ms);
+        let owner = &mut self.rig.owner;
+        self.rig.bench.with(|ctx, view| owner.on_tick(ctx, view));
+    }
+
+    fn deliver(&mut self) {
+        loop {
+            let actions = self.rig.bench.take();
+            if actions.is_empty() {
+                return;
+            }
+            actions
+                .into_iter()
+                .for_each(|action| self.carry_out(action));
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::SendPeer {
+                message: PeerMessage::Grant(message),
+                ..
+            } => match message {
+                GrantMessage::Answer {
+                    attempt,
+                    answer: GrantAnswer::Granted(offer),
+                } => {
+                    self.dispatch(attempt, offer.upstream);
+                }
+                GrantMessage::Revoke { attempt } => {
+                    let index = self
+                        .asked
+                        .iter()
+                        .position(|a| a.attempt == attempt)
+                        .unwrap();
+                    self.asked[index].ended.get_or_insert(true);
+                }
+                _ => {}
+            },
+            Action::Order(order) => {
+                let OrderKind::Cancel { request } = order.kind else {
+                    panic!()
+                };
+                let streams = self.streams.get_mut(&order.upstream).unwrap();
+                let answer = match self.lose_orders {
+                    true => Err(UpstreamError::Timeout),
+                    false => {
+                        streams.remove(&request);
+                        Ok(())
+                    }
+                };
+                let owner = &mut self.rig.owner;
+                let (id, token) = (&order.upstream, order.token);
+                self.rig
+                    .bench
+                    .with(|ctx, view| owner.on_order(ctx, view, id, token, answer));
+            }
+            Action::PollLoad { upstream, .. } => {
+                let report = LoadReport {
+                    incarnation: Incarnation::new(self.incarnations[&upstream]),
+                    ..warm_report()
+                };
+                self.rig.report(upstream.as_str(), &report);
+            }
+            _ => {}
+        }
+    }
+
+    fn dispatch(&mut self, attempt: AttemptId, upstream: UpstreamId) {
+        let asked = self.asked.iter().find(|a| a.attempt == attempt).unwrap();
+        if asked.ended.is_some() || !self.entries.contains(&asked.entry) {
+            return;
+        }
+        let GrantMessage::Request(request) = &asked.message else {
+            panic!()
+        };
+        let persimmon_core::request::CallTarget::Model(call) = &request.spec.target else {
+            panic!()
+        };
+        let tokens = call.prompt_tokens + call.max_output_tokens;
+        let streams = self.streams.get_mut(&upstream).unwrap();
+        streams.insert(attempt.request, tokens.get() * KV_BYTES_PER_TOKEN);
+    }
+
+    fn check(&self) {
+        for (name, kv_tokens, limit) in LIMITS {
+            let streams = &self.streams[&upstream(name)];
+            assert!(streams.len() <= limit as usize, "{name} over its limit");
+            let held: u64 = streams.values().sum();
+            assert!(
+                held <= kv_tokens * KV_BYTES_PER_TOKEN,
+                "{name} over its memory"
+            );
+            let (in_flight, kv_held) = self.rig.account(name);
+            assert!(
+                in_flight as usize >= streams.len(),
+                "{name} runs what is not accounted"
+            );
+            assert!(in_flight <= limit && kv_held >= held);
+        }
+    }
+
+    /// After the last deadline nothing is held anywhere.
+    fn settle(&mut self) {
+        self.lose_orders = false;
+        for _ in 0..60 {
+            self.wait(1_000);
+            self.deliver();
+            self.check();
+        }
+        for (name, ..) in LIMITS {
+            assert_eq!(
+                self.rig.account(name),
+                (0, 0),
+                "{name} still accounts for something"
+            );
+            assert!(
+                self.streams[&upstream(name)].is_empty(),
+                "{name} still runs something"
+            );
+        }
+        assert!(self.rig.owner.peers().is_empty(), "somebody still waits");
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(0x6772_616e),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn no_memory_is_lost_and_no_limit_passed(steps in prop::collection::vec(step(), 1..120)) {
+        let mut world = World::new();
+        for step in steps {
+            world.run(step);
+        }
+        world.settle();
+    }
+}
