--- a/crates/core/src/grant/admit.rs
+++ b/crates/core/src/grant/admit.rs
@@ -1,35 +1,23 @@
 //! Admission: which upstream takes a request, whether it waits, and when it is refused.
 
 use super::{
+    fit::{need_of, Need},
     ledger::{HoldState, Holding, Ledger},
     owner::Owner,
     timers::Timer,
     waiting::{class_of, Waiting},
 };
 use crate::{
-    config::UpstreamKind,
     context::{Context, View},
     ids::{AttemptId, UpstreamId},
     message::{GrantAnswer, GrantDenial, GrantOffer, GrantRequest, Member},
-    request::{CallTarget, ModelCall, Priority},
-    units::{KvBytes, Millis, Time, Tokens},
+    request::Priority,
+    units::{Millis, Time, Tokens},
 };
 
-/// Share of the longest allowed answer that is expected.
-const EXPECTED_OUTPUT_PERCENT: u64 = 50;
-/// Time that a call of a plain service is expected to take, in milliseconds.
-const SERVICE_CALL_MS: u64 = 100;
 /// Waiting requests that are tried in vain before a pass over the queue ends.
 const PUMP_FAILURES_COUNT: usize = 32;
 
-/// What a request needs of the upstream that takes it.
-#[derive(Clone, Copy, Debug)]
-struct Need {
-    kv_bytes: KvBytes,
-    prompt_tokens: Tokens,
-    output_tokens: Tokens,
-}
-
 /// A chosen upstream.
 #[derive(Clone, Debug)]
 struct Choice {
@@ -145,50 +133,6 @@
         })
     }
 
-    /// The upstreams that could take a request when they have room.
-    fn candidates(
-        &self,
-        view: &View<'_>,
-        request: &GrantRequest,
-    ) -> Result<Vec<UpstreamId>, GrantDenial> {
-        let mut fitting = Vec::new();
-        let mut max_prompt_tokens = None;
-        let (mut drained, mut unknown) = (false, false);
-        if self.leaving {
-            return Err(GrantDenial::NotOwner { better: None });
-        }
-        for (upstream, ledger) in &self.ledgers {
-            if request.avoid.contains(upstream) || !ledger.is_kind_of(&request.spec.target) {
-                continue;
-            }
-            unknown |= ledger.report.is_none() && request.model.is_some();
-            if !ledger.has_model(request) {
-                continue;
-            }
-            if ledger.drained_since.is_some() {
-                drained = true;
-                continue;
-            }
-            match ledger.max_prompt(view, request) {
-                Some(most) if prompt_of(request) > most => {
-                    max_prompt_tokens = max_prompt_tokens.max(Some(most));
-                }
-                _ => fitting.push(upstream.clone()),
-            }
-        }
-        if !fitting.is_empty() {
-            return Ok(fitting);
-        }
-        Err(match max_prompt_tokens {
-            Some(max_prompt_tokens) => GrantDenial::TooLong { max_prompt_tokens },
-            None if drained => GrantDenial::Drained,
-            None if unknown => GrantDenial::Learning {
-                retry_after_ms: self.settings.poll_ms,
-            },
-            None => GrantDenial::NotOwner { better: None },
-        })
-    }
-
     fn choose(
         &self,
         now: Time,
@@ -360,84 +304,3 @@
 fn is_alive(view: &View<'_>, member: &Member) -> bool {
     member == view.me || view.directory.is_alive(&member.vm, member.incarnation)
 }
-
-fn model_call(request: &GrantRequest) -> Option<&ModelCall> {
-    match &request.spec.target {
-        CallTarget::Model(call) => Some(call),
-        CallTarget::Service(_) => None,
-    }
-}
-
-fn prompt_of(request: &GrantRequest) -> Tokens {
-    model_call(request).map_or(Tokens::ZERO, |call| call.prompt_tokens)
-}
-
-fn need_of(view: &View<'_>, request: &GrantRequest) -> Need {
-    let Some(call) = model_call(request) else {
-        return Need {
-            kv_bytes: KvBytes::ZERO,
-            prompt_tokens: Tokens::ZERO,
-            output_tokens: Tokens::ZERO,
-        };
-    };
-    let config = request
-        .model
-        .as_ref()
-        .and_then(|m| view.config.models.get(m));
-    let per_token = config.map_or(KvBytes::ZERO, |config| config.kv_bytes_per_token);
-    let left = call.max_output_tokens.saturating_sub(request.offset_tokens);
-    Need {
-        kv_bytes: (call.prompt_tokens + call.max_output_tokens).kv(per_token),
-        prompt_tokens: call.prompt_tokens + request.offset_tokens,
-        output_tokens: Tokens::new(left.get() * EXPECTED_OUTPUT_PERCENT / 100),
-    }
-}
-
-impl Ledger {
-    fn is_kind_of(&self, target: &CallTarget) -> bool {
-        match (&self.config.kind, target) {
-            (UpstreamKind::Engine(_), CallTarget::Model(_)) => true,
-            (UpstreamKind::Service(name), CallTarget::Service(call)) => *name == call.service,
-            _ => false,
-        }
-    }
-
-    fn has_model(&self, request: &GrantRequest) -> bool {
-        let Some(call) = model_call(request) else {
-            return true;
-        };
-        let (Some(model), Some(report)) = (&request.model, &self.report) else {
-            return false;
-        };
-        report.models.get(model).is_some_and(|adapters| {
-            call.adapter
-                .as_ref()
-                .is_none_or(|adapter| adapters.contains(adapter))
-        })
-    }
-
-    /// The longest prompt of this call that the upstream takes, for a model call.
-    fn max_prompt(&self, view: &View<'_>, request: &GrantRequest) -> Option<Tokens> {
-        let call = model_call(request)?;
-        let model = view.config.models.get(request.model.as_ref()?)?;
-        let per_token = model.kv_bytes_per_token.get().max(1);
-        let held = Tokens::new(self.kv_total().get() / per_token);
-        Some(
-            held.min(model.context_tokens)
-                .saturating_sub(call.max_output_tokens),
-        )
-    }
-
-    /// Predicted time to first token of a request granted now.
-    pub(super) fn first_token_span(&self, now: Time, prompt_tokens: Tokens) -> Millis {
-        self.prefill_free_at.since(now) + self.prefill_span(prompt_tokens)
-    }
-
-    /// Time that a call is expected to take after its prefill.
-    fn run_span(&self, output_tokens: Tokens) -> Millis {
-        match &self.config.kind {
-            UpstreamKind::Engine(_) => self.decode_span(output_tokens),
-            UpstreamKind::Service(_) => Millis::new(SERVICE_CALL_MS),
-        }
-    }
-}
--- a/crates/core/src/grant/lapse.rs
+++ b/crates/core/src/grant/lapse.rs
@@ -39,11 +39,7 @@
     fn collect_from(&self, ctx: &mut Context<'_>, view: &View<'_>, member: &Member) {
         for (upstream, ledger) in &self.ledgers {
             if ctx.now < ledger.learning_until {
-                let message = GrantMessage::Collect {
-                    upstreams: vec![upstream.clone()],
-                    fencing: ledger.fencing,
-                };
-                view.send(ctx, &member.vm, PeerMessage::Grant(message));
+                self.collect(ctx, view, upstream, member);
             }
         }
     }
--- a/crates/core/src/grant/mod.rs
+++ b/crates/core/src/grant/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod errors;
+mod fit;
 mod lapse;
 mod ledger;
 mod owner;
--- a/crates/core/src/grant/owner.rs
+++ b/crates/core/src/grant/owner.rs
@@ -119,18 +119,32 @@
             return;
         };
         ledger.learning_until = end;
-        let message = GrantMessage::Collect {
-            upstreams: vec![upstream.clone()],
-            fencing: ledger.fencing,
-        };
         self.timers.set(end, Timer::Learning(upstream.clone()));
         for domain in view.config.domains.keys() {
             for member in view.directory.live_in(domain) {
-                view.send(ctx, &member.vm, PeerMessage::Grant(message.clone()));
+                self.collect(ctx, view, upstream, member);
             }
         }
     }
 
+    /// Asks an entry daemon what it holds at an upstream.
+    pub(super) fn collect(
+        &self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        upstream: &UpstreamId,
+        from: &Member,
+    ) {
+        let Some(ledger) = self.ledgers.get(upstream) else {
+            return;
+        };
+        let message = GrantMessage::Collect {
+            upstreams: vec![upstream.clone()],
+            fencing: ledger.fencing,
+        };
+        view.send(ctx, &from.vm, PeerMessage::Grant(message));
+    }
+
     fn drop_ledger(&mut self, upstream: &UpstreamId) {
         self.ledgers.remove(upstream);
         self.granted.retain(|_, at| at != upstream);
--- a/crates/core/src/routing/candidates.rs
+++ b/crates/core/src/routing/candidates.rs
@@ -31,8 +31,8 @@
     pub(super) tier: Tier,
     /// What its summary says of the model version.
     pub(super) capacity: Option<&'a ModelCapacity>,
-    /// What its summary says of the plain service.
-    pub(super) free_places: Option<u32>,
+    /// Free places that its summary names for the plain service.
+    pub(super) free_requests: Option<u32>,
 }
 
 impl Candidate<'_> {
@@ -141,14 +141,14 @@
         let found = summary.models.iter().find(|(version, _)| version == model);
         found.map(|(_, capacity)| capacity)
     });
-    let free_places = summary.and_then(|summary| match &query.spec.target {
+    let free_requests = summary.and_then(|summary| match &query.spec.target {
         CallTarget::Service(call) => {
             let found = summary.services.iter().find(|(s, _)| *s == call.service);
             found.map(|(_, free)| *free)
         }
         CallTarget::Model(_) => None,
     });
-    let named = capacity.is_some() || free_places.is_some();
+    let named = capacity.is_some() || free_requests.is_some();
     if summary.is_some() && !named {
         return None;
     }
@@ -162,7 +162,7 @@
         model,
         tier,
         capacity,
-        free_places,
+        free_requests,
     })
 }
 
--- a/crates/core/src/routing/cost.rs
+++ b/crates/core/src/routing/cost.rs
@@ -38,7 +38,7 @@
         let wait = match (
             &query.spec.target,
             candidate.capacity,
-            candidate.free_places,
+            candidate.free_requests,
         ) {
             (CallTarget::Model(call), Some(capacity), _) => {
                 let wait = match call.class() {
--- a/crates/core/tests/common/grant_bench.rs
+++ b/crates/core/tests/common/grant_bench.rs
@@ -12,7 +12,8 @@
     },
     membership::MemberChange,
     message::{
-        GrantAnswer, GrantEnd, GrantMessage, GrantRequest, Member, OwnerSummary, PeerMessage,
+        GrantAnswer, GrantEnd, GrantMessage, GrantOffer, GrantRequest, Member, OwnerSummary,
+        PeerMessage,
     },
     ownership::OwnershipChange,
     request::{CallTarget, ModelCall, RequestSpec, ServiceCall, UpstreamError},
@@ -257,6 +258,19 @@
     }
 }
 
+pub(crate) fn offer(name: &str) -> GrantOffer {
+    GrantOffer {
+        upstream: upstream(name),
+        address: "127.0.0.1:2".parse().unwrap(),
+        fencing: FencingNumber::new(1),
+        priority: Default::default(),
+        predicted_ms: Millis::ZERO,
+        runner_up: None,
+        cached_tokens: Tokens::ZERO,
+        resume: false,
+    }
+}
+
 pub(crate) fn warm_report() -> LoadReport {
     LoadReport {
         incarnation: Incarnation::new(1),
