Add requests' state machine, claims of keys and the answer assembler

Thin first cut. Each open request has one timer, the earlier of its state's and its deadline; owners are asked in the router's order; a broken model stream is resumed at its engine and else replayed elsewhere; retries are taken from a budget. Keys are claimed by a row with the claim's own random id, or by a ticket whose issuer alone decides its one use.

Ways weighed for the grant of a broken stream: release at once (the owner can't tell whether to cancel), keep it until the resume is answered (chosen: the engine's memory stays accounted for).

--- /dev/null
+++ b/crates/core/src/claim/claims.rs
@@ -0,0 +1,425 @@
+//! Claims of keys before their calls run, and results after.
+
+use super::{
+    pending::{key_reused, unresolved, Pending, Step},
+    row_keys::claim_row,
+    sweeper::Sweeper,
+    tickets::Issuer,
+    write_budget::WriteBudget,
+    writer::{replace, Writer},
+    ClaimRecord, ClaimSettings, ClaimState, Tickets, Verdict,
+};
+use crate::{
+    action::Action,
+    context::{Context, View},
+    ids::{IdempotencyKey, RequestId},
+    message::{Member, PeerMessage, TicketMessage},
+    platform::{CallToken, Part, PlatformError, TableAnswer, TableKey, TableOp},
+    request::{RequestSpec, ServiceCall},
+    units::{Millis, Time},
+};
+use bytes::Bytes;
+use rand::Rng;
+use std::collections::BTreeMap;
+
+/// Pause before a claim that the store or the write budget refused is tried again.
+const INSERT_PAUSE_MS: Millis = Millis::new(100);
+
+/// A key that this daemon's request holds.
+#[derive(Debug)]
+struct Held {
+    row: TableKey,
+    /// The row's value, or none for a ticket, whose run needs no row.
+    value: Option<Bytes>,
+    record: ClaimRecord,
+}
+
+/// Claims of idempotency keys, by table row or by ticket.
+#[derive(Debug)]
+pub struct Claims {
+    settings: ClaimSettings,
+    pending: BTreeMap<RequestId, Pending>,
+    held: BTreeMap<RequestId, Held>,
+    verdicts: Vec<(RequestId, Verdict)>,
+    tickets: Tickets,
+    budget: WriteBudget,
+    writer: Writer,
+    sweeper: Sweeper,
+}
+
+impl Claims {
+    /// No claims.
+    pub fn new(settings: ClaimSettings) -> Self {
+        Self {
+            settings,
+            pending: BTreeMap::new(),
+            held: BTreeMap::new(),
+            verdicts: Vec::new(),
+            tickets: Tickets::new(settings),
+            budget: WriteBudget::new(settings.max_writes_per_s),
+            writer: Writer::new(),
+            sweeper: Sweeper::new(settings),
+        }
+    }
+
+    /// Starts to claim the key of a call; [`Claims::take_verdicts`] gives what became of it.
+    pub fn begin(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        spec: &RequestSpec,
+        call: &ServiceCall,
+        key: &IdempotencyKey,
+    ) {
+        let issuer = Issuer::of(key);
+        let mut pending = Pending {
+            request: spec.id,
+            claim: random_id(ctx),
+            row: claim_row(&spec.workspace, key),
+            body_hash: call.body_hash,
+            value: None,
+            step: Step::InsertAt(ctx.now),
+            until: ctx.now + self.settings.claim_timeout,
+            is_ticket: issuer.is_some(),
+        };
+        match issuer {
+            Some(issuer) => self.ask_issuer(ctx, view, &mut pending, &issuer, key),
+            None => self.insert(ctx, view, &mut pending),
+        }
+        self.pending.insert(spec.id, pending);
+        self.drop_decided();
+    }
+
+    /// What became of claims since the last call.
+    pub fn take_verdicts(&mut self) -> Vec<(RequestId, Verdict)> {
+        std::mem::take(&mut self.verdicts)
+    }
+
+    /// Ends the waiting of a request whose caller got its last word.
+    pub fn forget(&mut self, request: RequestId) {
+        if let Some(pending) = self.pending.remove(&request) {
+            self.withdraw(&pending);
+        }
+    }
+
+    /// The call of a request that held its key ended, or did not run (`None`).
+    pub fn finish(&mut self, request: RequestId, state: Option<ClaimState>) {
+        let Some(held) = self.held.remove(&request) else {
+            return;
+        };
+        let new = state.map(|state| {
+            let state = self.fitted(state);
+            ClaimRecord {
+                state,
+                ..held.record
+            }
+            .encode()
+        });
+        if new.is_some() || held.value.is_some() {
+            self.writer.add(replace(&held.row, held.value, new));
+        }
+    }
+
+    /// Issues a ticket.
+    pub fn issue_ticket(&mut self, ctx: &mut Context<'_>, me: &Member) -> Option<IdempotencyKey> {
+        let random = ctx.rng.next_u64();
+        self.tickets.issue(ctx.now, me, random)
+    }
+
+    /// Takes a message about a ticket.
+    pub fn on_ticket(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        from: &Member,
+        message: TicketMessage,
+    ) {
+        match message {
+            TicketMessage::Claim { key, request } => {
+                let granted = self.tickets.claim(ctx.now, &key, request);
+                let answer = TicketMessage::Answer {
+                    key,
+                    request,
+                    granted,
+                };
+                view.send(ctx, &from.vm, PeerMessage::Ticket(answer));
+            }
+            TicketMessage::Answer {
+                request, granted, ..
+            } => self.on_ticket_answer(ctx, view, request, granted),
+        }
+        self.drop_decided();
+    }
+
+    /// Takes an answer of the store.
+    pub fn on_platform(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        token: CallToken,
+        answer: Result<TableAnswer, PlatformError>,
+    ) {
+        let theirs = self.writer.on_platform(ctx.now, token, &answer)
+            || self
+                .sweeper
+                .on_platform(ctx, &mut self.writer, token, &answer);
+        let waiting = self.pending.values().find(|p| p.token() == Some(token));
+        let request = waiting.map(|pending| pending.request);
+        if let Some(request) = request.filter(|_| !theirs) {
+            self.with_pending(request, |claims, pending| {
+                claims.on_answer(ctx, view, pending, answer);
+            });
+        }
+        self.writer.on_tick(ctx, &mut self.budget);
+    }
+
+    /// Does what is due.
+    pub fn on_tick(&mut self, ctx: &mut Context<'_>, view: &View<'_>) {
+        let due = self.pending.values().filter(|p| p.due() <= ctx.now);
+        let due: Vec<RequestId> = due.map(|pending| pending.request).collect();
+        for request in due {
+            self.with_pending(request, |claims, pending| claims.on_due(ctx, view, pending));
+        }
+        self.sweeper.on_tick(ctx, &self.writer);
+        self.writer.on_tick(ctx, &mut self.budget);
+    }
+
+    /// When there is something to do.
+    pub fn next_wakeup(&self) -> Option<Time> {
+        let pending = self.pending.values().map(Pending::due);
+        pending
+            .chain(self.writer.next_wakeup())
+            .chain(self.sweeper.next_wakeup())
+            .min()
+    }
+
+    fn with_pending(&mut self, request: RequestId, action: impl FnOnce(&mut Self, &mut Pending)) {
+        if let Some(mut pending) = self.pending.remove(&request) {
+            action(self, &mut pending);
+            self.pending.insert(request, pending);
+            self.drop_decided();
+        }
+    }
+
+    fn drop_decided(&mut self) {
+        for (request, _) in &self.verdicts {
+            self.pending.remove(request);
+        }
+    }
+
+    fn decide(&mut self, pending: &Pending, verdict: Verdict) {
+        self.verdicts.push((pending.request, verdict));
+    }
+
+    fn on_due(&mut self, ctx: &mut Context<'_>, view: &View<'_>, pending: &mut Pending) {
+        if pending.until <= ctx.now {
+            let refusal = pending.timed_out(&self.settings);
+            self.withdraw(pending);
+            return self.decide(pending, Verdict::Refused(refusal));
+        }
+        match pending.step {
+            Step::InsertAt(_) => self.insert(ctx, view, pending),
+            Step::PollAt(_) => {
+                let token = read(ctx, &pending.row);
+                pending.step = Step::Polling(token);
+            }
+            _ => {}
+        }
+    }
+
+    fn insert(&mut self, ctx: &mut Context<'_>, view: &View<'_>, pending: &mut Pending) {
+        let epoch = self.sweeper.epoch(ctx.now);
+        let Some(epoch_index) = epoch.filter(|_| self.budget.take(ctx.now, 0)) else {
+            self.sweeper.hurry(ctx.now);
+            self.sweeper.on_tick(ctx, &self.writer);
+            pending.step = Step::InsertAt(ctx.now + INSERT_PAUSE_MS);
+            return;
+        };
+        let value = record(view, pending, epoch_index).encode();
+        // The first value stays, so that a lost write can be told by it.
+        let value = pending.value.get_or_insert(value).clone();
+        let op = replace(&pending.row, None, Some(value));
+        let token = ctx.token(Part::Claim);
+        ctx.act(Action::Table { token, op });
+        pending.step = Step::Inserting(token);
+    }
+
+    fn on_answer(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        pending: &mut Pending,
+        answer: Result<TableAnswer, PlatformError>,
+    ) {
+        match (pending.step, answer) {
+            (Step::Inserting(_), Ok(TableAnswer::Done)) => self.run(view, pending),
+            (Step::Inserting(_), Ok(TableAnswer::Conflict) | Err(PlatformError::AnswerLost)) => {
+                let token = read(ctx, &pending.row);
+                pending.step = Step::Reading(token);
+            }
+            (Step::Reading(_), Err(_)) => {
+                let token = read(ctx, &pending.row);
+                pending.step = Step::Reading(token);
+            }
+            (Step::Reading(_), Ok(TableAnswer::Value(Some(value)))) => {
+                self.on_row(ctx, view, pending, &value);
+            }
+            (Step::Polling(_), Ok(TableAnswer::Value(Some(value)))) => {
+                self.on_row(ctx, view, pending, &value);
+            }
+            (Step::Polling(_), Ok(TableAnswer::Value(None))) if !pending.is_ticket => {
+                // The holder gave the key back: it did not run.
+                pending.until = ctx.now + self.settings.claim_timeout;
+                self.insert(ctx, view, pending);
+            }
+            (Step::Polling(_), _) => pending.step = Step::PollAt(ctx.now + self.settings.poll),
+            _ => pending.step = Step::InsertAt(ctx.now + INSERT_PAUSE_MS),
+        }
+    }
+
+    fn on_row(&mut self, ctx: &Context<'_>, view: &View<'_>, pending: &mut Pending, value: &Bytes) {
+        let Some(record) = ClaimRecord::decode(value) else {
+            let refusal = unresolved("the key's row can't be read");
+            return self.decide(pending, Verdict::Refused(refusal));
+        };
+        if record.claim == pending.claim {
+            return self.run(view, pending);
+        }
+        if record.body_hash != pending.body_hash {
+            return self.decide(pending, Verdict::Refused(key_reused()));
+        }
+        match record.state {
+            ClaimState::Done(result) => self.decide(pending, Verdict::Stored(result)),
+            ClaimState::DoneTooLarge => {
+                let refusal = unresolved("the call ran, its answer was too large");
+                self.decide(pending, Verdict::Refused(refusal));
+            }
+            ClaimState::Unknown => {
+                let refusal = unresolved("the first call's answer was lost");
+                self.decide(pending, Verdict::Refused(refusal));
+            }
+            ClaimState::Claimed => self.wait_for_first(ctx, pending),
+        }
+    }
+
+    fn wait_for_first(&self, ctx: &Context<'_>, pending: &mut Pending) {
+        if !pending.is_duplicate() {
+            pending.until = ctx.now + self.settings.duplicate_wait;
+        }
+        pending.step = Step::PollAt(ctx.now + self.settings.poll);
+    }
+
+    fn run(&mut self, view: &View<'_>, pending: &Pending) {
+        let epoch_index = self.sweeper.last_index();
+        let decoded = pending.value.as_ref().and_then(|v| ClaimRecord::decode(v));
+        let held = Held {
+            row: pending.row.clone(),
+            value: pending.value.clone(),
+            record: decoded.unwrap_or_else(|| record(view, pending, epoch_index)),
+        };
+        self.held.insert(pending.request, held);
+        self.decide(pending, Verdict::Run);
+    }
+
+    /// Takes back a claim that may have reached the store although its request never ran.
+    fn withdraw(&mut self, pending: &Pending) {
+        if let Some(value) = &pending.value {
+            let op = replace(&pending.row, Some(value.clone()), None);
+            self.writer.add(op);
+        }
+    }
+
+    fn ask_issuer(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        pending: &mut Pending,
+        issuer: &Issuer,
+        key: &IdempotencyKey,
+    ) {
+        pending.step = Step::AskingIssuer;
+        pending.until = ctx.now + self.settings.ticket_timeout;
+        let claim = TicketMessage::Claim {
+            key: key.clone(),
+            request: pending.claim,
+        };
+        let is_me = issuer.vm == view.me.vm && issuer.incarnation == view.me.incarnation;
+        if is_me {
+            let granted = self.tickets.claim(ctx.now, key, pending.claim);
+            return self.on_issuer_answer(ctx, view, pending, granted);
+        }
+        let known = view.directory.member(&issuer.vm);
+        let same_run = known.is_some_and(|member| member.incarnation == issuer.incarnation);
+        if !same_run || !view.send(ctx, &issuer.vm, PeerMessage::Ticket(claim)) {
+            // Whether it was used before its issuer ended is told by its result alone.
+            self.wait_for_first(ctx, pending);
+        }
+    }
+
+    fn on_ticket_answer(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        claim: RequestId,
+        granted: bool,
+    ) {
+        let asked = |p: &&Pending| p.claim == claim && p.step == Step::AskingIssuer;
+        let request = self.pending.values().find(asked).map(|p| p.request);
+        if let Some(request) = request {
+            self.with_pending(request, |claims, pending| {
+                claims.on_issuer_answer(ctx, view, pending, granted);
+            });
+        }
+    }
+
+    fn on_issuer_answer(
+        &mut self,
+        ctx: &Context<'_>,
+        view: &View<'_>,
+        pending: &mut Pending,
+        granted: bool,
+    ) {
+        if granted {
+            self.run(view, pending);
+        } else {
+            self.wait_for_first(ctx, pending);
+        }
+    }
+
+    fn fitted(&self, state: ClaimState) -> ClaimState {
+        match state {
+            ClaimState::Done(result)
+                if result.body.len() > self.settings.max_result_bytes as usize =>
+            {
+                ClaimState::DoneTooLarge
+            }
+            other => other,
+        }
+    }
+}
+
+fn record(view: &View<'_>, pending: &Pending, epoch_index: u64) -> ClaimRecord {
+    ClaimRecord {
+        claim: pending.claim,
+        body_hash: pending.body_hash,
+        vm: view.me.vm.clone(),
+        incarnation: view.me.incarnation,
+        epoch_index,
+        state: ClaimState::Claimed,
+    }
+}
+
+fn read(ctx: &mut Context<'_>, row: &TableKey) -> CallToken {
+    let token = ctx.token(Part::Claim);
+    let key = row.clone();
+    ctx.act(Action::Table {
+        token,
+        op: TableOp::Get { key },
+    });
+    token
+}
+
+fn random_id(ctx: &mut Context<'_>) -> RequestId {
+    let high = u128::from(ctx.rng.next_u64()) << 64;
+    RequestId::new(high | u128::from(ctx.rng.next_u64()))
+}
--- /dev/null
+++ b/crates/core/src/claim/mod.rs
@@ -0,0 +1,19 @@
+//! Claims of idempotency keys: each key runs at most once.
+
+mod claim_record;
+mod claims;
+mod errors;
+mod pending;
+mod row_keys;
+mod settings;
+mod sweeper;
+mod tickets;
+mod write_budget;
+mod writer;
+
+pub use claim_record::{ClaimRecord, ClaimState};
+pub use claims::Claims;
+pub use errors::ClaimSettingsError;
+pub use pending::Verdict;
+pub use settings::{ClaimSettings, RawClaimSettings};
+pub use tickets::Tickets;
--- /dev/null
+++ b/crates/core/src/claim/write_budget.rs
@@ -0,0 +1,42 @@
+//! The bound on writes to the table service.
+
+use crate::units::Time;
+
+/// A token bucket: one second's worth of writes, refilled evenly.
+#[derive(Debug)]
+pub(super) struct WriteBudget {
+    per_s: u32,
+    /// Thousandths of a write left.
+    left: u64,
+    filled_at: Time,
+}
+
+const WRITE: u64 = 1_000;
+
+impl WriteBudget {
+    pub(super) fn new(per_s: u32) -> Self {
+        Self {
+            per_s,
+            left: u64::from(per_s) * WRITE,
+            filled_at: Time::START,
+        }
+    }
+
+    fn refill(&mut self, now: Time) {
+        let elapsed = now.since(self.filled_at);
+        self.filled_at = self.filled_at + elapsed;
+        let cap = u64::from(self.per_s) * WRITE;
+        let filled = elapsed.get().saturating_mul(self.per_s.into());
+        self.left = self.left.saturating_add(filled).min(cap);
+    }
+
+    /// Takes one write and leaves at least `reserve` for more urgent ones.
+    pub(super) fn take(&mut self, now: Time, reserve: u32) -> bool {
+        self.refill(now);
+        let allowed = self.left >= WRITE * (1 + u64::from(reserve));
+        if allowed {
+            self.left -= WRITE;
+        }
+        allowed
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/ending.rs
@@ -0,0 +1,121 @@
+//! The last word to callers.
+
+use super::{
+    asking::withdraw,
+    open_request::{OpenRequest, Phase, Run},
+    running::{evidence, release},
+    Entry,
+};
+use crate::{
+    action::Action,
+    claim::ClaimState,
+    context::{Context, View},
+    decision::Record,
+    ids::AttemptNumber,
+    request::{CallerEnd, Refusal, RefusalCode, StoredResult},
+    units::Tokens,
+};
+
+impl Entry {
+    /// Ends a request whose whole answer came; `run` is absent where its attempt was already
+    /// being replaced.
+    pub(super) fn complete(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        mut request: OpenRequest,
+        whole: (Option<Run>, Tokens, Option<StoredResult>),
+    ) -> Option<OpenRequest> {
+        let (run, output_tokens, result) = whole;
+        request.delivered = request.delivered.max(output_tokens);
+        if let Some(run) = run {
+            let mut end = evidence(ctx.now, &request, &run);
+            end.complete = true;
+            self.router.on_end(&run.owner, &run.offer.upstream, &end);
+            release(ctx, view, &run, end);
+            request.phase = Phase::Pausing { until: ctx.now };
+        }
+        self.abandon(ctx, view, &mut request);
+        self.budget.on_success(request.service());
+        let state = result.map_or(ClaimState::Unknown, ClaimState::Done);
+        self.claims.finish(request.spec.id, Some(state));
+        ctx.log(Record::Completed {
+            request: request.spec.id,
+            attempts: AttemptNumber::new(request.started_attempts),
+            age_ms: ctx.now.since(request.arrived),
+        });
+        self.end(ctx, &request, CallerEnd::Complete)
+    }
+
+    /// Stops whatever a request has under way and refuses it.
+    pub(super) fn give_up(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        mut request: OpenRequest,
+        code: RefusalCode,
+        message: &str,
+    ) -> Option<OpenRequest> {
+        self.abandon(ctx, view, &mut request);
+        let refusal = request.refusal(code, message);
+        let refusal = request.come_back(refusal, self.settings.max_pause);
+        self.refuse(ctx, request, refusal)
+    }
+
+    /// Stops whatever a request has under way: questions, attempts, kept grants.
+    pub(super) fn abandon(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        request: &mut OpenRequest,
+    ) {
+        self.drop_kept(ctx, view, request);
+        match request.phase.clone() {
+            Phase::Asking(ask) | Phase::Queued(ask) => withdraw(ctx, view, &ask),
+            Phase::Running(run) => {
+                let attempt = run.attempt;
+                ctx.act(Action::StopAttempt { attempt });
+                release(
+                    ctx,
+                    view,
+                    &run,
+                    evidence(ctx.now, request, &run).cancelled(),
+                );
+                request.may_have_run = true;
+            }
+            Phase::Claiming | Phase::Pausing { .. } => {}
+        }
+        request.phase = Phase::Pausing { until: ctx.now };
+    }
+
+    /// Refuses a request that has nothing under way.
+    pub(super) fn refuse(
+        &mut self,
+        ctx: &mut Context<'_>,
+        request: OpenRequest,
+        refusal: Refusal,
+    ) -> Option<OpenRequest> {
+        let state = request.may_have_run.then_some(ClaimState::Unknown);
+        self.claims.finish(request.spec.id, state);
+        ctx.log(Record::Refused {
+            request: request.spec.id,
+            workspace: request.spec.workspace.clone(),
+            refusal: refusal.clone(),
+            age_ms: ctx.now.since(request.arrived),
+        });
+        self.end(ctx, &request, CallerEnd::Refused(refusal))
+    }
+
+    /// Gives the last word.
+    pub(super) fn end(
+        &mut self,
+        ctx: &mut Context<'_>,
+        request: &OpenRequest,
+        end: CallerEnd,
+    ) -> Option<OpenRequest> {
+        let request = request.spec.id;
+        self.claims.forget(request);
+        ctx.act(Action::EndRequest { request, end });
+        None
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/mod.rs
@@ -0,0 +1,17 @@
+//! Callers' requests, from their arrival to their last word.
+
+mod asking;
+mod ending;
+mod entry_daemon;
+mod errors;
+mod fencing_seen;
+mod open_request;
+mod peers;
+mod retry_budget;
+mod running;
+mod settings;
+mod timers;
+
+pub use entry_daemon::Entry;
+pub use errors::EntrySettingsError;
+pub use settings::{EntrySettings, RawEntrySettings};
--- /dev/null
+++ b/crates/core/src/entry/peers.rs
@@ -0,0 +1,85 @@
+//! What a new owner learns of the grants held here.
+
+use super::{
+    open_request::{Kept, OpenRequest, Phase, Run},
+    Entry,
+};
+use crate::{
+    config::Configuration,
+    context::{Context, View},
+    ids::{FencingNumber, UpstreamId},
+    message::{GrantMessage, HeldGrant, Member, PeerMessage},
+    request::CallTarget,
+    units::{KvBytes, Time},
+};
+
+impl Entry {
+    /// A new owner collects the grants at its upstreams: from now on they are its own.
+    pub(super) fn on_collect(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        from: &Member,
+        upstreams: &[UpstreamId],
+        fencing: FencingNumber,
+    ) {
+        let mut grants = Vec::new();
+        for request in self.open.values_mut() {
+            let held = held(ctx.now, view.config, request, upstreams);
+            let is_new = upstreams.iter().all(|u| self.fencing.accept(u, fencing));
+            if held.is_some() && is_new {
+                set_owner(request, from);
+            }
+            grants.extend(held);
+        }
+        let fencing = self.fencing.highest(upstreams);
+        let message = GrantMessage::Held { grants, fencing };
+        view.send(ctx, &from.vm, PeerMessage::Grant(message));
+    }
+}
+
+fn run_of(request: &OpenRequest) -> Option<&Run> {
+    match (&request.phase, &request.kept) {
+        (Phase::Running(run), _) | (_, Some(Kept { run, .. })) => Some(run),
+        _ => None,
+    }
+}
+
+fn set_owner(request: &mut OpenRequest, owner: &Member) {
+    if let Phase::Running(run) = &mut request.phase {
+        run.owner = owner.vm.clone();
+    }
+    if let Some(kept) = &mut request.kept {
+        kept.run.owner = owner.vm.clone();
+    }
+}
+
+fn held(
+    now: Time,
+    config: &Configuration,
+    request: &OpenRequest,
+    upstreams: &[UpstreamId],
+) -> Option<HeldGrant> {
+    let run = run_of(request).filter(|run| upstreams.contains(&run.offer.upstream))?;
+    Some(HeldGrant {
+        attempt: run.attempt,
+        spec: request.spec.clone(),
+        upstream: run.offer.upstream.clone(),
+        model: run.model.clone(),
+        kv_bytes: kv_bytes(config, request, run),
+        remaining_ms: request.remaining(now),
+    })
+}
+
+fn kv_bytes(config: &Configuration, request: &OpenRequest, run: &Run) -> KvBytes {
+    let model = run
+        .model
+        .as_ref()
+        .and_then(|model| config.models.get(model));
+    match (&request.spec.target, model) {
+        (CallTarget::Model(call), Some(model)) => {
+            (call.prompt_tokens + call.max_output_tokens).kv(model.kv_bytes_per_token)
+        }
+        _ => KvBytes::ZERO,
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/retry_budget.rs
@@ -0,0 +1,54 @@
+//! Retry budgets: retries as a share of recent successes, for each service or model.
+
+use super::EntrySettings;
+use std::collections::BTreeMap;
+
+/// Hundredths of a retry.
+const RETRY: u32 = 100;
+
+/// The retries that are left for each service or model.
+#[derive(Debug)]
+pub(super) struct RetryBudget {
+    percent: u32,
+    cap: u32,
+    left: BTreeMap<String, u32>,
+}
+
+impl RetryBudget {
+    pub(super) const fn new(settings: &EntrySettings) -> Self {
+        Self {
+            percent: settings.retry_budget_percent,
+            cap: settings.retry_reserve_count * RETRY,
+            left: BTreeMap::new(),
+        }
+    }
+
+    /// A request succeeded.
+    pub(super) fn on_success(&mut self, service: &str) {
+        let (percent, cap) = (self.percent, self.cap);
+        let left = self.left_mut(service);
+        *left = (*left + percent).min(cap);
+    }
+
+    /// Takes one retry. False where none is left.
+    pub(super) fn take(&mut self, service: &str) -> bool {
+        let left = self.left_mut(service);
+        let allowed = *left >= RETRY;
+        if allowed {
+            *left -= RETRY;
+        }
+        allowed
+    }
+
+    /// Forgets the services that `keep` does not name.
+    pub(super) fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.left.retain(|service, _| keep(service));
+    }
+
+    fn left_mut(&mut self, service: &str) -> &mut u32 {
+        if !self.left.contains_key(service) {
+            self.left.insert(service.to_owned(), self.cap);
+        }
+        self.left.entry(service.to_owned()).or_default()
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,8 +9,10 @@
 mod directory;
 mod event;
 
+pub mod claim;
 pub mod config;
 pub mod decision;
+pub mod entry;
 pub mod ids;
 pub mod membership;
 pub mod message;
@@ -19,6 +21,7 @@
 pub mod platform;
 pub mod request;
 pub mod routing;
+pub mod stream;
 pub mod units;
 pub mod upstream;
 
--- /dev/null
+++ b/crates/core/src/stream/mod.rs
@@ -0,0 +1,7 @@
+//! Answers put in order: pieces keyed by attempt and token offset.
+
+mod assembler;
+mod errors;
+
+pub use assembler::{Assembler, Pushed};
+pub use errors::AssembleError;
