--- a/crates/core/src/claim/claims.rs
+++ b/crates/core/src/claim/claims.rs
@@ -13,7 +13,6 @@
     action::Action,
     context::{Context, View},
     ids::{IdempotencyKey, RequestId},
-    message::{Member, PeerMessage, TicketMessage},
     platform::{CallToken, Part, PlatformError, TableAnswer, TableKey, TableOp},
     request::{RequestSpec, ServiceCall},
     units::{Millis, Time},
@@ -37,11 +36,11 @@
 /// Claims of idempotency keys, by table row or by ticket.
 #[derive(Debug)]
 pub struct Claims {
-    settings: ClaimSettings,
-    pending: BTreeMap<RequestId, Pending>,
+    pub(super) settings: ClaimSettings,
+    pub(super) pending: BTreeMap<RequestId, Pending>,
     held: BTreeMap<RequestId, Held>,
     verdicts: Vec<(RequestId, Verdict)>,
-    tickets: Tickets,
+    pub(super) tickets: Tickets,
     budget: WriteBudget,
     writer: Writer,
     sweeper: Sweeper,
@@ -120,37 +119,6 @@
         }
     }
 
-    /// Issues a ticket.
-    pub fn issue_ticket(&mut self, ctx: &mut Context<'_>, me: &Member) -> Option<IdempotencyKey> {
-        let random = ctx.rng.next_u64();
-        self.tickets.issue(ctx.now, me, random)
-    }
-
-    /// Takes a message about a ticket.
-    pub fn on_ticket(
-        &mut self,
-        ctx: &mut Context<'_>,
-        view: &View<'_>,
-        from: &Member,
-        message: TicketMessage,
-    ) {
-        match message {
-            TicketMessage::Claim { key, request } => {
-                let granted = self.tickets.claim(ctx.now, &key, request);
-                let answer = TicketMessage::Answer {
-                    key,
-                    request,
-                    granted,
-                };
-                view.send(ctx, &from.vm, PeerMessage::Ticket(answer));
-            }
-            TicketMessage::Answer {
-                request, granted, ..
-            } => self.on_ticket_answer(ctx, view, request, granted),
-        }
-        self.drop_decided();
-    }
-
     /// Takes an answer of the store.
     pub fn on_platform(
         &mut self,
@@ -193,7 +161,11 @@
             .min()
     }
 
-    fn with_pending(&mut self, request: RequestId, action: impl FnOnce(&mut Self, &mut Pending)) {
+    pub(super) fn with_pending(
+        &mut self,
+        request: RequestId,
+        action: impl FnOnce(&mut Self, &mut Pending),
+    ) {
         if let Some(mut pending) = self.pending.remove(&request) {
             action(self, &mut pending);
             self.pending.insert(request, pending);
@@ -201,7 +173,7 @@
         }
     }
 
-    fn drop_decided(&mut self) {
+    pub(super) fn drop_decided(&mut self) {
         for (request, _) in &self.verdicts {
             self.pending.remove(request);
         }
@@ -302,14 +274,14 @@
         }
     }
 
-    fn wait_for_first(&self, ctx: &Context<'_>, pending: &mut Pending) {
+    pub(super) fn wait_for_first(&self, ctx: &Context<'_>, pending: &mut Pending) {
         if !pending.is_duplicate() {
             pending.until = ctx.now + self.settings.duplicate_wait;
         }
         pending.step = Step::PollAt(ctx.now + self.settings.poll);
     }
 
-    fn run(&mut self, view: &View<'_>, pending: &Pending) {
+    pub(super) fn run(&mut self, view: &View<'_>, pending: &Pending) {
         let epoch_index = self.sweeper.last_index();
         let decoded = pending.value.as_ref().and_then(|v| ClaimRecord::decode(v));
         let held = Held {
@@ -329,63 +301,6 @@
         }
     }
 
-    fn ask_issuer(
-        &mut self,
-        ctx: &mut Context<'_>,
-        view: &View<'_>,
-        pending: &mut Pending,
-        issuer: &Issuer,
-        key: &IdempotencyKey,
-    ) {
-        pending.step = Step::AskingIssuer;
-        pending.until = ctx.now + self.settings.ticket_timeout;
-        let claim = TicketMessage::Claim {
-            key: key.clone(),
-            request: pending.claim,
-        };
-        let is_me = issuer.vm == view.me.vm && issuer.incarnation == view.me.incarnation;
-        if is_me {
-            let granted = self.tickets.claim(ctx.now, key, pending.claim);
-            return self.on_issuer_answer(ctx, view, pending, granted);
-        }
-        let known = view.directory.member(&issuer.vm);
-        let same_run = known.is_some_and(|member| member.incarnation == issuer.incarnation);
-        if !same_run || !view.send(ctx, &issuer.vm, PeerMessage::Ticket(claim)) {
-            // Whether it was used before its issuer ended is told by its result alone.
-            self.wait_for_first(ctx, pending);
-        }
-    }
-
-    fn on_ticket_answer(
-        &mut self,
-        ctx: &mut Context<'_>,
-        view: &View<'_>,
-        claim: RequestId,
-        granted: bool,
-    ) {
-        let asked = |p: &&Pending| p.claim == claim && p.step == Step::AskingIssuer;
-        let request = self.pending.values().find(asked).map(|p| p.request);
-        if let Some(request) = request {
-            self.with_pending(request, |claims, pending| {
-                claims.on_issuer_answer(ctx, view, pending, granted);
-            });
-        }
-    }
-
-    fn on_issuer_answer(
-        &mut self,
-        ctx: &Context<'_>,
-        view: &View<'_>,
-        pending: &mut Pending,
-        granted: bool,
-    ) {
-        if granted {
-            self.run(view, pending);
-        } else {
-            self.wait_for_first(ctx, pending);
-        }
-    }
-
     fn fitted(&self, state: ClaimState) -> ClaimState {
         match state {
             ClaimState::Done(result)
--- a/crates/core/src/claim/mod.rs
+++ b/crates/core/src/claim/mod.rs
@@ -7,6 +7,7 @@
 mod row_keys;
 mod settings;
 mod sweeper;
+mod ticket_claims;
 mod tickets;
 mod write_budget;
 mod writer;
--- a/crates/core/src/claim/sweeper.rs
+++ b/crates/core/src/claim/sweeper.rs
@@ -176,6 +176,8 @@
             self.send(ctx, Call::Read, TableOp::Get { key });
         } else if self.scan_at <= ctx.now && writer.waiting_len() < WAITING_MAX_LEN {
             self.scan_next(ctx);
+        } else {
+            self.scan_at = self.scan_at.max(ctx.now + PAUSE_MS);
         }
     }
 
--- a/crates/core/src/entry/asking.rs
+++ b/crates/core/src/entry/asking.rs
@@ -188,8 +188,8 @@
         let later = told.unwrap_or(self.settings.max_pause);
         let pause = later.max(PAUSE_MIN_MS).min(self.settings.max_pause);
         let in_time = ctx.now + pause < request.ends_by;
-        if request.worth_a_pause && in_time && request.pauses < PAUSES_MAX_COUNT {
-            request.pauses += 1;
+        if request.worth_a_pause && in_time && request.pauses_count < PAUSES_MAX_COUNT {
+            request.pauses_count += 1;
             request.worth_a_pause = false;
             let until = ctx.now + pause;
             request.phase = Phase::Pausing { until };
--- a/crates/core/src/entry/open_request.rs
+++ b/crates/core/src/entry/open_request.rs
@@ -84,7 +84,7 @@
     /// When a busy owner said to come back.
     pub(super) come_back: Option<Millis>,
     /// Pauses so far.
-    pub(super) pauses: u32,
+    pub(super) pauses_count: u32,
     /// Largest prompt that fits, where an owner said that this one does not.
     pub(super) too_long: Option<Tokens>,
     /// The broken stream that is being resumed.
@@ -110,7 +110,7 @@
             better: None,
             worth_a_pause: false,
             come_back: None,
-            pauses: 0,
+            pauses_count: 0,
             too_long: None,
             kept: None,
         }
