--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,9 +9,11 @@
 mod directory;
 mod event;
 
+pub mod claim;
 pub mod config;
 pub mod decision;
 pub mod grant;
+pub mod entry;
 pub mod ids;
 pub mod membership;
 pub mod message;
@@ -20,6 +22,7 @@
 pub mod platform;
 pub mod request;
 pub mod routing;
+pub mod stream;
 pub mod units;
 pub mod upstream;
 
