--- a/crates/core/src/config/errors.rs
+++ b/crates/core/src/config/errors.rs
@@ -25,3 +25,36 @@
     #[error("workspace {0} would have weight 0: give 1 or more")]
     ZeroWeight(WorkspaceId),
 }
+
+/// A setting outside its range.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("setting {key} is {value}: give {low} to {high}")]
+pub struct SettingError {
+    /// The setting's name.
+    pub key: &'static str,
+    /// The refused value.
+    pub value: u64,
+    /// The lowest value allowed.
+    pub low: u64,
+    /// The highest value allowed.
+    pub high: u64,
+}
+
+impl SettingError {
+    /// Checks that a setting lies in its range.
+    ///
+    /// # Errors
+    ///
+    /// Names the setting, its value and the range.
+    pub fn check(key: &'static str, value: u64, low: u64, high: u64) -> Result<(), Self> {
+        if (low..=high).contains(&value) {
+            return Ok(());
+        }
+        Err(Self {
+            key,
+            value,
+            low,
+            high,
+        })
+    }
+}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -1,12 +1,19 @@
-//! The configuration: what operators decide.
+//! The configuration: what operators decide, and how each daemon keeps its copy.
 
 mod change;
 mod configuration;
 mod errors;
+mod history;
+mod poll;
+pub(crate) mod rows;
+mod settings;
+mod store;
 
 pub use change::{Change, ChangeRecord};
 pub use configuration::{
     Configuration, DomainConfig, EngineConfig, ModelConfig, PlacementRule, ServiceConfig,
     ServiceState, UpstreamConfig, UpstreamKind, WorkspaceConfig,
 };
-pub use errors::ChangeError;
+pub use errors::{ChangeError, SettingError};
+pub use settings::ConfigSettings;
+pub use store::ConfigStore;
--- /dev/null
+++ b/crates/core/src/config/settings.rs
@@ -0,0 +1,88 @@
+//! Settings of the configuration store.
+
+use super::SettingError;
+use crate::units::Millis;
+use serde::{Deserialize, Serialize};
+
+/// Settings of the configuration store as written.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawConfigSettings {
+    poll_ms: Millis,
+    call_timeout_ms: Millis,
+    backoff_max_ms: Millis,
+    pollers_vms: u32,
+    snapshot_every_count: u64,
+    history_len: u32,
+}
+
+/// Settings of the configuration store, checked.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(into = "RawConfigSettings", try_from = "RawConfigSettings")]
+pub struct ConfigSettings(RawConfigSettings);
+
+impl Default for RawConfigSettings {
+    fn default() -> Self {
+        Self {
+            poll_ms: Millis::new(500),
+            call_timeout_ms: Millis::new(2_000),
+            backoff_max_ms: Millis::new(8_000),
+            pollers_vms: 2,
+            snapshot_every_count: 64,
+            history_len: 256,
+        }
+    }
+}
+
+impl From<ConfigSettings> for RawConfigSettings {
+    fn from(settings: ConfigSettings) -> Self {
+        settings.0
+    }
+}
+
+impl TryFrom<RawConfigSettings> for ConfigSettings {
+    type Error = SettingError;
+
+    fn try_from(raw: RawConfigSettings) -> Result<Self, SettingError> {
+        let poll_ms = raw.poll_ms.get();
+        SettingError::check("poll_ms", poll_ms, 50, 60_000)?;
+        SettingError::check("call_timeout_ms", raw.call_timeout_ms.get(), 100, 60_000)?;
+        SettingError::check("backoff_max_ms", raw.backoff_max_ms.get(), poll_ms, 600_000)?;
+        SettingError::check("pollers_vms", u64::from(raw.pollers_vms), 1, 16)?;
+        SettingError::check("snapshot_every_count", raw.snapshot_every_count, 1, 100_000)?;
+        SettingError::check("history_len", u64::from(raw.history_len), 1, 10_000)?;
+        Ok(Self(raw))
+    }
+}
+
+impl ConfigSettings {
+    /// Time between two looks at the head, for a daemon that polls.
+    pub fn poll(&self) -> Millis {
+        self.0.poll_ms
+    }
+
+    /// How long the store's answer is waited for.
+    pub fn call_timeout(&self) -> Millis {
+        self.0.call_timeout_ms
+    }
+
+    /// Longest time between two looks while the store is down.
+    pub fn backoff_max(&self) -> Millis {
+        self.0.backoff_max_ms
+    }
+
+    /// Daemons of each failure domain that poll the head.
+    pub fn pollers(&self) -> usize {
+        self.0.pollers_vms as usize
+    }
+
+    /// Generations from one snapshot to the next.
+    pub fn snapshot_every(&self) -> u64 {
+        self.0.snapshot_every_count
+    }
+
+    /// Change records kept.
+    pub fn history(&self) -> usize {
+        self.0.history_len as usize
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/settings.rs
@@ -0,0 +1,89 @@
+//! Settings of membership.
+
+use crate::{config::SettingError, units::Millis};
+use serde::{Deserialize, Serialize};
+
+/// Settings of membership as written.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawMembershipSettings {
+    heartbeat_ms: Millis,
+    death_ms: Millis,
+    relay_ms: Millis,
+    list_ms: Millis,
+    domain_links_vms: u32,
+    relayed_len: u32,
+}
+
+/// Settings of membership, checked.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(into = "RawMembershipSettings", try_from = "RawMembershipSettings")]
+pub struct MembershipSettings(RawMembershipSettings);
+
+impl Default for RawMembershipSettings {
+    fn default() -> Self {
+        Self {
+            heartbeat_ms: Millis::new(400),
+            death_ms: Millis::new(1_600),
+            relay_ms: Millis::new(6_000),
+            list_ms: Millis::new(10_000),
+            domain_links_vms: 2,
+            relayed_len: 4,
+        }
+    }
+}
+
+impl From<MembershipSettings> for RawMembershipSettings {
+    fn from(settings: MembershipSettings) -> Self {
+        settings.0
+    }
+}
+
+impl TryFrom<RawMembershipSettings> for MembershipSettings {
+    type Error = SettingError;
+
+    fn try_from(raw: RawMembershipSettings) -> Result<Self, SettingError> {
+        let heartbeat_ms = raw.heartbeat_ms.get();
+        SettingError::check("heartbeat_ms", heartbeat_ms, 50, 10_000)?;
+        let death_ms = raw.death_ms.get();
+        SettingError::check("death_ms", death_ms, 3 * heartbeat_ms, 60_000)?;
+        SettingError::check("relay_ms", raw.relay_ms.get(), death_ms, 120_000)?;
+        SettingError::check("list_ms", raw.list_ms.get(), 500, 600_000)?;
+        let links = u64::from(raw.domain_links_vms);
+        SettingError::check("domain_links_vms", links, 1, 16)?;
+        SettingError::check("relayed_len", u64::from(raw.relayed_len), 1, 64)?;
+        Ok(Self(raw))
+    }
+}
+
+impl MembershipSettings {
+    /// Time between heartbeats to one peer.
+    pub fn heartbeat(&self) -> Millis {
+        self.0.heartbeat_ms
+    }
+
+    /// Silence after which a member heard directly is dead.
+    pub fn death(&self) -> Millis {
+        self.0.death_ms
+    }
+
+    /// Silence after which a member known through others is dead.
+    pub fn relay(&self) -> Millis {
+        self.0.relay_ms
+    }
+
+    /// Time between two looks at the platform's list of VMs.
+    pub fn list(&self) -> Millis {
+        self.0.list_ms
+    }
+
+    /// Members of each other failure domain that get heartbeats.
+    pub fn domain_links(&self) -> usize {
+        self.0.domain_links_vms as usize
+    }
+
+    /// Most members told of in one heartbeat.
+    pub fn relayed(&self) -> usize {
+        self.0.relayed_len as usize
+    }
+}
--- /dev/null
+++ b/crates/core/src/ownership/settings.rs
@@ -0,0 +1,70 @@
+//! Settings of ownership.
+
+use crate::{config::SettingError, units::Millis};
+use serde::{Deserialize, Serialize};
+
+/// Settings of ownership as written.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawOwnershipSettings {
+    lease_ms: Millis,
+    join_window_ms: Millis,
+    store_wait_ms: Millis,
+    fencing_block_len: u64,
+}
+
+/// Settings of ownership, checked.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(into = "RawOwnershipSettings", try_from = "RawOwnershipSettings")]
+pub struct OwnershipSettings(RawOwnershipSettings);
+
+impl Default for RawOwnershipSettings {
+    fn default() -> Self {
+        Self {
+            lease_ms: Millis::new(2_000),
+            join_window_ms: Millis::new(1_000),
+            store_wait_ms: Millis::new(1_000),
+            fencing_block_len: 16,
+        }
+    }
+}
+
+impl From<OwnershipSettings> for RawOwnershipSettings {
+    fn from(settings: OwnershipSettings) -> Self {
+        settings.0
+    }
+}
+
+impl TryFrom<RawOwnershipSettings> for OwnershipSettings {
+    type Error = SettingError;
+
+    fn try_from(raw: RawOwnershipSettings) -> Result<Self, SettingError> {
+        SettingError::check("lease_ms", raw.lease_ms.get(), 200, 60_000)?;
+        SettingError::check("join_window_ms", raw.join_window_ms.get(), 1, 60_000)?;
+        SettingError::check("store_wait_ms", raw.store_wait_ms.get(), 50, 60_000)?;
+        SettingError::check("fencing_block_len", raw.fencing_block_len, 1, 65_536)?;
+        Ok(Self(raw))
+    }
+}
+
+impl OwnershipSettings {
+    /// How long a lease of a grant lives without a heartbeat.
+    pub fn lease(&self) -> Millis {
+        self.0.lease_ms
+    }
+
+    /// How long a started daemon listens for members before it owns anything.
+    pub fn join_window(&self) -> Millis {
+        self.0.join_window_ms
+    }
+
+    /// How long a take-over waits for the store before it goes on without.
+    pub fn store_wait(&self) -> Millis {
+        self.0.store_wait_ms
+    }
+
+    /// Epochs reserved by one write.
+    pub fn block(&self) -> u64 {
+        self.0.fencing_block_len
+    }
+}
