Plans, placement and the concert of control parts under test

Members of the own failure domain die by their own silence alone: with the word of others counted, a crashed one was still listed after 2 s.

--- a/crates/core/src/config/poll.rs
+++ b/crates/core/src/config/poll.rs
@@ -28,6 +28,11 @@
         self.due = now;
     }
 
+    /// It is not this daemon's turn.
+    pub(super) fn postpone(&mut self, now: Time, settings: &ConfigSettings) {
+        self.due = now + settings.poll();
+    }
+
     /// The store answered.
     pub(super) fn succeed(&mut self, ctx: &mut Context<'_>, settings: &ConfigSettings) {
         self.failures_count = 0;
--- a/crates/core/src/config/store.rs
+++ b/crates/core/src/config/store.rs
@@ -68,8 +68,12 @@
             self.awaited = None;
             self.pace.fail(ctx, &self.settings);
         }
-        if ctx.now >= self.pace.due() && self.polls(me, directory) {
-            self.table(ctx, Call::Head, TableOp::Get { key: HEAD.into() });
+        if ctx.now < self.pace.due() {
+            return;
+        }
+        match self.polls(me, directory) {
+            true => self.table(ctx, Call::Head, TableOp::Get { key: HEAD.into() }),
+            false => self.pace.postpone(ctx.now, &self.settings),
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod message;
 pub mod operator;
 pub mod ownership;
+pub mod placement;
+pub mod plan;
 pub mod platform;
 pub mod request;
 pub mod routing;
--- a/crates/core/src/membership/membership.rs
+++ b/crates/core/src/membership/membership.rs
@@ -4,8 +4,8 @@
 use crate::{
     decision::Record,
     ids::{FailureDomain, Generation, Incarnation, VmId},
-    message::{Heartbeat, Member, OwnerSummary, PeerMessage},
-    platform::{PlatformError, VmRecord},
+    message::{Heartbeat, Member, PeerMessage},
+    platform::{PlatformError, VmRecord, VmState},
     units::Time,
     Action, Context,
 };
@@ -17,17 +17,17 @@
 /// The members that one daemon knows, and the heartbeats that keep the knowledge fresh.
 #[derive(Debug)]
 pub struct Membership {
-    me: Member,
-    settings: MembershipSettings,
+    pub(super) me: Member,
+    pub(super) settings: MembershipSettings,
     seeds: Vec<VmRecord>,
-    hints: BTreeMap<VmId, VmRecord>,
-    peers: BTreeMap<VmId, Peer>,
-    live: BTreeMap<FailureDomain, Vec<Member>>,
+    pub(super) hints: BTreeMap<VmId, VmRecord>,
+    pub(super) peers: BTreeMap<VmId, Peer>,
+    pub(super) live: BTreeMap<FailureDomain, Vec<Member>>,
     watched: BTreeSet<VmId>,
     news: News,
     changes: Vec<MemberChange>,
-    generation: Generation,
-    leaving: bool,
+    pub(super) generation: Generation,
+    pub(super) leaving: bool,
     seq_index: u64,
     next_heartbeat: Time,
     next_list: Time,
@@ -117,12 +117,7 @@
             self.leaving = local.leaving;
             self.index();
         }
-        let settings = &self.settings;
-        let dead = |peer: &&Peer| peer.alive && peer.expires(settings) <= ctx.now;
-        let dead: Vec<VmId> = self.peers.values().filter(dead).map(vm_of).collect();
-        for vm in dead {
-            self.bury(ctx, &vm);
-        }
+        self.bury_silent(ctx);
         if ctx.now >= self.next_list {
             self.next_list = ctx.now + self.settings.list();
             ctx.act(Action::ListVms);
@@ -164,65 +159,35 @@
         self.next_heartbeat = now;
     }
 
-    /// The live members with the generation last heard from each, this daemon included.
-    pub fn members(&self) -> Vec<(Member, Generation)> {
-        let peers = self.peers.values().filter(|peer| peer.alive);
-        let mut members: Vec<_> = peers.map(|p| (p.member.clone(), p.generation)).collect();
-        members.push((self.me.clone(), self.generation));
-        members.sort();
-        members
-    }
-
-    /// Failure domains that are known to have VMs and where no live member is known.
-    pub fn unreachable_domains(&self) -> Vec<FailureDomain> {
-        let hinted = self.hints.values().map(|hint| &hint.domain);
-        let known = self.peers.values().map(|peer| &peer.member.domain);
-        let domains: BTreeSet<_> = hinted.chain(known).collect();
-        let alone = |domain: &&FailureDomain| {
-            let mut alive = self.peers.values().filter(|peer| peer.alive);
-            **domain != self.me.domain && !alive.any(|peer| peer.member.domain == **domain)
-        };
-        domains.into_iter().filter(alone).cloned().collect()
-    }
-
     /// When `on_tick` is due.
     pub fn next_wakeup(&self) -> Option<Time> {
         let alive = self.peers.values().filter(|peer| peer.alive);
-        let expiry = alive.map(|peer| peer.expires(&self.settings)).min();
+        let expiry = alive
+            .map(|peer| peer.expires(&self.settings, self.is_near(&peer.member)))
+            .min();
         let due = self.next_heartbeat.min(self.next_list);
         Some(expiry.map_or(due, |expiry| expiry.min(due)))
     }
 
-    /// A member that is alive and not leaving.
-    pub fn member(&self, vm: &VmId) -> Option<&Member> {
-        if *vm == self.me.vm {
-            return (!self.leaving).then_some(&self.me);
-        }
-        let peer = self.peers.get(vm)?;
-        (peer.alive && !peer.leaving).then_some(&peer.member)
+    /// Whether a member gets heartbeats from here and so must be heard itself.
+    fn is_near(&self, member: &Member) -> bool {
+        member.domain == self.me.domain || self.watched.contains(&member.vm)
     }
 
-    /// Whether a run is alive; a leaving one counts.
-    pub fn is_alive(&self, vm: &VmId, incarnation: Incarnation) -> bool {
-        if *vm == self.me.vm {
-            return incarnation == self.me.incarnation;
+    fn bury_silent(&mut self, ctx: &mut Context<'_>) {
+        let silent = |peer: &&Peer| {
+            let expires = peer.expires(&self.settings, self.is_near(&peer.member));
+            peer.alive && expires <= ctx.now
+        };
+        let silent: Vec<VmId> = self.peers.values().filter(silent).map(vm_of).collect();
+        for vm in silent {
+            self.bury(ctx, &vm);
+        }
+        let settings = &self.settings;
+        for peer in self.peers.values_mut() {
+            let direct = peer.is_direct(ctx.now, settings);
+            peer.heard = peer.heard.filter(|_| direct);
         }
-        let peer = self.peers.get(vm);
-        peer.is_some_and(|peer| peer.alive && peer.member.incarnation == incarnation)
-    }
-
-    /// The live members of a failure domain, in the order of their names.
-    pub fn live_in(&self, domain: &FailureDomain) -> &[Member] {
-        self.live.get(domain).map_or(&[], Vec::as_slice)
-    }
-
-    /// The last summary heard from an owner.
-    pub fn summary_of(&self, vm: &VmId) -> Option<&OwnerSummary> {
-        self.peers
-            .get(vm)
-            .filter(|peer| peer.alive)?
-            .summary
-            .as_ref()
     }
 
     /// Notes that a member was heard directly. False for an old run.
@@ -248,6 +213,9 @@
         if member.vm == self.me.vm {
             return;
         }
+        if member.domain == self.me.domain {
+            return self.hint(member, alive);
+        }
         let known = self.peers.get(&member.vm);
         let known_run = known.map_or(Incarnation::default(), |peer| peer.member.incarnation);
         let same_run = known.is_some() && known_run == member.incarnation;
@@ -278,6 +246,19 @@
         }
     }
 
+    /// A member of the own failure domain must be heard itself: the word of others is a hint.
+    fn hint(&mut self, member: &Member, alive: bool) {
+        if alive && !self.hints.contains_key(&member.vm) {
+            let record = VmRecord {
+                vm: member.vm.clone(),
+                domain: member.domain.clone(),
+                peer_address: member.peer_address,
+                state: VmState::Live,
+            };
+            self.hints.insert(member.vm.clone(), record);
+        }
+    }
+
     fn join(&mut self, ctx: &mut Context<'_>, member: &Member) {
         self.peers
             .insert(member.vm.clone(), Peer::new(member.clone()));
@@ -335,8 +316,7 @@
         for peer in self.peers.values().filter(|peer| peer.alive) {
             let member = &peer.member;
             let linked = links.entry(&member.domain).or_default();
-            let near = member.domain == self.me.domain || self.watched.contains(&member.vm);
-            if near || *linked < self.settings.domain_links() {
+            if self.is_near(member) || *linked < self.settings.domain_links() {
                 *linked += 1;
                 targets.insert(member.vm.clone(), member.peer_address);
             }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -6,6 +6,7 @@
 mod membership;
 mod news;
 mod peer;
+mod queries;
 mod settings;
 
 pub use local_state::LocalState;
--- a/crates/core/src/membership/peer.rs
+++ b/crates/core/src/membership/peer.rs
@@ -37,9 +37,12 @@
         }
     }
 
-    /// When its silence amounts to death.
-    pub(super) fn expires(&self, settings: &MembershipSettings) -> Time {
+    /// When its silence amounts to death. For a near one only its own voice counts.
+    pub(super) fn expires(&self, settings: &MembershipSettings, near: bool) -> Time {
         let direct = self.heard.map(|heard| heard + settings.death());
+        if let Some(direct) = direct.filter(|_| near) {
+            return direct;
+        }
         let relayed = self.relayed.map(|relayed| relayed + settings.relay());
         direct.max(relayed).unwrap_or(Time::START)
     }
--- /dev/null
+++ b/crates/core/src/placement/settings.rs
@@ -0,0 +1,85 @@
+//! Settings of placement.
+
+use crate::{config::SettingError, units::Millis};
+use serde::{Deserialize, Serialize};
+
+/// Settings of placement as written.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawPlacementSettings {
+    order_timeout_ms: Millis,
+    backoff_ms: Millis,
+    backoff_max_ms: Millis,
+    report_age_ms: Millis,
+    loads_at_once_count: u32,
+}
+
+/// Settings of placement, checked.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(into = "RawPlacementSettings", try_from = "RawPlacementSettings")]
+pub struct PlacementSettings(RawPlacementSettings);
+
+impl Default for RawPlacementSettings {
+    fn default() -> Self {
+        Self {
+            order_timeout_ms: Millis::from_secs(30),
+            backoff_ms: Millis::new(500),
+            backoff_max_ms: Millis::from_secs(30),
+            report_age_ms: Millis::from_secs(5),
+            loads_at_once_count: 2,
+        }
+    }
+}
+
+impl From<PlacementSettings> for RawPlacementSettings {
+    fn from(settings: PlacementSettings) -> Self {
+        settings.0
+    }
+}
+
+impl TryFrom<RawPlacementSettings> for PlacementSettings {
+    type Error = SettingError;
+
+    fn try_from(raw: RawPlacementSettings) -> Result<Self, SettingError> {
+        SettingError::check("order_timeout_ms", raw.order_timeout_ms.get(), 100, 600_000)?;
+        let backoff_ms = raw.backoff_ms.get();
+        SettingError::check("backoff_ms", backoff_ms, 10, 60_000)?;
+        SettingError::check(
+            "backoff_max_ms",
+            raw.backoff_max_ms.get(),
+            backoff_ms,
+            600_000,
+        )?;
+        SettingError::check("report_age_ms", raw.report_age_ms.get(), 100, 600_000)?;
+        let loads = u64::from(raw.loads_at_once_count);
+        SettingError::check("loads_at_once_count", loads, 1, 1_000)?;
+        Ok(Self(raw))
+    }
+}
+
+impl PlacementSettings {
+    /// How long an order's answer is waited for.
+    pub fn order_timeout(&self) -> Millis {
+        self.0.order_timeout_ms
+    }
+
+    /// Gap after a first failure; it doubles with each one.
+    pub fn backoff(&self) -> Millis {
+        self.0.backoff_ms
+    }
+
+    /// Longest gap between two tries.
+    pub fn backoff_max(&self) -> Millis {
+        self.0.backoff_max_ms
+    }
+
+    /// Age from which a load report is not acted on.
+    pub fn report_age(&self) -> Millis {
+        self.0.report_age_ms
+    }
+
+    /// Engines of one owner that load weights at a time.
+    pub fn loads_at_once(&self) -> usize {
+        self.0.loads_at_once_count as usize
+    }
+}
--- /dev/null
+++ b/crates/core/src/plan/settings.rs
@@ -0,0 +1,79 @@
+//! Settings of plans.
+
+use crate::{config::SettingError, units::Millis};
+use serde::{Deserialize, Serialize};
+
+/// Settings of plans as written.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawPlanSettings {
+    plan_lifetime_ms: Millis,
+    confirm_wait_ms: Millis,
+    call_timeout_ms: Millis,
+    retry_ms: Millis,
+    store_attempts: u32,
+}
+
+/// Settings of plans, checked.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(into = "RawPlanSettings", try_from = "RawPlanSettings")]
+pub struct PlanSettings(RawPlanSettings);
+
+impl Default for RawPlanSettings {
+    fn default() -> Self {
+        Self {
+            plan_lifetime_ms: Millis::from_secs(600),
+            confirm_wait_ms: Millis::new(3_000),
+            call_timeout_ms: Millis::new(1_000),
+            retry_ms: Millis::new(200),
+            store_attempts: 6,
+        }
+    }
+}
+
+impl From<PlanSettings> for RawPlanSettings {
+    fn from(settings: PlanSettings) -> Self {
+        settings.0
+    }
+}
+
+impl TryFrom<RawPlanSettings> for PlanSettings {
+    type Error = SettingError;
+
+    fn try_from(raw: RawPlanSettings) -> Result<Self, SettingError> {
+        let lifetime_ms = raw.plan_lifetime_ms.get();
+        SettingError::check("plan_lifetime_ms", lifetime_ms, 1_000, 86_400_000)?;
+        SettingError::check("confirm_wait_ms", raw.confirm_wait_ms.get(), 100, 60_000)?;
+        SettingError::check("call_timeout_ms", raw.call_timeout_ms.get(), 50, 60_000)?;
+        SettingError::check("retry_ms", raw.retry_ms.get(), 10, 60_000)?;
+        SettingError::check("store_attempts", u64::from(raw.store_attempts), 1, 100)?;
+        Ok(Self(raw))
+    }
+}
+
+impl PlanSettings {
+    /// How long a plan can be confirmed.
+    pub fn lifetime(&self) -> Millis {
+        self.0.plan_lifetime_ms
+    }
+
+    /// How long `confirm` waits until the generation is in force everywhere.
+    pub fn confirm_wait(&self) -> Millis {
+        self.0.confirm_wait_ms
+    }
+
+    /// How long the store's answer is waited for; then it counts as lost.
+    pub fn call_timeout(&self) -> Millis {
+        self.0.call_timeout_ms
+    }
+
+    /// Gap before the store is asked again.
+    pub fn retry(&self) -> Millis {
+        self.0.retry_ms
+    }
+
+    /// Calls of the store for one command at most, after lost answers.
+    pub fn attempts(&self) -> u32 {
+        self.0.store_attempts
+    }
+}
--- /dev/null
+++ b/crates/core/tests/common/concert.rs
@@ -0,0 +1,508 @@
+//! Daemons' control parts on a virtual network with a small table service.
+#![allow(dead_code, unreachable_pub)]
+
+use bytes::Bytes;
+use persimmon_core::{
+    config::{ConfigSettings, ConfigStore, Configuration},
+    ids::{FailureDomain, FencingNumber, Generation, Incarnation, OperatorName, UpstreamId, VmId},
+    membership::{LocalState, Membership, MembershipSettings},
+    message::{Member, OwnerSummary, PeerMessage},
+    operator::{OperatorCommand, OperatorReply},
+    ownership::{Ownership, OwnershipChange, OwnershipSettings},
+    plan::{PlanFacts, PlanSettings, Planner},
+    platform::{
+        CallToken, Condition, ObjectOp, Part, PlatformError, TableAnswer, TableOp, VmRecord,
+        VmState, Write,
+    },
+    units::{Millis, Time},
+    Action, Context, Directory, View,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+pub const TICK_MS: u64 = 20;
+pub const LATENCY_MS: u64 = 1;
+
+/// Parses an identifier.
+pub fn id<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().unwrap()
+}
+
+/// A configuration with two engines and one server in each of the domains `a`, `b` and `c`.
+pub fn small_config() -> Configuration {
+    let mut upstreams = String::new();
+    for (index, domain) in ["a", "b", "c"].iter().enumerate() {
+        for n in 0..3 {
+            let kind = match n {
+                2 => r#"{"service": "orders"}"#,
+                _ => {
+                    r#"{"engine": {"kv_bytes": 8000000, "prefill_tokens_per_s": 8000.0,
+                    "decode_tokens_per_s": 40.0, "max_in_flight_requests": 8, "can_group": true}}"#
+                }
+            };
+            upstreams += &format!(
+                r#""{domain}-u{n}": {{"address": "127.0.0.1:{}", "domain": "{domain}",
+                "kind": {kind}, "checks_fencing": true}},"#,
+                7000 + index * 10 + n
+            );
+        }
+    }
+    let text = format!(
+        r#"{{"domains": {{"a": {{}}, "b": {{}}, "c": {{}}}},
+        "models": {{"m@1": {{"kv_bytes_per_token": 100, "weights_bytes": 1000,
+            "context_tokens": 100000}},
+            "m@2": {{"kv_bytes_per_token": 100, "weights_bytes": 1000, "context_tokens": 100000}}}},
+        "services": {{"orders": {{"max_in_flight_requests": 4}}}},
+        "upstreams": {{{}}},
+        "workspaces": {{"w": {{"weight_count": 1}}}},
+        "placement": [{{"model": "m@1"}}]}}"#,
+        upstreams.trim_end_matches(',')
+    );
+    serde_json::from_str(&text).unwrap()
+}
+
+pub struct Node {
+    pub me: Member,
+    pub membership: Membership,
+    pub ownership: Ownership,
+    pub config: ConfigStore,
+    pub planner: Planner,
+    pub up: bool,
+    pub applied: Vec<Generation>,
+    /// Upstreams that this daemon may grant, as told by its changes of ownership.
+    pub holds: BTreeMap<UpstreamId, FencingNumber>,
+    rng: ChaCha8Rng,
+    last_token: u64,
+}
+
+pub struct Dir<'a>(pub &'a Membership, pub &'a Ownership);
+
+impl Directory for Dir<'_> {
+    fn member(&self, vm: &VmId) -> Option<&Member> {
+        self.0.member(vm)
+    }
+
+    fn is_alive(&self, vm: &VmId, incarnation: Incarnation) -> bool {
+        self.0.is_alive(vm, incarnation)
+    }
+
+    fn live_in(&self, domain: &FailureDomain) -> &[Member] {
+        self.0.live_in(domain)
+    }
+
+    fn owner_of(&self, upstream: &UpstreamId) -> Option<&VmId> {
+        self.1.owner_of(upstream)
+    }
+
+    fn summary_of(&self, vm: &VmId) -> Option<&OwnerSummary> {
+        self.0.summary_of(vm)
+    }
+}
+
+enum Input {
+    Peer(Member, PeerMessage),
+    Platform(CallToken, Result<TableAnswer, PlatformError>),
+}
+
+pub struct Cluster {
+    pub now: Time,
+    pub nodes: BTreeMap<VmId, Node>,
+    pub table: BTreeMap<String, Bytes>,
+    pub objects: BTreeMap<String, Bytes>,
+    pub store_down: bool,
+    /// Writes that take effect and whose answers are lost, counted down.
+    pub lost_answers_count: u32,
+    /// Pairs of failure domains that are cut off from each other.
+    pub cuts: BTreeSet<(FailureDomain, FailureDomain)>,
+    pub replies: Vec<(CallToken, OperatorReply)>,
+    pub sent_count: u64,
+    pub store_calls_count: u64,
+    /// Every (upstream, fencing number) ever held, with its holder.
+    pub granters: BTreeMap<(UpstreamId, FencingNumber), VmId>,
+    queue: BTreeMap<(Time, u64), (VmId, Input)>,
+    order_count: u64,
+    calls_count: u64,
+}
+
+impl Cluster {
+    /// `vms` daemons in each of the domains, which know each other's addresses.
+    pub fn new(domains: &[&str], vms: usize) -> Self {
+        let mut cluster = Self {
+            now: Time::from_ms(0),
+            nodes: BTreeMap::new(),
+            table: BTreeMap::new(),
+            objects: BTreeMap::new(),
+            store_down: false,
+            lost_answers_count: 0,
+            cuts: BTreeSet::new(),
+            replies: Vec::new(),
+            sent_count: 0,
+            store_calls_count: 0,
+            granters: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            order_count: 0,
+            calls_count: 0,
+        };
+        let mut members = Vec::new();
+        for (index, domain) in domains.iter().enumerate() {
+            for n in 0..vms {
+                members.push(Member {
+                    vm: id(&format!("{domain}-{n:02}")),
+                    incarnation: Incarnation::new(1),
+                    domain: id(domain),
+                    peer_address: SocketAddr::from((
+                        [127, 0, 0, 1],
+                        (9000 + index * 100 + n) as u16,
+                    )),
+                });
+            }
+        }
+        let seeds: Vec<_> = members.iter().map(record).collect();
+        for me in members {
+            cluster.start(me, seeds.clone());
+        }
+        cluster
+    }
+
+    /// Starts a daemon, or a new run of it.
+    pub fn start(&mut self, me: Member, seeds: Vec<VmRecord>) {
+        let seed = me.incarnation.get() * 1000 + self.nodes.len() as u64;
+        let node = Node {
+            membership: Membership::new(me.clone(), MembershipSettings::default(), seeds),
+            ownership: Ownership::new(OwnershipSettings::default(), me.clone()),
+            config: ConfigStore::new(ConfigSettings::default()),
+            planner: Planner::new(PlanSettings::default()),
+            up: true,
+            applied: Vec::new(),
+            holds: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            last_token: 0,
+            me: me.clone(),
+        };
+        self.nodes.insert(me.vm, node);
+    }
+
+    /// A new run of a daemon.
+    pub fn restart(&mut self, vm: &str) {
+        let mut me = self.node(vm).me.clone();
+        me.incarnation = me.incarnation.next();
+        let seeds = self.nodes.values().map(|node| record(&node.me)).collect();
+        let held = self.queue.iter().filter(|(_, (to, _))| *to == me.vm);
+        let held: Vec<_> = held.map(|(key, _)| *key).collect();
+        held.iter().for_each(|key| drop(self.queue.remove(key)));
+        self.start(me, seeds);
+    }
+
+    pub fn node(&self, vm: &str) -> &Node {
+        &self.nodes[&id::<VmId>(vm)]
+    }
+
+    pub fn node_mut(&mut self, vm: &str) -> &mut Node {
+        self.nodes.get_mut(&id::<VmId>(vm)).unwrap()
+    }
+
+    /// Stops a daemon without a word.
+    pub fn crash(&mut self, vm: &str) {
+        self.node_mut(vm).up = false;
+    }
+
+    /// Lets the time pass.
+    pub fn run(&mut self, span_ms: u64) {
+        let end = self.now + Millis::new(span_ms);
+        while self.now < end {
+            let tick = self.now + Millis::new(TICK_MS);
+            while let Some(entry) = self.queue.first_entry() {
+                if entry.key().0 > tick {
+                    break;
+                }
+                let ((time, _), (vm, input)) = entry.remove_entry();
+                self.now = time;
+                self.feed(&vm, Some(input));
+            }
+            self.now = tick;
+            let all: Vec<_> = self.nodes.keys().cloned().collect();
+            all.iter().for_each(|vm| self.feed(vm, None));
+        }
+    }
+
+    /// Sends an operator's command; its reply comes into `replies`.
+    pub fn command(&mut self, vm: &str, command: OperatorCommand, unix_ms: u64) -> CallToken {
+        self.calls_count += 1;
+        let call = CallToken::new(Part::Outside, self.calls_count);
+        let operator: OperatorName = id("ayse");
+        self.with(&id(vm), |node, ctx| {
+            let config = node.config.current().clone();
+            let dir = Dir(&node.membership, &node.ownership);
+            let view = View {
+                me: &node.me,
+                config: &config,
+                directory: &dir,
+            };
+            let facts = PlanFacts::default();
+            let planner = &mut node.planner;
+            planner.on_command(ctx, &view, &facts, call, operator, command, unix_ms);
+        });
+        call
+    }
+
+    /// Sends a command and waits for its reply.
+    pub fn ask(&mut self, vm: &str, command: OperatorCommand, unix_ms: u64) -> OperatorReply {
+        let call = self.command(vm, command, unix_ms);
+        for _ in 0..1_000 {
+            if let Some((_, reply)) = self.replies.iter().find(|(c, _)| *c == call) {
+                return reply.clone();
+            }
+            self.run(TICK_MS);
+        }
+        panic!("no reply within 20 s");
+    }
+
+    fn feed(&mut self, vm: &VmId, input: Option<Input>) {
+        if !self.nodes[vm].up {
+            return;
+        }
+        self.with(vm, |node, ctx| match input {
+            None => node.tick(ctx),
+            Some(Input::Peer(from, message)) => node.hear(ctx, &from, message),
+            Some(Input::Platform(token, answer)) => node.platform(ctx, token, answer),
+        });
+    }
+
+    fn with(&mut self, vm: &VmId, run: impl FnOnce(&mut Node, &mut Context<'_>)) {
+        let mut node = self.nodes.remove(vm).unwrap();
+        let mut actions = Vec::new();
+        let mut rng = node.rng.clone();
+        let mut last_token = node.last_token;
+        let mut ctx = Context {
+            now: self.now,
+            rng: &mut rng,
+            actions: &mut actions,
+            last_token: &mut last_token,
+        };
+        run(&mut node, &mut ctx);
+        node.settle(&mut ctx);
+        (node.rng, node.last_token) = (rng, last_token);
+        for (upstream, number) in &node.holds {
+            let holder = self.granters.entry((upstream.clone(), *number));
+            let holder = holder.or_insert_with(|| vm.clone());
+            assert_eq!(
+                holder, vm,
+                "two granters of {upstream} under number {number}"
+            );
+        }
+        let me = node.me.clone();
+        self.nodes.insert(vm.clone(), node);
+        actions.into_iter().for_each(|action| self.act(&me, action));
+    }
+
+    fn act(&mut self, me: &Member, action: Action) {
+        match action {
+            Action::SendPeer { to, message, .. } => {
+                self.sent_count += 1;
+                let Some(peer) = self.nodes.get(&to) else {
+                    return;
+                };
+                let pair = (me.domain.clone(), peer.me.domain.clone());
+                let back = (pair.1.clone(), pair.0.clone());
+                if !self.cuts.contains(&pair) && !self.cuts.contains(&back) {
+                    self.later(to, Input::Peer(me.clone(), message));
+                }
+            }
+            Action::Table { token, op } => {
+                let answer = self.call(|cluster| cluster.transact(op));
+                self.later(me.vm.clone(), Input::Platform(token, answer));
+            }
+            Action::Object { token, op } => {
+                let answer = self.call(|cluster| cluster.object(op));
+                self.later(me.vm.clone(), Input::Platform(token, answer));
+            }
+            Action::OperatorReply { call, reply } => self.replies.push((call, *reply)),
+            _ => {}
+        }
+    }
+
+    fn later(&mut self, to: VmId, input: Input) {
+        self.order_count += 1;
+        let at = self.now + Millis::new(LATENCY_MS);
+        self.queue.insert((at, self.order_count), (to, input));
+    }
+
+    fn call(
+        &mut self,
+        run: impl FnOnce(&mut Self) -> TableAnswer,
+    ) -> Result<TableAnswer, PlatformError> {
+        self.store_calls_count += 1;
+        if self.store_down {
+            return Err(PlatformError::Unavailable);
+        }
+        let answer = run(self);
+        if answer == TableAnswer::Done && self.lost_answers_count > 0 {
+            self.lost_answers_count -= 1;
+            return Err(PlatformError::AnswerLost);
+        }
+        Ok(answer)
+    }
+
+    fn object(&mut self, op: ObjectOp) -> TableAnswer {
+        match op {
+            ObjectOp::Get { key } => TableAnswer::Value(self.objects.get(&key).cloned()),
+            ObjectOp::Put { key, value } => {
+                self.objects.insert(key, value);
+                TableAnswer::Done
+            }
+        }
+    }
+
+    fn transact(&mut self, op: TableOp) -> TableAnswer {
+        match op {
+            TableOp::Get { key } => TableAnswer::Value(self.table.get(&key).cloned()),
+            TableOp::Scan {
+                prefix,
+                after,
+                limit_len,
+            } => {
+                let rows = self.table.iter();
+                let rows = rows.filter(|(key, _)| key.starts_with(&prefix));
+                let rows = rows.filter(|(key, _)| after.as_ref().is_none_or(|a| *key > a));
+                let rows = rows.take(limit_len as usize);
+                TableAnswer::Rows(rows.map(|(k, v)| (k.clone(), v.clone())).collect())
+            }
+            TableOp::Transact { conditions, writes } => {
+                let holds = |condition: &Condition| match condition {
+                    Condition::Absent { key } => !self.table.contains_key(key),
+                    Condition::Equals { key, value } => self.table.get(key) == Some(value),
+                };
+                if !conditions.iter().all(holds) {
+                    return TableAnswer::Conflict;
+                }
+                for write in writes {
+                    match write {
+                        Write::Put { key, value } => drop(self.table.insert(key, value)),
+                        Write::Delete { key } => drop(self.table.remove(&key)),
+                    }
+                }
+                TableAnswer::Done
+            }
+        }
+    }
+}
+
+fn record(member: &Member) -> VmRecord {
+    VmRecord {
+        vm: member.vm.clone(),
+        domain: member.domain.clone(),
+        peer_address: member.peer_address,
+        state: VmState::Live,
+    }
+}
+
+impl Node {
+    pub fn local(&self) -> LocalState {
+        LocalState {
+            generation: self.config.current().generation,
+            ..LocalState::default()
+        }
+    }
+
+    /// Members of a domain that this daemon thinks alive.
+    pub fn sees(&self, domain: &str) -> Vec<String> {
+        let live = self.membership.live_in(&id(domain));
+        live.iter().map(|member| member.vm.to_string()).collect()
+    }
+
+    fn tick(&mut self, ctx: &mut Context<'_>) {
+        let local = self.local();
+        self.membership.on_tick(ctx, &local);
+        let dir = Dir(&self.membership, &self.ownership);
+        self.config.on_tick(ctx, &self.me, &dir);
+        let config = self.config.current().clone();
+        let view = View {
+            me: &self.me,
+            config: &config,
+            directory: &dir,
+        };
+        let members = self.membership.members();
+        self.planner.on_tick(ctx, &view, &members);
+    }
+
+    fn hear(&mut self, ctx: &mut Context<'_>, from: &Member, message: PeerMessage) {
+        let local = self.local();
+        self.membership
+            .on_traffic(ctx.now, &from.vm, from.incarnation);
+        let config = self.config.current().clone();
+        let heard = match &message {
+            PeerMessage::Heartbeat(beat) => Some(beat.generation),
+            _ => None,
+        };
+        if let PeerMessage::Heartbeat(beat) = message.clone() {
+            self.membership.on_heartbeat(ctx, beat, &local);
+        }
+        let dir = Dir(&self.membership, &self.ownership);
+        let view = View {
+            me: &self.me,
+            config: &config,
+            directory: &dir,
+        };
+        if let Some(generation) = heard {
+            self.config.on_heard(ctx, &view, from, generation);
+        }
+        if let PeerMessage::Config(message) = message {
+            self.config.on_message(ctx, &view, from, message);
+        }
+    }
+
+    fn platform(
+        &mut self,
+        ctx: &mut Context<'_>,
+        token: CallToken,
+        answer: Result<TableAnswer, PlatformError>,
+    ) {
+        let config = self.config.current().clone();
+        let dir = Dir(&self.membership, &self.ownership);
+        let view = View {
+            me: &self.me,
+            config: &config,
+            directory: &dir,
+        };
+        match token.part() {
+            Part::Config => self.config.on_platform(ctx, &self.me, &dir, token, answer),
+            Part::Plan => self.planner.on_platform(ctx, &view, token, answer),
+            Part::Ownership => self.ownership.on_platform(ctx, token, answer),
+            _ => {}
+        }
+    }
+
+    /// Follows up on what an input changed.
+    fn settle(&mut self, ctx: &mut Context<'_>) {
+        for record in self.planner.take_committed() {
+            let config = self.config.current().clone();
+            let dir = Dir(&self.membership, &self.ownership);
+            let view = View {
+                me: &self.me,
+                config: &config,
+                directory: &dir,
+            };
+            self.config.on_committed(ctx, &view, record);
+        }
+        let before = self.applied.last().copied().unwrap_or_default();
+        self.applied.extend(self.config.take_applied());
+        assert!(self.applied.last().copied().unwrap_or_default() >= before);
+        let config = self.config.current().clone();
+        self.ownership.refresh(ctx, &self.membership, &config);
+        for change in self.ownership.take_changes() {
+            match change {
+                OwnershipChange::Gained {
+                    upstream, fencing, ..
+                } => drop(self.holds.insert(upstream, fencing)),
+                OwnershipChange::Lost { upstream } => drop(self.holds.remove(&upstream)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/ownership_basic.rs
@@ -0,0 +1,90 @@
+//! Owning, taking over and fencing.
+
+#[path = "common/concert.rs"]
+mod concert;
+
+use concert::{id, small_config, Cluster};
+use persimmon_core::{
+    ids::{UpstreamId, VmId},
+    message::Member,
+    operator::{Intent, OperatorCommand, OperatorReply},
+    ownership::rendezvous,
+};
+use std::collections::BTreeMap;
+
+fn configured(domains: &[&str], vms: usize) -> Cluster {
+    let mut cluster = Cluster::new(domains, vms);
+    cluster.run(1_000);
+    let intent = Intent::Replace(Box::new(small_config()));
+    let plan = OperatorCommand::Plan {
+        intent,
+        force: false,
+    };
+    let OperatorReply::Plan(plan) = cluster.ask("a-00", plan, 1_000) else {
+        panic!("no plan");
+    };
+    cluster.ask("a-00", OperatorCommand::Confirm(plan.id), 2_000);
+    cluster
+}
+
+#[test]
+fn a_lone_daemon_owns_its_domain_soon() {
+    let mut cluster = configured(&["a"], 1);
+    cluster.run(200);
+    let owned: Vec<_> = cluster.node("a-00").ownership.owned().cloned().collect();
+    insta::assert_debug_snapshot!(owned, @"
+    [
+        a-u0,
+        a-u1,
+        a-u2,
+    ]
+    ");
+}
+
+#[test]
+fn each_upstream_has_one_owner_and_a_take_over_a_higher_number() {
+    let mut cluster = configured(&["a", "b", "c"], 3);
+    cluster.run(1_000);
+    let upstream: UpstreamId = id("a-u0");
+    let owner = cluster
+        .node("a-00")
+        .ownership
+        .owner_of(&upstream)
+        .unwrap()
+        .clone();
+    let before = cluster.nodes[&owner].holds[&upstream];
+    cluster.crash(owner.as_str());
+    cluster.run(2_200);
+    let holders = cluster.nodes.values().filter(|node| node.up);
+    let holders: Vec<_> = holders
+        .filter_map(|node| node.holds.get(&upstream))
+        .collect();
+    assert_eq!(holders.len(), 1);
+    assert!(*holders[0] > before);
+}
+
+#[test]
+fn take_over_goes_on_while_the_store_is_down() {
+    let mut cluster = configured(&["a"], 2);
+    cluster.run(1_000);
+    cluster.store_down = true;
+    cluster.crash("a-00");
+    cluster.run(4_000);
+    assert_eq!(cluster.node("a-01").holds.len(), 3);
+}
+
+#[test]
+fn one_member_more_moves_only_its_share() {
+    let cluster = Cluster::new(&["a"], 9);
+    let members: Vec<Member> = cluster.nodes.values().map(|node| node.me.clone()).collect();
+    let owners = |members: &[Member]| -> BTreeMap<UpstreamId, VmId> {
+        let upstreams = (0..900).map(|n| id::<UpstreamId>(&format!("u{n}")));
+        upstreams
+            .map(|u| (u.clone(), rendezvous(&u, members).unwrap().vm.clone()))
+            .collect()
+    };
+    let (before, after) = (owners(&members[..8]), owners(&members));
+    let moved: Vec<_> = after.iter().filter(|(u, vm)| before[*u] != **vm).collect();
+    assert!(moved.iter().all(|(_, vm)| **vm == members[8].vm));
+    assert!((70..=130).contains(&moved.len()), "{}", moved.len());
+}
