--- a/crates/core/src/config/errors.rs
+++ b/crates/core/src/config/errors.rs
@@ -1,6 +1,7 @@
 //! Errors of the configuration.
 
 use crate::ids::{FailureDomain, ModelVersion, ServiceName, UpstreamId, WorkspaceId};
+use std::ops::RangeInclusive;
 use thiserror::Error;
 
 /// Why a change can't be applied to a configuration.
@@ -28,16 +29,14 @@
 
 /// A setting outside its range.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
-#[error("setting {key} is {value}: give {low} to {high}")]
+#[error("setting {key} is {value}: give {} to {}", .range.start(), .range.end())]
 pub struct SettingError {
     /// The setting's name.
     pub key: &'static str,
     /// The refused value.
-    pub value: u64,
-    /// The lowest value allowed.
-    pub low: u64,
-    /// The highest value allowed.
-    pub high: u64,
+    pub value: String,
+    /// The values allowed.
+    pub range: RangeInclusive<u64>,
 }
 
 impl SettingError {
@@ -47,14 +46,14 @@
     ///
     /// Names the setting, its value and the range.
     pub fn check(key: &'static str, value: u64, low: u64, high: u64) -> Result<(), Self> {
-        if (low..=high).contains(&value) {
+        let range = low..=high;
+        if range.contains(&value) {
             return Ok(());
         }
         Err(Self {
             key,
-            value,
-            low,
-            high,
+            value: value.to_string(),
+            range,
         })
     }
 }
--- a/crates/core/src/plan/confirm.rs
+++ b/crates/core/src/plan/confirm.rs
@@ -40,7 +40,7 @@
     /// When the awaited answer counts as lost, or a retry is due.
     pub(super) due: Time,
     /// Calls of the store so far.
-    pub(super) attempts: u32,
+    pub(super) store_attempts: u32,
     /// Whether a transaction went out whose answer was lost.
     pub(super) unknown: bool,
     /// Whether the head must be looked at before the plan is written again.
--- a/crates/core/src/plan/mod.rs
+++ b/crates/core/src/plan/mod.rs
@@ -1,5 +1,6 @@
 //! Plans: from an operator's intent to a confirmed change.
 
+mod answers;
 mod confirm;
 mod draft;
 mod facts;
--- a/crates/core/src/plan/planner.rs
+++ b/crates/core/src/plan/planner.rs
@@ -1,6 +1,7 @@
 //! The operators' plans, from intent to confirmation.
 
 use super::{
+    answers::{aged, fresh_id, refuse, reply, report},
     confirm::{Command, Stage},
     draft::Draft,
     rows, PlanFacts, PlanSettings,
@@ -12,9 +13,7 @@
     },
     ids::{Generation, OperatorName, PlanId},
     message::Member,
-    operator::{
-        ConfirmReport, Intent, OperatorCommand, OperatorError, OperatorReply, Plan, PlanState,
-    },
+    operator::{Intent, OperatorCommand, OperatorError, OperatorReply, Plan, PlanState},
     platform::{CallToken, Part, PlatformError, TableAnswer, TableOp},
     units::{Millis, Time},
     Action, Context, View,
@@ -87,7 +86,7 @@
             stage,
             token: None,
             due: ctx.now,
-            attempts: 0,
+            store_attempts: 0,
             unknown: false,
             check_head: false,
         });
@@ -175,7 +174,7 @@
             }
             let token = ctx.token(Part::Plan);
             command.token = Some(token);
-            command.attempts += 1;
+            command.store_attempts += 1;
             command.due = ctx.now + self.settings.call_timeout();
             ctx.act(Action::Table { token, op });
         }
@@ -265,7 +264,7 @@
                 };
                 let token = ctx.token(Part::Plan);
                 command.token = Some(token);
-                command.attempts += 1;
+                command.store_attempts += 1;
                 command.due = ctx.now + self.settings.call_timeout();
                 ctx.act(Action::Table { token, op });
                 Some(command)
@@ -312,7 +311,7 @@
 
     /// Tries again a little later, or gives up with the most that can be said.
     fn again(&mut self, ctx: &mut Context<'_>, mut command: Command) -> Option<Command> {
-        if command.attempts < self.settings.attempts() {
+        if command.store_attempts < self.settings.attempts() {
             let gap_ms = self.settings.retry().get();
             let jittered_ms = ctx.rng.random_range(gap_ms / 2..=gap_ms * 3 / 2);
             command.due = ctx.now + Millis::new(jittered_ms);
@@ -355,64 +354,9 @@
     }
 }
 
-/// A plan as it stands at a time: an open one that was not confirmed in time has expired.
-fn aged(mut plan: Plan, unix_ms: u64) -> Plan {
-    if plan.state == PlanState::Open && plan.expires_unix_ms <= unix_ms {
-        plan.state = PlanState::Expired;
-    }
-    plan
-}
-
-fn report(
-    view: &View<'_>,
-    members: &[(Member, Generation)],
-    record: &ChangeRecord,
-    waited_ms: Millis,
-) -> ConfirmReport {
-    let applies = |(member, generation): &&(Member, Generation)| {
-        let generation = match member.vm == view.me.vm {
-            true => view.config.generation,
-            false => *generation,
-        };
-        generation >= record.generation
-    };
-    let (reached, missing): (Vec<_>, Vec<_>) = members.iter().partition(applies);
-    let names = |list: Vec<&(Member, Generation)>| {
-        list.into_iter()
-            .map(|(member, _)| member.vm.clone())
-            .collect()
-    };
-    ConfirmReport {
-        plan: record.plan.clone(),
-        generation: record.generation,
-        in_force: names(reached),
-        not_reached: names(missing),
-        waited_ms,
-    }
-}
-
 /// The generation is in the store: the members' reports are awaited.
 fn spread(ctx: &Context<'_>, mut command: Command, record: ChangeRecord) -> Command {
     command.stage = Stage::Spreading(Box::new(record), ctx.now);
     command.due = ctx.now;
     command
 }
-
-fn fresh_id(ctx: &mut Context<'_>) -> PlanId {
-    let bits: u64 = ctx.rng.random();
-    let text = format!("p{bits:016x}");
-    text.parse()
-        .expect("hexadecimal digits are allowed in names")
-}
-
-fn reply(ctx: &mut Context<'_>, call: CallToken, reply: OperatorReply) {
-    ctx.act(Action::OperatorReply {
-        call,
-        reply: Box::new(reply),
-    });
-}
-
-fn refuse(ctx: &mut Context<'_>, command: &Command, error: OperatorError) -> Option<Command> {
-    reply(ctx, command.call, OperatorReply::Refused(error));
-    None
-}
--- a/crates/core/tests/common/concert.rs
+++ b/crates/core/tests/common/concert.rs
@@ -213,6 +213,17 @@
         self.node_mut(vm).up = false;
     }
 
+    /// Stops a daemon's process for a while; it notices when it wakes.
+    pub fn pause(&mut self, vm: &str, span_ms: u64) {
+        self.node_mut(vm).up = false;
+        self.run(span_ms);
+        self.node_mut(vm).up = true;
+        self.with(&id(vm), |node, ctx| {
+            node.membership.on_paused(ctx);
+            node.ownership.on_paused(ctx);
+        });
+    }
+
     /// Lets the time pass.
     pub fn run(&mut self, span_ms: u64) {
         let end = self.now + Millis::new(span_ms);
--- a/crates/core/tests/ownership_basic.rs
+++ b/crates/core/tests/ownership_basic.rs
@@ -88,3 +88,15 @@
     assert!(moved.iter().all(|(_, vm)| **vm == members[8].vm));
     assert!((70..=130).contains(&moved.len()), "{}", moved.len());
 }
+
+#[test]
+fn a_paused_owner_gives_up_and_comes_back_with_a_higher_number() {
+    let mut cluster = configured(&["a"], 1);
+    cluster.run(1_000);
+    let upstream: UpstreamId = id("a-u0");
+    let before = cluster.node("a-00").holds[&upstream];
+    cluster.pause("a-00", 5_000);
+    assert!(cluster.node("a-00").holds.is_empty());
+    cluster.run(1_500);
+    assert!(cluster.node("a-00").holds[&upstream] > before);
+}
