--- a/crates/core/src/membership/queries.rs
+++ b/crates/core/src/membership/queries.rs
@@ -60,4 +60,13 @@
             .summary
             .as_ref()
     }
+
+    /// The live member that sent a message in this run, this daemon included; a leaving one counts.
+    pub fn sender(&self, vm: &VmId, incarnation: Incarnation) -> Option<&Member> {
+        let member = match *vm == self.me.vm {
+            true => &self.me,
+            false => &self.peers.get(vm).filter(|peer| peer.alive)?.member,
+        };
+        (member.incarnation == incarnation).then_some(member)
+    }
 }
--- a/crates/core/tests/membership_basic.rs
+++ b/crates/core/tests/membership_basic.rs
@@ -54,6 +54,11 @@
     let vm = concert::id("a-01");
     assert!(!node.membership.is_alive(&vm, Incarnation::new(1)));
     assert!(node.membership.is_alive(&vm, Incarnation::new(2)));
+    assert!(node.membership.sender(&vm, Incarnation::new(1)).is_none());
+    assert_eq!(
+        node.membership.sender(&vm, Incarnation::new(2)).unwrap().vm,
+        vm
+    );
 }
 
 #[test]
