Join the core's parts into one daemon

Events go to the part that they concern; what one part finds out (members, ownership, generations) is carried to the others until nothing is left; messages to the own VM never leave the core; messages of senders not heard of yet wait for their first heartbeat.

--- a/crates/core/src/daemon/known.rs
+++ b/crates/core/src/daemon/known.rs
@@ -27,17 +27,27 @@
 
 impl Known {
     pub(super) fn view(&self) -> View<'_> {
-        View { me: &self.me, config: self.config.current(), directory: &self.peers }
+        View {
+            me: &self.me,
+            config: self.config.current(),
+            directory: &self.peers,
+        }
     }
 
     pub(super) fn refresh_ownership(&mut self, ctx: &mut Context<'_>) {
-        self.peers.ownership.refresh(ctx, &self.peers.membership, self.config.current());
+        self.peers
+            .ownership
+            .refresh(ctx, &self.peers.membership, self.config.current());
     }
 
     /// Lets `act` change the configuration while it reads the rest.
     pub(super) fn with_config(&mut self, act: impl FnOnce(&mut ConfigStore, &View<'_>)) {
         let current = self.config.current().clone();
-        let view = View { me: &self.me, config: &current, directory: &self.peers };
+        let view = View {
+            me: &self.me,
+            config: &current,
+            directory: &self.peers,
+        };
         act(&mut self.config, &view);
     }
 }
--- a/crates/core/src/daemon/mod.rs
+++ b/crates/core/src/daemon/mod.rs
@@ -3,8 +3,12 @@
 mod core;
 mod known;
 mod operators;
+mod peers;
 mod settings;
+mod settle;
+mod shutdown;
 mod strangers;
+mod ticks;
 
 pub use self::core::Daemon;
 pub use settings::{DaemonSettings, PartSettings};
--- a/crates/core/src/daemon/operators.rs
+++ b/crates/core/src/daemon/operators.rs
@@ -13,12 +13,7 @@
 
 impl Daemon {
     /// Answers a command that only reads.
-    pub(super) fn report(
-        &self,
-        ctx: &mut Context<'_>,
-        call: CallToken,
-        command: &OperatorCommand,
-    ) {
+    pub(super) fn report(&self, ctx: &mut Context<'_>, call: CallToken, command: &OperatorCommand) {
         let config = self.known.config.current();
         let reply = match command {
             OperatorCommand::Fleet => OperatorReply::Fleet(self.fleet()),
@@ -28,7 +23,10 @@
             }
             _ => OperatorReply::Status(self.status()),
         };
-        ctx.act(Action::OperatorReply { call, reply: Box::new(reply) });
+        ctx.act(Action::OperatorReply {
+            call,
+            reply: Box::new(reply),
+        });
     }
 
     /// Passes a command about plans on.
@@ -47,9 +45,13 @@
                 Some((upstream.clone(), status.in_flight_requests))
             })
             .collect();
-        let facts = PlanFacts { in_flight, members: self.known.peers.membership.members() };
+        let facts = PlanFacts {
+            in_flight,
+            members: self.known.peers.membership.members(),
+        };
         let view = self.known.view();
-        self.planner.on_command(ctx, &view, &facts, call, operator, command, unix_ms);
+        self.planner
+            .on_command(ctx, &view, &facts, call, operator, command, unix_ms);
     }
 
     fn status(&self) -> StatusReport {
@@ -68,8 +70,13 @@
 
     fn fleet(&self) -> FleetReport {
         let config = self.known.config.current();
-        let statuses = config.upstreams.iter().map(|(id, upstream)| self.upstream(id, upstream));
-        FleetReport { upstreams: statuses.collect() }
+        let statuses = config
+            .upstreams
+            .iter()
+            .map(|(id, upstream)| self.upstream(id, upstream));
+        FleetReport {
+            upstreams: statuses.collect(),
+        }
     }
 
     fn upstream(&self, id: &UpstreamId, config: &UpstreamConfig) -> UpstreamStatus {
--- a/crates/core/src/daemon/settings.rs
+++ b/crates/core/src/daemon/settings.rs
@@ -1,18 +1,9 @@
 //! Settings of a daemon's core.
 
 use crate::{
-    claim::ClaimSettings,
-    config::ConfigSettings,
-    entry::EntrySettings,
-    grant::GrantSettings,
-    membership::MembershipSettings,
-    message::Member,
-    ownership::OwnershipSettings,
-    placement::PlacementSettings,
-    plan::PlanSettings,
-    platform::VmRecord,
-    routing::RoutingSettings,
-    units::Millis,
+    config::ConfigSettings, entry::EntrySettings, grant::GrantSettings,
+    membership::MembershipSettings, message::Member, ownership::OwnershipSettings,
+    placement::PlacementSettings, plan::PlanSettings, platform::VmRecord, routing::RoutingSettings,
 };
 
 /// What a daemon's core is made from.
@@ -26,18 +17,14 @@
     pub seed: u64,
     /// Settings of the parts.
     pub parts: PartSettings,
-    /// Time that requests get to finish after a shutdown.
-    pub shutdown_grace_ms: Millis,
 }
 
 /// Settings of the parts.
 #[derive(Clone, Debug, Default)]
 pub struct PartSettings {
-    /// At-most-once claims.
-    pub claim: ClaimSettings,
     /// Configuration.
     pub config: ConfigSettings,
-    /// Requests.
+    /// Requests and their claims.
     pub entry: EntrySettings,
     /// Grants.
     pub grant: GrantSettings,
--- a/crates/core/src/daemon/strangers.rs
+++ b/crates/core/src/daemon/strangers.rs
@@ -43,7 +43,9 @@
     /// The messages held for a sender.
     pub(super) fn take(&mut self, from: &VmId) -> Vec<(Incarnation, PeerMessage)> {
         let held = self.held.remove(from).unwrap_or_default();
-        held.into_iter().map(|(_, incarnation, message)| (incarnation, message)).collect()
+        held.into_iter()
+            .map(|(_, incarnation, message)| (incarnation, message))
+            .collect()
     }
 
     /// Drops what was held too long.
--- a/crates/core/src/entry/settings.rs
+++ b/crates/core/src/entry/settings.rs
@@ -153,3 +153,9 @@
         })
     }
 }
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        Self::try_from(RawEntrySettings::default()).expect("the defaults are in range")
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,9 +11,10 @@
 
 pub mod claim;
 pub mod config;
+pub mod daemon;
 pub mod decision;
-pub mod grant;
 pub mod entry;
+pub mod grant;
 pub mod ids;
 pub mod membership;
 pub mod message;
