Serve callers, call upstreams and the platform, run the control thread

One control thread owns a ControlCore and carries out its actions; each caller's request and each attempt has a thread. minreq gives a made-up 503 for a connection that ends without an answer, and takes a broken chunked body for a whole one: both are told apart here, so that a lost answer is never taken for 'nothing was done'.

--- /dev/null
+++ b/crates/io/src/http/check.rs
@@ -0,0 +1,217 @@
+//! Checks callers' requests.
+
+use super::{
+    AnswerForm, CheckedCall, HttpLimits, ModelPayload, Payload, RawCall, RequestError,
+    ServicePayload,
+};
+use persimmon_core::{
+    ids::{AdapterName, BodyHash, IdempotencyKey, ModelName, RequestId, ServiceName, WorkspaceId},
+    request::{
+        count_tokens, prefix_blocks, CallTarget, ModelCall, RequestSpec, ServiceCall, BLOCK_TOKENS,
+    },
+    units::{Millis, Tokens},
+};
+use serde::Deserialize;
+use xxhash_rust::xxh3::Xxh3;
+
+const WORKSPACE: &str = "X-Workspace";
+const TIMEOUT: &str = "X-Request-Timeout-Ms";
+const KEY: &str = "Idempotency-Key";
+const CONTENT_TYPE: &str = "Content-Type";
+
+/// Path in front of the plain services.
+const SERVICES: &str = "/services/";
+
+/// One message of a chat.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct ChatMessage {
+    /// Who speaks.
+    pub role: String,
+    /// What is said.
+    pub content: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct CompletionBody {
+    model: Option<ModelName>,
+    #[serde(default)]
+    prompt: Option<String>,
+    #[serde(default)]
+    messages: Option<Vec<ChatMessage>>,
+    #[serde(default)]
+    max_tokens: Option<Tokens>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    adapter: Option<AdapterName>,
+}
+
+/// The prompt of a chat: one line `role: content` for each message.
+pub fn chat_prompt(messages: &[ChatMessage]) -> String {
+    let line = |m: &ChatMessage| format!("{}: {}", m.role, m.content);
+    messages.iter().map(line).collect::<Vec<_>>().join("\n")
+}
+
+impl TryFrom<(RequestId, &RawCall, &HttpLimits)> for CheckedCall {
+    type Error = RequestError;
+
+    fn try_from(
+        (id, raw, limits): (RequestId, &RawCall, &HttpLimits),
+    ) -> Result<Self, RequestError> {
+        let timeout_ms = timeout(raw, limits)?;
+        let workspace = workspace(raw)?;
+        let (target, payload) = match raw.path() {
+            "/v1/chat/completions" => model(raw, limits, &workspace, AnswerForm::Chat)?,
+            "/v1/completions" => model(raw, limits, &workspace, AnswerForm::Text)?,
+            _ => service(raw)?,
+        };
+        let spec = RequestSpec {
+            id,
+            workspace,
+            target,
+            timeout_ms,
+        };
+        Ok(Self { spec, payload })
+    }
+}
+
+fn timeout(raw: &RawCall, limits: &HttpLimits) -> Result<Millis, RequestError> {
+    let Some(text) = raw.header(TIMEOUT) else {
+        return Ok(limits.default_timeout_ms);
+    };
+    let timeout: Millis = text
+        .trim()
+        .parse()
+        .map_err(|error| RequestError::unit(TIMEOUT, &error))?;
+    let max = limits.max_timeout_ms;
+    if timeout == Millis::ZERO || timeout > max {
+        return Err(RequestError::Timeout { timeout, max });
+    }
+    Ok(timeout)
+}
+
+fn workspace(raw: &RawCall) -> Result<WorkspaceId, RequestError> {
+    let text = raw
+        .header(WORKSPACE)
+        .ok_or(RequestError::NoHeader { name: WORKSPACE })?;
+    text.parse()
+        .map_err(|error| RequestError::header(WORKSPACE, error))
+}
+
+fn model(
+    raw: &RawCall,
+    limits: &HttpLimits,
+    workspace: &WorkspaceId,
+    form: AnswerForm,
+) -> Result<(CallTarget, Payload), RequestError> {
+    check_post(raw)?;
+    let body: CompletionBody =
+        serde_json::from_slice(&raw.body).map_err(|error| RequestError::Json {
+            reason: error.to_string(),
+        })?;
+    let prompt = prompt(&body, form)?;
+    let max_output_tokens = body.max_tokens.unwrap_or(limits.default_output_tokens);
+    if max_output_tokens == Tokens::ZERO {
+        return Err(RequestError::NoOutput);
+    }
+    let model = body.model.ok_or(RequestError::NoModel)?;
+    let call = ModelCall {
+        model: model.clone(),
+        adapter: body.adapter.clone(),
+        prompt_tokens: count_tokens(&prompt),
+        max_output_tokens,
+        prefix_blocks: prefix_blocks(workspace, &prompt, BLOCK_TOKENS),
+        stream: body.stream,
+    };
+    let payload = ModelPayload {
+        model,
+        adapter: body.adapter,
+        prompt: prompt.into(),
+        max_output_tokens,
+        form,
+        stream: body.stream,
+    };
+    Ok((CallTarget::Model(call), Payload::Model(payload)))
+}
+
+fn prompt(body: &CompletionBody, form: AnswerForm) -> Result<String, RequestError> {
+    let (field, prompt) = match form {
+        AnswerForm::Chat => ("messages", body.messages.as_deref().map(chat_prompt)),
+        AnswerForm::Text => ("prompt", body.prompt.clone()),
+    };
+    let prompt = prompt.filter(|prompt| count_tokens(prompt) > Tokens::ZERO);
+    prompt.ok_or(RequestError::NoPrompt { field })
+}
+
+fn service(raw: &RawCall) -> Result<(CallTarget, Payload), RequestError> {
+    if raw.target.contains(|c: char| c.is_control() || c == ' ') {
+        return Err(RequestError::Path);
+    }
+    let unknown = || RequestError::UnknownPath {
+        path: raw.path().into(),
+    };
+    let rest = raw.target.strip_prefix(SERVICES).ok_or_else(unknown)?;
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (name, path) = rest.split_at(end);
+    let service: ServiceName = name.parse()?;
+    let path = match path.starts_with('/') {
+        true => path.to_owned(),
+        false => format!("/{path}"),
+    };
+    let key = key(raw)?;
+    let idempotent = key.is_none() && is_idempotent(&raw.method);
+    let call = ServiceCall {
+        service,
+        idempotent,
+        key: key.clone(),
+        body_hash: body_hash(raw, &path),
+    };
+    let payload = ServicePayload {
+        method: raw.method.clone(),
+        path,
+        content_type: content_type(raw)?,
+        key,
+        body: raw.body.clone(),
+    };
+    Ok((CallTarget::Service(call), Payload::Service(payload)))
+}
+
+fn key(raw: &RawCall) -> Result<Option<IdempotencyKey>, RequestError> {
+    let parsed = raw.header(KEY).map(str::parse).transpose();
+    parsed.map_err(|error| RequestError::header(KEY, error))
+}
+
+fn content_type(raw: &RawCall) -> Result<Option<String>, RequestError> {
+    match raw.header(CONTENT_TYPE) {
+        Some(value) if value.contains(|c: char| c.is_control()) => Err(RequestError::header(
+            CONTENT_TYPE,
+            "it holds a control character: leave it out",
+        )),
+        value => Ok(value.map(str::to_owned)),
+    }
+}
+
+fn is_idempotent(method: &str) -> bool {
+    matches!(method, "DELETE" | "GET" | "HEAD" | "OPTIONS" | "PUT")
+}
+
+fn body_hash(raw: &RawCall, path: &str) -> BodyHash {
+    let mut hash = Xxh3::new();
+    for part in [raw.method.as_bytes(), path.as_bytes()] {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.update(&raw.body);
+    BodyHash::new(hash.digest())
+}
+
+fn check_post(raw: &RawCall) -> Result<(), RequestError> {
+    if raw.method == "POST" {
+        return Ok(());
+    }
+    Err(RequestError::Method {
+        path: raw.path().into(),
+        method: raw.method.clone(),
+        allowed: "POST",
+    })
+}
--- /dev/null
+++ b/crates/io/src/http/mod.rs
@@ -0,0 +1,17 @@
+//! The callers' HTTP interface.
+
+mod answer;
+mod body;
+mod check;
+mod errors;
+mod limits;
+mod payload;
+mod raw;
+mod server;
+
+pub use check::{chat_prompt, ChatMessage};
+pub use errors::RequestError;
+pub use limits::HttpLimits;
+pub use payload::{AnswerForm, CheckedCall, ModelPayload, Payload, ServicePayload};
+pub use raw::RawCall;
+pub use server::{CallerServer, Pages};
--- a/crates/io/src/lib.rs
+++ b/crates/io/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! The borders of a daemon: callers, operators, upstreams, the platform, peers, settings and logs.
+//!
+//! Each border is a trait with one implementation for real use; tests bring their own.
+
+mod web;
+
+pub mod http;
+pub mod link;
+pub mod operator;
+pub mod platform;
+pub mod settings;
+pub mod traffic;
+pub mod upstream;
--- /dev/null
+++ b/crates/io/src/settings/mod.rs
@@ -0,0 +1,11 @@
+//! A daemon's settings: JSON in, checked types out.
+
+mod checked;
+mod errors;
+mod load;
+mod raw;
+
+pub use checked::{Listen, LogFormat, LogSettings, OperatorToken, Settings, TlsFiles};
+pub use errors::{SettingError, SettingsError};
+pub use load::{load, parse};
+pub use raw::RawSettings;
--- /dev/null
+++ b/crates/io/src/settings/raw.rs
@@ -0,0 +1,65 @@
+//! Settings as they stand in the file.
+
+use serde::Deserialize;
+use std::{net::SocketAddr, path::PathBuf};
+
+/// Settings as they stand in the file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, expecting = "an object")]
+pub struct RawSettings {
+    pub(super) vm: String,
+    pub(super) domain: String,
+    pub(super) listen: RawListen,
+    #[serde(default)]
+    pub(super) seeds: Vec<RawSeed>,
+    pub(super) platform: SocketAddr,
+    pub(super) tls: RawTls,
+    pub(super) operator_token: String,
+    #[serde(default)]
+    pub(super) limits: RawLimits,
+    #[serde(default)]
+    pub(super) log: RawLog,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, expecting = "an object")]
+pub(super) struct RawListen {
+    pub(super) callers: SocketAddr,
+    pub(super) operators: SocketAddr,
+    pub(super) peers: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, expecting = "an object")]
+pub(super) struct RawSeed {
+    pub(super) vm: String,
+    pub(super) domain: String,
+    pub(super) peer_address: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, expecting = "an object")]
+pub(super) struct RawTls {
+    pub(super) ca_file: PathBuf,
+    pub(super) cert_file: PathBuf,
+    pub(super) key_file: PathBuf,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields, expecting = "an object")]
+pub(super) struct RawLimits {
+    pub(super) body_max_bytes: Option<u64>,
+    pub(super) head_max_bytes: Option<u64>,
+    pub(super) open_max_requests: Option<u64>,
+    pub(super) body_time_ms: Option<u64>,
+    pub(super) default_timeout_ms: Option<u64>,
+    pub(super) max_timeout_ms: Option<u64>,
+    pub(super) default_output_tokens: Option<u64>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields, expecting = "an object")]
+pub(super) struct RawLog {
+    pub(super) format: Option<String>,
+    pub(super) level: Option<String>,
+}
--- /dev/null
+++ b/crates/io/src/traffic/mod.rs
@@ -0,0 +1,15 @@
+//! Traffic threads: one for each caller's request, one for each attempt at an upstream.
+
+mod assembler;
+mod attempt;
+mod caller;
+mod command;
+mod hub;
+mod id_source;
+mod worker;
+
+pub use caller::{Caller, CallerClosed};
+pub use command::{Command, Dispatch};
+pub use hub::{Readiness, TrafficHub};
+pub use id_source::IdSource;
+pub use worker::Worker;
--- /dev/null
+++ b/crates/io/tests/settings.rs
@@ -0,0 +1,103 @@
+//! Mistakes in settings: each error names file, key, value and remedy.
+
+use insta::assert_snapshot;
+use persimmon_io::settings::{load, parse};
+use serde_json::{json, Value};
+use std::path::Path;
+
+fn valid() -> Value {
+    json!({
+        "vm": "vm-1",
+        "domain": "taichung-a",
+        "listen": {
+            "callers": "127.0.0.1:8000",
+            "operators": "127.0.0.1:8001",
+            "peers": "127.0.0.1:8002",
+        },
+        "seeds": [{"vm": "vm-2", "domain": "taichung-a", "peer_address": "127.0.0.1:8003"}],
+        "platform": "127.0.0.1:8004",
+        "tls": {"ca_file": "ca.pem", "cert_file": "vm.pem", "key_file": "vm.key"},
+        "operator_token": "a-token-for-tests",
+        "limits": {"body_max_bytes": 33554432},
+        "log": {"format": "text", "level": "debug"},
+    })
+}
+
+/// The error after the value at `pointer` was replaced.
+fn error(pointer: &str, value: Value) -> String {
+    let mut settings = valid();
+    *settings.pointer_mut(pointer).expect(pointer) = value;
+    refused(settings.to_string().as_bytes())
+}
+
+fn refused(bytes: &[u8]) -> String {
+    let parsed = parse(Path::new("vm.json"), bytes);
+    parsed.expect_err("accepted").to_string()
+}
+
+#[test]
+fn valid_settings_pass() {
+    let bytes = valid().to_string();
+    assert!(parse(Path::new("vm.json"), bytes.as_bytes()).is_ok());
+}
+
+#[test]
+fn each_mistake_is_named() {
+    let mistakes = [
+        ("/vm", json!("")),
+        ("/vm", json!(7)),
+        ("/domain", json!("two words")),
+        ("/listen", json!({"callers": "127.0.0.1:1"})),
+        ("/listen/callers", json!("localhost")),
+        ("/listen/operators", json!("127.0.0.1:8000")),
+        ("/seeds", json!({})),
+        ("/seeds/0/domain", json!("a\nb")),
+        ("/seeds/0/peer_address", json!("0.0.0.0:1")),
+        (
+            "/seeds/0",
+            json!({"vm": "v", "domain": "d", "peer_address": "1.2.3.4:5", "x": 1}),
+        ),
+        ("/platform", json!("127.0.0.1:0")),
+        ("/tls/ca_file", json!("")),
+        ("/operator_token", json!("short")),
+        ("/operator_token", json!(12345)),
+        ("/limits", json!({"body_max_bytes": 1})),
+        ("/limits", json!({"body_max_bytes": -1})),
+        ("/limits", json!({"head_max_bytes": 1})),
+        ("/limits", json!({"open_max_requests": 0})),
+        ("/limits", json!({"body_time_ms": 1})),
+        ("/limits", json!({"max_timeout_ms": 0})),
+        (
+            "/limits",
+            json!({"default_timeout_ms": 7, "max_timeout_ms": 6}),
+        ),
+        ("/limits", json!({"default_output_tokens": 0})),
+        ("/limits", json!({"body_bytes": 1})),
+        ("/log/format", json!("xml")),
+        ("/log/level", json!("loud")),
+    ];
+    let errors: Vec<_> = mistakes
+        .into_iter()
+        .map(|(key, value)| error(key, value))
+        .collect();
+    assert_snapshot!(errors.join("\n"));
+}
+
+#[test]
+fn repeated_seed_is_named() {
+    let seed = json!({"vm": "vm-2", "domain": "d", "peer_address": "127.0.0.1:1"});
+    assert_snapshot!(error("/seeds", json!([seed, seed])));
+}
+
+#[test]
+fn files_that_are_no_settings_are_named() {
+    let errors = [
+        load(Path::new("no-such-file.json"))
+            .expect_err("read")
+            .to_string(),
+        refused(b"{\"vm\": "),
+        refused(b"[]"),
+        refused(format!("{} x", valid()).as_bytes()),
+    ];
+    assert_snapshot!(errors.join("\n"));
+}
--- /dev/null
+++ b/crates/persimmond/src/daemon.rs
@@ -0,0 +1,157 @@
+//! Starts and stops a daemon.
+
+use crate::{control::Control, pool::Pool, Clock, CoreSeed, Parts, StartError};
+use flume::Sender;
+use persimmon_core::{ids::Incarnation, message::Member, Event};
+use persimmon_io::{
+    http::CallerServer, operator::OperatorDesk, operator::OperatorServer, settings::Settings,
+    traffic::TrafficHub,
+};
+use std::{
+    hash::{BuildHasher, RandomState},
+    io,
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    thread::{self, JoinHandle},
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+/// Threads that call the platform.
+const PLATFORM_THREADS: usize = 4;
+
+/// Threads that give orders to upstreams and ask for their load.
+const UPSTREAM_THREADS: usize = 8;
+
+/// A daemon, as threads of this process.
+#[derive(Clone, Copy, Debug)]
+pub struct Daemon;
+
+/// Where a daemon listens.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For peers.
+    pub peers: SocketAddr,
+}
+
+/// A daemon that runs.
+#[derive(Debug)]
+pub struct DaemonHandle {
+    addresses: Addresses,
+    events: Sender<Event>,
+    killed: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Daemon {
+    /// Starts a daemon from its parts.
+    ///
+    /// # Errors
+    ///
+    /// Names the address or link that can't be opened.
+    pub fn start_with(settings: Settings, parts: Parts) -> Result<DaemonHandle, StartError> {
+        let (events, inbox) = flume::unbounded();
+        let incarnation = Incarnation::new(unix_ms());
+        let link = (parts.link)(&settings.vm, incarnation, events.clone())
+            .map_err(|reason| StartError::Link { reason })?;
+        let me = Member {
+            vm: settings.vm.clone(),
+            incarnation,
+            domain: settings.domain.clone(),
+            peer_address: link.local_address(),
+        };
+        let hub = Arc::new(TrafficHub::new(events.clone(), Arc::clone(&parts.upstream)));
+        let desk = Arc::new(OperatorDesk::new(events.clone()));
+        let (limits, pages) = (settings.limits, parts.pages);
+        let callers = CallerServer::start(settings.listen.callers, limits, hub.clone(), pages)
+            .map_err(listen_error("listen.callers", settings.listen.callers))?;
+        let token = settings.operator_token;
+        let operators = OperatorServer::start(settings.listen.operators, token, desk.clone())
+            .map_err(listen_error("listen.operators", settings.listen.operators))?;
+        let addresses = Addresses {
+            callers: callers.address(),
+            operators: operators.address(),
+            peers: me.peer_address,
+        };
+        let killed = Arc::new(AtomicBool::new(false));
+        let control = Control {
+            core: (parts.core)(CoreSeed {
+                me,
+                seeds: settings.seeds,
+                seed: RandomState::new().hash_one(incarnation),
+            }),
+            clock: Clock::start(),
+            inbox,
+            events: events.clone(),
+            hub,
+            desk,
+            link,
+            platform: parts.platform,
+            upstream: parts.upstream,
+            platform_pool: Pool::start(PLATFORM_THREADS),
+            upstream_pool: Pool::start(UPSTREAM_THREADS),
+            killed: Arc::clone(&killed),
+        };
+        let thread = thread::spawn(move || run(control, callers, operators));
+        Ok(DaemonHandle {
+            addresses,
+            events,
+            killed,
+            thread: Some(thread),
+        })
+    }
+}
+
+impl DaemonHandle {
+    /// Where it listens.
+    pub const fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Asks it to stop gracefully.
+    pub fn stop(&self) {
+        // A daemon that has ended already needs no word.
+        let _ = self.events.send(Event::Shutdown);
+    }
+
+    /// Ends it without a word to anyone.
+    pub fn kill(&self) {
+        self.killed.store(true, Ordering::Relaxed);
+        let _ = self.events.send(Event::Tick);
+    }
+
+    /// Waits until it has ended. False where its control thread panicked.
+    pub fn join(mut self) -> bool {
+        self.thread
+            .take()
+            .is_none_or(|thread| thread.join().is_ok())
+    }
+}
+
+fn run(control: Control, mut callers: CallerServer, mut operators: OperatorServer) {
+    let (hub, desk) = (Arc::clone(&control.hub), Arc::clone(&control.desk));
+    control.run();
+    callers.stop();
+    operators.stop();
+    hub.close();
+    desk.close();
+}
+
+fn listen_error(key: &'static str, address: SocketAddr) -> impl Fn(io::Error) -> StartError {
+    move |reason| StartError::Listen {
+        key,
+        address,
+        reason,
+    }
+}
+
+fn unix_ms() -> u64 {
+    let age = SystemTime::now().duration_since(UNIX_EPOCH);
+    age.map_or(0, |age| age.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/persimmond/tests/callers.rs
@@ -0,0 +1,98 @@
+//! Callers over loopback, with a scripted core and a fake upstream.
+
+mod common;
+
+use common::{post, read_until, whole, Bench};
+use insta::assert_snapshot;
+use persimmon_core::{request::UpstreamError, Event};
+
+const COMPLETION: &str = r#"{"model": "m", "prompt": "a b", "max_tokens": 2, "stream": true}"#;
+const COLLECTED: &str = r#"{"model": "m", "prompt": "a b", "max_tokens": 2}"#;
+
+#[test]
+fn first_token_leaves_before_the_second_exists() {
+    let bench = Bench::start();
+    let mut reader = bench.send(&post("/v1/completions", COMPLETION));
+    bench.token(0, "t0");
+    read_until(&mut reader, "t0");
+    bench.token(1, "t1");
+    read_until(&mut reader, "t1");
+    bench.done(2);
+    read_until(&mut reader, "[DONE]");
+    bench.stop();
+}
+
+#[test]
+fn tokens_out_of_order_and_twice_come_whole() {
+    let bench = Bench::start();
+    bench.token(1, "t1");
+    bench.token(1, "t1");
+    bench.done(3);
+    bench.token(0, "t0");
+    bench.token(2, "t2");
+    let answer = bench.post("/v1/completions", COMPLETION);
+    assert_snapshot!(answer);
+    bench.stop();
+}
+
+#[test]
+fn collected_answer_comes_as_one() {
+    let bench = Bench::start();
+    bench.token(0, "t0");
+    bench.token(1, "t1");
+    bench.done(2);
+    assert_snapshot!(bench.post("/v1/completions", COLLECTED));
+    bench.stop();
+}
+
+#[test]
+fn broken_stream_ends_with_an_error_event() {
+    let bench = Bench::start();
+    bench.token(0, "t0");
+    bench.items.send(Err(UpstreamError::Broken)).unwrap();
+    assert_snapshot!(bench.post("/v1/completions", COMPLETION));
+    bench.stop();
+}
+
+#[test]
+fn failure_before_any_token_is_a_refusal() {
+    let bench = Bench::start();
+    bench.items.send(Err(UpstreamError::Broken)).unwrap();
+    assert_snapshot!(bench.post("/v1/completions", COMPLETION));
+    bench.stop();
+}
+
+#[test]
+fn service_answer_passes_through() {
+    let bench = Bench::start();
+    assert_snapshot!(bench.post("/services/orders/cells/7?x=1", "start"));
+    bench.stop();
+}
+
+#[test]
+fn caller_that_goes_away_is_noticed() {
+    let bench = Bench::start();
+    let mut reader = bench.send(&post("/v1/completions", COMPLETION));
+    bench.token(0, "t0");
+    read_until(&mut reader, "t0");
+    drop(reader);
+    bench.wait(|event| matches!(event, Event::CallerGone { .. }).then_some(()));
+    bench.stop();
+}
+
+#[test]
+fn pages_answer() {
+    let bench = Bench::start();
+    let get = |path: &str| {
+        let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        whole(bench.send(&request))
+            .lines()
+            .last()
+            .map(str::to_owned)
+            .unwrap()
+    };
+    assert_snapshot!(get("/healthz"), @"ok");
+    assert_snapshot!(get("/readyz"), @r#"{"notes":[],"ready":false}"#);
+    assert_snapshot!(get("/metrics"), @"up 1");
+    bench.stop();
+}
