--- a/crates/io/src/http/limits.rs
+++ b/crates/io/src/http/limits.rs
@@ -11,6 +11,9 @@
     pub head_max_bytes: usize,
     /// Most requests at a time.
     pub open_max_requests: usize,
+    /// Longest gap between two reads from a caller that sends, and longest write to one that does
+    /// not read.
+    pub io_time_ms: Millis,
     /// Longest time for a body to arrive.
     pub body_time_ms: Millis,
     /// Time for a whole answer where the caller states none.
@@ -27,6 +30,7 @@
             body_max_bytes: 32 << 20,
             head_max_bytes: 16 << 10,
             open_max_requests: 1024,
+            io_time_ms: Millis::from_secs(10),
             body_time_ms: Millis::from_secs(30),
             default_timeout_ms: Millis::from_secs(120),
             max_timeout_ms: Millis::from_secs(3600),
--- a/crates/io/src/http/mod.rs
+++ b/crates/io/src/http/mod.rs
@@ -8,6 +8,7 @@
 mod payload;
 mod raw;
 mod server;
+mod ticket;
 
 pub use check::{chat_prompt, ChatMessage};
 pub use errors::RequestError;
--- a/crates/io/src/http/server.rs
+++ b/crates/io/src/http/server.rs
@@ -2,21 +2,23 @@
 
 use super::{
     answer::{AnswerHead, HttpCaller, ModelStyle},
-    body, CheckedCall, HttpLimits, Payload, RawCall, RequestError,
+    body, ticket, CheckedCall, HttpLimits, Payload, RawCall, RequestError,
+};
+use crate::{
+    listener::HttpListener,
+    traffic::{Caller, CallerClosed, TrafficHub, Worker},
 };
-use crate::traffic::{Caller, TrafficHub, Worker};
 use persimmon_core::ids::RequestId;
 use serde_json::json;
 use std::{
     fmt, io,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     sync::{
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicUsize, Ordering},
         Arc,
     },
-    thread::{self, JoinHandle},
 };
-use tiny_http::{Method, Request, Server};
+use tiny_http::{Method, Request};
 
 /// Longest id of a caller that is echoed, in bytes.
 const ECHOED_ID_MAX_BYTES: usize = 128;
@@ -28,19 +30,9 @@
 }
 
 /// Serves callers.
+#[derive(Debug)]
 pub struct CallerServer {
-    address: SocketAddr,
-    server: Arc<Server>,
-    stopped: Arc<AtomicBool>,
-    acceptor: Option<JoinHandle<()>>,
-}
-
-impl fmt::Debug for CallerServer {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("CallerServer")
-            .field("address", &self.address)
-            .finish_non_exhaustive()
-    }
+    listener: HttpListener,
 }
 
 struct Shared {
@@ -62,61 +54,28 @@
         hub: Arc<TrafficHub>,
         pages: Arc<dyn Pages>,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
-        let address = listener.local_addr()?;
-        let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
-        let server = Arc::new(server);
-        let stopped = Arc::new(AtomicBool::new(false));
-        let shared = Arc::new(Shared {
+        let shared = Shared {
             hub,
             limits,
             pages,
             open_count: AtomicUsize::new(0),
-        });
-        let accept = {
-            let (server, stopped) = (Arc::clone(&server), Arc::clone(&stopped));
-            move || accept(&server, &stopped, &shared)
         };
-        Ok(Self {
-            address,
-            server,
-            stopped,
-            acceptor: Some(thread::spawn(accept)),
-        })
+        let serve = move |request| {
+            let _place = Place::take(&shared.open_count);
+            shared.serve(request);
+        };
+        let listener = HttpListener::start(address, limits.io_time_ms.duration(), serve)?;
+        Ok(Self { listener })
     }
 
     /// Where it listens.
     pub const fn address(&self) -> SocketAddr {
-        self.address
+        self.listener.address()
     }
 
     /// Takes no more requests. Those that are open go on.
-    pub fn stop(&mut self) {
-        self.stopped.store(true, Ordering::Relaxed);
-        self.server.unblock();
-        if let Some(acceptor) = self.acceptor.take() {
-            // A panic of the acceptor has already been printed.
-            let _ = acceptor.join();
-        }
-    }
-}
-
-impl Drop for CallerServer {
-    fn drop(&mut self) {
-        self.stop();
-    }
-}
-
-fn accept(server: &Server, stopped: &AtomicBool, shared: &Arc<Shared>) {
-    while !stopped.load(Ordering::Relaxed) {
-        let Ok(request) = server.recv() else {
-            continue;
-        };
-        let shared = Arc::clone(shared);
-        thread::spawn(move || {
-            let _place = Place::take(&shared.open_count);
-            shared.serve(request);
-        });
+    pub fn stop(&self) {
+        self.listener.stop();
     }
 }
 
@@ -176,12 +135,13 @@
                 let text = self.pages.metrics();
                 caller.whole(200, "text/plain; version=0.0.4", &[], text.as_bytes())
             }
+            ("POST", "/tickets") => ticket::give(&self.hub, id, caller),
             _ => return self.forward(id, raw, caller),
         };
         Ok(())
     }
 
-    fn ready_page(&self, caller: &mut HttpCaller) -> Result<(), crate::traffic::CallerClosed> {
+    fn ready_page(&self, caller: &mut HttpCaller) -> Result<(), CallerClosed> {
         let readiness = self.hub.readiness();
         let status = if readiness.ready { 200 } else { 503 };
         let body = json!({"ready": readiness.ready, "notes": readiness.notes}).to_string();
--- /dev/null
+++ b/crates/io/src/http/ticket.rs
@@ -0,0 +1,37 @@
+//! Gives callers tickets: idempotency keys that work while the store is down.
+
+use super::answer::HttpCaller;
+use crate::traffic::{Caller, CallerClosed, Command, TrafficHub};
+use persimmon_core::{
+    ids::RequestId,
+    request::{CallerEnd, Refusal, RefusalCode},
+    Event,
+};
+use serde_json::json;
+use std::time::Duration;
+
+/// Longest wait for a ticket.
+const WAIT: Duration = Duration::from_secs(5);
+
+/// Asks the core for a ticket and gives it to the caller.
+pub(super) fn give(
+    hub: &TrafficHub,
+    request: RequestId,
+    caller: &mut HttpCaller,
+) -> Result<(), CallerClosed> {
+    let commands = hub.open(request);
+    hub.emit(Event::TicketWanted { request });
+    let answer = commands.recv_timeout(WAIT);
+    hub.shut(request);
+    match answer {
+        Ok(Command::Ticket(key)) => {
+            let body = json!({"key": key}).to_string();
+            caller.whole(200, "application/json", &[], body.as_bytes())
+        }
+        Ok(Command::End(CallerEnd::Refused(refusal))) => caller.refuse(&refusal),
+        _ => caller.refuse(&Refusal::not_run(
+            RefusalCode::NotReady,
+            "this daemon gives no ticket now: ask another daemon",
+        )),
+    }
+}
--- a/crates/io/src/lib.rs
+++ b/crates/io/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod http;
 pub mod link;
+pub mod listener;
 pub mod operator;
 pub mod platform;
 pub mod settings;
--- a/crates/io/src/operator/server.rs
+++ b/crates/io/src/operator/server.rs
@@ -1,7 +1,7 @@
 //! Listens for operators.
 
 use super::{OperatorCallError, OperatorDesk};
-use crate::settings::OperatorToken;
+use crate::{listener::HttpListener, settings::OperatorToken};
 use persimmon_core::{
     ids::OperatorName,
     operator::{OperatorCommand, OperatorReply},
@@ -10,36 +10,25 @@
 use std::{
     fmt,
     io::{self, Read},
-    net::{SocketAddr, TcpListener},
-    sync::{
-        atomic::{AtomicBool, Ordering},
-        Arc,
-    },
-    thread::{self, JoinHandle},
+    net::SocketAddr,
+    sync::Arc,
     time::Duration,
 };
-use tiny_http::{Header, Method, Request, Response, Server};
+use tiny_http::{Header, Method, Request, Response};
 
 /// Largest command: a whole configuration must fit.
 const COMMAND_MAX_BYTES: usize = 16 << 20;
 
+/// Longest gap between two reads or writes.
+const IO_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Longest wait for a reply. A confirm waits for the fleet.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Serves operators.
+#[derive(Debug)]
 pub struct OperatorServer {
-    address: SocketAddr,
-    server: Arc<Server>,
-    stopped: Arc<AtomicBool>,
-    acceptor: Option<JoinHandle<()>>,
-}
-
-impl fmt::Debug for OperatorServer {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("OperatorServer")
-            .field("address", &self.address)
-            .finish_non_exhaustive()
-    }
+    listener: HttpListener,
 }
 
 impl OperatorServer {
@@ -53,49 +42,19 @@
         token: OperatorToken,
         desk: Arc<OperatorDesk>,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
-        let address = listener.local_addr()?;
-        let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
-        let server = Arc::new(server);
-        let stopped = Arc::new(AtomicBool::new(false));
-        let accept = {
-            let (server, stopped) = (Arc::clone(&server), Arc::clone(&stopped));
-            move || {
-                while !stopped.load(Ordering::Relaxed) {
-                    if let Ok(request) = server.recv() {
-                        let (desk, token) = (Arc::clone(&desk), token.clone());
-                        thread::spawn(move || serve(request, &token, &desk));
-                    }
-                }
-            }
-        };
-        Ok(Self {
-            address,
-            server,
-            stopped,
-            acceptor: Some(thread::spawn(accept)),
-        })
+        let serve = move |request| serve(request, &token, &desk);
+        let listener = HttpListener::start(address, IO_TIMEOUT, serve)?;
+        Ok(Self { listener })
     }
 
     /// Where it listens.
     pub const fn address(&self) -> SocketAddr {
-        self.address
+        self.listener.address()
     }
 
     /// Takes no more calls.
-    pub fn stop(&mut self) {
-        self.stopped.store(true, Ordering::Relaxed);
-        self.server.unblock();
-        if let Some(acceptor) = self.acceptor.take() {
-            // A panic of the acceptor has already been printed.
-            let _ = acceptor.join();
-        }
-    }
-}
-
-impl Drop for OperatorServer {
-    fn drop(&mut self) {
-        self.stop();
+    pub fn stop(&self) {
+        self.listener.stop();
     }
 }
 
--- a/crates/io/src/settings/checked.rs
+++ b/crates/io/src/settings/checked.rs
@@ -16,6 +16,10 @@
 /// Shortest operators' token in characters.
 const TOKEN_MIN_LEN: usize = 16;
 
+/// Milliseconds of an hour and of a day.
+const HOUR_MS: u64 = 3_600_000;
+const DAY_MS: u64 = 24 * HOUR_MS;
+
 /// A daemon's settings.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -172,63 +176,79 @@
 
     fn try_from(raw: RawLimits) -> Result<Self, SettingError> {
         let usual = Self::default();
-        let size = |key, value: Option<u64>, usual: usize, allowed| {
-            let number = in_range(key, value.unwrap_or(usual as u64), allowed)?;
-            Ok(number as usize)
-        };
-        let span = |key, value: Option<u64>, usual: Millis, allowed| {
-            in_range(key, value.unwrap_or(usual.get()), allowed).map(Millis::new)
-        };
-        let hour = 3_600_000;
-        let max_timeout_ms = span(
-            "limits.max_timeout_ms",
+        let max = span(
+            "max_timeout_ms",
             raw.max_timeout_ms,
             usual.max_timeout_ms,
-            1..=24 * hour,
+            1..=DAY_MS,
         )?;
+        let usual_default = usual.default_timeout_ms.min(max);
+        let tokens = raw.default_output_tokens;
+        let tokens = tokens.unwrap_or(usual.default_output_tokens.get());
         Ok(Self {
             body_max_bytes: size(
-                "limits.body_max_bytes",
+                "body_max_bytes",
                 raw.body_max_bytes,
                 usual.body_max_bytes,
                 1024..=1 << 30,
             )?,
             head_max_bytes: size(
-                "limits.head_max_bytes",
+                "head_max_bytes",
                 raw.head_max_bytes,
                 usual.head_max_bytes,
                 256..=1 << 20,
             )?,
             open_max_requests: size(
-                "limits.open_max_requests",
+                "open_max_requests",
                 raw.open_max_requests,
                 usual.open_max_requests,
                 1..=100_000,
             )?,
+            io_time_ms: span(
+                "io_time_ms",
+                raw.io_time_ms,
+                usual.io_time_ms,
+                100..=HOUR_MS,
+            )?,
             body_time_ms: span(
-                "limits.body_time_ms",
+                "body_time_ms",
                 raw.body_time_ms,
                 usual.body_time_ms,
-                100..=hour,
+                100..=HOUR_MS,
             )?,
             default_timeout_ms: span(
-                "limits.default_timeout_ms",
+                "default_timeout_ms",
                 raw.default_timeout_ms,
-                usual.default_timeout_ms.min(max_timeout_ms),
-                1..=max_timeout_ms.get(),
+                usual_default,
+                1..=max.get(),
             )?,
-            max_timeout_ms,
-            default_output_tokens: in_range(
-                "limits.default_output_tokens",
-                raw.default_output_tokens
-                    .unwrap_or(usual.default_output_tokens.get()),
-                1..=1_000_000,
-            )
-            .map(Tokens::new)?,
+            max_timeout_ms: max,
+            default_output_tokens: in_range("limits.default_output_tokens", tokens, 1..=1_000_000)
+                .map(Tokens::new)?,
         })
     }
 }
 
+fn size(
+    key: &str,
+    value: Option<u64>,
+    usual: usize,
+    allowed: RangeInclusive<u64>,
+) -> Result<usize, SettingError> {
+    let value = value.unwrap_or(usual as u64);
+    in_range(&format!("limits.{key}"), value, allowed).map(|value| value as usize)
+}
+
+fn span(
+    key: &str,
+    value: Option<u64>,
+    usual: Millis,
+    allowed: RangeInclusive<u64>,
+) -> Result<Millis, SettingError> {
+    let value = value.unwrap_or(usual.get());
+    in_range(&format!("limits.{key}"), value, allowed).map(Millis::new)
+}
+
 impl TryFrom<RawLog> for LogSettings {
     type Error = SettingError;
 
--- a/crates/io/src/settings/raw.rs
+++ b/crates/io/src/settings/raw.rs
@@ -51,6 +51,7 @@
     pub(super) body_max_bytes: Option<u64>,
     pub(super) head_max_bytes: Option<u64>,
     pub(super) open_max_requests: Option<u64>,
+    pub(super) io_time_ms: Option<u64>,
     pub(super) body_time_ms: Option<u64>,
     pub(super) default_timeout_ms: Option<u64>,
     pub(super) max_timeout_ms: Option<u64>,
--- a/crates/io/tests/settings.rs
+++ b/crates/io/tests/settings.rs
@@ -66,6 +66,7 @@
         ("/limits", json!({"head_max_bytes": 1})),
         ("/limits", json!({"open_max_requests": 0})),
         ("/limits", json!({"body_time_ms": 1})),
+        ("/limits", json!({"io_time_ms": 3600001})),
         ("/limits", json!({"max_timeout_ms": 0})),
         (
             "/limits",
--- a/crates/persimmond/src/daemon.rs
+++ b/crates/persimmond/src/daemon.rs
@@ -4,7 +4,9 @@
 use flume::Sender;
 use persimmon_core::{ids::Incarnation, message::Member, Event};
 use persimmon_io::{
-    http::CallerServer, operator::OperatorDesk, operator::OperatorServer, settings::Settings,
+    http::CallerServer,
+    operator::{OperatorDesk, OperatorServer},
+    settings::Settings,
     traffic::TrafficHub,
 };
 use std::{
@@ -84,7 +86,7 @@
             core: (parts.core)(CoreSeed {
                 me,
                 seeds: settings.seeds,
-                seed: RandomState::new().hash_one(incarnation),
+                rng_seed: RandomState::new().hash_one(incarnation),
             }),
             clock: Clock::start(),
             inbox,
@@ -134,7 +136,7 @@
     }
 }
 
-fn run(control: Control, mut callers: CallerServer, mut operators: OperatorServer) {
+fn run(control: Control, callers: CallerServer, operators: OperatorServer) {
     let (hub, desk) = (Arc::clone(&control.hub), Arc::clone(&control.desk));
     control.run();
     callers.stop();
--- a/crates/persimmond/src/parts.rs
+++ b/crates/persimmond/src/parts.rs
@@ -21,7 +21,7 @@
     /// Peers to ask first.
     pub seeds: Vec<VmRecord>,
     /// Seed of the core's generator.
-    pub seed: u64,
+    pub rng_seed: u64,
 }
 
 /// Makes the core.
--- a/crates/persimmond/tests/callers.rs
+++ b/crates/persimmond/tests/callers.rs
@@ -96,3 +96,24 @@
     assert_snapshot!(get("/metrics"), @"up 1");
     bench.stop();
 }
+
+#[test]
+fn stopped_daemon_refuses_connections() {
+    let bench = Bench::start();
+    let address = bench.daemon.addresses().callers;
+    bench.stop();
+    // The last socket closes on a thread of its own.
+    let refused = (0..2000).any(|_| {
+        std::thread::sleep(std::time::Duration::from_millis(5));
+        std::net::TcpStream::connect(address).is_err()
+    });
+    assert!(refused, "it still accepts");
+}
+
+#[test]
+fn ticket_is_given() {
+    let bench = Bench::start();
+    let answer = bench.post("/tickets", "");
+    assert_snapshot!(answer.lines().last().unwrap(), @r#"{"key":"ticket-1"}"#);
+    bench.stop();
+}
--- a/crates/persimmond/tests/common/mod.rs
+++ b/crates/persimmond/tests/common/mod.rs
@@ -46,6 +46,10 @@
                 request: attempt.request,
                 end: caller_end(end),
             }),
+            Event::TicketWanted { request } => actions.push(Action::Ticket {
+                request: *request,
+                key: "ticket-1".parse().unwrap(),
+            }),
             Event::Shutdown => actions.push(Action::Exit),
             _ => {}
         }
