--- a/crates/persimmond/src/control_core.rs
+++ b/crates/persimmond/src/control_core.rs
@@ -1,6 +1,6 @@
 //! The border to the core.
 
-use persimmon_core::{units::Time, Action, Event};
+use persimmon_core::{daemon::Daemon, units::Time, Action, Event};
 
 /// Decides. Owned by the control thread.
 pub trait ControlCore: Send {
@@ -10,3 +10,13 @@
     /// When it wants a tick at the latest.
     fn next_wakeup(&self) -> Option<Time>;
 }
+
+impl ControlCore for Daemon {
+    fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        Self::handle(self, now, event, actions);
+    }
+
+    fn next_wakeup(&self) -> Option<Time> {
+        Some(Self::next_wakeup(self))
+    }
+}
--- a/crates/persimmond/src/errors.rs
+++ b/crates/persimmond/src/errors.rs
@@ -1,5 +1,6 @@
 //! Errors of a daemon's start.
 
+use persimmon_io::peer::PeerError;
 use std::{io, net::SocketAddr};
 use thiserror::Error;
 
@@ -22,4 +23,7 @@
         /// What went wrong.
         reason: io::Error,
     },
+    /// The keys can't be used.
+    #[error(transparent)]
+    Keys(#[from] PeerError),
 }
--- a/crates/persimmond/src/lib.rs
+++ b/crates/persimmond/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon: one control thread that owns the core's state, and traffic threads round it.
 
+mod args;
 mod clock;
 mod control;
 mod control_core;
@@ -7,9 +8,12 @@
 mod errors;
 mod parts;
 mod pool;
+mod run;
 
+pub use args::Args;
 pub use clock::Clock;
 pub use control_core::ControlCore;
 pub use daemon::{Addresses, Daemon, DaemonHandle};
 pub use errors::StartError;
 pub use parts::{CoreSeed, MakeCore, OpenLink, Parts};
+pub use run::run;
--- a/crates/persimmond/src/parts.rs
+++ b/crates/persimmond/src/parts.rs
@@ -1,15 +1,21 @@
 //! What a daemon is put together from.
 
-use crate::ControlCore;
+use crate::{ControlCore, StartError};
 use flume::Sender;
 use persimmon_core::{
+    daemon::{Daemon, DaemonSettings, PartSettings},
     ids::{Incarnation, VmId},
     message::Member,
     platform::VmRecord,
     Event,
 };
 use persimmon_io::{
-    http::Pages, link::PeerLink, platform::PlatformClient, upstream::UpstreamClient,
+    http::Pages,
+    link::PeerLink,
+    peer::{Identity, Keys, QuicLink},
+    platform::{HttpPlatform, PlatformClient},
+    settings::Settings,
+    upstream::{HttpUpstream, UpstreamClient},
 };
 use std::{io, sync::Arc};
 
@@ -44,3 +50,40 @@
     /// Renders pages.
     pub pages: Arc<dyn Pages>,
 }
+
+impl Parts {
+    /// The parts of a real daemon: the core, QUIC towards peers, HTTP towards the rest.
+    ///
+    /// # Errors
+    ///
+    /// The keys are malformed or name another VM.
+    pub fn real(
+        settings: &Settings,
+        keys: &Keys,
+        parts: PartSettings,
+        pages: Arc<dyn Pages>,
+    ) -> Result<Self, StartError> {
+        let identity = Identity::new(&settings.vm, keys)?;
+        let address = settings.listen.peers;
+        Ok(Self {
+            core: Box::new(move |seed| Box::new(core(seed, parts))),
+            link: Box::new(move |_, incarnation, events| {
+                let sink = Arc::new(move |event| drop(events.send(event)));
+                let link = QuicLink::start(address, identity, incarnation, sink);
+                Ok(Arc::new(link.map_err(io::Error::other)?))
+            }),
+            platform: Arc::new(HttpPlatform::new(settings.platform)),
+            upstream: Arc::new(HttpUpstream),
+            pages,
+        })
+    }
+}
+
+fn core(seed: CoreSeed, parts: PartSettings) -> Daemon {
+    Daemon::new(DaemonSettings {
+        me: seed.me,
+        seeds: seed.seeds,
+        seed: seed.rng_seed,
+        parts,
+    })
+}
