--- /dev/null
+++ b/crates/persimmon-standin/src/demo/daemons.rs
@@ -0,0 +1,68 @@
+//! The daemons of a demo.
+
+use super::{fleet::DEMO_TOKEN, DemoError, VmSlot};
+use persimmon_core::{daemon::PartSettings, platform::VmRecord};
+use persimmon_io::{
+    http::{HttpLimits, Pages},
+    peer::KeyPairPem,
+    settings::{Listen, LogFormat, LogSettings, OperatorToken, Settings, TlsFiles},
+};
+use persimmond::{Daemon, DaemonHandle, Parts};
+use std::{net::SocketAddr, path::PathBuf, sync::Arc};
+
+/// Longest wait for a daemon's readiness page, in seconds.
+const READY_PAGE_TIMEOUT_SECS: u64 = 2;
+
+/// Settings of one daemon: free ports of the loopback interface, keys in memory.
+pub(super) fn settings(
+    slot: &VmSlot,
+    seeds: Vec<VmRecord>,
+    platform: SocketAddr,
+) -> Result<Settings, DemoError> {
+    let free_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    Ok(Settings {
+        vm: slot.vm.clone(),
+        domain: slot.domain.clone(),
+        listen: Listen { callers: free_port, operators: free_port, peers: free_port },
+        seeds,
+        platform,
+        tls: TlsFiles {
+            ca_file: PathBuf::new(),
+            cert_file: PathBuf::new(),
+            key_file: PathBuf::new(),
+        },
+        operator_token: OperatorToken::try_from(DEMO_TOKEN.to_owned())?,
+        limits: HttpLimits::default(),
+        log: LogSettings { format: LogFormat::Text, level: log::LevelFilter::Info },
+    })
+}
+
+/// Starts one daemon with keys of its own.
+pub(super) fn start(
+    settings: Settings,
+    ca: &KeyPairPem,
+    parts: &PartSettings,
+) -> Result<DaemonHandle, DemoError> {
+    let keys = ca.new_vm(&settings.vm)?;
+    let parts = Parts::real(&settings, &keys, parts.clone(), Arc::new(NoMetrics))?;
+    Ok(Daemon::start_with(settings, parts)?)
+}
+
+/// Whether a daemon takes requests, else what it says.
+pub(super) fn ready(callers: SocketAddr) -> Result<(), String> {
+    let page = minreq::get(format!("http://{callers}/readyz"));
+    let page = page.with_timeout(READY_PAGE_TIMEOUT_SECS).send().map_err(|e| e.to_string())?;
+    match page.status_code {
+        200 => Ok(()),
+        _ => Err(page.as_str().unwrap_or("no text").to_owned()),
+    }
+}
+
+#[derive(Debug)]
+struct NoMetrics;
+
+impl Pages for NoMetrics {
+    fn metrics(&self) -> String {
+        String::new()
+    }
+}
