--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -2,10 +2,12 @@
 
 mod attempt;
 mod errors;
+mod prefix;
 mod refusal;
 mod spec;
 
 pub use attempt::{AttemptEnd, AttemptPlan, CallerEnd, Priority, StoredResult};
 pub use errors::UpstreamError;
+pub use prefix::{count_tokens, prefix_blocks, BLOCK_TOKENS};
 pub use refusal::{Outcome, Refusal, RefusalCode};
 pub use spec::{CallTarget, LengthClass, ModelCall, RequestSpec, ServiceCall};
