--- /dev/null
+++ b/crates/persimmon-standin/src/engine/orders.rs
@@ -0,0 +1,237 @@
+//! Orders of owners, and the work that they start.
+
+use super::{batch::Batch, errors::RefusedCall, segment::Segment, serve::Shared};
+use persimmon_core::{
+    ids::{FencingNumber, ModelVersion, RequestId},
+    units::{KvBytes, Time, Tokens},
+    upstream::OrderKind,
+};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::{cmp::Ordering, net::SocketAddr, sync::Arc, thread, time::Duration};
+
+/// Bytes that a loading engine asks of the weight store at a time.
+const WEIGHTS_CHUNK_BYTES: u64 = 256 << 20;
+/// Wait before the weight store is asked again after an error.
+const WEIGHTS_RETRY: Duration = Duration::from_millis(200);
+/// How often a waiting order looks whether its work is done.
+const ORDER_POLL: Duration = Duration::from_millis(2);
+/// Longest wait of one call between stand-ins, in seconds.
+const CALL_TIMEOUT_S: u64 = 10;
+
+/// An order as it comes over HTTP.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct OrderBody {
+    pub(crate) fencing: FencingNumber,
+    pub(crate) kind: OrderKind,
+}
+
+#[derive(Debug, Deserialize)]
+struct WeightsWait {
+    retry_after_ms: u64,
+}
+
+/// Carries an order out; segments and imports are answered when they are done.
+pub(crate) fn carry_out(shared: &Arc<Shared>, order: OrderBody) -> Result<(), RefusedCall> {
+    shared.batch().check_fencing(order.fencing)?;
+    match order.kind {
+        OrderKind::Cancel { request } => shared.batch().cancel(request),
+        OrderKind::LoadModel {
+            model,
+            weights_bytes,
+        } => load_model(shared, model, weights_bytes),
+        OrderKind::UnloadModel { model } => {
+            shared.batch().models.remove(&model);
+        }
+        OrderKind::LoadAdapter { model, adapter } => {
+            let mut batch = shared.batch();
+            let adapters = batch.models.get_mut(&model);
+            adapters.ok_or(RefusedCall::ModelNotLoaded)?.insert(adapter);
+        }
+        OrderKind::SetRole { role } => shared.batch().role = role,
+        OrderKind::PrefillSegment {
+            request,
+            from_tokens,
+            to_tokens,
+        } => prefill_segment(shared, request, from_tokens, to_tokens)?,
+        OrderKind::ImportKv {
+            request,
+            source,
+            from_tokens,
+            to_tokens,
+        } => import_kv(shared, request, source, (from_tokens, to_tokens))?,
+    }
+    Ok(())
+}
+
+fn load_model(shared: &Arc<Shared>, model: ModelVersion, weights_bytes: u64) {
+    let mut batch = shared.batch();
+    if batch.models.contains_key(&model) || !batch.loading.insert(model.clone()) {
+        return;
+    }
+    let incarnation = batch.incarnation;
+    let weights = batch.settings.weights_address;
+    drop(batch);
+    let shared = shared.clone();
+    thread::spawn(move || {
+        if let Some(address) = weights {
+            take_weights(&shared, address, weights_bytes);
+        }
+        let mut batch = shared.batch();
+        if batch.incarnation == incarnation && batch.loading.remove(&model) {
+            batch.models.entry(model).or_default();
+        }
+    });
+}
+
+fn take_weights(shared: &Shared, address: SocketAddr, weights_bytes: u64) {
+    let mut left = weights_bytes;
+    while left > 0 && !shared.stopped() {
+        let bytes = left.min(WEIGHTS_CHUNK_BYTES);
+        let answer = minreq::post(format!("http://{address}/weights/take"))
+            .with_header("Connection", "close")
+            .with_body(json!({"bytes": bytes}).to_string())
+            .with_timeout(CALL_TIMEOUT_S)
+            .send();
+        let answer = answer.ok();
+        if answer.as_ref().is_some_and(|a| a.status_code == 200) {
+            left -= bytes;
+            continue;
+        }
+        let wait = answer.and_then(|a| serde_json::from_slice::<WeightsWait>(a.as_bytes()).ok());
+        thread::sleep(wait.map_or(WEIGHTS_RETRY, |w| Duration::from_millis(w.retry_after_ms)));
+    }
+}
+
+fn prefill_segment(
+    shared: &Shared,
+    request: RequestId,
+    from_tokens: Tokens,
+    to_tokens: Tokens,
+) -> Result<(), RefusedCall> {
+    let now = shared.now();
+    shared
+        .batch()
+        .add_segment(now, request, from_tokens, to_tokens)?;
+    while !shared.stopped() {
+        match shared
+            .batch()
+            .segment_ready(&request, from_tokens, to_tokens)
+        {
+            None => return Err(RefusedCall::NotReady),
+            Some(true) => return Ok(()),
+            Some(false) => {}
+        }
+        thread::sleep(ORDER_POLL);
+    }
+    Err(RefusedCall::NotReady)
+}
+
+fn import_kv(
+    shared: &Shared,
+    request: RequestId,
+    source: SocketAddr,
+    (from_tokens, to_tokens): (Tokens, Tokens),
+) -> Result<(), RefusedCall> {
+    let (from, to) = (from_tokens.get(), to_tokens.get());
+    let url = format!("http://{source}/control/kv/{request}?from={from}&to={to}");
+    let answer = minreq::get(url)
+        .with_header("Connection", "close")
+        .with_timeout(CALL_TIMEOUT_S)
+        .send()
+        .map_err(|_| RefusedCall::SourceFailed)?;
+    let expected = exported_kv(request, from_tokens, to_tokens);
+    if answer.status_code != 200 || answer.as_bytes() != expected {
+        return Err(RefusedCall::SourceFailed);
+    }
+    let rate = shared.batch().settings.import_tokens_per_s;
+    thread::sleep(rate.span(to_tokens.saturating_sub(from_tokens)).duration());
+    shared.batch().add_import(request, from_tokens, to_tokens);
+    Ok(())
+}
+
+/// The bytes that stand for a segment's KV.
+pub(crate) fn exported_kv(request: RequestId, from_tokens: Tokens, to_tokens: Tokens) -> Vec<u8> {
+    format!("kv {request} {from_tokens} {to_tokens}").into_bytes()
+}
+
+impl Batch {
+    /// Takes a segment to prefill; one that is already here stays as it is.
+    fn add_segment(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        from_tokens: Tokens,
+        to_tokens: Tokens,
+    ) -> Result<(), RefusedCall> {
+        if !self.settings.can_group || from_tokens.cmp(&to_tokens) != Ordering::Less {
+            return Err(RefusedCall::CannotGroup);
+        }
+        if self
+            .segment_ready(&request, from_tokens, to_tokens)
+            .is_some()
+        {
+            return Ok(());
+        }
+        let tokens = to_tokens.saturating_sub(from_tokens);
+        let kv = tokens.kv(self.settings.kv_bytes_per_token);
+        if !self.memory.take(kv, now, &mut self.log) {
+            return Err(RefusedCall::NoMemory);
+        }
+        self.segments.entry(request).or_default().push(Segment {
+            from_tokens,
+            to_tokens,
+            kv,
+            to_prefill_tokens: tokens.get() as f64,
+        });
+        Ok(())
+    }
+
+    /// Notes a segment that is read from the engine that exports it.
+    fn add_import(&mut self, request: RequestId, from_tokens: Tokens, to_tokens: Tokens) {
+        if self
+            .segment_ready(&request, from_tokens, to_tokens)
+            .is_some()
+        {
+            return;
+        }
+        self.segments.entry(request).or_default().push(Segment {
+            from_tokens,
+            to_tokens,
+            kv: KvBytes::ZERO,
+            to_prefill_tokens: 0.0,
+        });
+    }
+
+    fn segment_ready(
+        &self,
+        request: &RequestId,
+        from_tokens: Tokens,
+        to_tokens: Tokens,
+    ) -> Option<bool> {
+        let mut segments = self.segments.get(request)?.iter();
+        let found = segments.find(|segment| segment.is(from_tokens, to_tokens));
+        found.map(Segment::ready)
+    }
+
+    /// Exports a segment that is ready.
+    pub(crate) fn export(
+        &self,
+        request: RequestId,
+        from_tokens: Tokens,
+        to_tokens: Tokens,
+    ) -> Result<Vec<u8>, RefusedCall> {
+        if !self.settings.can_group {
+            return Err(RefusedCall::CannotGroup);
+        }
+        let segments = self.segments.get(&request).map_or(&[][..], Vec::as_slice);
+        let held = segments
+            .iter()
+            .any(|segment| segment.holds(from_tokens, to_tokens));
+        match held {
+            true => Ok(exported_kv(request, from_tokens, to_tokens)),
+            false => Err(RefusedCall::NotReady),
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmon-standin/src/engine/serve.rs
@@ -0,0 +1,146 @@
+//! The engine's HTTP: routes, and what its threads share.
+
+use super::{
+    batch::Batch,
+    completion::complete,
+    errors::RefusedCall,
+    orders::{carry_out, OrderBody},
+};
+use crate::{
+    faults::Faults,
+    http::{query, read_body, respond_error, respond_json},
+    lagged::Clock,
+};
+use persimmon_core::units::{Time, Tokens};
+use serde_json::json;
+use std::sync::{
+    atomic::{AtomicBool, Ordering},
+    Arc, Mutex, MutexGuard, PoisonError,
+};
+use tiny_http::{Method, Request, Response};
+
+/// What the threads of one engine share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    batch: Mutex<Batch>,
+    clock: Clock,
+    pub(crate) faults: Faults,
+    dead: AtomicBool,
+    stopped: AtomicBool,
+}
+
+impl Shared {
+    pub(crate) fn new(batch: Batch, clock: Clock) -> Self {
+        Self {
+            batch: Mutex::new(batch),
+            clock,
+            faults: Faults::default(),
+            dead: AtomicBool::new(false),
+            stopped: AtomicBool::new(false),
+        }
+    }
+
+    pub(crate) fn batch(&self) -> MutexGuard<'_, Batch> {
+        self.batch.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    pub(crate) fn stopped(&self) -> bool {
+        self.stopped.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn stop(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn set_dead(&self, dead: bool) {
+        self.dead.store(dead, Ordering::Relaxed);
+    }
+
+    /// Waits out a hang or slowness; false when the engine is dead.
+    pub(crate) fn pass(&self) -> bool {
+        self.faults.pass(|| self.gone())
+    }
+
+    pub(crate) fn gone(&self) -> bool {
+        self.stopped() || self.dead.load(Ordering::Relaxed)
+    }
+}
+
+/// Serves one request of the engine's own address.
+pub(crate) fn serve(shared: &Arc<Shared>, request: Request) {
+    let down = shared.batch().is_down(shared.now());
+    if down || !shared.pass() {
+        drop(request.into_writer());
+        return;
+    }
+    let url = request.url().to_owned();
+    let path = url.split('?').next().unwrap_or_default();
+    match (request.method(), path) {
+        (Method::Post, "/v1/completions") => complete(shared, request),
+        (Method::Post, "/control/orders") => serve_order(shared, request),
+        (Method::Get, "/control/load") => {
+            let report = shared.batch().report(shared.now());
+            respond_json(request, &report);
+        }
+        (Method::Get, "/control/cache") => {
+            let from = query(&url, "from").and_then(|from| from.parse().ok());
+            let batch = shared.batch().cache(shared.now(), from);
+            respond_json(request, &batch);
+        }
+        (Method::Get, path) if path.starts_with("/control/kv/") => {
+            serve_kv(shared, request, &url, &path["/control/kv/".len()..]);
+        }
+        _ => respond_error(request, 404, "no_such_call", "not_run"),
+    }
+}
+
+fn serve_order(shared: &Arc<Shared>, mut request: Request) {
+    let body = read_body(&mut request);
+    let Ok(order) = serde_json::from_slice::<OrderBody>(&body) else {
+        respond_error(request, 400, "malformed", "not_run");
+        return;
+    };
+    let answer = carry_out(shared, order);
+    if shared.faults.lose_answer() {
+        drop(request.into_writer());
+        return;
+    }
+    match answer {
+        Ok(()) => respond_json(request, &json!({})),
+        Err(refused) => refuse(request, refused),
+    }
+}
+
+fn serve_kv(shared: &Shared, request: Request, url: &str, id: &str) {
+    let tokens = |name| query(url, name).and_then(|text| text.parse().ok());
+    let (Ok(id), Some(from), Some(to)) = (id.parse(), tokens("from"), tokens("to")) else {
+        respond_error(request, 400, "malformed", "not_run");
+        return;
+    };
+    let exported = shared
+        .batch()
+        .export(id, Tokens::new(from), Tokens::new(to));
+    match exported {
+        // A caller that is gone needs no answer.
+        Ok(kv) => drop(request.respond(Response::from_data(kv))),
+        Err(refused) => refuse(request, refused),
+    }
+}
+
+/// Answers a refused call; nothing of it has run.
+pub(crate) fn refuse(request: Request, refused: RefusedCall) {
+    let status = match refused {
+        RefusedCall::Fenced | RefusedCall::OldAttempt => 409,
+        RefusedCall::UnknownStream => 404,
+        _ => 503,
+    };
+    let outcome = match refused {
+        RefusedCall::OldAttempt => "unknown",
+        _ => "not_run",
+    };
+    respond_error(request, status, &refused.to_string(), outcome);
+}
--- /dev/null
+++ b/crates/persimmon-standin/src/engine/settings.rs
@@ -0,0 +1,160 @@
+//! Settings of an engine.
+
+use crate::{errors::require, StandinError};
+use persimmon_core::{
+    ids::{AdapterName, ModelVersion},
+    units::{KvBytes, Millis, TokensPerSecond},
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    ops::Deref,
+};
+
+/// Checked settings of an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineSettings(EngineFields);
+
+/// Settings of an engine as they are written.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineFields {
+    /// Where it listens; port 0 takes a free one.
+    pub address: SocketAddr,
+    /// Where its control page listens.
+    pub control_address: SocketAddr,
+    /// Memory for KV.
+    pub kv_bytes: KvBytes,
+    /// KV memory of one token.
+    pub kv_bytes_per_token: KvBytes,
+    /// Prefill rate of the whole engine when warm.
+    pub prefill_tokens_per_s: TokensPerSecond,
+    /// Decode rate of one stream when warm.
+    pub decode_tokens_per_s: TokensPerSecond,
+    /// Rate at which KV is imported.
+    pub import_tokens_per_s: TokensPerSecond,
+    /// Most streams at a time.
+    pub max_in_flight_requests: u32,
+    /// Whether orders and requests with an old fencing number are refused.
+    pub checks_fencing: bool,
+    /// Whether KV can be exported and imported.
+    pub can_group: bool,
+    /// Models that are loaded at the start, with their adapters.
+    pub models: BTreeMap<ModelVersion, BTreeSet<AdapterName>>,
+    /// Whether it starts cold.
+    pub starts_cold: bool,
+    /// Streams that it bears when cold.
+    pub cold_bearable_requests: u32,
+    /// Share of its rates when cold.
+    pub cold_rate_ratio: f64,
+    /// Whole answers that warm it by one more bearable stream.
+    pub warm_step_requests: u32,
+    /// How long a cold engine stands new streams above what it bears before it falls over.
+    pub overload_bear_ms: Millis,
+    /// How long it is gone after falling over.
+    pub fall_over_ms: Millis,
+    /// Whether its load report says what it bears.
+    pub reports_bearable: bool,
+    /// Age of the load report.
+    pub load_lag_ms: Millis,
+    /// Age at which cache events are published.
+    pub cache_lag_ms: Millis,
+    /// One in so many cache events is never published; 0 publishes all.
+    pub cache_gap_every_count: u64,
+    /// How long a stream without a reader is kept.
+    pub keep_stream_ms: Millis,
+    /// The weight store, asked before a model is loaded.
+    pub weights_address: Option<SocketAddr>,
+}
+
+/// A free port on loopback.
+pub(crate) const LOOPBACK: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+fn rate(tokens_per_s: f64) -> TokensPerSecond {
+    TokensPerSecond::try_from(tokens_per_s).expect("default rates are above zero")
+}
+
+impl Default for EngineFields {
+    fn default() -> Self {
+        let kv_bytes_per_token = KvBytes::new(128 << 10);
+        Self {
+            address: LOOPBACK,
+            control_address: LOOPBACK,
+            kv_bytes: KvBytes::new(400_000 * kv_bytes_per_token.get()),
+            kv_bytes_per_token,
+            prefill_tokens_per_s: rate(120_000.0),
+            decode_tokens_per_s: rate(40.0),
+            import_tokens_per_s: rate(1_000_000.0),
+            max_in_flight_requests: 32,
+            checks_fencing: true,
+            can_group: true,
+            models: BTreeMap::new(),
+            starts_cold: false,
+            cold_bearable_requests: 4,
+            cold_rate_ratio: 0.5,
+            warm_step_requests: 2,
+            overload_bear_ms: Millis::from_secs(1),
+            fall_over_ms: Millis::new(2_000),
+            reports_bearable: true,
+            load_lag_ms: Millis::new(500),
+            cache_lag_ms: Millis::new(300),
+            cache_gap_every_count: 50,
+            keep_stream_ms: Millis::from_secs(60),
+            weights_address: None,
+        }
+    }
+}
+
+impl TryFrom<EngineFields> for EngineSettings {
+    type Error = StandinError;
+
+    fn try_from(fields: EngineFields) -> Result<Self, StandinError> {
+        let token = fields.kv_bytes_per_token;
+        require(
+            token > KvBytes::ZERO,
+            "kv_bytes_per_token",
+            token,
+            "give 1 or more",
+        )?;
+        require(
+            fields.kv_bytes >= token,
+            "kv_bytes",
+            fields.kv_bytes,
+            "give room for one token at least",
+        )?;
+        let most = fields.max_in_flight_requests;
+        require(
+            (1..=4096).contains(&most),
+            "max_in_flight_requests",
+            most,
+            "give 1 to 4096",
+        )?;
+        let bears = fields.cold_bearable_requests;
+        require(
+            (1..=most).contains(&bears),
+            "cold_bearable_requests",
+            bears,
+            "give 1 to max_in_flight_requests",
+        )?;
+        let ratio = fields.cold_rate_ratio;
+        require(
+            ratio > 0.0 && ratio <= 1.0,
+            "cold_rate_ratio",
+            ratio,
+            "give a share above 0, at most 1",
+        )?;
+        let step = fields.warm_step_requests;
+        require(step >= 1, "warm_step_requests", step, "give 1 or more")?;
+        Ok(Self(fields))
+    }
+}
+
+impl Deref for EngineSettings {
+    type Target = EngineFields;
+
+    fn deref(&self) -> &EngineFields {
+        &self.0
+    }
+}
--- /dev/null
+++ b/crates/persimmon-standin/src/engine/stream.rs
@@ -0,0 +1,152 @@
+//! One stream of an engine's batch.
+
+use flume::Sender;
+use persimmon_core::{
+    ids::{AdapterName, AttemptNumber, BlockHash, ModelVersion, RequestId},
+    request::Priority,
+    units::{KvBytes, Time, Tokens},
+};
+
+/// What a stream's reader gets.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Piece {
+    /// The token at an offset.
+    Token(u64),
+    /// The answer is whole.
+    Done {
+        /// Tokens of the whole answer.
+        output_tokens: Tokens,
+    },
+    /// The stream is gone: its connection ends without a finish marker.
+    Cut,
+}
+
+/// A request for a stream.
+#[derive(Debug)]
+pub(crate) struct NewStream {
+    pub(crate) request: RequestId,
+    pub(crate) attempt: AttemptNumber,
+    pub(crate) model: ModelVersion,
+    pub(crate) adapter: Option<AdapterName>,
+    pub(crate) prompt_tokens: Tokens,
+    pub(crate) blocks: Vec<BlockHash>,
+    pub(crate) output_tokens: Tokens,
+    pub(crate) offset_tokens: Tokens,
+    pub(crate) priority: Priority,
+}
+
+/// A stream that waits, runs or is kept.
+#[derive(Debug)]
+pub(crate) struct Stream {
+    pub(crate) spec: NewStream,
+    pub(crate) arrival_count: u64,
+    pub(crate) kv: KvBytes,
+    pub(crate) running: bool,
+    to_prefill_tokens: f64,
+    decoded_tokens: f64,
+    sent_tokens: u64,
+    reader: Option<Sender<Piece>>,
+    pub(crate) unread_since: Option<Time>,
+}
+
+impl Stream {
+    pub(crate) fn new(
+        spec: NewStream,
+        arrival_count: u64,
+        kv: KvBytes,
+        reader: Sender<Piece>,
+    ) -> Self {
+        let start = spec.offset_tokens.get();
+        Self {
+            spec,
+            arrival_count,
+            kv,
+            running: false,
+            to_prefill_tokens: 0.0,
+            decoded_tokens: start as f64,
+            sent_tokens: start,
+            reader: Some(reader),
+            unread_since: None,
+        }
+    }
+
+    /// Starts to run with `ready` tokens of its prompt in memory.
+    pub(crate) fn run(&mut self, ready: Tokens) {
+        let whole = self.spec.prompt_tokens + self.spec.offset_tokens;
+        // The last token is always computed: its output is the first token of the answer.
+        self.to_prefill_tokens = whole.saturating_sub(ready).get().max(1) as f64;
+        self.running = true;
+    }
+
+    pub(crate) fn prefilling(&self) -> bool {
+        self.running && self.to_prefill_tokens > 0.0
+    }
+
+    /// Spends from `budget` on the prompt; the first token comes with the prompt's last one.
+    pub(crate) fn prefill(&mut self, budget: &mut f64) {
+        let spent = self.to_prefill_tokens.min(*budget);
+        *budget -= spent;
+        self.to_prefill_tokens -= spent;
+        if self.to_prefill_tokens <= 0.0 {
+            self.decoded_tokens += 1.0;
+        }
+    }
+
+    /// Decodes `tokens` more.
+    pub(crate) fn decode(&mut self, tokens: f64) {
+        let end = self.spec.output_tokens.get() as f64;
+        self.decoded_tokens = (self.decoded_tokens + tokens).min(end);
+    }
+
+    pub(crate) fn done(&self) -> bool {
+        let end = self.spec.output_tokens.get() as f64;
+        self.running && !self.prefilling() && self.decoded_tokens >= end
+    }
+
+    /// Sends what its reader has not had; notes when the reader is gone.
+    pub(crate) fn send(&mut self, now: Time) {
+        let Some(reader) = &self.reader else {
+            return;
+        };
+        let ready = (self.decoded_tokens as u64).min(self.spec.output_tokens.get());
+        let mut gone = reader.is_disconnected();
+        while !gone && self.sent_tokens < ready {
+            gone = reader.send(Piece::Token(self.sent_tokens)).is_err();
+            self.sent_tokens += 1;
+        }
+        if !gone && self.done() {
+            let output_tokens = self.spec.output_tokens;
+            gone = reader.send(Piece::Done { output_tokens }).is_err();
+        }
+        if gone {
+            self.reader = None;
+            self.unread_since = Some(now);
+        }
+    }
+
+    /// Whether its reader has had everything.
+    pub(crate) fn delivered(&self) -> bool {
+        self.done() && self.reader.is_some()
+    }
+
+    /// Takes a new reader that has `offset_tokens` already.
+    pub(crate) fn resume(&mut self, reader: Sender<Piece>, offset_tokens: Tokens) {
+        self.cut();
+        self.reader = Some(reader);
+        self.sent_tokens = offset_tokens.get();
+        self.unread_since = None;
+    }
+
+    /// Whether it can go on after `offset_tokens`.
+    pub(crate) fn covers(&self, offset_tokens: Tokens) -> bool {
+        offset_tokens >= self.spec.offset_tokens && offset_tokens <= self.spec.output_tokens
+    }
+
+    /// Tells its reader that it is gone.
+    pub(crate) fn cut(&mut self) {
+        if let Some(reader) = self.reader.take() {
+            // A reader that is gone needs no word.
+            let _ = reader.send(Piece::Cut);
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmon-standin/src/http/mod.rs
@@ -0,0 +1,13 @@
+//! The stand-ins' HTTP: a listener that serves each request on its own thread, and answers.
+
+mod answer;
+mod control;
+mod listener;
+mod slot;
+mod sse;
+
+pub use answer::{header, query, read_body, respond_error, respond_json, respond_status};
+pub use control::Control;
+pub use listener::Listener;
+pub use slot::Slot;
+pub use sse::SseWriter;
--- /dev/null
+++ b/crates/persimmon-standin/src/platform/serve.rs
@@ -0,0 +1,112 @@
+//! The platform's HTTP.
+
+use super::store::Store;
+use crate::{
+    faults::Faults,
+    http::{read_body, respond_error, respond_json, respond_status},
+    lagged::Clock,
+};
+use persimmon_core::{platform::TableAnswer, units::Time};
+use serde::{de::DeserializeOwned, Deserialize};
+use serde_json::json;
+use std::sync::{
+    atomic::{AtomicBool, Ordering},
+    Mutex, MutexGuard, PoisonError,
+};
+use tiny_http::{Method, Request};
+
+/// What the threads of the platform share.
+pub(crate) struct Shared {
+    store: Mutex<Store>,
+    clock: Clock,
+    pub(crate) faults: Faults,
+    dead: AtomicBool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WeightsBody {
+    bytes: u64,
+}
+
+impl Shared {
+    pub(crate) fn new(store: Store) -> Self {
+        Self {
+            store: Mutex::new(store),
+            clock: Clock::start(),
+            faults: Faults::default(),
+            dead: AtomicBool::new(false),
+        }
+    }
+
+    pub(crate) fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    pub(crate) fn set_dead(&self, dead: bool) {
+        self.dead.store(dead, Ordering::Relaxed);
+    }
+
+    fn gone(&self) -> bool {
+        self.dead.load(Ordering::Relaxed)
+    }
+}
+
+/// Serves one request of the platform's own address.
+pub(crate) fn serve(shared: &Shared, request: Request) {
+    if !shared.faults.pass(|| shared.gone()) {
+        drop(request.into_writer());
+        return;
+    }
+    if shared.faults.now().store_down {
+        shared.store().counters.refused_count += 1;
+        respond_error(request, 503, "store_down", "not_run");
+        return;
+    }
+    match (request.method(), request.url()) {
+        (Method::Post, "/table") => serve_store(shared, request, Store::table),
+        (Method::Post, "/objects") => serve_store(shared, request, Store::object),
+        (Method::Post, "/weights/take") => serve_weights(shared, request),
+        (Method::Get, "/vms") => {
+            let vms = shared.store().vms(shared.now());
+            respond_json(request, &vms);
+        }
+        _ => respond_error(request, 404, "no_such_call", "not_run"),
+    }
+}
+
+fn serve_store<O: DeserializeOwned>(
+    shared: &Shared,
+    mut request: Request,
+    call: fn(&mut Store, Time, O) -> Option<TableAnswer>,
+) {
+    let body = read_body(&mut request);
+    let op = match serde_json::from_slice(&body) {
+        Ok(op) => op,
+        Err(error) => return respond_error(request, 400, &error.to_string(), "not_run"),
+    };
+    let Some(answer) = call(&mut shared.store(), shared.now(), op) else {
+        return respond_error(request, 503, "rate_limited", "not_run");
+    };
+    if shared.faults.lose_answer() {
+        drop(request.into_writer());
+        return;
+    }
+    respond_json(request, &answer);
+}
+
+fn serve_weights(shared: &Shared, mut request: Request) {
+    let body = read_body(&mut request);
+    let Ok(WeightsBody { bytes }) = serde_json::from_slice(&body) else {
+        return respond_error(request, 400, "malformed", "not_run");
+    };
+    let taken = shared.store().take_weights(shared.now(), bytes);
+    match taken {
+        Ok(()) => respond_json(request, &json!({})),
+        Err(wait) => respond_status(request, 429, &json!({"retry_after_ms": wait})),
+    }
+}
--- /dev/null
+++ b/crates/persimmon-standin/src/service/mod.rs
@@ -0,0 +1,8 @@
+//! A plain service that counts its runs.
+
+mod runs;
+mod service_handle;
+mod settings;
+
+pub use service_handle::{Service, ServiceHandle};
+pub use settings::{ServiceFields, ServiceSettings};
--- /dev/null
+++ b/crates/persimmon-standin/src/service/runs.rs
@@ -0,0 +1,76 @@
+//! Counts of runs.
+
+use crate::lagged::Lagged;
+use persimmon_core::{
+    ids::Incarnation,
+    units::{Millis, Time},
+    upstream::LoadReport,
+};
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// What a service has run.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct ServiceCounters {
+    pub(crate) runs_by_key: BTreeMap<String, u64>,
+    pub(crate) runs_by_call: BTreeMap<String, u64>,
+    pub(crate) run_requests: u64,
+    pub(crate) refused_requests: u64,
+    pub(crate) in_flight_requests: u32,
+}
+
+/// Runs of one service, and its load report.
+#[derive(Debug)]
+pub(crate) struct Runs {
+    pub(crate) counters: ServiceCounters,
+    pub(crate) incarnation: Incarnation,
+    max_in_flight_requests: u32,
+    lag_ms: Millis,
+    reports: Lagged<u32>,
+}
+
+impl Runs {
+    pub(crate) fn new(incarnation: Incarnation, max_in_flight: u32, lag_ms: Millis) -> Self {
+        Self {
+            counters: ServiceCounters::default(),
+            incarnation,
+            max_in_flight_requests: max_in_flight,
+            lag_ms,
+            reports: Lagged::new(lag_ms, 0),
+        }
+    }
+
+    /// Counts a run that starts, and gives the runs of its key or call; `None` when it is full.
+    pub(crate) fn begin(&mut self, now: Time, call: String, key: Option<String>) -> Option<u64> {
+        if self.counters.in_flight_requests >= self.max_in_flight_requests {
+            self.counters.refused_requests += 1;
+            return None;
+        }
+        self.counters.in_flight_requests += 1;
+        self.counters.run_requests += 1;
+        self.reports.record(now, self.counters.in_flight_requests);
+        let by_call = self.counters.runs_by_call.entry(call).or_default();
+        *by_call += 1;
+        let Some(key) = key else {
+            return Some(*by_call);
+        };
+        let by_key = self.counters.runs_by_key.entry(key).or_default();
+        *by_key += 1;
+        Some(*by_key)
+    }
+
+    pub(crate) fn end(&mut self, now: Time) {
+        self.counters.in_flight_requests = self.counters.in_flight_requests.saturating_sub(1);
+        self.reports.record(now, self.counters.in_flight_requests);
+    }
+
+    pub(crate) fn report(&mut self, now: Time) -> LoadReport {
+        LoadReport {
+            incarnation: self.incarnation,
+            age_ms: self.lag_ms,
+            in_flight_requests: self.reports.seen(now).unwrap_or_default(),
+            bearable_requests: Some(self.max_in_flight_requests),
+            ..LoadReport::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmon-standin/src/service/settings.rs
@@ -0,0 +1,61 @@
+//! Settings of a plain service.
+
+use crate::{engine::LOOPBACK, errors::require, StandinError};
+use persimmon_core::units::Millis;
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, ops::Deref};
+
+/// Checked settings of a plain service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceSettings(ServiceFields);
+
+/// Settings of a plain service as they are written.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceFields {
+    /// Where it listens; port 0 takes a free one.
+    pub address: SocketAddr,
+    /// Where its control page listens.
+    pub control_address: SocketAddr,
+    /// Time of one run.
+    pub work_ms: Millis,
+    /// Most calls at a time; more are refused before they run.
+    pub max_in_flight_requests: u32,
+    /// Age of the load report.
+    pub load_lag_ms: Millis,
+}
+
+impl Default for ServiceFields {
+    fn default() -> Self {
+        Self {
+            address: LOOPBACK,
+            control_address: LOOPBACK,
+            work_ms: Millis::new(5),
+            max_in_flight_requests: 64,
+            load_lag_ms: Millis::new(500),
+        }
+    }
+}
+
+impl TryFrom<ServiceFields> for ServiceSettings {
+    type Error = StandinError;
+
+    fn try_from(fields: ServiceFields) -> Result<Self, StandinError> {
+        let most = fields.max_in_flight_requests;
+        require(
+            (1..=4096).contains(&most),
+            "max_in_flight_requests",
+            most,
+            "give 1 to 4096",
+        )?;
+        Ok(Self(fields))
+    }
+}
+
+impl Deref for ServiceSettings {
+    type Target = ServiceFields;
+
+    fn deref(&self) -> &ServiceFields {
+        &self.0
+    }
+}
