Bring a whole deployment up in one process

persimmon-standin demo starts the platform, the upstreams and all daemons of an example on loopback, makes the first configuration by plan and confirm, and prints a curl line.

--- a/crates/persimmon-standin/src/demo/daemons.rs
+++ b/crates/persimmon-standin/src/demo/daemons.rs
@@ -23,7 +23,11 @@
     Ok(Settings {
         vm: slot.vm.clone(),
         domain: slot.domain.clone(),
-        listen: Listen { callers: free_port, operators: free_port, peers: free_port },
+        listen: Listen {
+            callers: free_port,
+            operators: free_port,
+            peers: free_port,
+        },
         seeds,
         platform,
         tls: TlsFiles {
@@ -33,7 +37,10 @@
         },
         operator_token: OperatorToken::try_from(DEMO_TOKEN.to_owned())?,
         limits: HttpLimits::default(),
-        log: LogSettings { format: LogFormat::Text, level: log::LevelFilter::Info },
+        log: LogSettings {
+            format: LogFormat::Text,
+            level: log::LevelFilter::Info,
+        },
     })
 }
 
@@ -51,7 +58,10 @@
 /// Whether a daemon takes requests, else what it says.
 pub(super) fn ready(callers: SocketAddr) -> Result<(), String> {
     let page = minreq::get(format!("http://{callers}/readyz"));
-    let page = page.with_timeout(READY_PAGE_TIMEOUT_SECS).send().map_err(|e| e.to_string())?;
+    let page = page
+        .with_timeout(READY_PAGE_TIMEOUT_SECS)
+        .send()
+        .map_err(|e| e.to_string())?;
     match page.status_code {
         200 => Ok(()),
         _ => Err(page.as_str().unwrap_or("no text").to_owned()),
--- a/crates/persimmon-standin/src/demo/deployment.rs
+++ b/crates/persimmon-standin/src/demo/deployment.rs
@@ -17,6 +17,9 @@
 /// Most upstreams or VMs of one failure domain of a demo.
 const DOMAIN_MAX_COUNT: u32 = 100;
 
+/// The example that is built in.
+const EXAMPLE: &str = include_str!("../../../../examples/jadeleaf.json");
+
 /// A checked deployment.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Deployment(DeploymentFields);
@@ -84,6 +87,22 @@
     pub weight_count: u32,
 }
 
+impl Deployment {
+    /// The example that a demo runs where no other is named.
+    ///
+    /// # Errors
+    ///
+    /// The example that was built in is malformed.
+    pub fn example() -> Result<Self, StandinError> {
+        let fields: Result<DeploymentFields, _> = serde_json::from_str(EXAMPLE);
+        let fields = fields.map_err(|error| StandinError::File {
+            file: "built-in example".into(),
+            reason: error.to_string(),
+        })?;
+        Self::try_from(fields)
+    }
+}
+
 impl TryFrom<DeploymentFields> for Deployment {
     type Error = StandinError;
 
--- a/crates/persimmon-standin/src/demo/fleet.rs
+++ b/crates/persimmon-standin/src/demo/fleet.rs
@@ -1,7 +1,9 @@
 //! A whole deployment as threads of this process.
 
 use super::{daemons, DemoError, Deployment, UpstreamSlotKind};
-use crate::{Engine, EngineHandle, Platform, PlatformHandle, PlatformSettings, Service, ServiceHandle};
+use crate::{
+    Engine, EngineHandle, Platform, PlatformHandle, PlatformSettings, Service, ServiceHandle,
+};
 use persimmon_core::{
     daemon::PartSettings,
     ids::{UpstreamId, VmId},
@@ -31,7 +33,6 @@
 const READY_POLL: Duration = Duration::from_millis(20);
 
 /// A whole deployment as threads of this process.
-#[derive(Debug)]
 pub struct Fleet {
     /// The daemons.
     pub daemons: BTreeMap<VmId, DaemonHandle>,
@@ -86,7 +87,10 @@
             reason: format!("no VM {vm}"),
         };
         let client = self.operator(vm).ok_or_else(unknown)?;
-        let reply = client.ask(&OperatorCommand::Plan { intent, force: true })?;
+        let reply = client.ask(&OperatorCommand::Plan {
+            intent,
+            force: true,
+        })?;
         let plan = match reply {
             OperatorReply::Plan(plan) if plan.state == PlanState::Open => plan.id,
             OperatorReply::Refused(error) => return Err(error.into()),
@@ -122,7 +126,8 @@
                 }
                 UpstreamSlotKind::Server(service) => {
                     let settings = deployment.service_settings(service)?;
-                    self.servers.insert(slot.upstream, Service::start(settings)?);
+                    self.servers
+                        .insert(slot.upstream, Service::start(settings)?);
                 }
             }
         }
@@ -152,8 +157,14 @@
     }
 
     fn configure(&self, deployment: &Deployment) -> Result<(), DemoError> {
-        let engines = self.engines.iter().map(|(id, engine)| (id.clone(), engine.address()));
-        let servers = self.servers.iter().map(|(id, server)| (id.clone(), server.address()));
+        let engines = self
+            .engines
+            .iter()
+            .map(|(id, engine)| (id.clone(), engine.address()));
+        let servers = self
+            .servers
+            .iter()
+            .map(|(id, server)| (id.clone(), server.address()));
         let config = deployment.configuration(&engines.chain(servers).collect())?;
         if let Some(vm) = self.daemons.keys().next() {
             self.change(vm, Intent::Replace(Box::new(config)))?;
@@ -168,7 +179,11 @@
             while let Err(notes) = daemons::ready(address) {
                 if Instant::now() > until {
                     let waited_s = READY_TIMEOUT.as_secs();
-                    return Err(DemoError::NotReady { vm: vm.to_string(), waited_s, notes });
+                    return Err(DemoError::NotReady {
+                        vm: vm.to_string(),
+                        waited_s,
+                        notes,
+                    });
                 }
                 thread::sleep(READY_POLL);
             }
--- a/crates/persimmon-standin/src/demo/mod.rs
+++ b/crates/persimmon-standin/src/demo/mod.rs
@@ -1,9 +1,14 @@
 //! Deployments: fleets of stand-ins described in one file.
 
+mod daemons;
 mod deployment;
+mod errors;
+mod fleet;
 mod layout;
 
 pub use deployment::{
     Deployment, DeploymentFields, DomainFields, ModelFields, ServiceGroupFields, WorkspaceFields,
 };
+pub use errors::DemoError;
+pub use fleet::{Fleet, DEMO_TOKEN};
 pub use layout::{UpstreamSlot, UpstreamSlotKind, VmSlot};
--- a/crates/persimmon-standin/src/main.rs
+++ b/crates/persimmon-standin/src/main.rs
@@ -1,9 +1,14 @@
 //! Starts one stand-in and prints its addresses.
 
 use argh::FromArgs;
+use persimmon_core::daemon::PartSettings;
 use persimmon_standin::{
-    engine::EngineFields, platform::PlatformFields, read_settings, service::ServiceFields, Engine,
-    Platform, Service, StandinError,
+    demo::{DemoError, Deployment, DeploymentFields, Fleet, DEMO_TOKEN},
+    engine::EngineFields,
+    platform::PlatformFields,
+    read_settings,
+    service::ServiceFields,
+    Engine, Platform, Service,
 };
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode, thread};
 
@@ -17,11 +22,21 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Demo(DemoArgs),
     Engine(EngineArgs),
     Service(ServiceArgs),
     Platform(PlatformArgs),
 }
 
+/// a whole deployment in one process, on the loopback interface
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct DemoArgs {
+    /// the deployment in JSON (default: the jadeleaf example)
+    #[argh(option)]
+    deployment: Option<PathBuf>,
+}
+
 /// a model engine
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "engine")]
@@ -59,8 +74,9 @@
     }
 }
 
-fn run(args: Args) -> Result<(), StandinError> {
+fn run(args: Args) -> Result<(), DemoError> {
     match args.command {
+        Command::Demo(args) => demo(&args)?,
         Command::Engine(args) => {
             let handle = Engine::start(read_settings::<EngineFields, _>(&args.settings)?)?;
             serve_on("engine", handle.address(), handle.control_address());
@@ -83,3 +99,66 @@
         thread::park();
     }
 }
+
+fn demo(args: &DemoArgs) -> Result<(), DemoError> {
+    let deployment = match &args.deployment {
+        Some(file) => read_settings::<DeploymentFields, Deployment>(file)?,
+        None => Deployment::example()?,
+    };
+    let fleet = Fleet::start(&deployment, &PartSettings::default())?;
+    print_fleet(&fleet);
+    print_hints(&deployment, &fleet);
+    loop {
+        thread::park();
+    }
+}
+
+fn print_fleet(fleet: &Fleet) {
+    println!(
+        "platform {} control {}",
+        fleet.platform.address(),
+        fleet.platform.control_address()
+    );
+    for (id, engine) in &fleet.engines {
+        println!(
+            "engine {id} {} control {}",
+            engine.address(),
+            engine.control_address()
+        );
+    }
+    for (id, server) in &fleet.servers {
+        println!(
+            "service {id} {} control {}",
+            server.address(),
+            server.control_address()
+        );
+    }
+    for (vm, daemon) in &fleet.daemons {
+        let addresses = daemon.addresses();
+        println!(
+            "daemon {vm} callers {} operators {}",
+            addresses.callers, addresses.operators
+        );
+    }
+}
+
+fn print_hints(deployment: &Deployment, fleet: &Fleet) {
+    let Some(daemon) = fleet.daemons.values().next() else {
+        return;
+    };
+    let workspace = deployment.workspaces.keys().next();
+    let model = deployment.models.keys().next();
+    if let (Some(workspace), Some(model)) = (workspace, model) {
+        println!(
+            "try: curl -N http://{}/v1/chat/completions -H 'X-Workspace: {workspace}' -d \
+             '{{\"model\": \"{}\", \"stream\": true, \"max_tokens\": 20, \"messages\": \
+             [{{\"role\": \"user\", \"content\": \"What does alarm 2041 mean?\"}}]}}'",
+            daemon.addresses().callers,
+            model.name(),
+        );
+    }
+    println!(
+        "try: PERSIMMON_TOKEN={DEMO_TOKEN} cargo run -q -p persimmonctl -- --daemon {} status",
+        daemon.addresses().operators,
+    );
+}
--- a/crates/persimmon-standin/src/platform/platform_handle.rs
+++ b/crates/persimmon-standin/src/platform/platform_handle.rs
@@ -10,6 +10,7 @@
     http::{read_body, respond_error, respond_json, Control, Listener, Slot},
     StandinError,
 };
+use persimmon_core::platform::VmRecord;
 use serde_json::json;
 use std::{net::SocketAddr, sync::Arc};
 use tiny_http::{Method, Request};
@@ -58,6 +59,11 @@
         self.control.address()
     }
 
+    /// Sets the list of VMs, which shows after the list's lag.
+    pub fn set_vms(&self, vms: Vec<VmRecord>) {
+        self.shared.store().set_vms(self.shared.now(), vms);
+    }
+
     /// Stops it: its ports close.
     pub fn stop(&mut self) {
         self.shared.set_dead(true);
