--- a/crates/core/src/daemon/operators.rs
+++ b/crates/core/src/daemon/operators.rs
@@ -54,7 +54,8 @@
             .on_command(ctx, &view, &facts, call, operator, command, unix_ms);
     }
 
-    fn status(&self) -> StatusReport {
+    /// How this daemon sees itself and its peers.
+    pub fn status(&self) -> StatusReport {
         let (ready, notes) = self.readiness.clone().unwrap_or_default();
         StatusReport {
             member: self.known.me.clone(),
