Write one log line a decision, count for Prometheus, stop on SIGTERM

Each decision of the core is a line of its own with plain fields, as JSON or text; the member that a record is about is `member`, so that `vm` always names the daemon. Each daemon holds its own recorder, so that several in one process count apart. persimmond stops gracefully on SIGTERM and SIGINT.

--- a/crates/io/src/link.rs
+++ b/crates/io/src/link.rs
@@ -21,6 +21,11 @@
 
     /// The address that peers reach this daemon at.
     fn local_address(&self) -> SocketAddr;
+
+    /// Bytes sent and received over the open connections, where the link counts them.
+    fn traffic_bytes(&self) -> Option<(u64, u64)> {
+        None
+    }
 }
 
 /// Joins the daemons of one process.
--- a/crates/io/src/peer/quic_link.rs
+++ b/crates/io/src/peer/quic_link.rs
@@ -110,18 +110,6 @@
             local_address,
         })
     }
-
-    /// Bytes sent and received over all open connections, with UDP payloads counted whole.
-    pub fn traffic_bytes(&self) -> (u64, u64) {
-        let peers = self.shared.lock();
-        let stats = peers
-            .values()
-            .filter_map(|peer| peer.connection.as_ref())
-            .map(|c| c.stats());
-        stats.fold((0, 0), |(tx, rx), s| {
-            (tx + s.udp_tx.bytes, rx + s.udp_rx.bytes)
-        })
-    }
 }
 
 impl PeerLink for QuicLink {
@@ -149,6 +137,18 @@
     fn local_address(&self) -> SocketAddr {
         self.local_address
     }
+
+    /// Counts UDP payloads whole.
+    fn traffic_bytes(&self) -> Option<(u64, u64)> {
+        let peers = self.shared.lock();
+        let stats = peers
+            .values()
+            .filter_map(|peer| peer.connection.as_ref())
+            .map(|c| c.stats());
+        Some(stats.fold((0, 0), |(tx, rx), s| {
+            (tx + s.udp_tx.bytes, rx + s.udp_rx.bytes)
+        }))
+    }
 }
 
 impl Drop for QuicLink {
--- /dev/null
+++ b/crates/io/src/shutdown/mod.rs
@@ -0,0 +1,5 @@
+//! Signals that ask the process to stop.
+
+mod signals;
+
+pub use signals::{on_stop, StopSignals};
--- /dev/null
+++ b/crates/io/src/telemetry/registry.rs
@@ -0,0 +1,96 @@
+//! One daemon's metrics.
+
+use super::{Kind, Metric, CATALOG};
+use crate::http::Pages;
+use metrics::{Counter, Gauge, Histogram, Key, Label as KeyLabel, Level, Metadata, Recorder};
+use metrics_exporter_prometheus::{
+    BuildError, Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
+};
+use std::fmt;
+
+/// Upper bounds of the histograms' buckets, in seconds.
+const BUCKETS_S: [f64; 15] = [
+    0.000_1, 0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.36, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 120.0,
+];
+
+/// Where the metrics come from.
+const METADATA: Metadata<'_> = Metadata::new("persimmon", Level::INFO, None);
+
+/// A label: its name and value.
+pub type Label<'a> = (&'static str, &'a str);
+
+/// One daemon's metrics. Each daemon of a process has its own.
+pub struct Telemetry {
+    recorder: PrometheusRecorder,
+    handle: PrometheusHandle,
+}
+
+impl fmt::Debug for Telemetry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Telemetry").finish_non_exhaustive()
+    }
+}
+
+impl Telemetry {
+    /// Metrics that all stand at zero.
+    ///
+    /// # Errors
+    ///
+    /// The library refuses the buckets.
+    pub fn new() -> Result<Self, BuildError> {
+        let mut builder = PrometheusBuilder::new();
+        for metric in CATALOG.iter().filter(|m| m.kind == Kind::Histogram) {
+            let name = Matcher::Full(metric.name.into());
+            builder = builder.set_buckets_for_metric(name, &BUCKETS_S)?;
+        }
+        let recorder = builder.build_recorder();
+        for metric in CATALOG {
+            describe(&recorder, metric);
+        }
+        let handle = recorder.handle();
+        Ok(Self { recorder, handle })
+    }
+
+    /// A counter.
+    pub fn counter(&self, metric: Metric, labels: &[Label<'_>]) -> Counter {
+        self.recorder
+            .register_counter(&key(metric, labels), &METADATA)
+    }
+
+    /// A gauge.
+    pub fn gauge(&self, metric: Metric, labels: &[Label<'_>]) -> Gauge {
+        self.recorder
+            .register_gauge(&key(metric, labels), &METADATA)
+    }
+
+    /// A histogram.
+    pub fn histogram(&self, metric: Metric, labels: &[Label<'_>]) -> Histogram {
+        self.recorder
+            .register_histogram(&key(metric, labels), &METADATA)
+    }
+
+    /// Adds recorded values up, so that they don't pile up where nobody reads the page.
+    pub fn tidy(&self) {
+        self.handle.run_upkeep();
+    }
+}
+
+impl Pages for Telemetry {
+    fn metrics(&self) -> String {
+        self.handle.render()
+    }
+}
+
+fn key(metric: Metric, labels: &[Label<'_>]) -> Key {
+    let label = |(name, value): &Label<'_>| KeyLabel::new(*name, (*value).to_owned());
+    Key::from_parts(metric.name, labels.iter().map(label).collect::<Vec<_>>())
+}
+
+fn describe(recorder: &PrometheusRecorder, metric: Metric) {
+    let (name, unit, help) = (metric.name.into(), Some(metric.unit), metric.help.into());
+    match metric.kind {
+        Kind::Counter => recorder.describe_counter(name, unit, help),
+        Kind::Gauge => recorder.describe_gauge(name, unit, help),
+        Kind::Histogram => recorder.describe_histogram(name, unit, help),
+    }
+}
--- /dev/null
+++ b/crates/io/tests/logs.rs
@@ -0,0 +1,133 @@
+//! Log lines of decisions.
+
+use insta::assert_snapshot;
+use logforth::{record as logged, starter_log, Append, Diagnostic, Error};
+use persimmon_core::{
+    decision::{Record, Routed},
+    request::{LengthClass, Refusal, RefusalCode},
+    units::{Millis, Tokens},
+};
+use persimmon_io::{
+    logs::{layout, LogLine},
+    settings::LogFormat,
+};
+use std::{collections::BTreeMap, str::FromStr};
+
+fn id<T: FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().unwrap()
+}
+
+fn routed() -> Record {
+    Record::Routed(Routed {
+        request: id("000000000000000000000000000000ab"),
+        attempt: id("0"),
+        workspace: id("line-3"),
+        model: Some(id("advisor@2")),
+        prompt_tokens: Tokens::new(1_200),
+        class: LengthClass::Short,
+        upstream: id("engine-4"),
+        runner_up: Some(id("engine-9")),
+        owner: id("vm-2"),
+        reason: "least predicted wait".into(),
+        predicted_ms: Millis::new(180),
+    })
+}
+
+fn records() -> Vec<Record> {
+    let request = id("000000000000000000000000000000ab");
+    vec![
+        routed(),
+        Record::Refused {
+            request,
+            workspace: id("line-3"),
+            refusal: Refusal::not_run(RefusalCode::NoCapacity, "retry later")
+                .retry_after(Millis::new(900)),
+            age_ms: Millis::new(12),
+        },
+        Record::Completed {
+            request,
+            attempts: id("2"),
+            age_ms: Millis::new(900),
+        },
+        Record::AttemptFailed {
+            request,
+            attempt: id("0"),
+            upstream: id("engine-4"),
+            error: "the connection broke".into(),
+            next: "retry".into(),
+        },
+        Record::Applied {
+            generation: id("7"),
+            plan: None,
+            source: "store".into(),
+        },
+        Record::Placement {
+            upstream: id("engine-4"),
+            model: id("advisor@2"),
+            what: "load".into(),
+            reason: "too few".into(),
+        },
+        Record::Membership {
+            vm: id("vm-7"),
+            domain: id("sisli"),
+            what: "joined".into(),
+        },
+        Record::Alarm {
+            name: "store_restored",
+            message: "look".into(),
+        },
+        Record::Note {
+            name: "paused",
+            fields: BTreeMap::from([("gap_ms", "1500".into())]),
+        },
+    ]
+}
+
+#[test]
+fn each_decision_has_its_fields() {
+    let vm = id("vm-1");
+    let records = records();
+    let lines = records.iter().map(|record| {
+        let line = LogLine::try_from((&vm, record)).unwrap();
+        let fields = serde_json::to_string(&line.fields).unwrap();
+        format!("{} {} {fields}", line.level, line.message)
+    });
+    assert_snapshot!(lines.collect::<Vec<_>>().join("\n"));
+}
+
+/// Formats each record both ways and hands the lines to the test.
+#[derive(Debug)]
+struct Capture(flume::Sender<String>);
+
+impl Append for Capture {
+    fn append(
+        &self,
+        record: &logged::Record<'_>,
+        diags: &[Box<dyn Diagnostic>],
+    ) -> Result<(), Error> {
+        for format in [LogFormat::Json, LogFormat::Text] {
+            let line = layout(format).format(record, diags)?;
+            self.0.send(String::from_utf8(line).unwrap()).unwrap();
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
+#[test]
+fn layouts_show_each_field() {
+    let (sender, lines) = flume::unbounded();
+    let builder = starter_log::builder().dispatch(|d| d.append(Capture(sender)));
+    builder.try_apply().unwrap();
+    let line = LogLine::try_from((&id("vm-1"), &routed())).unwrap();
+    line.write(log::logger());
+    let mut json: serde_json::Value = serde_json::from_str(&lines.recv().unwrap()).unwrap();
+    json["timestamp"] = "masked".into();
+    let text = lines.recv().unwrap();
+    let (time, rest) = text.split_once(' ').unwrap();
+    assert!(time.ends_with("+00:00") || time.ends_with('Z'), "{time}");
+    assert_snapshot!(format!("{json:#}\n{rest}"));
+}
--- a/crates/persimmond/src/control.rs
+++ b/crates/persimmond/src/control.rs
@@ -1,11 +1,14 @@
 //! The control thread.
 
-use crate::{pool::Pool, Clock, ControlCore};
+use crate::{
+    meter::{timed, Meter},
+    pool::Pool,
+    Clock, ControlCore,
+};
 use flume::{Receiver, RecvTimeoutError, Sender};
-use log::Level;
 use persimmon_core::{
     decision::Record,
-    ids::UpstreamId,
+    ids::{UpstreamId, VmId},
     platform::PlatformError,
     request::UpstreamError,
     units::{Millis, Time},
@@ -13,6 +16,7 @@
 };
 use persimmon_io::{
     link::PeerLink,
+    logs::LogLine,
     operator::OperatorDesk,
     platform::PlatformClient,
     traffic::{Dispatch, Readiness, TrafficHub},
@@ -34,7 +38,9 @@
 
 /// Owns the core and carries out its actions.
 pub(crate) struct Control {
+    pub(crate) vm: VmId,
     pub(crate) core: Box<dyn ControlCore>,
+    pub(crate) meter: Meter,
     pub(crate) clock: Clock,
     pub(crate) inbox: Receiver<Event>,
     pub(crate) events: Sender<Event>,
@@ -55,8 +61,9 @@
         let mut ticked = self.clock.now();
         while !self.killed.load(Ordering::Relaxed) {
             let event = self.next_event(&mut ticked);
-            self.core.handle(self.clock.now(), event, &mut actions);
+            self.handle(event, &mut actions);
             for action in actions.drain(..) {
+                self.meter.on_action(&action);
                 if matches!(action, Action::Exit) {
                     return;
                 }
@@ -65,6 +72,18 @@
         }
     }
 
+    fn handle(&mut self, event: Event, actions: &mut Vec<Action>) {
+        let now = self.clock.now();
+        self.meter.on_event(now, &event);
+        let took = timed(|| self.core.handle(now, event, actions));
+        self.meter.on_handled(took);
+        if self.meter.is_due(now) {
+            let status = self.core.status();
+            let peer_bytes = self.link.traffic_bytes();
+            self.meter.look(now, status.as_ref(), peer_bytes);
+        }
+    }
+
     fn next_event(&self, ticked: &mut Time) -> Event {
         let latest = *ticked + TICK_MS;
         let wanted = self.core.next_wakeup().unwrap_or(latest).min(latest);
@@ -76,6 +95,7 @@
         };
         received.unwrap_or_else(|_| {
             *ticked = self.clock.now();
+            self.meter.on_late(ticked.since(due));
             Event::Tick
         })
     }
@@ -142,7 +162,7 @@
             Action::OperatorReply { call, reply } => {
                 self.desk.reply(call, *reply);
             }
-            Action::Log(record) => write_log(&record),
+            Action::Log(record) => write_log(&self.vm, &record),
             Action::Ready { ready, notes } => {
                 self.hub.set_readiness(Readiness { ready, notes });
             }
@@ -196,14 +216,9 @@
     }
 }
 
-fn write_log(record: &Record) {
-    let level = match record {
-        Record::Alarm { .. } => Level::Error,
-        Record::AttemptFailed { .. } => Level::Warn,
-        _ => Level::Info,
-    };
-    match serde_json::to_string(record) {
-        Ok(text) => log::log!(target: "persimmon::decision", level, "{text}"),
+fn write_log(vm: &VmId, record: &Record) {
+    match LogLine::try_from((vm, record)) {
+        Ok(line) => line.write(log::logger()),
         Err(error) => log::error!("a record can't be written: {error}"),
     }
 }
--- a/crates/persimmond/src/control_core.rs
+++ b/crates/persimmond/src/control_core.rs
@@ -1,6 +1,6 @@
 //! The border to the core.
 
-use persimmon_core::{daemon::Daemon, units::Time, Action, Event};
+use persimmon_core::{daemon::Daemon, operator::StatusReport, units::Time, Action, Event};
 
 /// Decides. Owned by the control thread.
 pub trait ControlCore: Send {
@@ -9,6 +9,9 @@
 
     /// When it wants a tick at the latest.
     fn next_wakeup(&self) -> Option<Time>;
+
+    /// How it sees itself and its peers.
+    fn status(&self) -> Option<StatusReport>;
 }
 
 impl ControlCore for Daemon {
@@ -19,4 +22,8 @@
     fn next_wakeup(&self) -> Option<Time> {
         Some(Self::next_wakeup(self))
     }
+
+    fn status(&self) -> Option<StatusReport> {
+        Some(Self::status(self))
+    }
 }
--- a/crates/persimmond/src/daemon.rs
+++ b/crates/persimmond/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Starts and stops a daemon.
 
-use crate::{control::Control, pool::Pool, Clock, CoreSeed, Parts, StartError};
+use crate::{control::Control, meter::Meter, pool::Pool, Clock, CoreSeed, Parts, StartError};
 use flume::Sender;
 use persimmon_core::{ids::Incarnation, message::Member, Event};
 use persimmon_io::{
@@ -70,7 +70,7 @@
         };
         let hub = Arc::new(TrafficHub::new(events.clone(), Arc::clone(&parts.upstream)));
         let desk = Arc::new(OperatorDesk::new(events.clone()));
-        let (limits, pages) = (settings.limits, parts.pages);
+        let (limits, pages) = (settings.limits, parts.telemetry.clone());
         let callers = CallerServer::start(settings.listen.callers, limits, hub.clone(), pages)
             .map_err(listen_error("listen.callers", settings.listen.callers))?;
         let token = settings.operator_token;
@@ -83,6 +83,8 @@
         };
         let killed = Arc::new(AtomicBool::new(false));
         let control = Control {
+            vm: me.vm.clone(),
+            meter: Meter::new(parts.telemetry),
             core: (parts.core)(CoreSeed {
                 me,
                 seeds: settings.seeds,
@@ -110,6 +112,20 @@
     }
 }
 
+/// Asks a daemon to stop from another thread.
+#[derive(Clone, Debug)]
+pub struct Stopper {
+    events: Sender<Event>,
+}
+
+impl Stopper {
+    /// Asks it to stop gracefully.
+    pub fn stop(&self) {
+        // A daemon that has ended already needs no word.
+        let _ = self.events.send(Event::Shutdown);
+    }
+}
+
 impl DaemonHandle {
     /// Where it listens.
     pub const fn addresses(&self) -> Addresses {
@@ -118,8 +134,14 @@
 
     /// Asks it to stop gracefully.
     pub fn stop(&self) {
-        // A daemon that has ended already needs no word.
-        let _ = self.events.send(Event::Shutdown);
+        self.stopper().stop();
+    }
+
+    /// Asks it to stop from another thread.
+    pub fn stopper(&self) -> Stopper {
+        Stopper {
+            events: self.events.clone(),
+        }
     }
 
     /// Ends it without a word to anyone.
--- a/crates/persimmond/src/errors.rs
+++ b/crates/persimmond/src/errors.rs
@@ -26,4 +26,10 @@
     /// The keys can't be used.
     #[error(transparent)]
     Keys(#[from] PeerError),
+    /// The metrics can't be set up.
+    #[error("the metrics can't be set up ({reason}): check the buckets of the histograms")]
+    Telemetry {
+        /// What the library says.
+        reason: String,
+    },
 }
--- a/crates/persimmond/src/parts.rs
+++ b/crates/persimmond/src/parts.rs
@@ -10,11 +10,11 @@
     Event,
 };
 use persimmon_io::{
-    http::Pages,
     link::PeerLink,
     peer::{Identity, Keys, QuicLink},
     platform::{HttpPlatform, PlatformClient},
     settings::Settings,
+    telemetry::Telemetry,
     upstream::{HttpUpstream, UpstreamClient},
 };
 use std::{io, sync::Arc};
@@ -47,8 +47,8 @@
     pub platform: Arc<dyn PlatformClient>,
     /// Calls upstreams.
     pub upstream: Arc<dyn UpstreamClient>,
-    /// Renders pages.
-    pub pages: Arc<dyn Pages>,
+    /// Counts.
+    pub telemetry: Arc<Telemetry>,
 }
 
 impl Parts {
@@ -61,7 +61,7 @@
         settings: &Settings,
         keys: &Keys,
         parts: PartSettings,
-        pages: Arc<dyn Pages>,
+        telemetry: Arc<Telemetry>,
     ) -> Result<Self, StartError> {
         let identity = Identity::new(&settings.vm, keys)?;
         let address = settings.listen.peers;
@@ -74,7 +74,7 @@
             }),
             platform: Arc::new(HttpPlatform::new(settings.platform)),
             upstream: Arc::new(HttpUpstream),
-            pages,
+            telemetry,
         })
     }
 }
--- a/crates/persimmond/src/run.rs
+++ b/crates/persimmond/src/run.rs
@@ -3,11 +3,13 @@
 use crate::{Args, Daemon, Parts, StartError};
 use persimmon_core::daemon::PartSettings;
 use persimmon_io::{
-    http::Pages,
+    logs::{self, LogError},
     peer::Keys,
     settings::{self, Settings, SettingsError},
+    shutdown,
+    telemetry::Telemetry,
 };
-use std::{process::ExitCode, sync::Arc};
+use std::{io, process::ExitCode, sync::Arc};
 use thiserror::Error;
 
 /// Exit code for wrong settings.
@@ -19,6 +21,10 @@
     Settings(#[from] SettingsError),
     #[error(transparent)]
     Start(#[from] StartError),
+    #[error(transparent)]
+    Log(#[from] LogError),
+    #[error("SIGTERM and SIGINT can't be taken over ({0}): check the process's signal mask")]
+    Signals(io::Error),
     #[error("the control thread ended by a fault: see the log")]
     Fault,
 }
@@ -31,7 +37,7 @@
             eprintln!("persimmond: {error}");
             match error {
                 RunError::Settings(_) => WRONG_SETTINGS.into(),
-                RunError::Fault | RunError::Start(_) => ExitCode::FAILURE,
+                _ => ExitCode::FAILURE,
             }
         }
     }
@@ -40,18 +46,32 @@
 fn serve(args: &Args) -> Result<(), RunError> {
     let settings = settings::load(&args.settings)?;
     let keys = keys(&settings)?;
-    if args.check {
-        println!("{}: no mistakes found", args.settings.display());
-        return Ok(());
-    }
+    let telemetry = Telemetry::new().map_err(|error| StartError::Telemetry {
+        reason: error.to_string(),
+    })?;
     let parts = Parts::real(
         &settings,
         &keys,
         PartSettings::default(),
-        Arc::new(NoMetrics),
+        Arc::new(telemetry),
     )?;
+    if args.check {
+        println!("{}: no mistakes found", args.settings.display());
+        return Ok(());
+    }
+    logs::start(&settings.log)?;
     let handle = Daemon::start_with(settings, parts)?;
+    let addresses = handle.addresses();
+    log::info!(
+        callers:% = addresses.callers,
+        operators:% = addresses.operators,
+        peers:% = addresses.peers;
+        "listening"
+    );
+    let stop = handle.stopper();
+    let _signals = shutdown::on_stop(move || stop.stop()).map_err(RunError::Signals)?;
     if handle.join() {
+        log::info!("stopped");
         Ok(())
     } else {
         Err(RunError::Fault)
@@ -62,12 +82,3 @@
     let tls = &settings.tls;
     Ok(Keys::read(&tls.ca_file, &tls.cert_file, &tls.key_file)?)
 }
-
-#[derive(Debug)]
-struct NoMetrics;
-
-impl Pages for NoMetrics {
-    fn metrics(&self) -> String {
-        String::new()
-    }
-}
--- a/crates/persimmond/tests/callers.rs
+++ b/crates/persimmond/tests/callers.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{post, read_until, whole, Bench};
+use common::{post, read_until, Bench};
 use insta::assert_snapshot;
 use persimmon_core::{request::UpstreamError, Event};
 
@@ -83,17 +83,27 @@
 #[test]
 fn pages_answer() {
     let bench = Bench::start();
-    let get = |path: &str| {
-        let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-        whole(bench.send(&request))
-            .lines()
-            .last()
-            .map(str::to_owned)
-            .unwrap()
-    };
-    assert_snapshot!(get("/healthz"), @"ok");
-    assert_snapshot!(get("/readyz"), @r#"{"notes":[],"ready":false}"#);
-    assert_snapshot!(get("/metrics"), @"up 1");
+    assert_snapshot!(bench.page("/healthz"), @"ok");
+    assert_snapshot!(bench.page("/readyz"), @r#"{"notes":[],"ready":false}"#);
+    bench.stop();
+}
+
+#[test]
+fn metrics_count_requests_by_outcome_and_class() {
+    let bench = Bench::start();
+    bench.token(0, "t0");
+    bench.token(1, "t1");
+    bench.done(2);
+    bench.post("/v1/completions", COLLECTED);
+    bench.items.send(Err(UpstreamError::Broken)).unwrap();
+    bench.post("/v1/completions", COMPLETION);
+    bench.post("/services/orders/cells/7", "start");
+    let metrics = bench.page("/metrics");
+    let counts = |line: &&str| line.starts_with("persimmon_") && line.contains("_total");
+    let mut lines: Vec<_> = metrics.lines().filter(counts).collect();
+    lines.sort_unstable();
+    assert_snapshot!(lines.join("\n"));
+    assert!(metrics.contains("persimmon_first_token_seconds_count{class=\"short\"} 1"));
     bench.stop();
 }
 
--- a/crates/persimmond/tests/common/mod.rs
+++ b/crates/persimmond/tests/common/mod.rs
@@ -4,6 +4,7 @@
 use persimmon_core::{
     ids::{AttemptId, AttemptNumber},
     message::Member,
+    operator::StatusReport,
     platform::{ObjectOp, PlatformError, TableAnswer, TableOp, VmRecord},
     request::{
         AttemptEnd, AttemptPlan, CallerEnd, Priority, Refusal, RefusalCode, RequestSpec,
@@ -14,10 +15,10 @@
     Action, Event,
 };
 use persimmon_io::{
-    http::Pages,
     link::LocalNetwork,
     platform::PlatformClient,
     settings::{parse, Settings},
+    telemetry::Telemetry,
     upstream::{Piece, ServiceForward, StreamCall, StreamItem, TokenStream, UpstreamClient},
 };
 use persimmond::{ControlCore, Daemon, DaemonHandle, Parts};
@@ -59,6 +60,10 @@
     fn next_wakeup(&self) -> Option<Time> {
         None
     }
+
+    fn status(&self) -> Option<StatusReport> {
+        None
+    }
 }
 
 fn plan(spec: &RequestSpec) -> AttemptPlan {
@@ -152,15 +157,6 @@
     }
 }
 
-#[derive(Debug)]
-struct FakePages;
-
-impl Pages for FakePages {
-    fn metrics(&self) -> String {
-        "up 1\n".into()
-    }
-}
-
 /// A daemon with a scripted core.
 pub(crate) struct Bench {
     pub(crate) daemon: DaemonHandle,
@@ -193,7 +189,7 @@
             upstream: Arc::new(FakeUpstream {
                 items: item_receiver,
             }),
-            pages: Arc::new(FakePages),
+            telemetry: Arc::new(Telemetry::new().unwrap()),
         };
         Self {
             daemon: Daemon::start_with(settings(), parts).unwrap(),
@@ -215,6 +211,14 @@
         whole(self.send(&post(path, body)))
     }
 
+    /// The body of a page.
+    pub(crate) fn page(&self, path: &str) -> String {
+        let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        let answer = whole(self.send(&request));
+        let (_, body) = answer.split_once("\n\n").expect("no body");
+        body.trim_end().to_owned()
+    }
+
     pub(crate) fn token(&self, offset: u64, text: &str) {
         let piece = Piece {
             offset_tokens: Tokens::new(offset),
