--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -15,5 +15,5 @@
     ServiceState, UpstreamConfig, UpstreamKind, WorkspaceConfig,
 };
 pub use errors::{ChangeError, SettingError};
-pub use settings::ConfigSettings;
+pub use settings::{ConfigSettings, RawConfigSettings};
 pub use store::ConfigStore;
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -12,4 +12,4 @@
 pub use local_state::LocalState;
 pub use member_change::MemberChange;
 pub use membership::Membership;
-pub use settings::MembershipSettings;
+pub use settings::{MembershipSettings, RawMembershipSettings};
--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -10,4 +10,4 @@
 pub use ownership::Ownership;
 pub use ownership_change::OwnershipChange;
 pub use rendezvous::rendezvous;
-pub use settings::OwnershipSettings;
+pub use settings::{OwnershipSettings, RawOwnershipSettings};
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -6,4 +6,4 @@
 mod site;
 
 pub use placement::Placement;
-pub use settings::PlacementSettings;
+pub use settings::{PlacementSettings, RawPlacementSettings};
--- a/crates/core/src/plan/mod.rs
+++ b/crates/core/src/plan/mod.rs
@@ -10,4 +10,4 @@
 
 pub use facts::PlanFacts;
 pub use planner::Planner;
-pub use settings::PlanSettings;
+pub use settings::{PlanSettings, RawPlanSettings};
