Read the settings of all parts, list every key

Each section of the settings file is read by the part's own raw type, checked, and refused with file, key, value and remedy. Derived readers took arrays for objects (an empty one passed as a section): now only objects pass. The longest timeout that callers may ask for is the entry's, 900 s, where before 3,600 s were accepted and silently cut.

--- a/crates/io/src/http/limits.rs
+++ b/crates/io/src/http/limits.rs
@@ -33,7 +33,7 @@
             io_time_ms: Millis::from_secs(10),
             body_time_ms: Millis::from_secs(30),
             default_timeout_ms: Millis::from_secs(120),
-            max_timeout_ms: Millis::from_secs(3600),
+            max_timeout_ms: Millis::from_secs(900),
             default_output_tokens: Tokens::new(256),
         }
     }
--- a/crates/io/src/settings/checked.rs
+++ b/crates/io/src/settings/checked.rs
@@ -1,25 +1,23 @@
 //! Checked settings.
 
 use super::{
-    raw::{RawLimits, RawListen, RawLog, RawSeed, RawTls},
+    object::Object,
+    parts::RawParts,
+    raw::{RawListen, RawLog, RawSeed, RawTls},
     RawSettings, SettingError,
 };
 use crate::http::HttpLimits;
 use log::LevelFilter;
 use persimmon_core::{
+    daemon::PartSettings,
     ids::{FailureDomain, IdError, VmId},
     platform::{VmRecord, VmState},
-    units::{Millis, Tokens},
 };
-use std::{collections::BTreeSet, fmt, net::SocketAddr, ops::RangeInclusive, path::PathBuf};
+use std::{collections::BTreeSet, fmt, net::SocketAddr, path::PathBuf};
 
 /// Shortest operators' token in characters.
 const TOKEN_MIN_LEN: usize = 16;
 
-/// Milliseconds of an hour and of a day.
-const HOUR_MS: u64 = 3_600_000;
-const DAY_MS: u64 = 24 * HOUR_MS;
-
 /// A daemon's settings.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -41,6 +39,8 @@
     pub limits: HttpLimits,
     /// Logs.
     pub log: LogSettings,
+    /// Settings of the core's parts.
+    pub parts: PartSettings,
 }
 
 /// Where a daemon listens. Port 0 takes a free one.
@@ -120,16 +120,27 @@
     type Error = SettingError;
 
     fn try_from(raw: RawSettings) -> Result<Self, SettingError> {
+        let parts = RawParts {
+            config: raw.config.0,
+            entry: raw.entry.0,
+            grant: raw.grant.0,
+            membership: raw.membership.0,
+            ownership: raw.ownership.0,
+            placement: raw.placement.0,
+            plan: raw.plan.0,
+            routing: raw.routing.0,
+        };
         Ok(Self {
             vm: name("vm", raw.vm)?,
             domain: name("domain", raw.domain)?,
-            listen: raw.listen.try_into()?,
+            listen: raw.listen.0.try_into()?,
             seeds: seeds(raw.seeds)?,
             platform: reachable("platform", raw.platform)?,
-            tls: raw.tls.try_into()?,
+            tls: raw.tls.0.try_into()?,
             operator_token: raw.operator_token.try_into()?,
-            limits: raw.limits.try_into()?,
-            log: raw.log.try_into()?,
+            limits: raw.limits.0.try_into()?,
+            log: raw.log.0.try_into()?,
+            parts: parts.try_into()?,
         })
     }
 }
@@ -171,84 +182,6 @@
     }
 }
 
-impl TryFrom<RawLimits> for HttpLimits {
-    type Error = SettingError;
-
-    fn try_from(raw: RawLimits) -> Result<Self, SettingError> {
-        let usual = Self::default();
-        let max = span(
-            "max_timeout_ms",
-            raw.max_timeout_ms,
-            usual.max_timeout_ms,
-            1..=DAY_MS,
-        )?;
-        let usual_default = usual.default_timeout_ms.min(max);
-        let tokens = raw.default_output_tokens;
-        let tokens = tokens.unwrap_or(usual.default_output_tokens.get());
-        Ok(Self {
-            body_max_bytes: size(
-                "body_max_bytes",
-                raw.body_max_bytes,
-                usual.body_max_bytes,
-                1024..=1 << 30,
-            )?,
-            head_max_bytes: size(
-                "head_max_bytes",
-                raw.head_max_bytes,
-                usual.head_max_bytes,
-                256..=1 << 20,
-            )?,
-            open_max_requests: size(
-                "open_max_requests",
-                raw.open_max_requests,
-                usual.open_max_requests,
-                1..=100_000,
-            )?,
-            io_time_ms: span(
-                "io_time_ms",
-                raw.io_time_ms,
-                usual.io_time_ms,
-                100..=HOUR_MS,
-            )?,
-            body_time_ms: span(
-                "body_time_ms",
-                raw.body_time_ms,
-                usual.body_time_ms,
-                100..=HOUR_MS,
-            )?,
-            default_timeout_ms: span(
-                "default_timeout_ms",
-                raw.default_timeout_ms,
-                usual_default,
-                1..=max.get(),
-            )?,
-            max_timeout_ms: max,
-            default_output_tokens: in_range("limits.default_output_tokens", tokens, 1..=1_000_000)
-                .map(Tokens::new)?,
-        })
-    }
-}
-
-fn size(
-    key: &str,
-    value: Option<u64>,
-    usual: usize,
-    allowed: RangeInclusive<u64>,
-) -> Result<usize, SettingError> {
-    let value = value.unwrap_or(usual as u64);
-    in_range(&format!("limits.{key}"), value, allowed).map(|value| value as usize)
-}
-
-fn span(
-    key: &str,
-    value: Option<u64>,
-    usual: Millis,
-    allowed: RangeInclusive<u64>,
-) -> Result<Millis, SettingError> {
-    let value = value.unwrap_or(usual.get());
-    in_range(&format!("limits.{key}"), value, allowed).map(Millis::new)
-}
-
 impl TryFrom<RawLog> for LogSettings {
     type Error = SettingError;
 
@@ -266,10 +199,10 @@
     }
 }
 
-fn seeds(raw: Vec<RawSeed>) -> Result<Vec<VmRecord>, SettingError> {
+fn seeds(raw: Vec<Object<RawSeed>>) -> Result<Vec<VmRecord>, SettingError> {
     let mut known = BTreeSet::new();
     let mut seeds = Vec::new();
-    for (index, seed) in raw.into_iter().enumerate() {
+    for (index, Object(seed)) in raw.into_iter().enumerate() {
         let key = |field: &str| format!("seeds[{index}].{field}");
         let vm: VmId = name(&key("vm"), seed.vm)?;
         if !known.insert(vm.clone()) {
@@ -297,15 +230,7 @@
     Ok(address)
 }
 
-fn in_range(key: &str, value: u64, allowed: RangeInclusive<u64>) -> Result<u64, SettingError> {
-    if allowed.contains(&value) {
-        return Ok(value);
-    }
-    let remedy = format!("give {} to {}", allowed.start(), allowed.end());
-    Err(refuse(key, value, remedy))
-}
-
-fn refuse(key: &str, value: impl ToString, remedy: impl ToString) -> SettingError {
+pub(super) fn refuse(key: &str, value: impl ToString, remedy: impl ToString) -> SettingError {
     SettingError {
         key: key.into(),
         value: value.to_string().escape_debug().to_string(),
--- a/crates/io/src/settings/load.rs
+++ b/crates/io/src/settings/load.rs
@@ -1,6 +1,6 @@
 //! Reads a settings file.
 
-use super::{RawSettings, SettingError, Settings, SettingsError};
+use super::{object::Object, RawSettings, SettingError, Settings, SettingsError};
 use serde_json::{error::Category, Value};
 use serde_path_to_error::{Path as KeyPath, Segment};
 use std::{fs, path::Path};
@@ -37,7 +37,7 @@
     };
     let mut source = serde_json::Deserializer::from_slice(bytes);
     let parsed = serde_path_to_error::deserialize(&mut source);
-    let raw: RawSettings = parsed.map_err(|error| {
+    let Object(raw): Object<RawSettings> = parsed.map_err(|error| {
         let path = error.path().clone();
         match error.into_inner() {
             error if error.classify() == Category::Data => SettingsError::Setting {
--- a/crates/io/src/settings/mod.rs
+++ b/crates/io/src/settings/mod.rs
@@ -2,7 +2,10 @@
 
 mod checked;
 mod errors;
+mod limits;
 mod load;
+mod object;
+mod parts;
 mod raw;
 
 pub use checked::{Listen, LogFormat, LogSettings, OperatorToken, Settings, TlsFiles};
--- a/crates/io/src/settings/raw.rs
+++ b/crates/io/src/settings/raw.rs
@@ -1,5 +1,11 @@
 //! Settings as they stand in the file.
 
+use super::object::Object;
+use persimmon_core::{
+    config::RawConfigSettings, entry::RawEntrySettings, grant::RawGrantSettings,
+    membership::RawMembershipSettings, ownership::RawOwnershipSettings,
+    placement::RawPlacementSettings, plan::RawPlanSettings, routing::RawRoutingSettings,
+};
 use serde::Deserialize;
 use std::{net::SocketAddr, path::PathBuf};
 
@@ -9,16 +15,32 @@
 pub struct RawSettings {
     pub(super) vm: String,
     pub(super) domain: String,
-    pub(super) listen: RawListen,
+    pub(super) listen: Object<RawListen>,
     #[serde(default)]
-    pub(super) seeds: Vec<RawSeed>,
+    pub(super) seeds: Vec<Object<RawSeed>>,
     pub(super) platform: SocketAddr,
-    pub(super) tls: RawTls,
+    pub(super) tls: Object<RawTls>,
     pub(super) operator_token: String,
     #[serde(default)]
-    pub(super) limits: RawLimits,
+    pub(super) limits: Object<RawLimits>,
     #[serde(default)]
-    pub(super) log: RawLog,
+    pub(super) log: Object<RawLog>,
+    #[serde(default)]
+    pub(super) config: Object<RawConfigSettings>,
+    #[serde(default)]
+    pub(super) entry: Object<RawEntrySettings>,
+    #[serde(default)]
+    pub(super) grant: Object<RawGrantSettings>,
+    #[serde(default)]
+    pub(super) membership: Object<RawMembershipSettings>,
+    #[serde(default)]
+    pub(super) ownership: Object<RawOwnershipSettings>,
+    #[serde(default)]
+    pub(super) placement: Object<RawPlacementSettings>,
+    #[serde(default)]
+    pub(super) plan: Object<RawPlanSettings>,
+    #[serde(default)]
+    pub(super) routing: Object<RawRoutingSettings>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
--- a/crates/io/tests/settings.rs
+++ b/crates/io/tests/settings.rs
@@ -74,6 +74,8 @@
         ),
         ("/limits", json!({"default_output_tokens": 0})),
         ("/limits", json!({"body_bytes": 1})),
+        ("/limits", json!([])),
+        ("/seeds/0", json!(["vm-2", "taichung-a", "127.0.0.1:8003"])),
         ("/log/format", json!("xml")),
         ("/log/level", json!("loud")),
     ];
@@ -84,6 +86,36 @@
     assert_snapshot!(errors.join("\n"));
 }
 
+#[test]
+fn each_mistake_in_a_part_is_named() {
+    let mistakes = [
+        ("config", json!({"poll_ms": 1})),
+        ("config", json!({"poll_ms": "often"})),
+        ("config", json!({"poll": 500})),
+        ("entry", json!({"max_attempts": 0})),
+        ("entry", json!({"max_attempts": -1})),
+        ("entry", json!({"claims": {"epoch_ms": 1}})),
+        ("entry", json!({"claims": {"epoch": 1}})),
+        ("grant", json!({"learning_percent": 101})),
+        ("grant", json!([])),
+        ("membership", json!({"heartbeat_ms": 400, "death_ms": 500})),
+        ("membership", json!({"beat_ms": 1})),
+        ("ownership", json!({"lease_ms": 1})),
+        ("ownership", json!(null)),
+        ("placement", json!({"loads_at_once_count": 0})),
+        ("plan", json!({"store_attempts": 1000})),
+        ("routing", json!({"policy": "random"})),
+        ("routing", json!({"sampled_count": 65})),
+        ("routes", json!({})),
+    ];
+    let errors = mistakes.map(|(section, value)| {
+        let mut settings = valid();
+        settings[section] = value;
+        refused(settings.to_string().as_bytes())
+    });
+    assert_snapshot!(errors.join("\n"));
+}
+
 #[test]
 fn repeated_seed_is_named() {
     let seed = json!({"vm": "vm-2", "domain": "d", "peer_address": "127.0.0.1:1"});
--- a/crates/persimmond/src/parts.rs
+++ b/crates/persimmond/src/parts.rs
@@ -60,11 +60,11 @@
     pub fn real(
         settings: &Settings,
         keys: &Keys,
-        parts: PartSettings,
         telemetry: Arc<Telemetry>,
     ) -> Result<Self, StartError> {
         let identity = Identity::new(&settings.vm, keys)?;
         let address = settings.listen.peers;
+        let parts = settings.parts.clone();
         Ok(Self {
             core: Box::new(move |seed| Box::new(core(seed, parts))),
             link: Box::new(move |_, incarnation, events| {
--- a/crates/persimmond/src/run.rs
+++ b/crates/persimmond/src/run.rs
@@ -1,7 +1,6 @@
 //! From the command line to a running daemon.
 
 use crate::{Args, Daemon, Parts, StartError};
-use persimmon_core::daemon::PartSettings;
 use persimmon_io::{
     logs::{self, LogError},
     peer::Keys,
@@ -49,12 +48,7 @@
     let telemetry = Telemetry::new().map_err(|error| StartError::Telemetry {
         reason: error.to_string(),
     })?;
-    let parts = Parts::real(
-        &settings,
-        &keys,
-        PartSettings::default(),
-        Arc::new(telemetry),
-    )?;
+    let parts = Parts::real(&settings, &keys, Arc::new(telemetry))?;
     if args.check {
         println!("{}: no mistakes found", args.settings.display());
         return Ok(());
