--- a/crates/io/src/traffic/mod.rs
+++ b/crates/io/src/traffic/mod.rs
@@ -1,6 +1,5 @@
 //! Traffic threads: one for each caller's request, one for each attempt at an upstream.
 
-mod assembler;
 mod attempt;
 mod caller;
 mod command;
--- a/crates/io/src/traffic/worker.rs
+++ b/crates/io/src/traffic/worker.rs
@@ -1,7 +1,6 @@
 //! One caller's request from its first event to its last word.
 
 use super::{
-    assembler::Assembler,
     attempt::{Call, Item, News, Running},
     Caller, CallerClosed, Command, TrafficHub,
 };
@@ -15,6 +14,8 @@
     request::{
         AttemptEnd, AttemptPlan, CallerEnd, Refusal, RefusalCode, StoredResult, UpstreamError,
     },
+    stream::Assembler,
+    units::Tokens,
     Event,
 };
 use std::{
@@ -39,7 +40,7 @@
     caller: &'a mut dyn Caller,
     commands: Receiver<Command>,
     news: (Sender<News>, Receiver<News>),
-    assembler: Assembler,
+    assembler: Option<Assembler>,
     running: Option<Running>,
     served: Option<StoredResult>,
     progress_due: Option<Instant>,
@@ -68,7 +69,7 @@
             caller,
             commands: hub.open(id),
             news: flume::bounded(NEWS_MAX_LEN),
-            assembler: Assembler::default(),
+            assembler: None,
             running: None,
             served: None,
             progress_due: None,
@@ -133,7 +134,12 @@
     }
 
     fn start(&mut self, plan: AttemptPlan) {
-        self.assembler.begin(plan.attempt);
+        let assembler = self
+            .assembler
+            .get_or_insert_with(|| Assembler::new(plan.attempt));
+        if !assembler.begin(plan.attempt) {
+            return log::error!("attempt {:?} is older than the present one", plan.attempt);
+        }
         let upstream = Arc::clone(self.hub.upstream());
         let call = self.upstream_call(&plan);
         let running = Running::start(&plan, call, upstream, self.news.0.clone());
@@ -172,29 +178,37 @@
     }
 
     fn on_item(&mut self, attempt: AttemptId, item: StreamItem) -> Result<(), CallerClosed> {
-        let fits = match item {
-            StreamItem::Token(piece) => {
-                self.assembler
-                    .push(attempt, piece.offset_tokens, piece.token)
-            }
-            StreamItem::Done { output_tokens } => self.assembler.finish(attempt, output_tokens),
+        let Some(assembler) = &mut self.assembler else {
+            return Ok(());
+        };
+        let taken = match item {
+            StreamItem::Token(piece) => assembler
+                .push(attempt, piece.offset_tokens, piece.token)
+                .map(drop),
+            StreamItem::Done { output_tokens } => assembler.finish(attempt, output_tokens),
         };
-        if !fits {
+        if let Err(error) = taken {
             self.fail(UpstreamError::Malformed {
-                reason: "tokens and finish marker contradict each other".into(),
+                reason: error.to_string(),
             });
             return Ok(());
         }
-        while let Some(token) = self.assembler.pop() {
+        while let Some((_, token)) = self.assembler.as_mut().and_then(Assembler::pop) {
             self.caller.token(&token)?;
             self.report(attempt);
         }
-        if self.assembler.is_whole() {
+        if self.assembler.as_ref().is_some_and(Assembler::is_whole) {
             self.complete(attempt, None);
         }
         Ok(())
     }
 
+    fn delivered(&self) -> Tokens {
+        self.assembler
+            .as_ref()
+            .map_or(Tokens::ZERO, Assembler::delivered)
+    }
+
     fn on_served(&mut self, attempt: AttemptId, result: StoredResult) {
         let is_keyed = match &self.call.payload {
             Payload::Service(service) => service.key.is_some(),
@@ -210,7 +224,7 @@
             self.progress_due = Some(now + PROGRESS);
             self.hub.emit(Event::Progress {
                 attempt,
-                delivered_tokens: self.assembler.delivered(),
+                delivered_tokens: self.delivered(),
             });
         }
     }
@@ -218,7 +232,7 @@
     fn complete(&mut self, attempt: AttemptId, result: Option<StoredResult>) {
         self.running = None;
         let end = AttemptEnd::Complete {
-            output_tokens: self.assembler.delivered(),
+            output_tokens: self.delivered(),
             result,
         };
         self.hub.emit(Event::AttemptEnded { attempt, end });
@@ -231,7 +245,7 @@
         self.hub.emit(Event::AttemptEnded {
             attempt: running.attempt,
             end: AttemptEnd::Failed {
-                delivered_tokens: self.assembler.delivered(),
+                delivered_tokens: self.delivered(),
                 error,
             },
         });
