--- a/crates/persimmond/tests/callers.rs
+++ b/crates/persimmond/tests/callers.rs
@@ -91,12 +91,12 @@
 #[test]
 fn metrics_count_requests_by_outcome_and_class() {
     let bench = Bench::start();
+    bench.items.send(Err(UpstreamError::Broken)).unwrap();
+    bench.post("/v1/completions", COMPLETION);
     bench.token(0, "t0");
     bench.token(1, "t1");
     bench.done(2);
     bench.post("/v1/completions", COLLECTED);
-    bench.items.send(Err(UpstreamError::Broken)).unwrap();
-    bench.post("/v1/completions", COMPLETION);
     bench.post("/services/orders/cells/7", "start");
     let metrics = bench.page("/metrics");
     let counts = |line: &&str| line.starts_with("persimmon_") && line.contains("_total");
