--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod config;
 pub mod decision;
 pub mod entry;
+pub mod grant;
 pub mod ids;
 pub mod membership;
 pub mod message;
