Check the ranges of settings in one place

Entry and claim settings each had a copy of the same check and error. RangeCheck in units/range.rs does it for every section; the error names section, key, value and range.

--- a/crates/core/src/claim/mod.rs
+++ b/crates/core/src/claim/mod.rs
@@ -2,7 +2,6 @@
 
 mod claim_record;
 mod claims;
-mod errors;
 mod pending;
 mod row_keys;
 mod settings;
@@ -14,7 +13,6 @@
 
 pub use claim_record::{ClaimRecord, ClaimState};
 pub use claims::Claims;
-pub use errors::ClaimSettingsError;
 pub use pending::Verdict;
 pub use settings::{ClaimSettings, RawClaimSettings};
 pub use tickets::Tickets;
--- a/crates/core/src/claim/settings.rs
+++ b/crates/core/src/claim/settings.rs
@@ -1,7 +1,6 @@
 //! Settings of claims.
 
-use super::ClaimSettingsError;
-use crate::units::Millis;
+use crate::units::{Millis, RangeCheck, RangeError};
 use serde::{Deserialize, Serialize};
 
 /// Claim settings as they are written.
@@ -72,60 +71,49 @@
     pub kept_epochs_count: u32,
 }
 
-fn within(key: &'static str, value: u64, low: u64, high: u64) -> Result<u64, ClaimSettingsError> {
-    if (low..=high).contains(&value) {
-        return Ok(value);
-    }
-    Err(ClaimSettingsError::Range {
-        key,
-        value,
-        low,
-        high,
-    })
-}
-
-fn span(key: &'static str, value: u64, low: u64, high: u64) -> Result<Millis, ClaimSettingsError> {
-    within(key, value, low, high).map(Millis::new)
-}
-
-fn count(key: &'static str, value: u32, low: u32, high: u32) -> Result<u32, ClaimSettingsError> {
-    within(key, value.into(), low.into(), high.into()).map(|_| value)
-}
-
 impl TryFrom<RawClaimSettings> for ClaimSettings {
-    type Error = ClaimSettingsError;
+    type Error = RangeError;
 
-    fn try_from(raw: RawClaimSettings) -> Result<Self, ClaimSettingsError> {
+    fn try_from(raw: RawClaimSettings) -> Result<Self, RangeError> {
+        let check = RangeCheck::new("entry.claims");
         let max_bytes = 1 << 20;
         Ok(Self {
-            claim_timeout: span("claim_timeout_ms", raw.claim_timeout_ms, 10, 60_000)?,
-            poll: span("poll_ms", raw.poll_ms, 10, 60_000)?,
-            duplicate_wait: span("duplicate_wait_ms", raw.duplicate_wait_ms, 10, 3_600_000)?,
-            ticket_timeout: span("ticket_timeout_ms", raw.ticket_timeout_ms, 10, 60_000)?,
-            ticket_life: span("ticket_life_ms", raw.ticket_life_ms, 1_000, 86_400_000)?,
-            max_tickets_count: count("max_tickets_count", raw.max_tickets_count, 1, 1_000_000)?,
-            max_result_bytes: count("max_result_bytes", raw.max_result_bytes, 1, max_bytes)?,
-            max_writes_per_s: count("max_writes_per_s", raw.max_writes_per_s, 1, 1_000)?,
-            epoch: span("epoch_ms", raw.epoch_ms, 1_000, 86_400_000)?,
-            kept_epochs_count: count("kept_epochs_count", raw.kept_epochs_count, 4, 100_000)?,
+            claim_timeout: check.span("claim_timeout_ms", raw.claim_timeout_ms, 10, 60_000)?,
+            poll: check.span("poll_ms", raw.poll_ms, 10, 60_000)?,
+            duplicate_wait: check.span(
+                "duplicate_wait_ms",
+                raw.duplicate_wait_ms,
+                10,
+                3_600_000,
+            )?,
+            ticket_timeout: check.span("ticket_timeout_ms", raw.ticket_timeout_ms, 10, 60_000)?,
+            ticket_life: check.span("ticket_life_ms", raw.ticket_life_ms, 1_000, 86_400_000)?,
+            max_tickets_count: check.number(
+                "max_tickets_count",
+                raw.max_tickets_count,
+                1,
+                1_000_000,
+            )?,
+            max_result_bytes: check.number(
+                "max_result_bytes",
+                raw.max_result_bytes,
+                1,
+                max_bytes,
+            )?,
+            max_writes_per_s: check.number("max_writes_per_s", raw.max_writes_per_s, 1, 1_000)?,
+            epoch: check.span("epoch_ms", raw.epoch_ms, 1_000, 86_400_000)?,
+            kept_epochs_count: check.number(
+                "kept_epochs_count",
+                raw.kept_epochs_count,
+                4,
+                100_000,
+            )?,
         })
     }
 }
 
 impl Default for ClaimSettings {
     fn default() -> Self {
-        let raw = RawClaimSettings::default();
-        Self {
-            claim_timeout: Millis::new(raw.claim_timeout_ms),
-            poll: Millis::new(raw.poll_ms),
-            duplicate_wait: Millis::new(raw.duplicate_wait_ms),
-            ticket_timeout: Millis::new(raw.ticket_timeout_ms),
-            ticket_life: Millis::new(raw.ticket_life_ms),
-            max_tickets_count: raw.max_tickets_count,
-            max_result_bytes: raw.max_result_bytes,
-            max_writes_per_s: raw.max_writes_per_s,
-            epoch: Millis::new(raw.epoch_ms),
-            kept_epochs_count: raw.kept_epochs_count,
-        }
+        Self::try_from(RawClaimSettings::default()).expect("the defaults are in range")
     }
 }
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -3,7 +3,6 @@
 mod asking;
 mod ending;
 mod entry_daemon;
-mod errors;
 mod fencing_seen;
 mod open_request;
 mod peers;
@@ -13,5 +12,4 @@
 mod timers;
 
 pub use entry_daemon::Entry;
-pub use errors::EntrySettingsError;
 pub use settings::{EntrySettings, RawEntrySettings};
--- a/crates/core/src/entry/settings.rs
+++ b/crates/core/src/entry/settings.rs
@@ -1,9 +1,8 @@
 //! Settings of an entry daemon.
 
-use super::EntrySettingsError;
 use crate::{
     claim::{ClaimSettings, RawClaimSettings},
-    units::Millis,
+    units::{Millis, RangeCheck, RangeError},
 };
 use serde::{Deserialize, Serialize};
 
@@ -105,50 +104,41 @@
     pub claims: ClaimSettings,
 }
 
-fn within(key: &'static str, value: u64, low: u64, high: u64) -> Result<u64, EntrySettingsError> {
-    if (low..=high).contains(&value) {
-        return Ok(value);
-    }
-    Err(EntrySettingsError::Range {
-        key,
-        value,
-        low,
-        high,
-    })
-}
-
-fn span(key: &'static str, value: u64, low: u64, high: u64) -> Result<Millis, EntrySettingsError> {
-    within(key, value, low, high).map(Millis::new)
-}
-
-fn count(key: &'static str, value: u32, low: u32, high: u32) -> Result<u32, EntrySettingsError> {
-    within(key, value.into(), low.into(), high.into()).map(|_| value)
-}
-
 impl TryFrom<RawEntrySettings> for EntrySettings {
-    type Error = EntrySettingsError;
+    type Error = RangeError;
 
-    fn try_from(raw: RawEntrySettings) -> Result<Self, EntrySettingsError> {
+    fn try_from(raw: RawEntrySettings) -> Result<Self, RangeError> {
+        let check = RangeCheck::new("entry");
         let budget = raw.retry_budget_percent;
         let slack = raw.first_token_slack_ms;
         let factor = raw.first_token_factor_count;
         let reserve = raw.retry_reserve_count;
         Ok(Self {
-            max_timeout: span("max_timeout_ms", raw.max_timeout_ms, 100, 86_400_000)?,
-            answer_margin: span("answer_margin_ms", raw.answer_margin_ms, 0, 5_000)?,
-            grant_answer: span("grant_answer_ms", raw.grant_answer_ms, 5, 10_000)?,
-            queue_refresh: span("queue_refresh_ms", raw.queue_refresh_ms, 10, 60_000)?,
-            max_pause: span("max_pause_ms", raw.max_pause_ms, 10, 60_000)?,
-            max_owners_count: count("max_owners_count", raw.max_owners_count, 1, 100)?,
-            first_token_slack: span("first_token_slack_ms", slack, 10, 600_000)?,
-            first_token_factor_count: count("first_token_factor_count", factor, 1, 100)?,
-            token_gap: span("token_gap_ms", raw.token_gap_ms, 10, 600_000)?,
-            service_answer: span("service_answer_ms", raw.service_answer_ms, 10, 3_600_000)?,
-            max_attempts: count("max_attempts", raw.max_attempts, 1, 20)?,
-            retry_budget_percent: count("retry_budget_percent", budget, 0, 100)?,
-            retry_reserve_count: count("retry_reserve_count", reserve, 0, 1_000)?,
-            shutdown_grace: span("shutdown_grace_ms", raw.shutdown_grace_ms, 0, 3_600_000)?,
-            max_open_requests: count("max_open_requests", raw.max_open_requests, 1, 1_000_000)?,
+            max_timeout: check.span("max_timeout_ms", raw.max_timeout_ms, 100, 86_400_000)?,
+            answer_margin: check.span("answer_margin_ms", raw.answer_margin_ms, 0, 5_000)?,
+            grant_answer: check.span("grant_answer_ms", raw.grant_answer_ms, 5, 10_000)?,
+            queue_refresh: check.span("queue_refresh_ms", raw.queue_refresh_ms, 10, 60_000)?,
+            max_pause: check.span("max_pause_ms", raw.max_pause_ms, 10, 60_000)?,
+            max_owners_count: check.number("max_owners_count", raw.max_owners_count, 1, 100)?,
+            first_token_slack: check.span("first_token_slack_ms", slack, 10, 600_000)?,
+            first_token_factor_count: check.number("first_token_factor_count", factor, 1, 100)?,
+            token_gap: check.span("token_gap_ms", raw.token_gap_ms, 10, 600_000)?,
+            service_answer: check.span(
+                "service_answer_ms",
+                raw.service_answer_ms,
+                10,
+                3_600_000,
+            )?,
+            max_attempts: check.number("max_attempts", raw.max_attempts, 1, 20)?,
+            retry_budget_percent: check.number("retry_budget_percent", budget, 0, 100)?,
+            retry_reserve_count: check.number("retry_reserve_count", reserve, 0, 1_000)?,
+            shutdown_grace: check.span("shutdown_grace_ms", raw.shutdown_grace_ms, 0, 3_600_000)?,
+            max_open_requests: check.number(
+                "max_open_requests",
+                raw.max_open_requests,
+                1,
+                1_000_000,
+            )?,
             claims: raw.claims.try_into()?,
         })
     }
--- a/crates/core/src/units/mod.rs
+++ b/crates/core/src/units/mod.rs
@@ -1,11 +1,13 @@
 //! Sizes, rates and times: newtypes with `Display` and `FromStr`.
 
 mod errors;
+mod range;
 mod rates;
 mod sizes;
 mod time;
 
 pub use errors::UnitError;
+pub use range::{RangeCheck, RangeError};
 pub use rates::{BytesPerSecond, TokensPerSecond};
 pub use sizes::{KvBytes, Tokens};
 pub use time::{Millis, Time};
