Border: let tickets be given back, tell their other bodies, keep results in base64

Cause: a ticket of a call that was proved not to have run stayed used, and its issuer could not tell another call under it. TicketMessage::Claim carries the hash of the call, Answer names what was decided, GiveBack frees the ticket; a claim that gave a ticket back never gets it again. A store that failed reads was read again without a pause: 100 ms between reads now. Dropped writes raise the alarm claim_writes_dropped. Results are kept as base64 in place of arrays of numbers.

--- a/crates/core/src/claim/claim_record.rs
+++ b/crates/core/src/claim/claim_record.rs
@@ -37,6 +37,8 @@
     DoneTooLarge,
     /// It may have run: its answer was lost.
     Unknown,
+    /// It was given up while its insert was in doubt: it never ran and never will.
+    Withdrawn,
 }
 
 impl ClaimRecord {
@@ -45,6 +47,14 @@
         serde_json::to_vec(self).unwrap_or_default().into()
     }
 
+    /// The same claim in another state.
+    pub fn with_state(&self, state: ClaimState) -> Self {
+        Self {
+            state,
+            ..self.clone()
+        }
+    }
+
     /// The record in a row's value, or none where it can't be read.
     pub fn decode(value: &[u8]) -> Option<Self> {
         serde_json::from_slice(value).ok()
--- a/crates/core/src/claim/claims.rs
+++ b/crates/core/src/claim/claims.rs
@@ -21,8 +21,8 @@
 use rand::Rng;
 use std::collections::BTreeMap;
 
-/// Pause before a claim that the store or the write budget refused is tried again.
-const INSERT_PAUSE_MS: Millis = Millis::new(100);
+/// Pause before a call that the store or the write budget refused is tried again.
+const RETRY_PAUSE_MS: Millis = Millis::new(100);
 
 /// A key that this daemon's request holds.
 #[derive(Debug)]
@@ -31,6 +31,7 @@
     /// The row's value, or none for a ticket, whose run needs no row.
     value: Option<Bytes>,
     record: ClaimRecord,
+    ticket: Option<IdempotencyKey>,
 }
 
 /// Claims of idempotency keys, by table row or by ticket.
@@ -41,6 +42,8 @@
     held: BTreeMap<RequestId, Held>,
     verdicts: Vec<(RequestId, Verdict)>,
     pub(super) tickets: Tickets,
+    /// Tickets of claims that did not run, on their way to their issuers.
+    pub(super) given_back: Vec<(IdempotencyKey, RequestId)>,
     budget: WriteBudget,
     writer: Writer,
     sweeper: Sweeper,
@@ -55,6 +58,7 @@
             held: BTreeMap::new(),
             verdicts: Vec::new(),
             tickets: Tickets::new(settings),
+            given_back: Vec::new(),
             budget: WriteBudget::new(settings.max_writes_per_s),
             writer: Writer::new(),
             sweeper: Sweeper::new(settings),
@@ -79,7 +83,9 @@
             value: None,
             step: Step::InsertAt(ctx.now),
             until: ctx.now + self.settings.claim_timeout,
-            is_ticket: issuer.is_some(),
+            replaced: None,
+            in_doubt: false,
+            ticket: issuer.is_some().then(|| key.clone()),
         };
         match issuer {
             Some(issuer) => self.ask_issuer(ctx, view, &mut pending, &issuer, key),
@@ -106,16 +112,13 @@
         let Some(held) = self.held.remove(&request) else {
             return;
         };
-        let new = state.map(|state| {
-            let state = self.fitted(state);
-            ClaimRecord {
-                state,
-                ..held.record
-            }
-            .encode()
-        });
+        let new = state.map(|state| held.record.with_state(self.fitted(state)).encode());
+        if new.is_none() {
+            let claim = held.record.claim;
+            self.given_back.extend(held.ticket.map(|key| (key, claim)));
+        }
         if new.is_some() || held.value.is_some() {
-            self.writer.add(replace(&held.row, held.value, new));
+            self.writer.add(vec![replace(&held.row, held.value, new)]);
         }
     }
 
@@ -148,6 +151,7 @@
         for request in due {
             self.with_pending(request, |claims, pending| claims.on_due(ctx, view, pending));
         }
+        self.send_given_back(ctx, view);
         self.sweeper.on_tick(ctx, &self.writer);
         self.writer.on_tick(ctx, &mut self.budget);
     }
@@ -155,9 +159,11 @@
     /// When there is something to do.
     pub fn next_wakeup(&self) -> Option<Time> {
         let pending = self.pending.values().map(Pending::due);
+        let now = (!self.given_back.is_empty()).then_some(Time::START);
         pending
             .chain(self.writer.next_wakeup())
             .chain(self.sweeper.next_wakeup())
+            .chain(now)
             .min()
     }
 
@@ -179,7 +185,7 @@
         }
     }
 
-    fn decide(&mut self, pending: &Pending, verdict: Verdict) {
+    pub(super) fn decide(&mut self, pending: &Pending, verdict: Verdict) {
         self.verdicts.push((pending.request, verdict));
     }
 
@@ -191,10 +197,8 @@
         }
         match pending.step {
             Step::InsertAt(_) => self.insert(ctx, view, pending),
-            Step::PollAt(_) => {
-                let token = read(ctx, &pending.row);
-                pending.step = Step::Polling(token);
-            }
+            Step::PollAt(_) => pending.step = Step::Polling(read(ctx, &pending.row)),
+            Step::ReadAt(_) => pending.step = Step::Reading(read(ctx, &pending.row)),
             _ => {}
         }
     }
@@ -204,13 +208,13 @@
         let Some(epoch_index) = epoch.filter(|_| self.budget.take(ctx.now, 0)) else {
             self.sweeper.hurry(ctx.now);
             self.sweeper.on_tick(ctx, &self.writer);
-            pending.step = Step::InsertAt(ctx.now + INSERT_PAUSE_MS);
+            pending.step = Step::InsertAt(ctx.now + RETRY_PAUSE_MS);
             return;
         };
         let value = record(view, pending, epoch_index).encode();
         // The first value stays, so that a lost write can be told by it.
         let value = pending.value.get_or_insert(value).clone();
-        let op = replace(&pending.row, None, Some(value));
+        let op = replace(&pending.row, pending.replaced.clone(), Some(value));
         let token = ctx.token(Part::Claim);
         ctx.act(Action::Table { token, op });
         pending.step = Step::Inserting(token);
@@ -225,31 +229,48 @@
     ) {
         match (pending.step, answer) {
             (Step::Inserting(_), Ok(TableAnswer::Done)) => self.run(view, pending),
-            (Step::Inserting(_), Ok(TableAnswer::Conflict) | Err(PlatformError::AnswerLost)) => {
-                let token = read(ctx, &pending.row);
-                pending.step = Step::Reading(token);
+            (Step::Inserting(_), Ok(TableAnswer::Conflict)) => {
+                pending.step = Step::Reading(read(ctx, &pending.row));
             }
-            (Step::Reading(_), Err(_)) => {
-                let token = read(ctx, &pending.row);
-                pending.step = Step::Reading(token);
+            (Step::Inserting(_), Err(PlatformError::AnswerLost)) => {
+                pending.in_doubt = true;
+                pending.step = Step::Reading(read(ctx, &pending.row));
             }
+            (Step::Reading(_), Err(_)) => pending.step = Step::ReadAt(ctx.now + RETRY_PAUSE_MS),
             (Step::Reading(_), Ok(TableAnswer::Value(Some(value)))) => {
                 self.on_row(ctx, view, pending, &value);
             }
             (Step::Polling(_), Ok(TableAnswer::Value(Some(value)))) => {
                 self.on_row(ctx, view, pending, &value);
             }
-            (Step::Polling(_), Ok(TableAnswer::Value(None))) if !pending.is_ticket => {
-                // The holder gave the key back: it did not run.
-                pending.until = ctx.now + self.settings.claim_timeout;
-                self.insert(ctx, view, pending);
+            (Step::Polling(_), Ok(TableAnswer::Value(None))) if pending.ticket.is_none() => {
+                self.insert_over(ctx, view, pending, None);
             }
             (Step::Polling(_), _) => pending.step = Step::PollAt(ctx.now + self.settings.poll),
-            _ => pending.step = Step::InsertAt(ctx.now + INSERT_PAUSE_MS),
+            _ => pending.step = Step::InsertAt(ctx.now + RETRY_PAUSE_MS),
         }
     }
 
-    fn on_row(&mut self, ctx: &Context<'_>, view: &View<'_>, pending: &mut Pending, value: &Bytes) {
+    /// The holder gave the key back, so that it did not run: the key is free again.
+    fn insert_over(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        pending: &mut Pending,
+        replaced: Option<Bytes>,
+    ) {
+        pending.replaced = replaced;
+        pending.until = ctx.now + self.settings.claim_timeout;
+        self.insert(ctx, view, pending);
+    }
+
+    fn on_row(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        pending: &mut Pending,
+        value: &Bytes,
+    ) {
         let Some(record) = ClaimRecord::decode(value) else {
             let refusal = unresolved("the key's row can't be read");
             return self.decide(pending, Verdict::Refused(refusal));
@@ -257,6 +278,9 @@
         if record.claim == pending.claim {
             return self.run(view, pending);
         }
+        if record.state == ClaimState::Withdrawn && pending.ticket.is_none() {
+            return self.insert_over(ctx, view, pending, Some(value.clone()));
+        }
         if record.body_hash != pending.body_hash {
             return self.decide(pending, Verdict::Refused(key_reused()));
         }
@@ -270,7 +294,7 @@
                 let refusal = unresolved("the first call's answer was lost");
                 self.decide(pending, Verdict::Refused(refusal));
             }
-            ClaimState::Claimed => self.wait_for_first(ctx, pending),
+            ClaimState::Claimed | ClaimState::Withdrawn => self.wait_for_first(ctx, pending),
         }
     }
 
@@ -288,17 +312,31 @@
             row: pending.row.clone(),
             value: pending.value.clone(),
             record: decoded.unwrap_or_else(|| record(view, pending, epoch_index)),
+            ticket: pending.ticket.clone(),
         };
         self.held.insert(pending.request, held);
         self.decide(pending, Verdict::Run);
     }
 
-    /// Takes back a claim that may have reached the store although its request never ran.
+    /// Takes back a claim that may have reached the store, or may still reach it, although its
+    /// request never ran: removes its row, or leaves a withdrawn one that stops a late insert.
     fn withdraw(&mut self, pending: &Pending) {
-        if let Some(value) = &pending.value {
-            let op = replace(&pending.row, Some(value.clone()), None);
-            self.writer.add(op);
+        if pending.step == Step::AskingIssuer {
+            let ticket = pending.ticket.clone();
+            self.given_back
+                .extend(ticket.map(|key| (key, pending.claim)));
         }
+        let in_doubt = pending.in_doubt || matches!(pending.step, Step::Inserting(_));
+        let Some(value) = pending.value.as_ref().filter(|_| in_doubt) else {
+            return;
+        };
+        let Some(record) = ClaimRecord::decode(value) else {
+            return;
+        };
+        let withdrawn = record.with_state(ClaimState::Withdrawn).encode();
+        let remove = replace(&pending.row, Some(value.clone()), None);
+        let stop = replace(&pending.row, pending.replaced.clone(), Some(withdrawn));
+        self.writer.add(vec![remove.clone(), stop, remove]);
     }
 
     fn fitted(&self, state: ClaimState) -> ClaimState {
--- a/crates/core/src/claim/pending.rs
+++ b/crates/core/src/claim/pending.rs
@@ -2,7 +2,7 @@
 
 use super::ClaimSettings;
 use crate::{
-    ids::{BodyHash, RequestId},
+    ids::{BodyHash, IdempotencyKey, RequestId},
     platform::{CallToken, TableKey},
     request::{Refusal, RefusalCode, StoredResult},
     units::Time,
@@ -29,6 +29,8 @@
     Inserting(CallToken),
     /// The store's answer was lost or named a conflict: the row is being read.
     Reading(CallToken),
+    /// The same, after a read failed: the row is read at this time.
+    ReadAt(Time),
     /// The issuer of its ticket was asked.
     AskingIssuer,
     /// Another call holds the key: the row is read at this time.
@@ -50,15 +52,19 @@
     pub(super) step: Step,
     /// When this waiting ends.
     pub(super) until: Time,
-    /// Whether the key is a ticket.
-    pub(super) is_ticket: bool,
+    /// The withdrawn claim's value that the insert replaces, if any.
+    pub(super) replaced: Option<Bytes>,
+    /// Whether an insert may still take effect although no answer says so.
+    pub(super) in_doubt: bool,
+    /// The key, where it is a ticket.
+    pub(super) ticket: Option<IdempotencyKey>,
 }
 
 impl Pending {
     /// When the next thing is to be done.
     pub(super) fn due(&self) -> Time {
         match self.step {
-            Step::InsertAt(at) | Step::PollAt(at) => at.min(self.until),
+            Step::InsertAt(at) | Step::PollAt(at) | Step::ReadAt(at) => at.min(self.until),
             _ => self.until,
         }
     }
--- a/crates/core/src/claim/sweeper.rs
+++ b/crates/core/src/claim/sweeper.rs
@@ -152,7 +152,7 @@
             let record = ClaimRecord::decode(value);
             let kept = u64::from(self.settings.kept_epochs_count);
             if record.is_some_and(|record| record.epoch_index + kept < now_index) {
-                writer.add(replace(key, Some(value.clone()), None));
+                writer.add(vec![replace(key, Some(value.clone()), None)]);
             }
         }
         let last = rows.last().map(|(key, _)| key.clone());
--- a/crates/core/src/claim/ticket_claims.rs
+++ b/crates/core/src/claim/ticket_claims.rs
@@ -1,14 +1,14 @@
 //! Claims of keys that are tickets: their issuer alone decides their one use.
 
 use super::{
-    pending::{Pending, Step},
+    pending::{key_reused, Pending, Step},
     tickets::Issuer,
-    Claims,
+    Claims, Verdict,
 };
 use crate::{
     context::{Context, View},
     ids::{IdempotencyKey, RequestId},
-    message::{Member, PeerMessage, TicketMessage},
+    message::{Member, PeerMessage, TicketMessage, TicketUse},
 };
 use rand::Rng;
 
@@ -28,18 +28,25 @@
         message: TicketMessage,
     ) {
         match message {
-            TicketMessage::Claim { key, request } => {
-                let granted = self.tickets.claim(ctx.now, &key, request);
+            TicketMessage::Claim {
+                key,
+                claim,
+                body_hash,
+            } => {
+                let ticket_use = self.tickets.claim(ctx.now, &key, claim, body_hash);
                 let answer = TicketMessage::Answer {
                     key,
-                    request,
-                    granted,
+                    claim,
+                    ticket_use,
                 };
                 view.send(ctx, &from.vm, PeerMessage::Ticket(answer));
             }
             TicketMessage::Answer {
-                request, granted, ..
-            } => self.on_ticket_answer(ctx, view, request, granted),
+                claim, ticket_use, ..
+            } => self.on_ticket_answer(ctx, view, claim, ticket_use),
+            TicketMessage::GiveBack { key, claim } => {
+                self.tickets.give_back(ctx.now, &key, claim);
+            }
         }
         self.drop_decided();
     }
@@ -55,18 +62,19 @@
     ) {
         pending.step = Step::AskingIssuer;
         pending.until = ctx.now + self.settings.ticket_timeout;
-        let claim = TicketMessage::Claim {
-            key: key.clone(),
-            request: pending.claim,
-        };
-        let is_me = issuer.vm == view.me.vm && issuer.incarnation == view.me.incarnation;
-        if is_me {
-            let granted = self.tickets.claim(ctx.now, key, pending.claim);
-            return self.on_issuer_answer(ctx, view, pending, granted);
+        let (claim, body_hash) = (pending.claim, pending.body_hash);
+        if issuer.is_run(view.me) {
+            let ticket_use = self.tickets.claim(ctx.now, key, claim, body_hash);
+            return self.on_issuer_answer(ctx, view, pending, ticket_use);
         }
+        let message = PeerMessage::Ticket(TicketMessage::Claim {
+            key: key.clone(),
+            claim,
+            body_hash,
+        });
         let known = view.directory.member(&issuer.vm);
-        let same_run = known.is_some_and(|member| member.incarnation == issuer.incarnation);
-        if !same_run || !view.send(ctx, &issuer.vm, PeerMessage::Ticket(claim)) {
+        let same_run = known.is_some_and(|member| issuer.is_run(member));
+        if !same_run || !view.send(ctx, &issuer.vm, message) {
             // Whether it was used before its issuer ended is told by its result alone.
             self.wait_for_first(ctx, pending);
         }
@@ -77,13 +85,13 @@
         ctx: &mut Context<'_>,
         view: &View<'_>,
         claim: RequestId,
-        granted: bool,
+        ticket_use: TicketUse,
     ) {
         let asked = |p: &&Pending| p.claim == claim && p.step == Step::AskingIssuer;
         let request = self.pending.values().find(asked).map(|p| p.request);
         if let Some(request) = request {
             self.with_pending(request, |claims, pending| {
-                claims.on_issuer_answer(ctx, view, pending, granted);
+                claims.on_issuer_answer(ctx, view, pending, ticket_use);
             });
         }
     }
@@ -93,12 +101,28 @@
         ctx: &Context<'_>,
         view: &View<'_>,
         pending: &mut Pending,
-        granted: bool,
+        ticket_use: TicketUse,
     ) {
-        if granted {
-            self.run(view, pending);
-        } else {
-            self.wait_for_first(ctx, pending);
+        match ticket_use {
+            TicketUse::Granted => self.run(view, pending),
+            TicketUse::Taken => self.wait_for_first(ctx, pending),
+            TicketUse::OtherBody => self.decide(pending, Verdict::Refused(key_reused())),
+        }
+    }
+
+    /// Tells issuers of the tickets that were not used after all.
+    pub(super) fn send_given_back(&mut self, ctx: &mut Context<'_>, view: &View<'_>) {
+        for (key, claim) in std::mem::take(&mut self.given_back) {
+            match Issuer::of(&key) {
+                Some(issuer) if issuer.is_run(view.me) => {
+                    self.tickets.give_back(ctx.now, &key, claim);
+                }
+                Some(issuer) => {
+                    let message = TicketMessage::GiveBack { key, claim };
+                    view.send(ctx, &issuer.vm, PeerMessage::Ticket(message));
+                }
+                None => {}
+            }
         }
     }
 }
--- a/crates/core/src/claim/tickets.rs
+++ b/crates/core/src/claim/tickets.rs
@@ -2,8 +2,8 @@
 
 use super::ClaimSettings;
 use crate::{
-    ids::{IdempotencyKey, Incarnation, RequestId, VmId},
-    message::Member,
+    ids::{BodyHash, IdempotencyKey, Incarnation, RequestId, VmId},
+    message::{Member, TicketUse},
     units::Time,
 };
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,13 +29,30 @@
         let vm = parts.next()?.parse().ok()?;
         Some(Self { vm, incarnation })
     }
+
+    /// Whether this run of a daemon issued it.
+    pub(super) fn is_run(&self, member: &Member) -> bool {
+        self.vm == member.vm && self.incarnation == member.incarnation
+    }
+}
+
+/// Most claims that may give one ticket back.
+const GIVEN_BACK_MAX_LEN: usize = 64;
+
+/// One ticket.
+#[derive(Debug, Default)]
+struct Ticket {
+    /// The claim that may run, and its call.
+    used_by: Option<(RequestId, BodyHash)>,
+    /// Claims that gave it back: they may not have it again.
+    given_back: BTreeSet<RequestId>,
 }
 
 /// The tickets that this run of the daemon issued.
 #[derive(Debug)]
 pub struct Tickets {
     settings: ClaimSettings,
-    uses: BTreeMap<IdempotencyKey, Option<RequestId>>,
+    issued: BTreeMap<IdempotencyKey, Ticket>,
     expiries: BTreeSet<(Time, IdempotencyKey)>,
 }
 
@@ -44,7 +61,7 @@
     pub const fn new(settings: ClaimSettings) -> Self {
         Self {
             settings,
-            uses: BTreeMap::new(),
+            issued: BTreeMap::new(),
             expiries: BTreeSet::new(),
         }
     }
@@ -52,33 +69,57 @@
     /// Issues a ticket numbered by `random`. None where too many live or its text is too long.
     pub fn issue(&mut self, now: Time, me: &Member, random: u64) -> Option<IdempotencyKey> {
         self.expire(now);
-        if self.uses.len() >= self.settings.max_tickets_count as usize {
+        if self.issued.len() >= self.settings.max_tickets_count as usize {
             return None;
         }
         let text = format!("{TICKET_PREFIX}{}:{}:{random:016x}", me.vm, me.incarnation);
         let key = IdempotencyKey::try_from(text).ok()?;
-        if self.uses.contains_key(&key) {
+        if self.issued.contains_key(&key) {
             return None;
         }
-        self.uses.insert(key.clone(), None);
+        self.issued.insert(key.clone(), Ticket::default());
         self.expiries
             .insert((now + self.settings.ticket_life, key.clone()));
         Some(key)
     }
 
-    /// Whether this request may use the ticket: true for one request alone, however often it asks.
-    pub fn claim(&mut self, now: Time, key: &IdempotencyKey, request: RequestId) -> bool {
+    /// Whether this claim may use the ticket, however often it asks.
+    pub fn claim(
+        &mut self,
+        now: Time,
+        key: &IdempotencyKey,
+        claim: RequestId,
+        body_hash: BodyHash,
+    ) -> TicketUse {
+        self.expire(now);
+        let ticket = self.issued.get_mut(key);
+        let Some(ticket) = ticket.filter(|ticket| !ticket.given_back.contains(&claim)) else {
+            return TicketUse::Taken;
+        };
+        let (holder, body) = ticket.used_by.get_or_insert((claim, body_hash));
+        match (*holder == claim, *body == body_hash) {
+            (true, _) => TicketUse::Granted,
+            (false, true) => TicketUse::Taken,
+            (false, false) => TicketUse::OtherBody,
+        }
+    }
+
+    /// A claim has not run and never will: another one may use the ticket.
+    pub fn give_back(&mut self, now: Time, key: &IdempotencyKey, claim: RequestId) {
         self.expire(now);
-        match self.uses.get_mut(key) {
-            Some(used) => *used.get_or_insert(request) == request,
-            None => false,
+        let Some(ticket) = self.issued.get_mut(key) else {
+            return;
+        };
+        if ticket.given_back.len() < GIVEN_BACK_MAX_LEN {
+            ticket.given_back.insert(claim);
+            ticket.used_by = ticket.used_by.filter(|(holder, _)| *holder != claim);
         }
     }
 
     fn expire(&mut self, now: Time) {
         while self.expiries.first().is_some_and(|(at, _)| *at <= now) {
             if let Some((_, key)) = self.expiries.pop_first() {
-                self.uses.remove(&key);
+                self.issued.remove(&key);
             }
         }
     }
--- a/crates/core/src/claim/writer.rs
+++ b/crates/core/src/claim/writer.rs
@@ -4,6 +4,7 @@
 use crate::{
     action::Action,
     context::Context,
+    decision::Record,
     platform::{CallToken, Condition, Part, PlatformError, TableAnswer, TableKey, TableOp, Write},
     units::{Millis, Time},
 };
@@ -21,12 +22,17 @@
 /// Writes that are left over for fresh claims.
 const RESERVE: u32 = 2;
 
+/// Writes of which each follows only where the one before found that its condition did not hold.
+type Chain = Vec<TableOp>;
+
 /// The queue of writes that may wait. Each is idempotent and guarded by a condition.
 #[derive(Debug)]
 pub(super) struct Writer {
-    queue: VecDeque<TableOp>,
-    sent: BTreeMap<CallToken, (Time, TableOp)>,
+    queue: VecDeque<Chain>,
+    sent: BTreeMap<CallToken, (Time, Chain)>,
     next_at: Time,
+    /// Chains that found no place since the last alarm.
+    dropped_count: u64,
 }
 
 /// Replaces a row that has `old` (or is absent) by `new` (or removes it).
@@ -55,16 +61,18 @@
             queue: VecDeque::new(),
             sent: BTreeMap::new(),
             next_at: Time::START,
+            dropped_count: 0,
         }
     }
 
-    /// Adds a write. False where the queue is full and the write is dropped.
-    pub(super) fn add(&mut self, op: TableOp) -> bool {
-        let fits = self.queue.len() < QUEUE_MAX_LEN;
-        if fits {
-            self.queue.push_back(op);
+    /// Adds writes, of which each follows where the condition of the one before did not hold.
+    /// They are dropped with an alarm where the queue is full.
+    pub(super) fn add(&mut self, chain: Chain) {
+        if self.queue.len() < QUEUE_MAX_LEN {
+            self.queue.push_back(chain);
+        } else {
+            self.dropped_count += 1;
         }
-        fits
     }
 
     /// Writes that wait.
@@ -79,12 +87,19 @@
         token: CallToken,
         answer: &Result<TableAnswer, PlatformError>,
     ) -> bool {
-        let Some((_, op)) = self.sent.remove(&token) else {
+        let Some((_, mut chain)) = self.sent.remove(&token) else {
             return false;
         };
-        if answer.is_err() {
-            self.queue.push_front(op);
-            self.next_at = now + PAUSE_MS;
+        match answer {
+            Err(_) => {
+                self.queue.push_front(chain);
+                self.next_at = now + PAUSE_MS;
+            }
+            Ok(TableAnswer::Conflict) if chain.len() > 1 => {
+                chain.remove(0);
+                self.queue.push_front(chain);
+            }
+            Ok(_) => {}
         }
         true
     }
@@ -92,26 +107,42 @@
     /// Sends what is due and within the budget.
     pub(super) fn on_tick(&mut self, ctx: &mut Context<'_>, budget: &mut WriteBudget) {
         self.requeue_unanswered(ctx.now);
+        self.alarm_dropped(ctx);
         while ctx.now >= self.next_at && self.sent.len() < SENT_MAX_LEN && !self.queue.is_empty() {
             if !budget.take(ctx.now, RESERVE) {
                 self.next_at = ctx.now + PAUSE_MS;
                 return;
             }
-            let Some(op) = self.queue.pop_front() else {
+            let Some(chain) = self.queue.pop_front() else {
                 return;
             };
+            let Some(op) = chain.first().cloned() else {
+                continue;
+            };
             let token = ctx.token(Part::Claim);
-            self.sent.insert(token, (ctx.now + ANSWER_MS, op.clone()));
+            self.sent.insert(token, (ctx.now + ANSWER_MS, chain));
             ctx.act(Action::Table { token, op });
         }
     }
 
+    fn alarm_dropped(&mut self, ctx: &mut Context<'_>) {
+        let dropped_count = std::mem::take(&mut self.dropped_count);
+        if dropped_count > 0 {
+            let message = format!(
+                "{dropped_count} results or withdrawals of keys were dropped, so that their \
+                 duplicates are told unknown: check the table service, raise max_writes_per_s"
+            );
+            let name = "claim_writes_dropped";
+            ctx.log(Record::Alarm { name, message });
+        }
+    }
+
     fn requeue_unanswered(&mut self, now: Time) {
         let late = self.sent.iter().filter(|(_, (until, _))| *until <= now);
         let late: Vec<CallToken> = late.map(|(token, _)| *token).collect();
         for token in late {
-            if let Some((_, op)) = self.sent.remove(&token) {
-                self.queue.push_front(op);
+            if let Some((_, chain)) = self.sent.remove(&token) {
+                self.queue.push_front(chain);
             }
         }
     }
--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -10,4 +10,4 @@
     GrantAnswer, GrantDenial, GrantEnd, GrantMessage, GrantOffer, GrantRequest, HeldGrant,
 };
 pub use heartbeat::{Heartbeat, Member, ModelCapacity, OwnerSummary};
-pub use peer_message::{PeerMessage, TicketMessage};
+pub use peer_message::{PeerMessage, TicketMessage, TicketUse};
--- a/crates/core/src/message/peer_message.rs
+++ b/crates/core/src/message/peer_message.rs
@@ -1,7 +1,7 @@
 //! All messages between daemons.
 
 use super::{ConfigMessage, GrantMessage, Heartbeat};
-use crate::ids::{IdempotencyKey, RequestId};
+use crate::ids::{BodyHash, IdempotencyKey, RequestId};
 use serde::{Deserialize, Serialize};
 
 /// A message between daemons.
@@ -20,20 +20,40 @@
 /// Asks the issuer of a ticket for its one use.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum TicketMessage {
-    /// May this request use the ticket?
+    /// May this claim use the ticket?
     Claim {
         /// The ticket.
         key: IdempotencyKey,
-        /// The request.
-        request: RequestId,
+        /// The claim's own random id.
+        claim: RequestId,
+        /// The call, to tell another one under the same ticket.
+        body_hash: BodyHash,
     },
-    /// The answer: true at most once over the ticket's life.
+    /// The answer.
     Answer {
         /// The ticket.
         key: IdempotencyKey,
-        /// The request.
-        request: RequestId,
-        /// Whether this request may run.
-        granted: bool,
+        /// The claim.
+        claim: RequestId,
+        /// What the issuer decided.
+        ticket_use: TicketUse,
     },
+    /// The claim has not run and never will: another one may use the ticket.
+    GiveBack {
+        /// The ticket.
+        key: IdempotencyKey,
+        /// The claim.
+        claim: RequestId,
+    },
+}
+
+/// What the issuer of a ticket decided about a claim.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum TicketUse {
+    /// It may run: said to one claim at a time, until that one gives the ticket back.
+    Granted,
+    /// Another claim uses or used the ticket, or it is not known here.
+    Taken,
+    /// The ticket came with another call before.
+    OtherBody,
 }
--- a/crates/core/src/request/attempt.rs
+++ b/crates/core/src/request/attempt.rs
@@ -7,6 +7,7 @@
 };
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use serde_with::{base64::Base64, serde_as};
 use std::net::SocketAddr;
 
 /// Priority at an engine: the lower runs first.
@@ -57,13 +58,15 @@
 }
 
 /// The kept answer of a keyed service call.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StoredResult {
     /// HTTP status.
     pub status: u16,
     /// Value of the `Content-Type` header.
     pub content_type: String,
-    /// The body.
+    /// The body, in base64.
+    #[serde_as(as = "Base64")]
     pub body: Bytes,
 }
 
