--- a/crates/core/src/entry/settings.rs
+++ b/crates/core/src/entry/settings.rs
@@ -143,3 +143,9 @@
         })
     }
 }
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        Self::try_from(RawEntrySettings::default()).expect("the defaults are in range")
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod claim;
 pub mod config;
+pub mod daemon;
 pub mod decision;
 pub mod entry;
 pub mod grant;
@@ -19,6 +20,8 @@
 pub mod message;
 pub mod operator;
 pub mod ownership;
+pub mod placement;
+pub mod plan;
 pub mod platform;
 pub mod request;
 pub mod routing;
