--- a/crates/core/src/daemon/core.rs
+++ b/crates/core/src/daemon/core.rs
@@ -107,6 +107,16 @@
         self.last_token = last_token;
     }
 
+    /// Requests without a last word.
+    pub fn open_requests(&self) -> u32 {
+        self.entry.open_requests()
+    }
+
+    /// How far the oldest open request is past its caller's deadline: above zero is a fault.
+    pub fn oldest_overdue_ms(&self, now: Time) -> Millis {
+        self.entry.oldest_overdue_ms(now)
+    }
+
     /// When the next `Tick` is due.
     pub fn next_wakeup(&self) -> Time {
         let parts = [
--- a/crates/core/src/entry/entry_daemon.rs
+++ b/crates/core/src/entry/entry_daemon.rs
@@ -18,7 +18,7 @@
     platform::{CallToken, PlatformError, TableAnswer},
     request::{AttemptEnd, CallTarget, CallerEnd, Refusal, RefusalCode, RequestSpec, ServiceCall},
     routing::Router,
-    units::{Time, Tokens},
+    units::{Millis, Time, Tokens},
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -254,6 +254,15 @@
         self.open.len().try_into().unwrap_or(u32::MAX)
     }
 
+    /// How far the oldest open request is past its caller's deadline: above zero is a fault.
+    pub fn oldest_overdue_ms(&self, now: Time) -> Millis {
+        let overdue = self
+            .open
+            .values()
+            .map(|request| now.since(request.deadline));
+        overdue.max().unwrap_or_default()
+    }
+
     /// The VMs with which grants are asked for or shared.
     pub fn peers(&self) -> BTreeSet<VmId> {
         let owners = self.open.values().filter_map(|request| {
--- a/crates/core/src/entry/open_request.rs
+++ b/crates/core/src/entry/open_request.rs
@@ -61,6 +61,8 @@
 pub(super) struct OpenRequest {
     pub(super) spec: RequestSpec,
     pub(super) arrived: Time,
+    /// The caller's deadline.
+    pub(super) deadline: Time,
     /// When it is refused at the latest: a little before the caller's deadline.
     pub(super) ends_by: Time,
     pub(super) phase: Phase,
@@ -96,6 +98,7 @@
         let timeout = spec.timeout_ms.min(settings.max_timeout);
         let margin = settings.answer_margin.min(Millis::new(timeout.get() / 10));
         Self {
+            deadline: now + timeout,
             ends_by: now + timeout.saturating_sub(margin),
             spec,
             arrived: now,
--- /dev/null
+++ b/crates/scenario/src/fleet.rs
@@ -0,0 +1,355 @@
+//! A fleet in virtual time: daemons, upstreams, callers and the platform, joined by a queue.
+
+use crate::{
+    caller::{Caller, End},
+    network::Network,
+    node::Node,
+    queue::Queue,
+    store::{Store, StoreCall},
+    upstream::{Upstream, UpstreamFault},
+    vm::{Arrival, Vm},
+};
+use persimmon_core::{
+    decision::Record,
+    ids::{FailureDomain, IdempotencyKey, Incarnation, RequestId, UpstreamId, VmId},
+    message::Member,
+    operator::OperatorReply,
+    platform::CallToken,
+    request::{AttemptPlan, RequestSpec, UpstreamError},
+    units::{Millis, Time, Tokens},
+    upstream::Order,
+    Action, Event,
+};
+use rand::Rng;
+use rand_chacha::{rand_core::SeedableRng, ChaCha8Rng};
+use std::{collections::BTreeMap, fmt};
+
+/// Makes the process of a VM, given its seed.
+pub type MakeNode = Box<dyn Fn(&Member, u64) -> Box<dyn Node>>;
+
+/// Shortest time between two ticks of one process.
+const TICK_MIN_MS: Millis = Millis::new(1);
+
+/// A run of a VM's process: what is sent to an earlier run is lost.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Run {
+    pub(crate) vm: VmId,
+    pub(crate) incarnation: Incarnation,
+}
+
+/// Something that happens in the fleet.
+#[derive(Debug)]
+pub(crate) enum Item {
+    /// Something reaches a VM.
+    Vm(Run, Arrival),
+    /// An attempt reaches its upstream.
+    Attempt(Run, Box<AttemptPlan>),
+    /// An engine generates the next token of a stream.
+    Token(Run, UpstreamId, Incarnation, Box<AttemptPlan>),
+    /// A service has carried a call out.
+    Served(Run, UpstreamId, Incarnation, Box<AttemptPlan>),
+    /// An order reaches its upstream.
+    Order(Run, Box<Order>),
+    /// A question for an upstream's load.
+    Poll(Run, UpstreamId),
+    /// A call reaches the store.
+    Store(Run, CallToken, StoreCall),
+    /// A question for the list of VMs.
+    ListVms(Run),
+}
+
+/// A fleet in virtual time.
+pub struct Fleet {
+    /// The time.
+    pub now: Time,
+    /// The VMs.
+    pub vms: BTreeMap<VmId, Vm>,
+    /// The upstreams.
+    pub upstreams: BTreeMap<UpstreamId, Upstream>,
+    /// The callers, by request.
+    pub callers: BTreeMap<RequestId, Caller>,
+    /// The platform's store.
+    pub store: Store,
+    /// The network.
+    pub network: Network,
+    /// Calls that ran at services, by key or by request.
+    pub runs: BTreeMap<String, Vec<RequestId>>,
+    /// Tickets that were issued, by the request that asked.
+    pub tickets: BTreeMap<RequestId, IdempotencyKey>,
+    /// Answers to operators.
+    pub replies: BTreeMap<CallToken, OperatorReply>,
+    /// Log records.
+    pub log: Vec<(Time, VmId, Record)>,
+    pub(crate) queue: Queue<Item>,
+    pub(crate) rng: ChaCha8Rng,
+    make: MakeNode,
+}
+
+impl fmt::Debug for Fleet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let counts = (self.vms.len(), self.upstreams.len(), self.callers.len());
+        write!(f, "Fleet at {}: {counts:?}", self.now)
+    }
+}
+
+impl Fleet {
+    /// An empty fleet whose VMs run what `make` makes.
+    pub fn new(seed: u64, make: MakeNode) -> Self {
+        Self {
+            now: Time::from_ms(1_000),
+            vms: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            store: Store::default(),
+            network: Network::default(),
+            runs: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            replies: BTreeMap::new(),
+            log: Vec::new(),
+            queue: Queue::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            make,
+        }
+    }
+
+    /// Starts a VM, or a new run on one.
+    pub fn start_vm(&mut self, mut member: Member) {
+        if let Some(vm) = self.vms.get(&member.vm) {
+            member.incarnation = vm.member.incarnation.next();
+        }
+        let seed = self.rng.next_u64();
+        let vm = Vm::new(member.clone(), (self.make)(&member, seed), self.now);
+        self.vms.insert(member.vm.clone(), vm);
+        self.deliver(&member.vm, Event::Tick);
+    }
+
+    /// Kills a VM's process: its callers' connections break.
+    pub fn kill_vm(&mut self, vm: &VmId) {
+        if let Some(vm) = self.vms.get_mut(vm) {
+            vm.node = None;
+            vm.readings.clear();
+            vm.inbox.clear();
+            vm.is_ready = false;
+            vm.died_at = Some(self.now);
+        }
+        let now = self.now;
+        let lost = self.callers.values_mut();
+        for caller in lost.filter(|caller| caller.vm == *vm && caller.is_open()) {
+            caller.finish(now, End::ConnectionLost);
+        }
+    }
+
+    /// Pauses a VM's process.
+    pub fn pause_vm(&mut self, vm: &VmId) {
+        if let Some(vm) = self.vms.get_mut(vm) {
+            vm.is_paused = true;
+        }
+    }
+
+    /// Lets a paused process go on: what came in the meantime reaches it now.
+    pub fn wake_vm(&mut self, vm: &VmId) {
+        let Some(state) = self.vms.get_mut(vm) else {
+            return;
+        };
+        state.is_paused = false;
+        let run = run_of(state);
+        for arrival in std::mem::take(&mut state.inbox) {
+            self.queue.push(self.now, Item::Vm(run.clone(), arrival));
+        }
+        self.queue.push(self.now, Item::Vm(run, Arrival::Wake));
+    }
+
+    /// A caller sends a request to a VM.
+    pub fn request(&mut self, vm: &VmId, spec: RequestSpec) {
+        let mut caller = Caller::new(spec.clone(), vm.clone(), self.now);
+        let up = self.vms.get(vm).is_some_and(Vm::is_up);
+        if !up {
+            caller.finish(self.now, End::ConnectionLost);
+        }
+        self.callers.insert(spec.id, caller);
+        if up {
+            self.send_core(vm, Event::Request(Box::new(spec)));
+        }
+    }
+
+    /// A caller goes away.
+    pub fn leave(&mut self, request: RequestId) {
+        let now = self.now;
+        let Some(caller) = self.callers.get_mut(&request) else {
+            return;
+        };
+        if caller.is_open() {
+            caller.finish(now, End::WentAway);
+            let vm = caller.vm.clone();
+            self.send_core(&vm, Event::CallerGone { request });
+        }
+    }
+
+    /// An upstream's process dies: whoever reads from it sees the connection break.
+    pub fn kill_upstream(&mut self, upstream: &UpstreamId) {
+        let Some(state) = self.upstreams.get_mut(upstream) else {
+            return;
+        };
+        for attempt in state.die() {
+            self.break_reading(attempt, UpstreamError::Broken);
+        }
+    }
+
+    /// Cuts a failure domain off, or joins it again. Streams across the cut break.
+    pub fn cut_domain(&mut self, domain: &FailureDomain, is_cut: bool) {
+        self.network.cut(domain, is_cut);
+        let readings = self.vms.iter().flat_map(|(vm, state)| {
+            let readings = state.readings.iter();
+            readings.map(move |(attempt, reading)| (vm, *attempt, &reading.upstream))
+        });
+        let broken = readings.filter(|(vm, _, upstream)| !self.reaches(vm, upstream));
+        let broken: Vec<_> = broken.map(|(_, attempt, _)| attempt).collect();
+        for attempt in broken {
+            self.break_reading(attempt, UpstreamError::Broken);
+        }
+    }
+
+    /// An upstream hangs.
+    pub fn hang_upstream(&mut self, upstream: &UpstreamId) {
+        if let Some(state) = self.upstreams.get_mut(upstream) {
+            state.fault = UpstreamFault::Hangs;
+        }
+    }
+
+    /// Runs what is due up to `until`.
+    pub fn run_until(&mut self, until: Time) {
+        while let Some((at, item)) = self.queue.pop_due(until) {
+            self.now = at;
+            self.happen(item);
+        }
+        self.now = until;
+    }
+
+    /// Runs for a while.
+    pub fn run_for(&mut self, span: Millis) {
+        self.run_until(self.now + span);
+    }
+
+    /// Sends an event of the borders to a VM's core, a moment later.
+    pub fn send_core(&mut self, vm: &VmId, event: Event) {
+        let Some(run) = self.vms.get(vm).map(run_of) else {
+            return;
+        };
+        self.arrive(run, Millis::new(1), Arrival::Core(event));
+    }
+
+    pub(crate) fn arrive(&mut self, run: Run, after: Millis, arrival: Arrival) {
+        self.queue.push(self.now + after, Item::Vm(run, arrival));
+    }
+
+    /// Gives an event to a VM's core now and carries out what follows.
+    pub(crate) fn deliver(&mut self, vm: &VmId, event: Event) {
+        let now = self.now;
+        let Some(state) = self.vms.get_mut(vm) else {
+            return;
+        };
+        let local = state.local(now);
+        let is_tick = event == Event::Tick;
+        let Some(node) = &mut state.node else { return };
+        state.ticks_count += u64::from(is_tick);
+        let actions = node.handle(local, event);
+        for action in actions {
+            self.act(vm, action);
+        }
+        self.plan_wake(vm, if is_tick { TICK_MIN_MS } else { Millis::ZERO });
+    }
+
+    fn plan_wake(&mut self, vm: &VmId, after: Millis) {
+        let now = self.now;
+        let Some(state) = self.vms.get_mut(vm) else {
+            return;
+        };
+        let Some(at) = state.wants_wake(now, after) else {
+            return;
+        };
+        if state
+            .wake_at
+            .is_some_and(|planned| planned <= at && planned >= now)
+        {
+            return;
+        }
+        state.wake_at = Some(at);
+        let run = run_of(state);
+        self.queue.push(at, Item::Vm(run, Arrival::Wake));
+    }
+
+    fn happen(&mut self, item: Item) {
+        match item {
+            Item::Vm(run, arrival) => self.on_arrival(&run, arrival),
+            Item::Attempt(run, plan) => self.on_attempt(run, plan),
+            Item::Token(run, upstream, incarnation, plan) => {
+                self.on_token(run, &upstream, incarnation, plan);
+            }
+            Item::Served(run, upstream, incarnation, plan) => {
+                self.on_served(run, &upstream, incarnation, &plan);
+            }
+            Item::Order(run, order) => self.on_order(run, *order),
+            Item::Poll(run, upstream) => self.on_poll(run, upstream),
+            Item::Store(run, token, call) => self.on_store(run, token, &call),
+            Item::ListVms(run) => self.on_list_vms(run),
+        }
+    }
+
+    fn on_arrival(&mut self, run: &Run, arrival: Arrival) {
+        let Some(state) = self.vms.get_mut(&run.vm) else {
+            return;
+        };
+        if state.node.is_none() || state.member.incarnation != run.incarnation {
+            return;
+        }
+        if state.is_paused {
+            if !matches!(arrival, Arrival::Wake) {
+                state.inbox.push(arrival);
+            }
+            return;
+        }
+        match arrival {
+            Arrival::Wake if state.wake_at.is_some_and(|at| at > self.now) => {}
+            Arrival::Wake => {
+                state.wake_at = None;
+                self.deliver(&run.vm, Event::Tick);
+            }
+            Arrival::Core(event) => self.deliver(&run.vm, event),
+            other => self.on_traffic(&run.vm, other),
+        }
+    }
+
+    /// The failure domain of a VM.
+    pub fn domain_of(&self, vm: &VmId) -> Option<&FailureDomain> {
+        self.vms.get(vm).map(|state| &state.member.domain)
+    }
+
+    /// Memory that all engines' streams hold, in tokens.
+    pub fn held_tokens(&self) -> Tokens {
+        let held = self.upstreams.values().map(|u| u.kv_held().get());
+        Tokens::new(held.sum())
+    }
+
+    /// Attempts that were routed to upstreams of a failure domain at or after a time.
+    pub fn routed_since(&self, domain: &FailureDomain, since: Time) -> usize {
+        let routed = self.log.iter().filter(|(at, _, record)| match record {
+            Record::Routed(routed) => {
+                let upstream = self.upstreams.get(&routed.upstream);
+                *at >= since && upstream.is_some_and(|u| u.config.domain == *domain)
+            }
+            _ => false,
+        });
+        routed.count()
+    }
+
+    pub(crate) fn act(&mut self, vm: &VmId, action: Action) {
+        crate::carry::carry_out(self, vm, action);
+    }
+}
+
+pub(crate) fn run_of(vm: &Vm) -> Run {
+    Run {
+        vm: vm.member.vm.clone(),
+        incarnation: vm.member.incarnation,
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/lib.rs
@@ -0,0 +1,24 @@
+//! Scripted scenarios: daemons' cores in virtual time against small fakes.
+//!
+//! A [`Fleet`] joins the cores by a queue with seeded delays and faults. Upstreams, the platform's
+//! store and the network are fakes at the core's interfaces, no simulator of a cluster.
+
+mod caller;
+mod carry;
+mod fleet;
+mod network;
+mod node;
+mod queue;
+mod store;
+mod traffic;
+mod upstream;
+mod vm;
+
+pub use caller::{token, Caller, End};
+pub use fleet::{Fleet, MakeNode};
+pub use network::{Chances, Network};
+pub use node::Node;
+pub use queue::Queue;
+pub use store::{Store, StoreCall, StoreFault};
+pub use upstream::{Held, Upstream, UpstreamFault};
+pub use vm::Vm;
--- /dev/null
+++ b/crates/scenario/src/queue.rs
@@ -0,0 +1,38 @@
+//! A queue in virtual time.
+
+use persimmon_core::units::Time;
+use std::collections::BTreeMap;
+
+/// Items in the order of their times; items of one time keep the order in which they came.
+#[derive(Debug)]
+pub struct Queue<T> {
+    items: BTreeMap<(Time, u64), T>,
+    pushed_count: u64,
+}
+
+impl<T> Default for Queue<T> {
+    fn default() -> Self {
+        Self {
+            items: BTreeMap::new(),
+            pushed_count: 0,
+        }
+    }
+}
+
+impl<T> Queue<T> {
+    /// Adds an item.
+    pub fn push(&mut self, at: Time, item: T) {
+        self.items.insert((at, self.pushed_count), item);
+        self.pushed_count += 1;
+    }
+
+    /// Takes the first item that is due.
+    pub fn pop_due(&mut self, now: Time) -> Option<(Time, T)> {
+        let first = self.items.first_entry()?;
+        if first.key().0 > now {
+            return None;
+        }
+        let ((at, _), item) = first.remove_entry();
+        Some((at, item))
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/upstream.rs
@@ -0,0 +1,282 @@
+//! Upstreams in memory: model engines and servers of plain services.
+
+use persimmon_core::{
+    config::{EngineConfig, UpstreamConfig, UpstreamKind},
+    ids::{AttemptId, FencingNumber, Incarnation, ModelVersion, RequestId},
+    request::{AttemptPlan, CallTarget, RequestSpec, UpstreamError},
+    units::{KvBytes, Millis, Tokens},
+    upstream::{LoadReport, Order, OrderKind},
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time of one call at a plain service.
+const SERVICE_MS: Millis = Millis::new(40);
+/// Factor by which a cold engine is slower.
+const COLD_FACTOR: u64 = 4;
+/// Requests that a cold upstream bears.
+const COLD_BEARS_REQUESTS: u32 = 2;
+
+/// What is wrong with an upstream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum UpstreamFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Its process is gone: connections are refused.
+    Dead,
+    /// It takes calls and does nothing.
+    Hangs,
+}
+
+/// A stream or call that holds memory or a place.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// The attempt that reads it.
+    pub attempt: AttemptId,
+    /// Offset of the next token.
+    pub next_offset: u64,
+    /// Length of the whole answer.
+    pub end_offset: u64,
+    /// Memory that it holds.
+    pub kv_bytes: KvBytes,
+    /// The version it runs on.
+    pub model: Option<ModelVersion>,
+}
+
+/// An upstream.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Its configuration.
+    pub config: UpstreamConfig,
+    /// What is wrong with it.
+    pub fault: UpstreamFault,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Whether it is cold.
+    pub is_cold: bool,
+    /// Streams and calls it holds.
+    pub held: BTreeMap<RequestId, Held>,
+    /// Attempts that it took.
+    pub taken_attempts: u64,
+    /// Times it had more than it bears while cold: must stay 0.
+    pub overrun_count: u32,
+    /// Completions since it turned cold.
+    warm_up_count: u32,
+    fencing: FencingNumber,
+    models: BTreeSet<ModelVersion>,
+}
+
+impl Upstream {
+    /// A healthy, warm upstream that holds `models`.
+    pub fn new(config: UpstreamConfig, models: BTreeSet<ModelVersion>) -> Self {
+        Self {
+            config,
+            fault: UpstreamFault::None,
+            incarnation: Incarnation::new(1),
+            is_cold: false,
+            held: BTreeMap::new(),
+            taken_attempts: 0,
+            overrun_count: 0,
+            warm_up_count: 0,
+            fencing: FencingNumber::default(),
+            models,
+        }
+    }
+
+    /// Its process dies: all that it held is gone.
+    pub fn die(&mut self) -> Vec<AttemptId> {
+        self.fault = UpstreamFault::Dead;
+        let held = std::mem::take(&mut self.held);
+        held.into_values().map(|held| held.attempt).collect()
+    }
+
+    /// A new process starts, cold.
+    pub fn restart(&mut self) {
+        self.fault = UpstreamFault::None;
+        self.incarnation = self.incarnation.next();
+        self.turn_cold();
+    }
+
+    /// It forgets its warm state.
+    pub const fn turn_cold(&mut self) {
+        self.is_cold = true;
+        self.warm_up_count = 0;
+    }
+
+    /// Requests it bears now.
+    pub fn bears_requests(&self) -> u32 {
+        let limit = self.limit_requests();
+        if self.is_cold {
+            limit.min(COLD_BEARS_REQUESTS + self.warm_up_count)
+        } else {
+            limit
+        }
+    }
+
+    fn limit_requests(&self) -> u32 {
+        match &self.config.kind {
+            UpstreamKind::Engine(engine) => engine.max_in_flight_requests,
+            UpstreamKind::Service(_) => 64,
+        }
+    }
+
+    /// KV memory that is held.
+    pub fn kv_held(&self) -> KvBytes {
+        self.held.values().map(|held| held.kv_bytes).sum()
+    }
+
+    /// Takes an attempt. The answer is the time to its first token or to its result.
+    ///
+    /// # Errors
+    ///
+    /// It refused the attempt: it did not run.
+    pub fn take(
+        &mut self,
+        plan: &AttemptPlan,
+        spec: &RequestSpec,
+    ) -> Result<Millis, UpstreamError> {
+        if self.fault == UpstreamFault::Dead {
+            return Err(UpstreamError::Refused);
+        }
+        if let Some(fencing) = plan.fencing.filter(|_| self.config.checks_fencing) {
+            if fencing < self.fencing {
+                return Err(UpstreamError::Fenced);
+            }
+            self.fencing = fencing;
+        }
+        match (&spec.target, &self.config.kind) {
+            (CallTarget::Model(call), UpstreamKind::Engine(engine)) => {
+                let engine = engine.clone();
+                let end = call.max_output_tokens;
+                self.take_stream(plan, (call.prompt_tokens, end), &engine)
+            }
+            (CallTarget::Service(_), UpstreamKind::Service(_)) => {
+                self.hold(plan, (0, 0), KvBytes::ZERO);
+                Ok(SERVICE_MS)
+            }
+            _ => Err(not_run("no such call here")),
+        }
+    }
+
+    fn take_stream(
+        &mut self,
+        plan: &AttemptPlan,
+        length: (Tokens, Tokens),
+        engine: &EngineConfig,
+    ) -> Result<Millis, UpstreamError> {
+        let (prompt, output) = length;
+        let slower = if self.is_cold { COLD_FACTOR } else { 1 };
+        if plan.resume {
+            let held = self.held.get_mut(&plan.attempt.request);
+            let held = held.ok_or_else(|| not_run("the stream is gone"))?;
+            held.attempt = plan.attempt;
+            held.next_offset = plan.offset_tokens.get();
+            return Ok(Millis::new(1));
+        }
+        let model = plan.model.as_ref();
+        if model.is_none_or(|model| !self.models.contains(model)) {
+            return Err(not_run("the model is not loaded"));
+        }
+        let kv = (prompt + output).kv(KvBytes::new(1));
+        if self.kv_held() + kv > engine.kv_bytes {
+            return Err(UpstreamError::Overloaded);
+        }
+        self.hold(plan, (plan.offset_tokens.get(), output.get()), kv);
+        let prefill = engine.prefill_tokens_per_s.span(prompt).get();
+        Ok(Millis::new(prefill * slower))
+    }
+
+    fn hold(&mut self, plan: &AttemptPlan, span: (u64, u64), kv_bytes: KvBytes) {
+        let held = Held {
+            attempt: plan.attempt,
+            next_offset: span.0,
+            end_offset: span.1,
+            kv_bytes,
+            model: plan.model.clone(),
+        };
+        self.held.insert(plan.attempt.request, held);
+        self.taken_attempts += 1;
+        if self.is_cold && self.held.len() as u32 > self.bears_requests() {
+            self.overrun_count += 1;
+        }
+    }
+
+    /// Time between two tokens.
+    pub fn token_gap(&self) -> Millis {
+        let UpstreamKind::Engine(engine) = &self.config.kind else {
+            return Millis::ZERO;
+        };
+        let slower = if self.is_cold { COLD_FACTOR } else { 1 };
+        Millis::new(engine.decode_tokens_per_s.span(Tokens::new(1)).get() * slower)
+    }
+
+    /// A stream or call ended by itself.
+    pub fn finish(&mut self, request: RequestId) {
+        self.held.remove(&request);
+        self.warm_up_count += 1;
+        if self.is_cold && COLD_BEARS_REQUESTS + self.warm_up_count >= self.limit_requests() {
+            self.is_cold = false;
+        }
+    }
+
+    /// Carries an order out.
+    ///
+    /// # Errors
+    ///
+    /// It is dead, hangs, or the order carries an old fencing number.
+    pub fn order(&mut self, order: &Order) -> Result<(), UpstreamError> {
+        match self.fault {
+            UpstreamFault::Dead => return Err(UpstreamError::Refused),
+            UpstreamFault::Hangs => return Err(UpstreamError::Timeout),
+            UpstreamFault::None => {}
+        }
+        if self.config.checks_fencing && order.fencing < self.fencing {
+            return Err(UpstreamError::Fenced);
+        }
+        self.fencing = self.fencing.max(order.fencing);
+        match &order.kind {
+            OrderKind::Cancel { request } => {
+                self.held.remove(request);
+            }
+            OrderKind::LoadModel { model, .. } => {
+                self.models.insert(model.clone());
+            }
+            OrderKind::UnloadModel { model } => {
+                self.models.remove(model);
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// What it reports of itself.
+    ///
+    /// # Errors
+    ///
+    /// It is dead or hangs.
+    pub fn report(&self) -> Result<Box<LoadReport>, UpstreamError> {
+        match self.fault {
+            UpstreamFault::Dead => return Err(UpstreamError::Refused),
+            UpstreamFault::Hangs => return Err(UpstreamError::Timeout),
+            UpstreamFault::None => {}
+        }
+        let models = self.models.iter();
+        Ok(Box::new(LoadReport {
+            incarnation: self.incarnation,
+            age_ms: Millis::new(100),
+            in_flight_requests: self.held.len() as u32,
+            bearable_requests: Some(self.bears_requests()),
+            kv_held_bytes: self.kv_held(),
+            requests: self.held.keys().copied().collect(),
+            models: models.map(|m| (m.clone(), BTreeSet::new())).collect(),
+            loading: BTreeSet::new(),
+            fencing: self.config.checks_fencing.then_some(self.fencing),
+        }))
+    }
+}
+
+fn not_run(reason: &str) -> UpstreamError {
+    UpstreamError::NotRun {
+        reason: reason.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/scenario/tests/common/checks.rs
@@ -0,0 +1,68 @@
+//! What must hold at the end of any run.
+
+use persimmon_core::{
+    request::{CallTarget, CallerEnd},
+    units::Time,
+};
+use persimmon_scenario::{Caller, End, Fleet, Node};
+
+/// The first broken promise, if any.
+pub fn broken_promise(fleet: &Fleet) -> Option<String> {
+    let runs = fleet.runs.iter().find(|(_, runs)| runs.len() > 1);
+    if let Some((name, runs)) = runs {
+        return Some(format!("{name} ran {} times: {runs:?}", runs.len()));
+    }
+    for caller in fleet.callers.values() {
+        if let Some(text) = broken_to(fleet, caller) {
+            return Some(format!("request {}: {text}", caller.spec.id));
+        }
+    }
+    for (vm, state) in &fleet.vms {
+        let open = state.node.as_deref().map_or(0, Node::open_requests);
+        if open > 0 {
+            return Some(format!("{vm} has {open} open requests"));
+        }
+    }
+    None
+}
+
+fn broken_to(fleet: &Fleet, caller: &Caller) -> Option<String> {
+    let Some((at, end)) = &caller.end else {
+        return Some("has no last word".into());
+    };
+    if *at > caller.deadline() {
+        return Some(format!("ended at {at}, deadline {}", caller.deadline()));
+    }
+    if caller.extra_ends_count > 0 {
+        return Some("got a second last word".into());
+    }
+    if !caller.is_intact() {
+        return Some("got a token of another answer".into());
+    }
+    if caller.was_lied_to() {
+        return Some(format!("was told not_run although it ran: {end:?}"));
+    }
+    let is_complete = matches!(end, End::Said(CallerEnd::Complete | CallerEnd::Stored(_)));
+    if is_complete && !caller.is_whole() {
+        return Some(format!("got {} tokens as whole", caller.delivered()));
+    }
+    if let (End::Said(CallerEnd::Stored(result)), CallTarget::Service(call)) =
+        (end, &caller.spec.target)
+    {
+        let key = call.key.as_ref().expect("key");
+        let runs = &fleet.runs[&format!("{}/{key}", caller.spec.workspace)];
+        if result.body != format!("done for {}", runs[0]) {
+            return Some("got the result of another run".into());
+        }
+    }
+    None
+}
+
+/// How far any open request is past its deadline.
+pub fn overdue(fleet: &Fleet) -> bool {
+    let late = |(at, caller): (Time, &Caller)| caller.is_open() && at > caller.deadline();
+    fleet
+        .callers
+        .values()
+        .any(|caller| late((fleet.now, caller)))
+}
--- /dev/null
+++ b/crates/scenario/tests/entry_promises.rs
@@ -0,0 +1,201 @@
+//! Requests and claims under random faults: no promise is ever broken.
+
+mod common;
+
+use common::{
+    checks::{broken_promise, overdue},
+    fleet, member,
+    specs::{id, model_call, service_call},
+    upstream, vm, ENTRIES, OWNERS,
+};
+use persimmon_core::{
+    entry::RawEntrySettings,
+    request::{CallTarget, CallerEnd},
+    units::{Millis, Tokens},
+    Event,
+};
+use persimmon_scenario::{Chances, End, Fleet, StoreFault};
+use proptest::{
+    prelude::{any, prop_assert, prop_assert_eq, proptest, ProptestConfig, Strategy},
+    test_runner::RngSeed,
+};
+use rand::Rng;
+use rand_chacha::{rand_core::SeedableRng, ChaCha8Rng};
+use std::collections::BTreeMap;
+
+/// Longest life of a request in these runs.
+const TIMEOUT_MS: u64 = 8_000;
+
+fn chances() -> impl Strategy<Value = Chances> {
+    let percent = || 0..15_u32;
+    (
+        (percent(), 0..40_u32, percent(), percent(), percent()),
+        (0..8_u32, 0..40_u32, 0..40_u32, 0..15_u32),
+    )
+        .prop_map(|(peers, store)| Chances {
+            lost_percent: peers.0,
+            twice_percent: peers.1,
+            refused_percent: peers.2,
+            not_run_percent: peers.3,
+            broken_percent: peers.4,
+            silent_percent: store.0,
+            store_lost_percent: store.1,
+            store_down_percent: store.2,
+            store_late_percent: store.3,
+        })
+}
+
+/// One random thing that happens.
+fn happen(fleet: &mut Fleet, rng: &mut ChaCha8Rng, number: u128, deaths: bool) {
+    let entry = vm(ENTRIES[rng.next_u64() as usize % 2]);
+    let timeout_ms = 200 + rng.next_u64() % TIMEOUT_MS;
+    let key = format!("k{}", rng.next_u64() % 4);
+    let body = 1 + u64::from(rng.next_u64() % 10 == 0);
+    match rng.next_u64() % 20 {
+        0..=4 => fleet.request(
+            &entry,
+            model_call(number, 1 + rng.next_u64() % 30, timeout_ms),
+        ),
+        5..=11 => fleet.request(&entry, service_call(number, &key, body, timeout_ms)),
+        12 => fleet.request(&entry, service_call(number, "", 1, timeout_ms)),
+        13 => fleet.send_core(
+            &entry,
+            Event::TicketWanted {
+                request: id(number),
+            },
+        ),
+        14 | 15 => {
+            let tickets: Vec<String> = fleet.tickets.values().map(|key| key.to_string()).collect();
+            if let Some(key) = tickets.get(rng.next_u64() as usize % tickets.len().max(1)) {
+                fleet.request(&entry, service_call(number, key, body, timeout_ms));
+            }
+        }
+        16 => fleet.leave(id(rng.next_u64() as u128 % number.max(1))),
+        17 => {
+            fleet.store.fault = match rng.next_u64() % 4 {
+                0 => StoreFault::Down,
+                1 => StoreFault::Slow(Millis::new(rng.next_u64() % 4_000)),
+                2 => StoreFault::LosesAnswers,
+                _ => StoreFault::None,
+            };
+        }
+        18 if deaths => {
+            let all = [ENTRIES[0], ENTRIES[1], OWNERS[0], OWNERS[1]];
+            let name = all[rng.next_u64() as usize % 4];
+            fleet.kill_vm(&vm(name));
+            fleet.start_vm(member(name));
+        }
+        19 if deaths => {
+            let name = upstream(&format!(
+                "o{}-a{}",
+                1 + rng.next_u64() % 2,
+                rng.next_u64() % 3
+            ));
+            match rng.next_u64() % 3 {
+                0 => fleet.kill_upstream(&name),
+                1 => fleet.hang_upstream(&name),
+                _ => fleet.upstreams.get_mut(&name).expect("engine").restart(),
+            }
+        }
+        _ => {}
+    }
+}
+
+fn run(seed: u64, chances: Chances, deaths: bool) -> Fleet {
+    let raw = RawEntrySettings {
+        max_pause_ms: 300,
+        ..RawEntrySettings::default()
+    };
+    let mut fleet = fleet(seed, 3, raw);
+    fleet.network.chances = chances;
+    fleet.network.max_delay = Millis::new(1 + seed % 60);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    for number in 0..60 {
+        fleet.run_for(Millis::new(rng.next_u64() % 200));
+        assert!(!overdue(&fleet), "a request is open after its deadline");
+        happen(&mut fleet, &mut rng, number, deaths);
+    }
+    fleet.store.fault = StoreFault::None;
+    fleet.run_for(Millis::new(TIMEOUT_MS + 15_000));
+    fleet
+}
+
+fn config(cases: u32, seed: u64) -> ProptestConfig {
+    let mut config = ProptestConfig::with_cases(cases);
+    config.rng_seed = RngSeed::Fixed(seed);
+    config.failure_persistence = None;
+    config
+}
+
+proptest! {
+    #![proptest_config(config(200, 6))]
+
+    /// Delay, reorder, duplicates, lost messages and answers, dead daemons, owners and engines.
+    #[test]
+    fn promises_hold_under_all_faults(seed in any::<u64>(), chances in chances()) {
+        let fleet = run(seed, chances, true);
+        prop_assert_eq!(broken_promise(&fleet), None);
+    }
+
+    /// The same without deaths: the engines' memory is given back too.
+    #[test]
+    fn memory_comes_back(seed in any::<u64>(), chances in chances()) {
+        let fleet = run(seed, chances, false);
+        prop_assert_eq!(broken_promise(&fleet), None);
+        prop_assert_eq!(fleet.held_tokens(), Tokens::ZERO);
+    }
+
+    /// Without faults every request that can be served is served whole.
+    #[test]
+    fn all_is_whole_without_faults(seed in any::<u64>()) {
+        let mut fleet = fleet(seed, 3, RawEntrySettings::default());
+        fleet.run_for(Millis::new(100));
+        for number in 0..20 {
+            let entry = vm(ENTRIES[number as usize % 2]);
+            fleet.request(&entry, model_call(number, 20, 30_000));
+            fleet.request(&entry, service_call(100 + number, &format!("k{}", number / 2), 1, 30_000));
+        }
+        fleet.run_for(Millis::new(40_000));
+        prop_assert_eq!(broken_promise(&fleet), None);
+        let whole = fleet.callers.values().filter(|caller| caller.is_whole()).count();
+        prop_assert!(whole >= 38, "{} whole", whole);
+    }
+}
+
+/// The runs above are worth their name only if every way to end occurs in them.
+#[test]
+fn every_way_to_end_occurs() {
+    let chances = Chances {
+        lost_percent: 5,
+        twice_percent: 20,
+        refused_percent: 5,
+        not_run_percent: 10,
+        broken_percent: 10,
+        silent_percent: 3,
+        store_lost_percent: 15,
+        store_down_percent: 10,
+        store_late_percent: 5,
+    };
+    let mut ends: BTreeMap<String, u32> = BTreeMap::new();
+    for seed in 0..40 {
+        let fleet = run(seed, chances, true);
+        for caller in fleet.callers.values() {
+            let name = match caller.end.as_ref().map(|(_, end)| end) {
+                Some(End::Said(CallerEnd::Refused(refusal))) => {
+                    format!("{} {}", refusal.code, refusal.outcome)
+                }
+                Some(End::Said(CallerEnd::Stored(_))) => "stored".into(),
+                Some(End::Said(CallerEnd::Complete)) => match caller.spec.target {
+                    CallTarget::Model(_) if caller.ran_attempts > 1 => {
+                        "whole after a replay".into()
+                    }
+                    _ => "whole".into(),
+                },
+                other => format!("{other:?}"),
+            };
+            *ends.entry(name).or_default() += 1;
+        }
+    }
+    let names: Vec<String> = ends.keys().cloned().collect();
+    insta::assert_snapshot!(names.join("\n"), @"");
+}
