Build fleets of whole daemon cores in virtual time

FleetSpec gives a fleet of Daemon cores with engines, services and a configuration in the store. fleet_basics: 40 requests at 4 daemons in 2 failure domains, all whole, no engine memory held.

--- /dev/null
+++ b/crates/scenario/src/build.rs
@@ -0,0 +1,195 @@
+//! A fleet of real daemons, from a few counts.
+
+use crate::{Fleet, MakeNode, Upstream};
+use persimmon_core::{
+    config::{
+        Change, ChangeRecord, Configuration, DomainConfig, EngineConfig, ModelConfig,
+        PlacementRule, ServiceConfig, ServiceState, UpstreamConfig, UpstreamKind, WorkspaceConfig,
+    },
+    daemon::{Daemon, DaemonSettings, PartSettings},
+    ids::{FailureDomain, Generation, Incarnation, ModelVersion, UpstreamId, VmId, WorkspaceId},
+    message::Member,
+    platform::{VmRecord, VmState},
+    units::{KvBytes, Tokens, TokensPerSecond, UnitError},
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The model that every engine serves.
+pub const MODEL: &str = "m@1";
+/// The plain service.
+pub const SERVICE: &str = "orders";
+
+/// What one failure domain has.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DomainSpec {
+    /// Its name.
+    pub name: FailureDomain,
+    /// Its VMs.
+    pub size_vms: u32,
+    /// Its engines.
+    pub engines_upstreams: u32,
+    /// Its servers of the plain service.
+    pub services_upstreams: u32,
+}
+
+/// A fleet of daemons.
+#[derive(Clone, Debug)]
+pub struct FleetSpec {
+    /// Seed of everything random.
+    pub seed: u64,
+    /// Its failure domains.
+    pub domains: Vec<DomainSpec>,
+    /// Its workspaces.
+    pub workspaces: Vec<WorkspaceId>,
+    /// Settings of the daemons.
+    pub parts: PartSettings,
+}
+
+/// The name of a VM or upstream of a failure domain, such as `a-vm1`.
+fn named<T: std::str::FromStr>(domain: &FailureDomain, kind: &str, number: u32) -> Option<T> {
+    format!("{domain}-{kind}{number}").parse().ok()
+}
+
+impl DomainSpec {
+    fn members(&self) -> impl Iterator<Item = Member> + '_ {
+        let vms = (1..=self.size_vms).filter_map(|n| named::<VmId>(&self.name, "vm", n));
+        vms.map(|vm| Member {
+            vm,
+            incarnation: Incarnation::new(1),
+            domain: self.name.clone(),
+            peer_address: ([127, 0, 0, 1], 1).into(),
+        })
+    }
+
+    fn upstreams(
+        &self,
+        engine: &EngineConfig,
+    ) -> impl Iterator<Item = (UpstreamId, UpstreamConfig)> + '_ {
+        let kind = UpstreamKind::Engine(engine.clone());
+        let engines = (1..=self.engines_upstreams).map(move |n| ("e", n, kind.clone()));
+        let service = SERVICE.parse().ok().map(UpstreamKind::Service);
+        let services = (1..=self.services_upstreams)
+            .filter_map(move |n| service.clone().map(|kind| ("s", n, kind)));
+        engines.chain(services).filter_map(|(letter, n, kind)| {
+            let upstream = named(&self.name, letter, n)?;
+            let config = UpstreamConfig {
+                address: ([127, 0, 0, 1], 2).into(),
+                domain: self.name.clone(),
+                kind,
+                state: ServiceState::Serving,
+                // Some deployments check fencing numbers, others ignore them.
+                checks_fencing: n % 2 == 0,
+            };
+            Some((upstream, config))
+        })
+    }
+}
+
+impl FleetSpec {
+    /// The first configuration.
+    ///
+    /// # Errors
+    ///
+    /// A rate of the engines is out of range.
+    pub fn configuration(&self) -> Result<Configuration, UnitError> {
+        let engine = EngineConfig {
+            kv_bytes: KvBytes::new(200_000),
+            prefill_tokens_per_s: TokensPerSecond::try_from(10_000.0)?,
+            decode_tokens_per_s: TokensPerSecond::try_from(50.0)?,
+            max_in_flight_requests: 8,
+            can_group: false,
+        };
+        let mut config = Configuration::default();
+        for domain in &self.domains {
+            let state = DomainConfig::default();
+            config.domains.insert(domain.name.clone(), state);
+            config.upstreams.extend(domain.upstreams(&engine));
+        }
+        let model = ModelConfig {
+            kv_bytes_per_token: KvBytes::new(1),
+            weights_bytes: 1_000_000,
+            context_tokens: Tokens::new(200_000),
+            adapters: BTreeSet::new(),
+        };
+        config.models = all::<ModelVersion>(MODEL)
+            .map(|m| (m, model.clone()))
+            .collect();
+        config.placement = all(MODEL).map(serve_everywhere).collect();
+        let service = ServiceConfig {
+            max_in_flight_requests: 8,
+        };
+        config.services = all(SERVICE).map(|s| (s, service.clone())).collect();
+        let weight = WorkspaceConfig { weight_count: 1 };
+        let workspaces = self.workspaces.iter().cloned();
+        config.workspaces = workspaces.map(|w| (w, weight.clone())).collect();
+        Ok(config)
+    }
+
+    /// The fleet, with its configuration in the store and all VMs started.
+    ///
+    /// # Errors
+    ///
+    /// A rate of the engines is out of range.
+    pub fn build(self) -> Result<Fleet, UnitError> {
+        let config = self.configuration()?;
+        let members: Vec<Member> = self.domains.iter().flat_map(DomainSpec::members).collect();
+        let mut fleet = Fleet::new(self.seed, make(&members, self.parts));
+        for (id, upstream) in &config.upstreams {
+            let state = Upstream::new(upstream.clone(), all(MODEL).collect());
+            fleet.upstreams.insert(id.clone(), state);
+        }
+        fleet.store.rows = first_rows(&config);
+        for member in members {
+            fleet.start_vm(member);
+        }
+        Ok(fleet)
+    }
+}
+
+fn all<T: std::str::FromStr>(name: &str) -> impl Iterator<Item = T> {
+    name.parse().ok().into_iter()
+}
+
+const fn serve_everywhere(model: ModelVersion) -> PlacementRule {
+    PlacementRule {
+        model,
+        workspaces: BTreeSet::new(),
+        domains: BTreeSet::new(),
+    }
+}
+
+fn first_rows(config: &Configuration) -> BTreeMap<String, bytes::Bytes> {
+    let generation = Generation::new(1);
+    let mut rows = BTreeMap::new();
+    rows.insert("config/head".to_owned(), "1".into());
+    if let (Ok(plan), Ok(operator)) = ("first".parse(), "founder".parse()) {
+        let record = ChangeRecord {
+            generation,
+            plan,
+            operator,
+            confirmed_unix_ms: 0,
+            change: Change::Replace(Box::new(config.clone())),
+        };
+        let value = serde_json::to_vec(&record).unwrap_or_default();
+        rows.insert(format!("config/gen/{:020}", generation.get()), value.into());
+    }
+    rows
+}
+
+fn make(members: &[Member], parts: PartSettings) -> MakeNode {
+    let records = members.iter().map(|member| VmRecord {
+        vm: member.vm.clone(),
+        domain: member.domain.clone(),
+        peer_address: member.peer_address,
+        state: VmState::Live,
+    });
+    let seeds: Vec<VmRecord> = records.collect();
+    Box::new(move |me, seed| {
+        Box::new(Daemon::new(DaemonSettings {
+            me: me.clone(),
+            seeds: seeds.clone(),
+            seed,
+            parts: parts.clone(),
+        }))
+    })
+}
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -3,6 +3,7 @@
 //! A [`Fleet`] joins the cores by a queue with seeded delays and faults. Upstreams, the platform's
 //! store and the network are fakes at the core's interfaces, no simulator of a cluster.
 
+mod build;
 mod caller;
 mod carry;
 mod fleet;
@@ -14,6 +15,7 @@
 mod upstream;
 mod vm;
 
+pub use build::{DomainSpec, FleetSpec, MODEL, SERVICE};
 pub use caller::{token, Caller, End};
 pub use fleet::{Fleet, MakeNode};
 pub use network::{Chances, Network};
--- a/crates/scenario/src/traffic.rs
+++ b/crates/scenario/src/traffic.rs
@@ -16,6 +16,8 @@
     Event,
 };
 
+/// Tokens after which the connection of a faulty engine breaks.
+const BREAK_AFTER_TOKENS: u64 = 3;
 /// Longest time between two words of progress.
 const PROGRESS_MS: Millis = Millis::new(250);
 
@@ -83,16 +85,21 @@
         let Some(state) = self.upstreams.get_mut(upstream) else {
             return;
         };
-        if state.fault != UpstreamFault::None || state.incarnation != incarnation {
+        if !state.works() || state.incarnation != incarnation {
             return;
         }
         let gap = state.token_gap();
+        let breaks = state.fault == UpstreamFault::Breaks;
         let request = plan.attempt.request;
         let held = state.held.get_mut(&request);
         let Some(held) = held.filter(|held| held.attempt == plan.attempt) else {
             return;
         };
         let offset = held.next_offset;
+        if breaks && offset >= plan.offset_tokens.get() + BREAK_AFTER_TOKENS {
+            state.held.remove(&request);
+            return self.fail(run, plan.attempt, UpstreamError::Broken);
+        }
         let (end, model) = (held.end_offset, held.model.clone());
         held.next_offset += 1;
         let is_last = offset + 1 >= end;
@@ -134,7 +141,7 @@
         let Some(state) = self.upstreams.get_mut(upstream) else {
             return;
         };
-        if state.fault != UpstreamFault::None || state.incarnation != incarnation {
+        if !state.works() || state.incarnation != incarnation {
             return;
         }
         state.finish(plan.attempt.request);
--- a/crates/scenario/src/upstream.rs
+++ b/crates/scenario/src/upstream.rs
@@ -26,6 +26,10 @@
     Dead,
     /// It takes calls and does nothing.
     Hangs,
+    /// It says that it is overloaded and runs nothing.
+    Overloaded,
+    /// Its connections break after a few tokens, and it forgets the streams.
+    Breaks,
 }
 
 /// A stream or call that holds memory or a place.
@@ -83,6 +87,11 @@
         }
     }
 
+    /// Whether it generates tokens and carries calls out.
+    pub const fn works(&self) -> bool {
+        !matches!(self.fault, UpstreamFault::Dead | UpstreamFault::Hangs)
+    }
+
     /// Its process dies: all that it held is gone.
     pub fn die(&mut self) -> Vec<AttemptId> {
         self.fault = UpstreamFault::Dead;
@@ -135,8 +144,10 @@
         plan: &AttemptPlan,
         spec: &RequestSpec,
     ) -> Result<Millis, UpstreamError> {
-        if self.fault == UpstreamFault::Dead {
-            return Err(UpstreamError::Refused);
+        match self.fault {
+            UpstreamFault::Dead => return Err(UpstreamError::Refused),
+            UpstreamFault::Overloaded => return Err(UpstreamError::Overloaded),
+            _ => {}
         }
         if let Some(fencing) = plan.fencing.filter(|_| self.config.checks_fencing) {
             if fencing < self.fencing {
@@ -228,7 +239,7 @@
         match self.fault {
             UpstreamFault::Dead => return Err(UpstreamError::Refused),
             UpstreamFault::Hangs => return Err(UpstreamError::Timeout),
-            UpstreamFault::None => {}
+            _ => {}
         }
         if self.config.checks_fencing && order.fencing < self.fencing {
             return Err(UpstreamError::Fenced);
@@ -258,7 +269,7 @@
         match self.fault {
             UpstreamFault::Dead => return Err(UpstreamError::Refused),
             UpstreamFault::Hangs => return Err(UpstreamError::Timeout),
-            UpstreamFault::None => {}
+            _ => {}
         }
         let models = self.models.iter();
         Ok(Box::new(LoadReport {
--- /dev/null
+++ b/crates/scenario/tests/fleet_basics.rs
@@ -0,0 +1,53 @@
+//! The whole core: several daemons, upstreams and the store, in virtual time.
+
+mod common;
+
+use common::{
+    checks::broken_promise,
+    specs::{model_call, service_call},
+};
+use persimmon_core::{
+    daemon::PartSettings,
+    units::{Millis, Tokens},
+};
+use persimmon_scenario::{DomainSpec, Fleet, FleetSpec};
+
+/// Domains `a` and `b`, each with two VMs, three engines and two servers.
+fn fleet(seed: u64) -> Fleet {
+    let domain = |name: &str| DomainSpec {
+        name: name.parse().expect("domain"),
+        size_vms: 2,
+        engines_upstreams: 3,
+        services_upstreams: 2,
+    };
+    let spec = FleetSpec {
+        seed,
+        domains: vec![domain("a"), domain("b")],
+        workspaces: vec!["w".parse().expect("workspace")],
+        parts: PartSettings::default(),
+    };
+    let mut fleet = spec.build().expect("fleet");
+    fleet.run_for(Millis::new(10_000));
+    fleet
+}
+
+#[test]
+fn requests_are_served_whole() {
+    let mut fleet = fleet(1);
+    assert!(fleet.vms.values().all(|vm| vm.is_ready), "not ready");
+    for number in 0..20 {
+        let vm = common::vm(["a-vm1", "a-vm2", "b-vm1", "b-vm2"][number as usize % 4]);
+        fleet.request(&vm, model_call(number, 20, 20_000));
+        fleet.request(
+            &vm,
+            service_call(100 + number, &format!("k{}", number / 2), 1, 20_000),
+        );
+        fleet.run_for(Millis::new(50));
+    }
+    fleet.run_for(Millis::new(30_000));
+    assert_eq!(broken_promise(&fleet), None);
+    let broken = fleet.callers.values().filter(|caller| !caller.is_whole());
+    let broken: Vec<_> = broken.map(|caller| (caller.spec.id, &caller.end)).collect();
+    assert!(broken.is_empty(), "{broken:?}");
+    assert_eq!(fleet.held_tokens(), Tokens::ZERO);
+}
