--- /dev/null
+++ b/crates/scenario/tests/retry_amplification.rs
@@ -0,0 +1,126 @@
+//! Attempts per request while engines fail. `cargo test -p persimmon-scenario --test
+//! retry_amplification -- --nocapture` prints the table.
+
+mod common;
+
+use common::{checks::broken_promise, specs::model_call, vm, ENTRIES};
+use persimmon_core::{
+    daemon::PartSettings,
+    entry::{EntrySettings, RawEntrySettings},
+    units::Millis,
+};
+use persimmon_scenario::{DomainSpec, Fleet, FleetSpec, UpstreamFault};
+use std::fmt;
+
+/// Requests of one run.
+const REQUESTS_COUNT: u128 = 1_000;
+/// Time between two requests.
+const GAP_MS: Millis = Millis::new(50);
+
+/// What a run showed.
+struct Shown {
+    attempts_per_request: f64,
+    whole_percent: f64,
+    p95_refused_ms: u64,
+    broken: Option<String>,
+}
+
+impl fmt::Display for Shown {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (attempts, whole) = (self.attempts_per_request, self.whole_percent);
+        let refused_ms = self.p95_refused_ms;
+        write!(
+            f,
+            "{attempts:.3} attempts/request, {whole:.1} % whole, refused p95 {refused_ms} ms"
+        )
+    }
+}
+
+fn settings(retry_budget_percent: u32) -> RawEntrySettings {
+    RawEntrySettings {
+        retry_budget_percent,
+        ..RawEntrySettings::default()
+    }
+}
+
+/// Entry daemons before fake owners, which learn nothing from failures.
+fn before_fakes(retry_budget_percent: u32) -> (Fleet, Vec<&'static str>) {
+    let fleet = common::fleet(7, 5, settings(retry_budget_percent));
+    (fleet, ENTRIES.into())
+}
+
+/// Whole daemons.
+fn daemons(retry_budget_percent: u32) -> (Fleet, Vec<&'static str>) {
+    let entry = EntrySettings::try_from(settings(retry_budget_percent)).expect("settings");
+    let spec = FleetSpec {
+        seed: 7,
+        domains: vec![DomainSpec {
+            name: "a".parse().expect("domain"),
+            size_vms: 2,
+            engines_upstreams: 10,
+            services_upstreams: 0,
+        }],
+        workspaces: vec!["w".parse().expect("workspace")],
+        parts: PartSettings {
+            entry,
+            ..PartSettings::default()
+        },
+    };
+    let mut fleet = spec.build().expect("fleet");
+    fleet.run_for(Millis::new(10_000));
+    (fleet, vec!["a-vm1", "a-vm2"])
+}
+
+fn measure((mut fleet, vms): (Fleet, Vec<&str>), fault: UpstreamFault, failing: usize) -> Shown {
+    for state in fleet.upstreams.values_mut().step_by(10 / failing) {
+        if state.token_gap() > Millis::ZERO {
+            state.fault = fault;
+        }
+    }
+    // A service's servers stand between the engines of two fake owners: only engines fail.
+    for number in 0..REQUESTS_COUNT {
+        let vm = vm(vms[number as usize % vms.len()]);
+        fleet.request(&vm, model_call(number, 10, 10_000));
+        fleet.run_for(GAP_MS);
+    }
+    fleet.run_for(Millis::new(25_000));
+    let sent: u32 = fleet.callers.values().map(|c| c.sent_attempts).sum();
+    let whole = fleet.callers.values().filter(|c| c.is_whole()).count();
+    let refused = fleet.callers.values().filter(|c| c.refusal().is_some());
+    let ends = refused.filter_map(|c| c.end.as_ref().map(|(at, _)| at.since(c.sent_at).get()));
+    let mut refused_ms: Vec<u64> = ends.collect();
+    refused_ms.sort_unstable();
+    let index = refused_ms.len() * 95 / 100;
+    Shown {
+        attempts_per_request: f64::from(sent) / REQUESTS_COUNT as f64,
+        whole_percent: whole as f64 * 100.0 / REQUESTS_COUNT as f64,
+        p95_refused_ms: refused_ms.get(index).copied().unwrap_or(0),
+        broken: broken_promise(&fleet),
+    }
+}
+
+const FAULTS: [UpstreamFault; 4] = [
+    UpstreamFault::Dead,
+    UpstreamFault::Overloaded,
+    UpstreamFault::Breaks,
+    UpstreamFault::Hangs,
+];
+
+#[test]
+fn retries_stay_in_their_budget() {
+    for fault in FAULTS {
+        for failing in [5, 10] {
+            for percent in [20, 100] {
+                let fakes = measure(before_fakes(percent), fault, failing);
+                let whole = measure(daemons(percent), fault, failing);
+                println!("{failing} of 10 {fault:?}, budget {percent} %");
+                println!("    owners that learn nothing: {fakes}");
+                println!("    whole daemons:             {whole}");
+                for shown in [&fakes, &whole] {
+                    assert_eq!(shown.broken, None);
+                    assert!(percent > 20 || shown.attempts_per_request <= 1.2, "{shown}");
+                }
+            }
+        }
+    }
+}
