Measure owners and routers against modelled engines in virtual time

Cause: the policies under load had no figures. A model of engines (continuous batching, chunked prefill by priority, KV memory) with seeded arrivals now drives Owner and Router; the owner's settings name a policy, so that round robin and least outstanding run beside the cost policy.

--- /dev/null
+++ b/crates/core/examples/grant_load.rs
@@ -0,0 +1,110 @@
+//! First-token times by prompt length, slowdown of short prompts and good answers under load:
+//! the cost policy beside round robin and least outstanding, on the same arrivals. With the name
+//! of a policy as argument, that policy alone.
+
+#[path = "../tests/common/fleet/mod.rs"]
+#[allow(dead_code)]
+mod fleet;
+#[path = "../tests/common/grant_bench.rs"]
+#[allow(dead_code)]
+mod grant_bench;
+
+use fleet::{Asked, EngineMake, Figures, Mix, Policy, Setup, World};
+use persimmon_core::{
+    grant::{GrantSettings, RawGrantSettings},
+    request::LengthClass,
+    routing::{RawRoutingSettings, RoutingSettings},
+};
+
+const SEED: u64 = 4;
+const SPAN_S: f64 = 200.0;
+const SHORTS: [LengthClass; 2] = [LengthClass::Short, LengthClass::Medium];
+
+fn setup(policy: Policy) -> Setup {
+    let raw = RawRoutingSettings {
+        policy,
+        ..RawRoutingSettings::default()
+    };
+    let grant = RawGrantSettings {
+        policy,
+        ..RawGrantSettings::default()
+    };
+    Setup {
+        engines_count: 16,
+        daemons_count: 3,
+        make: EngineMake::default(),
+        grant: GrantSettings::try_from(grant).expect("the defaults are in range"),
+        routing: RoutingSettings::try_from(raw).expect("the defaults are in range"),
+        workspaces_count: 10,
+        seed: SEED,
+    }
+}
+
+fn run(policy: Policy, load_percent: f64, alone: bool) -> Vec<Asked> {
+    let setup = setup(policy);
+    let mix = Mix::default();
+    let rate = setup.peak_per_s(mix.mean_prompt_tokens()) * load_percent / 100.0;
+    let mut arrivals = mix.arrivals(SEED, rate, (0.0, SPAN_S));
+    if alone {
+        arrivals.retain(|arrival| arrival.prompt_tokens <= 16_000);
+    }
+    World::new(setup, arrivals).run().to_vec()
+}
+
+fn main() {
+    println!("policy            load class     asked good% refused failed  p50ms  p95ms  p99ms");
+    let mut slowdowns = Vec::new();
+    let only = std::env::args().nth(1);
+    for policy in [Policy::RoundRobin, Policy::LeastOutstanding, Policy::Cost] {
+        if only.as_ref().is_some_and(|only| only != name(policy)) {
+            continue;
+        }
+        let alone = Figures::of_classes(&run(policy, 70.0, true), &SHORTS);
+        print(policy, "70", "alone<=16k", &alone);
+        let mut peak = 0.0_f64;
+        for load in [70.0, 100.0, 150.0] {
+            let asked = run(policy, load, false);
+            let name = load.to_string();
+            for class in LengthClass::ALL {
+                let figures = Figures::of_classes(&asked, &[class]);
+                print(policy, &name, &class.to_string(), &figures);
+            }
+            let shorts = Figures::of_classes(&asked, &SHORTS);
+            print(policy, &name, "<=16k", &shorts);
+            let all = Figures::of(asked.iter());
+            let good_per_s = all.good_count as f64 / SPAN_S;
+            peak = peak.max(good_per_s);
+            let ratio = shorts.first_token_ms(95) / alone.first_token_ms(95);
+            slowdowns.push((policy, load, ratio, good_per_s, good_per_s / peak));
+        }
+    }
+    println!("\npolicy            load slowdown good/s good/peak");
+    for (policy, load, ratio, good_per_s, of_peak) in slowdowns {
+        println!(
+            "{:<17} {load:>4} {ratio:>8.2} {good_per_s:>6.1} {of_peak:>9.2}",
+            name(policy)
+        );
+    }
+}
+
+fn name(policy: Policy) -> &'static str {
+    match policy {
+        Policy::Cost => "cost",
+        Policy::LeastOutstanding => "least_outstanding",
+        Policy::RoundRobin => "round_robin",
+    }
+}
+
+fn print(policy: Policy, load: &str, class: &str, figures: &Figures) {
+    println!(
+        "{:<17} {load:>4} {class:<10} {:>5} {:>5.1} {:>7} {:>6} {:>6.0} {:>6.0} {:>6.0}",
+        name(policy),
+        figures.asked_count,
+        figures.good_percent(),
+        figures.refused_count,
+        figures.failed_count,
+        figures.first_token_ms(50),
+        figures.first_token_ms(95),
+        figures.first_token_ms(99),
+    );
+}
--- a/crates/core/src/grant/admit.rs
+++ b/crates/core/src/grant/admit.rs
@@ -11,7 +11,8 @@
     context::{Context, View},
     ids::{AttemptId, UpstreamId},
     message::{GrantAnswer, GrantDenial, GrantOffer, GrantRequest, Member},
-    request::Priority,
+    request::{LengthClass, Priority},
+    routing::RoutingPolicy,
     units::{Millis, Time, Tokens},
 };
 
@@ -94,6 +95,7 @@
         self.timers.set(deadline, Timer::Waiting(attempt));
         self.queue.push(Waiting {
             entry: from.clone(),
+            class: self.queue_class(&request),
             request,
             deadline,
         });
@@ -141,18 +143,22 @@
         candidates: &[UpstreamId],
     ) -> Option<Choice> {
         let need = need_of(view, request);
-        let mut best: Option<(bool, Millis, u32, &UpstreamId)> = None;
+        let mut best: Option<(bool, u64, u32, &UpstreamId)> = None;
         let mut runner_up = None;
-        for upstream in candidates {
+        for (index, upstream) in candidates.iter().enumerate() {
             let Some(ledger) = self.ledgers.get(upstream) else {
                 continue;
             };
             if !self.has_room(now, ledger, request, need) {
                 continue;
             }
-            let predicted_ms = ledger.first_token_span(now, need.prompt_tokens);
+            let rank = match self.settings.policy {
+                RoutingPolicy::Cost => ledger.first_token_span(now, need.prompt_tokens).get(),
+                RoutingPolicy::LeastOutstanding => ledger.in_flight().into(),
+                RoutingPolicy::RoundRobin => self.turns_until(index, candidates.len()),
+            };
             let elsewhere = request.resume_at.as_ref() != Some(upstream);
-            let cost = (elsewhere, predicted_ms, ledger.in_flight(), upstream);
+            let cost = (elsewhere, rank, ledger.in_flight(), upstream);
             if best.as_ref().is_none_or(|best| cost < *best) {
                 runner_up = best.map(|(_, _, _, id)| id.clone());
                 best = Some(cost);
@@ -160,14 +166,30 @@
                 runner_up = Some(upstream.clone());
             }
         }
-        best.map(|(_, predicted_ms, _, upstream)| Choice {
+        let (_, _, _, upstream) = best?;
+        let ledger = self.ledgers.get(upstream)?;
+        Some(Choice {
             upstream: upstream.clone(),
             runner_up,
-            predicted_ms,
+            predicted_ms: ledger.first_token_span(now, need.prompt_tokens),
             need,
         })
     }
 
+    /// Grants until it is the turn of a candidate.
+    fn turns_until(&self, index: usize, candidates_count: usize) -> u64 {
+        let next = self.grants_count as usize % candidates_count;
+        ((index + candidates_count - next) % candidates_count) as u64
+    }
+
+    /// The class by which a request queues: the baselines know none.
+    pub(super) fn queue_class(&self, request: &GrantRequest) -> LengthClass {
+        match self.settings.policy {
+            RoutingPolicy::Cost => class_of(&request.spec.target),
+            RoutingPolicy::LeastOutstanding | RoutingPolicy::RoundRobin => LengthClass::Short,
+        }
+    }
+
     fn has_room(&self, now: Time, ledger: &Ledger, request: &GrantRequest, need: Need) -> bool {
         let allowed = ledger.allowed(now, self.settings.learning_percent);
         ledger.busy(now) < allowed
@@ -183,6 +205,8 @@
         choice: Choice,
     ) -> GrantOffer {
         let attempt = request.attempt;
+        let priority = Priority(self.queue_class(request) as u8);
+        self.grants_count += 1;
         let ledger = self
             .ledgers
             .get_mut(&choice.upstream)
@@ -191,7 +215,7 @@
             upstream: choice.upstream.clone(),
             address: ledger.config.address,
             fencing: ledger.fencing,
-            priority: Priority(class_of(&request.spec.target) as u8),
+            priority,
             predicted_ms: choice.predicted_ms,
             runner_up: choice.runner_up,
             cached_tokens: Tokens::ZERO,
@@ -228,7 +252,7 @@
         let (Some(last), count) = (ends.last(), ends.len()) else {
             return self.settings.poll_ms;
         };
-        let ahead = self.queue.ahead_of(class_of(&request.spec.target));
+        let ahead = self.queue.ahead_of(self.queue_class(request));
         let round = last.since(now).get().max(1);
         let wait = ends[ahead % count].since(now).get().max(1);
         Millis::new(wait + round * (ahead / count) as u64)
--- a/crates/core/src/grant/owner.rs
+++ b/crates/core/src/grant/owner.rs
@@ -30,6 +30,7 @@
     pub(super) cancels: BTreeMap<CallToken, (UpstreamId, AttemptId)>,
     pub(super) timers: Timers,
     pub(super) leaving: bool,
+    pub(super) grants_count: u64,
     finished: BTreeSet<AttemptId>,
 }
 
@@ -44,6 +45,7 @@
             cancels: BTreeMap::new(),
             timers: Timers::default(),
             leaving: false,
+            grants_count: 0,
             finished: BTreeSet::new(),
         }
     }
--- a/crates/core/src/grant/settings.rs
+++ b/crates/core/src/grant/settings.rs
@@ -1,13 +1,15 @@
 //! Settings of the owner's side of grants.
 
 use super::GrantSettingsError;
-use crate::units::Millis;
+use crate::{routing::RoutingPolicy, units::Millis};
 use serde::{Deserialize, Serialize};
 
 /// Grant settings as written in the settings file.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RawGrantSettings {
+    /// How an upstream is chosen among the owned ones.
+    pub policy: RoutingPolicy,
     /// Time between two load polls of an upstream.
     pub poll_ms: u64,
     /// Time after which an unanswered cancel is sent again.
@@ -29,6 +31,7 @@
 impl Default for RawGrantSettings {
     fn default() -> Self {
         Self {
+            policy: RoutingPolicy::Cost,
             poll_ms: 500,
             cancel_retry_ms: 500,
             lapse_slack_ms: 2_000,
@@ -45,6 +48,8 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
 #[serde(try_from = "RawGrantSettings")]
 pub struct GrantSettings {
+    /// How an upstream is chosen among the owned ones.
+    pub policy: RoutingPolicy,
     /// Time between two load polls of an upstream.
     pub poll_ms: Millis,
     /// Time after which an unanswered cancel is sent again.
@@ -82,6 +87,7 @@
         let span = |key, value, min, max| check(key, value, min, max).map(Millis::new);
         let count = |key, value: u32, max| check(key, value.into(), 1, max).map(|v| v as u32);
         Ok(Self {
+            policy: raw.policy,
             poll_ms: span("poll_ms", raw.poll_ms, 50, 60_000)?,
             cancel_retry_ms: span("cancel_retry_ms", raw.cancel_retry_ms, 50, 60_000)?,
             lapse_slack_ms: span("lapse_slack_ms", raw.lapse_slack_ms, 100, 600_000)?,
--- a/crates/core/src/grant/waiting.rs
+++ b/crates/core/src/grant/waiting.rs
@@ -13,6 +13,8 @@
 pub(super) struct Waiting {
     /// The entry daemon.
     pub(super) entry: Member,
+    /// The class by which it queues.
+    pub(super) class: LengthClass,
     /// What it asked.
     pub(super) request: GrantRequest,
     /// Until when it waits.
@@ -40,7 +42,7 @@
 impl Queue {
     pub(super) fn push(&mut self, waiting: Waiting) {
         self.arrivals_count += 1;
-        let class = class_of(&waiting.request.spec.target) as u8;
+        let class = waiting.class as u8;
         let place = (class, self.arrivals_count);
         self.places.insert(waiting.request.attempt, place);
         self.order.insert(place, waiting);
