--- a/crates/core/src/message/heartbeat.rs
+++ b/crates/core/src/message/heartbeat.rs
@@ -46,6 +46,10 @@
     pub models: Vec<(ModelVersion, ModelCapacity)>,
     /// Free places a plain service.
     pub services: Vec<(ServiceName, u32)>,
+    /// Engines that short prompts keep busy with prefill, in thousandths.
+    pub short_busy_permille: u32,
+    /// Engines that long prompts keep busy with prefill, in thousandths.
+    pub long_busy_permille: u32,
 }
 
 /// What the engines of one owner can take for one model version.
