--- a/crates/core/src/grant/admit.rs
+++ b/crates/core/src/grant/admit.rs
@@ -1,32 +1,23 @@
-//! Admission: which upstream takes a request, whether it waits, and when it is refused.
+//! Admission: a request is granted, waits, or is refused at once.
 
 use super::{
+    choose::Choice,
     fit::{need_of, Need},
-    ledger::{HoldState, Holding, Ledger},
+    ledger::{HoldState, Ledger},
     owner::Owner,
     timers::Timer,
-    waiting::{class_of, Waiting},
+    waiting::{Lane, Share, Waiting},
 };
 use crate::{
     context::{Context, View},
     ids::{AttemptId, UpstreamId},
-    message::{GrantAnswer, GrantDenial, GrantOffer, GrantRequest, Member},
-    request::{LengthClass, Priority},
+    message::{GrantAnswer, GrantDenial, GrantRequest, Member},
     routing::RoutingPolicy,
     units::{Millis, Time, Tokens},
 };
 
-/// Waiting requests that are tried in vain before a pass over the queue ends.
-const PUMP_FAILURES_COUNT: usize = 32;
-
-/// A chosen upstream.
-#[derive(Clone, Debug)]
-struct Choice {
-    upstream: UpstreamId,
-    runner_up: Option<UpstreamId>,
-    predicted_ms: Millis,
-    need: Need,
-}
+/// Shortest time to come back that a refusal names.
+const RETRY_LEAST_MS: Millis = Millis::new(100);
 
 impl Owner {
     pub(super) fn on_request(
@@ -57,11 +48,9 @@
         let holding = ledger.holding(attempt)?;
         Some(match holding.state {
             HoldState::Running => GrantAnswer::Granted(holding.offer.clone()),
-            HoldState::Cancelling(_) => GrantAnswer::Denied(GrantDenial::Busy {
-                better: None,
-                retry_after_ms: self.settings.cancel_retry_ms,
-                summary: self.summary(now, view),
-            }),
+            HoldState::Cancelling(_) => {
+                GrantAnswer::Denied(self.busy(now, view, self.settings.cancel_retry_ms))
+            }
         })
     }
 
@@ -77,49 +66,87 @@
             Err(denial) => return GrantAnswer::Denied(denial),
         };
         let deadline = ctx.now + request.remaining_ms;
+        let need = need_of(view, &request);
+        let share = share_of(view, &request, need);
+        self.pump(ctx, view);
         let resumed = self.resume(ctx.now, view, &request);
-        let choice = resumed.or_else(|| self.choose(ctx.now, view, &request, &candidates));
+        let choice = resumed.or_else(|| self.choose(ctx.now, &request, need, &candidates));
         if let Some(choice) = choice {
-            if ctx.now + choice.predicted_ms <= deadline {
+            if self.is_in_time(ctx.now, deadline, &choice) {
+                self.queue.pass(self.class_for(&request), &share);
                 let offer = self.grant(ctx, from, &request, choice);
                 return GrantAnswer::Granted(offer);
             }
-            return self.busy(ctx.now, view, choice.predicted_ms);
+            return GrantAnswer::Denied(self.busy(ctx.now, view, choice.predicted_ms));
         }
         let wait_ms = self.wait_ahead(ctx.now, view, &request);
+        let least_ms = wait_ms + self.least_span(&candidates, need);
         let full = self.queue.len() >= self.settings.queue_requests as usize;
-        if full || ctx.now + wait_ms > deadline {
-            return self.busy(ctx.now, view, wait_ms);
+        if full || ctx.now + least_ms > deadline {
+            return GrantAnswer::Denied(self.busy(ctx.now, view, wait_ms));
         }
-        let attempt = request.attempt;
-        self.timers.set(deadline, Timer::Waiting(attempt));
-        self.queue.push(Waiting {
+        self.wait(ctx.now, from, request, need, &share);
+        GrantAnswer::Queued { wait_ms }
+    }
+
+    fn wait(&mut self, now: Time, from: &Member, request: GrantRequest, need: Need, share: &Share) {
+        let deadline = now + request.remaining_ms;
+        let class = self.class_for(&request);
+        let spans = self
+            .ledgers
+            .values()
+            .map(|l| l.prefill_span(need.prompt_tokens));
+        let prefill_ms = spans.max().unwrap_or_default();
+        self.timers.set(deadline, Timer::Waiting(request.attempt));
+        let waiting = Waiting {
             entry: from.clone(),
-            class: self.queue_class(&request),
+            class,
             request,
+            prefill_ms,
+            since: now,
             deadline,
-        });
-        GrantAnswer::Queued { wait_ms }
+        };
+        self.queue.push(waiting, share);
+        self.schedule_pump(now);
+    }
+
+    /// Whether a request granted now would end before its deadline.
+    pub(super) fn is_in_time(&self, now: Time, deadline: Time, choice: &Choice) -> bool {
+        let run_ms = match self.settings.policy {
+            RoutingPolicy::Cost => choice.run_ms,
+            RoutingPolicy::LeastOutstanding | RoutingPolicy::RoundRobin => Millis::ZERO,
+        };
+        now + choice.predicted_ms + run_ms <= deadline
+    }
+
+    /// Shortest time from grant to end at an idle upstream.
+    fn least_span(&self, candidates: &[UpstreamId], need: Need) -> Millis {
+        if self.settings.policy != RoutingPolicy::Cost {
+            return Millis::ZERO;
+        }
+        let ledgers = candidates.iter().filter_map(|id| self.ledgers.get(id));
+        let span = |l: &Ledger| l.prefill_span(need.prompt_tokens) + l.run_span(need.output_tokens);
+        ledgers.map(span).min().unwrap_or_default()
     }
 
     /// A resumed stream takes the place of the attempt that it goes on for.
     fn resume(&mut self, now: Time, view: &View<'_>, request: &GrantRequest) -> Option<Choice> {
         let upstream = request.resume_at.as_ref()?;
-        let earlier = self
-            .ledgers
-            .get(upstream)?
-            .running_of(request.attempt.request);
+        let ledger = self.ledgers.get(upstream)?;
+        let earlier = ledger.running_of(request.attempt.request);
         if earlier.is_empty() {
             return None;
         }
+        let need = need_of(view, request);
+        let run_ms = ledger.run_span(need.output_tokens);
         for attempt in earlier {
             self.finish(now, attempt);
         }
-        let need = need_of(view, request);
         Some(Choice {
             upstream: upstream.clone(),
             runner_up: None,
             predicted_ms: Millis::ZERO,
+            run_ms,
             need: Need {
                 prompt_tokens: Tokens::ZERO,
                 ..need
@@ -127,201 +154,57 @@
         })
     }
 
-    fn busy(&self, now: Time, view: &View<'_>, retry_after_ms: Millis) -> GrantAnswer {
-        GrantAnswer::Denied(GrantDenial::Busy {
+    pub(super) fn busy(&self, now: Time, view: &View<'_>, retry_ms: Millis) -> GrantDenial {
+        GrantDenial::Busy {
             better: None,
-            retry_after_ms,
+            retry_after_ms: retry_ms.max(RETRY_LEAST_MS),
             summary: self.summary(now, view),
-        })
-    }
-
-    fn choose(
-        &self,
-        now: Time,
-        view: &View<'_>,
-        request: &GrantRequest,
-        candidates: &[UpstreamId],
-    ) -> Option<Choice> {
-        let need = need_of(view, request);
-        let mut best: Option<(bool, u64, u32, &UpstreamId)> = None;
-        let mut runner_up = None;
-        for (index, upstream) in candidates.iter().enumerate() {
-            let Some(ledger) = self.ledgers.get(upstream) else {
-                continue;
-            };
-            if !self.has_room(now, ledger, request, need) {
-                continue;
-            }
-            let rank = match self.settings.policy {
-                RoutingPolicy::Cost => ledger.first_token_span(now, need.prompt_tokens).get(),
-                RoutingPolicy::LeastOutstanding => ledger.in_flight().into(),
-                RoutingPolicy::RoundRobin => self.turns_until(index, candidates.len()),
-            };
-            let elsewhere = request.resume_at.as_ref() != Some(upstream);
-            let cost = (elsewhere, rank, ledger.in_flight(), upstream);
-            if best.as_ref().is_none_or(|best| cost < *best) {
-                runner_up = best.map(|(_, _, _, id)| id.clone());
-                best = Some(cost);
-            } else if runner_up.is_none() {
-                runner_up = Some(upstream.clone());
-            }
-        }
-        let (_, _, _, upstream) = best?;
-        let ledger = self.ledgers.get(upstream)?;
-        Some(Choice {
-            upstream: upstream.clone(),
-            runner_up,
-            predicted_ms: ledger.first_token_span(now, need.prompt_tokens),
-            need,
-        })
-    }
-
-    /// Grants until it is the turn of a candidate.
-    fn turns_until(&self, index: usize, candidates_count: usize) -> u64 {
-        let next = self.grants_count as usize % candidates_count;
-        ((index + candidates_count - next) % candidates_count) as u64
-    }
-
-    /// The class by which a request queues: the baselines know none.
-    pub(super) fn queue_class(&self, request: &GrantRequest) -> LengthClass {
-        match self.settings.policy {
-            RoutingPolicy::Cost => class_of(&request.spec.target),
-            RoutingPolicy::LeastOutstanding | RoutingPolicy::RoundRobin => LengthClass::Short,
         }
     }
 
-    fn has_room(&self, now: Time, ledger: &Ledger, request: &GrantRequest, need: Need) -> bool {
-        let allowed = ledger.allowed(now, self.settings.learning_percent);
-        ledger.busy(now) < allowed
-            && need.kv_bytes <= ledger.kv_free(now)
-            && !ledger.is_cancelling(request.attempt.request)
-    }
-
-    fn grant(
-        &mut self,
-        ctx: &Context<'_>,
-        entry: &Member,
-        request: &GrantRequest,
-        choice: Choice,
-    ) -> GrantOffer {
-        let attempt = request.attempt;
-        let priority = Priority(self.queue_class(request) as u8);
-        self.grants_count += 1;
-        let ledger = self
-            .ledgers
-            .get_mut(&choice.upstream)
-            .expect("a chosen upstream is owned");
-        let offer = GrantOffer {
-            upstream: choice.upstream.clone(),
-            address: ledger.config.address,
-            fencing: ledger.fencing,
-            priority,
-            predicted_ms: choice.predicted_ms,
-            runner_up: choice.runner_up,
-            cached_tokens: Tokens::ZERO,
-            resume: request.resume_at.as_ref() == Some(&choice.upstream),
-        };
-        let prefill = ledger.prefill_span(choice.need.prompt_tokens);
-        ledger.prefill_free_at = ledger.prefill_free_at.max(ctx.now) + prefill;
-        let expected_end = ledger.prefill_free_at + ledger.run_span(choice.need.output_tokens);
-        let holding = Holding {
-            entry: entry.clone(),
-            model: request.model.clone(),
-            kv_bytes: choice.need.kv_bytes,
-            offer: offer.clone(),
-            expected_end,
-            state: HoldState::Running,
-        };
-        ledger.hold(attempt, holding);
-        self.granted.insert(attempt, choice.upstream.clone());
-        let lapse = ctx.now + request.remaining_ms + self.settings.lapse_slack_ms;
-        self.timers
-            .set(lapse, Timer::Lapse(choice.upstream, attempt));
-        offer
-    }
-
-    /// Predicted wait of a request behind those of its class or a shorter one.
-    fn wait_ahead(&self, now: Time, view: &View<'_>, request: &GrantRequest) -> Millis {
+    /// Predicted wait of a request behind those that go before it.
+    pub(super) fn wait_ahead(&self, now: Time, view: &View<'_>, request: &GrantRequest) -> Millis {
         let Ok(candidates) = self.candidates(view, request) else {
             return self.settings.poll_ms;
         };
+        let class = self.class_for(request);
+        let (ahead_count, ahead_ms) = self
+            .queue
+            .ahead_of(Lane::of(class), &request.spec.workspace);
         let ledgers = candidates.iter().filter_map(|id| self.ledgers.get(id));
+        let backlog = ledgers
+            .clone()
+            .map(|ledger| ledger.backlog.ahead(now, class));
+        let backlog_ms: u64 = backlog.map(Millis::get).sum();
+        let prefill_ms = (backlog_ms + ahead_ms.get()) / candidates.len().max(1) as u64;
+        let percent = self.settings.learning_percent;
+        let need = need_of(view, request);
+        let has_room = |ledger: &Ledger| {
+            ledger.busy(now) < ledger.allowed(now, percent)
+                && need.kv_bytes <= ledger.kv_free_for(now, &request.attempt)
+        };
+        if ledgers.clone().any(has_room) {
+            return Millis::new(prefill_ms.max(1));
+        }
         let ends = ledgers.flat_map(|ledger| ledger.holdings().map(|(_, h)| h.expected_end));
         let mut ends: Vec<Time> = ends.collect();
         ends.sort_unstable();
         let (Some(last), count) = (ends.last(), ends.len()) else {
             return self.settings.poll_ms;
         };
-        let ahead = self.queue.ahead_of(self.queue_class(request));
         let round = last.since(now).get().max(1);
-        let wait = ends[ahead % count].since(now).get().max(1);
-        Millis::new(wait + round * (ahead / count) as u64)
-    }
-
-    /// Grants to waiting requests what has become free.
-    pub(super) fn pump(&mut self, ctx: &mut Context<'_>, view: &View<'_>) {
-        let mut failures = 0;
-        let waiting: Vec<AttemptId> = self.queue.iter().map(|w| w.request.attempt).collect();
-        for attempt in waiting {
-            if failures >= PUMP_FAILURES_COUNT {
-                break;
-            }
-            if !self.try_waiting(ctx, view, &attempt) {
-                failures += 1;
-            }
-        }
-    }
-
-    fn try_waiting(&mut self, ctx: &mut Context<'_>, view: &View<'_>, attempt: &AttemptId) -> bool {
-        let Some(waiting) = self.queue.get(attempt) else {
-            return false;
-        };
-        let Ok(candidates) = self.candidates(view, &waiting.request) else {
-            return false;
-        };
-        let Some(choice) = self.choose(ctx.now, view, &waiting.request, &candidates) else {
-            return false;
-        };
-        let Some(mut waiting) = self.queue.remove(attempt) else {
-            return false;
-        };
-        let answer = if ctx.now + choice.predicted_ms > waiting.deadline {
-            self.busy(ctx.now, view, choice.predicted_ms)
-        } else {
-            waiting.request.remaining_ms = waiting.deadline.since(ctx.now);
-            let offer = self.grant(ctx, &waiting.entry, &waiting.request, choice);
-            GrantAnswer::Granted(offer)
-        };
-        Self::answer(ctx, view, &waiting.entry, *attempt, answer);
-        true
-    }
-
-    /// Denies the waiting requests that no owned upstream can take any more.
-    pub(super) fn recheck_waiting(&mut self, ctx: &mut Context<'_>, view: &View<'_>) {
-        let waiting = self.queue.iter();
-        let denied: Vec<_> = waiting
-            .filter_map(|w| {
-                let denial = self.candidates(view, &w.request).err()?;
-                Some((w.request.attempt, w.entry.clone(), denial))
-            })
-            .collect();
-        for (attempt, entry, denial) in denied {
-            self.queue.remove(&attempt);
-            Self::answer(ctx, view, &entry, attempt, GrantAnswer::Denied(denial));
-        }
+        let wait = ends[ahead_count % count].since(now).get().max(1);
+        Millis::new((wait + round * (ahead_count / count) as u64).max(prefill_ms))
     }
+}
 
-    pub(super) fn on_wait_over(
-        &mut self,
-        ctx: &mut Context<'_>,
-        view: &View<'_>,
-        attempt: &AttemptId,
-    ) {
-        if let Some(waiting) = self.queue.remove(attempt) {
-            let wait_ms = self.wait_ahead(ctx.now, view, &waiting.request);
-            let answer = self.busy(ctx.now, view, wait_ms);
-            Self::answer(ctx, view, &waiting.entry, *attempt, answer);
-        }
+fn share_of(view: &View<'_>, request: &GrantRequest, need: Need) -> Share {
+    let workspace = &request.spec.workspace;
+    let config = view.config.workspaces.get(workspace);
+    Share {
+        workspace: workspace.clone(),
+        weight_count: config.map_or(1, |config| config.weight_count),
+        cost_tokens: need.prompt_tokens.get() + need.output_tokens.get(),
     }
 }
 
--- /dev/null
+++ b/crates/core/src/grant/choose.rs
@@ -0,0 +1,160 @@
+//! The choice of an upstream among those that fit.
+
+use super::{
+    fit::Need,
+    ledger::{HoldState, Holding, Ledger},
+    owner::Owner,
+    timers::Timer,
+    waiting::{class_of, Lane},
+};
+use crate::{
+    context::Context,
+    ids::UpstreamId,
+    message::{GrantOffer, GrantRequest, Member},
+    request::{LengthClass, Priority},
+    routing::RoutingPolicy,
+    units::{Millis, Time},
+};
+
+/// Cost of a short request at an engine that prefills a long prompt, in milliseconds.
+const BESIDE_LONG_MS: u64 = 30;
+
+/// A chosen upstream.
+#[derive(Clone, Debug)]
+pub(super) struct Choice {
+    pub(super) upstream: UpstreamId,
+    pub(super) runner_up: Option<UpstreamId>,
+    pub(super) predicted_ms: Millis,
+    pub(super) run_ms: Millis,
+    pub(super) need: Need,
+}
+
+/// What a candidate costs, least first.
+type Cost<'a> = (bool, u64, u32, &'a UpstreamId);
+
+impl Owner {
+    /// The class by which a request queues and runs: the baselines know none.
+    pub(super) fn class_for(&self, request: &GrantRequest) -> LengthClass {
+        match self.settings.policy {
+            RoutingPolicy::Cost => class_of(&request.spec.target),
+            RoutingPolicy::LeastOutstanding | RoutingPolicy::RoundRobin => LengthClass::Short,
+        }
+    }
+
+    /// The best upstream that has room now.
+    pub(super) fn choose(
+        &self,
+        now: Time,
+        request: &GrantRequest,
+        need: Need,
+        candidates: &[UpstreamId],
+    ) -> Option<Choice> {
+        let mut costs: Vec<Cost<'_>> = Vec::new();
+        for (index, upstream) in candidates.iter().enumerate() {
+            let Some(ledger) = self.ledgers.get(upstream) else {
+                continue;
+            };
+            if self.has_room(now, ledger, request, need) {
+                let elsewhere = request.resume_at.as_ref() != Some(upstream);
+                let rank = self.rank(now, ledger, request, need, (index, candidates.len()));
+                costs.push((elsewhere, rank, ledger.in_flight(), upstream));
+            }
+        }
+        costs.sort_unstable();
+        let (_, _, _, upstream) = *costs.first()?;
+        let ledger = self.ledgers.get(upstream)?;
+        let class = self.class_for(request);
+        Some(Choice {
+            upstream: upstream.clone(),
+            runner_up: costs.get(1).map(|(_, _, _, id)| (*id).clone()),
+            predicted_ms: ledger.first_token_span(now, class, need.prompt_tokens),
+            run_ms: ledger.run_span(need.output_tokens),
+            need,
+        })
+    }
+
+    fn rank(
+        &self,
+        now: Time,
+        ledger: &Ledger,
+        request: &GrantRequest,
+        need: Need,
+        (index, count): (usize, usize),
+    ) -> u64 {
+        match self.settings.policy {
+            RoutingPolicy::Cost => {
+                let class = self.class_for(request);
+                let first = ledger.first_token_span(now, class, need.prompt_tokens);
+                let beside_long = Lane::of(class) == Lane::Short
+                    && ledger.backlog.all(now) > ledger.backlog.ahead(now, LengthClass::Medium);
+                first.get() + if beside_long { BESIDE_LONG_MS } else { 0 }
+            }
+            RoutingPolicy::LeastOutstanding => ledger.in_flight().into(),
+            RoutingPolicy::RoundRobin => {
+                let next = self.grants_count as usize % count;
+                ((index + count - next) % count) as u64
+            }
+        }
+    }
+
+    fn has_room(&self, now: Time, ledger: &Ledger, request: &GrantRequest, need: Need) -> bool {
+        let allowed = ledger.allowed(now, self.settings.learning_percent);
+        ledger.busy(now) < allowed
+            && need.kv_bytes <= ledger.kv_free_for(now, &request.attempt)
+            && !ledger.is_cancelling(request.attempt.request)
+            && self.is_prefill_open(now, ledger, self.class_for(request))
+    }
+
+    /// Whether prefill of a class granted now would start soon.
+    pub(super) fn is_prefill_open(&self, now: Time, ledger: &Ledger, class: LengthClass) -> bool {
+        self.settings.policy != RoutingPolicy::Cost
+            || (ledger.backlog.ahead(now, class) <= self.settings.prefill_ahead_ms
+                && ledger.backlog.may_preempt(now, class))
+    }
+
+    pub(super) fn grant(
+        &mut self,
+        ctx: &Context<'_>,
+        entry: &Member,
+        request: &GrantRequest,
+        choice: Choice,
+    ) -> GrantOffer {
+        let (attempt, class) = (request.attempt, self.class_for(request));
+        self.grants_count += 1;
+        let ledger = self
+            .ledgers
+            .get_mut(&choice.upstream)
+            .expect("a chosen upstream is owned");
+        let offer = GrantOffer {
+            upstream: choice.upstream.clone(),
+            address: ledger.config.address,
+            fencing: ledger.fencing,
+            priority: Priority(class as u8),
+            predicted_ms: choice.predicted_ms,
+            runner_up: choice.runner_up,
+            cached_tokens: choice.need.cached_tokens,
+            resume: request.resume_at.as_ref() == Some(&choice.upstream),
+        };
+        let prefill_ms = ledger.prefill_span(choice.need.prompt_tokens);
+        ledger.backlog.add(ctx.now, class, prefill_ms);
+        let expected_first = ctx.now + choice.predicted_ms;
+        let holding = Holding {
+            entry: entry.clone(),
+            model: request.model.clone(),
+            class,
+            kv_bytes: choice.need.kv_bytes,
+            prefill_ms,
+            offer: offer.clone(),
+            expected_first,
+            expected_end: expected_first + choice.run_ms,
+            state: HoldState::Running,
+        };
+        ledger.hold(attempt, holding);
+        self.demand[Lane::of(class) as usize].add(ctx.now, prefill_ms);
+        self.granted.insert(attempt, choice.upstream.clone());
+        let lapse = ctx.now + request.remaining_ms + self.settings.lapse_slack_ms;
+        self.timers
+            .set(lapse, Timer::Lapse(choice.upstream, attempt));
+        offer
+    }
+}
--- a/crates/core/src/grant/fit.rs
+++ b/crates/core/src/grant/fit.rs
@@ -1,12 +1,12 @@
 //! Which upstreams fit a request, and what it needs of them.
 
-use super::{ledger::Ledger, owner::Owner};
+use super::{ledger::Ledger, owner::Owner, waiting::Lane};
 use crate::{
     config::UpstreamKind,
     context::View,
     ids::UpstreamId,
     message::{GrantDenial, GrantRequest},
-    request::{CallTarget, ModelCall},
+    request::{CallTarget, LengthClass, ModelCall},
     units::{KvBytes, Millis, Time, Tokens},
 };
 
@@ -22,6 +22,8 @@
     pub(super) kv_bytes: KvBytes,
     /// Tokens to prefill.
     pub(super) prompt_tokens: Tokens,
+    /// Tokens of the prompt that the engine has probably cached.
+    pub(super) cached_tokens: Tokens,
     /// Tokens that are expected to be decoded.
     pub(super) output_tokens: Tokens,
 }
@@ -59,7 +61,7 @@
             }
         }
         if !fitting.is_empty() {
-            return Ok(fitting);
+            return self.confine(view, request, fitting);
         }
         Err(match max_prompt_tokens {
             Some(max_prompt_tokens) => GrantDenial::TooLong { max_prompt_tokens },
@@ -72,6 +74,31 @@
     }
 }
 
+impl Owner {
+    /// Of the fitting upstreams, those that take prompts of this length.
+    fn confine(
+        &self,
+        view: &View<'_>,
+        request: &GrantRequest,
+        fitting: Vec<UpstreamId>,
+    ) -> Result<Vec<UpstreamId>, GrantDenial> {
+        if Lane::of(self.class_for(request)) == Lane::Short {
+            return Ok(fitting);
+        }
+        let long = fitting.iter().filter(|id| self.long_set.contains(id));
+        let long: Vec<UpstreamId> = long.cloned().collect();
+        if !long.is_empty() {
+            return Ok(long);
+        }
+        match self.better_for_long(view, Millis::new(u64::MAX)) {
+            Some(better) => Err(GrantDenial::NotOwner {
+                better: Some(better),
+            }),
+            None => Ok(fitting),
+        }
+    }
+}
+
 fn model_call(request: &GrantRequest) -> Option<&ModelCall> {
     match &request.spec.target {
         CallTarget::Model(call) => Some(call),
@@ -89,6 +116,7 @@
         return Need {
             kv_bytes: KvBytes::ZERO,
             prompt_tokens: Tokens::ZERO,
+            cached_tokens: Tokens::ZERO,
             output_tokens: Tokens::ZERO,
         };
     };
@@ -101,6 +129,7 @@
     Need {
         kv_bytes: (call.prompt_tokens + call.max_output_tokens).kv(per_token),
         prompt_tokens: call.prompt_tokens + request.offset_tokens,
+        cached_tokens: Tokens::ZERO,
         output_tokens: Tokens::new(left.get() * EXPECTED_OUTPUT_PERCENT / 100),
     }
 }
@@ -141,8 +170,13 @@
     }
 
     /// Predicted time to first token of a request granted now.
-    pub(super) fn first_token_span(&self, now: Time, prompt_tokens: Tokens) -> Millis {
-        self.prefill_free_at.since(now) + self.prefill_span(prompt_tokens)
+    pub(super) fn first_token_span(
+        &self,
+        now: Time,
+        class: LengthClass,
+        prompt_tokens: Tokens,
+    ) -> Millis {
+        self.backlog.ahead(now, class) + self.prefill_span(prompt_tokens)
     }
 
     /// Time that a call is expected to take after its prefill.
--- a/crates/core/src/grant/ledger.rs
+++ b/crates/core/src/grant/ledger.rs
@@ -1,11 +1,12 @@
 //! The account of one owned upstream.
 
+use super::{backlog::Backlog, waiting::class_of};
 use crate::{
     config::{EngineConfig, UpstreamConfig, UpstreamKind},
     ids::{AttemptId, FencingNumber, Incarnation, ModelVersion, RequestId},
     message::{GrantOffer, HeldGrant, Member},
     platform::CallToken,
-    request::Priority,
+    request::{LengthClass, Priority},
     units::{KvBytes, Millis, Time, Tokens, TokensPerSecond},
     upstream::LoadReport,
 };
@@ -27,10 +28,16 @@
     pub(super) entry: Member,
     /// The version it runs on.
     pub(super) model: Option<ModelVersion>,
+    /// The class by which it runs.
+    pub(super) class: LengthClass,
     /// KV memory reserved.
     pub(super) kv_bytes: KvBytes,
+    /// Time that its prefill takes.
+    pub(super) prefill_ms: Millis,
     /// The answer given, to repeat it.
     pub(super) offer: GrantOffer,
+    /// When its first token probably comes.
+    pub(super) expected_first: Time,
     /// When it probably ends.
     pub(super) expected_end: Time,
     /// How it stands.
@@ -50,8 +57,10 @@
     pub(super) learning_until: Time,
     /// Since when it is drained.
     pub(super) drained_since: Option<Time>,
-    /// When the prefills granted so far are probably done.
-    pub(super) prefill_free_at: Time,
+    /// Prefill work granted and probably not done yet.
+    pub(super) backlog: Backlog,
+    /// Memory kept free for a waiting long prompt.
+    pub(super) reserved: Option<(AttemptId, KvBytes)>,
     /// The last load report.
     pub(super) report: Option<LoadReport>,
     holdings: BTreeMap<AttemptId, Holding>,
@@ -71,7 +80,8 @@
             fencing,
             learning_until,
             drained_since: None,
-            prefill_free_at: Time::START,
+            backlog: Backlog::default(),
+            reserved: None,
             report: None,
             holdings: BTreeMap::new(),
             kv_held_bytes: KvBytes::ZERO,
@@ -114,17 +124,26 @@
         let holding = Holding {
             entry: entry.clone(),
             model: grant.model,
+            class: class_of(&grant.spec.target),
             kv_bytes: grant.kv_bytes,
+            prefill_ms: Millis::ZERO,
             offer,
+            expected_first: now,
             expected_end: now + grant.remaining_ms,
             state: HoldState::Running,
         };
         self.hold(grant.attempt, holding);
     }
 
-    pub(super) fn give_back(&mut self, attempt: &AttemptId) -> Option<Holding> {
+    pub(super) fn give_back(&mut self, now: Time, attempt: &AttemptId) -> Option<Holding> {
         let holding = self.holdings.remove(attempt)?;
         self.kv_held_bytes -= holding.kv_bytes;
+        if self.holdings.is_empty() {
+            self.backlog.clear(now);
+        } else if now < holding.expected_first {
+            self.backlog
+                .take_back(now, holding.class, holding.prefill_ms);
+        }
         Some(holding)
     }
 
@@ -175,6 +194,13 @@
         self.kv_total().saturating_sub(held)
     }
 
+    /// Free KV memory for an attempt: none of what is kept for another one.
+    pub(super) fn kv_free_for(&self, now: Time, attempt: &AttemptId) -> KvBytes {
+        let kept = self.reserved.filter(|(id, _)| id != attempt);
+        let kept_bytes = kept.map_or(KvBytes::ZERO, |(_, bytes)| bytes);
+        self.kv_free(now).saturating_sub(kept_bytes)
+    }
+
     /// Whether a cancel of this request is still on its way to the upstream.
     pub(super) fn is_cancelling(&self, request: RequestId) -> bool {
         let of = |(id, h): (&AttemptId, &Holding)| {
--- /dev/null
+++ b/crates/core/src/grant/long_set.rs
@@ -0,0 +1,160 @@
+//! The engines of a failure domain that take long prompts.
+//!
+//! Every owner orders the domain's engines alike, by hash, and sizes the set by the demand that
+//! all owners of the domain report in their summaries. Only the owner of an engine acts on it,
+//! so owners that disagree for a moment do no harm.
+
+use super::{owner::Owner, waiting::Lane};
+use crate::{
+    config::UpstreamKind,
+    context::View,
+    ids::{FailureDomain, UpstreamId, VmId},
+    units::{Millis, Time},
+};
+use std::collections::{BTreeMap, BTreeSet};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Time over which demand is averaged, in microseconds.
+const DEMAND_US: f64 = 20_000_000.0;
+/// Time in which waiting work should be done, in milliseconds.
+const WAITING_MS: u64 = 5_000;
+/// Busy share of the long engines at which the set grows, in thousandths.
+const LONG_BUSY_PERMILLE: u32 = 800;
+/// Busy share of the other engines that is left free for short prompts, in thousandths.
+const SHORT_BUSY_PERMILLE: u32 = 600;
+/// One engine in so many takes long prompts even when none came for a while.
+const LEAST_ONE_IN: usize = 8;
+/// Time after which the set shrinks by one engine.
+const SHRINK_MS: Millis = Millis::new(10_000);
+
+/// Prefill work of one lane, averaged over the last seconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Demand {
+    busy: f64,
+    at: Time,
+}
+
+impl Demand {
+    fn decayed(&self, now: Time) -> f64 {
+        let age_us = now.as_us().saturating_sub(self.at.as_us());
+        self.busy * (-(age_us as f64) / DEMAND_US).exp()
+    }
+
+    pub(super) fn add(&mut self, now: Time, work: Millis) {
+        let work_us = work.get() as f64 * 1_000.0;
+        self.busy = self.decayed(now) + work_us / DEMAND_US;
+        self.at = now;
+    }
+
+    /// Engines that the work of the last seconds keeps busy, in thousandths.
+    pub(super) fn busy_permille(&self, now: Time) -> u32 {
+        (self.decayed(now) * 1_000.0) as u32
+    }
+}
+
+/// The engines of each failure domain in their order, and how many of them take long prompts.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LongSet {
+    order: BTreeMap<FailureDomain, Vec<UpstreamId>>,
+    sizes: BTreeMap<FailureDomain, usize>,
+    members: BTreeSet<UpstreamId>,
+    shrunk_at: Time,
+}
+
+impl LongSet {
+    /// Orders the engines that serve.
+    pub(super) fn order(&mut self, view: &View<'_>) {
+        self.order.clear();
+        for (id, config) in &view.config.upstreams {
+            let engine = matches!(config.kind, UpstreamKind::Engine(_));
+            if engine && view.config.serves_upstream(id) {
+                let engines = self.order.entry(config.domain.clone()).or_default();
+                engines.push(id.clone());
+            }
+        }
+        for engines in self.order.values_mut() {
+            engines.sort_by_cached_key(|id| xxh3_64(id.as_str().as_bytes()));
+        }
+    }
+
+    /// Sizes the set of a domain by its demand.
+    fn size(&mut self, now: Time, domain: &FailureDomain, short_permille: u32, long_permille: u32) {
+        let Some(engines) = self.order.get(domain) else {
+            return;
+        };
+        let wanted = wanted_size(engines.len(), short_permille, long_permille);
+        let size = self.sizes.entry(domain.clone()).or_insert(wanted);
+        if wanted > *size {
+            *size = wanted;
+        } else if wanted < *size && now.since(self.shrunk_at) >= SHRINK_MS {
+            *size -= 1;
+            self.shrunk_at = now;
+        }
+        *size = (*size).min(engines.len());
+    }
+
+    fn collect(&mut self) {
+        self.members.clear();
+        for (domain, engines) in &self.order {
+            let size = self.sizes.get(domain).copied().unwrap_or_default();
+            self.members.extend(engines.iter().take(size).cloned());
+        }
+    }
+
+    pub(super) fn contains(&self, upstream: &UpstreamId) -> bool {
+        self.members.contains(upstream)
+    }
+}
+
+/// Engines of a domain that should take long prompts.
+fn wanted_size(engines_count: usize, short_permille: u32, long_permille: u32) -> usize {
+    let least = engines_count.div_ceil(LEAST_ONE_IN).max(1);
+    let for_short = short_permille.div_ceil(SHORT_BUSY_PERMILLE) as usize;
+    let for_short = for_short.max(engines_count / 4).max(1);
+    let most = engines_count.saturating_sub(for_short).max(least);
+    let for_long = long_permille.div_ceil(LONG_BUSY_PERMILLE) as usize;
+    for_long.clamp(least, most)
+}
+
+impl Owner {
+    /// Engines that a lane keeps busy here, in thousandths: granted and waiting work.
+    pub(super) fn demand_permille(&self, now: Time, lane: Lane) -> u32 {
+        let waiting = self.queue.prefill_ms(lane).get() * 1_000 / WAITING_MS;
+        self.demand[lane as usize].busy_permille(now) + waiting as u32
+    }
+
+    /// Agrees the set anew with what the other owners report.
+    pub(super) fn refresh_long_set(&mut self, now: Time, view: &View<'_>) {
+        let domains = self.ledgers.values().map(|l| l.config.domain.clone());
+        let domains: BTreeSet<FailureDomain> = domains.collect();
+        for domain in domains {
+            let mut short = self.demand_permille(now, Lane::Short);
+            let mut long = self.demand_permille(now, Lane::Long);
+            let others = view.directory.live_in(&domain).iter();
+            for other in others.filter(|other| other.vm != view.me.vm) {
+                if let Some(summary) = view.directory.summary_of(&other.vm) {
+                    short += summary.short_busy_permille;
+                    long += summary.long_busy_permille;
+                }
+            }
+            self.long_set.size(now, &domain, short, long);
+        }
+        self.long_set.collect();
+    }
+
+    /// Another owner with a long engine, the one with the least wait first.
+    pub(super) fn better_for_long(&self, view: &View<'_>, within: Millis) -> Option<VmId> {
+        let owners = self.long_set.members.iter();
+        let owners = owners.filter_map(|id| view.directory.owner_of(id));
+        let owners: BTreeSet<&VmId> = owners.filter(|vm| **vm != view.me.vm).collect();
+        let waits = owners.into_iter().filter_map(|vm| {
+            let models = &view.directory.summary_of(vm)?.models;
+            let wait = models
+                .iter()
+                .map(|(_, capacity)| capacity.long_wait_ms)
+                .min()?;
+            (wait <= within).then_some((wait, vm))
+        });
+        waits.min().map(|(_, vm)| vm.clone())
+    }
+}
--- a/crates/core/src/grant/mod.rs
+++ b/crates/core/src/grant/mod.rs
@@ -1,11 +1,16 @@
 //! The owner's side of grants: exact accounts of each owned upstream, a queue, lapse and cancel.
 
 mod admit;
+mod backlog;
+mod choose;
 mod errors;
+mod fairness;
 mod fit;
 mod lapse;
 mod ledger;
+mod long_set;
 mod owner;
+mod pump;
 mod settings;
 mod summary;
 mod timers;
--- a/crates/core/src/grant/owner.rs
+++ b/crates/core/src/grant/owner.rs
@@ -2,9 +2,10 @@
 
 use super::{
     ledger::{HoldState, Ledger},
+    long_set::{Demand, LongSet},
     settings::GrantSettings,
     timers::{Timer, Timers},
-    waiting::Queue,
+    waiting::{Lane, Queue},
 };
 use crate::{
     action::Action,
@@ -31,6 +32,8 @@
     pub(super) timers: Timers,
     pub(super) leaving: bool,
     pub(super) grants_count: u64,
+    pub(super) demand: [Demand; Lane::ALL.len()],
+    pub(super) long_set: LongSet,
     finished: BTreeSet<AttemptId>,
 }
 
@@ -46,6 +49,8 @@
             timers: Timers::default(),
             leaving: false,
             grants_count: 0,
+            demand: Default::default(),
+            long_set: LongSet::default(),
             finished: BTreeSet::new(),
         }
     }
@@ -59,6 +64,8 @@
                 None => self.drop_ledger(&upstream),
             }
         }
+        self.long_set.order(view);
+        self.refresh_long_set(ctx.now, view);
         self.recheck_waiting(ctx, view);
         self.pump(ctx, view);
     }
@@ -108,6 +115,9 @@
                 self.refresh_ledger(ctx, view, upstream, config);
                 self.learn(ctx, view, upstream, *learning_until);
                 self.timers.replace(ctx.now, Timer::Poll(upstream.clone()));
+                self.timers.replace(ctx.now, Timer::LongSet);
+                self.long_set.order(view);
+                self.refresh_long_set(ctx.now, view);
             }
             OwnershipChange::Lost { upstream } => {
                 self.drop_ledger(upstream);
@@ -224,7 +234,7 @@
             .is_some_and(|i| i != report.incarnation);
         ledger.report = Some(report.clone());
         if restarted {
-            ledger.prefill_free_at = ctx.now;
+            ledger.backlog.clear(ctx.now);
             self.resend_cancels(ctx, upstream);
         }
         self.pump(ctx, view);
@@ -263,6 +273,8 @@
             Timer::Poll(upstream) => self.poll(ctx, upstream),
             Timer::Learning(_) => self.pump(ctx, view),
             Timer::Drain(upstream) => self.on_drain_over(ctx, view, &upstream),
+            Timer::Pump => self.on_pump(ctx, view),
+            Timer::LongSet => self.on_long_set(ctx, view),
             Timer::Finished(attempt) => {
                 self.finished.remove(&attempt);
             }
@@ -281,6 +293,15 @@
         self.timers.replace(next, Timer::Poll(upstream));
     }
 
+    fn on_long_set(&mut self, ctx: &Context<'_>, view: &View<'_>) {
+        if self.ledgers.is_empty() {
+            return;
+        }
+        self.refresh_long_set(ctx.now, view);
+        let next = ctx.now + self.settings.long_set_ms;
+        self.timers.replace(next, Timer::LongSet);
+    }
+
     /// When `on_tick` is due next.
     pub fn next_wakeup(&self) -> Option<Time> {
         if self.leaving && self.queue.len() > 0 {
@@ -316,7 +337,7 @@
     pub(super) fn finish(&mut self, now: Time, attempt: AttemptId) {
         if let Some(upstream) = self.granted.remove(&attempt) {
             if let Some(ledger) = self.ledgers.get_mut(&upstream) {
-                ledger.give_back(&attempt);
+                ledger.give_back(now, &attempt);
             }
         }
         if self.finished.insert(attempt) {
--- a/crates/core/src/grant/settings.rs
+++ b/crates/core/src/grant/settings.rs
@@ -26,6 +26,10 @@
     pub learning_percent: u32,
     /// Most requests that wait.
     pub queue_requests: u32,
+    /// Prefill time ahead at an engine above which a request waits at the owner.
+    pub prefill_ahead_ms: u64,
+    /// Time between two agreements on the engines for long prompts.
+    pub long_set_ms: u64,
 }
 
 impl Default for RawGrantSettings {
@@ -40,6 +44,8 @@
             learning_ms: 3_000,
             learning_percent: 25,
             queue_requests: 4_096,
+            prefill_ahead_ms: 100,
+            long_set_ms: 200,
         }
     }
 }
@@ -66,6 +72,10 @@
     pub learning_percent: u32,
     /// Most requests that wait.
     pub queue_requests: u32,
+    /// Prefill time ahead at an engine above which a request waits at the owner.
+    pub prefill_ahead_ms: Millis,
+    /// Time between two agreements on the engines for long prompts.
+    pub long_set_ms: Millis,
 }
 
 fn check(key: &'static str, value: u64, min: u64, max: u64) -> Result<u64, GrantSettingsError> {
@@ -96,6 +106,8 @@
             learning_ms: span("learning_ms", raw.learning_ms, 100, 60_000)?,
             learning_percent: count("learning_percent", raw.learning_percent, 100)?,
             queue_requests: count("queue_requests", raw.queue_requests, 1_000_000)?,
+            prefill_ahead_ms: span("prefill_ahead_ms", raw.prefill_ahead_ms, 0, 60_000)?,
+            long_set_ms: span("long_set_ms", raw.long_set_ms, 50, 60_000)?,
         })
     }
 }
--- a/crates/core/src/grant/summary.rs
+++ b/crates/core/src/grant/summary.rs
@@ -1,15 +1,20 @@
 //! What an owner says of its upstreams.
 
-use super::{ledger::Ledger, owner::Owner};
+use super::{ledger::Ledger, owner::Owner, waiting::Lane};
 use crate::{
     config::UpstreamKind,
     context::View,
     ids::{ModelVersion, ServiceName, UpstreamId},
     message::{ModelCapacity, OwnerSummary},
+    request::LengthClass,
+    routing::RoutingPolicy,
     units::{KvBytes, Millis, Time, Tokens},
 };
 use std::collections::BTreeMap;
 
+/// The wait that an owner names for what none of its upstreams takes.
+pub(super) const NOWHERE_MS: Millis = Millis::new(600_000);
+
 /// The account of one owned upstream, as operators and plans see it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OwnedStatus {
@@ -28,8 +33,11 @@
     pub fn summary(&self, now: Time, view: &View<'_>) -> OwnerSummary {
         let mut models: BTreeMap<ModelVersion, ModelCapacity> = BTreeMap::new();
         let mut services: BTreeMap<ServiceName, u32> = BTreeMap::new();
-        let serving = self.ledgers.values().filter(|l| l.drained_since.is_none());
-        for ledger in serving.filter(|_| !self.leaving) {
+        let serving = self
+            .ledgers
+            .iter()
+            .filter(|(_, l)| l.drained_since.is_none());
+        for (id, ledger) in serving.filter(|_| !self.leaving) {
             let free_requests = self.free_places(now, ledger);
             match &ledger.config.kind {
                 UpstreamKind::Service(name) => {
@@ -39,7 +47,7 @@
                     let report = ledger.report.iter();
                     for version in report.flat_map(|report| report.models.keys()) {
                         let capacity = models.entry(version.clone()).or_default();
-                        self.add_engine(now, view, ledger, version, capacity);
+                        self.add_engine(now, view, (id, ledger), version, capacity);
                     }
                 }
             }
@@ -47,6 +55,8 @@
         OwnerSummary {
             models: models.into_iter().collect(),
             services: services.into_iter().collect(),
+            short_busy_permille: self.demand_permille(now, Lane::Short),
+            long_busy_permille: self.demand_permille(now, Lane::Long),
         }
     }
 
@@ -54,7 +64,7 @@
         &self,
         now: Time,
         view: &View<'_>,
-        ledger: &Ledger,
+        (id, ledger): (&UpstreamId, &Ledger),
         version: &ModelVersion,
         capacity: &mut ModelCapacity,
     ) {
@@ -62,20 +72,27 @@
         let per_token = model.map_or(1, |m| m.kv_bytes_per_token.get().max(1));
         let context = model.map_or(Tokens::ZERO, |m| m.context_tokens);
         let held = Tokens::new(ledger.kv_total().get() / per_token);
-        let wait = self.wait_at(now, ledger);
-        let first = capacity.engines == 0;
+        if capacity.engines == 0 {
+            capacity.short_wait_ms = NOWHERE_MS;
+            capacity.long_wait_ms = NOWHERE_MS;
+        }
         capacity.engines += 1;
         capacity.free_requests += self.free_places(now, ledger);
         capacity.free_kv_bytes += ledger.kv_free(now);
         capacity.max_prompt_tokens = capacity.max_prompt_tokens.max(held.min(context));
-        if first || wait < capacity.short_wait_ms {
-            capacity.short_wait_ms = wait;
-            capacity.long_wait_ms = wait;
+        let short = self.wait_at(now, ledger, LengthClass::Medium);
+        capacity.short_wait_ms = capacity.short_wait_ms.min(short);
+        let takes_long = self.long_set.contains(id) || self.settings.policy != RoutingPolicy::Cost;
+        if takes_long {
+            let long = self.wait_at(now, ledger, LengthClass::Huge);
+            capacity.long_wait_ms = capacity.long_wait_ms.min(long);
         }
     }
 
-    fn wait_at(&self, now: Time, ledger: &Ledger) -> Millis {
-        let prefill = ledger.prefill_free_at.since(now);
+    fn wait_at(&self, now: Time, ledger: &Ledger, class: LengthClass) -> Millis {
+        let queued = self.queue.prefill_ms(Lane::of(class)).get();
+        let queued = Millis::new(queued / self.ledgers.len().max(1) as u64);
+        let prefill = ledger.backlog.ahead(now, class) + queued;
         if self.free_places(now, ledger) > 0 {
             return prefill;
         }
--- a/crates/core/src/grant/timers.rs
+++ b/crates/core/src/grant/timers.rs
@@ -21,6 +21,10 @@
     Learning(UpstreamId),
     /// The end of the grace of a drained upstream.
     Drain(UpstreamId),
+    /// The next pass over the queue.
+    Pump,
+    /// The engines for long prompts are agreed anew.
+    LongSet,
     /// A finished attempt may be forgotten.
     Finished(AttemptId),
 }
--- a/crates/core/src/grant/waiting.rs
+++ b/crates/core/src/grant/waiting.rs
@@ -1,13 +1,36 @@
 //! Requests that wait for a grant.
 
+use super::fairness::Fairness;
 use crate::{
-    ids::AttemptId,
+    ids::{AttemptId, WorkspaceId},
     message::{GrantRequest, Member},
     request::{CallTarget, LengthClass},
-    units::Time,
+    units::{Millis, Time},
 };
 use std::collections::BTreeMap;
 
+/// Short and long prompts wait apart.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Lane {
+    /// Short and medium prompts and plain services.
+    Short,
+    /// Long and huge prompts.
+    Long,
+}
+
+impl Lane {
+    /// Both lanes, the short one first.
+    pub(super) const ALL: [Self; 2] = [Self::Short, Self::Long];
+
+    /// The lane of a class.
+    pub(super) const fn of(class: LengthClass) -> Self {
+        match class {
+            LengthClass::Short | LengthClass::Medium => Self::Short,
+            LengthClass::Long | LengthClass::Huge => Self::Long,
+        }
+    }
+}
+
 /// One waiting request.
 #[derive(Clone, Debug)]
 pub(super) struct Waiting {
@@ -17,20 +40,39 @@
     pub(super) class: LengthClass,
     /// What it asked.
     pub(super) request: GrantRequest,
+    /// Time that its prefill takes.
+    pub(super) prefill_ms: Millis,
+    /// When it came.
+    pub(super) since: Time,
     /// Until when it waits.
     pub(super) deadline: Time,
 }
 
-/// Waiting requests, shortest class first and in order of arrival within it.
+/// What places a request in its lane.
+#[derive(Clone, Debug)]
+pub(super) struct Share {
+    /// Who pays.
+    pub(super) workspace: WorkspaceId,
+    /// The workspace's weight.
+    pub(super) weight_count: u32,
+    /// What it costs.
+    pub(super) cost_tokens: u64,
+}
+
+/// A place in the queue: lane, tag, arrival.
+type Place = (Lane, u64, u64);
+
+/// Waiting requests by lane, in each by the workspaces' shares and then by arrival.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
-    order: BTreeMap<(LengthClassOrder, u64), Waiting>,
-    places: BTreeMap<AttemptId, (LengthClassOrder, u64)>,
+    order: BTreeMap<Place, Waiting>,
+    places: BTreeMap<AttemptId, Place>,
+    shares: [Fairness; Lane::ALL.len()],
+    prefill_ms: [Millis; Lane::ALL.len()],
+    by_workspace: BTreeMap<(Lane, WorkspaceId), (usize, Millis)>,
     arrivals_count: u64,
 }
 
-type LengthClassOrder = u8;
-
 /// The class of a call; plain services count as short.
 pub(super) fn class_of(target: &CallTarget) -> LengthClass {
     match target {
@@ -40,17 +82,77 @@
 }
 
 impl Queue {
-    pub(super) fn push(&mut self, waiting: Waiting) {
+    pub(super) fn push(&mut self, waiting: Waiting, share: &Share) {
         self.arrivals_count += 1;
-        let class = waiting.class as u8;
-        let place = (class, self.arrivals_count);
+        let lane = Lane::of(waiting.class);
+        let tag = self.tag(lane, share);
+        let place = (lane, tag, self.arrivals_count);
+        self.prefill_ms[lane as usize] = self.prefill_ms[lane as usize] + waiting.prefill_ms;
+        let key = (lane, share.workspace.clone());
+        let own = self.by_workspace.entry(key).or_default();
+        *own = (own.0 + 1, own.1 + waiting.prefill_ms);
         self.places.insert(waiting.request.attempt, place);
         self.order.insert(place, waiting);
     }
 
+    fn tag(&mut self, lane: Lane, share: &Share) -> u64 {
+        let fairness = &mut self.shares[lane as usize];
+        fairness.tag(&share.workspace, share.cost_tokens, share.weight_count)
+    }
+
+    /// A request is granted without a wait.
+    pub(super) fn pass(&mut self, class: LengthClass, share: &Share) {
+        let lane = Lane::of(class);
+        let tag = self.tag(lane, share);
+        if self.len_of(lane) == 0 {
+            self.shares[lane as usize].serve(tag);
+        }
+    }
+
+    /// A waiting request is granted.
+    pub(super) fn serve(&mut self, attempt: &AttemptId) -> Option<Waiting> {
+        let (lane, tag, _) = *self.places.get(attempt)?;
+        self.shares[lane as usize].serve(tag);
+        self.remove(attempt)
+    }
+
     pub(super) fn remove(&mut self, attempt: &AttemptId) -> Option<Waiting> {
         let place = self.places.remove(attempt)?;
-        self.order.remove(&place)
+        let waiting = self.order.remove(&place)?;
+        let prefill_ms = &mut self.prefill_ms[place.0 as usize];
+        *prefill_ms = prefill_ms.saturating_sub(waiting.prefill_ms);
+        self.take_from_workspace(place.0, &waiting);
+        Some(waiting)
+    }
+
+    fn take_from_workspace(&mut self, lane: Lane, waiting: &Waiting) {
+        let key = (lane, waiting.request.spec.workspace.clone());
+        if let Some(own) = self.by_workspace.get_mut(&key) {
+            *own = (own.0 - 1, own.1.saturating_sub(waiting.prefill_ms));
+            if own.0 == 0 {
+                self.by_workspace.remove(&key);
+            }
+        }
+    }
+
+    /// Number and prefill time of the requests that go before a workspace's next one, at most:
+    /// its own, and as many of each other workspace that waits.
+    pub(super) fn ahead_of(&self, lane: Lane, workspace: &WorkspaceId) -> (usize, Millis) {
+        let key = (lane, workspace.clone());
+        let Some((count, prefill_ms)) = self.by_workspace.get(&key) else {
+            return (0, Millis::ZERO);
+        };
+        let workspaces = self
+            .by_workspace
+            .keys()
+            .filter(|(of, _)| *of == lane)
+            .count();
+        let all_ms = self.prefill_ms(lane);
+        let share_ms = Millis::new(prefill_ms.get() * workspaces as u64);
+        (
+            (count * workspaces).min(self.len_of(lane)),
+            share_ms.min(all_ms),
+        )
     }
 
     pub(super) fn get(&self, attempt: &AttemptId) -> Option<&Waiting> {
@@ -61,11 +163,21 @@
         self.order.values()
     }
 
+    pub(super) fn lane(&self, lane: Lane) -> impl DoubleEndedIterator<Item = &Waiting> {
+        let range = (lane, 0, 0)..=(lane, u64::MAX, u64::MAX);
+        self.order.range(range).map(|(_, waiting)| waiting)
+    }
+
     pub(super) fn len(&self) -> usize {
         self.order.len()
     }
 
-    pub(super) fn ahead_of(&self, class: LengthClass) -> usize {
-        self.order.range(..=(class as u8, u64::MAX)).count()
+    pub(super) fn len_of(&self, lane: Lane) -> usize {
+        self.lane(lane).count()
+    }
+
+    /// Prefill time of all that waits in a lane.
+    pub(super) fn prefill_ms(&self, lane: Lane) -> Millis {
+        self.prefill_ms[lane as usize]
     }
 }
--- a/crates/core/src/routing/candidates.rs
+++ b/crates/core/src/routing/candidates.rs
@@ -75,7 +75,8 @@
             continue;
         }
         let members = view.directory.live_in(domain).iter();
-        let untried = members.filter(|m| !query.tried.contains(&m.vm));
+        let named = |m: &Member| query.better == Some(&m.vm);
+        let untried = members.filter(|m| named(m) || !query.tried.contains(&m.vm));
         found.extend(untried.filter_map(|member| candidate(view, domain, member, query)));
     }
     if found.is_empty() {
--- a/crates/core/src/routing/cost.rs
+++ b/crates/core/src/routing/cost.rs
@@ -2,6 +2,7 @@
 
 use super::{
     candidates::{candidates, Candidate, Tier},
+    sent::SentWork,
     Route, RouteQuery, Router, RoutingSettings,
 };
 use crate::{
@@ -24,6 +25,7 @@
 pub(super) struct Cost {
     settings: RoutingSettings,
     busy_until: BTreeMap<VmId, Time>,
+    sent: SentWork,
 }
 
 impl Cost {
@@ -31,6 +33,7 @@
         Self {
             settings,
             busy_until: BTreeMap::new(),
+            sent: SentWork::default(),
         }
     }
 
@@ -64,7 +67,36 @@
             Tier::Remote => self.settings.cross_domain_ms,
             Tier::Known | Tier::Unheard => Millis::ZERO,
         };
-        wait.max(busy) + away
+        let sent = self.sent.wait(now, &candidate.member.vm, is_long(query));
+        wait.max(busy) + sent + away
+    }
+
+    fn note_sent(
+        &mut self,
+        now: Time,
+        view: &View<'_>,
+        query: &RouteQuery<'_>,
+        chosen: &Candidate<'_>,
+    ) {
+        let CallTarget::Model(call) = &query.spec.target else {
+            return;
+        };
+        let daemons = view.directory.live_in(&chosen.member.domain).len().max(1) as f64;
+        let sampled = self.settings.sampled_count as f64;
+        let alike_ratio = 1.0 + (daemons - 1.0) * (sampled / daemons).min(1.0);
+        let engines = chosen.capacity.map_or(1, |capacity| capacity.engines);
+        let work = self.sent.prefill(view, call.prompt_tokens);
+        let owner = &chosen.member.vm;
+        let long = is_long(query);
+        self.sent
+            .add(now, owner, long, work, (engines, alike_ratio));
+    }
+
+    /// Keeps the candidates of the own failure domain, if there are any.
+    fn nearest(&self, all: &mut Vec<Candidate<'_>>) {
+        if all.iter().any(|c| c.tier != Tier::Remote) {
+            all.retain(|c| c.tier != Tier::Remote);
+        }
     }
 
     /// Moves a few candidates, chosen at random, to the front.
@@ -78,6 +110,13 @@
     }
 }
 
+fn is_long(query: &RouteQuery<'_>) -> bool {
+    match &query.spec.target {
+        CallTarget::Model(call) => call.class() >= LengthClass::Long,
+        CallTarget::Service(_) => false,
+    }
+}
+
 impl Router for Cost {
     fn route(
         &mut self,
@@ -88,11 +127,18 @@
         let mut all = candidates(view, &self.settings, query)?;
         let named = |c: &&Candidate<'_>| Some(&c.member.vm) == query.better;
         if let Some(better) = all.iter().find(named) {
+            self.note_sent(ctx.now, view, query, better);
             return Ok(better.route(None, "named by the last denial"));
         }
-        self.sample(ctx, &mut all);
+        if is_long(query) {
+            // Few owners have an engine for long prompts: a small sample would miss them.
+            self.nearest(&mut all);
+        } else {
+            self.sample(ctx, &mut all);
+        }
         let cost = |c: &Candidate<'_>| (self.cost(ctx.now, c, query), c.tier);
         all.sort_by_key(cost);
+        self.note_sent(ctx.now, view, query, &all[0]);
         let runner_up = all.get(1).map(|c| c.member.vm.clone());
         Ok(all[0].route(runner_up, "least predicted wait"))
     }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -6,6 +6,7 @@
 mod least_outstanding;
 mod round_robin;
 mod router;
+mod sent;
 mod settings;
 
 pub use errors::RoutingSettingsError;
--- a/crates/core/tests/routing_policies.rs
+++ b/crates/core/tests/routing_policies.rs
@@ -36,6 +36,7 @@
     OwnerSummary {
         models: vec![(model(), capacity)],
         services: vec![("cell-orders".parse().unwrap(), free_requests)],
+        ..OwnerSummary::default()
     }
 }
 
@@ -88,6 +89,9 @@
     let spec = model_spec(1, 1_000, 100);
     insta::assert_snapshot!(ask(&mut bench, &mut *router, &spec, &[]), @"vm-2 (least predicted wait)");
     insta::assert_snapshot!(ask(&mut bench, &mut *router, &spec, &[vm("vm-2")]), @"vm-3 (least predicted wait)");
+    // Work sent a moment ago counts until it is done.
+    insta::assert_snapshot!(ask(&mut bench, &mut *router, &spec, &[]), @"vm-4 (least predicted wait)");
+    bench.advance(1_000);
     let denial = GrantAnswer::Denied(GrantDenial::Busy {
         better: None,
         retry_after_ms: Millis::new(500),
@@ -95,6 +99,7 @@
     });
     bench.with(|ctx, _| router.on_answer(ctx, &vm("vm-2"), &denial));
     insta::assert_snapshot!(ask(&mut bench, &mut *router, &spec, &[]), @"vm-3 (least predicted wait)");
+    bench.advance(400);
     bench.directory.summaries.insert(vm("vm-3"), summary(40, 0));
     insta::assert_snapshot!(ask(&mut bench, &mut *router, &spec, &[]), @"vm-4 (least predicted wait)");
     let better = vm("vm-1");
