--- a/crates/core/src/grant/settings.rs
+++ b/crates/core/src/grant/settings.rs
@@ -1,13 +1,15 @@
 //! Settings of the owner's side of grants.
 
 use super::GrantSettingsError;
-use crate::units::Millis;
+use crate::{routing::RoutingPolicy, units::Millis};
 use serde::{Deserialize, Serialize};
 
 /// Grant settings as written in the settings file.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RawGrantSettings {
+    /// How an upstream is chosen among the owned ones.
+    pub policy: RoutingPolicy,
     /// Time between two load polls of an upstream.
     pub poll_ms: u64,
     /// Time after which an unanswered cancel is sent again.
@@ -24,11 +26,16 @@
     pub learning_percent: u32,
     /// Most requests that wait.
     pub queue_requests: u32,
+    /// Prefill time ahead at an engine above which a request waits at the owner.
+    pub prefill_ahead_ms: u64,
+    /// Time between two agreements on the engines for long prompts.
+    pub long_set_ms: u64,
 }
 
 impl Default for RawGrantSettings {
     fn default() -> Self {
         Self {
+            policy: RoutingPolicy::Cost,
             poll_ms: 500,
             cancel_retry_ms: 500,
             lapse_slack_ms: 2_000,
@@ -37,6 +44,8 @@
             learning_ms: 3_000,
             learning_percent: 25,
             queue_requests: 4_096,
+            prefill_ahead_ms: 100,
+            long_set_ms: 200,
         }
     }
 }
@@ -45,6 +54,8 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
 #[serde(try_from = "RawGrantSettings")]
 pub struct GrantSettings {
+    /// How an upstream is chosen among the owned ones.
+    pub policy: RoutingPolicy,
     /// Time between two load polls of an upstream.
     pub poll_ms: Millis,
     /// Time after which an unanswered cancel is sent again.
@@ -61,6 +72,10 @@
     pub learning_percent: u32,
     /// Most requests that wait.
     pub queue_requests: u32,
+    /// Prefill time ahead at an engine above which a request waits at the owner.
+    pub prefill_ahead_ms: Millis,
+    /// Time between two agreements on the engines for long prompts.
+    pub long_set_ms: Millis,
 }
 
 fn check(key: &'static str, value: u64, min: u64, max: u64) -> Result<u64, GrantSettingsError> {
@@ -82,6 +97,7 @@
         let span = |key, value, min, max| check(key, value, min, max).map(Millis::new);
         let count = |key, value: u32, max| check(key, value.into(), 1, max).map(|v| v as u32);
         Ok(Self {
+            policy: raw.policy,
             poll_ms: span("poll_ms", raw.poll_ms, 50, 60_000)?,
             cancel_retry_ms: span("cancel_retry_ms", raw.cancel_retry_ms, 50, 60_000)?,
             lapse_slack_ms: span("lapse_slack_ms", raw.lapse_slack_ms, 100, 600_000)?,
@@ -90,6 +106,8 @@
             learning_ms: span("learning_ms", raw.learning_ms, 100, 60_000)?,
             learning_percent: count("learning_percent", raw.learning_percent, 100)?,
             queue_requests: count("queue_requests", raw.queue_requests, 1_000_000)?,
+            prefill_ahead_ms: span("prefill_ahead_ms", raw.prefill_ahead_ms, 0, 60_000)?,
+            long_set_ms: span("long_set_ms", raw.long_set_ms, 50, 60_000)?,
         })
     }
 }
