--- a/crates/io/src/settings/parts.rs
+++ b/crates/io/src/settings/parts.rs
@@ -2,16 +2,16 @@
 
 use super::SettingError;
 use persimmon_core::{
-    claim::ClaimSettingsError,
     config::{self, RawConfigSettings},
     daemon::PartSettings,
-    entry::{EntrySettingsError, RawEntrySettings},
+    entry::RawEntrySettings,
     grant::{GrantSettingsError, RawGrantSettings},
     membership::RawMembershipSettings,
     ownership::RawOwnershipSettings,
     placement::RawPlacementSettings,
     plan::RawPlanSettings,
     routing::{RawRoutingSettings, RoutingSettingsError},
+    units::RangeError,
 };
 
 /// Sections of the core's parts as they stand in the file.
@@ -101,22 +101,18 @@
     }
 }
 
-impl From<EntrySettingsError> for OutOfRange {
-    fn from(error: EntrySettingsError) -> Self {
-        match error {
-            EntrySettingsError::Range {
-                key,
-                value,
-                low,
-                high,
-            } => Self::new(key, value, low, high),
-            EntrySettingsError::Claims(ClaimSettingsError::Range {
-                key,
-                value,
-                low,
-                high,
-            }) => Self::new(format!("claims.{key}"), value, low, high),
-        }
+impl From<RangeError> for OutOfRange {
+    fn from(error: RangeError) -> Self {
+        let RangeError {
+            section,
+            key,
+            value,
+            low,
+            high,
+        } = error;
+        let nested = section.strip_prefix("entry.");
+        let key = nested.map_or_else(|| key.into(), |nested| format!("{nested}.{key}"));
+        Self::new(key, value, low, high)
     }
 }
 
--- a/crates/persimmon-standin/src/demo/daemons.rs
+++ b/crates/persimmon-standin/src/demo/daemons.rs
@@ -3,11 +3,12 @@
 use super::{fleet::DEMO_TOKEN, DemoError, VmSlot};
 use persimmon_core::{daemon::PartSettings, platform::VmRecord};
 use persimmon_io::{
-    http::{HttpLimits, Pages},
+    http::HttpLimits,
     peer::KeyPairPem,
     settings::{Listen, LogFormat, LogSettings, OperatorToken, Settings, TlsFiles},
+    telemetry::Telemetry,
 };
-use persimmond::{Daemon, DaemonHandle, Parts};
+use persimmond::{Daemon, DaemonHandle, Parts, StartError};
 use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
 /// Longest wait for a daemon's readiness page, in seconds.
@@ -18,6 +19,7 @@
     slot: &VmSlot,
     seeds: Vec<VmRecord>,
     platform: SocketAddr,
+    parts: &PartSettings,
 ) -> Result<Settings, DemoError> {
     let free_port = SocketAddr::from(([127, 0, 0, 1], 0));
     Ok(Settings {
@@ -41,17 +43,17 @@
             format: LogFormat::Text,
             level: log::LevelFilter::Info,
         },
+        parts: parts.clone(),
     })
 }
 
 /// Starts one daemon with keys of its own.
-pub(super) fn start(
-    settings: Settings,
-    ca: &KeyPairPem,
-    parts: &PartSettings,
-) -> Result<DaemonHandle, DemoError> {
+pub(super) fn start(settings: Settings, ca: &KeyPairPem) -> Result<DaemonHandle, DemoError> {
     let keys = ca.new_vm(&settings.vm)?;
-    let parts = Parts::real(&settings, &keys, parts.clone(), Arc::new(NoMetrics))?;
+    let telemetry = Telemetry::new().map_err(|error| StartError::Telemetry {
+        reason: error.to_string(),
+    })?;
+    let parts = Parts::real(&settings, &keys, Arc::new(telemetry))?;
     Ok(Daemon::start_with(settings, parts)?)
 }
 
@@ -67,12 +69,3 @@
         _ => Err(page.as_str().unwrap_or("no text").to_owned()),
     }
 }
-
-#[derive(Debug)]
-struct NoMetrics;
-
-impl Pages for NoMetrics {
-    fn metrics(&self) -> String {
-        String::new()
-    }
-}
--- a/crates/persimmon-standin/src/demo/fleet.rs
+++ b/crates/persimmon-standin/src/demo/fleet.rs
@@ -142,8 +142,9 @@
         let ca = KeyPairPem::new_ca()?;
         let mut seeds: Vec<VmRecord> = Vec::new();
         for slot in deployment.vms()? {
-            let settings = daemons::settings(&slot, seeds.clone(), self.platform.address())?;
-            let handle = daemons::start(settings, &ca, parts)?;
+            let platform = self.platform.address();
+            let settings = daemons::settings(&slot, seeds.clone(), platform, parts)?;
+            let handle = daemons::start(settings, &ca)?;
             seeds.push(VmRecord {
                 vm: slot.vm.clone(),
                 domain: slot.domain,
