--- a/crates/core/src/units/sizes.rs
+++ b/crates/core/src/units/sizes.rs
@@ -52,13 +52,13 @@
             type Output = Self;
 
             fn add(self, other: Self) -> Self {
-                Self(self.0 + other.0)
+                Self(self.0.saturating_add(other.0))
             }
         }
 
         impl AddAssign for $name {
             fn add_assign(&mut self, other: Self) {
-                self.0 += other.0;
+                *self = *self + other;
             }
         }
 
@@ -66,13 +66,14 @@
             type Output = Self;
 
             fn sub(self, other: Self) -> Self {
-                Self(self.0 - other.0)
+                debug_assert!(self.0 >= other.0, "more taken than there was");
+                self.saturating_sub(other)
             }
         }
 
         impl SubAssign for $name {
             fn sub_assign(&mut self, other: Self) {
-                self.0 -= other.0;
+                *self = *self - other;
             }
         }
 
