One host serves engines, services and the platform

The listener, control page and die/revive stood three times. A trait says what each kind does; counts and faults are reached in process too. New faults: a copy of the store is kept and restored. A fleet's daemons can be stopped, killed and replaced.

--- a/crates/persimmon-standin/src/demo/daemons.rs
+++ b/crates/persimmon-standin/src/demo/daemons.rs
@@ -4,11 +4,16 @@
 use persimmon_core::{daemon::PartSettings, platform::VmRecord};
 use persimmon_io::{
     http::{HttpLimits, Pages},
-    peer::KeyPairPem,
+    peer::{Identity, KeyPairPem, QuicLink},
     settings::{Listen, LogFormat, LogSettings, OperatorToken, Settings, TlsFiles},
 };
 use persimmond::{Daemon, DaemonHandle, Parts};
-use std::{net::SocketAddr, path::PathBuf, sync::Arc};
+use std::{
+    io,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, OnceLock, Weak},
+};
 
 /// Longest wait for a daemon's readiness page, in seconds.
 const READY_PAGE_TIMEOUT_SECS: u64 = 2;
@@ -44,15 +49,35 @@
     })
 }
 
+/// A daemon that runs, and its link to peers for as long as it has one.
+pub(super) struct Started {
+    pub(super) handle: DaemonHandle,
+    pub(super) link: Weak<QuicLink>,
+}
+
 /// Starts one daemon with keys of its own.
 pub(super) fn start(
     settings: Settings,
     ca: &KeyPairPem,
     parts: &PartSettings,
-) -> Result<DaemonHandle, DemoError> {
+) -> Result<Started, DemoError> {
     let keys = ca.new_vm(&settings.vm)?;
-    let parts = Parts::real(&settings, &keys, parts.clone(), Arc::new(NoMetrics))?;
-    Ok(Daemon::start_with(settings, parts)?)
+    let identity = Identity::new(&settings.vm, &keys)?;
+    let address = settings.listen.peers;
+    let mut parts = Parts::real(&settings, &keys, parts.clone(), Arc::new(NoMetrics))?;
+    let opened = Arc::new(OnceLock::new());
+    let opening = Arc::clone(&opened);
+    parts.link = Box::new(move |_, incarnation, events| {
+        let sink = Arc::new(move |event| drop(events.send(event)));
+        let link = QuicLink::start(address, identity, incarnation, sink);
+        let link = Arc::new(link.map_err(io::Error::other)?);
+        opening.get_or_init(|| Arc::downgrade(&link));
+        Ok(link)
+    });
+    Ok(Started {
+        handle: Daemon::start_with(settings, parts)?,
+        link: opened.get().cloned().unwrap_or_default(),
+    })
 }
 
 /// Whether a daemon takes requests, else what it says.
--- a/crates/persimmon-standin/src/demo/errors.rs
+++ b/crates/persimmon-standin/src/demo/errors.rs
@@ -24,6 +24,12 @@
     /// A daemon refused the first configuration or could not be asked.
     #[error("first configuration: {0}")]
     Operator(#[from] CtlError),
+    /// The fleet has no such VM.
+    #[error("the fleet has no VM {vm}: name one of `Fleet::daemons`")]
+    UnknownVm {
+        /// The VM.
+        vm: String,
+    },
     /// Not every daemon got ready in time.
     #[error("{vm} was not ready after {waited_s} s: {notes}; run fewer VMs or a faster VM")]
     NotReady {
--- a/crates/persimmon-standin/src/demo/fleet.rs
+++ b/crates/persimmon-standin/src/demo/fleet.rs
@@ -1,6 +1,6 @@
 //! A whole deployment as threads of this process.
 
-use super::{daemons, DemoError, Deployment, UpstreamSlotKind};
+use super::{DemoError, Deployment, UpstreamSlotKind};
 use crate::{
     Engine, EngineHandle, Platform, PlatformHandle, PlatformSettings, Service, ServiceHandle,
 };
@@ -8,30 +8,19 @@
     daemon::PartSettings,
     ids::{UpstreamId, VmId},
     operator::{Intent, OperatorCommand, OperatorReply, PlanState},
-    platform::{VmRecord, VmState},
+    platform::VmRecord,
 };
-use persimmon_io::peer::KeyPairPem;
+use persimmon_io::peer::{KeyPairPem, QuicLink};
 use persimmonctl::{
     client::{HttpClient, OperatorClient},
     CtlError,
 };
 use persimmond::DaemonHandle;
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    thread,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Weak};
 
 /// The operators' token of every demo.
 pub const DEMO_TOKEN: &str = "persimmon-demo-token";
 
-/// Longest wait for the daemons to be ready.
-const READY_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Time between two looks at a daemon that is not ready.
-const READY_POLL: Duration = Duration::from_millis(20);
-
 /// A whole deployment as threads of this process.
 pub struct Fleet {
     /// The daemons.
@@ -42,6 +31,10 @@
     pub servers: BTreeMap<UpstreamId, ServiceHandle>,
     /// The platform.
     pub platform: PlatformHandle,
+    pub(super) records: BTreeMap<VmId, VmRecord>,
+    pub(super) links: BTreeMap<VmId, Weak<QuicLink>>,
+    pub(super) ca: KeyPairPem,
+    pub(super) parts: PartSettings,
 }
 
 impl Fleet {
@@ -57,9 +50,15 @@
             engines: BTreeMap::new(),
             servers: BTreeMap::new(),
             platform,
+            records: BTreeMap::new(),
+            links: BTreeMap::new(),
+            ca: KeyPairPem::new_ca()?,
+            parts: parts.clone(),
         };
         fleet.start_upstreams(deployment)?;
-        fleet.start_daemons(deployment, parts)?;
+        for slot in deployment.vms()? {
+            fleet.start_daemon(&slot)?;
+        }
         fleet.configure(deployment)?;
         fleet.wait_ready()?;
         Ok(fleet)
@@ -134,28 +133,6 @@
         Ok(())
     }
 
-    fn start_daemons(
-        &mut self,
-        deployment: &Deployment,
-        parts: &PartSettings,
-    ) -> Result<(), DemoError> {
-        let ca = KeyPairPem::new_ca()?;
-        let mut seeds: Vec<VmRecord> = Vec::new();
-        for slot in deployment.vms()? {
-            let settings = daemons::settings(&slot, seeds.clone(), self.platform.address())?;
-            let handle = daemons::start(settings, &ca, parts)?;
-            seeds.push(VmRecord {
-                vm: slot.vm.clone(),
-                domain: slot.domain,
-                peer_address: handle.addresses().peers,
-                state: VmState::Live,
-            });
-            self.daemons.insert(slot.vm, handle);
-        }
-        self.platform.set_vms(seeds);
-        Ok(())
-    }
-
     fn configure(&self, deployment: &Deployment) -> Result<(), DemoError> {
         let engines = self
             .engines
@@ -173,21 +150,6 @@
     }
 
     fn wait_ready(&self) -> Result<(), DemoError> {
-        let until = Instant::now() + READY_TIMEOUT;
-        for (vm, daemon) in &self.daemons {
-            let address = daemon.addresses().callers;
-            while let Err(notes) = daemons::ready(address) {
-                if Instant::now() > until {
-                    let waited_s = READY_TIMEOUT.as_secs();
-                    return Err(DemoError::NotReady {
-                        vm: vm.to_string(),
-                        waited_s,
-                        notes,
-                    });
-                }
-                thread::sleep(READY_POLL);
-            }
-        }
-        Ok(())
+        self.daemons.keys().try_for_each(|vm| self.wait_for(vm))
     }
 }
--- a/crates/persimmon-standin/src/demo/mod.rs
+++ b/crates/persimmon-standin/src/demo/mod.rs
@@ -5,6 +5,7 @@
 mod errors;
 mod fleet;
 mod layout;
+mod vms;
 
 pub use deployment::{
     Deployment, DeploymentFields, DomainFields, ModelFields, ServiceGroupFields, WorkspaceFields,
--- /dev/null
+++ b/crates/persimmon-standin/src/demo/vms.rs
@@ -0,0 +1,128 @@
+//! The daemons of a fleet: started, stopped, killed and started again while it runs.
+
+use super::{daemons, DemoError, Fleet, VmSlot};
+use persimmon_core::{
+    ids::{FailureDomain, VmId},
+    platform::{VmRecord, VmState},
+};
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::Weak,
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Longest wait for the daemons to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time between two looks at a daemon that is not ready.
+const READY_POLL: Duration = Duration::from_millis(20);
+
+impl Fleet {
+    /// Where callers reach the daemons.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        let addresses = self.daemons.values().map(|daemon| daemon.addresses());
+        addresses.map(|addresses| addresses.callers).collect()
+    }
+
+    /// The failure domains that have daemons.
+    pub fn domains(&self) -> BTreeSet<FailureDomain> {
+        self.records.values().map(|r| r.domain.clone()).collect()
+    }
+
+    /// The VMs whose daemon has ended and was not replaced.
+    pub fn missing_vms(&self) -> Vec<VmId> {
+        let gone = |vm: &&VmId| !self.daemons.contains_key(*vm);
+        self.records.keys().filter(gone).cloned().collect()
+    }
+
+    /// Bytes that all daemons sent to their peers so far.
+    pub fn peer_sent_bytes(&self) -> u64 {
+        let links = self.links.values().filter_map(Weak::upgrade);
+        links.map(|link| link.traffic_bytes().0).sum()
+    }
+
+    /// Stops a daemon gracefully and waits until it has ended, then starts another in its place
+    /// and waits until it is ready. True where the first one ended well.
+    ///
+    /// # Errors
+    ///
+    /// The fleet has no such VM, or the new daemon does not start or get ready.
+    pub fn restart_daemon(&mut self, vm: &VmId) -> Result<bool, DemoError> {
+        if let Some(record) = self.records.get_mut(vm) {
+            record.state = VmState::Leaving;
+        }
+        self.list_vms();
+        let ended = self.daemons.remove(vm).is_none_or(|daemon| {
+            daemon.stop();
+            daemon.join()
+        });
+        self.replace_daemon(vm)?;
+        Ok(ended)
+    }
+
+    /// Ends a daemon without a word to anyone. Its VM stays away until it is replaced.
+    pub fn kill_daemon(&mut self, vm: &VmId) {
+        if let Some(daemon) = self.daemons.remove(vm) {
+            daemon.kill();
+            daemon.join();
+        }
+    }
+
+    /// Starts a daemon in the place of one that has ended, and waits until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// The fleet has no such VM, or the daemon does not start or get ready.
+    pub fn replace_daemon(&mut self, vm: &VmId) -> Result<(), DemoError> {
+        let unknown = || DemoError::UnknownVm { vm: vm.to_string() };
+        let record = self.records.remove(vm).ok_or_else(unknown)?;
+        let slot = VmSlot {
+            vm: record.vm,
+            domain: record.domain,
+        };
+        self.start_daemon(&slot)?;
+        self.wait_for(vm)
+    }
+
+    pub(super) fn start_daemon(&mut self, slot: &VmSlot) -> Result<(), DemoError> {
+        let seeds = self.records.values().cloned().collect();
+        let settings = daemons::settings(slot, seeds, self.platform.address())?;
+        let started = daemons::start(settings, &self.ca, &self.parts)?;
+        let record = VmRecord {
+            vm: slot.vm.clone(),
+            domain: slot.domain.clone(),
+            peer_address: started.handle.addresses().peers,
+            state: VmState::Live,
+        };
+        self.records.insert(slot.vm.clone(), record);
+        self.links.insert(slot.vm.clone(), started.link);
+        self.daemons.insert(slot.vm.clone(), started.handle);
+        self.list_vms();
+        Ok(())
+    }
+
+    pub(super) fn wait_for(&self, vm: &VmId) -> Result<(), DemoError> {
+        let unknown = || DemoError::UnknownVm { vm: vm.to_string() };
+        let daemon = self.daemons.get(vm).ok_or_else(unknown)?;
+        let until = Instant::now() + READY_TIMEOUT;
+        while let Err(notes) = daemons::ready(daemon.addresses().callers) {
+            if Instant::now() > until {
+                let waited_s = READY_TIMEOUT.as_secs();
+                return Err(DemoError::NotReady {
+                    vm: vm.to_string(),
+                    waited_s,
+                    notes,
+                });
+            }
+            thread::sleep(READY_POLL);
+        }
+        Ok(())
+    }
+
+    fn list_vms(&self) {
+        self.platform
+            .set_vms(self.records.values().cloned().collect());
+    }
+}
--- a/crates/persimmon-standin/src/engine/engine_handle.rs
+++ b/crates/persimmon-standin/src/engine/engine_handle.rs
@@ -1,13 +1,9 @@
 //! Starts an engine: its batch thread, its listener and its control page.
 
-use super::{
-    batch::Batch,
-    serve::{serve, Shared},
-    EngineSettings,
-};
+use super::{batch::Batch, serve::Shared, EngineCounters, EngineSettings};
 use crate::{
     faults::Fault,
-    http::{respond_error, Control, Listener, Slot},
+    host::{Host, Standin},
     lagged::{process_incarnation, Clock},
     StandinError,
 };
@@ -27,10 +23,7 @@
 
 /// A running engine; it stops when it is dropped.
 pub struct EngineHandle {
-    address: SocketAddr,
-    control: Listener,
-    shared: Arc<Shared>,
-    traffic: Arc<Slot>,
+    host: Host<Shared>,
     batch_thread: Option<JoinHandle<()>>,
 }
 
@@ -45,17 +38,10 @@
         let (address, control_address) = (settings.address, settings.control_address);
         let batch = Batch::new(settings, process_incarnation(), clock.now());
         let shared = Arc::new(Shared::new(batch, clock));
-        let listener = listen(address, &shared)?;
-        let address = listener.address();
-        let traffic = Arc::new(Slot::new(listener));
-        let control = control(control_address, address, &shared, &traffic)?;
-        let stepping = shared.clone();
-        let batch_thread = thread::spawn(move || run_batch(&stepping));
+        let host = Host::start(address, control_address, Arc::clone(&shared))?;
+        let batch_thread = thread::spawn(move || run_batch(&shared));
         Ok(EngineHandle {
-            address,
-            control,
-            shared,
-            traffic,
+            host,
             batch_thread: Some(batch_thread),
         })
     }
@@ -64,19 +50,32 @@
 impl EngineHandle {
     /// Where it serves.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.host.address()
     }
 
     /// Where its control page listens.
     pub fn control_address(&self) -> SocketAddr {
-        self.control.address()
+        self.host.control_address()
+    }
+
+    /// The counts so far.
+    pub fn counters(&self) -> EngineCounters {
+        self.host.standin().counters()
+    }
+
+    /// Switches a fault, as its control page does.
+    ///
+    /// # Errors
+    ///
+    /// A revived engine can't listen on its address.
+    pub fn switch(&self, fault: &Fault) -> Result<(), StandinError> {
+        self.host.switch(fault)
     }
 
     /// Stops it: its connections are cut and its ports close.
     pub fn stop(&mut self) {
-        self.shared.stop();
-        self.traffic.close();
-        self.control.stop();
+        self.host.standin().stop();
+        self.host.stop();
         if let Some(thread) = self.batch_thread.take() {
             // A panic of the batch thread has already been printed.
             let _ = thread.join();
@@ -90,57 +89,10 @@
     }
 }
 
-fn listen(address: SocketAddr, shared: &Arc<Shared>) -> Result<Listener, StandinError> {
-    let shared = shared.clone();
-    Listener::start(address, move |request| serve(&shared, request))
-}
-
-fn control(
-    control_address: SocketAddr,
-    address: SocketAddr,
-    shared: &Arc<Shared>,
-    traffic: &Arc<Slot>,
-) -> Result<Listener, StandinError> {
-    let (counted, switched, traffic) = (shared.clone(), shared.clone(), traffic.clone());
-    let page = Control {
-        counters: move || counted.batch().counters(),
-        switch: move |fault: &Fault| switch(fault, address, &switched, &traffic),
-    };
-    Listener::start(control_address, move |request| {
-        if let Some(request) = page.serve(request) {
-            respond_error(request, 404, "no_such_call", "not_run");
-        }
-    })
-}
-
-fn switch(
-    fault: &Fault,
-    address: SocketAddr,
-    shared: &Arc<Shared>,
-    traffic: &Slot,
-) -> Result<(), StandinError> {
-    match fault {
-        Fault::Die => {
-            shared.set_dead(true);
-            shared.batch().restart(shared.now());
-            traffic.close();
-        }
-        Fault::Revive => {
-            traffic.close();
-            shared.batch().restart(shared.now());
-            shared.set_dead(false);
-            traffic.open(listen(address, shared)?);
-        }
-        Fault::GoCold => shared.batch().turn_cold(),
-        fault => shared.faults.switch(fault),
-    }
-    Ok(())
-}
-
 fn run_batch(shared: &Shared) {
     while !shared.stopped() {
         thread::sleep(STEP);
-        let faults = shared.faults.now();
+        let faults = shared.faults().now();
         let rate_ratio = match faults.hung {
             true => 0.0,
             false => faults.rate_ratio,
--- a/crates/persimmon-standin/src/engine/mod.rs
+++ b/crates/persimmon-standin/src/engine/mod.rs
@@ -14,6 +14,7 @@
 mod stream;
 mod token;
 
+pub use counters::EngineCounters;
 pub use engine_handle::{Engine, EngineHandle};
 pub use settings::{EngineFields, EngineSettings};
 pub use token::TokenSource;
--- a/crates/persimmon-standin/src/engine/serve.rs
+++ b/crates/persimmon-standin/src/engine/serve.rs
@@ -5,9 +5,11 @@
     completion::complete,
     errors::RefusedCall,
     orders::{carry_out, OrderBody},
+    EngineCounters,
 };
 use crate::{
-    faults::Faults,
+    faults::{Fault, Faults},
+    host::Standin,
     http::{query, read_body, respond_error, respond_json},
     lagged::Clock,
 };
@@ -56,10 +58,6 @@
         self.stopped.store(true, Ordering::Relaxed);
     }
 
-    pub(crate) fn set_dead(&self, dead: bool) {
-        self.dead.store(dead, Ordering::Relaxed);
-    }
-
     /// Waits out a hang or slowness; false when the engine is dead.
     pub(crate) fn pass(&self) -> bool {
         self.faults.pass(|| self.gone())
@@ -70,8 +68,41 @@
     }
 }
 
+impl Standin for Shared {
+    type Counters = EngineCounters;
+
+    fn serve(self: &Arc<Self>, request: Request) {
+        serve(self, request);
+    }
+
+    fn counters(&self) -> EngineCounters {
+        self.batch().counters()
+    }
+
+    fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    fn die(&self) {
+        self.dead.store(true, Ordering::Relaxed);
+        self.batch().restart(self.now());
+    }
+
+    fn revive(&self) {
+        self.batch().restart(self.now());
+        self.dead.store(false, Ordering::Relaxed);
+    }
+
+    fn switch_own(&self, fault: &Fault) {
+        match fault {
+            Fault::GoCold => self.batch().turn_cold(),
+            fault => self.faults.switch(fault),
+        }
+    }
+}
+
 /// Serves one request of the engine's own address.
-pub(crate) fn serve(shared: &Arc<Shared>, request: Request) {
+fn serve(shared: &Arc<Shared>, request: Request) {
     let down = shared.batch().is_down(shared.now());
     if down || !shared.pass() {
         drop(request.into_writer());
--- a/crates/persimmon-standin/src/faults.rs
+++ b/crates/persimmon-standin/src/faults.rs
@@ -37,6 +37,10 @@
     GoCold,
     /// Refuse every call of the store.
     StoreDown,
+    /// Keep a copy of the store.
+    KeepCopy,
+    /// Restore the store from the copy that was kept; an empty one where there is none.
+    RestoreCopy,
     /// Disturb the tokens of engines' streams.
     Tokens {
         /// Swap neighbours.
@@ -124,7 +128,7 @@
                 };
             }
             Fault::Clear => *state = FaultState::default(),
-            Fault::Die | Fault::GoCold | Fault::Revive => {}
+            Fault::Die | Fault::GoCold | Fault::KeepCopy | Fault::RestoreCopy | Fault::Revive => {}
         }
     }
 
--- /dev/null
+++ b/crates/persimmon-standin/src/host.rs
@@ -0,0 +1,143 @@
+//! What engines, services and the platform have in common: two addresses, faults and counts.
+
+use crate::{
+    faults::{Fault, Faults},
+    http::{respond_error, Control, Listener, Slot},
+    StandinError,
+};
+use serde::Serialize;
+use std::{net::SocketAddr, sync::Arc};
+use tiny_http::Request;
+
+/// What one kind of stand-in does behind its addresses.
+pub(crate) trait Standin: Send + Sync + 'static {
+    /// What it counts.
+    type Counters: Serialize;
+
+    /// Serves a request of its own address.
+    fn serve(self: &Arc<Self>, request: Request);
+
+    /// The counts so far.
+    fn counters(&self) -> Self::Counters;
+
+    /// Its faults.
+    fn faults(&self) -> &Faults;
+
+    /// Ends as a process does: what it held is gone.
+    fn die(&self);
+
+    /// Comes back as a new process.
+    fn revive(&self);
+
+    /// Switches a fault that only this kind has.
+    fn switch_own(&self, fault: &Fault) {
+        self.faults().switch(fault);
+    }
+
+    /// Serves a request of the control address that every kind has not.
+    fn serve_control(&self, request: Request) {
+        respond_error(request, 404, "no_such_call", "not_run");
+    }
+}
+
+/// A stand-in with its listener and its control page.
+pub(crate) struct Host<S> {
+    control: Listener,
+    inner: Arc<Inner<S>>,
+}
+
+struct Inner<S> {
+    standin: Arc<S>,
+    address: SocketAddr,
+    traffic: Slot,
+}
+
+impl<S: Standin> Host<S> {
+    /// Listens on both addresses.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be bound.
+    pub(crate) fn start(
+        address: SocketAddr,
+        control_address: SocketAddr,
+        standin: Arc<S>,
+    ) -> Result<Self, StandinError> {
+        let listener = listen(address, &standin)?;
+        let inner = Arc::new(Inner {
+            standin,
+            address: listener.address(),
+            traffic: Slot::new(listener),
+        });
+        let control = control(control_address, &inner)?;
+        Ok(Self { control, inner })
+    }
+
+    pub(crate) fn standin(&self) -> &S {
+        &self.inner.standin
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.inner.address
+    }
+
+    pub(crate) fn control_address(&self) -> SocketAddr {
+        self.control.address()
+    }
+
+    /// Switches a fault.
+    ///
+    /// # Errors
+    ///
+    /// A revived stand-in can't listen on its address.
+    pub(crate) fn switch(&self, fault: &Fault) -> Result<(), StandinError> {
+        self.inner.switch(fault)
+    }
+
+    /// Stops it: its ports close.
+    pub(crate) fn stop(&mut self) {
+        self.inner.standin.die();
+        self.inner.traffic.close();
+        self.control.stop();
+    }
+}
+
+impl<S: Standin> Inner<S> {
+    fn switch(&self, fault: &Fault) -> Result<(), StandinError> {
+        match fault {
+            Fault::Die => {
+                self.standin.die();
+                self.traffic.close();
+            }
+            Fault::Revive => {
+                self.traffic.close();
+                self.standin.revive();
+                self.traffic.open(listen(self.address, &self.standin)?);
+            }
+            fault => self.standin.switch_own(fault),
+        }
+        Ok(())
+    }
+}
+
+fn listen<S: Standin>(address: SocketAddr, standin: &Arc<S>) -> Result<Listener, StandinError> {
+    let standin = Arc::clone(standin);
+    Listener::start(address, move |request| standin.serve(request))
+}
+
+fn control<S: Standin>(
+    address: SocketAddr,
+    inner: &Arc<Inner<S>>,
+) -> Result<Listener, StandinError> {
+    let (counted, switched) = (Arc::clone(inner), Arc::clone(inner));
+    let page = Control {
+        counters: move || counted.standin.counters(),
+        switch: move |fault: &Fault| switched.switch(fault),
+    };
+    let others = Arc::clone(inner);
+    Listener::start(address, move |request| {
+        if let Some(request) = page.serve(request) {
+            others.standin.serve_control(request);
+        }
+    })
+}
--- a/crates/persimmon-standin/src/lib.rs
+++ b/crates/persimmon-standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod service;
 
 mod errors;
+mod host;
 mod lagged;
 mod settings_file;
 
--- a/crates/persimmon-standin/src/platform/mod.rs
+++ b/crates/persimmon-standin/src/platform/mod.rs
@@ -8,3 +8,4 @@
 
 pub use platform_handle::{Platform, PlatformHandle};
 pub use settings::{PlatformFields, PlatformSettings};
+pub use store::PlatformCounters;
--- a/crates/persimmon-standin/src/platform/serve.rs
+++ b/crates/persimmon-standin/src/platform/serve.rs
@@ -1,8 +1,9 @@
 //! The platform's HTTP.
 
-use super::store::Store;
+use super::{store::Store, PlatformCounters};
 use crate::{
-    faults::Faults,
+    faults::{Fault, Faults},
+    host::Standin,
     http::{read_body, respond_error, respond_json, respond_status},
     lagged::Clock,
 };
@@ -11,7 +12,7 @@
 use serde_json::json;
 use std::sync::{
     atomic::{AtomicBool, Ordering},
-    Mutex, MutexGuard, PoisonError,
+    Arc, Mutex, MutexGuard, PoisonError,
 };
 use tiny_http::{Method, Request};
 
@@ -47,17 +48,63 @@
         self.clock.now()
     }
 
-    pub(crate) fn set_dead(&self, dead: bool) {
-        self.dead.store(dead, Ordering::Relaxed);
-    }
-
     fn gone(&self) -> bool {
         self.dead.load(Ordering::Relaxed)
     }
 }
 
+impl Standin for Shared {
+    type Counters = PlatformCounters;
+
+    fn serve(self: &Arc<Self>, request: Request) {
+        serve(self, request);
+    }
+
+    fn counters(&self) -> PlatformCounters {
+        self.store().counters()
+    }
+
+    fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    fn die(&self) {
+        self.dead.store(true, Ordering::Relaxed);
+    }
+
+    fn revive(&self) {
+        self.dead.store(false, Ordering::Relaxed);
+    }
+
+    fn switch_own(&self, fault: &Fault) {
+        match fault {
+            Fault::KeepCopy => self.store().keep_copy(),
+            Fault::RestoreCopy => self.store().restore_copy(),
+            fault => self.faults.switch(fault),
+        }
+    }
+
+    fn serve_control(&self, request: Request) {
+        set_vms(self, request);
+    }
+}
+
+fn set_vms(shared: &Shared, mut request: Request) {
+    if (request.method(), request.url()) != (&Method::Post, "/vms") {
+        return respond_error(request, 404, "no_such_call", "not_run");
+    }
+    let body = read_body(&mut request);
+    match serde_json::from_slice(&body) {
+        Err(error) => respond_error(request, 400, &error.to_string(), "not_run"),
+        Ok(vms) => {
+            shared.store().set_vms(shared.now(), vms);
+            respond_json(request, &json!({}));
+        }
+    }
+}
+
 /// Serves one request of the platform's own address.
-pub(crate) fn serve(shared: &Shared, request: Request) {
+fn serve(shared: &Shared, request: Request) {
     if !shared.faults.pass(|| shared.gone()) {
         drop(request.into_writer());
         return;
--- a/crates/persimmon-standin/src/platform/store.rs
+++ b/crates/persimmon-standin/src/platform/store.rs
@@ -12,15 +12,23 @@
 
 /// What the platform has counted.
 #[derive(Clone, Debug, Default, Serialize)]
-pub(crate) struct PlatformCounters {
-    pub(crate) writes_count: u64,
-    pub(crate) reads_count: u64,
-    pub(crate) conflicts_count: u64,
-    pub(crate) limited_count: u64,
-    pub(crate) refused_count: u64,
-    pub(crate) weights_bytes: u64,
-    pub(crate) rows_count: u64,
-    pub(crate) objects_count: u64,
+pub struct PlatformCounters {
+    /// Writes of table and objects.
+    pub writes_count: u64,
+    /// Reads of table and objects.
+    pub reads_count: u64,
+    /// Transactions whose conditions did not hold.
+    pub conflicts_count: u64,
+    /// Calls over the rate limit.
+    pub limited_count: u64,
+    /// Calls refused while the store was down.
+    pub refused_count: u64,
+    /// Weights given out.
+    pub weights_bytes: u64,
+    /// Rows now.
+    pub rows_count: u64,
+    /// Objects now.
+    pub objects_count: u64,
 }
 
 /// The platform's state.
@@ -28,6 +36,7 @@
 pub(crate) struct Store {
     rows: BTreeMap<String, Bytes>,
     objects: BTreeMap<String, Bytes>,
+    copy: Option<(BTreeMap<String, Bytes>, BTreeMap<String, Bytes>)>,
     vms: Lagged<Vec<VmRecord>>,
     writes: Bucket,
     reads: Bucket,
@@ -40,6 +49,7 @@
         Self {
             rows: BTreeMap::new(),
             objects: BTreeMap::new(),
+            copy: None,
             vms: Lagged::new(settings.vms_lag_ms, settings.vms.clone()),
             writes: Bucket::new(settings.writes_per_s),
             reads: Bucket::new(settings.reads_per_s),
@@ -115,6 +125,16 @@
         TableAnswer::Done
     }
 
+    /// Keeps a copy of rows and objects.
+    pub(crate) fn keep_copy(&mut self) {
+        self.copy = Some((self.rows.clone(), self.objects.clone()));
+    }
+
+    /// Puts the copy in place of rows and objects; an empty store where none was kept.
+    pub(crate) fn restore_copy(&mut self) {
+        (self.rows, self.objects) = self.copy.clone().unwrap_or_default();
+    }
+
     /// The list of VMs as it is shown now.
     pub(crate) fn vms(&mut self, now: Time) -> Vec<VmRecord> {
         self.vms.seen(now).unwrap_or_default()
--- a/crates/persimmon-standin/src/service/runs.rs
+++ b/crates/persimmon-standin/src/service/runs.rs
@@ -11,12 +11,17 @@
 
 /// What a service has run.
 #[derive(Clone, Debug, Default, Serialize)]
-pub(crate) struct ServiceCounters {
-    pub(crate) runs_by_key: BTreeMap<String, u64>,
-    pub(crate) runs_by_call: BTreeMap<String, u64>,
-    pub(crate) run_requests: u64,
-    pub(crate) refused_requests: u64,
-    pub(crate) in_flight_requests: u32,
+pub struct ServiceCounters {
+    /// Runs of each idempotency key.
+    pub runs_by_key: BTreeMap<String, u64>,
+    /// Runs of each method and path.
+    pub runs_by_call: BTreeMap<String, u64>,
+    /// Runs.
+    pub run_requests: u64,
+    /// Calls that were refused.
+    pub refused_requests: u64,
+    /// Runs now.
+    pub in_flight_requests: u32,
 }
 
 /// Runs of one service, and its load report.
--- a/crates/persimmon-standin/src/service/service_handle.rs
+++ b/crates/persimmon-standin/src/service/service_handle.rs
@@ -1,9 +1,10 @@
 //! Starts a plain service: its listener and its control page.
 
-use super::{runs::Runs, ServiceSettings};
+use super::{runs::Runs, ServiceCounters, ServiceSettings};
 use crate::{
     faults::{Fault, Faults},
-    http::{header, read_body, respond_error, respond_json, Control, Listener, Slot},
+    host::{Host, Standin},
+    http::{header, read_body, respond_error, respond_json},
     lagged::{process_incarnation, Clock},
     StandinError,
 };
@@ -24,10 +25,7 @@
 
 /// A running service; it stops when it is dropped.
 pub struct ServiceHandle {
-    address: SocketAddr,
-    control: Listener,
-    shared: Arc<Shared>,
-    traffic: Arc<Slot>,
+    host: Host<Shared>,
 }
 
 struct Shared {
@@ -48,6 +46,33 @@
     }
 }
 
+impl Standin for Shared {
+    type Counters = ServiceCounters;
+
+    fn serve(self: &Arc<Self>, request: Request) {
+        serve(self, request);
+    }
+
+    fn counters(&self) -> ServiceCounters {
+        self.runs().counters.clone()
+    }
+
+    fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    fn die(&self) {
+        self.dead.store(true, Ordering::Relaxed);
+    }
+
+    fn revive(&self) {
+        let mut runs = self.runs();
+        runs.incarnation = runs.incarnation.next();
+        drop(runs);
+        self.dead.store(false, Ordering::Relaxed);
+    }
+}
+
 impl Service {
     /// Starts a service.
     ///
@@ -68,35 +93,39 @@
             faults: Faults::default(),
             dead: AtomicBool::new(false),
         });
-        let listener = listen(address, &shared)?;
-        let address = listener.address();
-        let traffic = Arc::new(Slot::new(listener));
-        let control = control(control_address, address, &shared, &traffic)?;
-        Ok(ServiceHandle {
-            address,
-            control,
-            shared,
-            traffic,
-        })
+        let host = Host::start(address, control_address, shared)?;
+        Ok(ServiceHandle { host })
     }
 }
 
 impl ServiceHandle {
     /// Where it serves.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.host.address()
     }
 
     /// Where its control page listens.
     pub fn control_address(&self) -> SocketAddr {
-        self.control.address()
+        self.host.control_address()
+    }
+
+    /// The counts so far.
+    pub fn counters(&self) -> ServiceCounters {
+        self.host.standin().counters()
+    }
+
+    /// Switches a fault, as its control page does.
+    ///
+    /// # Errors
+    ///
+    /// A revived service can't listen on its address.
+    pub fn switch(&self, fault: &Fault) -> Result<(), StandinError> {
+        self.host.switch(fault)
     }
 
     /// Stops it: its ports close.
     pub fn stop(&mut self) {
-        self.shared.dead.store(true, Ordering::Relaxed);
-        self.traffic.close();
-        self.control.stop();
+        self.host.stop();
     }
 }
 
@@ -106,53 +135,6 @@
     }
 }
 
-fn listen(address: SocketAddr, shared: &Arc<Shared>) -> Result<Listener, StandinError> {
-    let shared = shared.clone();
-    Listener::start(address, move |request| serve(&shared, request))
-}
-
-fn control(
-    control_address: SocketAddr,
-    address: SocketAddr,
-    shared: &Arc<Shared>,
-    traffic: &Arc<Slot>,
-) -> Result<Listener, StandinError> {
-    let (counted, switched, traffic) = (shared.clone(), shared.clone(), traffic.clone());
-    let page = Control {
-        counters: move || counted.runs().counters.clone(),
-        switch: move |fault: &Fault| switch(fault, address, &switched, &traffic),
-    };
-    Listener::start(control_address, move |request| {
-        if let Some(request) = page.serve(request) {
-            respond_error(request, 404, "no_such_call", "not_run");
-        }
-    })
-}
-
-fn switch(
-    fault: &Fault,
-    address: SocketAddr,
-    shared: &Arc<Shared>,
-    traffic: &Slot,
-) -> Result<(), StandinError> {
-    match fault {
-        Fault::Die => {
-            shared.dead.store(true, Ordering::Relaxed);
-            traffic.close();
-        }
-        Fault::Revive => {
-            traffic.close();
-            let mut runs = shared.runs();
-            runs.incarnation = runs.incarnation.next();
-            drop(runs);
-            shared.dead.store(false, Ordering::Relaxed);
-            traffic.open(listen(address, shared)?);
-        }
-        fault => shared.faults.switch(fault),
-    }
-    Ok(())
-}
-
 fn serve(shared: &Shared, request: Request) {
     if !shared.faults.pass(|| shared.gone()) {
         drop(request.into_writer());
