--- /dev/null
+++ b/crates/persimmon-load/src/experiment/compare.rs
@@ -0,0 +1,109 @@
+//! Routing policies, in turn, on the same arrivals.
+
+use super::{Bench, BenchSettings, FleetCounts};
+use crate::{measure::RunReport, workload::LengthClass, LoadError};
+use persimmon_core::{
+    daemon::PartSettings,
+    routing::{RawRoutingSettings, RoutingPolicy, RoutingSettings},
+};
+use serde::Serialize;
+use std::{collections::BTreeMap, fmt::Write};
+
+/// The runs of policies on the same arrivals.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct CompareReport {
+    /// The runs, in order.
+    pub policies: Vec<PolicyReport>,
+    /// Time to first token of the first policy by that of the other, at p95, by class.
+    pub first_token_p95_ratio: Vec<BTreeMap<LengthClass, f64>>,
+    /// Whole answers of the first policy by those of the other.
+    pub whole_ratio: Vec<f64>,
+}
+
+/// The run of one policy.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct PolicyReport {
+    /// The policy.
+    pub policy: RoutingPolicy,
+    /// The result.
+    pub report: RunReport,
+    /// What the stand-ins counted.
+    pub counts: FleetCounts,
+}
+
+/// Runs each policy on the same arrivals, each on a fresh deployment.
+///
+/// # Errors
+///
+/// A deployment does not start.
+pub fn compare(
+    settings: &BenchSettings,
+    policies: &[RoutingPolicy],
+) -> Result<CompareReport, LoadError> {
+    let arrivals = settings.arrivals();
+    let mut reports = Vec::new();
+    for policy in policies {
+        let mut bench = Bench::start(settings, &parts(*policy))?;
+        let watched = bench.run(&arrivals, |_, _, _| Ok(()))?;
+        reports.push(PolicyReport {
+            policy: *policy,
+            report: watched.report(),
+            counts: bench.settle(),
+        });
+        bench.fleet.stop();
+    }
+    Ok(CompareReport::new(reports))
+}
+
+/// Default settings with a routing policy.
+fn parts(policy: RoutingPolicy) -> PartSettings {
+    let raw = RawRoutingSettings {
+        policy,
+        ..RawRoutingSettings::default()
+    };
+    PartSettings {
+        routing: RoutingSettings::try_from(raw).unwrap_or_default(),
+        ..PartSettings::default()
+    }
+}
+
+impl CompareReport {
+    fn new(policies: Vec<PolicyReport>) -> Self {
+        let others = || policies.iter().skip(1);
+        let first = &policies[0].report;
+        Self {
+            first_token_p95_ratio: others().map(|p| p95_ratios(first, &p.report)).collect(),
+            whole_ratio: others()
+                .map(|p| first.whole_requests as f64 / p.report.whole_requests as f64)
+                .collect(),
+            policies,
+        }
+    }
+
+    /// The result as a few lines of text.
+    pub fn table(&self) -> String {
+        let mut text = String::new();
+        for run in &self.policies {
+            let _ = write!(text, "{:?}: {}", run.policy, run.report.table());
+        }
+        let others = self.policies.iter().skip(1);
+        let ratios = self.first_token_p95_ratio.iter().zip(&self.whole_ratio);
+        for (other, (ratios, whole)) in others.zip(ratios) {
+            let _ = write!(text, "p95 first token against {:?}:", other.policy);
+            for (class, ratio) in ratios {
+                let _ = write!(text, " {class} {ratio:.2}");
+            }
+            let _ = writeln!(text, "; whole answers {whole:.3}");
+        }
+        text
+    }
+}
+
+/// Times to first token at p95 of one run by those of another, by class.
+pub(super) fn p95_ratios(run: &RunReport, other: &RunReport) -> BTreeMap<LengthClass, f64> {
+    let ratios = run.classes.iter().filter_map(|(class, report)| {
+        let other_ms = other.classes.get(class)?.first_token.p95_ms?;
+        Some((*class, report.first_token.p95_ms? / other_ms))
+    });
+    ratios.collect()
+}
--- /dev/null
+++ b/crates/persimmon-load/src/experiment/slopes.rs
@@ -0,0 +1,133 @@
+//! What control costs, against the number of daemons, upstreams and requests.
+
+use super::{BenchSettings, FleetCounts};
+use crate::{measure::thread_times, LoadError};
+use persimmon_core::daemon::PartSettings;
+use persimmon_standin::demo::{Deployment, DeploymentFields, Fleet};
+use serde::Serialize;
+use std::{
+    fmt::Write,
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Time for a fresh deployment to come to rest.
+const REST: Duration = Duration::from_secs(4);
+
+/// What idle deployments of several sizes cost.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct SlopesReport {
+    /// One row a size.
+    pub rows: Vec<SlopeRow>,
+}
+
+/// What one idle deployment costs.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct SlopeRow {
+    /// Daemons.
+    pub daemons_count: usize,
+    /// Upstreams.
+    pub upstreams_count: usize,
+    /// Length of the measurement.
+    pub span_ms: u64,
+    /// Share of a core that one daemon's control thread takes.
+    pub control_core_ratio: f64,
+    /// Share of a core that one daemon's link to peers takes.
+    pub link_core_ratio: f64,
+    /// Bytes that one daemon sends to peers in a second, as UDP payload.
+    pub peer_bytes_per_s: f64,
+    /// Reads of the store by one daemon in a second.
+    pub store_reads_per_s: f64,
+    /// Writes of the store by one daemon in a second.
+    pub store_writes_per_s: f64,
+    /// Memory of the whole process, stand-ins included, for each daemon.
+    pub process_bytes: u64,
+}
+
+/// Measures idle deployments with these numbers of daemons and engines in each failure domain.
+///
+/// # Errors
+///
+/// A deployment does not start.
+pub fn slopes(
+    settings: &BenchSettings,
+    parts: &PartSettings,
+    sizes: &[(u32, u32)],
+) -> Result<SlopesReport, LoadError> {
+    let rows = sizes.iter().map(|(daemons_count, engines_count)| {
+        let deployment = sized(&settings.deployment, *daemons_count, *engines_count)?;
+        let row = one_size(&deployment, parts, settings.span)?;
+        eprintln!("{}", row.line());
+        Ok(row)
+    });
+    let rows: Result<Vec<SlopeRow>, LoadError> = rows.collect();
+    Ok(SlopesReport { rows: rows? })
+}
+
+fn sized(like: &Deployment, daemons: u32, engines: u32) -> Result<Deployment, LoadError> {
+    let mut fields: DeploymentFields = (**like).clone();
+    for domain in fields.domains.values_mut() {
+        domain.daemons_count = daemons;
+        domain.engines_count.values_mut().for_each(|c| *c = engines);
+    }
+    Ok(Deployment::try_from(fields)?)
+}
+
+fn one_size(
+    deployment: &Deployment,
+    parts: &PartSettings,
+    span: Duration,
+) -> Result<SlopeRow, LoadError> {
+    let fleet = Fleet::start(deployment, parts)?;
+    thread::sleep(REST);
+    let (times, counts) = (thread_times()?, FleetCounts::of(&fleet, Duration::ZERO));
+    let (sent_bytes, start) = (fleet.peer_sent_bytes(), Instant::now());
+    thread::sleep(span);
+    let after = thread_times()?;
+    let (span, daemons) = (start.elapsed(), fleet.daemons.len() as f64);
+    let counts_after = FleetCounts::of(&fleet, Duration::ZERO);
+    let sent_bytes = fleet.peer_sent_bytes().saturating_sub(sent_bytes);
+    let each_per_s = |count: f64| count / span.as_secs_f64() / daemons;
+    let cores = |name: &str| each_per_s(after.of_s(name) - times.of_s(name));
+    let row = SlopeRow {
+        daemons_count: fleet.daemons.len(),
+        upstreams_count: fleet.engines.len() + fleet.servers.len(),
+        span_ms: span.as_millis() as u64,
+        control_core_ratio: cores("control"),
+        link_core_ratio: cores("peer-link"),
+        peer_bytes_per_s: each_per_s(sent_bytes as f64),
+        store_reads_per_s: each_per_s((counts_after.reads_count - counts.reads_count) as f64),
+        store_writes_per_s: each_per_s((counts_after.writes_count - counts.writes_count) as f64),
+        process_bytes: after.resident_bytes,
+    };
+    fleet.stop();
+    Ok(row)
+}
+
+impl SlopeRow {
+    fn line(&self) -> String {
+        format!(
+            "{:>4} daemons {:>4} upstreams: control {:.3}% of a core, link {:.3}%, {:.0} bytes/s \
+             to peers, {:.2} reads/s, {:.2} writes/s, process {} MB",
+            self.daemons_count,
+            self.upstreams_count,
+            self.control_core_ratio * 100.0,
+            self.link_core_ratio * 100.0,
+            self.peer_bytes_per_s,
+            self.store_reads_per_s,
+            self.store_writes_per_s,
+            self.process_bytes >> 20,
+        )
+    }
+}
+
+impl SlopesReport {
+    /// The result as a table, a line a size.
+    pub fn table(&self) -> String {
+        let mut text = String::new();
+        for row in &self.rows {
+            let _ = writeln!(text, "{}", row.line());
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/persimmon-load/src/experiment/timeline.rs
@@ -0,0 +1,116 @@
+//! New work of one failure domain over time.
+
+use crate::caller::Sample;
+use persimmon_core::ids::FailureDomain;
+use persimmon_standin::demo::{Deployment, Fleet};
+use serde::Serialize;
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Time between two looks at the counters.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Width of a point of the plot, in milliseconds.
+const POINT_MS: f64 = 250.0;
+
+/// New work of one failure domain over time.
+#[derive(Clone, Debug, Default)]
+pub struct Timeline {
+    /// From the start of the run, how many requests the domain's upstreams had taken in.
+    starts: Vec<(f64, u64)>,
+}
+
+/// Rates in one part of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Point {
+    /// Its start.
+    pub at_ms: f64,
+    /// Whole answers a second.
+    pub whole_per_s: f64,
+    /// Requests a second that the domain's upstreams took in.
+    pub started_per_s: f64,
+}
+
+impl Timeline {
+    /// Looks at the domain's upstreams until an instant.
+    pub fn watch(
+        &mut self,
+        fleet: &Fleet,
+        deployment: &Deployment,
+        domain: &FailureDomain,
+        start: Instant,
+        until: Instant,
+    ) {
+        while Instant::now() < until {
+            let at_ms = Instant::now()
+                .saturating_duration_since(start)
+                .as_secs_f64()
+                * 1e3;
+            self.starts
+                .push((at_ms, started(fleet, deployment, domain)));
+            thread::sleep(LOOK);
+        }
+    }
+
+    /// Adds what was seen after.
+    pub fn append(&mut self, mut later: Self) {
+        self.starts.append(&mut later.starts);
+    }
+
+    /// The last time in a span at which the domain's upstreams took a request in.
+    pub fn last_start_ms(&self, from_ms: f64, to_ms: f64) -> Option<f64> {
+        let pairs = self.starts.windows(2);
+        let rises = pairs
+            .filter(|pair| pair[1].1 > pair[0].1)
+            .map(|pair| pair[1].0);
+        rises.filter(|at| (from_ms..to_ms).contains(at)).last()
+    }
+
+    /// The first time from an instant on at which they took one in.
+    pub fn first_start_ms(&self, from_ms: f64) -> Option<f64> {
+        let pairs = self.starts.windows(2);
+        let mut rises = pairs
+            .filter(|pair| pair[1].1 > pair[0].1)
+            .map(|pair| pair[1].0);
+        rises.find(|at| *at >= from_ms)
+    }
+
+    /// The rates over time.
+    pub fn points(&self, samples: &[Sample]) -> Vec<Point> {
+        let end_ms = self.starts.last().map_or(0.0, |(at_ms, _)| *at_ms);
+        let count = (end_ms / POINT_MS) as usize;
+        let per_s = |count: f64| count * 1e3 / POINT_MS;
+        let points = (0..count).map(|index| {
+            let (from, to) = (index as f64 * POINT_MS, (index + 1) as f64 * POINT_MS);
+            let ended = samples.iter().filter(|s| s.is_whole());
+            let ended = ended.filter(|s| (from..to).contains(&(s.at_ms + s.end_ms)));
+            Point {
+                at_ms: from,
+                whole_per_s: per_s(ended.count() as f64),
+                started_per_s: per_s(self.seen_by(to) as f64 - self.seen_by(from) as f64),
+            }
+        });
+        points.collect()
+    }
+
+    fn seen_by(&self, at_ms: f64) -> u64 {
+        let index = self.starts.partition_point(|(at, _)| *at <= at_ms);
+        let first = self.starts.first();
+        let seen = index.checked_sub(1).map_or(first, |i| self.starts.get(i));
+        seen.map_or(0, |(_, count)| *count)
+    }
+}
+
+fn started(fleet: &Fleet, deployment: &Deployment, domain: &FailureDomain) -> u64 {
+    let slots = deployment.upstreams().unwrap_or_default();
+    let of_domain = slots.iter().filter(|slot| slot.domain == *domain);
+    let counts = of_domain.map(|slot| {
+        let engine = fleet.engines.get(&slot.upstream);
+        let server = fleet.servers.get(&slot.upstream);
+        engine.map_or(0, |engine| engine.counters().started_requests)
+            + server.map_or(0, |server| server.counters().run_requests)
+    });
+    counts.sum()
+}
--- /dev/null
+++ b/crates/persimmon-load/src/measure/report.rs
@@ -0,0 +1,160 @@
+//! The result of a run.
+
+use super::{SpanReport, Spans, SystemUse};
+use crate::{
+    caller::{End, Sample},
+    workload::LengthClass,
+};
+use persimmon_core::request::Outcome;
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// Lateness of arrivals at which the load tool no longer keeps up.
+const KEEPS_UP_MS: f64 = 20.0;
+
+/// The result of a run.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct RunReport {
+    /// Requests made.
+    pub requests_count: usize,
+    /// Whole answers, by content.
+    pub whole_requests: usize,
+    /// Refusals that say `not_run`.
+    pub refused_not_run_requests: usize,
+    /// Refusals that say `unknown`.
+    pub refused_unknown_requests: usize,
+    /// Streams that ended with an error after tokens.
+    pub cut_off_requests: usize,
+    /// Requests without an answer or refusal.
+    pub lost_requests: usize,
+    /// Answers with wrong content.
+    pub wrong_requests: usize,
+    /// How many ended in each way other than whole.
+    pub ends: BTreeMap<String, usize>,
+    /// Whole answers a second, from the first arrival to the last.
+    pub whole_per_s: f64,
+    /// Model calls, by class of prompt length.
+    pub classes: BTreeMap<LengthClass, ClassReport>,
+    /// Calls of plain services.
+    pub services: ClassReport,
+    /// Time from when a request was due to its refusal.
+    pub refusal: SpanReport,
+    /// Lateness of arrivals.
+    pub late: SpanReport,
+    /// Whether the load tool made its calls when they were due.
+    pub keeps_up: bool,
+    /// What the processors did.
+    pub system: SystemUse,
+}
+
+/// Requests of one class.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct ClassReport {
+    /// Requests made.
+    pub requests_count: usize,
+    /// Whole answers.
+    pub whole_requests: usize,
+    /// Time from when a request was due to its first token, of whole answers.
+    pub first_token: SpanReport,
+}
+
+impl ClassReport {
+    fn new<'a>(samples: impl Iterator<Item = &'a Sample> + Clone) -> Self {
+        let whole = samples.clone().filter(|sample| sample.is_whole());
+        let spans: Spans = whole.clone().filter_map(|s| s.first_token_ms).collect();
+        Self {
+            requests_count: samples.count(),
+            whole_requests: whole.count(),
+            first_token: spans.report(),
+        }
+    }
+}
+
+impl RunReport {
+    /// The result of a run.
+    pub fn new(samples: &[Sample], system: SystemUse) -> Self {
+        let count = |fits: fn(&End) -> bool| samples.iter().filter(|s| fits(&s.end)).count();
+        let classes = LengthClass::ALL.iter().map(|class| {
+            let of_class = samples.iter().filter(|s| s.class == Some(*class));
+            (*class, ClassReport::new(of_class))
+        });
+        let refusals = samples.iter().filter(|s| matches!(s.end, End::Refused(..)));
+        let refusals: Spans = refusals.map(|sample| sample.end_ms).collect();
+        let late: Spans = samples.iter().map(|sample| sample.late_ms).collect();
+        let late = late.report();
+        let whole_requests = count(|end| *end == End::Whole);
+        let span_ms = samples.last().map_or(0.0, |sample| sample.at_ms);
+        Self {
+            requests_count: samples.len(),
+            whole_requests,
+            refused_not_run_requests: count(|e| matches!(e, End::Refused(_, Outcome::NotRun))),
+            refused_unknown_requests: count(|e| matches!(e, End::Refused(_, Outcome::Unknown))),
+            cut_off_requests: count(|end| matches!(end, End::CutOff(..))),
+            lost_requests: count(|end| matches!(end, End::Lost(_))),
+            wrong_requests: count(|end| matches!(end, End::Wrong(_))),
+            ends: ends(samples),
+            whole_per_s: whole_requests as f64 * 1e3 / span_ms.max(1.0),
+            classes: classes.collect(),
+            services: ClassReport::new(samples.iter().filter(|s| s.class.is_none())),
+            refusal: refusals.report(),
+            keeps_up: late.p99_ms.is_none_or(|late_ms| late_ms <= KEEPS_UP_MS),
+            late,
+            system,
+        }
+    }
+
+    /// The result as a few lines of text.
+    pub fn table(&self) -> String {
+        let mut text =
+            format!(
+            "{} requests, {} whole, {} refused not_run, {} refused unknown, {} cut off, {} lost, \
+             {} wrong; {:.1} whole/s; {:.1} of {} cores by this process, {:.1} by all{}\n",
+            self.requests_count,
+            self.whole_requests,
+            self.refused_not_run_requests,
+            self.refused_unknown_requests,
+            self.cut_off_requests,
+            self.lost_requests,
+            self.wrong_requests,
+            self.whole_per_s,
+            self.system.own_cores_count,
+            self.system.cores_count,
+            self.system.busy_cores_count,
+            if self.keeps_up { "" } else { "; THE LOAD TOOL DID NOT KEEP UP" },
+        );
+        let classes = self.classes.iter().map(|(class, r)| (class.to_string(), r));
+        for (name, class) in classes.chain([("services".to_owned(), &self.services)]) {
+            text.push_str(&line(&name, class.requests_count, &class.first_token));
+        }
+        let refused_count = self.refused_not_run_requests + self.refused_unknown_requests;
+        text.push_str(&line("refusal", refused_count, &self.refusal));
+        text.push_str(&line("late", self.requests_count, &self.late));
+        text
+    }
+}
+
+fn line(name: &str, requests_count: usize, spans: &SpanReport) -> String {
+    let ms = |span: Option<f64>| span.map_or("-".to_owned(), |ms| format!("{ms:.1}"));
+    format!(
+        "{name:>9} {requests_count:>7}  p50 {:>9}  p95 {:>9}  p99 {:>9}  max {:>9} ms\n",
+        ms(spans.p50_ms),
+        ms(spans.p95_ms),
+        ms(spans.p99_ms),
+        ms(spans.max_ms),
+    )
+}
+
+fn ends(samples: &[Sample]) -> BTreeMap<String, usize> {
+    let mut ends = BTreeMap::new();
+    for sample in samples {
+        let label = match &sample.end {
+            End::Whole => continue,
+            End::Refused(code, outcome) => format!("refused {code} {outcome}"),
+            End::CutOff(code, outcome) => format!("cut off {code} {outcome}"),
+            End::Wrong(reason) => format!("wrong: {reason}"),
+            End::Lost(reason) => format!("lost: {reason}"),
+        };
+        *ends.entry(label).or_default() += 1;
+    }
+    ends
+}
--- /dev/null
+++ b/crates/persimmon-load/src/measure/system_use.rs
@@ -0,0 +1,78 @@
+//! What the processors did during a run: other programs may have run as well.
+
+use serde::Serialize;
+use std::{fs, thread, time::Instant};
+
+/// Clock ticks of `/proc` a second.
+const TICKS_PER_S: f64 = 100.0;
+
+/// What the processors did during a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct SystemUse {
+    /// Processors.
+    pub cores_count: usize,
+    /// Processors that this process kept busy.
+    pub own_cores_count: f64,
+    /// Processors that all programs kept busy.
+    pub busy_cores_count: f64,
+    /// Most memory that this process held so far.
+    pub own_peak_bytes: u64,
+}
+
+/// Measures from its start on.
+#[derive(Clone, Copy, Debug)]
+pub struct UseMeter {
+    start: Instant,
+    own_ticks: f64,
+    busy_ticks: f64,
+}
+
+impl UseMeter {
+    /// Starts measuring.
+    pub fn start() -> Self {
+        Self {
+            start: Instant::now(),
+            own_ticks: own_ticks(),
+            busy_ticks: busy_ticks(),
+        }
+    }
+
+    /// What was used since.
+    pub fn used(&self) -> SystemUse {
+        let span_ticks = self.start.elapsed().as_secs_f64() * TICKS_PER_S;
+        SystemUse {
+            cores_count: thread::available_parallelism().map_or(0, usize::from),
+            own_cores_count: (own_ticks() - self.own_ticks) / span_ticks,
+            busy_cores_count: (busy_ticks() - self.busy_ticks) / span_ticks,
+            own_peak_bytes: status_bytes("VmHWM:"),
+        }
+    }
+}
+
+/// A line of this process's status, which counts KiB.
+pub(crate) fn status_bytes(label: &str) -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix(label));
+    let kib = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    kib.unwrap_or(0) << 10
+}
+
+fn own_ticks() -> f64 {
+    stat_ticks(&fs::read_to_string("/proc/self/stat").unwrap_or_default())
+}
+
+/// User and system ticks of a process's or thread's `stat`.
+pub(crate) fn stat_ticks(stat: &str) -> f64 {
+    let fields = stat.rsplit(')').next().unwrap_or_default();
+    let ticks = fields.split_whitespace().skip(11).take(2);
+    ticks.filter_map(|field| field.parse::<f64>().ok()).sum()
+}
+
+fn busy_ticks() -> f64 {
+    let stat = fs::read_to_string("/proc/stat").unwrap_or_default();
+    let first = stat.lines().next().unwrap_or_default();
+    let fields = first.split_whitespace().skip(1);
+    let ticks: Vec<f64> = fields.filter_map(|field| field.parse().ok()).collect();
+    let idle: f64 = ticks.iter().skip(3).take(2).sum();
+    ticks.iter().take(8).sum::<f64>() - idle
+}
--- /dev/null
+++ b/crates/persimmon-load/src/measure/thread_times.rs
@@ -0,0 +1,49 @@
+//! Processor time of this process's threads, by name.
+
+use super::system_use::status_bytes;
+use crate::LoadError;
+use std::{collections::BTreeMap, fs};
+
+/// Nanoseconds of a second.
+const NS_PER_S: f64 = 1e9;
+
+/// Processor time of this process's threads, by name.
+#[derive(Clone, Debug, Default)]
+pub struct ThreadTimes {
+    by_name_s: BTreeMap<String, f64>,
+    /// Memory of the process.
+    pub resident_bytes: u64,
+}
+
+impl ThreadTimes {
+    /// Seconds that all threads of this name have run.
+    pub fn of_s(&self, name: &str) -> f64 {
+        self.by_name_s.get(name).copied().unwrap_or(0.0)
+    }
+}
+
+/// Reads the times so far.
+///
+/// # Errors
+///
+/// The system's pages can't be read.
+pub fn thread_times() -> Result<ThreadTimes, LoadError> {
+    let mut times = ThreadTimes {
+        resident_bytes: status_bytes("VmRSS:"),
+        ..ThreadTimes::default()
+    };
+    for entry in fs::read_dir("/proc/self/task")? {
+        let path = entry?.path();
+        // A thread may end while it is looked at.
+        let (Ok(name), Ok(stat)) = (
+            fs::read_to_string(path.join("comm")),
+            fs::read_to_string(path.join("schedstat")),
+        ) else {
+            continue;
+        };
+        let ran = stat.split_whitespace().next();
+        let ran_ns: f64 = ran.and_then(|ns| ns.parse().ok()).unwrap_or(0.0);
+        *times.by_name_s.entry(name.trim().into()).or_default() += ran_ns / NS_PER_S;
+    }
+    Ok(times)
+}
--- /dev/null
+++ b/crates/persimmon-load/src/workload/prompts.rs
@@ -0,0 +1,76 @@
+//! Prompts, cut out of one long text.
+
+use super::{Arrival, Work};
+use persimmon_core::units::Tokens;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Words of the text.
+const TEXT_WORDS: usize = 1 << 20;
+
+/// Bytes of a word with its space.
+const WORD_BYTES: usize = 4;
+
+/// Letters of words.
+const LETTERS: &[u8] = b"abcdefghijklmnopqrstuvwxyz";
+
+/// Makes prompts of any length by copying: no work for each word.
+#[derive(Clone, Debug)]
+pub struct Prompts {
+    text: String,
+    prefix_tokens: Tokens,
+}
+
+impl Prompts {
+    /// Makes the text.
+    pub fn new(seed: u64, prefix_tokens: Tokens) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut text = String::with_capacity(TEXT_WORDS * WORD_BYTES);
+        for _ in 0..TEXT_WORDS {
+            for _ in 1..WORD_BYTES {
+                text.push(LETTERS[rng.random_range(0..LETTERS.len())].into());
+            }
+            text.push(' ');
+        }
+        Self {
+            text,
+            prefix_tokens,
+        }
+    }
+
+    /// The prompt of an arrival: the document of its workspace where it shares one, a word of its
+    /// own, then text. Empty for a call of a plain service.
+    pub fn prompt(&self, arrival: &Arrival) -> String {
+        let Work::Model {
+            prompt_tokens,
+            shares_prefix,
+            ..
+        } = arrival.work
+        else {
+            return String::new();
+        };
+        let words = prompt_tokens.get() as usize;
+        let mut prompt = String::with_capacity((words + 8) * WORD_BYTES);
+        let prefix_words = match shares_prefix {
+            true => (self.prefix_tokens.get() as usize).min(words - 1),
+            false => 0,
+        };
+        let start = xxh3_64(arrival.workspace.as_str().as_bytes());
+        self.copy(&mut prompt, start, prefix_words);
+        prompt.push_str(&format!("q{} ", arrival.number_index));
+        let start = xxh3_64(&arrival.number_index.to_le_bytes());
+        self.copy(&mut prompt, start, words - 1 - prefix_words);
+        prompt.truncate(prompt.trim_end().len());
+        prompt
+    }
+
+    fn copy(&self, prompt: &mut String, start: u64, words: usize) {
+        let start = (start % TEXT_WORDS as u64) as usize;
+        let first = words.min(TEXT_WORDS - start);
+        let cut =
+            |from: usize, words: usize| &self.text[from * WORD_BYTES..(from + words) * WORD_BYTES];
+        prompt.push_str(cut(start, first));
+        prompt.push_str(cut(0, words - first));
+    }
+}
