--- a/crates/persimmon-standin/src/demo/daemons.rs
+++ b/crates/persimmon-standin/src/demo/daemons.rs
@@ -3,13 +3,14 @@
 use super::{fleet::DEMO_TOKEN, DemoError, VmSlot};
 use persimmon_core::{daemon::PartSettings, platform::VmRecord};
 use persimmon_io::{
-    http::{HttpLimits, Pages},
-    peer::{Identity, KeyPairPem, QuicLink},
+    http::HttpLimits,
+    link::PeerLink,
+    peer::KeyPairPem,
     settings::{Listen, LogFormat, LogSettings, OperatorToken, Settings, TlsFiles},
+    telemetry::Telemetry,
 };
-use persimmond::{Daemon, DaemonHandle, Parts};
+use persimmond::{Daemon, DaemonHandle, Parts, StartError};
 use std::{
-    io,
     net::SocketAddr,
     path::PathBuf,
     sync::{Arc, OnceLock, Weak},
@@ -23,6 +24,7 @@
     slot: &VmSlot,
     seeds: Vec<VmRecord>,
     platform: SocketAddr,
+    parts: &PartSettings,
 ) -> Result<Settings, DemoError> {
     let free_port = SocketAddr::from(([127, 0, 0, 1], 0));
     Ok(Settings {
@@ -46,37 +48,33 @@
             format: LogFormat::Text,
             level: log::LevelFilter::Info,
         },
+        parts: parts.clone(),
     })
 }
 
 /// A daemon that runs, and its link to peers for as long as it has one.
 pub(super) struct Started {
     pub(super) handle: DaemonHandle,
-    pub(super) link: Weak<QuicLink>,
+    pub(super) link: Option<Weak<dyn PeerLink>>,
 }
 
 /// Starts one daemon with keys of its own.
-pub(super) fn start(
-    settings: Settings,
-    ca: &KeyPairPem,
-    parts: &PartSettings,
-) -> Result<Started, DemoError> {
+pub(super) fn start(settings: Settings, ca: &KeyPairPem) -> Result<Started, DemoError> {
     let keys = ca.new_vm(&settings.vm)?;
-    let identity = Identity::new(&settings.vm, &keys)?;
-    let address = settings.listen.peers;
-    let mut parts = Parts::real(&settings, &keys, parts.clone(), Arc::new(NoMetrics))?;
-    let opened = Arc::new(OnceLock::new());
+    let telemetry = Telemetry::new().map_err(|error| StartError::Telemetry {
+        reason: error.to_string(),
+    })?;
+    let mut parts = Parts::real(&settings, &keys, Arc::new(telemetry))?;
+    let (open, opened) = (parts.link, Arc::new(OnceLock::new()));
     let opening = Arc::clone(&opened);
-    parts.link = Box::new(move |_, incarnation, events| {
-        let sink = Arc::new(move |event| drop(events.send(event)));
-        let link = QuicLink::start(address, identity, incarnation, sink);
-        let link = Arc::new(link.map_err(io::Error::other)?);
+    parts.link = Box::new(move |vm, incarnation, events| {
+        let link = open(vm, incarnation, events)?;
         opening.get_or_init(|| Arc::downgrade(&link));
         Ok(link)
     });
     Ok(Started {
         handle: Daemon::start_with(settings, parts)?,
-        link: opened.get().cloned().unwrap_or_default(),
+        link: opened.get().cloned(),
     })
 }
 
@@ -92,12 +90,3 @@
         _ => Err(page.as_str().unwrap_or("no text").to_owned()),
     }
 }
-
-#[derive(Debug)]
-struct NoMetrics;
-
-impl Pages for NoMetrics {
-    fn metrics(&self) -> String {
-        String::new()
-    }
-}
--- a/crates/persimmon-standin/src/demo/fleet.rs
+++ b/crates/persimmon-standin/src/demo/fleet.rs
@@ -10,7 +10,7 @@
     operator::{Intent, OperatorCommand, OperatorReply, PlanState},
     platform::VmRecord,
 };
-use persimmon_io::peer::{KeyPairPem, QuicLink};
+use persimmon_io::{link::PeerLink, peer::KeyPairPem};
 use persimmonctl::{
     client::{HttpClient, OperatorClient},
     CtlError,
@@ -32,7 +32,7 @@
     /// The platform.
     pub platform: PlatformHandle,
     pub(super) records: BTreeMap<VmId, VmRecord>,
-    pub(super) links: BTreeMap<VmId, Weak<QuicLink>>,
+    pub(super) links: BTreeMap<VmId, Weak<dyn PeerLink>>,
     pub(super) ca: KeyPairPem,
     pub(super) parts: PartSettings,
 }
--- a/crates/persimmon-standin/src/demo/vms.rs
+++ b/crates/persimmon-standin/src/demo/vms.rs
@@ -40,7 +40,8 @@
     /// Bytes that all daemons sent to their peers so far.
     pub fn peer_sent_bytes(&self) -> u64 {
         let links = self.links.values().filter_map(Weak::upgrade);
-        links.map(|link| link.traffic_bytes().0).sum()
+        let sent = links.filter_map(|link| link.traffic_bytes());
+        sent.map(|(sent_bytes, _)| sent_bytes).sum()
     }
 
     /// Stops a daemon gracefully and waits until it has ended, then starts another in its place
@@ -88,8 +89,8 @@
 
     pub(super) fn start_daemon(&mut self, slot: &VmSlot) -> Result<(), DemoError> {
         let seeds = self.records.values().cloned().collect();
-        let settings = daemons::settings(slot, seeds, self.platform.address())?;
-        let started = daemons::start(settings, &self.ca, &self.parts)?;
+        let settings = daemons::settings(slot, seeds, self.platform.address(), &self.parts)?;
+        let started = daemons::start(settings, &self.ca)?;
         let record = VmRecord {
             vm: slot.vm.clone(),
             domain: slot.domain.clone(),
@@ -97,7 +98,9 @@
             state: VmState::Live,
         };
         self.records.insert(slot.vm.clone(), record);
-        self.links.insert(slot.vm.clone(), started.link);
+        if let Some(link) = started.link {
+            self.links.insert(slot.vm.clone(), link);
+        }
         self.daemons.insert(slot.vm.clone(), started.handle);
         self.list_vms();
         Ok(())
