--- a/crates/persimmond/src/daemon.rs
+++ b/crates/persimmond/src/daemon.rs
@@ -27,6 +27,9 @@
 /// Threads that give orders to upstreams and ask for their load.
 const UPSTREAM_THREADS: usize = 8;
 
+/// Name of the control thread, as the system's tools show it.
+const CONTROL_THREAD: &str = "control";
+
 /// A daemon, as threads of this process.
 #[derive(Clone, Copy, Debug)]
 pub struct Daemon;
@@ -102,7 +105,10 @@
             upstream_pool: Pool::start(UPSTREAM_THREADS),
             killed: Arc::clone(&killed),
         };
-        let thread = thread::spawn(move || run(control, callers, operators));
+        let builder = thread::Builder::new().name(CONTROL_THREAD.into());
+        let thread = builder
+            .spawn(move || run(control, callers, operators))
+            .map_err(|reason| StartError::Thread { reason })?;
         Ok(DaemonHandle {
             addresses,
             events,
--- a/crates/persimmond/src/errors.rs
+++ b/crates/persimmond/src/errors.rs
@@ -23,6 +23,12 @@
         /// What went wrong.
         reason: io::Error,
     },
+    /// The control thread can't be started.
+    #[error("can't start the control thread ({reason}): raise the limit of threads")]
+    Thread {
+        /// What the system says.
+        reason: io::Error,
+    },
     /// The keys can't be used.
     #[error(transparent)]
     Keys(#[from] PeerError),
