--- /dev/null
+++ b/crates/persimmond/tests/loopback/threads.rs
@@ -0,0 +1,186 @@
+//! Daemons of two failure domains as threads, joined by QUIC.
+
+use crate::world::{
+    client::{call, page, post, read_until, rest, send, tokens, STREAM},
+    daemons::{ask, change, World},
+    wait,
+};
+use insta::assert_snapshot;
+use persimmon_core::operator::{Intent, OperatorCommand, OperatorReply};
+use std::{io::Write, thread, time::Duration};
+
+/// A completion that is not streamed.
+const COLLECTED: &str = r#"{"model":"m","prompt":"a b","max_tokens":3}"#;
+
+#[test]
+fn answers_come_whole_through_another_failure_domain() {
+    let world = World::start();
+    let answer = rest(send(world.callers(1), &post("/v1/completions", "", STREAM)));
+    let expected: Vec<_> = (0..10).map(|n| format!("t{n}")).collect();
+    assert_eq!(tokens(&answer), Some(expected), "{answer}");
+    let order = post(
+        "/services/orders/cells/7",
+        "Idempotency-Key: k1\r\n",
+        "start",
+    );
+    let first = call(world.callers(1), &order);
+    assert_snapshot!(first, @r#"200 OK {"path":"/cells/7","run":1}"#);
+    assert_eq!(
+        call(world.callers(0), &order),
+        first,
+        "the same key at another daemon"
+    );
+    assert_eq!(world.upstream.counts().runs_by_key["k1"], 1);
+    world.stop();
+}
+
+#[test]
+fn first_token_leaves_while_the_engine_still_generates() {
+    let world = World::start();
+    world.upstream.pace(100);
+    let mut reader = send(world.callers(1), &post("/v1/completions", "", STREAM));
+    read_until(&mut reader, "t0");
+    assert_eq!(world.upstream.counts().held.len(), 1, "the answer was over");
+    assert!(tokens(&rest(reader)).is_some());
+    world.stop();
+}
+
+#[test]
+fn bad_requests_are_refused_with_a_remedy() {
+    let world = World::start();
+    let at = |text: &str| call(world.callers(0), text);
+    let completion = |body: &str| at(&post("/v1/completions", "", body));
+    let other = |text: String, from: &str, to: &str| at(&text.replace(from, to));
+    let large = format!(r#"{{"model":"m","prompt":"{}"}}"#, "a ".repeat(4000));
+    let answers = [
+        completion("{\"model\": "),
+        completion("\u{0}\u{1}"),
+        completion(r#"{"model":7,"prompt":"a"}"#),
+        completion(r#"{"model":"m","prompt":["a"]}"#),
+        completion(r#"{"model":"m","prompt":"a","max_tokens":-1}"#),
+        completion(r#"{"model":"m","prompt":"a","max_tokens":0}"#),
+        completion(r#"{"prompt":"a"}"#),
+        completion(r#"{"model":"m"}"#),
+        completion(r#"{"model":"nobody","prompt":"a"}"#),
+        completion(&large),
+        other(post("/v1/completions", "", COLLECTED), "team-1", "nobody"),
+        other(
+            post("/v1/completions", "", COLLECTED),
+            "X-Workspace",
+            "X-Other",
+        ),
+        at(&post(
+            "/v1/completions",
+            "X-Request-Timeout-Ms: soon\r\n",
+            COLLECTED,
+        )),
+        at(&post(
+            "/v1/completions",
+            "X-Request-Timeout-Ms: 0\r\n",
+            COLLECTED,
+        )),
+        at(&post("/services/nobody/x", "", "")),
+        at(&post("/services/a%20b/x", "", "")),
+        at(&post("/v2/completions", "", COLLECTED)),
+        other(post("/v1/completions", "", COLLECTED), "POST", "GET"),
+    ];
+    assert_snapshot!(answers.join("\n"));
+    assert_snapshot!(page(world.callers(0), "/healthz"), @"200 OK ok");
+    world.stop();
+}
+
+#[test]
+fn connections_that_misbehave_hurt_nobody_else() {
+    let world = World::start_with(|settings| settings["limits"]["io_time_ms"] = 2000.into());
+    let address = world.callers(0);
+    // Smaller bodies are read before the daemon sees a request.
+    let large = post(
+        "/v1/completions",
+        "",
+        &format!("{COLLECTED}{}", " ".repeat(2000)),
+    );
+    let part = &large[..large.len() - 5];
+    drop(send(address, part));
+    drop(send(address, "GET /healthz HT"));
+    let garbage = call(address, "\u{0}\u{1}\u{2}\r\n\r\n");
+    let mut slow = send(address, part);
+    for byte in [b' '; 2] {
+        thread::sleep(Duration::from_millis(400));
+        // The daemon may have hung up.
+        let _ = slow.get_mut().write_all(&[byte]);
+    }
+    let slow = rest(slow);
+    let slow = slow.lines().last().unwrap_or_default();
+    let other = call(address, &post("/v1/completions", "", COLLECTED));
+    assert!(other.starts_with("200"), "{other}");
+    assert_snapshot!([garbage, slow.to_owned()].join("\n"));
+    world.stop();
+}
+
+#[test]
+fn requests_over_the_limit_are_refused_at_once() {
+    let world = World::start_with(|settings| settings["limits"]["open_max_requests"] = 1.into());
+    let address = world.callers(0);
+    world.upstream.pace(100);
+    let mut open = send(address, &post("/v1/completions", "", STREAM));
+    read_until(&mut open, "t0");
+    let refused = call(address, &post("/v1/completions", "", COLLECTED));
+    assert_snapshot!(refused);
+    assert!(tokens(&rest(open)).is_some());
+    world.stop();
+}
+
+#[test]
+fn operators_are_checked() {
+    let world = World::start();
+    let address = world.operators(0);
+    let operator = |headers: &str, body: &str| call(address, &post("/operator", headers, body));
+    let token = "Authorization: Bearer a-token-for-tests\r\n";
+    let named = format!("{token}X-Operator: ayla\r\n");
+    let answers = [
+        operator("", "\"status\""),
+        operator("Authorization: Bearer a-token-for-test\r\n", "\"status\""),
+        operator("Authorization: Basic a-token-for-tests\r\n", "\"status\""),
+        operator(token, "\"status\""),
+        operator(&format!("{token}X-Operator: a b\r\n"), "\"status\""),
+        operator(&named, "\"reboot\""),
+        operator(&named, "{"),
+        call(address, &post("/operators", &named, "\"status\"")),
+    ];
+    assert_snapshot!(answers.join("\n"));
+    let reply = ask(address, &OperatorCommand::Status);
+    let OperatorReply::Status(status) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(status.members.len(), 2, "{status:?}");
+    world.stop();
+}
+
+#[test]
+fn drained_domain_gets_no_new_work() {
+    let world = World::start();
+    let drain = Intent::DrainDomain("a".parse().unwrap());
+    let reply = change(world.operators(1), &drain);
+    assert!(matches!(reply, OperatorReply::Confirmed(_)), "{reply:?}");
+    let refused = |index| {
+        let answer = call(
+            world.callers(index),
+            &post("/v1/completions", "", COLLECTED),
+        );
+        match answer.starts_with("200") {
+            true => Err(answer),
+            false => Ok(answer),
+        }
+    };
+    let refusals = [0, 1].map(|index| wait("a refusal", || refused(index)));
+    let streams_count = world.upstream.counts().streams_count;
+    for index in [0, 1] {
+        assert!(refused(index).is_ok(), "it is served again");
+    }
+    assert_eq!(world.upstream.counts().streams_count, streams_count);
+    for refusal in refusals {
+        assert!(refusal.starts_with("503"), "{refusal}");
+        assert!(refusal.contains("\"outcome\":\"not_run\""), "{refusal}");
+    }
+    world.stop();
+}
--- /dev/null
+++ b/crates/persimmond/tests/loopback/world/daemons.rs
@@ -0,0 +1,157 @@
+//! Real daemons as threads of the test, over QUIC.
+
+use super::{client, platform, upstream::Upstream, wait};
+use persimmon_core::{
+    config::Configuration,
+    operator::{Intent, OperatorCommand, OperatorReply},
+};
+use persimmon_io::{
+    peer::KeyPairPem,
+    settings::{parse, Settings},
+    telemetry::Telemetry,
+};
+use persimmond::{Daemon, DaemonHandle, Parts};
+use serde_json::{json, Value};
+use std::{net::SocketAddr, path::Path, sync::Arc};
+
+/// What operators show.
+pub(crate) const TOKEN: &str = "a-token-for-tests";
+
+/// Two failure domains, `a` with an upstream; daemons as threads.
+pub(crate) struct World {
+    pub(crate) upstream: Upstream,
+    pub(crate) daemons: Vec<DaemonHandle>,
+}
+
+/// Settings of a VM of failure domain `domain`, with short times.
+pub(crate) fn settings(vm: &str, domain: &str, seeds: &Value, platform: SocketAddr) -> Value {
+    json!({
+        "vm": vm,
+        "domain": domain,
+        "listen": {
+            "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0",
+        },
+        "seeds": seeds,
+        "platform": platform,
+        "tls": {"ca_file": "ca.pem", "cert_file": "vm.pem", "key_file": "vm.key"},
+        "operator_token": TOKEN,
+        "limits": {"body_max_bytes": 4096, "open_max_requests": 64, "body_time_ms": 500,
+            "io_time_ms": 500},
+        "membership": {"heartbeat_ms": 100, "death_ms": 600, "relay_ms": 1500},
+        "ownership": {"lease_ms": 1000, "join_window_ms": 300},
+        "config": {"poll_ms": 100},
+        "grant": {"poll_ms": 100, "cancel_retry_ms": 100, "learning_ms": 500},
+    })
+}
+
+/// One seed.
+pub(crate) fn seed(vm: &str, domain: &str, peers: SocketAddr) -> Value {
+    json!({"vm": vm, "domain": domain, "peer_address": peers})
+}
+
+/// The configuration: one model, one service, both on the upstream of `a`.
+pub(crate) fn configuration(upstream: SocketAddr) -> Configuration {
+    let engine = json!({"engine": {
+        "kv_bytes": 1_000_000_000, "prefill_tokens_per_s": 100_000.0,
+        "decode_tokens_per_s": 50.0, "max_in_flight_requests": 16, "can_group": false,
+    }});
+    let entry = |kind: Value| json!({"address": upstream, "domain": "a", "kind": kind, "checks_fencing": true});
+    let value = json!({
+        "domains": {"a": {"region": "r"}, "b": {"region": "r"}},
+        "models": {"m@1": {
+            "kv_bytes_per_token": 1000, "weights_bytes": 1_000_000, "context_tokens": 100_000,
+        }},
+        "services": {"orders": {"max_in_flight_requests": 8}},
+        "upstreams": {"engine-1": entry(engine), "server-1": entry(json!({"service": "orders"}))},
+        "workspaces": {"team-1": {"weight_count": 1}},
+        "placement": [{"model": "m@1"}],
+    });
+    serde_json::from_value(value).unwrap()
+}
+
+/// Asks a daemon as an operator.
+pub(crate) fn ask(operators: SocketAddr, command: &OperatorCommand) -> OperatorReply {
+    let body = serde_json::to_string(command).unwrap();
+    let headers = format!("Authorization: Bearer {TOKEN}\r\nX-Operator: ayla\r\n");
+    let answer = client::call(operators, &client::post("/operator", &headers, &body));
+    let reply = answer.strip_prefix("200 OK ").expect(&answer);
+    serde_json::from_str(reply).unwrap()
+}
+
+/// Plans an intent and confirms the plan.
+pub(crate) fn change(operators: SocketAddr, intent: &Intent) -> OperatorReply {
+    let (intent, force) = (intent.clone(), true);
+    match ask(operators, &OperatorCommand::Plan { intent, force }) {
+        OperatorReply::Plan(plan) => ask(operators, &OperatorCommand::Confirm(plan.id)),
+        other => panic!("no plan: {other:?}"),
+    }
+}
+
+/// Puts the first configuration in force, and waits until a completion comes whole at each daemon.
+pub(crate) fn configure(operators: SocketAddr, callers: &[SocketAddr], upstream: SocketAddr) {
+    let replace = Intent::Replace(Box::new(configuration(upstream)));
+    wait("a confirmed configuration", || {
+        let reply = change(operators, &replace);
+        match reply {
+            OperatorReply::Confirmed(_) => Ok(()),
+            other => Err(format!("{other:?}")),
+        }
+    });
+    for address in callers {
+        wait("a whole answer", || {
+            let request = client::post("/v1/completions", "", client::STREAM);
+            let answer = client::rest(client::send(*address, &request));
+            client::tokens(&answer).ok_or(answer)
+        });
+    }
+}
+
+impl World {
+    /// Starts one daemon in `a` and one in `b`, the second of which knows the first.
+    pub(crate) fn start() -> Self {
+        Self::start_with(|_| {})
+    }
+
+    /// As `start`, with other settings.
+    pub(crate) fn start_with(adjust: impl Fn(&mut Value)) -> Self {
+        let (platform, upstream) = (platform::start(), Upstream::start());
+        let ca = KeyPairPem::new_ca().unwrap();
+        let mut daemons: Vec<DaemonHandle> = Vec::new();
+        let mut seeds = json!([]);
+        for (vm, domain) in [("vm-1", "a"), ("vm-2", "b")] {
+            let mut settings = settings(vm, domain, &seeds, platform);
+            adjust(&mut settings);
+            let handle = start(&settings, &ca);
+            seeds = json!([seed(vm, domain, handle.addresses().peers)]);
+            daemons.push(handle);
+        }
+        let world = Self { upstream, daemons };
+        let callers = [world.callers(0), world.callers(1)];
+        configure(world.operators(0), &callers, world.upstream.address);
+        world
+    }
+
+    pub(crate) fn callers(&self, index: usize) -> SocketAddr {
+        self.daemons[index].addresses().callers
+    }
+
+    pub(crate) fn operators(&self, index: usize) -> SocketAddr {
+        self.daemons[index].addresses().operators
+    }
+
+    /// Stops all daemons; each must end well.
+    pub(crate) fn stop(self) {
+        self.daemons.iter().for_each(DaemonHandle::stop);
+        for daemon in self.daemons {
+            assert!(daemon.join(), "a control thread panicked");
+        }
+    }
+}
+
+fn start(settings: &Value, ca: &KeyPairPem) -> DaemonHandle {
+    let text = settings.to_string();
+    let settings: Settings = parse(Path::new("vm.json"), text.as_bytes()).unwrap();
+    let keys = ca.new_vm(&settings.vm).unwrap();
+    let parts = Parts::real(&settings, &keys, Arc::new(Telemetry::new().unwrap())).unwrap();
+    Daemon::start_with(settings, parts).unwrap()
+}
--- /dev/null
+++ b/crates/persimmond/tests/loopback/world/process.rs
@@ -0,0 +1,142 @@
+//! Real daemons as processes.
+
+use super::{
+    daemons::{configure, seed, settings},
+    platform,
+    upstream::Upstream,
+    wait, PATIENCE,
+};
+use flume::Receiver;
+use persimmon_core::ids::VmId;
+use persimmon_io::peer::KeyPairPem;
+use serde_json::{json, Value};
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    thread,
+};
+
+/// A daemon's process. It is killed when it is dropped.
+pub(crate) struct Process {
+    child: Child,
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+    peers: SocketAddr,
+    pub(crate) lines: Receiver<Value>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    /// Starts a daemon and waits until it listens. Its settings and keys go to a folder of its own.
+    pub(crate) fn start(test: &str, vm: &str, settings: &Value, ca: &KeyPairPem) -> Self {
+        let file = write_files(test, vm, settings, ca);
+        let mut child = Command::new(env!("CARGO_BIN_EXE_persimmond"))
+            .arg("--settings")
+            .arg(file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        let (sender, lines) = flume::unbounded();
+        thread::spawn(move || {
+            for line in stderr.lines().map_while(Result::ok) {
+                let value = serde_json::from_str(&line).unwrap_or_else(|_| json!(line));
+                let _ = sender.send(value);
+            }
+        });
+        let listening = find(&lines, "listening");
+        let address = |name: &str| listening["kvs"][name].as_str().unwrap().parse().unwrap();
+        Self {
+            child,
+            callers: address("callers"),
+            operators: address("operators"),
+            peers: address("peers"),
+            lines,
+        }
+    }
+
+    /// Sends SIGTERM.
+    pub(crate) fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &pid]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    /// Sends SIGKILL and waits for the end.
+    pub(crate) fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Waits until it has ended by itself.
+    pub(crate) fn ended(&mut self) -> ExitStatus {
+        wait("the end of the process", || {
+            self.child.try_wait().unwrap().ok_or_else(String::new)
+        })
+    }
+}
+
+/// The first line with this message.
+pub(crate) fn find(lines: &Receiver<Value>, message: &str) -> Value {
+    loop {
+        let line = lines.recv_timeout(PATIENCE).expect(message);
+        if line["message"] == message {
+            return line;
+        }
+    }
+}
+
+fn write_files(test: &str, vm: &str, settings: &Value, ca: &KeyPairPem) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+        .join(test)
+        .join(vm);
+    fs::create_dir_all(&folder).unwrap();
+    let vm: VmId = vm.parse().unwrap();
+    let keys = ca.new_vm(&vm).unwrap();
+    let path = |name: &str| folder.join(name);
+    fs::write(path("ca.pem"), &keys.ca).unwrap();
+    keys.own.write(&path("vm.pem"), &path("vm.key")).unwrap();
+    let mut settings = settings.clone();
+    settings["tls"] = json!({
+        "ca_file": path("ca.pem"), "cert_file": path("vm.pem"), "key_file": path("vm.key"),
+    });
+    fs::write(path("vm.json"), settings.to_string()).unwrap();
+    path("vm.json")
+}
+
+/// Daemons as processes: two in failure domain `a`, one in `b`.
+pub(crate) struct Processes {
+    pub(crate) upstream: Upstream,
+    pub(crate) daemons: Vec<Process>,
+}
+
+impl Processes {
+    /// Starts them and puts a configuration in force.
+    pub(crate) fn start(test: &str) -> Self {
+        let (platform, upstream) = (platform::start(), Upstream::start());
+        let ca = KeyPairPem::new_ca().unwrap();
+        let mut daemons: Vec<Process> = Vec::new();
+        let mut seeds = json!([]);
+        for (vm, domain) in [("vm-1", "a"), ("vm-2", "a"), ("vm-3", "b")] {
+            let settings = settings(vm, domain, &seeds, platform);
+            let process = Process::start(test, vm, &settings, &ca);
+            if seeds == json!([]) {
+                seeds = json!([seed(vm, domain, process.peers)]);
+            }
+            daemons.push(process);
+        }
+        let callers: Vec<_> = daemons.iter().map(|daemon| daemon.callers).collect();
+        configure(daemons[0].operators, &callers, upstream.address);
+        Self { upstream, daemons }
+    }
+}
