--- a/crates/io/src/settings/load.rs
+++ b/crates/io/src/settings/load.rs
@@ -1,7 +1,8 @@
 //! Reads a settings file.
 
 use super::{object::Object, RawSettings, SettingError, Settings, SettingsError};
-use serde_json::{error::Category, Value};
+use serde::de::IgnoredAny;
+use serde_json::Value;
 use serde_path_to_error::{Path as KeyPath, Segment};
 use std::{fs, path::Path};
 
@@ -35,19 +36,13 @@
         file: file.into(),
         reason: error.to_string(),
     };
+    serde_json::from_slice::<IgnoredAny>(bytes).map_err(syntax)?;
     let mut source = serde_json::Deserializer::from_slice(bytes);
     let parsed = serde_path_to_error::deserialize(&mut source);
-    let Object(raw): Object<RawSettings> = parsed.map_err(|error| {
-        let path = error.path().clone();
-        match error.into_inner() {
-            error if error.classify() == Category::Data => SettingsError::Setting {
-                file: file.into(),
-                setting: data_error(&path, &error, bytes),
-            },
-            error => syntax(error),
-        }
+    let Object(raw): Object<RawSettings> = parsed.map_err(|error| SettingsError::Setting {
+        file: file.into(),
+        setting: data_error(error.path(), error.inner(), bytes),
     })?;
-    source.end().map_err(syntax)?;
     let checked = Settings::try_from(raw);
     checked.map_err(|setting| SettingsError::Setting {
         file: file.into(),
--- a/crates/io/tests/settings.rs
+++ b/crates/io/tests/settings.rs
@@ -105,6 +105,7 @@
         ("placement", json!({"loads_at_once_count": 0})),
         ("plan", json!({"store_attempts": 1000})),
         ("routing", json!({"policy": "random"})),
+        ("routing", json!({"policy": null})),
         ("routing", json!({"sampled_count": 65})),
         ("routes", json!({})),
     ];
--- a/crates/persimmond/tests/loopback/threads.rs
+++ b/crates/persimmond/tests/loopback/threads.rs
@@ -165,7 +165,11 @@
     let refused = |index| {
         let answer = call(
             world.callers(index),
-            &post("/v1/completions", "", COLLECTED),
+            &post(
+                "/v1/completions",
+                "X-Request-Timeout-Ms: 1500\r\n",
+                COLLECTED,
+            ),
         );
         match answer.starts_with("200") {
             true => Err(answer),
