Notice callers that leave while nothing is written to them

Cause: the library gives no access to the socket, and a caller of an answer that is not streamed was only missed when the answer was written. Before: noticed when the answer was due. A reset leaves no entry in the table and is still seen only at the next write.

--- a/crates/io/src/http/answer.rs
+++ b/crates/io/src/http/answer.rs
@@ -1,7 +1,10 @@
 //! Writes answers to one caller.
 
 use super::AnswerForm;
-use crate::traffic::{Caller, CallerClosed};
+use crate::{
+    listener::Departures,
+    traffic::{Caller, CallerClosed},
+};
 use bytes::Bytes;
 use chunked_transfer::Encoder;
 use persimmon_core::{
@@ -12,8 +15,14 @@
 use std::{
     fmt,
     io::{self, Write},
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
 };
 
+/// Shortest time between two looks whether a caller is still there.
+const WATCH_GAP: Duration = Duration::from_millis(250);
+
 /// What an answer says of its request.
 #[derive(Clone, Debug)]
 pub(super) struct AnswerHead {
@@ -27,6 +36,15 @@
     pub(super) chunks: bool,
 }
 
+/// Notices that a caller closed its connection while nothing is written to it.
+#[derive(Clone, Debug)]
+pub(super) struct Watch {
+    /// Where the caller is.
+    pub(super) remote: SocketAddr,
+    /// What the system says of connections.
+    pub(super) departures: Arc<Departures>,
+}
+
 /// How model answers look.
 #[derive(Clone, Debug)]
 pub(super) struct ModelStyle {
@@ -66,6 +84,8 @@
     out: Out,
     collected: Vec<Bytes>,
     token_count: u64,
+    watch: Option<Watch>,
+    watched: Instant,
 }
 
 impl fmt::Debug for HttpCaller {
@@ -77,13 +97,30 @@
 }
 
 impl HttpCaller {
-    pub(super) fn new(writer: RawWriter, head: AnswerHead) -> Self {
+    pub(super) fn new(writer: RawWriter, head: AnswerHead, watch: Option<Watch>) -> Self {
         Self {
             head,
             style: None,
             out: Out::Unsent(writer),
             collected: Vec::new(),
             token_count: 0,
+            watch,
+            watched: Instant::now(),
+        }
+    }
+
+    /// Looks now and then whether the caller is still there.
+    fn look(&mut self) -> Result<(), CallerClosed> {
+        let Some(watch) = &self.watch else {
+            return Ok(());
+        };
+        if self.watched.elapsed() < WATCH_GAP {
+            return Ok(());
+        }
+        self.watched = Instant::now();
+        match watch.departures.has_left(watch.remote) {
+            true => Err(CallerClosed),
+            false => Ok(()),
         }
     }
 
@@ -235,7 +272,7 @@
         self.token_count += 1;
         if !self.is_stream() {
             self.collected.push(token.clone());
-            return Ok(());
+            return self.look();
         }
         let Some(style) = self.style.clone() else {
             return Ok(());
@@ -249,7 +286,8 @@
     fn keep_alive(&mut self) -> Result<(), CallerClosed> {
         match self.out {
             Out::Chunks(_) | Out::Plain(_) => self.write(":\n\n"),
-            Out::Unsent(_) | Out::Ended => Ok(()),
+            Out::Unsent(_) => self.look(),
+            Out::Ended => Ok(()),
         }
     }
 
--- a/crates/io/src/http/server.rs
+++ b/crates/io/src/http/server.rs
@@ -1,11 +1,11 @@
 //! Listens for callers.
 
 use super::{
-    answer::{AnswerHead, HttpCaller, ModelStyle},
+    answer::{AnswerHead, HttpCaller, ModelStyle, Watch},
     body, ticket, CheckedCall, HttpLimits, Payload, RawCall, RequestError,
 };
 use crate::{
-    listener::HttpListener,
+    listener::{Departures, HttpListener},
     traffic::{Caller, CallerClosed, TrafficHub, Worker},
 };
 use persimmon_core::ids::RequestId;
@@ -40,6 +40,7 @@
     limits: HttpLimits,
     pages: Arc<dyn Pages>,
     open_count: AtomicUsize,
+    departures: Arc<Departures>,
 }
 
 impl CallerServer {
@@ -59,6 +60,7 @@
             limits,
             pages,
             open_count: AtomicUsize::new(0),
+            departures: Arc::default(),
         };
         let serve = move |request| {
             let _place = Place::take(&shared.open_count);
@@ -100,7 +102,11 @@
         let id = self.hub.next_id();
         let raw = self.read(&mut request);
         let head = answer_head(id, &request, raw.as_ref().ok());
-        let mut caller = HttpCaller::new(request.into_writer(), head);
+        let watch = request.remote_addr().map(|remote| Watch {
+            remote: *remote,
+            departures: Arc::clone(&self.departures),
+        });
+        let mut caller = HttpCaller::new(request.into_writer(), head, watch);
         let served = match raw {
             Ok(raw) => self.answer(id, &raw, &mut caller),
             Err(error) => Err(error),
--- a/crates/io/src/traffic/worker.rs
+++ b/crates/io/src/traffic/worker.rs
@@ -28,7 +28,7 @@
 
 /// Time without a token after which a caller is shown that its answer is on its way, and after
 /// which a caller that went away is noticed.
-const KEEP_ALIVE: Duration = Duration::from_secs(1);
+const KEEP_ALIVE: Duration = Duration::from_millis(500);
 
 /// Shortest time between two progress events after the first.
 const PROGRESS: Duration = Duration::from_millis(250);
--- a/crates/persimmond/tests/callers.rs
+++ b/crates/persimmond/tests/callers.rs
@@ -5,6 +5,7 @@
 use common::{post, read_until, Bench};
 use insta::assert_snapshot;
 use persimmon_core::{request::UpstreamError, Event};
+use std::time::{Duration, Instant};
 
 const COMPLETION: &str = r#"{"model": "m", "prompt": "a b", "max_tokens": 2, "stream": true}"#;
 const COLLECTED: &str = r#"{"model": "m", "prompt": "a b", "max_tokens": 2}"#;
@@ -80,6 +81,24 @@
     bench.stop();
 }
 
+#[test]
+fn caller_of_a_collected_answer_that_goes_away_is_noticed() {
+    let bench = Bench::start();
+    let silent = bench.send(&post("/v1/completions", COLLECTED));
+    bench.wait(|event| matches!(event, Event::Request(_)).then_some(()));
+    let left = Instant::now();
+    drop(silent);
+    bench.wait(|event| matches!(event, Event::CallerGone { .. }).then_some(()));
+    let noticed = left.elapsed();
+    assert!(
+        noticed < Duration::from_secs(5),
+        "noticed after {noticed:?}"
+    );
+    let answer = bench.post("/services/orders/cells/7", "start");
+    assert!(answer.starts_with("HTTP/1.1 201"), "{answer}");
+    bench.stop();
+}
+
 #[test]
 fn pages_answer() {
     let bench = Bench::start();
