--- a/crates/persimmond/tests/loopback/processes.rs
+++ b/crates/persimmond/tests/loopback/processes.rs
@@ -2,10 +2,11 @@
 
 use crate::world::{
     client::{post, read_until, rest, send, tokens, STREAM},
+    load::{Load, Tally},
     process::{find, Processes},
     wait,
 };
-use std::thread;
+use std::{thread, time::Duration};
 
 #[test]
 fn sigterm_under_load_cuts_off_no_request() {
@@ -43,15 +44,76 @@
     read_until(&mut reader, "t0");
     assert_eq!(world.upstream.counts().held.len(), 1);
     world.daemons[2].kill();
-    wait("the engine's memory", || {
-        let held = world.upstream.counts().held;
-        held.is_empty()
-            .then_some(())
-            .ok_or_else(|| format!("{held:?}"))
-    });
+    wait("the engine's memory", || held_nothing(&world));
     world.upstream.pace(0);
     for daemon in &world.daemons[..2] {
         let answer = rest(send(daemon.callers, &post("/v1/completions", "", STREAM)));
         assert!(tokens(&answer).is_some(), "{answer}");
     }
 }
+
+/// Callers of a test under load.
+const CALLERS_COUNT: usize = 8;
+
+/// Lets the load run for a while.
+fn run_a_while() {
+    thread::sleep(Duration::from_millis(1500));
+}
+
+fn assert_honest(tally: &Tally) {
+    eprintln!("{} whole, refused: {:?}", tally.whole_count, tally.refused);
+    assert_eq!(tally.cut, Vec::<String>::new());
+    assert!(tally.whole_count > 50, "{tally:?}");
+}
+
+#[test]
+fn rolling_restart_under_load_cuts_off_no_request() {
+    let mut world = Processes::start("rolling");
+    world.upstream.pace(10);
+    let load = Load::start(&world.callers(), CALLERS_COUNT);
+    for index in 0..world.daemons.len() {
+        run_a_while();
+        let leaving = world.daemons[index].callers;
+        world.daemons[index].terminate();
+        load.targets
+            .lock()
+            .unwrap()
+            .retain(|target| *target != leaving);
+        assert_eq!(world.daemons[index].ended().code(), Some(0));
+        world.restart(index);
+        load.targets
+            .lock()
+            .unwrap()
+            .push(world.daemons[index].callers);
+    }
+    run_a_while();
+    let tally = load.stop();
+    assert_honest(&tally);
+    wait("the engine's memory", || held_nothing(&world));
+}
+
+#[test]
+fn sigkill_of_an_owner_under_load_cuts_off_no_request_of_others() {
+    let mut world = Processes::start("owner");
+    world.upstream.pace(10);
+    for index in [0, 1] {
+        let others = world.callers().into_iter().enumerate();
+        let others: Vec<_> = others.filter(|(other, _)| *other != index).collect();
+        let targets: Vec<_> = others.into_iter().map(|(_, callers)| callers).collect();
+        let load = Load::start(&targets, CALLERS_COUNT);
+        run_a_while();
+        world.daemons[index].kill();
+        run_a_while();
+        run_a_while();
+        assert_honest(&load.stop());
+        wait("the engine's memory", || held_nothing(&world));
+        world.restart(index);
+    }
+}
+
+fn held_nothing(world: &Processes) -> Result<(), String> {
+    let held = world.upstream.counts().held;
+    held.is_empty()
+        .then_some(())
+        .ok_or_else(|| format!("{held:?}"))
+}
--- a/crates/persimmond/tests/loopback/world/client.rs
+++ b/crates/persimmond/tests/loopback/world/client.rs
@@ -2,7 +2,7 @@
 
 use super::PATIENCE;
 use std::{
-    io::{BufRead, BufReader, Read, Write},
+    io::{self, BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
 };
 
@@ -20,10 +20,15 @@
 
 /// Opens a connection and sends `text` as it stands.
 pub(crate) fn send(address: SocketAddr, text: &str) -> BufReader<TcpStream> {
-    let mut stream = TcpStream::connect(address).unwrap();
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
-    stream.write_all(text.as_bytes()).unwrap();
-    BufReader::new(stream)
+    try_send(address, text).unwrap()
+}
+
+/// As `send`, where nobody may listen.
+pub(crate) fn try_send(address: SocketAddr, text: &str) -> io::Result<BufReader<TcpStream>> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.write_all(text.as_bytes())?;
+    Ok(BufReader::new(stream))
 }
 
 /// Reads lines up to one that contains `wanted`.
--- a/crates/persimmond/tests/loopback/world/mod.rs
+++ b/crates/persimmond/tests/loopback/world/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod client;
 pub(crate) mod daemons;
+pub(crate) mod load;
 pub(crate) mod platform;
 pub(crate) mod process;
 pub(crate) mod upstream;
--- a/crates/persimmond/tests/loopback/world/process.rs
+++ b/crates/persimmond/tests/loopback/world/process.rs
@@ -1,6 +1,7 @@
 //! Real daemons as processes.
 
 use super::{
+    client::page,
     daemons::{configure, seed, settings},
     platform,
     upstream::Upstream,
@@ -118,25 +119,61 @@
 pub(crate) struct Processes {
     pub(crate) upstream: Upstream,
     pub(crate) daemons: Vec<Process>,
+    test: &'static str,
+    platform: SocketAddr,
+    ca: KeyPairPem,
 }
 
+/// The VMs and their failure domains.
+const VMS: [(&str, &str); 3] = [("vm-1", "a"), ("vm-2", "a"), ("vm-3", "b")];
+
 impl Processes {
     /// Starts them and puts a configuration in force.
-    pub(crate) fn start(test: &str) -> Self {
-        let (platform, upstream) = (platform::start(), Upstream::start());
-        let ca = KeyPairPem::new_ca().unwrap();
-        let mut daemons: Vec<Process> = Vec::new();
-        let mut seeds = json!([]);
-        for (vm, domain) in [("vm-1", "a"), ("vm-2", "a"), ("vm-3", "b")] {
-            let settings = settings(vm, domain, &seeds, platform);
-            let process = Process::start(test, vm, &settings, &ca);
-            if seeds == json!([]) {
-                seeds = json!([seed(vm, domain, process.peers)]);
-            }
-            daemons.push(process);
+    pub(crate) fn start(test: &'static str) -> Self {
+        let mut world = Self {
+            upstream: Upstream::start(),
+            daemons: Vec::new(),
+            test,
+            platform: platform::start(),
+            ca: KeyPairPem::new_ca().unwrap(),
+        };
+        for index in 0..VMS.len() {
+            let process = world.launch(index);
+            world.daemons.push(process);
         }
-        let callers: Vec<_> = daemons.iter().map(|daemon| daemon.callers).collect();
-        configure(daemons[0].operators, &callers, upstream.address);
-        Self { upstream, daemons }
+        let callers = world.callers();
+        let operators = world.daemons[0].operators;
+        configure(operators, &callers, world.upstream.address);
+        world
+    }
+
+    pub(crate) fn callers(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|daemon| daemon.callers).collect()
+    }
+
+    /// Starts a daemon again, and waits until it is ready.
+    pub(crate) fn restart(&mut self, index: usize) {
+        let process = self.launch(index);
+        wait("readiness", || {
+            let page = page(process.callers, "/readyz");
+            match page.starts_with("200") {
+                true => Ok(()),
+                false => Err(page),
+            }
+        });
+        self.daemons[index] = process;
+    }
+
+    /// Starts a daemon that knows all others.
+    fn launch(&self, index: usize) -> Process {
+        let (vm, domain) = VMS[index];
+        let others = self
+            .daemons
+            .iter()
+            .zip(VMS)
+            .filter(|(_, other)| other.0 != vm);
+        let seeds = others.map(|(daemon, (vm, domain))| seed(vm, domain, daemon.peers));
+        let settings = settings(vm, domain, &seeds.collect(), self.platform);
+        Process::start(self.test, vm, &settings, &self.ca)
     }
 }
