Border: reach leaving daemons, and take requests until balancers know of a stop

Cause: View::send asked Directory::member, which leaves out members that are leaving, so owners' answers never reached an entry daemon that was stopping: its open requests could get no grant and no replay in their grace. Directory::peer counts leaving members; View::send uses it.

--- a/crates/core/src/claim/claims.rs
+++ b/crates/core/src/claim/claims.rs
@@ -156,6 +156,11 @@
         self.writer.on_tick(ctx, &mut self.budget);
     }
 
+    /// Whether results, withdrawals or tickets are on their way.
+    pub fn has_unsaved(&self) -> bool {
+        self.writer.has_unsaved() || !self.given_back.is_empty()
+    }
+
     /// When there is something to do.
     pub fn next_wakeup(&self) -> Option<Time> {
         let pending = self.pending.values().map(Pending::due);
--- a/crates/core/src/claim/ticket_claims.rs
+++ b/crates/core/src/claim/ticket_claims.rs
@@ -72,7 +72,7 @@
             claim,
             body_hash,
         });
-        let known = view.directory.member(&issuer.vm);
+        let known = view.directory.peer(&issuer.vm);
         let same_run = known.is_some_and(|member| issuer.is_run(member));
         if !same_run || !view.send(ctx, &issuer.vm, message) {
             // Whether it was used before its issuer ended is told by its result alone.
--- a/crates/core/src/claim/writer.rs
+++ b/crates/core/src/claim/writer.rs
@@ -80,6 +80,11 @@
         self.queue.len()
     }
 
+    /// Whether writes wait or have no answer yet.
+    pub(super) fn has_unsaved(&self) -> bool {
+        !self.queue.is_empty() || !self.sent.is_empty()
+    }
+
     /// Takes the answer of one of its writes. False where the call is not its own.
     pub(super) fn on_platform(
         &mut self,
--- a/crates/core/src/context.rs
+++ b/crates/core/src/context.rs
@@ -56,12 +56,13 @@
 }
 
 impl View<'_> {
-    /// Sends a message to a live member, this daemon included. False where it is not known.
+    /// Sends a message to a live member, this daemon and leaving ones included. False where it is
+    /// not known.
     pub fn send(&self, ctx: &mut Context<'_>, to: &VmId, message: PeerMessage) -> bool {
         let known = if *to == self.me.vm {
             Some(self.me)
         } else {
-            self.directory.member(to)
+            self.directory.peer(to)
         };
         let Some(member) = known else { return false };
         ctx.act(Action::SendPeer {
--- a/crates/core/src/daemon/known.rs
+++ b/crates/core/src/daemon/known.rs
@@ -57,6 +57,10 @@
         self.membership.member(vm)
     }
 
+    fn peer(&self, vm: &VmId) -> Option<&Member> {
+        self.membership.peer(vm)
+    }
+
     fn is_alive(&self, vm: &VmId, incarnation: Incarnation) -> bool {
         self.membership.is_alive(vm, incarnation)
     }
--- a/crates/core/src/daemon/shutdown.rs
+++ b/crates/core/src/daemon/shutdown.rs
@@ -33,7 +33,7 @@
         let Some(shutdown) = &mut self.shutdown else {
             return;
         };
-        if shutdown.finished || self.entry.open_requests() > 0 {
+        if shutdown.finished || self.entry.has_work(ctx.now) {
             return;
         }
         let since = *shutdown.idle_since.get_or_insert(ctx.now);
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -10,6 +10,12 @@
     /// A member that is thought alive and not leaving, this daemon included.
     fn member(&self, vm: &VmId) -> Option<&Member>;
 
+    /// A member that is thought alive, this daemon included; a leaving one counts, since its open
+    /// requests still need answers.
+    fn peer(&self, vm: &VmId) -> Option<&Member> {
+        self.member(vm)
+    }
+
     /// Whether this run of a daemon is thought alive; a leaving one counts.
     fn is_alive(&self, vm: &VmId, incarnation: Incarnation) -> bool;
 
--- a/crates/core/src/entry/entry_daemon.rs
+++ b/crates/core/src/entry/entry_daemon.rs
@@ -34,6 +34,8 @@
     pub(super) timers: Timers,
     /// When all that is still open is ended, after the process was asked to stop.
     stops_at: Option<Time>,
+    /// Until when requests are still taken then.
+    accepts_until: Option<Time>,
 }
 
 impl Entry {
@@ -48,6 +50,7 @@
             open: BTreeMap::new(),
             timers: Timers::default(),
             stops_at: None,
+            accepts_until: None,
         }
     }
 
@@ -222,6 +225,8 @@
     pub fn on_shutdown(&mut self, ctx: &mut Context<'_>, _view: &View<'_>) {
         let stops_at = ctx.now + self.settings.shutdown_grace;
         self.stops_at.get_or_insert(stops_at);
+        let accepts_until = ctx.now + self.settings.shutdown_accept;
+        self.accepts_until.get_or_insert(accepts_until);
     }
 
     /// Does what is due.
@@ -254,6 +259,14 @@
         self.open.len().try_into().unwrap_or(u32::MAX)
     }
 
+    /// Whether a stopping daemon has something left: requests that are open or may still come, and
+    /// until the end of the grace results that the store does not have yet.
+    pub fn has_work(&self, now: Time) -> bool {
+        let accepts = self.accepts_until.is_some_and(|until| now < until);
+        let in_grace = self.stops_at.is_some_and(|at| now < at);
+        !self.open.is_empty() || accepts || (in_grace && self.claims.has_unsaved())
+    }
+
     /// How far the oldest open request is past its caller's deadline: above zero is a fault.
     pub fn oldest_overdue_ms(&self, now: Time) -> Millis {
         let overdue = self
@@ -302,7 +315,8 @@
             let refusal = Refusal::not_run(code, text);
             Some(refusal.retry_after(self.settings.max_pause))
         };
-        if self.stops_at.is_some() || view.config.generation == Generation::default() {
+        let stops = self.accepts_until.is_some_and(|until| until <= now);
+        if stops || view.config.generation == Generation::default() {
             let text = "this daemon is stopping or has no configuration yet: ask another one";
             return later(RefusalCode::NotReady, text);
         }
--- a/crates/core/src/entry/settings.rs
+++ b/crates/core/src/entry/settings.rs
@@ -36,6 +36,9 @@
     pub retry_budget_percent: u32,
     /// Retries saved up at most, for each service or model.
     pub retry_reserve_count: u32,
+    /// Time for which requests are still taken after the daemon was asked to stop, until those who
+    /// send them know.
+    pub shutdown_accept_ms: u64,
     /// Time that open requests get after the daemon was asked to stop.
     pub shutdown_grace_ms: u64,
     /// Most requests open at a time.
@@ -60,6 +63,7 @@
             max_attempts: 4,
             retry_budget_percent: 20,
             retry_reserve_count: 10,
+            shutdown_accept_ms: 2_000,
             shutdown_grace_ms: 30_000,
             max_open_requests: 20_000,
             claims: RawClaimSettings::default(),
@@ -96,6 +100,8 @@
     pub retry_budget_percent: u32,
     /// Retries saved up at most, for each service or model.
     pub retry_reserve_count: u32,
+    /// Time for which requests are still taken after the daemon was asked to stop.
+    pub shutdown_accept: Millis,
     /// Time that open requests get after the daemon was asked to stop.
     pub shutdown_grace: Millis,
     /// Most requests open at a time.
@@ -132,6 +138,7 @@
             max_attempts: check.number("max_attempts", raw.max_attempts, 1, 20)?,
             retry_budget_percent: check.number("retry_budget_percent", budget, 0, 100)?,
             retry_reserve_count: check.number("retry_reserve_count", reserve, 0, 1_000)?,
+            shutdown_accept: check.span("shutdown_accept_ms", raw.shutdown_accept_ms, 0, 60_000)?,
             shutdown_grace: check.span("shutdown_grace_ms", raw.shutdown_grace_ms, 0, 3_600_000)?,
             max_open_requests: check.number(
                 "max_open_requests",
--- a/crates/core/src/membership/queries.rs
+++ b/crates/core/src/membership/queries.rs
@@ -38,6 +38,17 @@
         (peer.alive && !peer.leaving).then_some(&peer.member)
     }
 
+    /// A member that is alive, this daemon included; a leaving one counts.
+    pub fn peer(&self, vm: &VmId) -> Option<&Member> {
+        if *vm == self.me.vm {
+            return Some(&self.me);
+        }
+        self.peers
+            .get(vm)
+            .filter(|peer| peer.alive)
+            .map(|peer| &peer.member)
+    }
+
     /// Whether a run is alive; a leaving one counts.
     pub fn is_alive(&self, vm: &VmId, incarnation: Incarnation) -> bool {
         if *vm == self.me.vm {
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -11,10 +11,10 @@
 };
 use persimmon_core::{
     decision::Record,
-    ids::{FailureDomain, IdempotencyKey, Incarnation, RequestId, UpstreamId, VmId},
+    ids::{FailureDomain, IdempotencyKey, Incarnation, OperatorName, RequestId, UpstreamId, VmId},
     message::Member,
-    operator::OperatorReply,
-    platform::CallToken,
+    operator::{OperatorCommand, OperatorReply},
+    platform::{CallToken, Part},
     request::{AttemptPlan, RequestSpec, UpstreamError},
     units::{Millis, Time, Tokens},
     upstream::Order,
@@ -27,6 +27,8 @@
 /// Makes the process of a VM, given its seed.
 pub type MakeNode = Box<dyn Fn(&Member, u64) -> Box<dyn Node>>;
 
+/// Wall clock at the fleet's start, in milliseconds since the epoch.
+const EPOCH_UNIX_MS: u64 = 1_700_000_000_000;
 /// Shortest time between two ticks of one process.
 const TICK_MIN_MS: Millis = Millis::new(1);
 
@@ -82,6 +84,7 @@
     pub log: Vec<(Time, VmId, Record)>,
     pub(crate) queue: Queue<Item>,
     pub(crate) rng: ChaCha8Rng,
+    calls_count: u64,
     make: MakeNode,
 }
 
@@ -108,6 +111,7 @@
             log: Vec::new(),
             queue: Queue::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
+            calls_count: 0,
             make,
         }
     }
@@ -185,6 +189,20 @@
         }
     }
 
+    /// An operator sends a command to a VM; the reply comes under the token.
+    pub fn operate(&mut self, vm: &VmId, who: OperatorName, command: OperatorCommand) -> CallToken {
+        self.calls_count += 1;
+        let call = CallToken::new(Part::Outside, self.calls_count);
+        let event = Event::Operator {
+            call,
+            operator: who,
+            command,
+            unix_ms: EPOCH_UNIX_MS + self.now.as_us() / 1_000,
+        };
+        self.send_core(vm, event);
+        call
+    }
+
     /// An upstream's process dies: whoever reads from it sees the connection break.
     pub fn kill_upstream(&mut self, upstream: &UpstreamId) {
         let Some(state) = self.upstreams.get_mut(upstream) else {
--- /dev/null
+++ b/crates/scenario/tests/common/daemons.rs
@@ -0,0 +1,57 @@
+//! Fleets of whole daemons.
+
+use super::vm;
+use persimmon_core::{
+    daemon::PartSettings,
+    operator::{Intent, OperatorCommand, OperatorReply},
+    units::Millis,
+};
+use persimmon_scenario::{DomainSpec, Fleet, FleetSpec};
+
+/// A failure domain with two VMs, three engines and two servers.
+pub fn domain(name: &str) -> DomainSpec {
+    DomainSpec {
+        name: name.parse().expect("domain"),
+        size_vms: 2,
+        engines_upstreams: 3,
+        services_upstreams: 2,
+    }
+}
+
+/// Failure domains of that kind, settled.
+pub fn fleet(seed: u64, names: &[&str]) -> Fleet {
+    let spec = FleetSpec {
+        seed,
+        domains: names.iter().map(|name| domain(name)).collect(),
+        workspaces: vec!["w".parse().expect("workspace")],
+        parts: PartSettings::default(),
+    };
+    let mut fleet = spec.build().expect("fleet");
+    fleet.run_for(Millis::new(10_000));
+    fleet
+}
+
+fn operate(fleet: &mut Fleet, at: &str, command: OperatorCommand) -> OperatorReply {
+    let who = "op".parse().expect("operator");
+    let call = fleet.operate(&vm(at), who, command);
+    for _ in 0..200 {
+        fleet.run_for(Millis::new(50));
+        if let Some(reply) = fleet.replies.remove(&call) {
+            return reply;
+        }
+    }
+    panic!("no reply");
+}
+
+/// Plans and confirms an intent.
+pub fn confirm(fleet: &mut Fleet, at: &str, intent: Intent) {
+    let command = OperatorCommand::Plan {
+        intent,
+        force: true,
+    };
+    let OperatorReply::Plan(plan) = operate(fleet, at, command) else {
+        panic!("no plan");
+    };
+    let reply = operate(fleet, at, OperatorCommand::Confirm(plan.id));
+    assert!(matches!(reply, OperatorReply::Confirmed(_)), "{reply:?}");
+}
--- a/crates/scenario/tests/common/mod.rs
+++ b/crates/scenario/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
 pub mod checks;
+pub mod daemons;
 pub mod entry_node;
 pub mod owner_node;
 pub mod specs;
--- /dev/null
+++ b/crates/scenario/tests/fleet_streams.rs
@@ -0,0 +1,220 @@
+//! Streams and calls of whole daemons while engines, daemons and callers come and go.
+
+mod common;
+
+use common::{
+    checks::broken_promise,
+    daemons::{confirm, fleet},
+    specs::{id, model_call, service_call},
+    vm,
+};
+use persimmon_core::{
+    ids::UpstreamId,
+    operator::Intent,
+    units::{Millis, Time, Tokens},
+    Event,
+};
+use persimmon_scenario::{Fleet, UpstreamFault};
+
+/// The engine that runs a request.
+fn engine_of(fleet: &Fleet, number: u128) -> UpstreamId {
+    let holds = |(name, state): (&UpstreamId, &persimmon_scenario::Upstream)| {
+        state.held.contains_key(&id(number)).then(|| name.clone())
+    };
+    fleet.upstreams.iter().find_map(holds).expect("it runs")
+}
+
+/// A stream of 100 tokens (2 s) after its first half second.
+fn streaming(seed: u64) -> (Fleet, UpstreamId) {
+    let mut fleet = fleet(seed, &["a"]);
+    fleet.request(&vm("a-vm1"), model_call(1, 100, 30_000));
+    fleet.run_for(Millis::new(700));
+    let engine = engine_of(&fleet, 1);
+    assert!(fleet.callers[&id(1)].delivered() > Tokens::new(5));
+    (fleet, engine)
+}
+
+fn age_ms(fleet: &Fleet, number: u128) -> u64 {
+    let caller = &fleet.callers[&id(number)];
+    let end = caller.end.as_ref().map(|(at, _)| *at);
+    end.expect("end").since(caller.sent_at).get()
+}
+
+#[test]
+fn a_stream_outlives_its_engine() {
+    for seed in 0..10 {
+        let (mut fleet, engine) = streaming(seed);
+        fleet.kill_upstream(&engine);
+        fleet.run_for(Millis::new(30_000));
+        assert_eq!(broken_promise(&fleet), None);
+        assert!(
+            fleet.callers[&id(1)].is_whole(),
+            "{:?}",
+            fleet.callers[&id(1)].end
+        );
+        assert!(age_ms(&fleet, 1) < 4_000, "{} ms", age_ms(&fleet, 1));
+        assert_eq!(fleet.held_tokens(), Tokens::ZERO);
+    }
+}
+
+#[test]
+fn a_stream_leaves_a_hanging_engine() {
+    for seed in 0..10 {
+        let (mut fleet, engine) = streaming(seed);
+        fleet.hang_upstream(&engine);
+        fleet.run_for(Millis::new(10_000));
+        assert!(
+            fleet.callers[&id(1)].is_whole(),
+            "{:?}",
+            fleet.callers[&id(1)].end
+        );
+        assert!(age_ms(&fleet, 1) < 6_000, "{} ms", age_ms(&fleet, 1));
+        // The engine lets go of its memory as soon as it answers again.
+        let state = fleet.upstreams.get_mut(&engine).expect("engine");
+        assert!(state.kv_held().get() > 0);
+        state.fault = UpstreamFault::None;
+        fleet.run_for(Millis::new(3_000));
+        assert_eq!(fleet.held_tokens(), Tokens::ZERO);
+        assert_eq!(broken_promise(&fleet), None);
+    }
+}
+
+#[test]
+fn a_stream_moves_from_a_drained_engine() {
+    let mut fleet = fleet(3, &["a"]);
+    fleet.request(&vm("a-vm1"), model_call(1, 2_000, 90_000));
+    fleet.run_for(Millis::new(700));
+    let engine = engine_of(&fleet, 1);
+    confirm(&mut fleet, "a-vm2", Intent::DrainUpstream(engine.clone()));
+    let taken_attempts = fleet.upstreams[&engine].taken_attempts;
+    fleet.run_for(Millis::new(80_000));
+    assert_eq!(fleet.upstreams[&engine].taken_attempts, taken_attempts);
+    assert_eq!(broken_promise(&fleet), None);
+    assert!(
+        fleet.callers[&id(1)].is_whole(),
+        "{:?}",
+        fleet.callers[&id(1)].end
+    );
+    assert!(fleet.callers[&id(1)].sent_attempts > 1, "it did not move");
+}
+
+#[test]
+fn memory_of_a_caller_that_left_is_back_within_a_second() {
+    for seed in 0..10 {
+        let (mut fleet, _) = streaming(seed);
+        fleet.leave(id(1));
+        fleet.run_for(Millis::new(1_000));
+        assert_eq!(fleet.held_tokens(), Tokens::ZERO);
+    }
+}
+
+#[test]
+fn memory_of_a_dead_daemon_is_back_within_a_lease() {
+    for seed in 0..10 {
+        let (mut fleet, _) = streaming(seed);
+        fleet.request(&vm("a-vm2"), model_call(2, 100, 30_000));
+        fleet.kill_vm(&vm("a-vm1"));
+        fleet.run_for(Millis::new(5_000));
+        assert!(
+            fleet.callers[&id(2)].is_whole(),
+            "{:?}",
+            fleet.callers[&id(2)].end
+        );
+        assert_eq!(fleet.held_tokens(), Tokens::ZERO, "seed {seed}");
+    }
+}
+
+/// Two requests each 100 ms at the VMs that say they are ready, until `until`.
+fn load(fleet: &mut Fleet, first: u128, until: Time) -> u128 {
+    let mut number = first;
+    while fleet.now < until {
+        let ready = fleet
+            .vms
+            .iter()
+            .filter(|(_, state)| state.is_ready && state.is_up());
+        let ready: Vec<_> = ready.map(|(vm, _)| vm.clone()).collect();
+        let at = ready[number as usize / 2 % ready.len()].clone();
+        fleet.request(&at, model_call(number, 30, 20_000));
+        fleet.request(
+            &at,
+            service_call(number + 1, &format!("k{number}"), 1, 20_000),
+        );
+        number += 2;
+        fleet.run_for(Millis::new(100));
+    }
+    number
+}
+
+#[test]
+fn a_rolling_restart_cuts_no_request_off() {
+    for seed in 0..5 {
+        rolling_restart(seed);
+    }
+}
+
+fn rolling_restart(seed: u64) {
+    let mut fleet = fleet(seed, &["a", "b"]);
+    let mut number = 0;
+    for name in ["a-vm1", "a-vm2", "b-vm1", "b-vm2"] {
+        let until = fleet.now + Millis::new(2_000);
+        number = load(&mut fleet, number, until);
+        fleet.send_core(&vm(name), Event::Shutdown);
+        let until = fleet.now + Millis::new(6_000);
+        number = load(&mut fleet, number, until);
+        assert!(fleet.vms[&vm(name)].has_exited, "{name} still runs");
+        let member = fleet.vms[&vm(name)].member.clone();
+        fleet.start_vm(member);
+        let until = fleet.now + Millis::new(4_000);
+        number = load(&mut fleet, number, until);
+    }
+    fleet.run_for(Millis::new(25_000));
+    assert_eq!(broken_promise(&fleet), None);
+    let broken = fleet.callers.values().filter(|caller| !caller.is_whole());
+    let broken: Vec<_> = broken
+        .map(|c| (c.spec.id, c.sent_at, &c.vm, &c.end))
+        .collect();
+    assert!(
+        broken.is_empty(),
+        "{} of {number}: {broken:#?}",
+        broken.len()
+    );
+    assert_eq!(fleet.held_tokens(), Tokens::ZERO);
+}
+
+#[test]
+fn a_stream_longer_than_the_grace_ends_with_an_honest_error() {
+    let mut fleet = fleet(5, &["a"]);
+    fleet.request(&vm("a-vm1"), model_call(1, 5_000, 200_000));
+    fleet.run_for(Millis::new(2_000));
+    fleet.send_core(&vm("a-vm1"), Event::Shutdown);
+    fleet.run_for(Millis::new(32_000));
+    assert!(fleet.vms[&vm("a-vm1")].has_exited);
+    let refusal = fleet.callers[&id(1)].refusal().expect("refusal");
+    let told = (refusal.code.to_string(), refusal.outcome.to_string());
+    assert_eq!(told, ("not_ready".into(), "unknown".into()));
+    assert!(refusal.retry_after_ms.is_some());
+    fleet.run_for(Millis::new(5_000));
+    assert_eq!(fleet.held_tokens(), Tokens::ZERO);
+}
+
+#[test]
+fn no_open_request_is_overdue() {
+    let mut fleet = fleet(6, &["a"]);
+    for state in fleet.upstreams.values_mut() {
+        state.fault = UpstreamFault::Hangs;
+    }
+    for number in 0..200 {
+        fleet.request(
+            &vm("a-vm1"),
+            model_call(number, 30, 500 + number as u64 * 13),
+        );
+        fleet.run_for(Millis::new(20));
+        let state = &fleet.vms[&vm("a-vm1")];
+        let node = state.node.as_ref().expect("node");
+        // The process started at one second of the fleet's clock.
+        let local = Time::from_us(fleet.now.as_us() - 1_000_000);
+        assert_eq!(node.oldest_overdue_ms(local), Millis::ZERO);
+    }
+    fleet.run_for(Millis::new(10_000));
+    assert_eq!(broken_promise(&fleet), None);
+}
