--- a/crates/scenario/src/caller.rs
+++ b/crates/scenario/src/caller.rs
@@ -28,6 +28,8 @@
     pub vm: VmId,
     /// When it was sent.
     pub sent_at: Time,
+    /// When the daemon's process took it, which is late where the process was paused.
+    pub admitted_at: Option<Time>,
     /// Its end and the time of it.
     pub end: Option<(Time, End)>,
     /// Last words after the first: must stay 0.
@@ -55,6 +57,7 @@
             spec,
             vm,
             sent_at,
+            admitted_at: None,
             end: None,
             extra_ends_count: 0,
             ran_attempts: 0,
@@ -68,7 +71,7 @@
 
     /// The caller's deadline.
     pub fn deadline(&self) -> Time {
-        self.sent_at + self.spec.timeout_ms
+        self.admitted_at.unwrap_or(self.sent_at) + self.spec.timeout_ms
     }
 
     /// Whether it waits for its last word.
--- a/crates/scenario/src/vm.rs
+++ b/crates/scenario/src/vm.rs
@@ -61,6 +61,8 @@
     pub has_exited: bool,
     /// Ticks so far.
     pub ticks_count: u64,
+    /// When the process went on after its last pause.
+    pub woken_at: Option<Time>,
     /// When it died last.
     pub died_at: Option<Time>,
     pub(crate) started: Time,
@@ -78,6 +80,7 @@
             is_ready: false,
             has_exited: false,
             ticks_count: 0,
+            woken_at: None,
             died_at: None,
             started,
             wake_at: None,
