--- a/crates/core/src/request/refusal.rs
+++ b/crates/core/src/request/refusal.rs
@@ -62,6 +62,26 @@
 }
 
 impl RefusalCode {
+    /// All codes.
+    pub const ALL: [Self; 16] = [
+        Self::BadRequest,
+        Self::UnknownWorkspace,
+        Self::UnknownModel,
+        Self::UnknownService,
+        Self::PromptTooLong,
+        Self::NoCapacity,
+        Self::DeadlineExceeded,
+        Self::Unreachable,
+        Self::UpstreamFailed,
+        Self::RetryBudgetSpent,
+        Self::KeyReused,
+        Self::KeyUnresolved,
+        Self::StoreUnavailable,
+        Self::NotReady,
+        Self::BodyTooLarge,
+        Self::TooManyRequests,
+    ];
+
     /// The HTTP status that carries this code.
     pub const fn status(self) -> u16 {
         match self {
