Add the scenario language

Text files under scenarios/ give a fleet, a timeline and expectations; datadriven reads them and holds the report against what follows the rule.

--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -373,14 +373,24 @@
 
     /// Attempts that were routed to upstreams of a failure domain at or after a time.
     pub fn routed_since(&self, domain: &FailureDomain, since: Time) -> usize {
-        let routed = self.log.iter().filter(|(at, _, record)| match record {
-            Record::Routed(routed) => {
-                let upstream = self.upstreams.get(&routed.upstream);
-                *at >= since && upstream.is_some_and(|u| u.config.domain == *domain)
-            }
-            _ => false,
-        });
-        routed.count()
+        let is_inside = |upstream: &&UpstreamId| {
+            let state = self.upstreams.get(*upstream);
+            state.is_some_and(|state| state.config.domain == *domain)
+        };
+        self.routed(since).filter(is_inside).count()
+    }
+
+    /// Attempts that were routed to an upstream at or after a time.
+    pub fn routed_to_since(&self, upstream: &UpstreamId, since: Time) -> usize {
+        self.routed(since).filter(|to| *to == upstream).count()
+    }
+
+    fn routed(&self, since: Time) -> impl Iterator<Item = &UpstreamId> {
+        let late = self.log.iter().filter(move |(at, _, _)| *at >= since);
+        late.filter_map(|(_, _, record)| match record {
+            Record::Routed(routed) => Some(&routed.upstream),
+            _ => None,
+        })
     }
 
     pub(crate) fn act(&mut self, vm: &VmId, action: Action) {
--- a/crates/scenario/tests/common/checks.rs
+++ b/crates/scenario/src/promises.rs
@@ -1,10 +1,10 @@
-//! What must hold at the end of any run.
+//! What must hold at the end of any run, whatever happened.
 
+use crate::{Caller, End, Fleet, Node};
 use persimmon_core::{
     request::{CallTarget, CallerEnd},
     units::Time,
 };
-use persimmon_scenario::{Caller, End, Fleet, Node};
 
 /// The first broken promise, if any.
 pub fn broken_promise(fleet: &Fleet) -> Option<String> {
@@ -51,17 +51,18 @@
     if let (End::Said(CallerEnd::Stored(result)), CallTarget::Service(call)) =
         (end, &caller.spec.target)
     {
-        let key = call.key.as_ref().expect("key");
-        let runs = &fleet.runs[&format!("{}/{key}", caller.spec.workspace)];
-        if result.body != format!("done for {}", runs[0]) {
+        let key = call.key.as_ref().map_or("", |key| key.as_str());
+        let runs = fleet.runs.get(&format!("{}/{key}", caller.spec.workspace));
+        let first = runs.and_then(|runs| runs.first());
+        if first.is_none_or(|first| result.body != format!("done for {first}")) {
             return Some("got the result of another run".into());
         }
     }
     None
 }
 
-/// How far any open request is past its deadline.
-pub fn overdue(fleet: &Fleet) -> bool {
+/// Whether any open request is past its deadline.
+pub fn is_overdue(fleet: &Fleet) -> bool {
     let late = |(at, caller): (Time, &Caller)| caller.is_open() && at > caller.deadline();
     fleet
         .callers
--- /dev/null
+++ b/crates/scenario/src/script/expect.rs
@@ -0,0 +1,208 @@
+//! What a script expects.
+
+use super::{
+    report::{ending, is_refused},
+    runner::Runner,
+    words::Words,
+    ScriptError,
+};
+use crate::{broken_promise, Caller};
+use persimmon_core::{
+    decision::Record,
+    ids::{FailureDomain, Generation, UpstreamId, VmId},
+    operator::OperatorReply,
+    request::Outcome,
+    units::{Millis, Time},
+};
+
+/// What was seen where it was not expected.
+type Seen = Result<Option<String>, ScriptError>;
+
+impl Runner {
+    /// Checks an expectation: what was seen instead, if it fails.
+    pub(super) fn expect(&mut self, words: &mut Words) -> Seen {
+        let subject = words.next("expectation")?;
+        match subject.as_str() {
+            "promises" => Ok(broken_promise(&self.fleet)),
+            "memory" => {
+                let expected: u64 = words.parse("number")?;
+                let held = self.fleet.held_tokens().get();
+                Ok((held != expected).then(|| format!("engines hold memory of {held} tokens")))
+            }
+            "overruns" => {
+                let expected: u32 = words.parse("number")?;
+                let count: u32 = self.fleet.upstreams.values().map(|u| u.overrun_count).sum();
+                Ok((count != expected).then(|| format!("{count} overruns of cold upstreams")))
+            }
+            "runs" => {
+                let key = words.next("key")?;
+                let expected: usize = words.parse("number")?;
+                let name = format!("{}/{key}", self.workspace);
+                let count = self.fleet.runs.get(&name).map_or(0, Vec::len);
+                Ok((count != expected).then(|| format!("{key} ran {count} times")))
+            }
+            "no" => self.expect_no_grant(words),
+            "generation" => self.expect_generation(words),
+            "reverts" => self.expect_reverts(words),
+            "vm" => self.expect_vm(words),
+            "plan" => self.expect_plan(words),
+            "confirm" => self.expect_confirm(words),
+            _ => self.expect_requests(&subject, words),
+        }
+    }
+
+    fn expect_requests(&self, name: &str, words: &mut Words) -> Seen {
+        let callers = self.ids(name)?;
+        let callers = callers.iter().filter_map(|id| self.fleet.callers.get(id));
+        let callers: Vec<&Caller> = callers.collect();
+        let share_percent = parse_share(words)?;
+        let how = words.next("ending")?;
+        let holds: Box<dyn Fn(&Caller) -> bool> = match how.as_str() {
+            "whole" => Box::new(Caller::is_whole),
+            "ended" => Box::new(|caller| !caller.is_open()),
+            "refused" => {
+                let code = (!words.is_empty())
+                    .then(|| words.next("code"))
+                    .transpose()?;
+                let outcome = parse_outcome(words)?;
+                Box::new(move |caller| is_refused(caller, code.as_deref(), outcome))
+            }
+            _ => {
+                let what = "ending";
+                return Err(ScriptError::Word { word: how, what });
+            }
+        };
+        let within = parse_within(words)?;
+        let good = |caller: &&&Caller| holds(caller) && is_within(caller, within);
+        let count = callers.iter().filter(good).count();
+        let needed = (callers.len() * share_percent).div_ceil(100);
+        if count >= needed && !callers.is_empty() {
+            return Ok(None);
+        }
+        let other = callers.iter().find(|caller| !good(caller));
+        let seen = other.map_or_else(|| "no request".into(), |caller| told(caller));
+        Ok(Some(format!(
+            "{name}: {count} of {} {how}, one is {seen}",
+            callers.len()
+        )))
+    }
+
+    fn expect_no_grant(&self, words: &mut Words) -> Seen {
+        words.must("grant")?;
+        let place = words.next("in or at")?;
+        let name = words.next("failure domain or upstream")?;
+        words.must("after")?;
+        let since = self.start + words.span()?;
+        let count = if place == "in" {
+            let domain: FailureDomain = parse(&name, "failure domain")?;
+            self.fleet.routed_since(&domain, since)
+        } else {
+            let upstream: UpstreamId = parse(&name, "upstream")?;
+            self.fleet.routed_to_since(&upstream, since)
+        };
+        Ok((count > 0).then(|| format!("{count} grants {place} {name}")))
+    }
+
+    fn expect_generation(&self, words: &mut Words) -> Seen {
+        let expected = Generation::new(words.parse("number")?);
+        words.must("everywhere")?;
+        let up = self.fleet.vms.iter().filter(|(_, vm)| vm.is_up());
+        let mut behind = up.filter(|(vm, _)| self.generation_of(vm) != expected);
+        let seen = |(vm, _): (&VmId, _)| format!("{vm} has {}", self.generation_of(vm));
+        Ok(behind.next().map(seen))
+    }
+
+    fn generation_of(&self, vm: &VmId) -> Generation {
+        let applied = self.applied(vm).last().map(|(_, generation)| generation);
+        applied.unwrap_or_default()
+    }
+
+    fn applied<'a>(&'a self, vm: &'a VmId) -> impl Iterator<Item = (Time, Generation)> + 'a {
+        let log = self.fleet.log.iter();
+        log.filter_map(move |(at, from, record)| match record {
+            Record::Applied { generation, .. } if from == vm => Some((*at, *generation)),
+            _ => None,
+        })
+    }
+
+    /// A generation that was applied after a higher one, by the same daemon.
+    fn expect_reverts(&self, words: &mut Words) -> Seen {
+        let expected: usize = words.parse("number")?;
+        let mut count = 0;
+        for vm in self.fleet.vms.keys() {
+            let applied: Vec<Generation> = self.applied(vm).map(|(_, g)| g).collect();
+            count += applied.windows(2).filter(|pair| pair[1] < pair[0]).count();
+        }
+        Ok((count != expected).then(|| format!("{count} reverts")))
+    }
+
+    fn expect_vm(&self, words: &mut Words) -> Seen {
+        let vm: VmId = words.parse("VM")?;
+        words.must("exited")?;
+        let state = self.fleet.vms.get(&vm);
+        let exited = state.is_some_and(|state| state.has_exited);
+        Ok((!exited).then(|| format!("{vm} still runs")))
+    }
+
+    fn expect_plan(&self, words: &mut Words) -> Seen {
+        let name = words.next("plan")?;
+        words.must("made")?;
+        let made = self.plan(&name);
+        Ok(made.err().map(|error| error.to_string()))
+    }
+
+    fn expect_confirm(&self, words: &mut Words) -> Seen {
+        let name = words.next("plan")?;
+        let how = words.next("done or refused")?;
+        let reply = self.confirms.get(&name);
+        let reply = reply.and_then(|call| self.fleet.replies.get(call));
+        let holds = match (how.as_str(), reply) {
+            ("done", Some(OperatorReply::Confirmed(_))) => true,
+            ("refused", Some(OperatorReply::Refused(_))) => true,
+            ("open", None) => true,
+            _ => false,
+        };
+        Ok((!holds).then(|| format!("{name} was answered {reply:?}")))
+    }
+}
+
+fn told(caller: &Caller) -> String {
+    let after = caller.end.as_ref().map(|(at, _)| at.since(caller.sent_at));
+    let after = after.map_or(String::new(), |span| format!(" after {span}"));
+    format!("{}{after}", ending(caller))
+}
+
+fn is_within(caller: &Caller, within: Option<Millis>) -> bool {
+    let ended = caller.end.as_ref().map(|(at, _)| at.since(caller.sent_at));
+    within.is_none_or(|within| ended.is_some_and(|span| span <= within))
+}
+
+fn parse_within(words: &mut Words) -> Result<Option<Millis>, ScriptError> {
+    words.take("within").then(|| words.span()).transpose()
+}
+
+fn parse_share(words: &mut Words) -> Result<usize, ScriptError> {
+    if !words.take("at-least") {
+        return Ok(100);
+    }
+    let word = words.next("share such as 95%")?;
+    let number = word.strip_suffix('%').and_then(|n| n.parse().ok());
+    number.ok_or(ScriptError::Word {
+        word,
+        what: "share such as 95%",
+    })
+}
+
+fn parse_outcome(words: &mut Words) -> Result<Option<Outcome>, ScriptError> {
+    if words.take("not_run") {
+        return Ok(Some(Outcome::NotRun));
+    }
+    Ok(words.take("unknown").then_some(Outcome::Unknown))
+}
+
+fn parse<T: std::str::FromStr>(word: &str, what: &'static str) -> Result<T, ScriptError> {
+    word.parse().map_err(|_| ScriptError::Word {
+        word: word.to_owned(),
+        what,
+    })
+}
--- /dev/null
+++ b/crates/scenario/src/script/report.rs
@@ -0,0 +1,74 @@
+//! The report of a script.
+
+use super::runner::Runner;
+use crate::{Caller, End};
+use persimmon_core::request::{CallTarget, CallerEnd, Outcome};
+use std::collections::BTreeMap;
+
+/// How each request and load ended, then the expectations that failed, or `ok`.
+pub(super) fn of(runner: &Runner) -> String {
+    let mut lines = Vec::new();
+    for (name, ids) in &runner.names {
+        let requests = runner.ids(name).unwrap_or_default();
+        let callers = requests
+            .iter()
+            .filter_map(|id| runner.fleet.callers.get(id));
+        let callers: Vec<&Caller> = callers.collect();
+        match callers[..] {
+            [] => {}
+            [caller] if ids.count == 1 => lines.push(format!("{name}: {}", one(caller))),
+            _ => lines.push(format!("{name}: {}", many(&callers))),
+        }
+    }
+    if runner.failures.is_empty() {
+        lines.push("ok".into());
+    }
+    lines.extend(runner.failures.iter().cloned());
+    lines.join("\n") + "\n"
+}
+
+/// How a request ended, in words.
+pub(super) fn ending(caller: &Caller) -> String {
+    match caller.end.as_ref().map(|(_, end)| end) {
+        None => "open".into(),
+        Some(End::ConnectionLost) => "connection lost".into(),
+        Some(End::WentAway) => "went away".into(),
+        Some(End::Said(CallerEnd::Refused(refusal))) => {
+            format!("refused {} {}", refusal.code, refusal.outcome)
+        }
+        Some(End::Said(CallerEnd::Stored(_))) => "whole, the first result".into(),
+        Some(End::Said(CallerEnd::Complete)) if caller.is_whole() => "whole".into(),
+        Some(End::Said(CallerEnd::Complete)) => "complete but not whole".into(),
+    }
+}
+
+fn one(caller: &Caller) -> String {
+    let ended_at = caller.end.as_ref().map(|(at, _)| at.since(caller.sent_at));
+    let after = ended_at.map_or(String::new(), |span| format!(" after {span}"));
+    let attempts = match (caller.sent_attempts, &caller.spec.target) {
+        (1, _) => String::new(),
+        (count, CallTarget::Model(_)) => format!(", {count} attempts"),
+        (count, CallTarget::Service(_)) => {
+            format!(", {count} attempts, ran {} times", caller.ran_attempts)
+        }
+    };
+    format!("{}{after}{attempts}", ending(caller))
+}
+
+fn many(callers: &[&Caller]) -> String {
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for caller in callers {
+        *counts.entry(ending(caller)).or_default() += 1;
+    }
+    let counts = counts.iter().map(|(how, count)| format!("{count} {how}"));
+    let counts: Vec<String> = counts.collect();
+    format!("{} requests, {}", callers.len(), counts.join(", "))
+}
+
+/// Whether a refusal was told with this outcome.
+pub(super) fn is_refused(caller: &Caller, code: Option<&str>, outcome: Option<Outcome>) -> bool {
+    caller.refusal().is_some_and(|refusal| {
+        let same_code = code.is_none_or(|code| code == refusal.code.to_string());
+        same_code && outcome.is_none_or(|outcome| outcome == refusal.outcome)
+    })
+}
--- /dev/null
+++ b/crates/scenario/src/script/runner.rs
@@ -0,0 +1,236 @@
+//! Runs a script.
+
+use super::{
+    line::{Asked, Setup, Statement},
+    report,
+    words::Words,
+    ScriptError,
+};
+use crate::{DomainSpec, Fleet, FleetSpec};
+use persimmon_core::{
+    daemon::PartSettings,
+    ids::{PlanId, RequestId, WorkspaceId},
+    platform::CallToken,
+    units::{Millis, Time},
+};
+use std::collections::BTreeMap;
+
+/// Time before a script's first moment, in which the daemons find each other.
+const SETTLE_MS: Millis = Millis::new(10_000);
+/// The one workspace.
+const WORKSPACE: &str = "w";
+/// Requests of one load at most: their ids lie together.
+const LOAD_LEN: u128 = 1_000_000;
+
+/// The requests of a name: one, or those of a load.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ids {
+    pub(super) first: u128,
+    pub(super) count: u128,
+}
+
+/// A load that is under way.
+#[derive(Clone, Debug)]
+pub(super) struct Load {
+    pub(super) name: String,
+    pub(super) next_at: Time,
+    pub(super) until: Time,
+    pub(super) gap: Millis,
+    pub(super) asked: Asked,
+}
+
+/// A script that is being run.
+#[derive(Debug)]
+pub(super) struct Runner {
+    pub(super) fleet: Fleet,
+    pub(super) start: Time,
+    pub(super) workspace: WorkspaceId,
+    pub(super) names: BTreeMap<String, Ids>,
+    pub(super) loads: Vec<Load>,
+    pub(super) plans: BTreeMap<String, CallToken>,
+    pub(super) confirms: BTreeMap<String, CallToken>,
+    pub(super) failures: Vec<String>,
+}
+
+/// Runs a script and gives its report: how requests ended and which expectations failed.
+pub fn run_script(text: &str) -> String {
+    match run(text) {
+        Ok(report) => report,
+        Err((number, error)) => format!("line {number}: {error}\n"),
+    }
+}
+
+type Failure = (usize, ScriptError);
+
+fn run(text: &str) -> Result<String, Failure> {
+    let lines = text
+        .lines()
+        .enumerate()
+        .map(|(n, line)| (n + 1, Words::of(line)));
+    let mut lines = lines.filter_map(|(n, mut words)| (!words.is_empty()).then_some((n, words)));
+    let mut spec = FleetSpec {
+        seed: 1,
+        domains: Vec::new(),
+        workspaces: WORKSPACE.parse().into_iter().collect(),
+        parts: PartSettings::default(),
+    };
+    let mut first = None;
+    for (number, mut words) in lines.by_ref() {
+        if words.take("at") {
+            first = Some((number, words));
+            break;
+        }
+        set_up(&mut spec, &mut words).map_err(|error| (number, error))?;
+    }
+    let mut runner = Runner::new(spec).map_err(|error| (1, error))?;
+    if let Some((number, mut words)) = first {
+        runner
+            .line(number, &mut words)
+            .map_err(|error| (number, error))?;
+    }
+    for (number, mut words) in lines {
+        let result = words
+            .must("at")
+            .and_then(|()| runner.line(number, &mut words));
+        result.map_err(|error| (number, error))?;
+    }
+    Ok(report::of(&runner))
+}
+
+fn set_up(spec: &mut FleetSpec, words: &mut Words) -> Result<(), ScriptError> {
+    match Setup::parse(words)? {
+        Setup::Seed(seed) => spec.seed = seed,
+        Setup::Domain(domain) => spec.domains.push(domain),
+    }
+    words.end()
+}
+
+impl Runner {
+    fn new(mut spec: FleetSpec) -> Result<Self, ScriptError> {
+        if spec.domains.is_empty() {
+            spec.domains.push(DomainSpec {
+                name: "a"
+                    .parse()
+                    .map_err(|_| ScriptError::Missing { what: "domain" })?,
+                size_vms: 2,
+                engines_upstreams: 3,
+                services_upstreams: 2,
+            });
+        }
+        let workspace = spec.workspaces.first().cloned();
+        let workspace = workspace.ok_or(ScriptError::Missing { what: "workspace" })?;
+        let mut fleet = spec.build().map_err(|error| ScriptError::Fleet {
+            reason: error.to_string(),
+        })?;
+        fleet.run_for(SETTLE_MS);
+        Ok(Self {
+            start: fleet.now,
+            fleet,
+            workspace,
+            names: BTreeMap::new(),
+            loads: Vec::new(),
+            plans: BTreeMap::new(),
+            confirms: BTreeMap::new(),
+            failures: Vec::new(),
+        })
+    }
+
+    /// Runs up to the line's time, then does what it says.
+    fn line(&mut self, number: usize, words: &mut Words) -> Result<(), ScriptError> {
+        let at = self.start + words.span()?;
+        self.run_until(at);
+        let statement = Statement::parse(words)?;
+        words.end()?;
+        match statement {
+            Statement::Expect(mut expected) => {
+                let text = self.expect(&mut expected)?;
+                expected.end()?;
+                if let Some(text) = text {
+                    let since = self.fleet.now.since(self.start);
+                    self.failures
+                        .push(format!("line {number}, {since}: {text}"));
+                }
+                Ok(())
+            }
+            statement => self.act(statement),
+        }
+    }
+
+    /// Runs the fleet and the loads up to a time.
+    fn run_until(&mut self, until: Time) {
+        loop {
+            let due = self.loads.iter().map(|load| load.next_at).min();
+            let Some(at) = due.filter(|at| *at <= until) else {
+                break;
+            };
+            self.fleet.run_until(at);
+            self.send_loads(at);
+        }
+        self.fleet.run_until(until);
+    }
+
+    fn send_loads(&mut self, now: Time) {
+        for mut load in std::mem::take(&mut self.loads) {
+            if load.next_at <= now {
+                self.send_one(&load);
+                load.next_at = now + load.gap;
+            }
+            if load.next_at < load.until {
+                self.loads.push(load);
+            }
+        }
+    }
+
+    fn send_one(&mut self, load: &Load) {
+        let ready = self.fleet.vms.iter();
+        let ready = ready.filter(|(_, vm)| vm.is_ready && vm.is_up() && !vm.is_paused);
+        let ready: Vec<_> = ready.map(|(vm, _)| vm.clone()).collect();
+        let Some(ids) = self.names.get_mut(&load.name) else {
+            return;
+        };
+        let number = ids.first + ids.count;
+        if let Some(vm) = ready.get(ids.count as usize % ready.len().max(1)) {
+            ids.count += 1;
+            let mut asked = load.asked.clone();
+            if asked.is_call && asked.key.is_none() {
+                asked.key = Some(format!("{}-{number}", load.name));
+            }
+            if let Ok(spec) = self.spec(number, &asked) {
+                self.fleet.request(vm, spec);
+            }
+        }
+    }
+
+    /// Ids for a new name.
+    pub(super) fn name(&mut self, name: &str, count: u128) -> u128 {
+        let first = (self.names.len() as u128 + 1) * LOAD_LEN;
+        self.names.insert(name.to_owned(), Ids { first, count });
+        first
+    }
+
+    /// The requests of a name.
+    pub(super) fn ids(&self, name: &str) -> Result<Vec<RequestId>, ScriptError> {
+        let ids = self.names.get(name).ok_or_else(|| ScriptError::Unknown {
+            what: "request or load",
+            name: name.to_owned(),
+        })?;
+        let numbers = ids.first..ids.first + ids.count;
+        Ok(numbers.map(RequestId::new).collect())
+    }
+
+    /// The plan that an operator got.
+    pub(super) fn plan(&self, name: &str) -> Result<PlanId, ScriptError> {
+        use persimmon_core::operator::OperatorReply;
+        let reply = self
+            .plans
+            .get(name)
+            .and_then(|call| self.fleet.replies.get(call));
+        match reply {
+            Some(OperatorReply::Plan(plan)) => Ok(plan.id.clone()),
+            _ => Err(ScriptError::Unknown {
+                what: "plan",
+                name: name.to_owned(),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/script/words.rs
@@ -0,0 +1,79 @@
+//! The words of one line.
+
+use super::ScriptError;
+use persimmon_core::units::Millis;
+use std::{iter::Peekable, str::FromStr, vec::IntoIter};
+
+/// The words of one line, read from left to right.
+#[derive(Clone, Debug)]
+pub(super) struct Words(Peekable<IntoIter<String>>);
+
+impl Words {
+    /// The words of a line, without its comment.
+    pub(super) fn of(line: &str) -> Self {
+        let text = line.split('#').next().unwrap_or_default();
+        let words: Vec<String> = text.split_whitespace().map(str::to_owned).collect();
+        Self(words.into_iter().peekable())
+    }
+
+    /// Whether none is left.
+    pub(super) fn is_empty(&mut self) -> bool {
+        self.0.peek().is_none()
+    }
+
+    /// The next word.
+    pub(super) fn next(&mut self, what: &'static str) -> Result<String, ScriptError> {
+        self.0.next().ok_or(ScriptError::Missing { what })
+    }
+
+    /// The next word as a value.
+    pub(super) fn parse<T: FromStr>(&mut self, what: &'static str) -> Result<T, ScriptError> {
+        let word = self.next(what)?;
+        word.parse().map_err(|_| ScriptError::Word { word, what })
+    }
+
+    /// The next word as a span such as `300ms` or `2s`.
+    pub(super) fn span(&mut self) -> Result<Millis, ScriptError> {
+        let what = "time such as 300ms or 2s";
+        let word = self.next(what)?;
+        let ms = word.strip_suffix("ms").and_then(|n| n.parse().ok());
+        let secs = word.strip_suffix('s').and_then(|n| n.parse().ok());
+        let span = ms.map(Millis::new).or(secs.map(Millis::from_secs));
+        span.ok_or(ScriptError::Word { word, what })
+    }
+
+    /// Takes the next word if it is `word`.
+    pub(super) fn take(&mut self, word: &str) -> bool {
+        self.0.next_if(|next| next == word).is_some()
+    }
+
+    /// Takes the next word, which must be `word`.
+    pub(super) fn must(&mut self, word: &'static str) -> Result<(), ScriptError> {
+        if self.take(word) {
+            return Ok(());
+        }
+        match self.0.next() {
+            Some(found) => Err(ScriptError::Word {
+                word: found,
+                what: word,
+            }),
+            None => Err(ScriptError::Missing { what: word }),
+        }
+    }
+
+    /// Takes all that are left.
+    pub(super) fn rest(&mut self) -> Self {
+        let left: Vec<String> = self.0.by_ref().collect();
+        Self(left.into_iter().peekable())
+    }
+
+    /// Checks that none is left.
+    pub(super) fn end(&mut self) -> Result<(), ScriptError> {
+        let words: Vec<String> = self.0.by_ref().collect();
+        if words.is_empty() {
+            return Ok(());
+        }
+        let words = words.join(" ");
+        Err(ScriptError::LeftOver { words })
+    }
+}
--- a/crates/scenario/tests/common/mod.rs
+++ b/crates/scenario/tests/common/mod.rs
@@ -1,7 +1,6 @@
 //! Nodes for tests of the entry part alone: its owners are fakes.
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
-pub mod checks;
 pub mod daemons;
 pub mod entry_node;
 pub mod owner_node;
--- a/crates/scenario/tests/entry_promises.rs
+++ b/crates/scenario/tests/entry_promises.rs
@@ -3,7 +3,6 @@
 mod common;
 
 use common::{
-    checks::{broken_promise, overdue},
     fleet, member,
     specs::{id, model_call, service_call},
     upstream, vm, ENTRIES, OWNERS,
@@ -14,7 +13,7 @@
     units::{Millis, Tokens},
     Event,
 };
-use persimmon_scenario::{Chances, End, Fleet, StoreFault};
+use persimmon_scenario::{broken_promise, is_overdue, Chances, End, Fleet, StoreFault};
 use proptest::{
     prelude::{any, prop_assert, prop_assert_eq, proptest, ProptestConfig, Strategy},
     test_runner::RngSeed,
@@ -127,7 +126,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     for number in 0..60 {
         fleet.run_for(Millis::new(rng.next_u64() % 200));
-        assert!(!overdue(&fleet), "a request is open after its deadline");
+        assert!(!is_overdue(&fleet), "a request is open after its deadline");
         happen(&mut fleet, &mut rng, number, deaths);
     }
     fleet.store.fault = StoreFault::None;
--- a/crates/scenario/tests/fleet_basics.rs
+++ b/crates/scenario/tests/fleet_basics.rs
@@ -2,15 +2,12 @@
 
 mod common;
 
-use common::{
-    checks::broken_promise,
-    specs::{model_call, service_call},
-};
+use common::specs::{model_call, service_call};
 use persimmon_core::{
     daemon::PartSettings,
     units::{Millis, Tokens},
 };
-use persimmon_scenario::{DomainSpec, Fleet, FleetSpec};
+use persimmon_scenario::{broken_promise, DomainSpec, Fleet, FleetSpec};
 
 /// Domains `a` and `b`, each with two VMs, three engines and two servers.
 fn fleet(seed: u64) -> Fleet {
--- a/crates/scenario/tests/fleet_promises.rs
+++ b/crates/scenario/tests/fleet_promises.rs
@@ -3,7 +3,6 @@
 mod common;
 
 use common::{
-    checks::broken_promise,
     daemons::fleet,
     specs::{id, model_call, service_call},
     upstream, vm,
@@ -13,7 +12,7 @@
     operator::{Intent, OperatorCommand, OperatorReply},
     units::{Millis, Tokens},
 };
-use persimmon_scenario::{Fleet, StoreFault, UpstreamFault};
+use persimmon_scenario::{broken_promise, Fleet, StoreFault, UpstreamFault};
 use proptest::{
     prelude::{any, prop_assert_eq, proptest, ProptestConfig},
     test_runner::RngSeed,
--- a/crates/scenario/tests/fleet_streams.rs
+++ b/crates/scenario/tests/fleet_streams.rs
@@ -3,7 +3,6 @@
 mod common;
 
 use common::{
-    checks::broken_promise,
     daemons::{confirm, fleet},
     specs::{id, model_call, service_call},
     vm,
@@ -14,7 +13,7 @@
     units::{Millis, Time, Tokens},
     Event,
 };
-use persimmon_scenario::{Fleet, UpstreamFault};
+use persimmon_scenario::{broken_promise, Fleet, UpstreamFault};
 
 /// The engine that runs a request.
 fn engine_of(fleet: &Fleet, number: u128) -> UpstreamId {
--- a/crates/scenario/tests/retry_amplification.rs
+++ b/crates/scenario/tests/retry_amplification.rs
@@ -3,13 +3,13 @@
 
 mod common;
 
-use common::{checks::broken_promise, specs::model_call, vm, ENTRIES};
+use common::{specs::model_call, vm, ENTRIES};
 use persimmon_core::{
     daemon::PartSettings,
     entry::{EntrySettings, RawEntrySettings},
     units::Millis,
 };
-use persimmon_scenario::{DomainSpec, Fleet, FleetSpec, UpstreamFault};
+use persimmon_scenario::{broken_promise, DomainSpec, Fleet, FleetSpec, UpstreamFault};
 use std::fmt;
 
 /// Requests of one run.
