--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -31,6 +31,8 @@
 const EPOCH_UNIX_MS: u64 = 1_700_000_000_000;
 /// Time in which a process that was paused ends what is overdue.
 const WAKE_MS: Millis = Millis::new(20);
+/// Time in which owners must see that an upstream has turned cold without a sign.
+const CHILL_SEEN_MS: Millis = Millis::new(1_500);
 /// Shortest time between two ticks of one process.
 const TICK_MIN_MS: Millis = Millis::new(1);
 
@@ -235,6 +237,22 @@
         }
     }
 
+    /// A new process of an upstream starts, cold: connections to the old one break.
+    pub fn restart_upstream(&mut self, upstream: &UpstreamId) {
+        self.kill_upstream(upstream);
+        if let Some(state) = self.upstreams.get_mut(upstream) {
+            state.restart();
+        }
+    }
+
+    /// An upstream turns cold without a sign.
+    pub fn chill_upstream(&mut self, upstream: &UpstreamId) {
+        let counts_from = self.now + CHILL_SEEN_MS;
+        if let Some(state) = self.upstreams.get_mut(upstream) {
+            state.turn_cold(counts_from);
+        }
+    }
+
     /// An upstream hangs.
     pub fn hang_upstream(&mut self, upstream: &UpstreamId) {
         if let Some(state) = self.upstreams.get_mut(upstream) {
--- a/crates/scenario/src/script/expect.rs
+++ b/crates/scenario/src/script/expect.rs
@@ -14,6 +14,7 @@
     request::Outcome,
     units::{Millis, Time},
 };
+use std::collections::BTreeMap;
 
 /// What was seen where it was not expected.
 type Seen = Result<Option<String>, ScriptError>;
@@ -125,12 +126,14 @@
         })
     }
 
-    /// A generation that was applied after a higher one, by the same daemon.
+    /// A generation in force after a higher one at the same VM. A daemon that starts may go
+    /// through the history in one moment.
     fn expect_reverts(&self, words: &mut Words) -> Seen {
         let expected: usize = words.parse("number")?;
         let mut count = 0;
         for vm in self.fleet.vms.keys() {
-            let applied: Vec<Generation> = self.applied(vm).map(|(_, g)| g).collect();
+            let by_time: BTreeMap<Time, Generation> = self.applied(vm).collect();
+            let applied: Vec<Generation> = by_time.into_values().collect();
             count += applied.windows(2).filter(|pair| pair[1] < pair[0]).count();
         }
         Ok((count != expected).then(|| format!("{count} reverts")))
@@ -156,12 +159,12 @@
         let how = words.next("done or refused")?;
         let reply = self.confirms.get(&name);
         let reply = reply.and_then(|call| self.fleet.replies.get(call));
-        let holds = match (how.as_str(), reply) {
-            ("done", Some(OperatorReply::Confirmed(_))) => true,
-            ("refused", Some(OperatorReply::Refused(_))) => true,
-            ("open", None) => true,
-            _ => false,
-        };
+        let holds = matches!(
+            (how.as_str(), reply),
+            ("done", Some(OperatorReply::Confirmed(_)))
+                | ("refused", Some(OperatorReply::Refused(_)))
+                | ("open", None)
+        );
         Ok((!holds).then(|| format!("{name} was answered {reply:?}")))
     }
 }
--- a/crates/scenario/src/traffic.rs
+++ b/crates/scenario/src/traffic.rs
@@ -36,7 +36,7 @@
         let taken = match (refused, not_run) {
             (true, _) => Err(UpstreamError::Refused),
             (_, true) => Err(UpstreamError::Overloaded),
-            _ => state.take(&plan, &spec),
+            _ => state.take(self.now, &plan, &spec),
         };
         let (fault, incarnation) = (state.fault, state.incarnation);
         let after = match taken {
