--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -11,10 +11,10 @@
 };
 use persimmon_core::{
     decision::Record,
-    ids::{FailureDomain, IdempotencyKey, Incarnation, RequestId, UpstreamId, VmId},
+    ids::{FailureDomain, IdempotencyKey, Incarnation, OperatorName, RequestId, UpstreamId, VmId},
     message::Member,
-    operator::OperatorReply,
-    platform::CallToken,
+    operator::{OperatorCommand, OperatorReply},
+    platform::{CallToken, Part},
     request::{AttemptPlan, RequestSpec, UpstreamError},
     units::{Millis, Time, Tokens},
     upstream::Order,
@@ -27,6 +27,12 @@
 /// Makes the process of a VM, given its seed.
 pub type MakeNode = Box<dyn Fn(&Member, u64) -> Box<dyn Node>>;
 
+/// Wall clock at the fleet's start, in milliseconds since the epoch.
+const EPOCH_UNIX_MS: u64 = 1_700_000_000_000;
+/// Time in which a process that was paused ends what is overdue.
+const WAKE_MS: Millis = Millis::new(20);
+/// Time in which owners must see that an upstream has turned cold without a sign.
+const CHILL_SEEN_MS: Millis = Millis::new(1_500);
 /// Shortest time between two ticks of one process.
 const TICK_MIN_MS: Millis = Millis::new(1);
 
@@ -82,6 +88,7 @@
     pub log: Vec<(Time, VmId, Record)>,
     pub(crate) queue: Queue<Item>,
     pub(crate) rng: ChaCha8Rng,
+    calls_count: u64,
     make: MakeNode,
 }
 
@@ -108,17 +115,21 @@
             log: Vec::new(),
             queue: Queue::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
+            calls_count: 0,
             make,
         }
     }
 
     /// Starts a VM, or a new run on one.
     pub fn start_vm(&mut self, mut member: Member) {
+        let mut woken_at = None;
         if let Some(vm) = self.vms.get(&member.vm) {
             member.incarnation = vm.member.incarnation.next();
+            woken_at = vm.woken_at;
         }
         let seed = self.rng.next_u64();
-        let vm = Vm::new(member.clone(), (self.make)(&member, seed), self.now);
+        let mut vm = Vm::new(member.clone(), (self.make)(&member, seed), self.now);
+        vm.woken_at = woken_at;
         self.vms.insert(member.vm.clone(), vm);
         self.deliver(&member.vm, Event::Tick);
     }
@@ -151,7 +162,10 @@
         let Some(state) = self.vms.get_mut(vm) else {
             return;
         };
-        state.is_paused = false;
+        if state.is_paused {
+            state.is_paused = false;
+            state.woken_at = Some(self.now);
+        }
         let run = run_of(state);
         for arrival in std::mem::take(&mut state.inbox) {
             self.queue.push(self.now, Item::Vm(run.clone(), arrival));
@@ -185,6 +199,20 @@
         }
     }
 
+    /// An operator sends a command to a VM; the reply comes under the token.
+    pub fn operate(&mut self, vm: &VmId, who: OperatorName, command: OperatorCommand) -> CallToken {
+        self.calls_count += 1;
+        let call = CallToken::new(Part::Outside, self.calls_count);
+        let event = Event::Operator {
+            call,
+            operator: who,
+            command,
+            unix_ms: EPOCH_UNIX_MS + self.now.as_us() / 1_000,
+        };
+        self.send_core(vm, event);
+        call
+    }
+
     /// An upstream's process dies: whoever reads from it sees the connection break.
     pub fn kill_upstream(&mut self, upstream: &UpstreamId) {
         let Some(state) = self.upstreams.get_mut(upstream) else {
@@ -209,6 +237,22 @@
         }
     }
 
+    /// A new process of an upstream starts, cold: connections to the old one break.
+    pub fn restart_upstream(&mut self, upstream: &UpstreamId) {
+        self.kill_upstream(upstream);
+        if let Some(state) = self.upstreams.get_mut(upstream) {
+            state.restart();
+        }
+    }
+
+    /// An upstream turns cold without a sign.
+    pub fn chill_upstream(&mut self, upstream: &UpstreamId) {
+        let counts_from = self.now + CHILL_SEEN_MS;
+        if let Some(state) = self.upstreams.get_mut(upstream) {
+            state.turn_cold(counts_from);
+        }
+    }
+
     /// An upstream hangs.
     pub fn hang_upstream(&mut self, upstream: &UpstreamId) {
         if let Some(state) = self.upstreams.get_mut(upstream) {
@@ -314,11 +358,26 @@
                 state.wake_at = None;
                 self.deliver(&run.vm, Event::Tick);
             }
-            Arrival::Core(event) => self.deliver(&run.vm, event),
+            Arrival::Core(event) => {
+                if let Event::Request(spec) = &event {
+                    let caller = self.callers.get_mut(&spec.id);
+                    caller
+                        .into_iter()
+                        .for_each(|c| c.admitted_at = Some(self.now));
+                }
+                self.deliver(&run.vm, event);
+            }
             other => self.on_traffic(&run.vm, other),
         }
     }
 
+    /// When a request must have ended at the latest: a paused process speaks when it goes on.
+    pub fn must_end_by(&self, caller: &Caller) -> Time {
+        let woken_at = self.vms.get(&caller.vm).and_then(|vm| vm.woken_at);
+        let after_pause = woken_at.map(|at| at + WAKE_MS);
+        caller.deadline().max(after_pause.unwrap_or_default())
+    }
+
     /// The failure domain of a VM.
     pub fn domain_of(&self, vm: &VmId) -> Option<&FailureDomain> {
         self.vms.get(vm).map(|state| &state.member.domain)
@@ -332,14 +391,24 @@
 
     /// Attempts that were routed to upstreams of a failure domain at or after a time.
     pub fn routed_since(&self, domain: &FailureDomain, since: Time) -> usize {
-        let routed = self.log.iter().filter(|(at, _, record)| match record {
-            Record::Routed(routed) => {
-                let upstream = self.upstreams.get(&routed.upstream);
-                *at >= since && upstream.is_some_and(|u| u.config.domain == *domain)
-            }
-            _ => false,
-        });
-        routed.count()
+        let is_inside = |upstream: &&UpstreamId| {
+            let state = self.upstreams.get(*upstream);
+            state.is_some_and(|state| state.config.domain == *domain)
+        };
+        self.routed(since).filter(is_inside).count()
+    }
+
+    /// Attempts that were routed to an upstream at or after a time.
+    pub fn routed_to_since(&self, upstream: &UpstreamId, since: Time) -> usize {
+        self.routed(since).filter(|to| *to == upstream).count()
+    }
+
+    fn routed(&self, since: Time) -> impl Iterator<Item = &UpstreamId> {
+        let late = self.log.iter().filter(move |(at, _, _)| *at >= since);
+        late.filter_map(|(_, _, record)| match record {
+            Record::Routed(routed) => Some(&routed.upstream),
+            _ => None,
+        })
     }
 
     pub(crate) fn act(&mut self, vm: &VmId, action: Action) {
--- a/crates/scenario/tests/common/mod.rs
+++ b/crates/scenario/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Nodes for tests of the entry part alone: its owners are fakes.
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
-pub mod checks;
+pub mod daemons;
 pub mod entry_node;
 pub mod owner_node;
 pub mod specs;
