--- a/crates/core/src/daemon/ticks.rs
+++ b/crates/core/src/daemon/ticks.rs
@@ -50,6 +50,7 @@
     pub(super) fn refresh_local(&mut self, now: Time) {
         let view = self.known.view();
         self.local.generation = view.config.generation;
+        self.local.config = view.config.clone();
         self.local.summary = self.owner.summary(now, &view);
         self.local.leaving = self.shutdown.is_some();
     }
--- a/crates/core/src/membership/local_state.rs
+++ b/crates/core/src/membership/local_state.rs
@@ -1,6 +1,7 @@
 //! What a daemon says of itself in its heartbeats.
 
-use crate::{ids::Generation, message::OwnerSummary};
+use crate::{config::Configuration, ids::Generation, message::OwnerSummary};
+use std::sync::Arc;
 
 /// What a daemon says of itself in its heartbeats.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -11,4 +12,6 @@
     pub summary: OwnerSummary,
     /// Whether it leaves.
     pub leaving: bool,
+    /// The configuration in force, which names what coded summaries speak of.
+    pub config: Arc<Configuration>,
 }
--- a/crates/core/src/membership/membership.rs
+++ b/crates/core/src/membership/membership.rs
@@ -1,12 +1,12 @@
 //! The members that one daemon knows.
 
-use super::{news::News, peer::Peer, LocalState, MemberChange, MembershipSettings};
+use super::{peer::Peer, roster::Roster, LocalState, MemberChange, MembershipSettings};
 use crate::{
     decision::Record,
     ids::{FailureDomain, Generation, Incarnation, VmId},
-    message::{Heartbeat, Member, PeerMessage},
-    platform::{PlatformError, VmRecord, VmState},
-    units::Time,
+    message::{FarMember, Heartbeat, Member, PeerMessage},
+    platform::{PlatformError, VmRecord},
+    units::{Millis, Time},
     Action, Context,
 };
 use std::{
@@ -23,16 +23,28 @@
     pub(super) hints: BTreeMap<VmId, VmRecord>,
     pub(super) peers: BTreeMap<VmId, Peer>,
     pub(super) live: BTreeMap<FailureDomain, Vec<Member>>,
-    watched: BTreeSet<VmId>,
-    news: News,
-    changes: Vec<MemberChange>,
+    pub(super) roster: Roster,
+    pub(super) watched: BTreeSet<VmId>,
+    pub(super) changes: Vec<MemberChange>,
     pub(super) generation: Generation,
     pub(super) leaving: bool,
-    seq_index: u64,
-    next_heartbeat: Time,
+    /// The listed VM asked last, and the far member told of last.
+    pub(super) contacted: Option<VmId>,
+    pub(super) told: Option<VmId>,
+    round_index: u64,
+    next_round: Time,
+    next_far: Time,
     next_list: Time,
+    /// Silence before the process last woke proves nothing.
+    woke: Time,
 }
 
+/// Rounds between two heartbeats to one peer outside of the rounds.
+const FAR_ROUNDS_COUNT: u64 = 4;
+
+/// Rounds of silence after which an undeliverable message is proof of death.
+const LATE_ROUNDS_COUNT: u64 = 12;
+
 impl Membership {
     /// A daemon that knows itself and the seeds.
     pub fn new(me: Member, settings: MembershipSettings, seeds: Vec<VmRecord>) -> Self {
@@ -43,14 +55,18 @@
             seeds,
             peers: BTreeMap::new(),
             live: BTreeMap::new(),
+            roster: Roster::default(),
             watched: BTreeSet::new(),
-            news: News::default(),
             changes: Vec::new(),
             generation: Generation::default(),
             leaving: false,
-            seq_index: 0,
-            next_heartbeat: Time::START,
+            contacted: None,
+            told: None,
+            round_index: 0,
+            next_round: Time::START,
+            next_far: Time::START,
             next_list: Time::START,
+            woke: Time::START,
         };
         membership.index();
         membership
@@ -64,22 +80,25 @@
         if let Some(peer) = self.peers.get_mut(&beat.member.vm) {
             peer.generation = peer.generation.max(beat.generation);
             if beat.summary.is_some() {
-                peer.summary = beat.summary;
-            }
-            if beat.leaving && !peer.leaving {
-                peer.leaving = true;
-                self.changes
-                    .push(MemberChange::Leaving(beat.member.clone()));
-                log(ctx, &beat.member, "leaving");
-                self.index();
+                peer.summary.clone_from(&beat.summary);
             }
         }
-        for (member, alive) in &beat.members {
-            self.on_relayed(ctx, member, *alive);
+        if beat.leaving {
+            self.on_leaving(ctx, &beat.member);
+        }
+        let near = beat.member.domain == self.me.domain;
+        if near {
+            self.on_digest(ctx, &beat, local);
+        }
+        for far in &beat.members {
+            self.on_far(ctx, far);
         }
         if beat.wants_answer {
             let address = beat.member.peer_address;
-            self.send(ctx, &beat.member.vm, address, local, false);
+            self.send(ctx, &beat.member.vm, address, local, None, false);
+        } else if near && beat.seq_index >= self.round_index {
+            self.round_index = beat.seq_index;
+            self.round(ctx, local);
         }
     }
 
@@ -101,7 +120,7 @@
 
     /// A message could not be delivered: a member already late by two heartbeats is dead.
     pub fn on_unreachable(&mut self, ctx: &mut Context<'_>, vm: &VmId) {
-        let late = self.settings.heartbeat() + self.settings.heartbeat();
+        let late = Millis::new(self.settings.heartbeat().get() * LATE_ROUNDS_COUNT);
         let Some(peer) = self.peers.get(vm) else {
             return;
         };
@@ -122,9 +141,15 @@
             self.next_list = ctx.now + self.settings.list();
             ctx.act(Action::ListVms);
         }
-        if ctx.now >= self.next_heartbeat {
-            self.next_heartbeat = ctx.now + self.settings.heartbeat();
-            self.beat(ctx, local);
+        if ctx.now >= self.next_round {
+            self.round(ctx, local);
+        }
+        if ctx.now >= self.next_far {
+            let gap_ms = self.settings.heartbeat().get() * FAR_ROUNDS_COUNT;
+            self.next_far = ctx.now + Millis::new(gap_ms);
+            for (vm, address) in self.targets(ctx.now) {
+                self.send(ctx, &vm, address, local, None, true);
+            }
         }
     }
 
@@ -146,61 +171,50 @@
             leaving: true,
             ..local.clone()
         };
-        self.beat(ctx, &local);
+        let alive = self.peers.values().filter(|peer| peer.alive);
+        let told: Vec<_> = alive.map(|peer| peer.member.clone()).collect();
+        for member in told {
+            self.send(ctx, &member.vm, member.peer_address, &local, None, false);
+        }
     }
 
     /// The process was paused: nobody could be heard meanwhile, so ask before judging.
     pub fn on_paused(&mut self, ctx: &mut Context<'_>) {
-        let now = ctx.now;
-        for peer in self.peers.values_mut().filter(|peer| peer.alive) {
-            peer.heard = peer.heard.map(|_| now);
-            peer.relayed = peer.relayed.map(|_| now);
-        }
-        self.next_heartbeat = now;
+        self.woke = ctx.now;
+        self.next_round = ctx.now;
+        self.next_far = ctx.now;
     }
 
     /// When `on_tick` is due.
     pub fn next_wakeup(&self) -> Option<Time> {
         let alive = self.peers.values().filter(|peer| peer.alive);
         let expiry = alive
-            .map(|peer| peer.expires(&self.settings, self.is_near(&peer.member)))
+            .map(|peer| peer.expires(&self.settings, self.is_near(&peer.member), self.woke))
             .min();
-        let due = self.next_heartbeat.min(self.next_list);
+        let due = self.next_round.min(self.next_far).min(self.next_list);
         Some(expiry.map_or(due, |expiry| expiry.min(due)))
     }
 
-    /// Whether a member gets heartbeats from here and so must be heard itself.
+    /// Whether a member's death must be noticed soon.
     fn is_near(&self, member: &Member) -> bool {
         member.domain == self.me.domain || self.watched.contains(&member.vm)
     }
 
     fn bury_silent(&mut self, ctx: &mut Context<'_>) {
         let silent = |peer: &&Peer| {
-            let expires = peer.expires(&self.settings, self.is_near(&peer.member));
-            peer.alive && expires <= ctx.now
+            let near = self.is_near(&peer.member);
+            peer.alive && peer.expires(&self.settings, near, self.woke) <= ctx.now
         };
         let silent: Vec<VmId> = self.peers.values().filter(silent).map(vm_of).collect();
         for vm in silent {
             self.bury(ctx, &vm);
         }
-        let settings = &self.settings;
-        for peer in self.peers.values_mut() {
-            let direct = peer.is_direct(ctx.now, settings);
-            peer.heard = peer.heard.filter(|_| direct);
-        }
     }
 
     /// Notes that a member was heard directly. False for an old run.
     fn hear(&mut self, ctx: &mut Context<'_>, member: &Member) -> bool {
-        let known = self.peers.get(&member.vm);
-        match known.map(|peer| (peer.member.incarnation, peer.alive)) {
-            Some((incarnation, _)) if incarnation > member.incarnation => return false,
-            Some((incarnation, true)) if incarnation < member.incarnation => {
-                self.bury(ctx, &member.vm);
-                self.join(ctx, member);
-            }
-            Some((_, true)) => {}
-            _ => self.join(ctx, member),
+        if !self.accept(ctx, member, ctx.now, true) {
+            return false;
         }
         if let Some(peer) = self.peers.get_mut(&member.vm) {
             peer.heard = Some(ctx.now);
@@ -208,67 +222,31 @@
         true
     }
 
-    /// Another member tells of this one.
-    fn on_relayed(&mut self, ctx: &mut Context<'_>, member: &Member, alive: bool) {
-        if member.vm == self.me.vm {
-            return;
-        }
+    /// Another member tells of one in a failure domain that is not its own or not this daemon's.
+    fn on_far(&mut self, ctx: &mut Context<'_>, far: &FarMember) {
+        let member = &far.member;
         if member.domain == self.me.domain {
-            return self.hint(member, alive);
-        }
-        let known = self.peers.get(&member.vm);
-        let known_run = known.map_or(Incarnation::default(), |peer| peer.member.incarnation);
-        let same_run = known.is_some() && known_run == member.incarnation;
-        let direct = known.is_some_and(|peer| peer.is_direct(ctx.now, &self.settings));
-        let buried = known.and_then(|peer| peer.died);
-        let just_buried = buried.is_some_and(|died| died + self.settings.relay() > ctx.now);
-        let lives = known.is_some_and(|peer| peer.alive);
-        if known.is_some() && known_run > member.incarnation {
             return;
         }
-        if !alive {
-            if same_run && lives && !direct {
-                self.bury(ctx, &member.vm);
+        let heard = ctx.now - far.age_ms;
+        let fresh = far.age_ms.get() * 2 <= self.settings.relay().get();
+        if self.accept(ctx, member, heard, fresh) {
+            if let Some(peer) = self.peers.get_mut(&member.vm) {
+                peer.heard = peer.heard.max(Some(heard));
+                peer.generation = peer.generation.max(far.generation);
             }
-            return;
-        }
-        if same_run && !lives && just_buried {
-            return;
-        }
-        if !(same_run && lives) {
-            if lives {
-                self.bury(ctx, &member.vm);
-            }
-            self.join(ctx, member);
-        }
-        if let Some(peer) = self.peers.get_mut(&member.vm) {
-            peer.relayed = Some(ctx.now);
-        }
-    }
-
-    /// A member of the own failure domain must be heard itself: the word of others is a hint.
-    fn hint(&mut self, member: &Member, alive: bool) {
-        if alive && !self.hints.contains_key(&member.vm) {
-            let record = VmRecord {
-                vm: member.vm.clone(),
-                domain: member.domain.clone(),
-                peer_address: member.peer_address,
-                state: VmState::Live,
-            };
-            self.hints.insert(member.vm.clone(), record);
         }
     }
 
-    fn join(&mut self, ctx: &mut Context<'_>, member: &Member) {
+    pub(super) fn join(&mut self, ctx: &mut Context<'_>, member: &Member) {
         self.peers
             .insert(member.vm.clone(), Peer::new(member.clone()));
         self.changes.push(MemberChange::Joined(member.clone()));
-        self.news.add(member, true);
         log(ctx, member, "joined");
         self.index();
     }
 
-    fn bury(&mut self, ctx: &mut Context<'_>, vm: &VmId) {
+    pub(super) fn bury(&mut self, ctx: &mut Context<'_>, vm: &VmId) {
         let Some(peer) = self.peers.get_mut(vm) else {
             return;
         };
@@ -276,12 +254,11 @@
         peer.died = Some(ctx.now);
         let member = peer.member.clone();
         self.changes.push(MemberChange::Died(member.clone()));
-        self.news.add(&member, false);
         log(ctx, &member, "died");
         self.index();
     }
 
-    fn index(&mut self) {
+    pub(super) fn index(&mut self) {
         let peers = self
             .peers
             .values()
@@ -291,6 +268,10 @@
             members.push(self.me.clone());
         }
         members.sort();
+        let near = self.peers.values().filter(|peer| peer.alive);
+        let near = near.map(|peer| &peer.member).chain([&self.me]);
+        let near = near.filter(|member| member.domain == self.me.domain);
+        self.roster = Roster::new(near.cloned().collect(), &self.me.vm);
         self.live.clear();
         for member in members {
             self.live
@@ -300,36 +281,22 @@
         }
     }
 
-    /// Sends a heartbeat to every peer that is due one.
-    fn beat(&mut self, ctx: &mut Context<'_>, local: &LocalState) {
-        for (vm, address) in self.targets() {
-            let heard = self.peers.get(&vm).and_then(|peer| peer.heard);
-            let fresh = heard.is_some_and(|heard| heard + self.settings.heartbeat() > ctx.now);
-            self.send(ctx, &vm, address, local, !fresh);
+    /// Tells this round's partner, and goes on to the next round.
+    fn round(&mut self, ctx: &mut Context<'_>, local: &LocalState) {
+        let round_index = self.round_index;
+        let partner = self.roster.partner(round_index).cloned();
+        if let Some(to) = partner {
+            self.send(
+                ctx,
+                &to.vm,
+                to.peer_address,
+                local,
+                Some(round_index),
+                false,
+            );
         }
-    }
-
-    /// The own failure domain, watched peers, a few links to other domains, and unheard hints.
-    fn targets(&self) -> BTreeMap<VmId, SocketAddr> {
-        let mut targets = BTreeMap::new();
-        let mut links: BTreeMap<&FailureDomain, usize> = BTreeMap::new();
-        for peer in self.peers.values().filter(|peer| peer.alive) {
-            let member = &peer.member;
-            let linked = links.entry(&member.domain).or_default();
-            if self.is_near(member) || *linked < self.settings.domain_links() {
-                *linked += 1;
-                targets.insert(member.vm.clone(), member.peer_address);
-            }
-        }
-        for hint in self.hints.values().filter(|hint| hint.vm != self.me.vm) {
-            let alive = self.peers.get(&hint.vm).is_some_and(|peer| peer.alive);
-            let linked = links.entry(&hint.domain).or_default();
-            let near = hint.domain == self.me.domain;
-            if !alive && (near || *linked < self.settings.domain_links()) {
-                targets.insert(hint.vm.clone(), hint.peer_address);
-            }
-        }
-        targets
+        self.round_index += 1;
+        self.next_round = ctx.now + self.settings.heartbeat();
     }
 
     fn send(
@@ -338,23 +305,30 @@
         to: &VmId,
         address: SocketAddr,
         local: &LocalState,
+        round_index: Option<u64>,
         wants_answer: bool,
     ) {
-        let direct = |peer: &&Peer| peer.alive && peer.is_direct(ctx.now, &self.settings);
-        let known = self.peers.values().filter(direct);
-        let known = known
-            .map(|peer| (peer.member.vm.clone(), peer.member.clone()))
-            .collect();
+        let known = self.peers.get(to).map(|peer| &peer.member.domain);
+        let domain = known.or_else(|| self.hints.get(to).map(|hint| &hint.domain));
+        let near = domain == Some(&self.me.domain);
+        let digest = near.then(|| self.digest_for(ctx.now, to, local, round_index));
+        let members = match round_index {
+            Some(_) => self.far_members(ctx.now),
+            None => Vec::new(),
+        };
+        if let Some(peer) = self.peers.get_mut(to) {
+            peer.sent = Some(ctx.now);
+        }
         let beat = Heartbeat {
             member: self.me.clone(),
-            seq_index: self.seq_index,
+            seq_index: round_index.unwrap_or(0),
             leaving: local.leaving || self.leaving,
             generation: local.generation,
-            summary: Some(local.summary.clone()),
-            members: self.news.take(self.settings.relayed(), &known),
+            summary: round_index.is_none().then(|| local.summary.clone()),
+            digest,
+            members,
             wants_answer,
         };
-        self.seq_index += 1;
         ctx.act(Action::SendPeer {
             to: to.clone(),
             address,
@@ -373,7 +347,7 @@
     peer.member.vm.clone()
 }
 
-fn log(ctx: &mut Context<'_>, member: &Member, what: &str) {
+pub(super) fn log(ctx: &mut Context<'_>, member: &Member, what: &str) {
     ctx.log(Record::Membership {
         vm: member.vm.clone(),
         domain: member.domain.clone(),
--- a/crates/core/src/membership/peer.rs
+++ b/crates/core/src/membership/peer.rs
@@ -3,7 +3,7 @@
 use super::MembershipSettings;
 use crate::{
     ids::Generation,
-    message::{Member, OwnerSummary},
+    message::{CodedSummary, Member, OwnerSummary},
     units::Time,
 };
 
@@ -13,12 +13,16 @@
     pub(super) member: Member,
     pub(super) generation: Generation,
     pub(super) summary: Option<OwnerSummary>,
+    /// Its summary as heard, with the spread that brought it.
+    pub(super) coded: Option<(u64, CodedSummary)>,
+    /// Its list of the failure domain's members when last heard.
+    pub(super) list_id: Option<u32>,
     pub(super) leaving: bool,
     pub(super) alive: bool,
-    /// When it was last heard directly.
+    /// Its last sign of life, seen here or by another member.
     pub(super) heard: Option<Time>,
-    /// When another member last said that it lives.
-    pub(super) relayed: Option<Time>,
+    /// When it was last sent a heartbeat.
+    pub(super) sent: Option<Time>,
     /// When it was found dead.
     pub(super) died: Option<Time>,
 }
@@ -29,27 +33,22 @@
             member,
             generation: Generation::default(),
             summary: None,
+            coded: None,
+            list_id: None,
             leaving: false,
             alive: true,
             heard: None,
-            relayed: None,
+            sent: None,
             died: None,
         }
     }
 
-    /// When its silence amounts to death. For a near one only its own voice counts.
-    pub(super) fn expires(&self, settings: &MembershipSettings, near: bool) -> Time {
-        let direct = self.heard.map(|heard| heard + settings.death());
-        if let Some(direct) = direct.filter(|_| near) {
-            return direct;
-        }
-        let relayed = self.relayed.map(|relayed| relayed + settings.relay());
-        direct.max(relayed).unwrap_or(Time::START)
-    }
-
-    /// Whether this daemon itself heard it within the time of death.
-    pub(super) fn is_direct(&self, now: Time, settings: &MembershipSettings) -> bool {
-        self.heard
-            .is_some_and(|heard| heard + settings.death() > now)
+    /// When its silence amounts to death, if nothing was heard here before `since`.
+    pub(super) fn expires(&self, settings: &MembershipSettings, near: bool, since: Time) -> Time {
+        let span = match near {
+            true => settings.death(),
+            false => settings.relay(),
+        };
+        self.heard.unwrap_or(Time::START).max(since) + span
     }
 }
--- a/crates/core/src/membership/settings.rs
+++ b/crates/core/src/membership/settings.rs
@@ -23,12 +23,12 @@
 impl Default for RawMembershipSettings {
     fn default() -> Self {
         Self {
-            heartbeat_ms: Millis::new(400),
+            heartbeat_ms: Millis::new(120),
             death_ms: Millis::new(1_600),
-            relay_ms: Millis::new(6_000),
+            relay_ms: Millis::new(8_000),
             list_ms: Millis::new(10_000),
             domain_links_vms: 2,
-            relayed_len: 4,
+            relayed_len: 2,
         }
     }
 }
@@ -46,7 +46,7 @@
         let heartbeat_ms = raw.heartbeat_ms.get();
         SettingError::check("heartbeat_ms", heartbeat_ms, 50, 10_000)?;
         let death_ms = raw.death_ms.get();
-        SettingError::check("death_ms", death_ms, 3 * heartbeat_ms, 60_000)?;
+        SettingError::check("death_ms", death_ms, 10 * heartbeat_ms, 60_000)?;
         SettingError::check("relay_ms", raw.relay_ms.get(), death_ms, 120_000)?;
         SettingError::check("list_ms", raw.list_ms.get(), 500, 600_000)?;
         let links = u64::from(raw.domain_links_vms);
@@ -57,17 +57,17 @@
 }
 
 impl MembershipSettings {
-    /// Time between heartbeats to one peer.
+    /// Time between two rounds inside a failure domain, each with one heartbeat.
     pub fn heartbeat(&self) -> Millis {
         self.0.heartbeat_ms
     }
 
-    /// Silence after which a member heard directly is dead.
+    /// Silence after which a watched member, or one of the own failure domain, is dead.
     pub fn death(&self) -> Millis {
         self.0.death_ms
     }
 
-    /// Silence after which a member known through others is dead.
+    /// Silence after which any other member counts as dead.
     pub fn relay(&self) -> Millis {
         self.0.relay_ms
     }
@@ -77,12 +77,12 @@
         self.0.list_ms
     }
 
-    /// Members of each other failure domain that get heartbeats.
+    /// Partners in another failure domain of a daemon that links to it.
     pub fn domain_links(&self) -> usize {
         self.0.domain_links_vms as usize
     }
 
-    /// Most members told of in one heartbeat.
+    /// Most members of other failure domains told of in one heartbeat.
     pub fn relayed(&self) -> usize {
         self.0.relayed_len as usize
     }
--- a/crates/core/src/message/heartbeat.rs
+++ b/crates/core/src/message/heartbeat.rs
@@ -4,6 +4,7 @@
     ids::{FailureDomain, Generation, Incarnation, ModelVersion, ServiceName, VmId},
     units::{KvBytes, Millis, Tokens},
 };
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -25,20 +26,57 @@
 pub struct Heartbeat {
     /// The sender.
     pub member: Member,
-    /// Counts up from 0 in each incarnation.
+    /// The round of the sender's failure domain.
     pub seq_index: u64,
     /// Whether the sender is leaving.
     pub leaving: bool,
     /// The highest generation the sender applies.
     pub generation: Generation,
-    /// What the sender's upstreams can take, when due.
+    /// What the sender's upstreams can take, in heartbeats between failure domains.
     pub summary: Option<OwnerSummary>,
-    /// Other members the sender knows to be alive or gone, a few at a time.
-    pub members: Vec<(Member, bool)>,
+    /// What the sender knows of its failure domain, in heartbeats inside one.
+    pub digest: Option<DomainDigest>,
+    /// A few members of other failure domains.
+    pub members: Vec<FarMember>,
     /// Whether the sender asks for an answer at once.
     pub wants_answer: bool,
 }
 
+/// What is told of a member of another failure domain.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct FarMember {
+    /// The member.
+    pub member: Member,
+    /// Age of its last sign of life.
+    pub age_ms: Millis,
+    /// The generation last heard from it.
+    pub generation: Generation,
+}
+
+/// What a daemon knows of its failure domain. Members go by their place in the sender's list.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct DomainDigest {
+    /// Hash of the list.
+    pub list_id: u32,
+    /// One byte a member: age of the last sign of life, and whether it applies the sender's generation.
+    pub ages: Bytes,
+    /// The list itself, where the receiver is not known to have the same one.
+    pub names: Vec<Member>,
+    /// Places of members that leave.
+    pub leaving: Vec<u16>,
+    /// Summaries under way in this round.
+    pub summaries: Vec<(u16, CodedSummary)>,
+}
+
+/// A summary coded in few bytes: names by hash, figures to three significant bits.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct CodedSummary {
+    /// Model versions: engines, free requests, free KV, longest prompt, short and long wait.
+    pub models: Vec<(u16, [u8; 6])>,
+    /// Free places a plain service.
+    pub services: Vec<(u16, u32)>,
+}
+
 /// What the upstreams of one owner can take.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct OwnerSummary {
--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -9,5 +9,7 @@
 pub use grant::{
     GrantAnswer, GrantDenial, GrantEnd, GrantMessage, GrantOffer, GrantRequest, HeldGrant,
 };
-pub use heartbeat::{Heartbeat, Member, ModelCapacity, OwnerSummary};
+pub use heartbeat::{
+    CodedSummary, DomainDigest, FarMember, Heartbeat, Member, ModelCapacity, OwnerSummary,
+};
 pub use peer_message::{PeerMessage, TicketMessage};
