Measure two placements of long prompts at 5, 16 and 516 engines; move what waits

Cause: of the two ways weighed, long prompts on any engine (engines honour priorities) and on a bounded set, only figures at several sizes and mixes can choose.

Change: settings name the placement; an owner sends its last waiting requests to another owner that takes them sooner; a summary's wait counts memory as well as places.

Conclusion: the bounded set is the default; short prompts decide here.

--- /dev/null
+++ b/crates/core/examples/grant_sizes.rs
@@ -0,0 +1,106 @@
+//! Small and large failure domains, long prompts placed in a bounded set or anywhere, bursts of
+//! long prompts after an hour without, and a backlog that comes at once.
+
+#[path = "../tests/common/fleet/mod.rs"]
+#[allow(dead_code)]
+mod fleet;
+#[path = "../tests/common/grant_bench.rs"]
+#[allow(dead_code)]
+mod grant_bench;
+
+use fleet::{Arrival, Asked, EngineMake, Figures, Mix, Setup, World};
+use persimmon_core::{
+    grant::{GrantSettings, LongPlacement, RawGrantSettings},
+    request::LengthClass,
+    units::{Millis, Time},
+};
+
+const SEED: u64 = 4;
+/// Share of the prefill rate of all engines that arrivals at 100% load keep busy.
+const PEAK_BUSY_RATIO: f64 = 0.77;
+const SHORTS: [LengthClass; 2] = [LengthClass::Short, LengthClass::Medium];
+
+fn setup(long_placement: LongPlacement, engines_count: usize, daemons_count: usize) -> Setup {
+    let raw = RawGrantSettings {
+        long_placement,
+        ..RawGrantSettings::default()
+    };
+    Setup {
+        engines_count,
+        daemons_count,
+        make: EngineMake::default(),
+        grant: GrantSettings::try_from(raw).expect("the defaults are in range"),
+        routing: Default::default(),
+        workspaces_count: 10,
+        seed: SEED,
+    }
+}
+
+fn steady(setup: &Setup, load_percent: f64, span_s: (f64, f64)) -> Vec<Arrival> {
+    let mix = Mix::default();
+    let busy = PEAK_BUSY_RATIO * load_percent / 100.0;
+    let rate = setup.prefill_per_s(mix.mean_prompt_tokens()) * busy;
+    mix.arrivals(SEED, rate, span_s)
+}
+
+/// Short prompts alone at half the load, and ten long ones at one moment.
+fn ten_at_once(setup: &Setup) -> Vec<Arrival> {
+    let mut arrivals = steady(setup, 200.0, (0.0, 90.0));
+    arrivals.retain(|arrival| arrival.prompt_tokens <= 16_000);
+    arrivals.extend((0..10).map(|_| Arrival {
+        at: Time::from_ms(60_000),
+        workspace: 0,
+        prompt_tokens: 200_000,
+        output_tokens: 120,
+        max_output_tokens: 240,
+        timeout_ms: Millis::from_secs(60),
+        blocks: Vec::new(),
+    }));
+    arrivals
+}
+
+/// Three times the load for a minute, between two minutes at half the load.
+fn backlog(setup: &Setup) -> Vec<Arrival> {
+    let mut arrivals = steady(setup, 50.0, (0.0, 60.0));
+    arrivals.extend(steady(setup, 300.0, (60.0, 120.0)));
+    arrivals.extend(steady(setup, 50.0, (120.0, 180.0)));
+    arrivals
+}
+
+fn print(name: &str, setup: &Setup, arrivals: Vec<Arrival>) {
+    let mut alone = arrivals.clone();
+    alone.retain(|arrival| arrival.prompt_tokens <= 16_000);
+    let alone = World::new(setup.clone(), alone).run().to_vec();
+    let shared = World::new(setup.clone(), arrivals).run().to_vec();
+    let ms = |asked: &[Asked]| Figures::of_classes(asked, &SHORTS).first_token_ms(95);
+    let short = Figures::of_classes(&shared, &SHORTS);
+    let long = Figures::of_classes(&shared, &[LengthClass::Long, LengthClass::Huge]);
+    println!(
+        "{name:<12} {:>4} {:<9} {:>6} {:>8.2} {:>7.0} {:>6.1} {:>6} {:>8.0} {:>8.0} {:>6.1}",
+        setup.engines_count,
+        format!("{:?}", setup.grant.long_placement).to_lowercase(),
+        short.asked_count,
+        ms(&shared) / ms(&alone),
+        ms(&shared),
+        short.good_percent(),
+        long.asked_count,
+        long.first_token_ms(50),
+        long.first_token_ms(95),
+        long.good_percent(),
+    );
+}
+
+fn main() {
+    println!("experiment   engi placement shorts slowdown   p95ms  good%  longs long50ms long95ms  good%");
+    for long_placement in [LongPlacement::Anywhere, LongPlacement::Bounded] {
+        for (engines, daemons) in [(5, 1), (5, 3), (16, 3)] {
+            let setup = setup(long_placement, engines, daemons);
+            print("load 70", &setup, steady(&setup, 70.0, (0.0, 120.0)));
+            print("load 100", &setup, steady(&setup, 100.0, (0.0, 120.0)));
+            print("ten at once", &setup, ten_at_once(&setup));
+            print("backlog", &setup, backlog(&setup));
+        }
+        let setup = setup(long_placement, 516, 64);
+        print("load 70", &setup, steady(&setup, 70.0, (0.0, 30.0)));
+    }
+}
--- a/crates/core/src/grant/fit.rs
+++ b/crates/core/src/grant/fit.rs
@@ -1,6 +1,6 @@
 //! Which upstreams fit a request, and what it needs of them.
 
-use super::{ledger::Ledger, owner::Owner, waiting::Lane};
+use super::{ledger::Ledger, owner::Owner, settings::LongPlacement, waiting::Lane};
 use crate::{
     config::UpstreamKind,
     context::View,
@@ -82,7 +82,8 @@
         request: &GrantRequest,
         fitting: Vec<UpstreamId>,
     ) -> Result<Vec<UpstreamId>, GrantDenial> {
-        if Lane::of(self.class_for(request)) == Lane::Short {
+        let anywhere = self.settings.long_placement == LongPlacement::Anywhere;
+        if anywhere || Lane::of(self.class_for(request)) == Lane::Short {
             return Ok(fitting);
         }
         let long = fitting.iter().filter(|id| self.long_set.contains(id));
--- a/crates/core/src/grant/long_set.rs
+++ b/crates/core/src/grant/long_set.rs
@@ -4,7 +4,7 @@
 //! all owners of the domain report in their summaries. Only the owner of an engine acts on it,
 //! so owners that disagree for a moment do no harm.
 
-use super::{owner::Owner, waiting::Lane};
+use super::{owner::Owner, summary::least_wait, waiting::Lane};
 use crate::{
     config::UpstreamKind,
     context::View,
@@ -146,15 +146,27 @@
     pub(super) fn better_for_long(&self, view: &View<'_>, within: Millis) -> Option<VmId> {
         let owners = self.long_set.members.iter();
         let owners = owners.filter_map(|id| view.directory.owner_of(id));
-        let owners: BTreeSet<&VmId> = owners.filter(|vm| **vm != view.me.vm).collect();
-        let waits = owners.into_iter().filter_map(|vm| {
-            let models = &view.directory.summary_of(vm)?.models;
-            let wait = models
-                .iter()
-                .map(|(_, capacity)| capacity.long_wait_ms)
-                .min()?;
-            (wait <= within).then_some((wait, vm))
-        });
-        waits.min().map(|(_, vm)| vm.clone())
+        let owners: BTreeSet<&VmId> = owners.collect();
+        least_waiting(view, owners.into_iter(), Lane::Long, within)
     }
+
+    /// Another owner of the domain that takes short prompts sooner.
+    pub(super) fn better_for_short(&self, view: &View<'_>, within: Millis) -> Option<VmId> {
+        let owners = view.directory.live_in(&view.me.domain).iter();
+        least_waiting(view, owners.map(|member| &member.vm), Lane::Short, within)
+    }
+}
+
+fn least_waiting<'a>(
+    view: &View<'_>,
+    owners: impl Iterator<Item = &'a VmId>,
+    lane: Lane,
+    within: Millis,
+) -> Option<VmId> {
+    let others = owners.filter(|vm| **vm != view.me.vm);
+    let waits = others.filter_map(|vm| {
+        let wait = least_wait(view.directory.summary_of(vm)?, lane)?;
+        (wait <= within).then_some((wait, vm))
+    });
+    waits.min().map(|(_, vm)| vm.clone())
 }
--- a/crates/core/src/grant/mod.rs
+++ b/crates/core/src/grant/mod.rs
@@ -18,5 +18,5 @@
 
 pub use errors::GrantSettingsError;
 pub use owner::Owner;
-pub use settings::{GrantSettings, RawGrantSettings};
+pub use settings::{GrantSettings, LongPlacement, RawGrantSettings};
 pub use summary::OwnedStatus;
--- a/crates/core/src/grant/pump.rs
+++ b/crates/core/src/grant/pump.rs
@@ -25,7 +25,11 @@
 /// Longest time between two passes while requests wait.
 const PASS_MOST_MS: Millis = Millis::new(100);
 /// Saved wait from which a waiting long prompt is sent to another owner.
-const MOVE_MS: Millis = Millis::new(500);
+const LONG_MOVE_MS: Millis = Millis::new(500);
+/// Saved wait from which waiting short prompts are sent to another owner.
+const SHORT_MOVE_MS: Millis = Millis::new(100);
+/// Short prompts that are sent to another owner at a time.
+const SHORT_MOVES_COUNT: usize = 4;
 /// Attempts of a request that may be sent on to another owner.
 const MOVES_COUNT: u32 = 2;
 
@@ -171,30 +175,37 @@
 
     pub(super) fn on_pump(&mut self, ctx: &mut Context<'_>, view: &View<'_>) {
         self.pump(ctx, view);
-        self.move_long(ctx, view);
+        for lane in Lane::ALL {
+            self.move_last(ctx, view, lane);
+        }
     }
 
-    /// Sends the last waiting long prompt to an owner that can take it sooner.
-    fn move_long(&mut self, ctx: &mut Context<'_>, view: &View<'_>) {
-        let Some(last) = self.queue.lane(Lane::Long).next_back() else {
-            return;
+    /// Sends the last waiting requests of a lane to an owner that can take them sooner.
+    fn move_last(&mut self, ctx: &mut Context<'_>, view: &View<'_>, lane: Lane) {
+        let (least_ms, most) = match lane {
+            Lane::Short => (SHORT_MOVE_MS, SHORT_MOVES_COUNT),
+            Lane::Long => (LONG_MOVE_MS, 1),
         };
-        let attempt = last.request.attempt;
-        if attempt.number.get() >= MOVES_COUNT {
+        if self.queue.prefill_ms(lane) < least_ms {
             return;
         }
-        let wait_ms = self.wait_ahead(ctx.now, view, &last.request);
-        let within = wait_ms.saturating_sub(MOVE_MS);
-        if within == Millis::ZERO {
+        let wait_ms = self.lane_wait(ctx.now, view, lane);
+        let within = wait_ms.saturating_sub(least_ms);
+        let better = match lane {
+            Lane::Short => self.better_for_short(view, within),
+            Lane::Long => self.better_for_long(view, within),
+        };
+        if better.is_none() || within == Millis::ZERO {
             return;
         }
-        let Some(better) = self.better_for_long(view, within) else {
-            return;
-        };
-        let denial = GrantDenial::NotOwner {
-            better: Some(better),
-        };
-        self.deny_waiting(ctx, view, &attempt, denial);
+        let last = self.queue.lane(lane).rev().take(most);
+        let movable = last
+            .map(|w| w.request.attempt)
+            .filter(|a| a.number.get() < MOVES_COUNT);
+        for attempt in movable.collect::<Vec<_>>() {
+            let better = better.clone();
+            self.deny_waiting(ctx, view, &attempt, GrantDenial::NotOwner { better });
+        }
     }
 
     /// Denies the waiting requests that no owned upstream can take any more.
--- a/crates/core/src/grant/settings.rs
+++ b/crates/core/src/grant/settings.rs
@@ -4,12 +4,25 @@
 use crate::{routing::RoutingPolicy, units::Millis};
 use serde::{Deserialize, Serialize};
 
+/// Which engines of a failure domain take long prompts.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LongPlacement {
+    /// A set whose size follows the demand.
+    #[default]
+    Bounded,
+    /// Any engine.
+    Anywhere,
+}
+
 /// Grant settings as written in the settings file.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RawGrantSettings {
     /// How an upstream is chosen among the owned ones.
     pub policy: RoutingPolicy,
+    /// Which engines take long prompts.
+    pub long_placement: LongPlacement,
     /// Time between two load polls of an upstream.
     pub poll_ms: u64,
     /// Time after which an unanswered cancel is sent again.
@@ -36,6 +49,7 @@
     fn default() -> Self {
         Self {
             policy: RoutingPolicy::Cost,
+            long_placement: LongPlacement::Bounded,
             poll_ms: 500,
             cancel_retry_ms: 500,
             lapse_slack_ms: 2_000,
@@ -56,6 +70,8 @@
 pub struct GrantSettings {
     /// How an upstream is chosen among the owned ones.
     pub policy: RoutingPolicy,
+    /// Which engines take long prompts.
+    pub long_placement: LongPlacement,
     /// Time between two load polls of an upstream.
     pub poll_ms: Millis,
     /// Time after which an unanswered cancel is sent again.
@@ -98,6 +114,7 @@
         let count = |key, value: u32, max| check(key, value.into(), 1, max).map(|v| v as u32);
         Ok(Self {
             policy: raw.policy,
+            long_placement: raw.long_placement,
             poll_ms: span("poll_ms", raw.poll_ms, 50, 60_000)?,
             cancel_retry_ms: span("cancel_retry_ms", raw.cancel_retry_ms, 50, 60_000)?,
             lapse_slack_ms: span("lapse_slack_ms", raw.lapse_slack_ms, 100, 600_000)?,
--- a/crates/core/src/grant/summary.rs
+++ b/crates/core/src/grant/summary.rs
@@ -1,6 +1,6 @@
 //! What an owner says of its upstreams.
 
-use super::{ledger::Ledger, owner::Owner, waiting::Lane};
+use super::{ledger::Ledger, owner::Owner, settings::LongPlacement, waiting::Lane};
 use crate::{
     config::UpstreamKind,
     context::View,
@@ -15,6 +15,11 @@
 /// The wait that an owner names for what none of its upstreams takes.
 pub(super) const NOWHERE_MS: Millis = Millis::new(600_000);
 
+/// Free KV memory that an engine needs to take a short prompt without a wait.
+const SHORT_ROOM_TOKENS: Tokens = Tokens::new(16_000);
+/// Free KV memory that an engine needs to take a long prompt without a wait.
+const LONG_ROOM_TOKENS: Tokens = Tokens::new(100_000);
+
 /// The account of one owned upstream, as operators and plans see it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OwnedStatus {
@@ -80,20 +85,23 @@
         capacity.free_requests += self.free_places(now, ledger);
         capacity.free_kv_bytes += ledger.kv_free(now);
         capacity.max_prompt_tokens = capacity.max_prompt_tokens.max(held.min(context));
-        let short = self.wait_at(now, ledger, LengthClass::Medium);
+        let room = |tokens: Tokens| tokens.kv(KvBytes::new(per_token));
+        let short = self.wait_at(now, ledger, LengthClass::Medium, room(SHORT_ROOM_TOKENS));
         capacity.short_wait_ms = capacity.short_wait_ms.min(short);
-        let takes_long = self.long_set.contains(id) || self.settings.policy != RoutingPolicy::Cost;
+        let takes_long = self.long_set.contains(id)
+            || self.settings.long_placement == LongPlacement::Anywhere
+            || self.settings.policy != RoutingPolicy::Cost;
         if takes_long {
-            let long = self.wait_at(now, ledger, LengthClass::Huge);
+            let long = self.wait_at(now, ledger, LengthClass::Huge, room(LONG_ROOM_TOKENS));
             capacity.long_wait_ms = capacity.long_wait_ms.min(long);
         }
     }
 
-    fn wait_at(&self, now: Time, ledger: &Ledger, class: LengthClass) -> Millis {
+    fn wait_at(&self, now: Time, ledger: &Ledger, class: LengthClass, room: KvBytes) -> Millis {
         let queued = self.queue.prefill_ms(Lane::of(class)).get();
         let queued = Millis::new(queued / self.ledgers.len().max(1) as u64);
         let prefill = ledger.backlog.ahead(now, class) + queued;
-        if self.free_places(now, ledger) > 0 {
+        if self.free_places(now, ledger) > 0 && ledger.kv_free(now) >= room {
             return prefill;
         }
         let ends = ledger.holdings().map(|(_, h)| h.expected_end.since(now));
@@ -105,6 +113,12 @@
         allowed.saturating_sub(ledger.busy(now))
     }
 
+    /// Predicted wait of the next request of a lane at the best upstream.
+    pub(super) fn lane_wait(&self, now: Time, view: &View<'_>, lane: Lane) -> Millis {
+        let summary = self.summary(now, view);
+        least_wait(&summary, lane).unwrap_or(NOWHERE_MS)
+    }
+
     /// The account of an owned upstream.
     pub fn status(&self, upstream: &UpstreamId) -> Option<OwnedStatus> {
         let ledger = self.ledgers.get(upstream)?;
@@ -117,3 +131,12 @@
         })
     }
 }
+
+/// The least wait that a summary names for a lane.
+pub(super) fn least_wait(summary: &OwnerSummary, lane: Lane) -> Option<Millis> {
+    let waits = summary.models.iter().map(|(_, capacity)| match lane {
+        Lane::Short => capacity.short_wait_ms,
+        Lane::Long => capacity.long_wait_ms,
+    });
+    waits.min()
+}
--- a/crates/core/tests/common/fleet/mod.rs
+++ b/crates/core/tests/common/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! Owners, routers and modelled engines of one failure domain in virtual time.
 
+#![allow(unused_imports)]
+
 mod engine;
 mod figures;
 mod workload;
