Keep a workspace's burst behind the others at engines; learn rates; ramp cold upstreams

Change: prompts of a workspace with more than 100 ms waiting run at a lower priority level than others' short and medium prompts and leave a tenth of an upstream's places and memory; prefill pace, decode rate and answer lengths are learnt from releases; an upstream's limit starts at 2, grows by half a call for each healthy completion and starts anew on a failure, a restart, a very late first token and after a drain.

--- a/crates/core/examples/grant_load.rs
+++ b/crates/core/examples/grant_load.rs
@@ -29,6 +29,7 @@
     };
     let grant = RawGrantSettings {
         policy,
+        ramp_start_requests: EngineMake::default().max_in_flight_requests,
         ..RawGrantSettings::default()
     };
     Setup {
--- a/crates/core/examples/grant_sizes.rs
+++ b/crates/core/examples/grant_sizes.rs
@@ -23,6 +23,7 @@
 fn setup(long_placement: LongPlacement, engines_count: usize, daemons_count: usize) -> Setup {
     let raw = RawGrantSettings {
         long_placement,
+        ramp_start_requests: EngineMake::default().max_in_flight_requests,
         ..RawGrantSettings::default()
     };
     Setup {
--- a/crates/core/src/grant/admit.rs
+++ b/crates/core/src/grant/admit.rs
@@ -66,7 +66,7 @@
             Err(denial) => return GrantAnswer::Denied(denial),
         };
         let deadline = ctx.now + request.remaining_ms;
-        let need = need_of(view, &request);
+        let need = need_of(view, &self.outputs, &request);
         let share = share_of(view, &request, need);
         self.pump(ctx, view);
         let resumed = self.resume(ctx.now, view, &request);
@@ -137,7 +137,7 @@
         if earlier.is_empty() {
             return None;
         }
-        let need = need_of(view, request);
+        let need = need_of(view, &self.outputs, request);
         let run_ms = ledger.run_span(need.output_tokens);
         for attempt in earlier {
             self.finish(now, attempt);
@@ -168,17 +168,18 @@
             return self.settings.poll_ms;
         };
         let class = self.class_for(request);
+        let level = self.level_for(request);
         let (ahead_count, ahead_ms) = self
             .queue
             .ahead_of(Lane::of(class), &request.spec.workspace);
         let ledgers = candidates.iter().filter_map(|id| self.ledgers.get(id));
         let backlog = ledgers
             .clone()
-            .map(|ledger| ledger.backlog.ahead(now, class));
+            .map(|ledger| ledger.backlog.ahead(now, level));
         let backlog_ms: u64 = backlog.map(Millis::get).sum();
         let prefill_ms = (backlog_ms + ahead_ms.get()) / candidates.len().max(1) as u64;
         let percent = self.settings.learning_percent;
-        let need = need_of(view, request);
+        let need = need_of(view, &self.outputs, request);
         let has_room = |ledger: &Ledger| {
             ledger.busy(now) < ledger.allowed(now, percent)
                 && need.kv_bytes <= ledger.kv_free_for(now, &request.attempt)
--- a/crates/core/src/grant/backlog.rs
+++ b/crates/core/src/grant/backlog.rs
@@ -1,19 +1,17 @@
 //! Prefill work that an engine has been granted and has probably not done yet.
 
-use crate::{
-    request::LengthClass,
-    units::{Millis, Time},
-};
+use super::level::Level;
+use crate::units::{Millis, Time};
 
 /// Share of an engine that shorter prompts may take from a longer one in prefill.
 const PREEMPT_PERCENT: u64 = 50;
 /// Prefill time by which shorter prompts may be ahead of that share, in microseconds.
 const PREEMPT_BURST_US: u64 = 200_000;
 
-/// Prefill work by class: an engine does the shorter class first.
+/// Prefill work by level: an engine does the lower level first.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Backlog {
-    left_us: [u64; LengthClass::ALL.len()],
+    left_us: [u64; Level::COUNT],
     preempted_us: u64,
     at: Time,
 }
@@ -34,37 +32,40 @@
         next
     }
 
-    /// Time until the work of this class and of shorter ones is done.
-    pub(super) fn ahead(&self, now: Time, class: LengthClass) -> Millis {
+    /// Time until the work of this level and of lower ones is done.
+    pub(super) fn ahead(&self, now: Time, level: Level) -> Millis {
         let left = self.settled(now).left_us;
-        Millis::new(left[..=class as usize].iter().sum::<u64>() / 1_000)
+        Millis::new(left[..=level as usize].iter().sum::<u64>() / 1_000)
     }
 
     /// Time until all work is done.
     pub(super) fn all(&self, now: Time) -> Millis {
-        self.ahead(now, LengthClass::Huge)
+        self.ahead(now, Level::Huge)
     }
 
-    /// Whether a request of this class may go before the longer ones that are in prefill.
-    pub(super) fn may_preempt(&self, now: Time, class: LengthClass) -> bool {
+    fn long_us_after(&self, level: Level) -> u64 {
+        let first = (level as usize + 1).max(Level::Long as usize);
+        self.left_us[first..].iter().sum()
+    }
+
+    /// Whether a request of this level may go before the long prompts that are in prefill.
+    pub(super) fn may_preempt(&self, now: Time, level: Level) -> bool {
         let settled = self.settled(now);
-        let longer_us: u64 = settled.left_us[class as usize + 1..].iter().sum();
-        longer_us == 0 || settled.preempted_us < PREEMPT_BURST_US
+        settled.long_us_after(level) == 0 || settled.preempted_us < PREEMPT_BURST_US
     }
 
-    pub(super) fn add(&mut self, now: Time, class: LengthClass, span: Millis) {
+    pub(super) fn add(&mut self, now: Time, level: Level, span: Millis) {
         *self = self.settled(now);
-        let longer_us: u64 = self.left_us[class as usize + 1..].iter().sum();
-        if longer_us > 0 {
+        if self.long_us_after(level) > 0 {
             self.preempted_us += span.get() * 1_000;
         }
-        self.left_us[class as usize] += span.get() * 1_000;
+        self.left_us[level as usize] += span.get() * 1_000;
     }
 
     /// Takes back the work of a request that ended before its first token.
-    pub(super) fn take_back(&mut self, now: Time, class: LengthClass, span: Millis) {
+    pub(super) fn take_back(&mut self, now: Time, level: Level, span: Millis) {
         *self = self.settled(now);
-        let left_us = &mut self.left_us[class as usize];
+        let left_us = &mut self.left_us[level as usize];
         *left_us = left_us.saturating_sub(span.get() * 1_000);
     }
 
--- a/crates/core/src/grant/choose.rs
+++ b/crates/core/src/grant/choose.rs
@@ -3,22 +3,25 @@
 use super::{
     fit::Need,
     ledger::{HoldState, Holding, Ledger},
+    level::Level,
     owner::Owner,
     timers::Timer,
-    waiting::{class_of, Lane},
+    waiting::Lane,
 };
 use crate::{
     context::Context,
     ids::UpstreamId,
     message::{GrantOffer, GrantRequest, Member},
-    request::{LengthClass, Priority},
     routing::RoutingPolicy,
-    units::{Millis, Time},
+    units::{KvBytes, Millis, Time},
 };
 
 /// Cost of a short request at an engine that prefills a long prompt, in milliseconds.
 const BESIDE_LONG_MS: u64 = 30;
 
+/// Share of an upstream that a workspace over its share leaves to others.
+const OTHERS_PERCENT: u64 = 10;
+
 /// A chosen upstream.
 #[derive(Clone, Debug)]
 pub(super) struct Choice {
@@ -33,14 +36,6 @@
 type Cost<'a> = (bool, u64, u32, &'a UpstreamId);
 
 impl Owner {
-    /// The class by which a request queues and runs: the baselines know none.
-    pub(super) fn class_for(&self, request: &GrantRequest) -> LengthClass {
-        match self.settings.policy {
-            RoutingPolicy::Cost => class_of(&request.spec.target),
-            RoutingPolicy::LeastOutstanding | RoutingPolicy::RoundRobin => LengthClass::Short,
-        }
-    }
-
     /// The best upstream that has room now.
     pub(super) fn choose(
         &self,
@@ -63,11 +58,11 @@
         costs.sort_unstable();
         let (_, _, _, upstream) = *costs.first()?;
         let ledger = self.ledgers.get(upstream)?;
-        let class = self.class_for(request);
+        let level = self.level_for(request);
         Some(Choice {
             upstream: upstream.clone(),
             runner_up: costs.get(1).map(|(_, _, _, id)| (*id).clone()),
-            predicted_ms: ledger.first_token_span(now, class, need.prompt_tokens),
+            predicted_ms: ledger.first_token_span(now, level, need.prompt_tokens),
             run_ms: ledger.run_span(need.output_tokens),
             need,
         })
@@ -83,10 +78,10 @@
     ) -> u64 {
         match self.settings.policy {
             RoutingPolicy::Cost => {
-                let class = self.class_for(request);
-                let first = ledger.first_token_span(now, class, need.prompt_tokens);
-                let beside_long = Lane::of(class) == Lane::Short
-                    && ledger.backlog.all(now) > ledger.backlog.ahead(now, LengthClass::Medium);
+                let level = self.level_for(request);
+                let first = ledger.first_token_span(now, level, need.prompt_tokens);
+                let beside_long = level <= Level::OverShare
+                    && ledger.backlog.all(now) > ledger.backlog.ahead(now, Level::OverShare);
                 first.get() + if beside_long { BESIDE_LONG_MS } else { 0 }
             }
             RoutingPolicy::LeastOutstanding => ledger.in_flight().into(),
@@ -98,18 +93,26 @@
     }
 
     fn has_room(&self, now: Time, ledger: &Ledger, request: &GrantRequest, need: Need) -> bool {
+        let level = self.level_for(request);
         let allowed = ledger.allowed(now, self.settings.learning_percent);
-        ledger.busy(now) < allowed
-            && need.kv_bytes <= ledger.kv_free_for(now, &request.attempt)
+        let kept_percent = if level == Level::OverShare {
+            OTHERS_PERCENT
+        } else {
+            0
+        };
+        let kept = u64::from(allowed) * kept_percent / 100;
+        let kept_bytes = KvBytes::new(ledger.kv_total().get() / 100 * kept_percent);
+        u64::from(ledger.busy(now)) + kept < allowed.into()
+            && need.kv_bytes + kept_bytes <= ledger.kv_free_for(now, &request.attempt)
             && !ledger.is_cancelling(request.attempt.request)
-            && self.is_prefill_open(now, ledger, self.class_for(request))
+            && self.is_prefill_open(now, ledger, level)
     }
 
-    /// Whether prefill of a class granted now would start soon.
-    pub(super) fn is_prefill_open(&self, now: Time, ledger: &Ledger, class: LengthClass) -> bool {
+    /// Whether prefill of a level granted now would start soon.
+    pub(super) fn is_prefill_open(&self, now: Time, ledger: &Ledger, level: Level) -> bool {
         self.settings.policy != RoutingPolicy::Cost
-            || (ledger.backlog.ahead(now, class) <= self.settings.prefill_ahead_ms
-                && ledger.backlog.may_preempt(now, class))
+            || (ledger.backlog.ahead(now, level) <= self.settings.prefill_ahead_ms
+                && ledger.backlog.may_preempt(now, level))
     }
 
     pub(super) fn grant(
@@ -119,7 +122,8 @@
         request: &GrantRequest,
         choice: Choice,
     ) -> GrantOffer {
-        let (attempt, class) = (request.attempt, self.class_for(request));
+        let (attempt, level) = (request.attempt, self.level_for(request));
+        let lane = Lane::of(self.class_for(request));
         self.grants_count += 1;
         let ledger = self
             .ledgers
@@ -129,28 +133,29 @@
             upstream: choice.upstream.clone(),
             address: ledger.config.address,
             fencing: ledger.fencing,
-            priority: Priority(class as u8),
+            priority: level.priority(),
             predicted_ms: choice.predicted_ms,
             runner_up: choice.runner_up,
             cached_tokens: choice.need.cached_tokens,
             resume: request.resume_at.as_ref() == Some(&choice.upstream),
         };
         let prefill_ms = ledger.prefill_span(choice.need.prompt_tokens);
-        ledger.backlog.add(ctx.now, class, prefill_ms);
+        ledger.backlog.add(ctx.now, level, prefill_ms);
         let expected_first = ctx.now + choice.predicted_ms;
         let holding = Holding {
             entry: entry.clone(),
             model: request.model.clone(),
-            class,
+            level,
             kv_bytes: choice.need.kv_bytes,
             prefill_ms,
+            max_output_tokens: choice.need.max_output_tokens,
             offer: offer.clone(),
             expected_first,
             expected_end: expected_first + choice.run_ms,
             state: HoldState::Running,
         };
         ledger.hold(attempt, holding);
-        self.demand[Lane::of(class) as usize].add(ctx.now, prefill_ms);
+        self.demand[lane as usize].add(ctx.now, prefill_ms);
         self.granted.insert(attempt, choice.upstream.clone());
         let lapse = ctx.now + request.remaining_ms + self.settings.lapse_slack_ms;
         self.timers
--- a/crates/core/src/grant/fit.rs
+++ b/crates/core/src/grant/fit.rs
@@ -1,17 +1,18 @@
 //! Which upstreams fit a request, and what it needs of them.
 
-use super::{ledger::Ledger, owner::Owner, settings::LongPlacement, waiting::Lane};
+use super::{
+    learnt::OutputShares, ledger::Ledger, level::Level, owner::Owner, settings::LongPlacement,
+    waiting::Lane,
+};
 use crate::{
     config::UpstreamKind,
     context::View,
     ids::UpstreamId,
     message::{GrantDenial, GrantRequest},
-    request::{CallTarget, LengthClass, ModelCall},
+    request::{CallTarget, ModelCall},
     units::{KvBytes, Millis, Time, Tokens},
 };
 
-/// Share of the longest allowed answer that is expected.
-const EXPECTED_OUTPUT_PERCENT: u64 = 50;
 /// Time that a call of a plain service is expected to take, in milliseconds.
 const SERVICE_CALL_MS: u64 = 100;
 
@@ -24,6 +25,8 @@
     pub(super) prompt_tokens: Tokens,
     /// Tokens of the prompt that the engine has probably cached.
     pub(super) cached_tokens: Tokens,
+    /// Most tokens that may be decoded.
+    pub(super) max_output_tokens: Tokens,
     /// Tokens that are expected to be decoded.
     pub(super) output_tokens: Tokens,
 }
@@ -112,12 +115,13 @@
 }
 
 /// What a request needs, by its model's configuration.
-pub(super) fn need_of(view: &View<'_>, request: &GrantRequest) -> Need {
+pub(super) fn need_of(view: &View<'_>, outputs: &OutputShares, request: &GrantRequest) -> Need {
     let Some(call) = model_call(request) else {
         return Need {
             kv_bytes: KvBytes::ZERO,
             prompt_tokens: Tokens::ZERO,
             cached_tokens: Tokens::ZERO,
+            max_output_tokens: Tokens::ZERO,
             output_tokens: Tokens::ZERO,
         };
     };
@@ -131,7 +135,8 @@
         kv_bytes: (call.prompt_tokens + call.max_output_tokens).kv(per_token),
         prompt_tokens: call.prompt_tokens + request.offset_tokens,
         cached_tokens: Tokens::ZERO,
-        output_tokens: Tokens::new(left.get() * EXPECTED_OUTPUT_PERCENT / 100),
+        max_output_tokens: left,
+        output_tokens: outputs.expected(request.model.as_ref(), left),
     }
 }
 
@@ -174,10 +179,10 @@
     pub(super) fn first_token_span(
         &self,
         now: Time,
-        class: LengthClass,
+        level: Level,
         prompt_tokens: Tokens,
     ) -> Millis {
-        self.backlog.ahead(now, class) + self.prefill_span(prompt_tokens)
+        self.backlog.ahead(now, level) + self.prefill_span(prompt_tokens)
     }
 
     /// Time that a call is expected to take after its prefill.
--- a/crates/core/src/grant/lapse.rs
+++ b/crates/core/src/grant/lapse.rs
@@ -64,6 +64,7 @@
         end: &GrantEnd,
     ) {
         self.queue.remove(&attempt);
+        self.learn_from(&attempt, end);
         match self.granted.get(&attempt).cloned() {
             Some(upstream) if !self.is_running(&upstream, &attempt) => {}
             Some(upstream) if end.needs_cancel => self.cancel(ctx, &upstream, attempt),
--- /dev/null
+++ b/crates/core/src/grant/learnt.rs
@@ -0,0 +1,124 @@
+//! What finished calls teach: prefill pace, decode rate and length of answers.
+
+use super::{ledger::Holding, level::Level, owner::Owner, ramp::Health};
+use crate::{
+    ids::{AttemptId, ModelVersion},
+    message::GrantEnd,
+    units::{Millis, Tokens},
+};
+use std::collections::BTreeMap;
+
+/// Weight of one call in the averages.
+const WEIGHT_RATIO: f64 = 0.05;
+/// Shortest predicted first token from which the pace is learnt.
+const PACE_LEAST_MS: Millis = Millis::new(100);
+/// Least and most that the pace may be of the configured one.
+const PACE_RANGE: (f64, f64) = (0.5, 4.0);
+/// First token later than this many times the prediction is that of a cold upstream.
+const COLD_FACTOR: u64 = 6;
+/// Time that a first token may come late on top of that.
+const COLD_SLACK_MS: Millis = Millis::new(1_000);
+/// Share of the longest allowed answer that is expected before any was seen.
+const FIRST_OUTPUT_RATIO: f64 = 0.5;
+
+/// Rates of one upstream.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Rates {
+    /// Prefill time as a multiple of the configured one.
+    pub(super) pace_ratio: f64,
+    /// Decode time of a token, once learnt.
+    pub(super) token_ms: Option<f64>,
+}
+
+impl Default for Rates {
+    fn default() -> Self {
+        Self {
+            pace_ratio: 1.0,
+            token_ms: None,
+        }
+    }
+}
+
+impl Rates {
+    fn learn(&mut self, predicted_ms: Millis, level: Level, end: &GrantEnd) {
+        let Some(first_ms) = end.first_token_ms else {
+            return;
+        };
+        if level <= Level::Medium && predicted_ms >= PACE_LEAST_MS {
+            let ratio = (first_ms.get() as f64 / predicted_ms.get() as f64).clamp(0.25, 4.0);
+            let (least, most) = PACE_RANGE;
+            let pace = self.pace_ratio * (1.0 + WEIGHT_RATIO * (ratio - 1.0));
+            self.pace_ratio = pace.clamp(least, most);
+        }
+        if end.complete && end.output_tokens > Tokens::ZERO {
+            let decode_ms = end.total_ms.saturating_sub(first_ms).get() as f64;
+            let token_ms = decode_ms / end.output_tokens.get() as f64;
+            let known = self.token_ms.unwrap_or(token_ms);
+            self.token_ms = Some(known + WEIGHT_RATIO * (token_ms - known));
+        }
+    }
+
+    /// The rates of a restarted upstream are not known.
+    pub(super) fn forget(&mut self) {
+        *self = Self::default();
+    }
+}
+
+/// Share of the longest allowed answer that answers take, by model version.
+#[derive(Clone, Debug, Default)]
+pub(super) struct OutputShares {
+    shares: BTreeMap<ModelVersion, f64>,
+}
+
+impl OutputShares {
+    fn learn(&mut self, model: &ModelVersion, share: f64) {
+        let known = self.shares.entry(model.clone());
+        let known = known.or_insert(FIRST_OUTPUT_RATIO);
+        *known += WEIGHT_RATIO * (share.clamp(0.0, 1.0) - *known);
+    }
+
+    /// Tokens that an answer probably takes.
+    pub(super) fn expected(&self, model: Option<&ModelVersion>, most: Tokens) -> Tokens {
+        let share = model.and_then(|model| self.shares.get(model));
+        let share = share.copied().unwrap_or(FIRST_OUTPUT_RATIO);
+        Tokens::new((most.get() as f64 * share).ceil() as u64)
+    }
+}
+
+impl Owner {
+    /// Learns from a call that ended at an owned upstream.
+    pub(super) fn learn_from(&mut self, attempt: &AttemptId, end: &GrantEnd) {
+        let Some(upstream) = self.granted.get(attempt) else {
+            return;
+        };
+        let Some(ledger) = self.ledgers.get_mut(upstream) else {
+            return;
+        };
+        let Some(holding) = ledger.holding(attempt) else {
+            return;
+        };
+        let (health, level) = (health_of(holding, end), holding.level);
+        let predicted_ms = holding.offer.predicted_ms;
+        if let (Some(model), true) = (&holding.model, end.complete) {
+            let most = holding.max_output_tokens.get().max(1);
+            let share = end.output_tokens.get() as f64 / most as f64;
+            self.outputs.learn(model, share);
+        }
+        let in_flight = ledger.in_flight();
+        ledger.ramp.on_end(health, in_flight);
+        ledger.rates.learn(predicted_ms, level, end);
+    }
+}
+
+fn health_of(holding: &Holding, end: &GrantEnd) -> Health {
+    if end.upstream_failed {
+        return Health::Failed;
+    }
+    let predicted_ms = holding.offer.predicted_ms.get();
+    let bound_ms = Millis::new(predicted_ms * COLD_FACTOR) + COLD_SLACK_MS;
+    match end.first_token_ms {
+        Some(first_ms) if first_ms > bound_ms && holding.level <= Level::OverShare => Health::Slow,
+        _ if end.complete => Health::Healthy,
+        _ => Health::Unknown,
+    }
+}
--- a/crates/core/src/grant/ledger.rs
+++ b/crates/core/src/grant/ledger.rs
@@ -1,12 +1,12 @@
 //! The account of one owned upstream.
 
-use super::{backlog::Backlog, waiting::class_of};
+use super::{backlog::Backlog, learnt::Rates, level::Level, ramp::Ramp, waiting::class_of};
 use crate::{
     config::{EngineConfig, UpstreamConfig, UpstreamKind},
     ids::{AttemptId, FencingNumber, Incarnation, ModelVersion, RequestId},
     message::{GrantOffer, HeldGrant, Member},
     platform::CallToken,
-    request::{LengthClass, Priority},
+    request::Priority,
     units::{KvBytes, Millis, Time, Tokens, TokensPerSecond},
     upstream::LoadReport,
 };
@@ -28,12 +28,14 @@
     pub(super) entry: Member,
     /// The version it runs on.
     pub(super) model: Option<ModelVersion>,
-    /// The class by which it runs.
-    pub(super) class: LengthClass,
+    /// The level at which it runs.
+    pub(super) level: Level,
     /// KV memory reserved.
     pub(super) kv_bytes: KvBytes,
     /// Time that its prefill takes.
     pub(super) prefill_ms: Millis,
+    /// Most tokens of its answer.
+    pub(super) max_output_tokens: Tokens,
     /// The answer given, to repeat it.
     pub(super) offer: GrantOffer,
     /// When its first token probably comes.
@@ -61,6 +63,10 @@
     pub(super) backlog: Backlog,
     /// Memory kept free for a waiting long prompt.
     pub(super) reserved: Option<(AttemptId, KvBytes)>,
+    /// The start-up limit.
+    pub(super) ramp: Ramp,
+    /// What was learnt of its rates.
+    pub(super) rates: Rates,
     /// The last load report.
     pub(super) report: Option<LoadReport>,
     holdings: BTreeMap<AttemptId, Holding>,
@@ -73,6 +79,7 @@
         limit_requests: u32,
         fencing: FencingNumber,
         learning_until: Time,
+        start_requests: u32,
     ) -> Self {
         Self {
             config,
@@ -82,6 +89,8 @@
             drained_since: None,
             backlog: Backlog::default(),
             reserved: None,
+            ramp: Ramp::new(start_requests),
+            rates: Rates::default(),
             report: None,
             holdings: BTreeMap::new(),
             kv_held_bytes: KvBytes::ZERO,
@@ -124,9 +133,10 @@
         let holding = Holding {
             entry: entry.clone(),
             model: grant.model,
-            class: class_of(&grant.spec.target),
+            level: Level::of(class_of(&grant.spec.target)),
             kv_bytes: grant.kv_bytes,
             prefill_ms: Millis::ZERO,
+            max_output_tokens: Tokens::ZERO,
             offer,
             expected_first: now,
             expected_end: now + grant.remaining_ms,
@@ -142,7 +152,7 @@
             self.backlog.clear(now);
         } else if now < holding.expected_first {
             self.backlog
-                .take_back(now, holding.class, holding.prefill_ms);
+                .take_back(now, holding.level, holding.prefill_ms);
         }
         Some(holding)
     }
@@ -166,6 +176,7 @@
     pub(super) fn allowed(&self, now: Time, learning_percent: u32) -> u32 {
         let bearable = self.report.as_ref().and_then(|r| r.bearable_requests);
         let limit = self.limit_requests.min(bearable.unwrap_or(u32::MAX));
+        let limit = limit.min(self.ramp.limit());
         if now < self.learning_until {
             return (limit * learning_percent / 100).max(1).min(limit);
         }
@@ -224,12 +235,16 @@
 
     /// Time that a prefill takes.
     pub(super) fn prefill_span(&self, tokens: Tokens) -> Millis {
-        self.span(|engine| engine.prefill_tokens_per_s, tokens)
+        let span = self.span(|engine| engine.prefill_tokens_per_s, tokens);
+        Millis::new((span.get() as f64 * self.rates.pace_ratio) as u64)
     }
 
     /// Time that decoding takes.
     pub(super) fn decode_span(&self, tokens: Tokens) -> Millis {
-        self.span(|engine| engine.decode_tokens_per_s, tokens)
+        match self.rates.token_ms {
+            Some(token_ms) => Millis::new((tokens.get() as f64 * token_ms) as u64),
+            None => self.span(|engine| engine.decode_tokens_per_s, tokens),
+        }
     }
 
     fn span(&self, rate: impl Fn(&EngineConfig) -> TokensPerSecond, tokens: Tokens) -> Millis {
--- /dev/null
+++ b/crates/core/src/grant/level.rs
@@ -0,0 +1,71 @@
+//! The order in which an engine prefills.
+
+use super::{
+    owner::Owner,
+    waiting::{class_of, Lane},
+};
+use crate::{
+    message::GrantRequest,
+    request::{LengthClass, Priority},
+    routing::RoutingPolicy,
+    units::Millis,
+};
+
+/// Waiting prefill from which a workspace counts as being over its share.
+const OVER_SHARE_MS: Millis = Millis::new(100);
+
+/// Levels of an engine's priority: the lower runs first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Level {
+    /// Short prompts and plain services.
+    Short,
+    /// Medium prompts.
+    Medium,
+    /// Short and medium prompts of a workspace that asks for more than its share.
+    OverShare,
+    /// Long prompts.
+    Long,
+    /// Huge prompts.
+    Huge,
+}
+
+impl Level {
+    /// Number of levels.
+    pub(super) const COUNT: usize = 5;
+
+    /// The level of a class within its workspace's share.
+    pub(super) const fn of(class: LengthClass) -> Self {
+        match class {
+            LengthClass::Short => Self::Short,
+            LengthClass::Medium => Self::Medium,
+            LengthClass::Long => Self::Long,
+            LengthClass::Huge => Self::Huge,
+        }
+    }
+
+    /// The level's priority at an engine.
+    pub(super) const fn priority(self) -> Priority {
+        Priority(self as u8)
+    }
+}
+
+impl Owner {
+    /// The class by which a request queues: the baselines know none.
+    pub(super) fn class_for(&self, request: &GrantRequest) -> LengthClass {
+        match self.settings.policy {
+            RoutingPolicy::Cost => class_of(&request.spec.target),
+            RoutingPolicy::LeastOutstanding | RoutingPolicy::RoundRobin => LengthClass::Short,
+        }
+    }
+
+    /// The level at which a request would run if it were granted now.
+    pub(super) fn level_for(&self, request: &GrantRequest) -> Level {
+        let class = self.class_for(request);
+        let lane = Lane::of(class);
+        let waiting_ms = self.queue.prefill_of(lane, &request.spec.workspace);
+        if lane == Lane::Short && waiting_ms > OVER_SHARE_MS {
+            return Level::OverShare;
+        }
+        Level::of(class)
+    }
+}
--- a/crates/core/src/grant/owner.rs
+++ b/crates/core/src/grant/owner.rs
@@ -1,6 +1,7 @@
 //! The owner of upstreams: who gets a grant, and what becomes of it.
 
 use super::{
+    learnt::OutputShares,
     ledger::{HoldState, Ledger},
     long_set::{Demand, LongSet},
     settings::GrantSettings,
@@ -34,6 +35,7 @@
     pub(super) grants_count: u64,
     pub(super) demand: [Demand; Lane::ALL.len()],
     pub(super) long_set: LongSet,
+    pub(super) outputs: OutputShares,
     finished: BTreeSet<AttemptId>,
 }
 
@@ -51,6 +53,7 @@
             grants_count: 0,
             demand: Default::default(),
             long_set: LongSet::default(),
+            outputs: OutputShares::default(),
             finished: BTreeSet::new(),
         }
     }
@@ -83,7 +86,9 @@
         ledger.limit_requests = limit_of(view, config);
         ledger.config = config.clone();
         if view.config.serves_upstream(upstream) {
-            ledger.drained_since = None;
+            if ledger.drained_since.take().is_some() {
+                ledger.ramp.reset();
+            }
         } else if ledger.drained_since.is_none() {
             ledger.drained_since = Some(ctx.now);
             let end = ctx.now + self.settings.drain_grace_ms;
@@ -108,8 +113,16 @@
                     return;
                 };
                 let limit_requests = limit_of(view, config);
-                let fresh =
-                    || Ledger::new(config.clone(), limit_requests, *fencing, *learning_until);
+                let start = self.settings.ramp_start_requests;
+                let fresh = || {
+                    Ledger::new(
+                        config.clone(),
+                        limit_requests,
+                        *fencing,
+                        *learning_until,
+                        start,
+                    )
+                };
                 let ledger = self.ledgers.entry(upstream.clone()).or_insert_with(fresh);
                 ledger.fencing = *fencing;
                 self.refresh_ledger(ctx, view, upstream, config);
@@ -213,6 +226,7 @@
         let (attempt, upstream) = (grant.attempt, grant.upstream.clone());
         let lapse = ctx.now + grant.remaining_ms + self.settings.lapse_slack_ms;
         ledger.hold_again(ctx.now, from, grant);
+        ledger.ramp.bears(ledger.in_flight());
         self.granted.insert(attempt, upstream.clone());
         self.timers.set(lapse, Timer::Lapse(upstream, attempt));
     }
@@ -232,9 +246,18 @@
         let restarted = ledger
             .incarnation()
             .is_some_and(|i| i != report.incarnation);
+        if let Some(bearable) = report.bearable_requests {
+            ledger.ramp.cap(bearable);
+        }
+        let first = ledger.report.is_none();
         ledger.report = Some(report.clone());
+        if first {
+            ledger.ramp.bears(report.in_flight_requests);
+        }
         if restarted {
             ledger.backlog.clear(ctx.now);
+            ledger.ramp.reset();
+            ledger.rates.forget();
             self.resend_cancels(ctx, upstream);
         }
         self.pump(ctx, view);
--- a/crates/core/src/grant/pump.rs
+++ b/crates/core/src/grant/pump.rs
@@ -2,6 +2,7 @@
 
 use super::{
     fit::need_of,
+    level::Level,
     owner::Owner,
     timers::Timer,
     waiting::{Lane, Waiting},
@@ -68,7 +69,7 @@
         let percent = self.settings.learning_percent;
         self.ledgers.values().any(|ledger| {
             ledger.busy(now) < ledger.allowed(now, percent)
-                && self.is_prefill_open(now, ledger, class)
+                && self.is_prefill_open(now, ledger, Level::of(class))
         })
     }
 
@@ -87,7 +88,7 @@
             let Ok(candidates) = self.candidates(view, &waiting.request) else {
                 continue;
             };
-            let need = need_of(view, &waiting.request);
+            let need = need_of(view, &self.outputs, &waiting.request);
             if let Some(upstream) = self.to_reserve(now, &candidates) {
                 if let Some(ledger) = self.ledgers.get_mut(&upstream) {
                     ledger.reserved = Some((attempt, need.kv_bytes));
@@ -113,7 +114,7 @@
             Ok(candidates) => candidates,
             Err(denial) => return self.deny_waiting(ctx, view, attempt, denial),
         };
-        let need = need_of(view, &waiting.request);
+        let need = need_of(view, &self.outputs, &waiting.request);
         let Some(choice) = self.choose(ctx.now, &waiting.request, need, &candidates) else {
             return false;
         };
@@ -160,10 +161,15 @@
         if self.queue.len() == 0 || self.settings.policy != RoutingPolicy::Cost {
             return;
         }
-        let heads = Lane::ALL.map(|lane| self.queue.lane(lane).next().map(|w| w.class));
-        let waits = heads.into_iter().flatten().flat_map(|class| {
+        let heads = Lane::ALL.map(|lane| {
+            self.queue
+                .lane(lane)
+                .next()
+                .map(|w| self.level_for(&w.request))
+        });
+        let waits = heads.into_iter().flatten().flat_map(|level| {
             let ledgers = self.ledgers.values();
-            ledgers.map(move |ledger| ledger.backlog.ahead(now, class))
+            ledgers.map(move |ledger| ledger.backlog.ahead(now, level))
         });
         let waits = waits.map(|ahead| ahead.saturating_sub(self.settings.prefill_ahead_ms));
         let next = waits.filter(|wait| *wait > Millis::ZERO).min();
--- /dev/null
+++ b/crates/core/src/grant/ramp.rs
@@ -0,0 +1,66 @@
+//! The start-up limit of an upstream: small at first, grown on evidence, falling at once.
+
+/// Growth of the limit for each healthy completion.
+const GROWTH_RATIO: f64 = 0.5;
+/// Share of the limit that must be in use for a completion to count as evidence.
+const USED_RATIO: f64 = 0.5;
+
+/// How a finished call speaks of its upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Health {
+    /// It ended in about the predicted time.
+    Healthy,
+    /// It says nothing.
+    Unknown,
+    /// Its first token came much later than predicted, as from a cold upstream.
+    Slow,
+    /// The upstream failed it.
+    Failed,
+}
+
+/// A limit that follows what an upstream has shown to bear.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ramp {
+    start_requests: u32,
+    limit: f64,
+}
+
+impl Ramp {
+    pub(super) fn new(start_requests: u32) -> Self {
+        Self {
+            start_requests,
+            limit: start_requests.into(),
+        }
+    }
+
+    /// Requests that may be in flight.
+    pub(super) fn limit(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// The upstream is cold.
+    pub(super) fn reset(&mut self) {
+        self.limit = self.start_requests.into();
+    }
+
+    /// The upstream bears this many.
+    pub(super) fn bears(&mut self, requests: u32) {
+        self.limit = self.limit.max(requests.into());
+    }
+
+    /// The upstream says that it bears no more than this.
+    pub(super) fn cap(&mut self, requests: u32) {
+        self.limit = self.limit.min(requests.max(1).into());
+    }
+
+    /// A call ended while this many were in flight, itself included.
+    pub(super) fn on_end(&mut self, health: Health, in_flight: u32) {
+        match health {
+            Health::Healthy if f64::from(in_flight) >= self.limit * USED_RATIO => {
+                self.limit += GROWTH_RATIO;
+            }
+            Health::Healthy | Health::Unknown => {}
+            Health::Slow | Health::Failed => self.reset(),
+        }
+    }
+}
--- a/crates/core/src/grant/settings.rs
+++ b/crates/core/src/grant/settings.rs
@@ -39,6 +39,8 @@
     pub learning_percent: u32,
     /// Most requests that wait.
     pub queue_requests: u32,
+    /// Calls that an upstream gets at a time before it has shown to bear more.
+    pub ramp_start_requests: u32,
     /// Prefill time ahead at an engine above which a request waits at the owner.
     pub prefill_ahead_ms: u64,
     /// Time between two agreements on the engines for long prompts.
@@ -58,6 +60,7 @@
             learning_ms: 3_000,
             learning_percent: 25,
             queue_requests: 4_096,
+            ramp_start_requests: 2,
             prefill_ahead_ms: 100,
             long_set_ms: 200,
         }
@@ -88,6 +91,8 @@
     pub learning_percent: u32,
     /// Most requests that wait.
     pub queue_requests: u32,
+    /// Calls that an upstream gets at a time before it has shown to bear more.
+    pub ramp_start_requests: u32,
     /// Prefill time ahead at an engine above which a request waits at the owner.
     pub prefill_ahead_ms: Millis,
     /// Time between two agreements on the engines for long prompts.
@@ -123,6 +128,7 @@
             learning_ms: span("learning_ms", raw.learning_ms, 100, 60_000)?,
             learning_percent: count("learning_percent", raw.learning_percent, 100)?,
             queue_requests: count("queue_requests", raw.queue_requests, 1_000_000)?,
+            ramp_start_requests: count("ramp_start_requests", raw.ramp_start_requests, 100_000)?,
             prefill_ahead_ms: span("prefill_ahead_ms", raw.prefill_ahead_ms, 0, 60_000)?,
             long_set_ms: span("long_set_ms", raw.long_set_ms, 50, 60_000)?,
         })
--- a/crates/core/src/grant/summary.rs
+++ b/crates/core/src/grant/summary.rs
@@ -1,12 +1,11 @@
 //! What an owner says of its upstreams.
 
-use super::{ledger::Ledger, owner::Owner, settings::LongPlacement, waiting::Lane};
+use super::{ledger::Ledger, level::Level, owner::Owner, settings::LongPlacement, waiting::Lane};
 use crate::{
     config::UpstreamKind,
     context::View,
     ids::{ModelVersion, ServiceName, UpstreamId},
     message::{ModelCapacity, OwnerSummary},
-    request::LengthClass,
     routing::RoutingPolicy,
     units::{KvBytes, Millis, Time, Tokens},
 };
@@ -86,21 +85,26 @@
         capacity.free_kv_bytes += ledger.kv_free(now);
         capacity.max_prompt_tokens = capacity.max_prompt_tokens.max(held.min(context));
         let room = |tokens: Tokens| tokens.kv(KvBytes::new(per_token));
-        let short = self.wait_at(now, ledger, LengthClass::Medium, room(SHORT_ROOM_TOKENS));
+        let short = self.wait_at(now, ledger, Level::Medium, room(SHORT_ROOM_TOKENS));
         capacity.short_wait_ms = capacity.short_wait_ms.min(short);
         let takes_long = self.long_set.contains(id)
             || self.settings.long_placement == LongPlacement::Anywhere
             || self.settings.policy != RoutingPolicy::Cost;
         if takes_long {
-            let long = self.wait_at(now, ledger, LengthClass::Huge, room(LONG_ROOM_TOKENS));
+            let long = self.wait_at(now, ledger, Level::Huge, room(LONG_ROOM_TOKENS));
             capacity.long_wait_ms = capacity.long_wait_ms.min(long);
         }
     }
 
-    fn wait_at(&self, now: Time, ledger: &Ledger, class: LengthClass, room: KvBytes) -> Millis {
-        let queued = self.queue.prefill_ms(Lane::of(class)).get();
+    fn wait_at(&self, now: Time, ledger: &Ledger, level: Level, room: KvBytes) -> Millis {
+        let lane = if level >= Level::Long {
+            Lane::Long
+        } else {
+            Lane::Short
+        };
+        let queued = self.queue.prefill_ms(lane).get();
         let queued = Millis::new(queued / self.ledgers.len().max(1) as u64);
-        let prefill = ledger.backlog.ahead(now, class) + queued;
+        let prefill = ledger.backlog.ahead(now, level) + queued;
         if self.free_places(now, ledger) > 0 && ledger.kv_free(now) >= room {
             return prefill;
         }
--- a/crates/core/src/grant/waiting.rs
+++ b/crates/core/src/grant/waiting.rs
@@ -135,6 +135,12 @@
         }
     }
 
+    /// Prefill time of what a workspace has waiting in a lane.
+    pub(super) fn prefill_of(&self, lane: Lane, workspace: &WorkspaceId) -> Millis {
+        let own = self.by_workspace.get(&(lane, workspace.clone()));
+        own.map_or(Millis::ZERO, |(_, prefill_ms)| *prefill_ms)
+    }
+
     /// Number and prefill time of the requests that go before a workspace's next one, at most:
     /// its own, and as many of each other workspace that waits.
     pub(super) fn ahead_of(&self, lane: Lane, workspace: &WorkspaceId) -> (usize, Millis) {
