Let cached prefixes save prefill in the owner's and the router's cost

Cause: on_cache did nothing and every prompt was costed in full, so that prompts of one document went to any engine.

Change: an owner keeps an estimate of the blocks cached at each engine, from its own dispatches and the engine's cache events (a gap halves the trust and asks for the whole cache, a restart empties it); cached tokens lower the predicted prefill and the work that is accounted, so load and affinity meet in one cost. A router sends prompts of one prefix to one owner of the domain, by hash, with a bonus that follows the share of grants that found a prefix cached.

--- a/crates/core/examples/grant_cold.rs
+++ b/crates/core/examples/grant_cold.rs
@@ -33,6 +33,7 @@
                 grant: GrantSettings::try_from(raw).expect("the defaults are in range"),
                 routing: Default::default(),
                 workspaces_count: 10,
+                hides_prefixes: false,
                 seed: SEED,
             };
             let mix = Mix::default();
--- a/crates/core/examples/grant_fairness.rs
+++ b/crates/core/examples/grant_fairness.rs
@@ -32,6 +32,7 @@
         grant: GrantSettings::try_from(raw).expect("the defaults are in range"),
         routing: Default::default(),
         workspaces_count,
+        hides_prefixes: false,
         seed: SEED,
     }
 }
--- a/crates/core/examples/grant_load.rs
+++ b/crates/core/examples/grant_load.rs
@@ -39,6 +39,7 @@
         grant: GrantSettings::try_from(grant).expect("the defaults are in range"),
         routing: RoutingSettings::try_from(raw).expect("the defaults are in range"),
         workspaces_count: 10,
+        hides_prefixes: false,
         seed: SEED,
     }
 }
--- /dev/null
+++ b/crates/core/examples/grant_prefixes.rs
@@ -0,0 +1,87 @@
+//! Prompts that share prefixes: first-token times with and without prefix affinity.
+
+#[path = "../tests/common/fleet/mod.rs"]
+#[allow(dead_code)]
+mod fleet;
+#[path = "../tests/common/grant_bench.rs"]
+#[allow(dead_code)]
+mod grant_bench;
+
+use fleet::{Arrival, EngineMake, Figures, Mix, Setup, World};
+use persimmon_core::{
+    grant::{GrantSettings, RawGrantSettings},
+    ids::BlockHash,
+};
+
+const SEED: u64 = 7;
+const BLOCK_TOKENS: u64 = 256;
+/// Documents of which each workspace asks again and again.
+const DOCUMENTS_COUNT: u64 = 60;
+
+/// Medium prompts: a document and a question. A share of `hot_percent` asks for one document.
+fn arrivals(setup: &Setup, hot_percent: u64) -> Vec<Arrival> {
+    let mix = Mix {
+        shares_permille: [0, 1_000, 0, 0],
+        ..Mix::default()
+    };
+    let rate = setup.prefill_per_s(mix.mean_prompt_tokens()) * 0.6;
+    let mut arrivals = mix.arrivals(SEED, rate, (0.0, 120.0));
+    for (index, arrival) in arrivals.iter_mut().enumerate() {
+        let index = index as u64;
+        let hot = index % 100 < hot_percent;
+        let document = if hot {
+            0
+        } else {
+            1 + index * 7 % DOCUMENTS_COUNT
+        };
+        let blocks = arrival.prompt_tokens / BLOCK_TOKENS;
+        let own = blocks - blocks / 8;
+        let shared = (0..own).map(|block| BlockHash::new(document * 1_000 + block));
+        let question = (own..blocks).map(|block| BlockHash::new((index + 1_000) * 1_000 + block));
+        arrival.blocks = shared.chain(question).collect();
+    }
+    arrivals
+}
+
+fn main() {
+    println!("hot% affinity  asked good%  p50ms  p95ms  p99ms cached%  most/mean in engines");
+    for hot_percent in [0, 60] {
+        for hides_prefixes in [true, false] {
+            let raw = RawGrantSettings {
+                ramp_start_requests: EngineMake::default().max_in_flight_requests,
+                ..RawGrantSettings::default()
+            };
+            let setup = Setup {
+                engines_count: 16,
+                daemons_count: 3,
+                make: EngineMake::default(),
+                grant: GrantSettings::try_from(raw).expect("the defaults are in range"),
+                routing: Default::default(),
+                workspaces_count: 10,
+                hides_prefixes,
+                seed: SEED,
+            };
+            let arrivals = arrivals(&setup, hot_percent);
+            let prompts: u64 = arrivals.iter().map(|arrival| arrival.prompt_tokens).sum();
+            let mut world = World::new(setup, arrivals);
+            let asked = world.run().to_vec();
+            let figures = Figures::of(asked.iter());
+            let mut by_engine = [0_u32; 16];
+            for engine in asked.iter().filter_map(|one| one.engine) {
+                by_engine[engine] += 1;
+            }
+            let most = by_engine.iter().max().copied().unwrap_or_default();
+            println!(
+                "{hot_percent:>4} {:<9} {:>5} {:>5.1} {:>6.0} {:>6.0} {:>6.0} {:>7.1} {:>8.2}",
+                if hides_prefixes { "off" } else { "on" },
+                figures.asked_count,
+                figures.good_percent(),
+                figures.first_token_ms(50),
+                figures.first_token_ms(95),
+                figures.first_token_ms(99),
+                100.0 * world.hit_tokens as f64 / prompts as f64,
+                f64::from(most) * 16.0 / figures.asked_count as f64,
+            );
+        }
+    }
+}
--- a/crates/core/examples/grant_sizes.rs
+++ b/crates/core/examples/grant_sizes.rs
@@ -33,6 +33,7 @@
         grant: GrantSettings::try_from(raw).expect("the defaults are in range"),
         routing: Default::default(),
         workspaces_count: 10,
+        hides_prefixes: false,
         seed: SEED,
     }
 }
--- a/crates/core/src/grant/choose.rs
+++ b/crates/core/src/grant/choose.rs
@@ -12,6 +12,7 @@
     context::Context,
     ids::UpstreamId,
     message::{GrantOffer, GrantRequest, Member},
+    request::CallTarget,
     routing::RoutingPolicy,
     units::{KvBytes, Millis, Time},
 };
@@ -50,6 +51,7 @@
                 continue;
             };
             if self.has_room(now, ledger, request, need) {
+                let need = need_at(ledger, request, need);
                 let elsewhere = request.resume_at.as_ref() != Some(upstream);
                 let rank = self.rank(now, ledger, request, need, (index, candidates.len()));
                 costs.push((elsewhere, rank, ledger.in_flight(), upstream));
@@ -58,6 +60,7 @@
         costs.sort_unstable();
         let (_, _, _, upstream) = *costs.first()?;
         let ledger = self.ledgers.get(upstream)?;
+        let need = need_at(ledger, request, need);
         let level = self.level_for(request);
         Some(Choice {
             upstream: upstream.clone(),
@@ -139,6 +142,9 @@
             cached_tokens: choice.need.cached_tokens,
             resume: request.resume_at.as_ref() == Some(&choice.upstream),
         };
+        if let CallTarget::Model(call) = &request.spec.target {
+            ledger.cache.store(&call.prefix_blocks);
+        }
         let prefill_ms = ledger.prefill_span(choice.need.prompt_tokens);
         ledger.backlog.add(ctx.now, level, prefill_ms);
         let expected_first = ctx.now + choice.predicted_ms;
@@ -163,3 +169,16 @@
         offer
     }
 }
+
+/// What a request needs of one upstream: less where its prefix is cached.
+fn need_at(ledger: &Ledger, request: &GrantRequest, need: Need) -> Need {
+    let CallTarget::Model(call) = &request.spec.target else {
+        return need;
+    };
+    let cached_tokens = ledger.cache.cached_tokens(call);
+    Need {
+        prompt_tokens: need.prompt_tokens.saturating_sub(cached_tokens),
+        cached_tokens,
+        ..need
+    }
+}
--- a/crates/core/src/grant/ledger.rs
+++ b/crates/core/src/grant/ledger.rs
@@ -1,6 +1,9 @@
 //! The account of one owned upstream.
 
-use super::{backlog::Backlog, learnt::Rates, level::Level, ramp::Ramp, waiting::class_of};
+use super::{
+    backlog::Backlog, learnt::Rates, level::Level, prefix_cache::PrefixCache, ramp::Ramp,
+    waiting::class_of,
+};
 use crate::{
     config::{EngineConfig, UpstreamConfig, UpstreamKind},
     ids::{AttemptId, FencingNumber, Incarnation, ModelVersion, RequestId},
@@ -67,6 +70,8 @@
     pub(super) ramp: Ramp,
     /// What was learnt of its rates.
     pub(super) rates: Rates,
+    /// Prompt prefixes that it has probably cached.
+    pub(super) cache: PrefixCache,
     /// The last load report.
     pub(super) report: Option<LoadReport>,
     holdings: BTreeMap<AttemptId, Holding>,
@@ -91,6 +96,7 @@
             reserved: None,
             ramp: Ramp::new(start_requests),
             rates: Rates::default(),
+            cache: PrefixCache::default(),
             report: None,
             holdings: BTreeMap::new(),
             kv_held_bytes: KvBytes::ZERO,
@@ -165,6 +171,10 @@
         self.kv_held_bytes
     }
 
+    pub(super) fn is_engine(&self) -> bool {
+        matches!(self.config.kind, UpstreamKind::Engine(_))
+    }
+
     pub(super) fn kv_total(&self) -> KvBytes {
         match &self.config.kind {
             UpstreamKind::Engine(engine) => engine.kv_bytes,
--- a/crates/core/src/grant/mod.rs
+++ b/crates/core/src/grant/mod.rs
@@ -12,6 +12,7 @@
 mod level;
 mod long_set;
 mod owner;
+mod prefix_cache;
 mod pump;
 mod ramp;
 mod settings;
--- a/crates/core/src/grant/owner.rs
+++ b/crates/core/src/grant/owner.rs
@@ -128,6 +128,8 @@
                 self.refresh_ledger(ctx, view, upstream, config);
                 self.learn(ctx, view, upstream, *learning_until);
                 self.timers.replace(ctx.now, Timer::Poll(upstream.clone()));
+                let cache = Timer::PollCache(upstream.clone());
+                self.timers.replace(ctx.now, cache);
                 self.timers.replace(ctx.now, Timer::LongSet);
                 self.long_set.order(view);
                 self.refresh_long_set(ctx.now, view);
@@ -258,6 +260,7 @@
             ledger.backlog.clear(ctx.now);
             ledger.ramp.reset();
             ledger.rates.forget();
+            ledger.cache.empty();
             self.resend_cancels(ctx, upstream);
         }
         self.pump(ctx, view);
@@ -268,9 +271,12 @@
         &mut self,
         _ctx: &mut Context<'_>,
         _view: &View<'_>,
-        _upstream: &UpstreamId,
-        _batch: CacheBatch,
+        upstream: &UpstreamId,
+        batch: CacheBatch,
     ) {
+        if let Some(ledger) = self.ledgers.get_mut(upstream) {
+            ledger.cache.take_in(&batch);
+        }
     }
 
     /// Fires the timers that are due.
@@ -294,6 +300,7 @@
             }
             Timer::Cancel(upstream, attempt) => self.resend_cancel(ctx, &upstream, attempt),
             Timer::Poll(upstream) => self.poll(ctx, upstream),
+            Timer::PollCache(upstream) => self.poll_cache(ctx, upstream),
             Timer::Learning(_) => self.pump(ctx, view),
             Timer::Drain(upstream) => self.on_drain_over(ctx, view, &upstream),
             Timer::Pump => self.on_pump(ctx, view),
--- /dev/null
+++ b/crates/core/src/grant/prefix_cache.rs
@@ -0,0 +1,144 @@
+//! An estimate of the prompt prefixes that an engine has cached.
+
+use super::{owner::Owner, timers::Timer};
+use crate::{
+    action::Action,
+    context::Context,
+    ids::{BlockHash, Incarnation, UpstreamId},
+    request::ModelCall,
+    units::Tokens,
+    upstream::{CacheBatch, CacheChange},
+};
+use std::collections::BTreeMap;
+
+/// Most blocks that are remembered of one engine.
+const MOST_BLOCKS: usize = 4_096;
+/// What is left of the trust in the estimate after a gap in the events.
+const GAP_TRUST_RATIO: f64 = 0.5;
+
+/// Blocks that an engine has probably cached.
+#[derive(Clone, Debug)]
+pub(super) struct PrefixCache {
+    incarnation: Option<Incarnation>,
+    stamps: BTreeMap<BlockHash, u64>,
+    oldest: BTreeMap<u64, BlockHash>,
+    stamps_count: u64,
+    next_seq_index: Option<u64>,
+    trust_ratio: f64,
+}
+
+impl Default for PrefixCache {
+    fn default() -> Self {
+        Self {
+            incarnation: None,
+            stamps: BTreeMap::new(),
+            oldest: BTreeMap::new(),
+            stamps_count: 0,
+            next_seq_index: None,
+            trust_ratio: 1.0,
+        }
+    }
+}
+
+impl PrefixCache {
+    /// Tokens of a prompt that are probably cached: its leading known blocks, less by lost trust.
+    pub(super) fn cached_tokens(&self, call: &ModelCall) -> Tokens {
+        let blocks = &call.prefix_blocks;
+        let known = blocks
+            .iter()
+            .take_while(|block| self.stamps.contains_key(block));
+        let (known, all) = (known.count() as f64, blocks.len().max(1) as f64);
+        let cached = call.prompt_tokens.get() as f64 * known / all * self.trust_ratio;
+        Tokens::new(cached as u64)
+    }
+
+    /// The engine prefills these blocks.
+    pub(super) fn store(&mut self, blocks: &[BlockHash]) {
+        for block in blocks {
+            self.stamps_count += 1;
+            if let Some(earlier) = self.stamps.insert(*block, self.stamps_count) {
+                self.oldest.remove(&earlier);
+            }
+            self.oldest.insert(self.stamps_count, *block);
+        }
+        while self.oldest.len() > MOST_BLOCKS {
+            if let Some((_, block)) = self.oldest.pop_first() {
+                self.stamps.remove(&block);
+            }
+        }
+    }
+
+    fn evict(&mut self, block: BlockHash) {
+        if let Some(stamp) = self.stamps.remove(&block) {
+            self.oldest.remove(&stamp);
+        }
+    }
+
+    /// A restarted engine has nothing cached.
+    pub(super) fn empty(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Sequence number of the next event wanted; none for the whole cache.
+    fn wanted_seq_index(&self) -> Option<u64> {
+        self.next_seq_index
+    }
+
+    /// Takes events in. A gap lowers the trust and asks for the whole cache.
+    pub(super) fn take_in(&mut self, batch: &CacheBatch) {
+        if self
+            .incarnation
+            .is_some_and(|known| known != batch.incarnation)
+        {
+            self.empty();
+        }
+        self.incarnation = Some(batch.incarnation);
+        if batch.whole {
+            self.stamps.clear();
+            self.oldest.clear();
+            self.trust_ratio = 1.0;
+            self.next_seq_index = Some(batch.first_seq_index);
+            batch.changes.iter().for_each(|change| self.change(*change));
+            return;
+        }
+        let Some(next) = self.next_seq_index else {
+            return;
+        };
+        let known = next.saturating_sub(batch.first_seq_index) as usize;
+        let fresh = batch.changes.iter().skip(known);
+        fresh.for_each(|change| self.change(*change));
+        if batch.first_seq_index > next {
+            self.trust_ratio *= GAP_TRUST_RATIO;
+            self.next_seq_index = None;
+        } else {
+            let end = batch.first_seq_index + batch.changes.len() as u64;
+            self.next_seq_index = Some(next.max(end));
+        }
+    }
+
+    fn change(&mut self, change: CacheChange) {
+        match change {
+            CacheChange::Stored(block) => self.store(&[block]),
+            CacheChange::Evicted(block) => self.evict(block),
+        }
+    }
+}
+
+impl Owner {
+    /// Asks an engine for its cache events.
+    pub(super) fn poll_cache(&mut self, ctx: &mut Context<'_>, upstream: UpstreamId) {
+        let Some(ledger) = self.ledgers.get(&upstream) else {
+            return;
+        };
+        if !ledger.is_engine() {
+            return;
+        }
+        ctx.act(Action::PollCache {
+            upstream: upstream.clone(),
+            address: ledger.config.address,
+            from_seq_index: ledger.cache.wanted_seq_index(),
+        });
+        let next = ctx.now + self.settings.cache_poll_ms;
+        self.timers.replace(next, Timer::PollCache(upstream));
+    }
+}
--- a/crates/core/src/grant/settings.rs
+++ b/crates/core/src/grant/settings.rs
@@ -25,6 +25,8 @@
     pub long_placement: LongPlacement,
     /// Time between two load polls of an upstream.
     pub poll_ms: u64,
+    /// Time between two polls of an engine's cache events.
+    pub cache_poll_ms: u64,
     /// Time after which an unanswered cancel is sent again.
     pub cancel_retry_ms: u64,
     /// Time past its deadline after which an attempt's grant lapses.
@@ -53,6 +55,7 @@
             policy: RoutingPolicy::Cost,
             long_placement: LongPlacement::Bounded,
             poll_ms: 500,
+            cache_poll_ms: 1_000,
             cancel_retry_ms: 500,
             lapse_slack_ms: 2_000,
             finished_ms: 60_000,
@@ -77,6 +80,8 @@
     pub long_placement: LongPlacement,
     /// Time between two load polls of an upstream.
     pub poll_ms: Millis,
+    /// Time between two polls of an engine's cache events.
+    pub cache_poll_ms: Millis,
     /// Time after which an unanswered cancel is sent again.
     pub cancel_retry_ms: Millis,
     /// Time past its deadline after which an attempt's grant lapses.
@@ -121,6 +126,7 @@
             policy: raw.policy,
             long_placement: raw.long_placement,
             poll_ms: span("poll_ms", raw.poll_ms, 50, 60_000)?,
+            cache_poll_ms: span("cache_poll_ms", raw.cache_poll_ms, 50, 60_000)?,
             cancel_retry_ms: span("cancel_retry_ms", raw.cancel_retry_ms, 50, 60_000)?,
             lapse_slack_ms: span("lapse_slack_ms", raw.lapse_slack_ms, 100, 600_000)?,
             finished_ms: span("finished_ms", raw.finished_ms, 1_000, 3_600_000)?,
--- a/crates/core/src/routing/cost.rs
+++ b/crates/core/src/routing/cost.rs
@@ -10,13 +10,20 @@
     ids::{UpstreamId, VmId},
     message::{GrantAnswer, GrantDenial, GrantEnd},
     request::{CallTarget, LengthClass, Refusal},
-    units::{Millis, Time},
+    units::{Millis, Time, Tokens},
 };
 use rand::RngExt;
 use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Cost of an owner that has no free place, in milliseconds.
 const FULL_MS: u64 = 1_000;
+/// Weight of one grant in the share of grants with a cached prefix.
+const HIT_WEIGHT_RATIO: f64 = 0.02;
+/// Share of a prompt's prefill that a cached prefix is thought to save.
+const SAVED_RATIO: f64 = 0.5;
+/// The block of a prompt by which its home is chosen, or its last one.
+const HOME_BLOCK_INDEX: usize = 3;
 /// Cost of an owner none of whose engines holds the prompt, in milliseconds.
 const TOO_SMALL_MS: u64 = 10_000;
 
@@ -26,6 +33,8 @@
     settings: RoutingSettings,
     busy_until: BTreeMap<VmId, Time>,
     sent: SentWork,
+    /// Share of recent grants whose prompt was partly cached.
+    hit_ratio: f64,
 }
 
 impl Cost {
@@ -34,6 +43,7 @@
             settings,
             busy_until: BTreeMap::new(),
             sent: SentWork::default(),
+            hit_ratio: 0.0,
         }
     }
 
@@ -92,6 +102,15 @@
             .add(now, owner, long, work, (engines, alike_ratio));
     }
 
+    /// Prefill time that is probably saved at the owner where prompts of this prefix go.
+    fn saved_by_prefix(&mut self, view: &View<'_>, query: &RouteQuery<'_>) -> Millis {
+        let CallTarget::Model(call) = &query.spec.target else {
+            return Millis::ZERO;
+        };
+        let prefill_ms = self.sent.prefill(view, call.prompt_tokens).get() as f64;
+        Millis::new((prefill_ms * self.hit_ratio * SAVED_RATIO) as u64)
+    }
+
     /// Keeps the candidates of the own failure domain, if there are any.
     fn nearest(&self, all: &mut Vec<Candidate<'_>>) {
         if all.iter().any(|c| c.tier != Tier::Remote) {
@@ -110,6 +129,28 @@
     }
 }
 
+/// The owner to which prompts of one prefix go where nothing else speaks against it.
+fn home_of(all: &[Candidate<'_>], query: &RouteQuery<'_>) -> Option<VmId> {
+    let CallTarget::Model(call) = &query.spec.target else {
+        return None;
+    };
+    let last_index = call.prefix_blocks.len().checked_sub(1)?;
+    let block = call.prefix_blocks[last_index.min(HOME_BLOCK_INDEX)];
+    let near = all.iter().filter(|c| c.tier != Tier::Remote);
+    let weight =
+        |c: &&Candidate<'_>| xxh3_64_with_seed(c.member.vm.as_str().as_bytes(), block.get());
+    near.max_by_key(weight).map(|c| c.member.vm.clone())
+}
+
+/// Adds the home to the sampled candidates.
+fn with_home<'a>(all: &mut Vec<Candidate<'a>>, everyone: &[Candidate<'a>], home: Option<&VmId>) {
+    let sampled = all.iter().any(|c| Some(&c.member.vm) == home);
+    let found = everyone.iter().find(|c| Some(&c.member.vm) == home);
+    if let (false, Some(candidate)) = (sampled, found) {
+        all.push(*candidate);
+    }
+}
+
 fn is_long(query: &RouteQuery<'_>) -> bool {
     match &query.spec.target {
         CallTarget::Model(call) => call.class() >= LengthClass::Long,
@@ -130,14 +171,24 @@
             self.note_sent(ctx.now, view, query, better);
             return Ok(better.route(None, "named by the last denial"));
         }
+        let everyone = all.clone();
         if is_long(query) {
             // Few owners have an engine for long prompts: a small sample would miss them.
             self.nearest(&mut all);
         } else {
             self.sample(ctx, &mut all);
         }
-        let cost = |c: &Candidate<'_>| (self.cost(ctx.now, c, query), c.tier);
-        all.sort_by_key(cost);
+        let saved_ms = self.saved_by_prefix(view, query);
+        let home = home_of(&everyone, query);
+        with_home(&mut all, &everyone, home.as_ref());
+        all.sort_by_key(|c| {
+            let away = if home.as_ref() == Some(&c.member.vm) {
+                Millis::ZERO
+            } else {
+                saved_ms
+            };
+            (self.cost(ctx.now, c, query) + away, c.tier)
+        });
         self.note_sent(ctx.now, view, query, &all[0]);
         let runner_up = all.get(1).map(|c| c.member.vm.clone());
         Ok(all[0].route(runner_up, "least predicted wait"))
@@ -145,7 +196,13 @@
 
     fn on_answer(&mut self, ctx: &mut Context<'_>, owner: &VmId, answer: &GrantAnswer) {
         let busy_ms = match answer {
-            GrantAnswer::Granted(_) => {
+            GrantAnswer::Granted(offer) => {
+                let hit = if offer.cached_tokens > Tokens::ZERO {
+                    1.0
+                } else {
+                    0.0
+                };
+                self.hit_ratio += HIT_WEIGHT_RATIO * (hit - self.hit_ratio);
                 self.busy_until.remove(owner);
                 return;
             }
--- a/crates/core/tests/common/fleet/engine.rs
+++ b/crates/core/tests/common/fleet/engine.rs
@@ -4,8 +4,9 @@
     ids::{AttemptId, BlockHash, Incarnation, RequestId},
     request::{Priority, UpstreamError},
     units::{Millis, Time},
+    upstream::{CacheBatch, CacheChange},
 };
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 /// What an engine is made of.
 #[derive(Clone, Copy, Debug)]
@@ -20,6 +21,8 @@
     pub(crate) prompt_token_ns: u64,
     /// Requests that an engine bears when it has just started.
     pub(crate) cold_requests: u32,
+    /// Prompt blocks that its prefix cache holds.
+    pub(crate) cached_blocks: usize,
     /// Completions for each further request that it bears.
     pub(crate) completions_per_request: u32,
 }
@@ -33,6 +36,7 @@
             step_us: 10_000,
             prompt_token_ns: 10_000,
             cold_requests: 2,
+            cached_blocks: 400,
             completions_per_request: 1,
         }
     }
@@ -78,7 +82,8 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) falls_count: u32,
     running: Vec<Running>,
-    cached: BTreeSet<BlockHash>,
+    cached: VecDeque<BlockHash>,
+    events: Vec<CacheChange>,
     starts_count: u64,
     completions_count: u32,
     cold: bool,
@@ -92,7 +97,8 @@
             incarnation: Incarnation::new(1),
             falls_count: 0,
             running: Vec::new(),
-            cached: BTreeSet::new(),
+            cached: VecDeque::new(),
+            events: Vec::new(),
             starts_count: 0,
             completions_count: 0,
             cold: false,
@@ -133,6 +139,7 @@
         self.cold = true;
         self.completions_count = 0;
         self.cached.clear();
+        self.events.clear();
         self.step_end = None;
         let lost = std::mem::take(&mut self.running);
         lost.into_iter().map(|r| r.stream.attempt).collect()
@@ -147,12 +154,12 @@
             self.falls_count += u32::from(self.cold);
             return Err(UpstreamError::Overloaded);
         }
-        let hit = stream.blocks.iter().filter(|b| self.cached.contains(b));
+        let hit = stream.blocks.iter().take_while(|b| self.cached.contains(b));
         let hit_tokens = match stream.blocks.len() as u64 {
             0 => 0,
             len => stream.prompt_tokens * hit.count() as u64 / len,
         };
-        self.cached.extend(stream.blocks.iter().copied());
+        self.store(&stream.blocks);
         self.starts_count += 1;
         self.running.push(Running {
             prefill_left: (stream.prompt_tokens - hit_tokens).max(1),
@@ -167,6 +174,39 @@
         Ok(hit_tokens)
     }
 
+    fn store(&mut self, blocks: &[BlockHash]) {
+        for block in blocks {
+            if !self.cached.contains(block) {
+                self.cached.push_back(*block);
+                self.events.push(CacheChange::Stored(*block));
+            }
+        }
+        while self.cached.len() > self.make.cached_blocks {
+            let block = self.cached.pop_front().unwrap();
+            self.events.push(CacheChange::Evicted(block));
+        }
+    }
+
+    /// Cache events from a sequence number on, or the whole cache.
+    pub(crate) fn cache_batch(&self, from_seq_index: Option<u64>) -> CacheBatch {
+        let from = from_seq_index.map(|from| (from as usize).min(self.events.len()));
+        let changes = match from {
+            Some(from) => self.events[from..].to_vec(),
+            None => self
+                .cached
+                .iter()
+                .copied()
+                .map(CacheChange::Stored)
+                .collect(),
+        };
+        CacheBatch {
+            incarnation: self.incarnation,
+            first_seq_index: from.unwrap_or(self.events.len()) as u64,
+            changes,
+            whole: from.is_none(),
+        }
+    }
+
     pub(crate) fn cancel(&mut self, request: RequestId) {
         self.running.retain(|r| r.stream.attempt.request != request);
     }
--- a/crates/core/tests/common/fleet/world.rs
+++ b/crates/core/tests/common/fleet/world.rs
@@ -11,7 +11,7 @@
         UpstreamConfig, UpstreamKind, WorkspaceConfig,
     },
     grant::{GrantSettings, Owner},
-    ids::{AttemptId, AttemptNumber, FencingNumber, RequestId, UpstreamId, VmId},
+    ids::{AttemptId, AttemptNumber, BlockHash, FencingNumber, RequestId, UpstreamId, VmId},
     message::{
         GrantAnswer, GrantDenial, GrantEnd, GrantMessage, GrantOffer, GrantRequest, Member,
         PeerMessage,
@@ -21,7 +21,7 @@
     request::{CallTarget, LengthClass, ModelCall, RequestSpec, UpstreamError},
     routing::{router, RouteQuery, Router, RoutingSettings},
     units::{KvBytes, Millis, Time, Tokens, TokensPerSecond},
-    upstream::{LoadReport, OrderKind},
+    upstream::{CacheBatch, LoadReport, OrderKind},
     Action, Context, View,
 };
 use rand::{RngExt, SeedableRng};
@@ -51,6 +51,8 @@
     pub(crate) grant: GrantSettings,
     pub(crate) routing: RoutingSettings,
     pub(crate) workspaces_count: usize,
+    /// Whether owners and routers see no prefixes.
+    pub(crate) hides_prefixes: bool,
     pub(crate) seed: u64,
 }
 
@@ -60,6 +62,13 @@
         self.engines_count as f64 * self.make.prefill_tokens_per_s() / mean_prompt_tokens
     }
 
+    fn shown_blocks(&self, arrival: &Arrival) -> Vec<BlockHash> {
+        if self.hides_prefixes {
+            return Vec::new();
+        }
+        arrival.blocks.clone()
+    }
+
     fn configuration(&self) -> Configuration {
         let mut config = Configuration::default();
         let domain = "a".parse().unwrap();
@@ -204,6 +213,10 @@
         engine: usize,
         token: CallToken,
     },
+    Cache {
+        engine: usize,
+        batch: CacheBatch,
+    },
     Deadline(usize),
     Gossip,
     Restart(usize),
@@ -224,6 +237,7 @@
     pub(crate) asked: Vec<Asked>,
     pub(crate) engines: Vec<FakeEngine>,
     pub(crate) most_over_bearable: u32,
+    pub(crate) hit_tokens: u64,
     setup: Setup,
     config: Arc<Configuration>,
     directory: FakeDirectory,
@@ -251,6 +265,7 @@
                 .map(|_| FakeEngine::new(setup.make))
                 .collect(),
             most_over_bearable: 0,
+            hit_tokens: 0,
             config: Arc::new(setup.configuration()),
             setup,
             directory,
@@ -365,6 +380,15 @@
                 let report = Box::new(self.report(engine));
                 self.put_after(REPORT_LAG_US, Input::Load { engine, report });
             }
+            Action::PollCache {
+                upstream,
+                from_seq_index,
+                ..
+            } => {
+                let engine = index_of(&upstream);
+                let batch = self.engines[engine].cache_batch(from_seq_index);
+                self.put_after(REPORT_LAG_US, Input::Cache { engine, batch });
+            }
             Action::Order(order) => {
                 if let OrderKind::Cancel { request } = order.kind {
                     let engine = index_of(&order.upstream);
@@ -444,6 +468,13 @@
                     d.owner.on_order(ctx, view, &id, token, Ok(()))
                 });
             }
+            Input::Cache { engine, batch } => {
+                let owner = self.owner_of(engine);
+                let id = engine_id(engine);
+                self.with(owner, |d, ctx, view| {
+                    d.owner.on_cache(ctx, view, &id, batch)
+                });
+            }
             Input::Deadline(index) => self.on_deadline(index),
             Input::Gossip => self.gossip(),
             Input::Restart(engine) => {
@@ -494,7 +525,7 @@
                 adapter: None,
                 prompt_tokens: Tokens::new(arrival.prompt_tokens),
                 max_output_tokens: Tokens::new(arrival.max_output_tokens),
-                prefix_blocks: arrival.blocks.clone(),
+                prefix_blocks: self.setup.shown_blocks(arrival),
                 stream: true,
             }),
             timeout_ms: arrival.timeout_ms,
@@ -609,7 +640,9 @@
         let idle = fake.step_end().is_none();
         let over = (fake.in_flight() + 1).saturating_sub(fake.bears());
         self.most_over_bearable = self.most_over_bearable.max(over);
-        match fake.start(self.now, stream) {
+        let started = fake.start(self.now, stream);
+        self.hit_tokens += started.as_ref().copied().unwrap_or_default();
+        match started {
             Ok(_) if idle => {
                 let at = self.engines[engine].step_end().unwrap();
                 self.put(at, Input::Step(engine));
--- a/crates/core/tests/common/grant_bench.rs
+++ b/crates/core/tests/common/grant_bench.rs
@@ -426,7 +426,9 @@
         self.bench.advance(ms);
         let owner = &mut self.owner;
         self.bench.with(|ctx, view| owner.on_tick(ctx, view));
-        let not_poll = |action: &Action| !matches!(action, Action::PollLoad { .. });
+        let poll =
+            |action: &Action| matches!(action, Action::PollCache { .. } | Action::PollLoad { .. });
+        let not_poll = |action: &Action| !poll(action);
         self.bench.take().into_iter().filter(not_poll).collect()
     }
 
--- a/crates/core/tests/grant_under_load.rs
+++ b/crates/core/tests/grant_under_load.rs
@@ -35,6 +35,7 @@
         grant: GrantSettings::try_from(grant).unwrap(),
         routing: RoutingSettings::try_from(routing).unwrap(),
         workspaces_count: 10,
+        hides_prefixes: false,
         seed: SEED,
     }
 }
