--- a/crates/core/examples/dissemination/fleet.rs
+++ b/crates/core/examples/dissemination/fleet.rs
@@ -194,7 +194,7 @@
         let start = Instant::now();
         match message {
             Some(PeerMessage::Heartbeat(beat)) => {
-                node.membership.on_heartbeat(&mut ctx, beat, &local);
+                node.membership.on_heartbeat(&mut ctx, *beat, &local);
             }
             Some(_) => {}
             None => {
@@ -243,6 +243,7 @@
         summary: OwnerSummary {
             models: models.to_vec(),
             services: vec![(service, stamp_of(now))],
+            ..OwnerSummary::default()
         },
         config: CONFIG.with(Arc::clone),
         ..LocalState::default()
--- a/crates/core/src/daemon/peers.rs
+++ b/crates/core/src/daemon/peers.rs
@@ -16,7 +16,7 @@
         message: PeerMessage,
     ) {
         if let PeerMessage::Heartbeat(heartbeat) = message {
-            return self.on_heartbeat(ctx, from, heartbeat);
+            return self.on_heartbeat(ctx, from, *heartbeat);
         }
         self.known
             .peers
--- a/crates/core/src/membership/coded_summary.rs
+++ b/crates/core/src/membership/coded_summary.rs
@@ -33,6 +33,7 @@
     CodedSummary {
         models: models.collect(),
         services: services.map(|(s, free)| (key(s.as_str()), *free)).collect(),
+        busy: [summary.short_busy_permille, summary.long_busy_permille].map(|b| coarse(b.into())),
     }
 }
 
@@ -51,9 +52,12 @@
         let service = only(names.map(|name| (name.to_string(), name)), *hash)?;
         Some((service.clone(), *free))
     });
+    let [short_busy, long_busy] = coded.busy.map(|code| narrow(value(code)));
     OwnerSummary {
         models: models.collect(),
         services: services.collect(),
+        short_busy_permille: short_busy,
+        long_busy_permille: long_busy,
     }
 }
 
@@ -67,8 +71,8 @@
 fn capacity(figures: [u64; 6]) -> ModelCapacity {
     let [engines, free_requests, free_kv, max_prompt, short_wait, long_wait] = figures;
     ModelCapacity {
-        engines: u32::try_from(engines).unwrap_or(u32::MAX),
-        free_requests: u32::try_from(free_requests).unwrap_or(u32::MAX),
+        engines: narrow(engines),
+        free_requests: narrow(free_requests),
         free_kv_bytes: KvBytes::new(free_kv << KV_SHIFT_BITS),
         max_prompt_tokens: Tokens::new(max_prompt),
         short_wait_ms: Millis::new(short_wait),
@@ -76,6 +80,10 @@
     }
 }
 
+fn narrow(figure: u64) -> u32 {
+    figure.try_into().unwrap_or(u32::MAX)
+}
+
 fn key(name: &str) -> u16 {
     xxh3_64(name.as_bytes()) as u16
 }
--- a/crates/core/src/membership/membership.rs
+++ b/crates/core/src/membership/membership.rs
@@ -332,7 +332,7 @@
         ctx.act(Action::SendPeer {
             to: to.clone(),
             address,
-            message: PeerMessage::Heartbeat(beat),
+            message: PeerMessage::Heartbeat(Box::new(beat)),
         });
     }
 }
--- a/crates/core/src/message/heartbeat.rs
+++ b/crates/core/src/message/heartbeat.rs
@@ -75,6 +75,8 @@
     pub models: Vec<(u16, [u8; 6])>,
     /// Free places a plain service.
     pub services: Vec<(u16, u32)>,
+    /// Engines that short and long prompts keep busy with prefill, in thousandths.
+    pub busy: [u8; 2],
 }
 
 /// What the upstreams of one owner can take.
--- a/crates/core/src/message/peer_message.rs
+++ b/crates/core/src/message/peer_message.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerMessage {
     /// Membership.
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
     /// Grants, between an entry daemon and an owner.
     Grant(GrantMessage),
     /// Configuration.
--- a/crates/core/tests/common/concert.rs
+++ b/crates/core/tests/common/concert.rs
@@ -453,7 +453,7 @@
             _ => None,
         };
         if let PeerMessage::Heartbeat(beat) = message.clone() {
-            self.membership.on_heartbeat(ctx, beat, &local);
+            self.membership.on_heartbeat(ctx, *beat, &local);
         }
         let dir = Dir(&self.membership, &self.ownership);
         let view = View {
