--- a/crates/persimmon-load/src/experiment/timeline.rs
+++ b/crates/persimmon-load/src/experiment/timeline.rs
@@ -65,7 +65,7 @@
         let rises = pairs
             .filter(|pair| pair[1].1 > pair[0].1)
             .map(|pair| pair[1].0);
-        rises.filter(|at| (from_ms..to_ms).contains(at)).last()
+        rises.rev().find(|at| (from_ms..to_ms).contains(at))
     }
 
     /// The first time from an instant on at which they took one in.
