--- a/crates/persimmon-load/src/experiment/bench.rs
+++ b/crates/persimmon-load/src/experiment/bench.rs
@@ -15,8 +15,8 @@
     time::{Duration, Instant},
 };
 
-/// Time between the start of a run and its first arrivals, and before the fleet is touched.
-const LEAD: Duration = Duration::from_millis(300);
+/// Time for a fresh deployment to come to rest: new owners wait for grants that may be out.
+const LEAD: Duration = Duration::from_secs(3);
 
 /// Longest wait, after a run, for the engines to give their memory back.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(15);
--- a/crates/persimmon-load/src/experiment/faults.rs
+++ b/crates/persimmon-load/src/experiment/faults.rs
@@ -4,16 +4,28 @@
 use crate::{caller::Balancer, measure::RunReport, LoadError};
 use persimmon_core::{
     daemon::PartSettings,
-    ids::{FailureDomain, VmId},
+    ids::{FailureDomain, UpstreamId, VmId},
     operator::Intent,
     units::Millis,
 };
 use persimmon_standin::{demo::Fleet, faults::Fault};
 use serde::{Deserialize, Serialize};
-use std::{thread, time::Instant};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+/// A store that waits before each answer.
+const SLOW_STORE: Fault = Fault::Slow {
+    delay_ms: Millis::new(500),
+    rate_ratio: 1.0,
+};
 
-/// Wait before each answer of a slow store.
-const SLOW_STORE_MS: Millis = Millis::new(500);
+/// A store whose next answers are lost after the write.
+const LOST_ANSWERS: Fault = Fault::LoseAnswers { answers_count: 20 };
+
+/// Longest wait for an engine to have a stream.
+const BUSY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A fault that is brought about under load.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -107,10 +119,10 @@
     let calls = arrivals.iter().filter(|a| a.class().is_some()).count();
     let watched = bench.run(&arrivals, |fleet, balancer, start| {
         wait_until(start + quarter);
-        let ended_badly = begin(fleet, balancer, case)?;
+        let hit = Hit::begin(fleet, balancer, case)?;
         wait_until(start + 3 * quarter);
-        end(fleet, balancer, case)?;
-        Ok(ended_badly)
+        hit.end(fleet, balancer, case)?;
+        Ok(hit.ended_badly_vms)
     })?;
     let counts = bench.settle();
     let row = FaultRow {
@@ -129,70 +141,103 @@
     thread::sleep(instant.saturating_duration_since(Instant::now()));
 }
 
-/// Brings the fault about; gives how many daemons ended badly.
-fn begin(fleet: &mut Fleet, balancer: &Balancer, case: FaultCase) -> Result<usize, LoadError> {
-    match case {
-        FaultCase::None => {}
-        FaultCase::EngineDies => switch_engines(fleet, 1, &Fault::Die)?,
-        FaultCase::EngineHangs => switch_engines(fleet, 1, &Fault::Hang)?,
-        FaultCase::HalfDie => switch_engines(fleet, half(fleet), &Fault::Die)?,
-        FaultCase::EngineCold => switch_engines(fleet, 1, &Fault::GoCold)?,
-        FaultCase::StoreDown => fleet.platform.switch(&Fault::StoreDown)?,
-        FaultCase::StoreSlow => fleet.platform.switch(&Fault::Slow {
-            delay_ms: SLOW_STORE_MS,
-            rate_ratio: 1.0,
-        })?,
-        FaultCase::AnswersLost => fleet
-            .platform
-            .switch(&Fault::LoseAnswers { answers_count: 20 })?,
-        FaultCase::RollingRestart => return restart_all(fleet, balancer),
-        FaultCase::DaemonKilled => {
-            if let Some(vm) = victim(fleet) {
-                fleet.kill_daemon(&vm);
+/// What a fault hit.
+#[derive(Debug, Default)]
+struct Hit {
+    engines: Vec<UpstreamId>,
+    ended_badly_vms: usize,
+}
+
+impl Hit {
+    /// Brings the fault about.
+    fn begin(fleet: &mut Fleet, balancer: &Balancer, case: FaultCase) -> Result<Self, LoadError> {
+        match case {
+            FaultCase::None => {}
+            FaultCase::EngineDies => return Self::engines(fleet, 1, &Fault::Die),
+            FaultCase::EngineHangs => return Self::engines(fleet, 1, &Fault::Hang),
+            FaultCase::EngineCold => return Self::engines(fleet, 1, &Fault::GoCold),
+            FaultCase::HalfDie => {
+                let half = fleet.engines.len() / 2;
+                return Self::engines(fleet, half, &Fault::Die);
+            }
+            FaultCase::RollingRestart => {
+                return Ok(Self {
+                    ended_badly_vms: restart_all(fleet, balancer)?,
+                    ..Self::default()
+                });
             }
+            FaultCase::DaemonKilled => {
+                if let Some(vm) = fleet.daemons.keys().next().cloned() {
+                    fleet.kill_daemon(&vm);
+                }
+            }
+            FaultCase::DomainDrained => change(fleet, Intent::DrainDomain)?,
+            FaultCase::StoreDown => fleet.platform.switch(&Fault::StoreDown)?,
+            FaultCase::StoreSlow => fleet.platform.switch(&SLOW_STORE)?,
+            FaultCase::AnswersLost => fleet.platform.switch(&LOST_ANSWERS)?,
         }
-        FaultCase::DomainDrained => change(fleet, Intent::DrainDomain)?,
+        Ok(Self::default())
     }
-    Ok(0)
-}
 
-/// Ends the fault.
-fn end(fleet: &mut Fleet, balancer: &Balancer, case: FaultCase) -> Result<(), LoadError> {
-    match case {
-        FaultCase::EngineDies => switch_engines(fleet, 1, &Fault::Revive),
-        FaultCase::HalfDie => switch_engines(fleet, half(fleet), &Fault::Revive),
-        FaultCase::EngineHangs => switch_engines(fleet, 1, &Fault::Clear),
-        FaultCase::StoreDown | FaultCase::StoreSlow | FaultCase::AnswersLost => {
-            Ok(fleet.platform.switch(&Fault::Clear)?)
+    /// Switches a fault at the engines that have the most streams.
+    fn engines(fleet: &Fleet, count: usize, fault: &Fault) -> Result<Self, LoadError> {
+        let until = Instant::now() + BUSY_TIMEOUT;
+        let mut engines = busiest(fleet);
+        while engines.first().is_some_and(|(streams, _)| *streams == 0) && Instant::now() < until {
+            engines = busiest(fleet);
         }
-        FaultCase::DaemonKilled => {
-            let gone = fleet.missing_vms();
-            for vm in gone {
-                fleet.replace_daemon(&vm)?;
+        let engines = engines.into_iter().take(count).map(|(_, id)| id);
+        let hit = Self {
+            engines: engines.collect(),
+            ended_badly_vms: 0,
+        };
+        hit.switch(fleet, fault)?;
+        Ok(hit)
+    }
+
+    fn switch(&self, fleet: &Fleet, fault: &Fault) -> Result<(), LoadError> {
+        for id in &self.engines {
+            if let Some(engine) = fleet.engines.get(id) {
+                engine.switch(fault)?;
             }
-            balancer.set(fleet.callers());
-            Ok(())
         }
-        FaultCase::DomainDrained => change(fleet, Intent::ReturnDomain),
-        FaultCase::None | FaultCase::EngineCold | FaultCase::RollingRestart => Ok(()),
+        Ok(())
     }
-}
-
-fn half(fleet: &Fleet) -> usize {
-    fleet.engines.len() / 2
-}
 
-/// Switches a fault at engines that are spread over the failure domains.
-fn switch_engines(fleet: &Fleet, count: usize, fault: &Fault) -> Result<(), LoadError> {
-    let step = fleet.engines.len() / count.max(1);
-    for engine in fleet.engines.values().step_by(step.max(1)).take(count) {
-        engine.switch(fault)?;
+    /// Ends the fault.
+    fn end(
+        &self,
+        fleet: &mut Fleet,
+        balancer: &Balancer,
+        case: FaultCase,
+    ) -> Result<(), LoadError> {
+        match case {
+            FaultCase::EngineDies | FaultCase::HalfDie => self.switch(fleet, &Fault::Revive),
+            FaultCase::EngineHangs => self.switch(fleet, &Fault::Clear),
+            FaultCase::StoreDown | FaultCase::StoreSlow | FaultCase::AnswersLost => {
+                Ok(fleet.platform.switch(&Fault::Clear)?)
+            }
+            FaultCase::DaemonKilled => {
+                for vm in fleet.missing_vms() {
+                    fleet.replace_daemon(&vm)?;
+                }
+                balancer.set(fleet.callers());
+                Ok(())
+            }
+            FaultCase::DomainDrained => change(fleet, Intent::ReturnDomain),
+            FaultCase::None | FaultCase::EngineCold | FaultCase::RollingRestart => Ok(()),
+        }
     }
-    Ok(())
 }
 
-fn victim(fleet: &Fleet) -> Option<VmId> {
-    fleet.daemons.keys().next().cloned()
+/// The engines with their streams, those with the most first.
+fn busiest(fleet: &Fleet) -> Vec<(u32, UpstreamId)> {
+    let engines = fleet.engines.iter();
+    let mut engines: Vec<_> = engines
+        .map(|(id, engine)| (engine.counters().in_flight_requests, id.clone()))
+        .collect();
+    engines.sort_by(|(a, _), (b, _)| b.cmp(a));
+    engines
 }
 
 fn restart_all(fleet: &mut Fleet, balancer: &Balancer) -> Result<usize, LoadError> {
--- /dev/null
+++ b/crates/persimmon-load/tests/answers.rs
@@ -0,0 +1,133 @@
+//! Answers that are whole, wrong, cut off, refused and lost, told apart by their content.
+
+use persimmon_core::{
+    ids::ModelVersion,
+    request::{Outcome, RefusalCode},
+    units::{Millis, Tokens},
+};
+use persimmon_load::{
+    caller::{Balancer, Caller, CallerSettings, End},
+    workload::{Arrival, Prompts, Work},
+};
+use persimmon_standin::{
+    engine::TokenSource,
+    http::{respond_status, Listener},
+};
+use serde_json::{json, Value};
+use std::{io::Write, net::SocketAddr, time::Duration};
+use tiny_http::Request;
+
+const OUTPUT_TOKENS: u64 = 3;
+
+fn model() -> ModelVersion {
+    "advisor@1".parse().unwrap()
+}
+
+fn arrival(work: Work) -> Arrival {
+    Arrival {
+        number_index: 5,
+        at: Duration::ZERO,
+        workspace: "line-1".parse().unwrap(),
+        work,
+    }
+}
+
+fn question() -> Arrival {
+    arrival(Work::Model {
+        prompt_tokens: Tokens::new(20),
+        output_tokens: Tokens::new(OUTPUT_TOKENS),
+        shares_prefix: false,
+    })
+}
+
+/// What a caller makes of a daemon that answers as `serve` does.
+fn end(arrival: &Arrival, serve: impl Fn(Request) + Send + Sync + 'static) -> End {
+    let free_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let daemon = Listener::start(free_port, move |request| match request.url() {
+        "/readyz" => respond_status(request, 200, &json!({})),
+        _ => serve(request),
+    });
+    let daemon = daemon.unwrap();
+    let settings = CallerSettings {
+        model: model(),
+        timeout_ms: Millis::from_secs(2),
+        seed: 1,
+    };
+    let caller = Caller {
+        settings: &settings,
+        balancer: &Balancer::start(vec![daemon.address()]),
+        prompts: &Prompts::new(1, Tokens::ZERO),
+    };
+    caller.call(arrival).1
+}
+
+/// Answers with tokens by the formula up to `count`, then with `last`.
+fn stream(mut request: Request, count: u64, last: &str) {
+    let mut body = String::new();
+    request.as_reader().read_to_string(&mut body).unwrap();
+    let body: Value = serde_json::from_str(&body).unwrap();
+    let source = TokenSource::new(&model(), body["prompt"].as_str().unwrap());
+    let mut text = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n".to_owned();
+    for offset in 0..count {
+        let space = if offset > 0 { " " } else { "" };
+        let chunk = json!({"choices": [{"text": format!("{space}{}", source.token(offset))}]});
+        text.push_str(&format!("data: {chunk}\n\n"));
+    }
+    text.push_str(last);
+    request.into_writer().write_all(text.as_bytes()).unwrap();
+}
+
+const ERROR: &str = "event: error\ndata: {\"error\": {\"code\": \"upstream_failed\", \
+                     \"message\": \"gone\", \"outcome\": \"unknown\"}}\n\n";
+
+#[test]
+fn whole_answers_are_told_by_content() {
+    let done = "data: [DONE]\n\n";
+    let whole = end(&question(), move |r| stream(r, OUTPUT_TOKENS, done));
+    assert_eq!(whole, End::Whole);
+    let short = end(&question(), move |r| stream(r, OUTPUT_TOKENS - 1, done));
+    assert_eq!(short, End::Wrong("2 tokens".into()));
+    let strange = "data: {\"choices\": [{\"text\": \" tffffffff\"}]}\n\n";
+    let strange = end(&question(), move |r| stream(r, 1, strange));
+    assert_eq!(strange, End::Wrong("token 1".into()));
+}
+
+#[test]
+fn refusals_are_told_from_streams_that_are_cut_off() {
+    let refused = end(&question(), |request| {
+        let refusal = json!({"error": {"code": "no_capacity", "message": "later",
+            "outcome": "not_run"}});
+        respond_status(request, 503, &refusal);
+    });
+    assert_eq!(
+        refused,
+        End::Refused(RefusalCode::NoCapacity, Outcome::NotRun)
+    );
+    let early = end(&question(), |r| stream(r, 0, ERROR));
+    let code = RefusalCode::UpstreamFailed;
+    assert_eq!(early, End::Refused(code, Outcome::Unknown));
+    let late = end(&question(), |r| stream(r, 1, ERROR));
+    assert_eq!(late, End::CutOff(code, Outcome::Unknown));
+}
+
+#[test]
+fn silence_is_a_lost_answer() {
+    let broken = end(&question(), |r| stream(r, OUTPUT_TOKENS, ""));
+    assert!(matches!(broken, End::Lost(_)), "{broken:?}");
+    let bare = end(&question(), |r| respond_status(r, 500, &json!({})));
+    assert!(matches!(bare, End::Lost(_)), "{bare:?}");
+}
+
+#[test]
+fn a_call_that_ran_twice_is_no_whole_answer() {
+    let call = arrival(Work::Service("orders".parse().unwrap()));
+    let answer = |run: u64| {
+        end(&call, move |request| {
+            let key = persimmon_standin::http::header(&request, "Idempotency-Key");
+            let body = json!({"key": key.unwrap(), "run": run});
+            respond_status(request, 200, &body);
+        })
+    };
+    assert_eq!(answer(1), End::Whole);
+    assert!(matches!(answer(2), End::Wrong(_)));
+}
--- /dev/null
+++ b/crates/persimmon-load/tests/workload.rs
@@ -0,0 +1,106 @@
+//! Mixes, arrivals and prompts.
+
+use persimmon_core::{
+    ids::{ServiceName, WorkspaceId},
+    request::count_tokens,
+    units::Tokens,
+};
+use persimmon_load::workload::{
+    schedule, Arrival, LengthClass, Mix, MixFields, Prompts, ScheduleSettings, Work,
+};
+use std::{collections::BTreeMap, time::Duration};
+
+fn arrivals(seed: u64, burst_requests: u32, rate_per_s: f64) -> Vec<Arrival> {
+    let workspaces: Vec<(WorkspaceId, u32)> = vec![
+        ("line-1".parse().unwrap(), 3),
+        ("line-2".parse().unwrap(), 1),
+    ];
+    let services: Vec<ServiceName> = vec!["orders".parse().unwrap()];
+    schedule(&ScheduleSettings {
+        seed,
+        rate_per_s,
+        span: Duration::from_secs(60),
+        burst_requests,
+        mix: &Mix::example().unwrap(),
+        workspaces: &workspaces,
+        services: &services,
+    })
+}
+
+#[test]
+fn one_prompt_in_fifty_is_over_100k() {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    let all = arrivals(1, 1, 100.0);
+    for arrival in &all {
+        let class = arrival.class().map_or("service".into(), |c| c.to_string());
+        *counts.entry(class).or_default() += 1;
+    }
+    let first = all.iter().filter(|a| a.workspace.as_str() == "line-1");
+    let shares = (all.len(), first.count());
+    insta::assert_snapshot!(format!("{counts:?} of (all, line-1) {shares:?}"));
+}
+
+#[test]
+fn seeds_decide_the_arrivals() {
+    assert_eq!(arrivals(7, 1, 5.0), arrivals(7, 1, 5.0));
+    assert_ne!(arrivals(7, 1, 5.0), arrivals(8, 1, 5.0));
+}
+
+#[test]
+fn bursts_arrive_together() {
+    let all = arrivals(1, 10, 20.0);
+    assert!(all.len() >= 500, "only {}", all.len());
+    for burst in all.chunks(10) {
+        assert!(burst.iter().all(|arrival| arrival.at == burst[0].at));
+    }
+}
+
+#[test]
+fn prompts_have_their_length_and_share_their_prefix() {
+    let prompts = Prompts::new(1, Tokens::new(100));
+    let arrival = |number_index, tokens, shares_prefix| Arrival {
+        number_index,
+        at: Duration::ZERO,
+        workspace: "line-1".parse().unwrap(),
+        work: Work::Model {
+            prompt_tokens: Tokens::new(tokens),
+            output_tokens: Tokens::new(1),
+            shares_prefix,
+        },
+    };
+    for tokens in [2, 99, 101, 5_000, 1_000_000] {
+        let made = prompts.prompt(&arrival(3, tokens, true));
+        assert_eq!(count_tokens(&made), Tokens::new(tokens));
+    }
+    let (one, other) = (
+        prompts.prompt(&arrival(1, 300, true)),
+        prompts.prompt(&arrival(2, 300, true)),
+    );
+    let (one, other): (Vec<_>, Vec<_>) = (one.split(' ').collect(), other.split(' ').collect());
+    assert_eq!(one[..100], other[..100]);
+    assert_ne!(one[100], other[100]);
+}
+
+#[test]
+fn classes_have_their_bounds() {
+    let class = |tokens| LengthClass::from(Tokens::new(tokens)).to_string();
+    let bounds = [2_000, 2_001, 16_000, 16_001, 100_000, 100_001].map(class);
+    insta::assert_snapshot!(bounds.join(" "), @"<=2k 2k-16k 2k-16k 16k-100k 16k-100k >100k");
+}
+
+#[test]
+fn mixes_with_mistakes_are_refused() {
+    let refused = |change: fn(&mut MixFields)| {
+        let mut fields = (*Mix::example().unwrap()).clone();
+        change(&mut fields);
+        Mix::try_from(fields).unwrap_err().to_string()
+    };
+    let errors = [
+        refused(|mix| mix.prompts.clear()),
+        refused(|mix| mix.prompts[0].min_tokens = Tokens::new(3_000)),
+        refused(|mix| mix.output_min_tokens = Tokens::ZERO),
+        refused(|mix| mix.service_ratio = 1.5),
+        refused(|mix| mix.timeout_ms = persimmon_core::units::Millis::ZERO),
+    ];
+    insta::assert_snapshot!(errors.join("\n"));
+}
