--- a/crates/persimmon-load/src/experiment/domain_change.rs
+++ b/crates/persimmon-load/src/experiment/domain_change.rs
@@ -8,16 +8,24 @@
 };
 use persimmon_core::{
     daemon::PartSettings,
-    ids::FailureDomain,
-    operator::{ConfirmReport, Intent, OperatorReply},
+    ids::{FailureDomain, Generation, VmId},
+    operator::{Intent, OperatorCommand, OperatorReply},
+    units::Millis,
 };
 use persimmon_standin::demo::Fleet;
+use persimmonctl::client::OperatorClient;
 use serde::Serialize;
 use std::{
     thread,
     time::{Duration, Instant},
 };
 
+/// Longest wait for a daemon to apply a change.
+const APPLY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Pause between two questions to a daemon.
+const LOOK: Duration = Duration::from_millis(10);
+
 /// Changes of one run.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct ChangeReport {
@@ -29,9 +37,9 @@
     pub failed_requests: usize,
     /// The changes, in order.
     pub changes: Vec<DomainChange>,
-    /// From `confirm` to its answer that says where the change is in force.
-    pub in_force: SpanReport,
-    /// From the confirmation of a drain to the last request taken in.
+    /// From the plan to each daemon's own word that it applies the change.
+    pub applied: SpanReport,
+    /// From the plan of a drain to the last request taken in; zero where none came after it.
     pub last_start: SpanReport,
     /// What the stand-ins counted.
     pub counts: FleetCounts,
@@ -48,12 +56,14 @@
     pub drained: bool,
     /// When the plan was asked for, from the start of the run.
     pub at_ms: f64,
-    /// From then to the answer that says where the change is in force.
-    pub in_force_ms: f64,
-    /// Daemons where it is in force.
-    pub in_force_vms: usize,
-    /// Live daemons where it is not known to be.
+    /// How long `confirm` waited for the daemons, as it reports.
+    pub reported_ms: Millis,
+    /// Live daemons that `confirm` did not know to apply it.
     pub not_reached_vms: usize,
+    /// From the plan to each daemon's own word that it applies the change.
+    pub applied_ms: Vec<f64>,
+    /// Daemons that did not say so in time.
+    pub never_applied_vms: usize,
     /// From the start of the change to the last request taken in while drained; to the first
     /// one after a return.
     pub start_ms: Option<f64>,
@@ -97,13 +107,13 @@
         failed_requests: report.requests_count
             - report.whole_requests
             - report.refused_not_run_requests,
-        in_force: changes
+        applied: changes
             .iter()
-            .map(|c| c.in_force_ms)
+            .flat_map(|change| change.applied_ms.clone())
             .collect::<Spans>()
             .report(),
         last_start: drains
-            .filter_map(|c| c.start_ms)
+            .map(|change| change.start_ms.unwrap_or(0.0))
             .collect::<Spans>()
             .report(),
         counts: bench.settle(),
@@ -128,7 +138,7 @@
     let change = thread::scope(|scope| {
         let asked = scope.spawn(|| ask(fleet, domain, start, drain));
         while !asked.is_finished() {
-            let until = Instant::now() + Duration::from_millis(10);
+            let until = Instant::now() + LOOK;
             timeline.watch(fleet, &settings.deployment, domain, start, until);
         }
         asked.join()
@@ -155,29 +165,60 @@
         true => Intent::DrainDomain(domain.clone()),
         false => Intent::ReturnDomain(domain.clone()),
     };
-    let asked = Instant::now();
-    let vm = fleet.daemons.keys().next_back();
-    let vm = vm.ok_or(LoadError::Setting {
+    let vm = fleet.daemons.keys().next_back().ok_or(LoadError::Setting {
         key: "daemons_count",
         value: "0".into(),
         remedy: "give the deployment a daemon",
     })?;
-    let reply = fleet.change(vm, intent)?;
-    let confirmed = match reply {
-        OperatorReply::Confirmed(report) => Some(report),
-        _ => None,
+    let before = generation(fleet, vm).unwrap_or_default();
+    let asked = Instant::now();
+    let (reply, applied_ms) = thread::scope(|scope| {
+        let looks = fleet.daemons.keys().map(|vm| {
+            let look = move || applied_ms(fleet, vm, before, asked);
+            scope.spawn(look)
+        });
+        let looks: Vec<_> = looks.collect();
+        let reply = fleet.change(vm, intent);
+        let applied = looks.into_iter().map(|look| look.join().ok().flatten());
+        (reply, applied.collect::<Vec<_>>())
+    });
+    let (reported_ms, not_reached_vms) = match reply? {
+        OperatorReply::Confirmed(report) => (report.waited_ms, report.not_reached.len()),
+        _ => (Millis::ZERO, fleet.daemons.len()),
     };
-    let vms = |list: fn(&ConfirmReport) -> usize| confirmed.as_ref().map_or(0, list);
     Ok(DomainChange {
         drained: drain,
-        at_ms: asked.saturating_duration_since(start).as_secs_f64() * 1e3,
-        in_force_ms: asked.elapsed().as_secs_f64() * 1e3,
-        in_force_vms: vms(|report| report.in_force.len()),
-        not_reached_vms: vms(|report| report.not_reached.len()),
+        at_ms: ms(asked.saturating_duration_since(start)),
+        reported_ms,
+        not_reached_vms,
+        never_applied_vms: applied_ms.iter().filter(|ms| ms.is_none()).count(),
+        applied_ms: applied_ms.into_iter().flatten().collect(),
         start_ms: None,
     })
 }
 
+/// From `asked` until a daemon says that it applies a generation above `before`.
+fn applied_ms(fleet: &Fleet, vm: &VmId, before: Generation, asked: Instant) -> Option<f64> {
+    while asked.elapsed() < APPLY_TIMEOUT {
+        if generation(fleet, vm).is_some_and(|generation| generation > before) {
+            return Some(ms(asked.elapsed()));
+        }
+        thread::sleep(LOOK);
+    }
+    None
+}
+
+fn generation(fleet: &Fleet, vm: &VmId) -> Option<Generation> {
+    match fleet.operator(vm)?.ask(&OperatorCommand::Status) {
+        Ok(OperatorReply::Status(status)) => Some(status.generation),
+        _ => None,
+    }
+}
+
+fn ms(span: Duration) -> f64 {
+    span.as_secs_f64() * 1e3
+}
+
 fn fill_starts(changes: &mut [DomainChange], timeline: &Timeline) {
     let next_ms: Vec<f64> = changes.iter().skip(1).map(|change| change.at_ms).collect();
     for (index, change) in changes.iter_mut().enumerate() {
@@ -196,12 +237,14 @@
         let mut text = self.report.table();
         for change in &self.changes {
             let kind = if change.drained { "drain" } else { "return" };
+            let last = change.applied_ms.iter().copied().fold(0.0, f64::max);
             text.push_str(&format!(
-                "{kind:>6} at {:>6.0} ms: in force after {:.0} ms at {} VMs ({} not reached), {} \
-                 start after {} ms\n",
+                "{kind:>6} at {:>6.0} ms: applied by {} daemons within {last:.0} ms, {} never; \
+                 confirm waited {} and missed {}; {} start after {} ms\n",
                 change.at_ms,
-                change.in_force_ms,
-                change.in_force_vms,
+                change.applied_ms.len(),
+                change.never_applied_vms,
+                change.reported_ms,
                 change.not_reached_vms,
                 if change.drained { "last" } else { "first" },
                 change.start_ms.map_or("-".into(), |ms| format!("{ms:.0}")),
