Accept again after the HTTP library stopped accepting without a word

Cause: with no file free, tiny_http panics in its accepting thread when it duplicates the socket, and nobody is told: the daemon never took a connection again (seen with a limit of 64 files and 128 connections; the test waited 30 s in vain). Now each listener asks itself every 2 s at most and listens again where no answer comes.

--- a/crates/io/src/listener/http_listener.rs
+++ b/crates/io/src/listener/http_listener.rs
@@ -2,7 +2,8 @@
 
 use socket2::SockRef;
 use std::{
-    fmt, io,
+    fmt,
+    io::{self, Read, Write},
     net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream},
     sync::{
         atomic::{AtomicBool, Ordering},
@@ -16,6 +17,12 @@
 /// Pause after listening failed.
 const RETRY: Duration = Duration::from_millis(500);
 
+/// Longest time between two probes of ourselves.
+const PROBE_GAP: Duration = Duration::from_secs(2);
+
+/// Longest wait for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+
 type Serve = dyn Fn(Request) + Send + Sync;
 
 /// Serves each request of one listening address on a thread of its own.
@@ -125,7 +132,7 @@
     }
 
     fn listen_again(self: &Arc<Self>, error: &io::Error) {
-        log::warn!("accepting connections failed ({error}): listening again");
+        log::warn!(reason:% = error; "accepting connections failed");
         while !self.is_stopped() {
             thread::sleep(RETRY);
             if self.listen().is_ok() {
@@ -134,13 +141,21 @@
         }
     }
 
-    /// Connects to ourselves now and then, so that no `accept` waits for the timeout.
-    fn keep_awake(&self, address: SocketAddr, io_timeout: Duration) {
+    /// Asks ourselves now and then, so that no `accept` waits for the timeout, and listens again
+    /// where nobody answers: `tiny_http` stops accepting without a word when a socket that it
+    /// accepted can't be duplicated.
+    fn keep_awake(self: &Arc<Self>, address: SocketAddr, io_timeout: Duration) {
         let target = reachable(address);
         while !self.is_stopped() {
-            // A failure shows in `accept` as well.
-            let _ = TcpStream::connect_timeout(&target, io_timeout);
-            thread::sleep(io_timeout / 3);
+            thread::sleep(PROBE_GAP.min(io_timeout / 3));
+            let failure = match TcpStream::connect_timeout(&target, PROBE_TIMEOUT) {
+                // Without a free socket there is nothing to learn: `accept` says so as well.
+                Err(_) => continue,
+                Ok(stream) => probe(stream).err(),
+            };
+            if let Some(error) = failure.filter(|_| !self.is_stopped()) {
+                self.listen_again(&error);
+            }
         }
     }
 
@@ -149,6 +164,16 @@
     }
 }
 
+/// Sends what the HTTP library refuses by itself, and waits for the refusal.
+fn probe(mut stream: TcpStream) -> io::Result<()> {
+    stream.set_read_timeout(Some(PROBE_TIMEOUT))?;
+    stream.write_all(b"\r\n")?;
+    match stream.read(&mut [0])? {
+        0 => Err(io::ErrorKind::UnexpectedEof.into()),
+        _ => Ok(()),
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/persimmond/tests/loopback/processes.rs
+++ b/crates/persimmond/tests/loopback/processes.rs
@@ -1,12 +1,12 @@
 //! Real processes: what SIGTERM and SIGKILL of a daemon under load do.
 
 use crate::world::{
-    client::{post, read_until, rest, send, tokens, STREAM},
+    client::{page, post, read_until, rest, send, tokens, STREAM},
     load::{Load, Tally},
-    process::{find, Processes},
+    process::{find, Process, Processes},
     wait,
 };
-use std::{thread, time::Duration};
+use std::{net::TcpStream, thread, time::Duration};
 
 #[test]
 fn sigterm_under_load_cuts_off_no_request() {
@@ -117,3 +117,25 @@
         .then_some(())
         .ok_or_else(|| format!("{held:?}"))
 }
+
+/// Files and sockets that a daemon may open in a test.
+const FILES_COUNT: u32 = 64;
+
+#[test]
+fn more_connections_than_files_do_not_stop_a_daemon() {
+    let mut process = Process::start_limited("files", FILES_COUNT);
+    let address = process.callers;
+    let connections = (0..2 * FILES_COUNT).map(|_| TcpStream::connect(address));
+    let connections: Vec<_> = connections.collect();
+    find(&process.lines, "accepting connections failed");
+    drop(connections);
+    wait("a page", || {
+        let page = page(address, "/healthz");
+        match page.starts_with("200") {
+            true => Ok(()),
+            false => Err(page),
+        }
+    });
+    process.terminate();
+    assert_eq!(process.ended().code(), Some(0));
+}
--- a/crates/persimmond/tests/loopback/world/process.rs
+++ b/crates/persimmond/tests/loopback/world/process.rs
@@ -15,7 +15,7 @@
     fs,
     io::{BufRead, BufReader},
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     thread,
 };
@@ -40,8 +40,22 @@
 impl Process {
     /// Starts a daemon and waits until it listens. Its settings and keys go to a folder of its own.
     pub(crate) fn start(test: &str, vm: &str, settings: &Value, ca: &KeyPairPem) -> Self {
-        let file = write_files(test, vm, settings, ca);
-        let mut child = Command::new(env!("CARGO_BIN_EXE_persimmond"))
+        let command = Command::new(env!("CARGO_BIN_EXE_persimmond"));
+        Self::start_by(command, &write_files(test, vm, settings, ca))
+    }
+
+    /// Starts a daemon by itself that may open `files_count` files and sockets.
+    pub(crate) fn start_limited(test: &str, files_count: u32) -> Self {
+        let settings = settings("vm-1", "a", &json!([]), platform::start());
+        let file = write_files(test, "vm-1", &settings, &KeyPairPem::new_ca().unwrap());
+        let mut command = Command::new("sh");
+        let script = format!("ulimit -n {files_count}; exec \"$0\" \"$@\"");
+        command.args(["-c", &script, env!("CARGO_BIN_EXE_persimmond")]);
+        Self::start_by(command, &file)
+    }
+
+    fn start_by(mut command: Command, file: &Path) -> Self {
+        let mut child = command
             .arg("--settings")
             .arg(file)
             .stderr(Stdio::piped())
