--- a/crates/persimmond/tests/callers.rs
+++ b/crates/persimmond/tests/scripted/callers.rs
@@ -1,8 +1,6 @@
 //! Callers over loopback, with a scripted core and a fake upstream.
 
-mod common;
-
-use common::{post, read_until, Bench};
+use crate::common::{post, read_until, whole, Bench};
 use insta::assert_snapshot;
 use persimmon_core::{request::UpstreamError, Event};
 use std::time::{Duration, Instant};
@@ -146,3 +144,15 @@
     assert_snapshot!(answer.lines().last().unwrap(), @r#"{"key":"ticket-1"}"#);
     bench.stop();
 }
+
+#[test]
+fn killed_daemon_ends_open_answers_without_a_finish_marker() {
+    let bench = Bench::start();
+    let mut reader = bench.send(&post("/v1/completions", COMPLETION));
+    bench.token(0, "t0");
+    read_until(&mut reader, "t0");
+    bench.daemon.kill();
+    let rest = whole(reader);
+    assert!(!rest.contains("[DONE]"), "{rest}");
+    assert!(bench.daemon.join());
+}
--- a/crates/persimmond/tests/common/mod.rs
+++ b/crates/persimmond/tests/scripted/common/mod.rs
@@ -21,7 +21,7 @@
     telemetry::Telemetry,
     upstream::{Piece, ServiceForward, StreamCall, StreamItem, TokenStream, UpstreamClient},
 };
-use persimmond::{ControlCore, Daemon, DaemonHandle, Parts};
+use persimmond::{ControlCore, Daemon, DaemonHandle, MakeCore, Parts};
 use std::{
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
@@ -169,28 +169,38 @@
     parse(Path::new("settings.json"), text).unwrap()
 }
 
+/// Parts of a daemon without peers, platform and upstreams.
+pub(crate) fn fake_parts(core: MakeCore) -> Parts {
+    let network = LocalNetwork::default();
+    Parts {
+        core,
+        link: Box::new(move |vm, incarnation, inbox| {
+            let member = Member {
+                vm: vm.clone(),
+                incarnation,
+                domain: "taichung-a".parse().unwrap(),
+                peer_address: "127.0.0.1:7000".parse().unwrap(),
+            };
+            Ok(Arc::new(network.join(&member, inbox)))
+        }),
+        platform: Arc::new(NoPlatform),
+        upstream: Arc::new(FakeUpstream {
+            items: flume::unbounded().1,
+        }),
+        telemetry: Arc::new(Telemetry::new().unwrap()),
+    }
+}
+
 impl Bench {
     pub(crate) fn start() -> Self {
         let (seen_sender, seen) = flume::unbounded();
         let (items, item_receiver) = flume::unbounded();
-        let network = LocalNetwork::default();
-        let parts = Parts {
-            core: Box::new(move |_| Box::new(ScriptedCore { seen: seen_sender })),
-            link: Box::new(move |vm, incarnation, inbox| {
-                let member = Member {
-                    vm: vm.clone(),
-                    incarnation,
-                    domain: "taichung-a".parse().unwrap(),
-                    peer_address: "127.0.0.1:7000".parse().unwrap(),
-                };
-                Ok(Arc::new(network.join(&member, inbox)))
-            }),
-            platform: Arc::new(NoPlatform),
-            upstream: Arc::new(FakeUpstream {
-                items: item_receiver,
-            }),
-            telemetry: Arc::new(Telemetry::new().unwrap()),
-        };
+        let mut parts = fake_parts(Box::new(move |_| {
+            Box::new(ScriptedCore { seen: seen_sender })
+        }));
+        parts.upstream = Arc::new(FakeUpstream {
+            items: item_receiver,
+        });
         Self {
             daemon: Daemon::start_with(settings(), parts).unwrap(),
             items,
