--- a/crates/persimmond/tests/loopback/processes.rs
+++ b/crates/persimmond/tests/loopback/processes.rs
@@ -2,11 +2,16 @@
 
 use crate::world::{
     client::{page, post, read_until, rest, send, tokens, STREAM},
+    daemons::LEASE_MS,
     load::{Load, Tally},
     process::{find, Process, Processes},
     wait,
 };
-use std::{net::TcpStream, thread, time::Duration};
+use std::{
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
 
 #[test]
 fn sigterm_under_load_cuts_off_no_request() {
@@ -44,7 +49,11 @@
     read_until(&mut reader, "t0");
     assert_eq!(world.upstream.counts().held.len(), 1);
     world.daemons[2].kill();
+    let killed = Instant::now();
     wait("the engine's memory", || held_nothing(&world));
+    let held = killed.elapsed();
+    eprintln!("held for {held:?}");
+    assert!(held < LEASE + SLACK, "held for {held:?}");
     world.upstream.pace(0);
     for daemon in &world.daemons[..2] {
         let answer = rest(send(daemon.callers, &post("/v1/completions", "", STREAM)));
@@ -52,6 +61,12 @@
     }
 }
 
+/// Life of a grant's lease without a heartbeat, as the daemons' settings have it.
+const LEASE: Duration = Duration::from_millis(LEASE_MS);
+
+/// Time for an order to the engine, on a busy computer.
+const SLACK: Duration = Duration::from_secs(2);
+
 /// Callers of a test under load.
 const CALLERS_COUNT: usize = 8;
 
--- a/crates/persimmond/tests/loopback/world/daemons.rs
+++ b/crates/persimmond/tests/loopback/world/daemons.rs
@@ -17,6 +17,9 @@
 /// What operators show.
 pub(crate) const TOKEN: &str = "a-token-for-tests";
 
+/// Life of a grant's lease without a heartbeat.
+pub(crate) const LEASE_MS: u64 = 1000;
+
 /// Two failure domains, `a` with an upstream; daemons as threads.
 pub(crate) struct World {
     pub(crate) upstream: Upstream,
@@ -38,7 +41,7 @@
         "limits": {"body_max_bytes": 4096, "open_max_requests": 64, "body_time_ms": 500,
             "io_time_ms": 500},
         "membership": {"heartbeat_ms": 100, "death_ms": 600, "relay_ms": 1500},
-        "ownership": {"lease_ms": 1000, "join_window_ms": 300},
+        "ownership": {"lease_ms": LEASE_MS, "join_window_ms": 300},
         "config": {"poll_ms": 100},
         "grant": {"poll_ms": 100, "cancel_retry_ms": 100, "learning_ms": 500},
     })
