--- a/crates/persimmon-standin/src/demo/daemons.rs
+++ b/crates/persimmon-standin/src/demo/daemons.rs
@@ -4,12 +4,17 @@
 use persimmon_core::{daemon::PartSettings, platform::VmRecord};
 use persimmon_io::{
     http::HttpLimits,
+    link::PeerLink,
     peer::KeyPairPem,
     settings::{Listen, LogFormat, LogSettings, OperatorToken, Settings, TlsFiles},
     telemetry::Telemetry,
 };
 use persimmond::{Daemon, DaemonHandle, Parts, StartError};
-use std::{net::SocketAddr, path::PathBuf, sync::Arc};
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, OnceLock, Weak},
+};
 
 /// Longest wait for a daemon's readiness page, in seconds.
 const READY_PAGE_TIMEOUT_SECS: u64 = 2;
@@ -47,14 +52,30 @@
     })
 }
 
+/// A daemon that runs, and its link to peers for as long as it has one.
+pub(super) struct Started {
+    pub(super) handle: DaemonHandle,
+    pub(super) link: Option<Weak<dyn PeerLink>>,
+}
+
 /// Starts one daemon with keys of its own.
-pub(super) fn start(settings: Settings, ca: &KeyPairPem) -> Result<DaemonHandle, DemoError> {
+pub(super) fn start(settings: Settings, ca: &KeyPairPem) -> Result<Started, DemoError> {
     let keys = ca.new_vm(&settings.vm)?;
     let telemetry = Telemetry::new().map_err(|error| StartError::Telemetry {
         reason: error.to_string(),
     })?;
-    let parts = Parts::real(&settings, &keys, Arc::new(telemetry))?;
-    Ok(Daemon::start_with(settings, parts)?)
+    let mut parts = Parts::real(&settings, &keys, Arc::new(telemetry))?;
+    let (open, opened) = (parts.link, Arc::new(OnceLock::new()));
+    let opening = Arc::clone(&opened);
+    parts.link = Box::new(move |vm, incarnation, events| {
+        let link = open(vm, incarnation, events)?;
+        opening.get_or_init(|| Arc::downgrade(&link));
+        Ok(link)
+    });
+    Ok(Started {
+        handle: Daemon::start_with(settings, parts)?,
+        link: opened.get().cloned(),
+    })
 }
 
 /// Whether a daemon takes requests, else what it says.
