--- a/crates/persimmond/tests/loopback/world/upstream.rs
+++ b/crates/persimmond/tests/loopback/world/upstream.rs
@@ -38,6 +38,7 @@
 #[derive(Default)]
 struct State {
     token_ms: AtomicU64,
+    cuts_count: AtomicU64,
     counts: Mutex<Counts>,
 }
 
@@ -88,6 +89,12 @@
         self.state.token_ms.store(token_ms, Ordering::Relaxed);
     }
 
+    /// Cuts all streams in the middle, as an engine that dies does, and forgets them.
+    pub(crate) fn cut(&self) {
+        self.state.cuts_count.fetch_add(1, Ordering::Relaxed);
+        self.state.lock().held.clear();
+    }
+
     pub(crate) fn counts(&self) -> Counts {
         self.state.lock().clone()
     }
@@ -165,10 +172,14 @@
         if writer.write_all(head.as_bytes()).is_err() {
             return;
         }
+        let cuts_count = self.cuts_count.load(Ordering::Relaxed);
         let mut out = Encoder::with_flush_after_write(Flushing(writer));
         for token in offset..call.max_tokens {
             thread::sleep(Duration::from_millis(self.token_ms.load(Ordering::Relaxed)));
             let data = json!({"token": format!("t{token}"), "offset": token});
+            if self.cuts_count.load(Ordering::Relaxed) != cuts_count {
+                return;
+            }
             let sent = write!(out, "id: {token}\ndata: {data}\n\n");
             if sent.is_err() || !self.lock().held.contains(&id) {
                 return;
