--- a/crates/scenario/src/caller.rs
+++ b/crates/scenario/src/caller.rs
@@ -104,6 +104,11 @@
         self.tokens.len() > before
     }
 
+    /// Hands a piece to the caller wherever it belongs.
+    pub(crate) fn add_unchecked(&mut self, piece: Bytes) {
+        self.tokens.push(piece);
+    }
+
     /// Tokens that the caller has.
     pub fn delivered(&self) -> Tokens {
         Tokens::new(self.tokens.len() as u64)
--- a/crates/scenario/src/carry.rs
+++ b/crates/scenario/src/carry.rs
@@ -224,8 +224,9 @@
 
     pub(crate) fn on_poll(&mut self, run: Run, upstream: UpstreamId) {
         let reached = self.reaches(&run.vm, &upstream);
-        let answer = match self.upstreams.get(&upstream).filter(|_| reached) {
-            Some(state) => state.report(),
+        let now = self.now;
+        let answer = match self.upstreams.get_mut(&upstream).filter(|_| reached) {
+            Some(state) => state.report(now),
             None => Err(UpstreamError::Refused),
         };
         let delay = self.network.delay(&mut self.rng);
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -6,13 +6,14 @@
     node::Node,
     queue::Queue,
     store::{Store, StoreCall},
+    switch::{Switch, Switches},
     upstream::{Upstream, UpstreamFault},
     vm::{Arrival, Vm},
 };
 use persimmon_core::{
     decision::Record,
     ids::{FailureDomain, IdempotencyKey, Incarnation, OperatorName, RequestId, UpstreamId, VmId},
-    message::Member,
+    message::{Member, PeerMessage},
     operator::{OperatorCommand, OperatorReply},
     platform::{CallToken, Part},
     request::{AttemptPlan, RequestSpec, UpstreamError},
@@ -84,6 +85,8 @@
     pub tickets: BTreeMap<RequestId, IdempotencyKey>,
     /// Answers to operators.
     pub replies: BTreeMap<CallToken, OperatorReply>,
+    /// Promises that are broken on purpose.
+    pub switches: Switches,
     /// Log records.
     pub log: Vec<(Time, VmId, Record)>,
     pub(crate) queue: Queue<Item>,
@@ -112,6 +115,7 @@
             runs: BTreeMap::new(),
             tickets: BTreeMap::new(),
             replies: BTreeMap::new(),
+            switches: Switches::new(),
             log: Vec::new(),
             queue: Queue::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -289,11 +293,12 @@
     /// Gives an event to a VM's core now and carries out what follows.
     pub(crate) fn deliver(&mut self, vm: &VmId, event: Event) {
         let now = self.now;
-        let Some(state) = self.vms.get_mut(vm) else {
+        let is_tick = event == Event::Tick;
+        let is_deaf = self.is_deaf_to(&event);
+        let Some(state) = self.vms.get_mut(vm).filter(|_| !is_deaf) else {
             return;
         };
         let local = state.local(now);
-        let is_tick = event == Event::Tick;
         let Some(node) = &mut state.node else { return };
         state.ticks_count += u64::from(is_tick);
         let actions = node.handle(local, event);
@@ -303,6 +308,19 @@
         self.plan_wake(vm, if is_tick { TICK_MIN_MS } else { Millis::ZERO });
     }
 
+    /// Whether a switch keeps an event from the daemons once they have served.
+    fn is_deaf_to(&self, event: &Event) -> bool {
+        let is_config = match event {
+            Event::Peer { message, .. } => matches!(message, PeerMessage::Config(_)),
+            Event::Platform { token, .. } => token.part() == Part::Config,
+            _ => false,
+        };
+        let has_served = !self.callers.is_empty();
+        has_served
+            && ((is_config && self.switches.contains(&Switch::NoConfiguration))
+                || (*event == Event::Tick && self.switches.contains(&Switch::NoTicks)))
+    }
+
     fn plan_wake(&mut self, vm: &VmId, after: Millis) {
         let now = self.now;
         let Some(state) = self.vms.get_mut(vm) else {
--- a/crates/scenario/src/script/line.rs
+++ b/crates/scenario/src/script/line.rs
@@ -1,7 +1,7 @@
 //! One line of a script.
 
 use super::{words::Words, ScriptError};
-use crate::{DomainSpec, StoreFault};
+use crate::{DomainSpec, StoreFault, Switch};
 use persimmon_core::{
     ids::{FailureDomain, OperatorName, UpstreamId, VmId},
     operator::Intent,
@@ -80,6 +80,7 @@
 pub(super) enum Setup {
     Seed(u64),
     Domain(DomainSpec),
+    Switch(Switch),
 }
 
 impl Setup {
@@ -87,6 +88,9 @@
         if words.take("seed") {
             return Ok(Self::Seed(words.parse("number")?));
         }
+        if words.take("switch") {
+            return Ok(Self::Switch(words.parse("switch")?));
+        }
         words.must("domain")?;
         let name = words.parse("failure domain")?;
         words.must("vms")?;
--- a/crates/scenario/src/script/runner.rs
+++ b/crates/scenario/src/script/runner.rs
@@ -6,7 +6,7 @@
     words::Words,
     ScriptError,
 };
-use crate::{DomainSpec, Fleet, FleetSpec};
+use crate::{DomainSpec, Fleet, FleetSpec, Switches};
 use persimmon_core::{
     daemon::PartSettings,
     ids::{PlanId, RequestId, WorkspaceId},
@@ -73,6 +73,7 @@
         domains: Vec::new(),
         workspaces: WORKSPACE.parse().into_iter().collect(),
         parts: PartSettings::default(),
+        switches: Switches::new(),
     };
     let mut first = None;
     for (number, mut words) in lines.by_ref() {
@@ -100,6 +101,9 @@
 fn set_up(spec: &mut FleetSpec, words: &mut Words) -> Result<(), ScriptError> {
     match Setup::parse(words)? {
         Setup::Seed(seed) => spec.seed = seed,
+        Setup::Switch(switch) => {
+            spec.switches.insert(switch);
+        }
         Setup::Domain(domain) => spec.domains.push(domain),
     }
     words.end()
--- a/crates/scenario/src/script/words.rs
+++ b/crates/scenario/src/script/words.rs
@@ -42,6 +42,11 @@
         span.ok_or(ScriptError::Word { word, what })
     }
 
+    /// Whether the next word is `word`.
+    pub(super) fn is_at(&mut self, word: &str) -> bool {
+        self.0.peek().is_some_and(|next| next == word)
+    }
+
     /// Takes the next word if it is `word`.
     pub(super) fn take(&mut self, word: &str) -> bool {
         self.0.next_if(|next| next == word).is_some()
--- a/crates/scenario/src/traffic.rs
+++ b/crates/scenario/src/traffic.rs
@@ -4,6 +4,7 @@
     caller::token,
     fleet::{Fleet, Item, Run},
     network::happens,
+    switch::Switch,
     upstream::UpstreamFault,
     vm::Arrival,
 };
@@ -44,6 +45,9 @@
             Err(error) => return self.fail(run, attempt, error),
         };
         self.note_run(&spec);
+        if self.switches.contains(&Switch::FalseNotRun) {
+            return self.fail(run, attempt, UpstreamError::Overloaded);
+        }
         if fault == UpstreamFault::Hangs || happens(&mut self.rng, chances.silent_percent) {
             return;
         }
@@ -186,6 +190,10 @@
         let Some(assembler) = &mut caller.assembler else {
             return;
         };
+        if self.switches.contains(&Switch::NoAssembler) {
+            caller.add_unchecked(piece);
+            return self.tell_progress(vm, attempt);
+        }
         match assembler.push(attempt, offset, piece) {
             Ok(Pushed::Ready) => {}
             Ok(_) => return,
--- a/crates/scenario/tests/common/daemons.rs
+++ b/crates/scenario/tests/common/daemons.rs
@@ -6,7 +6,7 @@
     operator::{Intent, OperatorCommand, OperatorReply},
     units::Millis,
 };
-use persimmon_scenario::{DomainSpec, Fleet, FleetSpec};
+use persimmon_scenario::{DomainSpec, Fleet, FleetSpec, Switches};
 
 /// A failure domain with two VMs, three engines and two servers.
 pub fn domain(name: &str) -> DomainSpec {
@@ -25,6 +25,7 @@
         domains: names.iter().map(|name| domain(name)).collect(),
         workspaces: vec!["w".parse().expect("workspace")],
         parts: PartSettings::default(),
+        switches: Switches::new(),
     };
     let mut fleet = spec.build().expect("fleet");
     fleet.run_for(Millis::new(10_000));
--- a/crates/scenario/tests/fleet_basics.rs
+++ b/crates/scenario/tests/fleet_basics.rs
@@ -7,7 +7,7 @@
     daemon::PartSettings,
     units::{Millis, Tokens},
 };
-use persimmon_scenario::{broken_promise, DomainSpec, Fleet, FleetSpec};
+use persimmon_scenario::{broken_promise, DomainSpec, Fleet, FleetSpec, Switches};
 
 /// Domains `a` and `b`, each with two VMs, three engines and two servers.
 fn fleet(seed: u64) -> Fleet {
@@ -22,6 +22,7 @@
         domains: vec![domain("a"), domain("b")],
         workspaces: vec!["w".parse().expect("workspace")],
         parts: PartSettings::default(),
+        switches: Switches::new(),
     };
     let mut fleet = spec.build().expect("fleet");
     fleet.run_for(Millis::new(10_000));
--- a/crates/scenario/tests/retry_amplification.rs
+++ b/crates/scenario/tests/retry_amplification.rs
@@ -9,7 +9,7 @@
     entry::{EntrySettings, RawEntrySettings},
     units::Millis,
 };
-use persimmon_scenario::{broken_promise, DomainSpec, Fleet, FleetSpec, UpstreamFault};
+use persimmon_scenario::{broken_promise, DomainSpec, Fleet, FleetSpec, Switches, UpstreamFault};
 use std::fmt;
 
 /// Requests of one run.
@@ -65,6 +65,7 @@
             entry,
             ..PartSettings::default()
         },
+        switches: Switches::new(),
     };
     let mut fleet = spec.build().expect("fleet");
     fleet.run_for(Millis::new(10_000));
