--- a/crates/core/src/entry/asking.rs
+++ b/crates/core/src/entry/asking.rs
@@ -195,7 +195,7 @@
             request.phase = Phase::Pausing { until };
             return Some(request);
         }
-        let refusal = match request.too_long {
+        let refusal = match request.too_long.filter(|_| !request.fits_somewhere) {
             Some(max) => too_long(max),
             None => with_retry_after(refusal, later),
         };
@@ -207,6 +207,10 @@
 fn note_denial(request: &mut OpenRequest, owner: VmId, denial: GrantDenial) {
     request.tried.push(owner);
     request.better = None;
+    request.fits_somewhere |= matches!(
+        denial,
+        GrantDenial::Busy { .. } | GrantDenial::Learning { .. }
+    );
     match denial {
         GrantDenial::NotOwner { better } => {
             request.better = better;
@@ -234,7 +238,6 @@
         .better
         .take()
         .filter(|vm| !request.tried.contains(vm));
-    request.too_long = None;
 }
 
 fn note_come_back(request: &mut OpenRequest, span: Millis) {
--- a/crates/core/src/entry/entry_daemon.rs
+++ b/crates/core/src/entry/entry_daemon.rs
@@ -356,6 +356,8 @@
             Phase::Pausing { .. } => {
                 request.tried.clear();
                 request.come_back = None;
+                request.too_long = None;
+                request.fits_somewhere = false;
                 self.ask_next(ctx, view, request)
             }
             Phase::Running(_) => self.on_hang(ctx, view, request),
--- a/crates/core/src/entry/open_request.rs
+++ b/crates/core/src/entry/open_request.rs
@@ -89,6 +89,8 @@
     pub(super) pauses_count: u32,
     /// Largest prompt that fits, where an owner said that this one does not.
     pub(super) too_long: Option<Tokens>,
+    /// Whether an owner with an engine that can hold it was only busy.
+    pub(super) fits_somewhere: bool,
     /// The broken stream that is being resumed.
     pub(super) kept: Option<Kept>,
 }
@@ -115,6 +117,7 @@
             come_back: None,
             pauses_count: 0,
             too_long: None,
+            fits_somewhere: false,
             kept: None,
         }
     }
--- a/crates/core/src/entry/peers.rs
+++ b/crates/core/src/entry/peers.rs
@@ -23,10 +23,13 @@
         upstreams: &[UpstreamId],
         fencing: FencingNumber,
     ) {
+        let mut is_new = true;
+        for upstream in upstreams {
+            is_new &= self.fencing.accept(upstream, fencing);
+        }
         let mut grants = Vec::new();
         for request in self.open.values_mut() {
             let held = held(ctx.now, view.config, request, upstreams);
-            let is_new = upstreams.iter().all(|u| self.fencing.accept(u, fencing));
             if held.is_some() && is_new {
                 set_owner(request, from);
             }
