--- a/crates/core/src/grant/settings.rs
+++ b/crates/core/src/grant/settings.rs
@@ -4,14 +4,29 @@
 use crate::{routing::RoutingPolicy, units::Millis};
 use serde::{Deserialize, Serialize};
 
+/// Which engines of a failure domain take long prompts.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LongPlacement {
+    /// A set whose size follows the demand.
+    #[default]
+    Bounded,
+    /// Any engine.
+    Anywhere,
+}
+
 /// Grant settings as written in the settings file.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RawGrantSettings {
     /// How an upstream is chosen among the owned ones.
     pub policy: RoutingPolicy,
+    /// Which engines take long prompts.
+    pub long_placement: LongPlacement,
     /// Time between two load polls of an upstream.
     pub poll_ms: u64,
+    /// Time between two polls of an engine's cache events.
+    pub cache_poll_ms: u64,
     /// Time after which an unanswered cancel is sent again.
     pub cancel_retry_ms: u64,
     /// Time past its deadline after which an attempt's grant lapses.
@@ -26,6 +41,8 @@
     pub learning_percent: u32,
     /// Most requests that wait.
     pub queue_requests: u32,
+    /// Calls that an upstream gets at a time before it has shown to bear more.
+    pub ramp_start_requests: u32,
     /// Prefill time ahead at an engine above which a request waits at the owner.
     pub prefill_ahead_ms: u64,
     /// Time between two agreements on the engines for long prompts.
@@ -36,7 +53,9 @@
     fn default() -> Self {
         Self {
             policy: RoutingPolicy::Cost,
+            long_placement: LongPlacement::Bounded,
             poll_ms: 500,
+            cache_poll_ms: 1_000,
             cancel_retry_ms: 500,
             lapse_slack_ms: 2_000,
             finished_ms: 60_000,
@@ -44,6 +63,7 @@
             learning_ms: 3_000,
             learning_percent: 25,
             queue_requests: 4_096,
+            ramp_start_requests: 2,
             prefill_ahead_ms: 100,
             long_set_ms: 200,
         }
@@ -56,8 +76,12 @@
 pub struct GrantSettings {
     /// How an upstream is chosen among the owned ones.
     pub policy: RoutingPolicy,
+    /// Which engines take long prompts.
+    pub long_placement: LongPlacement,
     /// Time between two load polls of an upstream.
     pub poll_ms: Millis,
+    /// Time between two polls of an engine's cache events.
+    pub cache_poll_ms: Millis,
     /// Time after which an unanswered cancel is sent again.
     pub cancel_retry_ms: Millis,
     /// Time past its deadline after which an attempt's grant lapses.
@@ -72,6 +96,8 @@
     pub learning_percent: u32,
     /// Most requests that wait.
     pub queue_requests: u32,
+    /// Calls that an upstream gets at a time before it has shown to bear more.
+    pub ramp_start_requests: u32,
     /// Prefill time ahead at an engine above which a request waits at the owner.
     pub prefill_ahead_ms: Millis,
     /// Time between two agreements on the engines for long prompts.
@@ -98,7 +124,9 @@
         let count = |key, value: u32, max| check(key, value.into(), 1, max).map(|v| v as u32);
         Ok(Self {
             policy: raw.policy,
+            long_placement: raw.long_placement,
             poll_ms: span("poll_ms", raw.poll_ms, 50, 60_000)?,
+            cache_poll_ms: span("cache_poll_ms", raw.cache_poll_ms, 50, 60_000)?,
             cancel_retry_ms: span("cancel_retry_ms", raw.cancel_retry_ms, 50, 60_000)?,
             lapse_slack_ms: span("lapse_slack_ms", raw.lapse_slack_ms, 100, 600_000)?,
             finished_ms: span("finished_ms", raw.finished_ms, 1_000, 3_600_000)?,
@@ -106,6 +134,7 @@
             learning_ms: span("learning_ms", raw.learning_ms, 100, 60_000)?,
             learning_percent: count("learning_percent", raw.learning_percent, 100)?,
             queue_requests: count("queue_requests", raw.queue_requests, 1_000_000)?,
+            ramp_start_requests: count("ramp_start_requests", raw.ramp_start_requests, 100_000)?,
             prefill_ahead_ms: span("prefill_ahead_ms", raw.prefill_ahead_ms, 0, 60_000)?,
             long_set_ms: span("long_set_ms", raw.long_set_ms, 50, 60_000)?,
         })
--- a/crates/persimmon-standin/src/demo/daemons.rs
+++ b/crates/persimmon-standin/src/demo/daemons.rs
@@ -3,12 +3,18 @@
 use super::{fleet::DEMO_TOKEN, DemoError, VmSlot};
 use persimmon_core::{daemon::PartSettings, platform::VmRecord};
 use persimmon_io::{
-    http::{HttpLimits, Pages},
+    http::HttpLimits,
+    link::PeerLink,
     peer::KeyPairPem,
     settings::{Listen, LogFormat, LogSettings, OperatorToken, Settings, TlsFiles},
+    telemetry::Telemetry,
+};
+use persimmond::{Daemon, DaemonHandle, Parts, StartError};
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, OnceLock, Weak},
 };
-use persimmond::{Daemon, DaemonHandle, Parts};
-use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
 /// Longest wait for a daemon's readiness page, in seconds.
 const READY_PAGE_TIMEOUT_SECS: u64 = 2;
@@ -18,6 +24,7 @@
     slot: &VmSlot,
     seeds: Vec<VmRecord>,
     platform: SocketAddr,
+    parts: &PartSettings,
 ) -> Result<Settings, DemoError> {
     let free_port = SocketAddr::from(([127, 0, 0, 1], 0));
     Ok(Settings {
@@ -41,18 +48,34 @@
             format: LogFormat::Text,
             level: log::LevelFilter::Info,
         },
+        parts: parts.clone(),
     })
 }
 
+/// A daemon that runs, and its link to peers for as long as it has one.
+pub(super) struct Started {
+    pub(super) handle: DaemonHandle,
+    pub(super) link: Option<Weak<dyn PeerLink>>,
+}
+
 /// Starts one daemon with keys of its own.
-pub(super) fn start(
-    settings: Settings,
-    ca: &KeyPairPem,
-    parts: &PartSettings,
-) -> Result<DaemonHandle, DemoError> {
+pub(super) fn start(settings: Settings, ca: &KeyPairPem) -> Result<Started, DemoError> {
     let keys = ca.new_vm(&settings.vm)?;
-    let parts = Parts::real(&settings, &keys, parts.clone(), Arc::new(NoMetrics))?;
-    Ok(Daemon::start_with(settings, parts)?)
+    let telemetry = Telemetry::new().map_err(|error| StartError::Telemetry {
+        reason: error.to_string(),
+    })?;
+    let mut parts = Parts::real(&settings, &keys, Arc::new(telemetry))?;
+    let (open, opened) = (parts.link, Arc::new(OnceLock::new()));
+    let opening = Arc::clone(&opened);
+    parts.link = Box::new(move |vm, incarnation, events| {
+        let link = open(vm, incarnation, events)?;
+        opening.get_or_init(|| Arc::downgrade(&link));
+        Ok(link)
+    });
+    Ok(Started {
+        handle: Daemon::start_with(settings, parts)?,
+        link: opened.get().cloned(),
+    })
 }
 
 /// Whether a daemon takes requests, else what it says.
@@ -67,12 +90,3 @@
         _ => Err(page.as_str().unwrap_or("no text").to_owned()),
     }
 }
-
-#[derive(Debug)]
-struct NoMetrics;
-
-impl Pages for NoMetrics {
-    fn metrics(&self) -> String {
-        String::new()
-    }
-}
