--- a/crates/core/examples/dissemination/main.rs
+++ b/crates/core/examples/dissemination/main.rs
@@ -3,9 +3,11 @@
 //! `cargo run --release -p persimmon-core --example dissemination`
 
 mod fleet;
+mod schemes;
 
 use fleet::Fleet;
 use persimmon_core::units::Millis;
+use schemes::Scheme;
 
 /// Time for all to join.
 const JOIN: Millis = Millis::new(6_000);
@@ -17,18 +19,49 @@
 const STEP_MS: u64 = 20;
 
 fn main() {
+    println!("until all present know of all, sent by one member:");
+    for (count, missing) in [
+        (3, 0),
+        (9, 0),
+        (9, 1),
+        (63, 0),
+        (63, 1),
+        (63, 6),
+        (380, 0),
+        (380, 38),
+    ] {
+        compare(count, missing);
+    }
     println!("domains x daemons: per daemon and second, sent; then deaths");
-    for (domains, vms) in [(1, 3), (3, 3), (1, 63), (6, 63)] {
+    for (domains, vms) in [(1, 3), (3, 3), (1, 9), (1, 63), (2, 63), (6, 63)] {
         cost(domains, vms);
     }
     for (vms, dead, loss_ratio) in [(3, 1, 0.0), (9, 1, 0.0), (63, 1, 0.0), (63, 6, 0.0)] {
         death(vms, dead, loss_ratio);
     }
-    for (vms, dead, loss_ratio) in [(63, 1, 0.01), (63, 6, 0.01), (63, 1, 0.05), (63, 6, 0.05)] {
+    for (vms, dead, loss_ratio) in [(3, 1, 0.05), (9, 1, 0.05), (63, 1, 0.05), (63, 6, 0.05)] {
         death(vms, dead, loss_ratio);
     }
 }
 
+fn compare(count: usize, missing: usize) {
+    let all = [
+        Scheme::AllToAll,
+        Scheme::Gossip,
+        Scheme::Hypercube,
+        Scheme::Ring,
+    ];
+    for scheme in all {
+        match schemes::worst(scheme, count, missing) {
+            Some(cost) => println!(
+                "{count} members, {missing} missing, {scheme:?}: {} rounds, {} messages, {} bytes",
+                cost.rounds_count, cost.messages_count, cost.sent_bytes
+            ),
+            None => println!("{count} members, {missing} missing, {scheme:?}: not all reached"),
+        }
+    }
+}
+
 fn cost(domains: usize, vms: usize) {
     let mut fleet = Fleet::new(domains, vms);
     fleet.run(JOIN);
--- a/crates/core/src/membership/digest.rs
+++ b/crates/core/src/membership/digest.rs
@@ -133,7 +133,7 @@
         }
         if let Some(peer) = self.peers.get_mut(&member.vm) {
             peer.heard = peer.heard.max(Some(heard));
-            peer.generation = peer.generation.max(applied.unwrap_or_default());
+            peer.applies(applied.unwrap_or_default());
         }
     }
 
--- a/crates/core/src/membership/membership.rs
+++ b/crates/core/src/membership/membership.rs
@@ -77,8 +77,9 @@
         if beat.member.vm == self.me.vm || !self.hear(ctx, &beat.member) {
             return;
         }
+        let mut news = false;
         if let Some(peer) = self.peers.get_mut(&beat.member.vm) {
-            peer.generation = peer.generation.max(beat.generation);
+            news = peer.applies(beat.generation);
             if beat.summary.is_some() {
                 peer.summary.clone_from(&beat.summary);
             }
@@ -89,6 +90,8 @@
         let near = beat.member.domain == self.me.domain;
         if near {
             self.on_digest(ctx, &beat, local);
+        } else if news {
+            self.hasten(ctx.now);
         }
         for far in &beat.members {
             self.on_far(ctx, far);
@@ -131,7 +134,10 @@
 
     /// Sends heartbeats that are due and finds the dead.
     pub fn on_tick(&mut self, ctx: &mut Context<'_>, local: &LocalState) {
-        self.generation = local.generation;
+        if self.generation < local.generation {
+            self.generation = local.generation;
+            self.announce_generation(ctx.now);
+        }
         if self.leaving != local.leaving {
             self.leaving = local.leaving;
             self.index();
@@ -195,6 +201,21 @@
         Some(expiry.map_or(due, |expiry| expiry.min(due)))
     }
 
+    /// A new generation is told over all links at once.
+    fn announce_generation(&mut self, now: Time) {
+        self.next_far = now;
+        self.hasten(now);
+        for peer in self.peers.values_mut() {
+            peer.sent = None;
+        }
+    }
+
+    /// There is news: the next round comes soon.
+    fn hasten(&mut self, now: Time) {
+        let soon_ms = self.settings.heartbeat().get() / 2;
+        self.next_round = self.next_round.min(now + Millis::new(soon_ms));
+    }
+
     /// Whether a member's death must be noticed soon.
     fn is_near(&self, member: &Member) -> bool {
         member.domain == self.me.domain || self.watched.contains(&member.vm)
@@ -233,7 +254,10 @@
         if self.accept(ctx, member, heard, fresh) {
             if let Some(peer) = self.peers.get_mut(&member.vm) {
                 peer.heard = peer.heard.max(Some(heard));
-                peer.generation = peer.generation.max(far.generation);
+                let news = peer.applies(far.generation);
+                if news {
+                    self.hasten(ctx.now);
+                }
             }
         }
     }
@@ -296,7 +320,8 @@
             );
         }
         self.round_index += 1;
-        self.next_round = ctx.now + self.settings.heartbeat();
+        let gap_ms = self.settings.heartbeat().get() * self.roster.stretch();
+        self.next_round = ctx.now + Millis::new(gap_ms);
     }
 
     fn send(
@@ -311,7 +336,7 @@
         let known = self.peers.get(to).map(|peer| &peer.member.domain);
         let domain = known.or_else(|| self.hints.get(to).map(|hint| &hint.domain));
         let near = domain == Some(&self.me.domain);
-        let digest = near.then(|| self.digest_for(ctx.now, to, local, round_index));
+        let digest = near.then(|| Box::new(self.digest_for(ctx.now, to, local, round_index)));
         let members = match round_index {
             Some(_) => self.far_members(ctx.now),
             None => Vec::new(),
--- a/crates/core/src/membership/peer.rs
+++ b/crates/core/src/membership/peer.rs
@@ -7,11 +7,16 @@
     units::Time,
 };
 
+/// Heartbeats that tell of a new generation.
+const NEWS_REPEATS_COUNT: u32 = 3;
+
 /// What is known of one other daemon's run.
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
     pub(super) member: Member,
     pub(super) generation: Generation,
+    /// Heartbeats that are still to tell of its generation.
+    pub(super) news_count: u32,
     pub(super) summary: Option<OwnerSummary>,
     /// Its summary as heard, with the spread that brought it.
     pub(super) coded: Option<(u64, CodedSummary)>,
@@ -32,6 +37,7 @@
         Self {
             member,
             generation: Generation::default(),
+            news_count: 0,
             summary: None,
             coded: None,
             list_id: None,
@@ -43,6 +49,16 @@
         }
     }
 
+    /// It applies a generation. True where that is news.
+    pub(super) fn applies(&mut self, generation: Generation) -> bool {
+        let news = generation > self.generation;
+        if news {
+            self.generation = generation;
+            self.news_count = NEWS_REPEATS_COUNT;
+        }
+        news
+    }
+
     /// When its silence amounts to death, if nothing was heard here before `since`.
     pub(super) fn expires(&self, settings: &MembershipSettings, near: bool, since: Time) -> Time {
         let span = match near {
--- a/crates/core/src/membership/roster.rs
+++ b/crates/core/src/membership/roster.rs
@@ -6,6 +6,9 @@
 /// Cycles of rounds from one spread of summaries to the next.
 const SUMMARY_CYCLES_COUNT: u64 = 2;
 
+/// Rounds of a cycle up to which rounds come half as often.
+const SHORT_CYCLE_ROUNDS: u64 = 3;
+
 /// The members of the own failure domain, in the order of their names.
 ///
 /// Round `k` of a cycle tells the member `2^k` places on (in every second cycle: back). After
@@ -44,6 +47,14 @@
         u64::from(others.checked_ilog2().map_or(1, |top| top + 1))
     }
 
+    /// Heartbeat intervals from one round to the next: few members need fewer rounds.
+    pub(super) fn stretch(&self) -> u64 {
+        match self.cycle() {
+            0..=SHORT_CYCLE_ROUNDS => 2,
+            _ => 1,
+        }
+    }
+
     /// Whom to tell in a round.
     pub(super) fn partner(&self, round_index: u64) -> Option<&Member> {
         let count = self.members.len();
--- a/crates/core/src/membership/settings.rs
+++ b/crates/core/src/membership/settings.rs
@@ -23,12 +23,12 @@
 impl Default for RawMembershipSettings {
     fn default() -> Self {
         Self {
-            heartbeat_ms: Millis::new(120),
+            heartbeat_ms: Millis::new(130),
             death_ms: Millis::new(1_600),
             relay_ms: Millis::new(8_000),
             list_ms: Millis::new(10_000),
             domain_links_vms: 2,
-            relayed_len: 2,
+            relayed_len: 1,
         }
     }
 }
--- a/crates/core/src/membership/targets.rs
+++ b/crates/core/src/membership/targets.rs
@@ -1,6 +1,6 @@
 //! Who gets heartbeats beside the rounds: watched peers, links between failure domains, new VMs.
 
-use super::Membership;
+use super::{peer::Peer, Membership};
 use crate::{
     ids::{FailureDomain, VmId},
     message::FarMember,
@@ -16,8 +16,11 @@
 /// VMs that were not heard yet and are asked at a time.
 const CONTACTS_VMS: usize = 4;
 
+/// Most members of other failure domains told of for a new generation in one heartbeat.
+const NEWS_LEN: usize = 4;
+
 /// Least time between two heartbeats over a link to another failure domain.
-const LINK_GAP: Millis = Millis::new(900);
+const LINK_GAP: Millis = Millis::new(1_300);
 
 /// Least time between two heartbeats to a watched peer of another failure domain.
 const WATCH_GAP: Millis = Millis::new(400);
@@ -96,26 +99,45 @@
 
     /// A few members of other failure domains to tell of, in turn.
     pub(super) fn far_members(&mut self, now: Time) -> Vec<FarMember> {
-        let known = self.peers.values().filter_map(|peer| {
-            let age_ms = now.since(peer.heard?);
-            let far = peer.alive && !peer.leaving && peer.member.domain != self.me.domain;
-            let young = age_ms.get() * 2 <= self.settings.relay().get();
-            (far && young).then(|| FarMember {
-                member: peer.member.clone(),
-                age_ms,
-                generation: peer.generation,
-            })
-        });
+        let mut chosen = self.far_news(now);
+        let known = self
+            .peers
+            .values()
+            .filter_map(|peer| self.far_member(now, peer));
         let known: Vec<_> = known.collect();
         let after = known
             .iter()
             .position(|far| Some(&far.member.vm) > self.told.as_ref());
         let turn = known.iter().cycle().skip(after.unwrap_or(0));
         let count = known.len().min(self.settings.relayed());
-        let chosen: Vec<_> = turn.take(count).cloned().collect();
+        chosen.extend(turn.take(count).cloned());
         self.told = chosen.last().map(|far| far.member.vm.clone());
         chosen
     }
+
+    /// Members of other failure domains that apply a new generation.
+    fn far_news(&mut self, now: Time) -> Vec<FarMember> {
+        let fresh = self.peers.values().filter(|peer| peer.news_count > 0);
+        let fresh = fresh.filter_map(|peer| self.far_member(now, peer));
+        let news: Vec<_> = fresh.take(NEWS_LEN).collect();
+        for far in &news {
+            if let Some(peer) = self.peers.get_mut(&far.member.vm) {
+                peer.news_count -= 1;
+            }
+        }
+        news
+    }
+
+    fn far_member(&self, now: Time, peer: &Peer) -> Option<FarMember> {
+        let age_ms = now.since(peer.heard?);
+        let far = peer.alive && !peer.leaving && peer.member.domain != self.me.domain;
+        let young = age_ms.get() * 2 <= self.settings.relay().get();
+        (far && young).then(|| FarMember {
+            member: peer.member.clone(),
+            age_ms,
+            generation: peer.generation,
+        })
+    }
 }
 
 fn weight(name: &str, vm: &VmId) -> u64 {
--- a/crates/core/src/message/heartbeat.rs
+++ b/crates/core/src/message/heartbeat.rs
@@ -35,7 +35,7 @@
     /// What the sender's upstreams can take, in heartbeats between failure domains.
     pub summary: Option<OwnerSummary>,
     /// What the sender knows of its failure domain, in heartbeats inside one.
-    pub digest: Option<DomainDigest>,
+    pub digest: Option<Box<DomainDigest>>,
     /// A few members of other failure domains.
     pub members: Vec<FarMember>,
     /// Whether the sender asks for an answer at once.
