Property test of the control parts together

150 cases at a fixed seed mix crashes, pauses, cuts, loss, duplicates, reordering, store outages and lost answers.

--- a/crates/core/tests/common/concert.rs
+++ b/crates/core/tests/common/concert.rs
@@ -17,7 +17,7 @@
     units::{Millis, Time},
     Action, Context, Directory, View,
 };
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -121,6 +121,10 @@
     pub lost_answers_count: u32,
     /// Pairs of failure domains that are cut off from each other.
     pub cuts: BTreeSet<(FailureDomain, FailureDomain)>,
+    /// Faults of the network between daemons, in percent of messages, and the longest delay.
+    pub loss_percent: u32,
+    pub duplicate_percent: u32,
+    pub delay_ms: u64,
     pub replies: Vec<(CallToken, OperatorReply)>,
     pub sent_count: u64,
     pub store_calls_count: u64,
@@ -129,6 +133,7 @@
     queue: BTreeMap<(Time, u64), (VmId, Input)>,
     order_count: u64,
     calls_count: u64,
+    rng: ChaCha8Rng,
 }
 
 impl Cluster {
@@ -142,6 +147,10 @@
             store_down: false,
             lost_answers_count: 0,
             cuts: BTreeSet::new(),
+            loss_percent: 0,
+            duplicate_percent: 0,
+            delay_ms: LATENCY_MS,
+            rng: ChaCha8Rng::seed_from_u64(17),
             replies: Vec::new(),
             sent_count: 0,
             store_calls_count: 0,
@@ -217,6 +226,11 @@
     pub fn pause(&mut self, vm: &str, span_ms: u64) {
         self.node_mut(vm).up = false;
         self.run(span_ms);
+        self.wake(vm);
+    }
+
+    /// Lets a paused process go on.
+    pub fn wake(&mut self, vm: &str) {
         self.node_mut(vm).up = true;
         self.with(&id(vm), |node, ctx| {
             node.membership.on_paused(ctx);
@@ -323,7 +337,7 @@
                 let pair = (me.domain.clone(), peer.me.domain.clone());
                 let back = (pair.1.clone(), pair.0.clone());
                 if !self.cuts.contains(&pair) && !self.cuts.contains(&back) {
-                    self.later(to, Input::Peer(me.clone(), message));
+                    self.deliver(me, &to, &message);
                 }
             }
             Action::Table { token, op } => {
@@ -339,9 +353,24 @@
         }
     }
 
+    /// Sends a message through the faulty network.
+    fn deliver(&mut self, from: &Member, to: &VmId, message: &PeerMessage) {
+        let lost = self.rng.random_range(0..100) < self.loss_percent;
+        let twice = self.rng.random_range(0..100) < self.duplicate_percent;
+        for _ in 0..u32::from(!lost) + u32::from(twice) {
+            let delay_ms = self.rng.random_range(LATENCY_MS..=self.delay_ms);
+            let input = Input::Peer(from.clone(), message.clone());
+            self.after(delay_ms, to.clone(), input);
+        }
+    }
+
     fn later(&mut self, to: VmId, input: Input) {
+        self.after(LATENCY_MS, to, input);
+    }
+
+    fn after(&mut self, delay_ms: u64, to: VmId, input: Input) {
         self.order_count += 1;
-        let at = self.now + Millis::new(LATENCY_MS);
+        let at = self.now + Millis::new(delay_ms);
         self.queue.insert((at, self.order_count), (to, input));
     }
 
--- /dev/null
+++ b/crates/core/tests/concert_properties.rs
@@ -0,0 +1,269 @@
+//! What must hold under any mix of crashes, pauses, cuts, faults of the network and lost answers.
+
+#[path = "common/concert.rs"]
+mod concert;
+
+use concert::{id, small_config, Cluster};
+use persimmon_core::{
+    config::ChangeRecord,
+    ids::{Generation, PlanId, VmId},
+    operator::{Intent, OperatorCommand, OperatorReply},
+    platform::CallToken,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+/// Time within which daemons in contact apply what was accepted.
+const CONTACT_MS: u64 = 2_000;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Crash(usize),
+    Pause(usize),
+    Wake(usize),
+    Restart(usize),
+    Cut(usize),
+    Heal,
+    StoreDown(bool),
+    LoseAnswers(u32),
+    Network {
+        loss: u32,
+        twice: u32,
+        delay_ms: u64,
+    },
+    Plan {
+        vm: usize,
+        domain: usize,
+        back: bool,
+    },
+    Confirm {
+        vm: usize,
+        plan: usize,
+    },
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        2 => (0..9usize).prop_map(Step::Crash),
+        2 => (0..9usize).prop_map(Step::Pause),
+        2 => (0..9usize).prop_map(Step::Wake),
+        3 => (0..9usize).prop_map(Step::Restart),
+        1 => (0..3usize).prop_map(Step::Cut),
+        2 => Just(Step::Heal),
+        2 => any::<bool>().prop_map(Step::StoreDown),
+        2 => (1..4u32).prop_map(Step::LoseAnswers),
+        2 => (0..30u32, 0..30u32, 1..300u64)
+            .prop_map(|(loss, twice, delay_ms)| Step::Network { loss, twice, delay_ms }),
+        4 => (0..9usize, 0..3usize, any::<bool>())
+            .prop_map(|(vm, domain, back)| Step::Plan { vm, domain, back }),
+        6 => (0..9usize, 0..8usize).prop_map(|(vm, plan)| Step::Confirm { vm, plan }),
+        8 => (20..3_000u64).prop_map(Step::Wait),
+    ]
+}
+
+struct Run {
+    cluster: Cluster,
+    vms: Vec<String>,
+    calls: BTreeSet<CallToken>,
+    confirms: BTreeMap<CallToken, PlanId>,
+    unix_ms: u64,
+}
+
+impl Run {
+    fn new() -> Self {
+        let mut cluster = Cluster::new(&DOMAINS, 3);
+        cluster.run(1_500);
+        let vms = cluster.nodes.keys().map(VmId::to_string).collect();
+        let mut run = Self {
+            cluster,
+            vms,
+            calls: BTreeSet::new(),
+            confirms: BTreeMap::new(),
+            unix_ms: 1_000,
+        };
+        let intent = Intent::Replace(Box::new(small_config()));
+        run.ask(
+            "a-00",
+            OperatorCommand::Plan {
+                intent,
+                force: false,
+            },
+        );
+        run.cluster.run(200);
+        let plan = run.plans()[0].clone();
+        run.confirm("a-00", plan);
+        run.cluster.run(1_500);
+        run
+    }
+
+    fn ask(&mut self, vm: &str, command: OperatorCommand) -> CallToken {
+        let call = self.cluster.command(vm, command, self.unix_ms);
+        self.calls.insert(call);
+        call
+    }
+
+    fn confirm(&mut self, vm: &str, plan: PlanId) {
+        let call = self.ask(vm, OperatorCommand::Confirm(plan.clone()));
+        self.confirms.insert(call, plan);
+    }
+
+    fn plans(&self) -> Vec<PlanId> {
+        let replies = self.cluster.replies.iter();
+        let plans = replies.filter_map(|(_, reply)| match reply {
+            OperatorReply::Plan(plan) => Some(plan.id.clone()),
+            _ => None,
+        });
+        plans.collect()
+    }
+
+    fn take(&mut self, step: &Step) {
+        let vm = |n: &usize| self.vms[*n].clone();
+        match step {
+            Step::Crash(n) | Step::Pause(n) => self.cluster.node_mut(&vm(n)).up = false,
+            Step::Wake(n) if !self.cluster.node(&vm(n)).up => self.cluster.wake(&vm(n)),
+            Step::Wake(_) => {}
+            Step::Restart(n) => self.cluster.restart(&vm(n)),
+            Step::Cut(n) => {
+                for other in DOMAINS.iter().filter(|other| **other != DOMAINS[*n]) {
+                    self.cluster.cuts.insert((id(DOMAINS[*n]), id(other)));
+                }
+            }
+            Step::Heal => self.cluster.cuts.clear(),
+            Step::StoreDown(down) => self.cluster.store_down = *down,
+            Step::LoseAnswers(count) => self.cluster.lost_answers_count = *count,
+            Step::Network {
+                loss,
+                twice,
+                delay_ms,
+            } => {
+                self.cluster.loss_percent = *loss;
+                self.cluster.duplicate_percent = *twice;
+                self.cluster.delay_ms = *delay_ms;
+            }
+            Step::Plan {
+                vm: n,
+                domain,
+                back,
+            } if self.cluster.node(&vm(n)).up => {
+                let domain = id(DOMAINS[*domain]);
+                let intent = match back {
+                    true => Intent::ReturnDomain(domain),
+                    false => Intent::DrainDomain(domain),
+                };
+                self.ask(
+                    &vm(n),
+                    OperatorCommand::Plan {
+                        intent,
+                        force: true,
+                    },
+                );
+            }
+            Step::Confirm { vm: n, plan } if self.cluster.node(&vm(n)).up => {
+                let plans = self.plans();
+                let plan = plans[plans.len().saturating_sub(1 + plan % plans.len())].clone();
+                self.confirm(&vm(n), plan);
+            }
+            Step::Plan { .. } | Step::Confirm { .. } => {}
+            Step::Wait(span_ms) => {
+                self.cluster.run(*span_ms);
+                self.unix_ms += span_ms;
+            }
+        }
+    }
+
+    /// Everything works again.
+    fn heal(&mut self) {
+        self.cluster.cuts.clear();
+        self.cluster.store_down = false;
+        self.cluster.lost_answers_count = 0;
+        self.cluster.loss_percent = 0;
+        self.cluster.duplicate_percent = 0;
+        self.cluster.delay_ms = concert::LATENCY_MS;
+        for vm in self.vms.clone() {
+            if !self.cluster.node(&vm).up {
+                self.cluster.wake(&vm);
+            }
+        }
+    }
+
+    fn records(&self) -> Vec<ChangeRecord> {
+        let rows = self.cluster.table.iter();
+        let rows = rows.filter(|(key, _)| key.starts_with("config/gen/"));
+        rows.map(|(_, raw)| serde_json::from_slice(raw).unwrap())
+            .collect()
+    }
+
+    /// Accepted plans and generations go one to one, and no reply says otherwise.
+    fn check_plans(&self) {
+        let records = self.records();
+        let numbers: Vec<u64> = records.iter().map(|r| r.generation.get()).collect();
+        assert_eq!(numbers, (1..=records.len() as u64).collect::<Vec<_>>());
+        let made: BTreeMap<&PlanId, Generation> =
+            records.iter().map(|r| (&r.plan, r.generation)).collect();
+        assert_eq!(made.len(), records.len(), "a plan made two generations");
+        for (call, reply) in &self.cluster.replies {
+            if let OperatorReply::Confirmed(report) = reply {
+                assert_eq!(made.get(&self.confirms[call]), Some(&report.generation));
+            }
+        }
+    }
+
+    /// All apply the newest generation, so that a drained domain gets no new grant.
+    fn check_rest(&self) {
+        let head = self.records().last().unwrap().generation;
+        for node in self.cluster.nodes.values() {
+            let config = node.config.current();
+            assert_eq!(config.generation, head, "{} is behind", node.me.vm);
+        }
+    }
+
+    fn check_owners(&self) {
+        let mut held = BTreeMap::<_, Vec<_>>::new();
+        for node in self.cluster.nodes.values() {
+            for upstream in node.holds.keys() {
+                held.entry(upstream).or_default().push(&node.me.vm);
+            }
+        }
+        assert_eq!(held.len(), 9);
+        assert!(held.values().all(|owners| owners.len() == 1), "{held:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 150,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn accepted_changes_and_owners_stay_exact(steps in prop::collection::vec(step(), 10..50)) {
+        let mut run = Run::new();
+        for step in &steps {
+            run.take(step);
+            run.check_plans();
+        }
+        run.heal();
+        run.cluster.run(12_000);
+        run.check_plans();
+        run.check_rest();
+        run.check_owners();
+        let before = run.records().len();
+        run.take(&Step::Plan { vm: 4, domain: 0, back: false });
+        run.cluster.run(200);
+        let plan = run.plans().pop().unwrap();
+        run.confirm("b-01", plan);
+        run.cluster.run(CONTACT_MS);
+        run.check_plans();
+        run.check_rest();
+        prop_assert_eq!(run.records().len(), before + 1);
+    }
+}
