Ownership: adopt failure domains without daemons; numbers kept apart among known members

An upstream of a failure domain where no daemon is heard and the platform lists no live VM falls to another domain's daemons by rendezvous hashing, under the numbers of its own domain, with the conservative limit for a minute; it goes back when a daemon of its domain is heard. A fencing number's run part has 32 bits (20 before) and differs among all members that know each other; a block that the store reserved is used up by later take-overs.

--- a/crates/core/src/membership/membership.rs
+++ b/crates/core/src/membership/membership.rs
@@ -5,7 +5,7 @@
     decision::Record,
     ids::{FailureDomain, Generation, Incarnation, VmId},
     message::{FarMember, Heartbeat, Member, PeerMessage},
-    platform::{PlatformError, VmRecord},
+    platform::{PlatformError, VmRecord, VmState},
     units::{Millis, Time},
     Action, Context,
 };
@@ -21,6 +21,8 @@
     pub(super) settings: MembershipSettings,
     seeds: Vec<VmRecord>,
     pub(super) hints: BTreeMap<VmId, VmRecord>,
+    /// Failure domains with a live VM in the platform's last list.
+    pub(super) listed: Option<BTreeSet<FailureDomain>>,
     pub(super) peers: BTreeMap<VmId, Peer>,
     pub(super) live: BTreeMap<FailureDomain, Vec<Member>>,
     pub(super) roster: Roster,
@@ -53,6 +55,7 @@
             settings,
             hints: by_vm(seeds.iter()),
             seeds,
+            listed: None,
             peers: BTreeMap::new(),
             live: BTreeMap::new(),
             roster: Roster::default(),
@@ -117,6 +120,8 @@
     /// The platform's list of VMs: hints for joining, no proof of life or death.
     pub fn on_vms(&mut self, _: &mut Context<'_>, answer: Result<Vec<VmRecord>, PlatformError>) {
         if let Ok(listed) = answer {
+            let live = listed.iter().filter(|vm| vm.state == VmState::Live);
+            self.listed = Some(live.map(|vm| vm.domain.clone()).collect());
             self.hints = by_vm(self.seeds.iter().chain(&listed));
         }
     }
--- a/crates/core/src/membership/queries.rs
+++ b/crates/core/src/membership/queries.rs
@@ -1,6 +1,6 @@
 //! What other parts read of the members.
 
-use super::Membership;
+use super::{peer::Peer, Membership};
 use crate::{
     ids::{FailureDomain, Generation, Incarnation, VmId},
     message::{Member, OwnerSummary},
@@ -29,6 +29,15 @@
         domains.into_iter().filter(alone).cloned().collect()
     }
 
+    /// Whether a failure domain has no daemon: none is heard, and the platform lists no live VM.
+    pub fn is_deserted(&self, domain: &FailureDomain) -> bool {
+        let alive = |peer: &Peer| peer.alive && peer.member.domain == *domain;
+        let listed = self.listed.as_ref();
+        *domain != self.me.domain
+            && listed.is_some_and(|listed| !listed.contains(domain))
+            && !self.peers.values().any(alive)
+    }
+
     /// A member that is alive and not leaving.
     pub fn member(&self, vm: &VmId) -> Option<&Member> {
         if *vm == self.me.vm {
--- a/crates/core/src/ownership/fencing.rs
+++ b/crates/core/src/ownership/fencing.rs
@@ -2,17 +2,18 @@
 
 use super::OwnershipSettings;
 use crate::{
-    ids::FencingNumber,
+    ids::{FailureDomain, FencingNumber},
     message::Member,
     platform::{CallToken, Condition, Part, PlatformError, TableAnswer, TableOp, Write},
     units::Time,
     Action, Context,
 };
 use bytes::Bytes;
+use std::{collections::BTreeSet, ops::RangeInclusive};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Bits of a fencing number below its epoch: they differ by daemon and run.
-const RUN_BITS: u32 = 20;
+const RUN_BITS: u32 = 32;
 
 /// What is awaited from the store.
 #[derive(Debug, PartialEq)]
@@ -27,6 +28,8 @@
     key: String,
     run_index: u64,
     seen_epoch_index: u64,
+    /// Epochs that the store reserved for this daemon alone.
+    reserved: RangeInclusive<u64>,
     awaited: Option<(CallToken, Step, Time)>,
     /// The epoch to use now, and whether the row was absent before.
     ready: Option<(u64, bool)>,
@@ -34,12 +37,13 @@
 }
 
 impl Fencing {
-    pub(super) fn new(me: &Member) -> Self {
-        let run = format!("{}\n{}", me.vm, me.incarnation);
+    /// Numbers for the upstreams of `domain`, used by `me`.
+    pub(super) fn new(domain: &FailureDomain, me: &Member) -> Self {
         Self {
-            key: format!("fencing/{}", me.domain),
-            run_index: xxh3_64(run.as_bytes()) & ((1 << RUN_BITS) - 1),
+            key: format!("fencing/{domain}"),
+            run_index: run_hash(me, 0),
             seen_epoch_index: 0,
+            reserved: RangeInclusive::new(1, 0),
             awaited: None,
             ready: None,
             first_ever: false,
@@ -51,8 +55,25 @@
         self.seen_epoch_index = self.seen_epoch_index.max(number.get() >> RUN_BITS);
     }
 
-    /// Asks the store for a fresh epoch, unless it was asked already.
+    /// Keeps this daemon's part of a number apart from those of all members known.
+    pub(super) fn keep_apart(&mut self, me: &Member, members: &[Member]) {
+        let mut taken = BTreeSet::new();
+        for member in members {
+            let salt = (0..).find(|salt| !taken.contains(&run_hash(member, *salt)));
+            let run_index = run_hash(member, salt.unwrap_or(0));
+            taken.insert(run_index);
+            if member == me {
+                self.run_index = run_index;
+            }
+        }
+    }
+
+    /// Asks the store for a fresh epoch, unless it was asked already or one is at hand.
     pub(super) fn ask(&mut self, ctx: &mut Context<'_>) {
+        let next = self.seen_epoch_index + 1;
+        if self.awaited.is_none() && self.reserved.contains(&next) {
+            self.ready = Some((next, false));
+        }
         if self.awaited.is_none() && self.ready.is_none() {
             let op = TableOp::Get {
                 key: self.key.clone(),
@@ -101,6 +122,7 @@
             (Step::Read, Ok(TableAnswer::Value(value))) => self.reserve(ctx, settings, value),
             (Step::Reserve { epoch }, Ok(TableAnswer::Done)) => {
                 self.seen_epoch_index = self.seen_epoch_index.max(epoch - 1);
+                self.reserved = epoch..=epoch + settings.block() - 1;
                 self.ready = Some((epoch, self.first_ever));
             }
             (Step::Reserve { .. }, Ok(TableAnswer::Conflict) | Err(PlatformError::AnswerLost)) => {
@@ -144,3 +166,8 @@
         ctx.act(Action::Table { token, op });
     }
 }
+
+fn run_hash(member: &Member, salt: u32) -> u64 {
+    let run = format!("{}\n{}\n{salt}", member.vm, member.incarnation);
+    xxh3_64(run.as_bytes()) & ((1 << RUN_BITS) - 1)
+}
--- a/crates/core/src/ownership/ownership.rs
+++ b/crates/core/src/ownership/ownership.rs
@@ -1,28 +1,35 @@
 //! The upstreams of one failure domain and their owners.
 
-use super::{fencing::Fencing, rendezvous, OwnershipChange, OwnershipSettings};
+use super::{
+    fencing::Fencing,
+    rendezvous::{adopter, rendezvous},
+    OwnershipChange, OwnershipSettings,
+};
 use crate::{
     config::Configuration,
     decision::Record,
-    ids::{FencingNumber, Generation, UpstreamId, VmId},
+    ids::{FailureDomain, FencingNumber, Generation, UpstreamId, VmId},
     membership::Membership,
     message::Member,
     platform::{CallToken, PlatformError, TableAnswer},
-    units::Time,
+    units::{Millis, Time},
     Context,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Who owns which upstream of this daemon's failure domain, and under which fencing number.
+/// Who owns which upstream of this daemon's failure domain, and of those that it adopted, and under
+/// which fencing number.
 #[derive(Debug)]
 pub struct Ownership {
     settings: OwnershipSettings,
     me: Member,
-    fencing: Fencing,
+    /// Sources of numbers, one a failure domain: the own one and those adopted.
+    fencing: BTreeMap<FailureDomain, Fencing>,
+    domains: BTreeMap<UpstreamId, FailureDomain>,
     /// Owning begins then: members are listened for before.
     begins: Option<Time>,
     assigned: BTreeMap<UpstreamId, VmId>,
-    assigned_for: (Generation, Vec<Member>),
+    assigned_for: (Generation, Vec<Member>, Vec<FailureDomain>),
     owned: BTreeMap<UpstreamId, (FencingNumber, Time)>,
     outbid: BTreeSet<UpstreamId>,
     changes: Vec<OwnershipChange>,
@@ -33,11 +40,12 @@
     pub fn new(settings: OwnershipSettings, me: Member) -> Self {
         Self {
             settings,
-            fencing: Fencing::new(&me),
+            fencing: BTreeMap::from([(me.domain.clone(), Fencing::new(&me.domain, &me))]),
+            domains: BTreeMap::new(),
             me,
             begins: None,
             assigned: BTreeMap::new(),
-            assigned_for: (Generation::default(), Vec::new()),
+            assigned_for: (Generation::default(), Vec::new(), Vec::new()),
             owned: BTreeMap::new(),
             outbid: BTreeSet::new(),
             changes: Vec::new(),
@@ -53,13 +61,14 @@
         if ctx.now < begins {
             return;
         }
-        let wanted = self.wanted(ctx.now);
-        if wanted.is_empty() {
-            return;
-        }
-        match self.fencing.take(ctx, &self.settings) {
-            Some((fencing, first)) => self.gain(ctx, wanted, fencing, first),
-            None => self.fencing.ask(ctx),
+        for (domain, wanted) in self.wanted(ctx.now) {
+            let fencing = self.fencing.entry(domain.clone());
+            let fencing = fencing.or_insert_with(|| Fencing::new(&domain, &self.me));
+            fencing.keep_apart(&self.me, members.live_in(&self.me.domain));
+            match fencing.take(ctx, &self.settings) {
+                Some((number, first)) => self.gain(ctx, wanted, number, first, &domain),
+                None => fencing.ask(ctx),
+            }
         }
     }
 
@@ -70,12 +79,17 @@
         token: CallToken,
         answer: Result<TableAnswer, PlatformError>,
     ) {
-        self.fencing.on_answer(ctx, &self.settings, token, answer);
+        for fencing in self.fencing.values_mut() {
+            fencing.on_answer(ctx, &self.settings, token, answer.clone());
+        }
     }
 
     /// Someone used this number for the upstream: a load report, a held grant, a refused order.
     pub fn on_fencing_seen(&mut self, upstream: &UpstreamId, number: FencingNumber) {
-        self.fencing.see(number);
+        let domain = self.domains.get(upstream).unwrap_or(&self.me.domain);
+        if let Some(fencing) = self.fencing.get_mut(domain) {
+            fencing.see(number);
+        }
         let own = self.owned.get(upstream);
         if own.is_some_and(|(own, _)| *own < number) {
             self.outbid.insert(upstream.clone());
@@ -113,7 +127,9 @@
 
     /// When `refresh` is due without any other event.
     pub fn next_wakeup(&self) -> Option<Time> {
-        let gives_up = self.fencing.gives_up(&self.settings);
+        let asked = self.fencing.values();
+        let gives_up = asked.filter_map(|fencing| fencing.gives_up(&self.settings));
+        let gives_up = gives_up.min();
         let missing = self.owned.len() < self.mine().count();
         let begins = self.begins.filter(|_| missing && gives_up.is_none());
         gives_up.or(begins)
@@ -121,18 +137,26 @@
 
     fn assign(&mut self, members: &Membership, config: &Configuration) {
         let live = members.live_in(&self.me.domain);
-        let (generation, known) = &self.assigned_for;
-        if *generation == config.generation && known == live {
+        let all = config.domains.keys();
+        let deserted: Vec<_> = all.filter(|d| members.is_deserted(d)).cloned().collect();
+        let (generation, known, left) = &self.assigned_for;
+        if *generation == config.generation && known == live && *left == deserted {
             return;
         }
-        let near = config.upstreams.iter();
-        let near = near.filter(|(_, upstream)| upstream.domain == self.me.domain);
-        let owners = near.filter_map(|(id, _)| {
-            let owner = rendezvous(id, live)?;
-            Some((id.clone(), owner.vm.clone()))
+        let kept = || config.domains.keys().filter(|d| !deserted.contains(d));
+        let near = config.upstreams.iter().filter(|(id, upstream)| {
+            let home = match deserted.contains(&upstream.domain) {
+                true => adopter(id, kept()),
+                false => Some(&upstream.domain),
+            };
+            home == Some(&self.me.domain)
         });
-        self.assigned = owners.collect();
-        self.assigned_for = (config.generation, live.to_vec());
+        let near: Vec<_> = near.collect();
+        let owner = |id: &UpstreamId| Some((id.clone(), rendezvous(id, live)?.vm.clone()));
+        self.assigned = near.iter().filter_map(|(id, _)| owner(id)).collect();
+        let domains = near.iter().map(|(id, u)| ((*id).clone(), u.domain.clone()));
+        self.domains = domains.collect();
+        self.assigned_for = (config.generation, live.to_vec(), deserted);
     }
 
     fn mine(&self) -> impl Iterator<Item = &UpstreamId> {
@@ -141,14 +165,20 @@
     }
 
     /// Upstreams to own that lack a number, or one above those seen from others.
-    fn wanted(&self, now: Time) -> Vec<UpstreamId> {
+    fn wanted(&self, now: Time) -> BTreeMap<FailureDomain, Vec<UpstreamId>> {
         let lacks = |upstream: &&UpstreamId| match self.owned.get(*upstream) {
             None => true,
             Some((_, since)) => {
                 self.outbid.contains(*upstream) && *since + self.settings.lease() <= now
             }
         };
-        self.mine().filter(lacks).cloned().collect()
+        let mut wanted = BTreeMap::<_, Vec<_>>::new();
+        for upstream in self.mine().filter(lacks) {
+            let domain = self.domains.get(upstream).unwrap_or(&self.me.domain);
+            let entry = wanted.entry(domain.clone()).or_default();
+            entry.push(upstream.clone());
+        }
+        wanted
     }
 
     fn lose_others(&mut self, ctx: &mut Context<'_>) {
@@ -180,21 +210,21 @@
         wanted: Vec<UpstreamId>,
         fencing: FencingNumber,
         first: bool,
+        domain: &FailureDomain,
     ) {
-        let learning_until = match first {
-            true => ctx.now,
-            false => ctx.now + self.settings.lease(),
+        let (learning, reason) = match *domain == self.me.domain {
+            true if first => (Millis::ZERO, "first owner, by rendezvous hashing"),
+            true => (self.settings.lease(), "chosen by rendezvous hashing"),
+            false => (
+                self.settings.adopted_learning(),
+                "its failure domain has no daemon",
+            ),
         };
+        let learning_until = ctx.now + learning;
         for upstream in wanted {
             self.owned.insert(upstream.clone(), (fencing, ctx.now));
             self.outbid.remove(&upstream);
-            log(
-                ctx,
-                &upstream,
-                true,
-                fencing,
-                "chosen by rendezvous hashing",
-            );
+            log(ctx, &upstream, true, fencing, reason);
             self.changes.push(OwnershipChange::Gained {
                 upstream,
                 fencing,
--- a/crates/core/src/ownership/rendezvous.rs
+++ b/crates/core/src/ownership/rendezvous.rs
@@ -1,7 +1,7 @@
 //! Rendezvous hashing.
 
 use crate::{
-    ids::{UpstreamId, VmId},
+    ids::{FailureDomain, UpstreamId, VmId},
     message::Member,
 };
 use std::cmp::Reverse;
@@ -14,7 +14,18 @@
         .max_by_key(|member| (weight(upstream, &member.vm), Reverse(&member.vm)))
 }
 
+/// The failure domain whose daemons adopt an upstream, out of those that have daemons.
+pub(super) fn adopter<'a>(
+    upstream: &UpstreamId,
+    domains: impl Iterator<Item = &'a FailureDomain>,
+) -> Option<&'a FailureDomain> {
+    domains.max_by_key(|domain| (hash(upstream, domain.as_str()), Reverse(*domain)))
+}
+
 fn weight(upstream: &UpstreamId, vm: &VmId) -> u64 {
-    let text = format!("{vm}\n{upstream}");
-    xxh3_64(text.as_bytes())
+    hash(upstream, vm.as_str())
+}
+
+fn hash(upstream: &UpstreamId, name: &str) -> u64 {
+    xxh3_64(format!("{name}\n{upstream}").as_bytes())
 }
--- a/crates/core/src/ownership/settings.rs
+++ b/crates/core/src/ownership/settings.rs
@@ -10,6 +10,7 @@
     lease_ms: Millis,
     join_window_ms: Millis,
     store_wait_ms: Millis,
+    adopted_learning_ms: Millis,
     fencing_block_len: u64,
 }
 
@@ -24,6 +25,7 @@
             lease_ms: Millis::new(2_000),
             join_window_ms: Millis::new(1_000),
             store_wait_ms: Millis::new(1_000),
+            adopted_learning_ms: Millis::from_secs(60),
             fencing_block_len: 16,
         }
     }
@@ -42,6 +44,13 @@
         SettingError::check("lease_ms", raw.lease_ms.get(), 200, 60_000)?;
         SettingError::check("join_window_ms", raw.join_window_ms.get(), 1, 60_000)?;
         SettingError::check("store_wait_ms", raw.store_wait_ms.get(), 50, 60_000)?;
+        let adopted_ms = raw.adopted_learning_ms.get();
+        SettingError::check(
+            "adopted_learning_ms",
+            adopted_ms,
+            raw.lease_ms.get(),
+            3_600_000,
+        )?;
         SettingError::check("fencing_block_len", raw.fencing_block_len, 1, 65_536)?;
         Ok(Self(raw))
     }
@@ -63,6 +72,11 @@
         self.0.store_wait_ms
     }
 
+    /// How long an upstream of a failure domain without daemons gets only a conservative limit.
+    pub fn adopted_learning(&self) -> Millis {
+        self.0.adopted_learning_ms
+    }
+
     /// Epochs reserved by one write.
     pub fn block(&self) -> u64 {
         self.0.fencing_block_len
