--- a/crates/core/src/membership/membership.rs
+++ b/crates/core/src/membership/membership.rs
@@ -21,8 +21,8 @@
     pub(super) settings: MembershipSettings,
     seeds: Vec<VmRecord>,
     pub(super) hints: BTreeMap<VmId, VmRecord>,
-    /// Failure domains with a live VM in the platform's last list.
-    pub(super) listed: Option<BTreeSet<FailureDomain>>,
+    /// Failure domains with a live VM in the platform's last list and in the one before.
+    pub(super) listed: [Option<BTreeSet<FailureDomain>>; 2],
     pub(super) peers: BTreeMap<VmId, Peer>,
     pub(super) live: BTreeMap<FailureDomain, Vec<Member>>,
     pub(super) roster: Roster,
@@ -55,7 +55,7 @@
             settings,
             hints: by_vm(seeds.iter()),
             seeds,
-            listed: None,
+            listed: [None, None],
             peers: BTreeMap::new(),
             live: BTreeMap::new(),
             roster: Roster::default(),
@@ -121,7 +121,8 @@
     pub fn on_vms(&mut self, _: &mut Context<'_>, answer: Result<Vec<VmRecord>, PlatformError>) {
         if let Ok(listed) = answer {
             let live = listed.iter().filter(|vm| vm.state == VmState::Live);
-            self.listed = Some(live.map(|vm| vm.domain.clone()).collect());
+            let live = live.map(|vm| vm.domain.clone()).collect();
+            self.listed = [Some(live), self.listed[0].take()];
             self.hints = by_vm(self.seeds.iter().chain(&listed));
         }
     }
--- a/crates/core/src/membership/queries.rs
+++ b/crates/core/src/membership/queries.rs
@@ -29,12 +29,16 @@
         domains.into_iter().filter(alone).cloned().collect()
     }
 
-    /// Whether a failure domain has no daemon: none is heard, and the platform lists no live VM.
+    /// Whether a failure domain has no daemon: none is heard, and the platform listed no live VM twice.
     pub fn is_deserted(&self, domain: &FailureDomain) -> bool {
         let alive = |peer: &Peer| peer.alive && peer.member.domain == *domain;
-        let listed = self.listed.as_ref();
+        let absent = |listed: &Option<BTreeSet<FailureDomain>>| {
+            listed
+                .as_ref()
+                .is_some_and(|listed| !listed.contains(domain))
+        };
         *domain != self.me.domain
-            && listed.is_some_and(|listed| !listed.contains(domain))
+            && self.listed.iter().all(absent)
             && !self.peers.values().any(alive)
     }
 
--- a/crates/core/tests/common/concert.rs
+++ b/crates/core/tests/common/concert.rs
@@ -109,6 +109,7 @@
 enum Input {
     Peer(Member, PeerMessage),
     Platform(CallToken, Result<TableAnswer, PlatformError>),
+    Vms(Vec<VmRecord>),
 }
 
 pub struct Cluster {
@@ -121,6 +122,8 @@
     pub lost_answers_count: u32,
     /// Pairs of failure domains that are cut off from each other.
     pub cuts: BTreeSet<(FailureDomain, FailureDomain)>,
+    /// VMs that the platform no longer lists.
+    pub unlisted: BTreeSet<VmId>,
     /// Faults of the network between daemons, in percent of messages, and the longest delay.
     pub loss_percent: u32,
     pub duplicate_percent: u32,
@@ -147,6 +150,7 @@
             store_down: false,
             lost_answers_count: 0,
             cuts: BTreeSet::new(),
+            unlisted: BTreeSet::new(),
             loss_percent: 0,
             duplicate_percent: 0,
             delay_ms: LATENCY_MS,
@@ -297,6 +301,7 @@
             None => node.tick(ctx),
             Some(Input::Peer(from, message)) => node.hear(ctx, &from, message),
             Some(Input::Platform(token, answer)) => node.platform(ctx, token, answer),
+            Some(Input::Vms(listed)) => node.membership.on_vms(ctx, Ok(listed)),
         });
     }
 
@@ -348,6 +353,12 @@
                 let answer = self.call(|cluster| cluster.object(op));
                 self.later(me.vm.clone(), Input::Platform(token, answer));
             }
+            Action::ListVms if !self.store_down => {
+                let listed = self.nodes.values().map(|node| &node.me);
+                let listed = listed.filter(|member| !self.unlisted.contains(&member.vm));
+                let listed = listed.map(record).collect();
+                self.later(me.vm.clone(), Input::Vms(listed));
+            }
             Action::OperatorReply { call, reply } => self.replies.push((call, *reply)),
             _ => {}
         }
