--- a/crates/core/src/membership/membership.rs
+++ b/crates/core/src/membership/membership.rs
@@ -5,7 +5,7 @@
     decision::Record,
     ids::{FailureDomain, Generation, Incarnation, VmId},
     message::{FarMember, Heartbeat, Member, PeerMessage},
-    platform::{PlatformError, VmRecord},
+    platform::{PlatformError, VmRecord, VmState},
     units::{Millis, Time},
     Action, Context,
 };
@@ -21,6 +21,8 @@
     pub(super) settings: MembershipSettings,
     seeds: Vec<VmRecord>,
     pub(super) hints: BTreeMap<VmId, VmRecord>,
+    /// Failure domains with a live VM in the platform's last list and in the one before.
+    pub(super) listed: [Option<BTreeSet<FailureDomain>>; 2],
     pub(super) peers: BTreeMap<VmId, Peer>,
     pub(super) live: BTreeMap<FailureDomain, Vec<Member>>,
     pub(super) roster: Roster,
@@ -53,6 +55,7 @@
             settings,
             hints: by_vm(seeds.iter()),
             seeds,
+            listed: [None, None],
             peers: BTreeMap::new(),
             live: BTreeMap::new(),
             roster: Roster::default(),
@@ -77,8 +80,9 @@
         if beat.member.vm == self.me.vm || !self.hear(ctx, &beat.member) {
             return;
         }
+        let mut news = false;
         if let Some(peer) = self.peers.get_mut(&beat.member.vm) {
-            peer.generation = peer.generation.max(beat.generation);
+            news = peer.applies(beat.generation);
             if beat.summary.is_some() {
                 peer.summary.clone_from(&beat.summary);
             }
@@ -89,6 +93,8 @@
         let near = beat.member.domain == self.me.domain;
         if near {
             self.on_digest(ctx, &beat, local);
+        } else if news {
+            self.hasten(ctx.now);
         }
         for far in &beat.members {
             self.on_far(ctx, far);
@@ -114,6 +120,9 @@
     /// The platform's list of VMs: hints for joining, no proof of life or death.
     pub fn on_vms(&mut self, _: &mut Context<'_>, answer: Result<Vec<VmRecord>, PlatformError>) {
         if let Ok(listed) = answer {
+            let live = listed.iter().filter(|vm| vm.state == VmState::Live);
+            let live = live.map(|vm| vm.domain.clone()).collect();
+            self.listed = [Some(live), self.listed[0].take()];
             self.hints = by_vm(self.seeds.iter().chain(&listed));
         }
     }
@@ -131,7 +140,10 @@
 
     /// Sends heartbeats that are due and finds the dead.
     pub fn on_tick(&mut self, ctx: &mut Context<'_>, local: &LocalState) {
-        self.generation = local.generation;
+        if self.generation < local.generation {
+            self.generation = local.generation;
+            self.announce_generation(ctx.now);
+        }
         if self.leaving != local.leaving {
             self.leaving = local.leaving;
             self.index();
@@ -195,6 +207,21 @@
         Some(expiry.map_or(due, |expiry| expiry.min(due)))
     }
 
+    /// A new generation is told over all links at once.
+    fn announce_generation(&mut self, now: Time) {
+        self.next_far = now;
+        self.hasten(now);
+        for peer in self.peers.values_mut() {
+            peer.sent = None;
+        }
+    }
+
+    /// There is news: the next round comes soon.
+    fn hasten(&mut self, now: Time) {
+        let soon_ms = self.settings.heartbeat().get() / 2;
+        self.next_round = self.next_round.min(now + Millis::new(soon_ms));
+    }
+
     /// Whether a member's death must be noticed soon.
     fn is_near(&self, member: &Member) -> bool {
         member.domain == self.me.domain || self.watched.contains(&member.vm)
@@ -233,7 +260,10 @@
         if self.accept(ctx, member, heard, fresh) {
             if let Some(peer) = self.peers.get_mut(&member.vm) {
                 peer.heard = peer.heard.max(Some(heard));
-                peer.generation = peer.generation.max(far.generation);
+                let news = peer.applies(far.generation);
+                if news {
+                    self.hasten(ctx.now);
+                }
             }
         }
     }
@@ -296,7 +326,8 @@
             );
         }
         self.round_index += 1;
-        self.next_round = ctx.now + self.settings.heartbeat();
+        let gap_ms = self.settings.heartbeat().get() * self.roster.stretch();
+        self.next_round = ctx.now + Millis::new(gap_ms);
     }
 
     fn send(
@@ -311,7 +342,7 @@
         let known = self.peers.get(to).map(|peer| &peer.member.domain);
         let domain = known.or_else(|| self.hints.get(to).map(|hint| &hint.domain));
         let near = domain == Some(&self.me.domain);
-        let digest = near.then(|| self.digest_for(ctx.now, to, local, round_index));
+        let digest = near.then(|| Box::new(self.digest_for(ctx.now, to, local, round_index)));
         let members = match round_index {
             Some(_) => self.far_members(ctx.now),
             None => Vec::new(),
--- a/crates/core/src/membership/queries.rs
+++ b/crates/core/src/membership/queries.rs
@@ -1,6 +1,6 @@
 //! What other parts read of the members.
 
-use super::Membership;
+use super::{peer::Peer, Membership};
 use crate::{
     ids::{FailureDomain, Generation, Incarnation, VmId},
     message::{Member, OwnerSummary},
@@ -29,6 +29,19 @@
         domains.into_iter().filter(alone).cloned().collect()
     }
 
+    /// Whether a failure domain has no daemon: none is heard, and the platform listed no live VM twice.
+    pub fn is_deserted(&self, domain: &FailureDomain) -> bool {
+        let alive = |peer: &Peer| peer.alive && peer.member.domain == *domain;
+        let absent = |listed: &Option<BTreeSet<FailureDomain>>| {
+            listed
+                .as_ref()
+                .is_some_and(|listed| !listed.contains(domain))
+        };
+        *domain != self.me.domain
+            && self.listed.iter().all(absent)
+            && !self.peers.values().any(alive)
+    }
+
     /// A member that is alive and not leaving.
     pub fn member(&self, vm: &VmId) -> Option<&Member> {
         if *vm == self.me.vm {
