Form groups of engines for prompts that no engine holds alone

Cause: a prompt above one engine's memory was refused although the owner's engines hold it together.

Change: an owner reserves the fewest of its own engines whose free memory holds prompt and answer, all in one step or none, one group at a time; members prefill segments in order and import the earlier ones; the last member answers. A failed or late order, a restart, a lost engine, the caller's end and the end of the request's time each cancel at every member, and memory counts as held until the cancel is answered. An owner whose engines are too few names one whose engines suffice; else the refusal names the largest prompt that fits.

Conclusion: groups stay within one owner's engines; a group over several owners would need reservations that outlive partitions between daemons.

Test change: the largest prompt that fits is 5,500 tokens in one test (3,500 before): its two engines can form a group.

--- a/crates/core/src/grant/admit.rs
+++ b/crates/core/src/grant/admit.rs
@@ -44,6 +44,11 @@
             let wait_ms = self.wait_ahead(now, view, &waiting.request);
             return Some(GrantAnswer::Queued { wait_ms });
         }
+        if self.groups.is_forming(attempt) {
+            return Some(GrantAnswer::Queued {
+                wait_ms: self.settings.poll_ms,
+            });
+        }
         let ledger = self.ledgers.get(self.granted.get(attempt)?)?;
         let holding = ledger.holding(attempt)?;
         Some(match holding.state {
@@ -80,6 +85,11 @@
             return GrantAnswer::Denied(self.busy(ctx.now, view, choice.predicted_ms));
         }
         let wait_ms = self.wait_ahead(ctx.now, view, &request);
+        let grouped = self.needs_group(need, &candidates);
+        if grouped && self.try_group(ctx, view, from, &request, need) {
+            let wait_ms = self.least_span(&candidates, need);
+            return GrantAnswer::Queued { wait_ms };
+        }
         let least_ms = wait_ms + self.least_span(&candidates, need);
         let full = self.queue.len() >= self.settings.queue_requests as usize;
         if full || ctx.now + least_ms > deadline {
--- a/crates/core/src/grant/fit.rs
+++ b/crates/core/src/grant/fit.rs
@@ -1,8 +1,8 @@
 //! Which upstreams fit a request, and what it needs of them.
 
 use super::{
-    learnt::OutputShares, ledger::Ledger, level::Level, owner::Owner, settings::LongPlacement,
-    waiting::Lane,
+    group::group_tokens, learnt::OutputShares, ledger::Ledger, level::Level, owner::Owner,
+    settings::LongPlacement, waiting::Lane,
 };
 use crate::{
     config::UpstreamKind,
@@ -66,18 +66,61 @@
         if !fitting.is_empty() {
             return self.confine(view, request, fitting);
         }
-        Err(match max_prompt_tokens {
-            Some(max_prompt_tokens) => GrantDenial::TooLong { max_prompt_tokens },
-            None if drained => GrantDenial::Drained,
-            None if unknown => GrantDenial::Learning {
+        if let Some(alone) = max_prompt_tokens {
+            return self.grouped(view, request, alone);
+        }
+        Err(if drained {
+            GrantDenial::Drained
+        } else if unknown {
+            GrantDenial::Learning {
                 retry_after_ms: self.settings.poll_ms,
-            },
-            None => GrantDenial::NotOwner { better: None },
+            }
+        } else {
+            GrantDenial::NotOwner { better: None }
         })
     }
 }
 
 impl Owner {
+    /// The engines that hold a prompt as a group, where no engine holds it alone.
+    fn grouped(
+        &self,
+        view: &View<'_>,
+        request: &GrantRequest,
+        alone: Tokens,
+    ) -> Result<Vec<UpstreamId>, GrantDenial> {
+        let engines = self.groupable(request);
+        let model = request
+            .model
+            .as_ref()
+            .and_then(|m| view.config.models.get(m));
+        let per_token = model.map_or(1, |model| model.kv_bytes_per_token.get().max(1));
+        let context = model.map_or(Tokens::ZERO, |model| model.context_tokens);
+        let ledgers = engines.iter().filter_map(|id| self.ledgers.get(id));
+        let held = ledgers.map(|ledger| ledger.kv_total().get() / per_token);
+        let together = group_tokens(held.collect()).min(context);
+        let whole = whole_tokens(request);
+        if engines.len() > 1 && whole <= together {
+            return Ok(engines);
+        }
+        if whole <= context {
+            if let Some(better) = self.better_for_group(view, request) {
+                let better = Some(better);
+                return Err(GrantDenial::NotOwner { better });
+            }
+        }
+        let answer = whole.saturating_sub(prompt_of(request));
+        let max_prompt_tokens = alone.max(together.saturating_sub(answer));
+        Err(GrantDenial::TooLong { max_prompt_tokens })
+    }
+
+    /// Whether no owned engine holds a request alone.
+    pub(super) fn needs_group(&self, need: Need, candidates: &[UpstreamId]) -> bool {
+        let ledgers = candidates.iter().filter_map(|id| self.ledgers.get(id));
+        let most = ledgers.map(Ledger::kv_total).max();
+        most.is_some_and(|most| need.kv_bytes > most)
+    }
+
     /// Of the fitting upstreams, those that take prompts of this length.
     fn confine(
         &self,
@@ -110,6 +153,14 @@
     }
 }
 
+/// Tokens of prompt and longest answer.
+pub(super) fn whole_tokens(request: &GrantRequest) -> Tokens {
+    let call = model_call(request);
+    call.map_or(Tokens::ZERO, |call| {
+        call.prompt_tokens + call.max_output_tokens
+    })
+}
+
 fn prompt_of(request: &GrantRequest) -> Tokens {
     model_call(request).map_or(Tokens::ZERO, |call| call.prompt_tokens)
 }
@@ -149,7 +200,7 @@
         }
     }
 
-    fn has_model(&self, request: &GrantRequest) -> bool {
+    pub(super) fn has_model(&self, request: &GrantRequest) -> bool {
         let Some(call) = model_call(request) else {
             return true;
         };
--- a/crates/core/src/grant/lapse.rs
+++ b/crates/core/src/grant/lapse.rs
@@ -25,6 +25,9 @@
                 for attempt in waiting {
                     self.queue.remove(&attempt);
                 }
+                for attempt in self.groups.of_entries(gone) {
+                    self.end_group(ctx, view, attempt);
+                }
                 let held = self.running(|entry| gone(entry));
                 for (upstream, attempt) in held {
                     self.cancel(ctx, &upstream, attempt);
@@ -64,6 +67,7 @@
         end: &GrantEnd,
     ) {
         self.queue.remove(&attempt);
+        self.end_group(ctx, view, attempt);
         self.learn_from(&attempt, end);
         match self.granted.get(&attempt).cloned() {
             Some(upstream) if !self.is_running(&upstream, &attempt) => {}
@@ -131,11 +135,14 @@
         token: CallToken,
         answer: Result<(), UpstreamError>,
     ) {
-        if answer.is_err() {
+        if self.on_group_order(ctx, view, token, answer.is_ok()) || answer.is_err() {
             return;
         }
-        if let Some((_, attempt)) = self.cancels.remove(&token) {
-            self.finish(ctx.now, attempt);
+        if let Some((upstream, attempt)) = self.cancels.remove(&token) {
+            self.finish_at(ctx.now, &upstream, attempt);
+            if !self.granted.contains_key(&attempt) {
+                self.finish(ctx.now, attempt);
+            }
             self.pump(ctx, view);
         }
     }
--- a/crates/core/src/grant/ledger.rs
+++ b/crates/core/src/grant/ledger.rs
@@ -175,6 +175,10 @@
         matches!(self.config.kind, UpstreamKind::Engine(_))
     }
 
+    pub(super) fn can_group(&self) -> bool {
+        matches!(&self.config.kind, UpstreamKind::Engine(engine) if engine.can_group)
+    }
+
     pub(super) fn kv_total(&self) -> KvBytes {
         match &self.config.kind {
             UpstreamKind::Engine(engine) => engine.kv_bytes,
--- a/crates/core/src/grant/mod.rs
+++ b/crates/core/src/grant/mod.rs
@@ -6,6 +6,7 @@
 mod errors;
 mod fairness;
 mod fit;
+mod group;
 mod lapse;
 mod learnt;
 mod ledger;
--- a/crates/core/src/grant/owner.rs
+++ b/crates/core/src/grant/owner.rs
@@ -1,6 +1,7 @@
 //! The owner of upstreams: who gets a grant, and what becomes of it.
 
 use super::{
+    group::Groups,
     learnt::OutputShares,
     ledger::{HoldState, Ledger},
     long_set::{Demand, LongSet},
@@ -36,6 +37,7 @@
     pub(super) demand: [Demand; Lane::ALL.len()],
     pub(super) long_set: LongSet,
     pub(super) outputs: OutputShares,
+    pub(super) groups: Groups,
     finished: BTreeSet<AttemptId>,
 }
 
@@ -54,6 +56,7 @@
             demand: Default::default(),
             long_set: LongSet::default(),
             outputs: OutputShares::default(),
+            groups: Groups::default(),
             finished: BTreeSet::new(),
         }
     }
@@ -64,7 +67,10 @@
         for upstream in owned {
             match view.config.upstreams.get(&upstream) {
                 Some(config) => self.refresh_ledger(ctx, view, &upstream, config),
-                None => self.drop_ledger(&upstream),
+                None => {
+                    self.drop_ledger(&upstream);
+                    self.end_groups_of(ctx, view, &upstream);
+                }
             }
         }
         self.long_set.order(view);
@@ -136,6 +142,7 @@
             }
             OwnershipChange::Lost { upstream } => {
                 self.drop_ledger(upstream);
+                self.end_groups_of(ctx, view, upstream);
                 self.recheck_waiting(ctx, view);
             }
         }
@@ -199,7 +206,11 @@
             GrantMessage::Request(request) => self.on_request(ctx, view, from, *request),
             GrantMessage::Withdraw { attempt } => {
                 self.queue.remove(&attempt);
-                self.finish(ctx.now, attempt);
+                if self.groups.is_forming(&attempt) {
+                    self.end_group(ctx, view, attempt);
+                } else {
+                    self.finish(ctx.now, attempt);
+                }
                 self.pump(ctx, view);
             }
             GrantMessage::Release { attempt, end, .. } => {
@@ -262,6 +273,7 @@
             ledger.rates.forget();
             ledger.cache.empty();
             self.resend_cancels(ctx, upstream);
+            self.end_groups_of(ctx, view, upstream);
         }
         self.pump(ctx, view);
     }
@@ -300,6 +312,7 @@
             }
             Timer::Cancel(upstream, attempt) => self.resend_cancel(ctx, &upstream, attempt),
             Timer::Poll(upstream) => self.poll(ctx, upstream),
+            Timer::Group(attempt) => self.end_group(ctx, view, attempt),
             Timer::PollCache(upstream) => self.poll_cache(ctx, upstream),
             Timer::Learning(_) => self.pump(ctx, view),
             Timer::Drain(upstream) => self.on_drain_over(ctx, view, &upstream),
@@ -365,10 +378,8 @@
 
     /// Takes an attempt's share back and remembers that it is over.
     pub(super) fn finish(&mut self, now: Time, attempt: AttemptId) {
-        if let Some(upstream) = self.granted.remove(&attempt) {
-            if let Some(ledger) = self.ledgers.get_mut(&upstream) {
-                ledger.give_back(now, &attempt);
-            }
+        if let Some(upstream) = self.granted.get(&attempt).cloned() {
+            self.finish_at(now, &upstream, attempt);
         }
         if self.finished.insert(attempt) {
             let end = now + self.settings.finished_ms;
@@ -376,6 +387,16 @@
         }
     }
 
+    /// Takes an attempt's share of one upstream back.
+    pub(super) fn finish_at(&mut self, now: Time, upstream: &UpstreamId, attempt: AttemptId) {
+        if let Some(ledger) = self.ledgers.get_mut(upstream) {
+            ledger.give_back(now, &attempt);
+        }
+        if self.granted.get(&attempt) == Some(upstream) {
+            self.granted.remove(&attempt);
+        }
+    }
+
     pub(super) fn answer(
         ctx: &mut Context<'_>,
         view: &View<'_>,
--- a/crates/core/src/grant/pump.rs
+++ b/crates/core/src/grant/pump.rs
@@ -1,7 +1,7 @@
 //! Passes over the queue: what has become free goes to who waits.
 
 use super::{
-    fit::need_of,
+    fit::{need_of, Need},
     level::Level,
     owner::Owner,
     timers::Timer,
@@ -12,7 +12,7 @@
     ids::{AttemptId, UpstreamId},
     message::{GrantAnswer, GrantDenial},
     routing::RoutingPolicy,
-    units::{Millis, Time},
+    units::{KvBytes, Millis, Time},
 };
 
 /// Waiting requests of a lane that are tried in one pass.
@@ -89,11 +89,23 @@
                 continue;
             };
             let need = need_of(view, &self.outputs, &waiting.request);
-            if let Some(upstream) = self.to_reserve(now, &candidates) {
-                if let Some(ledger) = self.ledgers.get_mut(&upstream) {
-                    ledger.reserved = Some((attempt, need.kv_bytes));
-                }
-            }
+            self.reserve(now, attempt, need, &candidates);
+        }
+    }
+
+    /// Keeps the memory of the fewest engines that hold a request: one, or a group.
+    fn reserve(&mut self, now: Time, attempt: AttemptId, need: Need, candidates: &[UpstreamId]) {
+        let mut left = need.kv_bytes;
+        while left > KvBytes::ZERO {
+            let Some(upstream) = self.to_reserve(now, candidates) else {
+                return;
+            };
+            let Some(ledger) = self.ledgers.get_mut(&upstream) else {
+                return;
+            };
+            let kept = left.min(ledger.kv_total());
+            ledger.reserved = Some((attempt, kept));
+            left = left.saturating_sub(kept);
         }
     }
 
@@ -115,6 +127,9 @@
             Err(denial) => return self.deny_waiting(ctx, view, attempt, denial),
         };
         let need = need_of(view, &self.outputs, &waiting.request);
+        if self.needs_group(need, &candidates) {
+            return self.try_waiting_group(ctx, view, attempt, need);
+        }
         let Some(choice) = self.choose(ctx.now, &waiting.request, need, &candidates) else {
             return false;
         };
@@ -137,6 +152,24 @@
         true
     }
 
+    fn try_waiting_group(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        attempt: &AttemptId,
+        need: Need,
+    ) -> bool {
+        let Some(mut waiting) = self.queue.get(attempt).cloned() else {
+            return false;
+        };
+        waiting.request.remaining_ms = waiting.deadline.since(ctx.now);
+        let formed = self.try_group(ctx, view, &waiting.entry, &waiting.request, need);
+        if formed {
+            self.queue.serve(attempt);
+        }
+        formed
+    }
+
     fn deny_waiting(
         &mut self,
         ctx: &mut Context<'_>,
--- a/crates/core/tests/grant_interleavings.rs
+++ b/crates/core/tests/grant_interleavings.rs
@@ -61,7 +61,7 @@
 fn step() -> impl Strategy<Value = Step> {
     let index = 0..64usize;
     prop_oneof![
-        8 => (0..ENTRIES_COUNT, 100..6_000u64, 500..20_000u64).prop_map(
+        8 => (0..ENTRIES_COUNT, 100..12_000u64, 500..20_000u64).prop_map(
             |(entry, prompt_tokens, timeout_ms)| Step::Ask { entry, prompt_tokens, timeout_ms }),
         2 => index.clone().prop_map(|index| Step::AskAgain { index }),
         1 => index.clone().prop_map(|index| Step::Withdraw { index }),
@@ -90,6 +90,10 @@
     streams: BTreeMap<UpstreamId, BTreeMap<RequestId, u64>>,
     incarnations: BTreeMap<UpstreamId, u64>,
     lose_orders: bool,
+    /// Where each granted request answers.
+    leaders: BTreeMap<RequestId, UpstreamId>,
+    /// Bytes that the other members of its group prefilled.
+    segments: BTreeMap<RequestId, u64>,
 }
 
 impl World {
@@ -112,6 +116,8 @@
                 .collect(),
             incarnations: LIMITS.iter().map(|l| (upstream(l.0), 1)).collect(),
             lose_orders: false,
+            leaders: BTreeMap::new(),
+            segments: BTreeMap::new(),
         }
     }
 
@@ -184,9 +190,8 @@
 
     fn runs(&self, index: usize) -> bool {
         let request = self.asked[index].attempt.request;
-        self.streams
-            .values()
-            .any(|streams| streams.contains_key(&request))
+        let leader = self.leaders.get(&request);
+        leader.is_some_and(|leader| self.streams[leader].contains_key(&request))
     }
 
     /// The stream ends at its engine, or the entry daemon gives it up and it runs on.
@@ -197,9 +202,8 @@
         }
         let request = self.asked[index].attempt.request;
         if !needs_cancel {
-            for streams in self.streams.values_mut() {
-                streams.remove(&request);
-            }
+            let leader = &self.leaders[&request];
+            self.streams.get_mut(leader).unwrap().remove(&request);
         }
         self.asked[index].ended = Some(needs_cancel);
         if !lost {
@@ -272,17 +276,7 @@
                 _ => {}
             },
             Action::Order(order) => {
-                let OrderKind::Cancel { request } = order.kind else {
-                    panic!()
-                };
-                let streams = self.streams.get_mut(&order.upstream).unwrap();
-                let answer = match self.lose_orders {
-                    true => Err(UpstreamError::Timeout),
-                    false => {
-                        streams.remove(&request);
-                        Ok(())
-                    }
-                };
+                let answer = self.obey(&order.upstream, &order.kind);
                 let owner = &mut self.rig.owner;
                 let (id, token) = (&order.upstream, order.token);
                 self.rig
@@ -300,6 +294,32 @@
         }
     }
 
+    /// Lost cancels have no effect; of other lost orders only the answer is lost.
+    fn obey(&mut self, upstream: &UpstreamId, kind: &OrderKind) -> Result<(), UpstreamError> {
+        let streams = self.streams.get_mut(upstream).unwrap();
+        match kind {
+            OrderKind::Cancel { .. } if self.lose_orders => {}
+            OrderKind::Cancel { request } => {
+                streams.remove(request);
+            }
+            OrderKind::PrefillSegment {
+                request,
+                from_tokens,
+                to_tokens,
+            } => {
+                let tokens = to_tokens.get() - from_tokens.get();
+                streams.insert(*request, tokens * KV_BYTES_PER_TOKEN);
+                *self.segments.entry(*request).or_default() += tokens * KV_BYTES_PER_TOKEN;
+            }
+            OrderKind::ImportKv { .. } => {}
+            other => panic!("{other:?}"),
+        }
+        match self.lose_orders {
+            true => Err(UpstreamError::Timeout),
+            false => Ok(()),
+        }
+    }
+
     fn dispatch(&mut self, attempt: AttemptId, upstream: UpstreamId) {
         let asked = self.asked.iter().find(|a| a.attempt == attempt).unwrap();
         if asked.ended.is_some() || !self.entries.contains(&asked.entry) {
@@ -312,8 +332,17 @@
             panic!()
         };
         let tokens = call.prompt_tokens + call.max_output_tokens;
+        let elsewhere = self
+            .segments
+            .get(&attempt.request)
+            .copied()
+            .unwrap_or_default();
         let streams = self.streams.get_mut(&upstream).unwrap();
-        streams.insert(attempt.request, tokens.get() * KV_BYTES_PER_TOKEN);
+        streams.insert(
+            attempt.request,
+            tokens.get() * KV_BYTES_PER_TOKEN - elsewhere,
+        );
+        self.leaders.insert(attempt.request, upstream);
     }
 
     fn check(&self) {
--- a/crates/core/tests/grant_owner.rs
+++ b/crates/core/tests/grant_owner.rs
@@ -111,7 +111,7 @@
     insta::assert_snapshot!(rig.request(grant_request(model_spec(1, 3_000, 500))), @"vm-2 <- 1/0 granted e2 ttft 300ms runner-up None resume false");
     insta::assert_snapshot!(rig.request(grant_request(model_spec(2, 3_000, 500))), @"vm-2 <- 2/0 queued 2800ms");
     insta::assert_snapshot!(rig.request(grant_request(model_spec(3, 1_000, 500))), @"vm-2 <- 3/0 granted e1 ttft 100ms runner-up None resume false");
-    insta::assert_snapshot!(rig.request(grant_request(model_spec(4, 9_000, 500))), @"vm-2 <- 4/0 denied TooLong { max_prompt_tokens: Tokens(3500) }");
+    insta::assert_snapshot!(rig.request(grant_request(model_spec(4, 9_000, 500))), @"vm-2 <- 4/0 denied TooLong { max_prompt_tokens: Tokens(5500) }");
 }
 
 #[test]
