--- a/crates/core/src/grant/admit.rs
+++ b/crates/core/src/grant/admit.rs
@@ -5,6 +5,7 @@
     fit::{need_of, Need},
     ledger::{HoldState, Ledger},
     owner::Owner,
+    summary::least_wait,
     timers::Timer,
     waiting::{Lane, Share, Waiting},
 };
@@ -53,9 +54,12 @@
         let holding = ledger.holding(attempt)?;
         Some(match holding.state {
             HoldState::Running => GrantAnswer::Granted(holding.offer.clone()),
-            HoldState::Cancelling(_) => {
-                GrantAnswer::Denied(self.busy(now, view, self.settings.cancel_retry_ms))
-            }
+            HoldState::Cancelling(_) => GrantAnswer::Denied(self.busy(
+                now,
+                view,
+                Lane::Short,
+                self.settings.cancel_retry_ms,
+            )),
         })
     }
 
@@ -82,7 +86,12 @@
                 let offer = self.grant(ctx, from, &request, choice);
                 return GrantAnswer::Granted(offer);
             }
-            return GrantAnswer::Denied(self.busy(ctx.now, view, choice.predicted_ms));
+            return GrantAnswer::Denied(self.busy(
+                ctx.now,
+                view,
+                Lane::of(self.class_for(&request)),
+                choice.predicted_ms,
+            ));
         }
         let wait_ms = self.wait_ahead(ctx.now, view, &request);
         let grouped = self.needs_group(need, &candidates);
@@ -93,7 +102,12 @@
         let least_ms = wait_ms + self.least_span(&candidates, need);
         let full = self.queue.len() >= self.settings.queue_requests as usize;
         if full || ctx.now + least_ms > deadline {
-            return GrantAnswer::Denied(self.busy(ctx.now, view, wait_ms));
+            return GrantAnswer::Denied(self.busy(
+                ctx.now,
+                view,
+                Lane::of(self.class_for(&request)),
+                wait_ms,
+            ));
         }
         self.wait(ctx.now, from, request, need, &share);
         GrantAnswer::Queued { wait_ms }
@@ -164,11 +178,25 @@
         })
     }
 
-    pub(super) fn busy(&self, now: Time, view: &View<'_>, retry_ms: Millis) -> GrantDenial {
+    /// A denial for want of capacity that names an owner with half the wait, if there is one.
+    pub(super) fn busy(
+        &self,
+        now: Time,
+        view: &View<'_>,
+        lane: Lane,
+        retry_ms: Millis,
+    ) -> GrantDenial {
+        let summary = self.summary(now, view);
+        let wait_ms = least_wait(&summary, lane).unwrap_or(retry_ms);
+        let within = Millis::new(wait_ms.get() / 2);
+        let better = match lane {
+            Lane::Short => self.better_for_short(view, within),
+            Lane::Long => self.better_for_long(view, within),
+        };
         GrantDenial::Busy {
-            better: None,
+            better,
             retry_after_ms: retry_ms.max(RETRY_LEAST_MS),
-            summary: self.summary(now, view),
+            summary,
         }
     }
 
--- /dev/null
+++ b/crates/core/src/grant/audit.rs
@@ -0,0 +1,27 @@
+//! A check that nothing waits without a timer.
+
+use super::{ledger::HoldState, owner::Owner, timers::Timer};
+
+impl Owner {
+    /// The states that wait for something and have no timer, in words. It is empty.
+    pub fn untimed(&self) -> Vec<String> {
+        let mut wanted = Vec::new();
+        let waiting = self.queue.iter().map(|w| w.request.attempt);
+        wanted.extend(waiting.map(Timer::Waiting));
+        for (upstream, ledger) in &self.ledgers {
+            wanted.push(Timer::Poll(upstream.clone()));
+            if ledger.is_engine() {
+                wanted.push(Timer::PollCache(upstream.clone()));
+            }
+            for (attempt, holding) in ledger.holdings() {
+                wanted.push(match holding.state {
+                    HoldState::Cancelling(_) => Timer::Cancel(upstream.clone(), *attempt),
+                    HoldState::Running if self.groups.contains(attempt) => Timer::Group(*attempt),
+                    HoldState::Running => Timer::Lapse(upstream.clone(), *attempt),
+                });
+            }
+        }
+        let untimed = wanted.into_iter().filter(|timer| !self.timers.has(timer));
+        untimed.map(|timer| format!("{timer:?}")).collect()
+    }
+}
--- a/crates/core/src/grant/group.rs
+++ b/crates/core/src/grant/group.rs
@@ -11,6 +11,7 @@
     level::Level,
     owner::Owner,
     timers::Timer,
+    waiting::Lane,
 };
 use crate::{
     action::Action,
@@ -63,6 +64,11 @@
             .is_some_and(|group| !group.answered)
     }
 
+    /// Whether a request has a group.
+    pub(super) fn contains(&self, attempt: &AttemptId) -> bool {
+        self.by_attempt.contains_key(attempt)
+    }
+
     /// The groups of some entry daemons.
     pub(super) fn of_entries(&self, wanted: impl Fn(&Member) -> bool) -> Vec<AttemptId> {
         let found = self
@@ -308,7 +314,7 @@
             }
         }
         if !group.answered {
-            let denial = self.busy(ctx.now, view, self.settings.cancel_retry_ms);
+            let denial = self.busy(ctx.now, view, Lane::Long, self.settings.cancel_retry_ms);
             Self::answer(
                 ctx,
                 view,
--- a/crates/core/src/grant/lapse.rs
+++ b/crates/core/src/grant/lapse.rs
@@ -138,6 +138,7 @@
         if self.on_group_order(ctx, view, token, answer.is_ok()) || answer.is_err() {
             return;
         }
+        self.on_orphan_cancelled(token);
         if let Some((upstream, attempt)) = self.cancels.remove(&token) {
             self.finish_at(ctx.now, &upstream, attempt);
             if !self.granted.contains_key(&attempt) {
--- a/crates/core/src/grant/ledger.rs
+++ b/crates/core/src/grant/ledger.rs
@@ -1,8 +1,8 @@
 //! The account of one owned upstream.
 
 use super::{
-    backlog::Backlog, learnt::Rates, level::Level, prefix_cache::PrefixCache, ramp::Ramp,
-    waiting::class_of,
+    backlog::Backlog, learnt::Rates, level::Level, orphans::Orphans, prefix_cache::PrefixCache,
+    ramp::Ramp, waiting::class_of,
 };
 use crate::{
     config::{EngineConfig, UpstreamConfig, UpstreamKind},
@@ -72,6 +72,8 @@
     pub(super) rates: Rates,
     /// Prompt prefixes that it has probably cached.
     pub(super) cache: PrefixCache,
+    /// What it runs and no grant accounts for.
+    pub(super) orphans: Orphans,
     /// The last load report.
     pub(super) report: Option<LoadReport>,
     holdings: BTreeMap<AttemptId, Holding>,
@@ -97,6 +99,7 @@
             ramp: Ramp::new(start_requests),
             rates: Rates::default(),
             cache: PrefixCache::default(),
+            orphans: Orphans::default(),
             report: None,
             holdings: BTreeMap::new(),
             kv_held_bytes: KvBytes::ZERO,
@@ -206,13 +209,15 @@
         }
     }
 
-    /// Free KV memory; while grants are collected, the upstream's own figure counts as well.
+    /// Free KV memory; while grants are collected or orphans are cancelled, the upstream's own
+    /// figure counts as well.
     pub(super) fn kv_free(&self, now: Time) -> KvBytes {
         let reported = self
             .report
             .as_ref()
             .map_or(KvBytes::ZERO, |r| r.kv_held_bytes);
-        let held = match now < self.learning_until {
+        let unsure = now < self.learning_until || !self.orphans.is_empty();
+        let held = match unsure {
             true => self.kv_held_bytes.max(reported),
             false => self.kv_held_bytes,
         };
@@ -231,7 +236,7 @@
         let of = |(id, h): (&AttemptId, &Holding)| {
             id.request == request && h.state != HoldState::Running
         };
-        self.holdings.iter().any(of)
+        self.orphans.is_cancelling(request) || self.holdings.iter().any(of)
     }
 
     /// The attempts of a request that run here.
--- a/crates/core/src/grant/mod.rs
+++ b/crates/core/src/grant/mod.rs
@@ -1,6 +1,7 @@
 //! The owner's side of grants: exact accounts of each owned upstream, a queue, lapse and cancel.
 
 mod admit;
+mod audit;
 mod backlog;
 mod choose;
 mod errors;
@@ -12,6 +13,7 @@
 mod ledger;
 mod level;
 mod long_set;
+mod orphans;
 mod owner;
 mod prefix_cache;
 mod pump;
--- /dev/null
+++ b/crates/core/src/grant/orphans.rs
@@ -0,0 +1,80 @@
+//! Streams that an upstream reports and nobody holds.
+
+use super::owner::Owner;
+use crate::{
+    action::Action,
+    context::Context,
+    ids::{RequestId, UpstreamId},
+    platform::{CallToken, Part},
+    upstream::{Order, OrderKind},
+};
+use std::collections::BTreeSet;
+
+/// Requests at one upstream that no grant accounts for.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Orphans {
+    /// Seen in the last report.
+    seen: BTreeSet<RequestId>,
+    /// Seen twice: a cancel is on its way.
+    cancelled: BTreeSet<RequestId>,
+}
+
+impl Orphans {
+    /// Whether a cancel of this request is on its way.
+    pub(super) fn is_cancelling(&self, request: RequestId) -> bool {
+        self.cancelled.contains(&request)
+    }
+
+    /// Whether the upstream holds memory that no grant accounts for.
+    pub(super) fn is_empty(&self) -> bool {
+        self.cancelled.is_empty()
+    }
+}
+
+impl Owner {
+    /// Cancels what two reports in a row name and no grant accounts for.
+    pub(super) fn cancel_orphans(&mut self, ctx: &mut Context<'_>, upstream: &UpstreamId) {
+        let Some(ledger) = self.ledgers.get_mut(upstream) else {
+            return;
+        };
+        if ctx.now < ledger.learning_until || !ledger.is_engine() {
+            ledger.orphans = Orphans::default();
+            return;
+        }
+        let held: BTreeSet<RequestId> = ledger.holdings().map(|(id, _)| id.request).collect();
+        let reported = ledger.report.iter().flat_map(|report| &report.requests);
+        let unheld: BTreeSet<RequestId> = reported.copied().filter(|r| !held.contains(r)).collect();
+        let again = unheld.intersection(&ledger.orphans.seen);
+        let again: BTreeSet<RequestId> = again.copied().collect();
+        ledger
+            .orphans
+            .cancelled
+            .retain(|request| unheld.contains(request));
+        ledger.orphans.cancelled.extend(&again);
+        ledger.orphans.seen = unheld;
+        let (address, fencing) = (ledger.config.address, ledger.fencing);
+        self.orphan_cancels.retain(|_, (at, _)| at != upstream);
+        for request in again {
+            let token = ctx.token(Part::Grant);
+            self.orphan_cancels
+                .insert(token, (upstream.clone(), request));
+            ctx.act(Action::Order(Box::new(Order {
+                token,
+                upstream: upstream.clone(),
+                address,
+                fencing,
+                kind: OrderKind::Cancel { request },
+            })));
+        }
+    }
+
+    pub(super) fn on_orphan_cancelled(&mut self, token: CallToken) {
+        let Some((upstream, request)) = self.orphan_cancels.remove(&token) else {
+            return;
+        };
+        if let Some(ledger) = self.ledgers.get_mut(&upstream) {
+            ledger.orphans.cancelled.remove(&request);
+            ledger.orphans.seen.remove(&request);
+        }
+    }
+}
--- a/crates/core/src/grant/owner.rs
+++ b/crates/core/src/grant/owner.rs
@@ -13,7 +13,7 @@
     action::Action,
     config::{UpstreamConfig, UpstreamKind},
     context::{Context, View},
-    ids::{AttemptId, UpstreamId, VmId},
+    ids::{AttemptId, RequestId, UpstreamId, VmId},
     message::{GrantAnswer, GrantMessage, HeldGrant, Member, PeerMessage},
     ownership::OwnershipChange,
     platform::CallToken,
@@ -31,6 +31,7 @@
     pub(super) granted: BTreeMap<AttemptId, UpstreamId>,
     pub(super) queue: Queue,
     pub(super) cancels: BTreeMap<CallToken, (UpstreamId, AttemptId)>,
+    pub(super) orphan_cancels: BTreeMap<CallToken, (UpstreamId, RequestId)>,
     pub(super) timers: Timers,
     pub(super) leaving: bool,
     pub(super) grants_count: u64,
@@ -50,6 +51,7 @@
             granted: BTreeMap::new(),
             queue: Queue::default(),
             cancels: BTreeMap::new(),
+            orphan_cancels: BTreeMap::new(),
             timers: Timers::default(),
             leaving: false,
             grants_count: 0,
@@ -183,6 +185,7 @@
         self.ledgers.remove(upstream);
         self.granted.retain(|_, at| at != upstream);
         self.cancels.retain(|_, (at, _)| at != upstream);
+        self.orphan_cancels.retain(|_, (at, _)| at != upstream);
     }
 
     /// The process was paused: its view of outstanding grants may be old.
@@ -275,6 +278,7 @@
             self.resend_cancels(ctx, upstream);
             self.end_groups_of(ctx, view, upstream);
         }
+        self.cancel_orphans(ctx, upstream);
         self.pump(ctx, view);
     }
 
--- a/crates/core/src/grant/pump.rs
+++ b/crates/core/src/grant/pump.rs
@@ -134,7 +134,7 @@
             return false;
         };
         if !self.is_in_time(ctx.now, waiting.deadline, &choice) {
-            let denial = self.busy(ctx.now, view, choice.predicted_ms);
+            let denial = self.busy(ctx.now, view, Lane::of(waiting.class), choice.predicted_ms);
             return self.deny_waiting(ctx, view, attempt, denial);
         }
         let Some(mut waiting) = self.queue.serve(attempt) else {
@@ -269,7 +269,7 @@
             return;
         };
         let wait_ms = self.wait_ahead(ctx.now, view, &waiting.request);
-        let denial = self.busy(ctx.now, view, wait_ms);
+        let denial = self.busy(ctx.now, view, Lane::of(waiting.class), wait_ms);
         self.deny_waiting(ctx, view, attempt, denial);
     }
 }
--- a/crates/core/src/grant/timers.rs
+++ b/crates/core/src/grant/timers.rs
@@ -53,6 +53,11 @@
         self.set(at, timer);
     }
 
+    /// Whether a timer is set.
+    pub(super) fn has(&self, timer: &Timer) -> bool {
+        self.due.iter().any(|(_, set)| set == timer)
+    }
+
     pub(super) fn next(&self) -> Option<Time> {
         self.due.first().map(|(at, _)| *at)
     }
--- a/crates/core/tests/grant_interleavings.rs
+++ b/crates/core/tests/grant_interleavings.rs
@@ -346,6 +346,8 @@
     }
 
     fn check(&self) {
+        let untimed = self.rig.owner.untimed();
+        assert!(untimed.is_empty(), "no timer for {untimed:?}");
         for (name, kv_tokens, limit) in LIMITS {
             let streams = &self.streams[&upstream(name)];
             assert!(streams.len() <= limit as usize, "{name} over its limit");
--- a/crates/core/tests/grant_owner.rs
+++ b/crates/core/tests/grant_owner.rs
@@ -9,7 +9,7 @@
 };
 use persimmon_core::{
     config::{ServiceState, UpstreamKind},
-    ids::{AttemptNumber, FencingNumber, Incarnation},
+    ids::{AttemptNumber, FencingNumber, Incarnation, RequestId},
     message::{GrantMessage, GrantRequest, HeldGrant},
     request::UpstreamError,
     units::{KvBytes, Millis, Time, Tokens},
@@ -203,6 +203,26 @@
     "#);
 }
 
+#[test]
+fn what_two_reports_name_and_nobody_holds_is_cancelled() {
+    let mut rig = Rig::new(vec![("e1", engine("a", 10_000, 4))]);
+    rig.request(short(1));
+    let report = LoadReport {
+        requests: [1, 2].map(RequestId::new).into(),
+        kv_held_bytes: KvBytes::new(90_000),
+        ..warm_report()
+    };
+    rig.report("e1", &report);
+    insta::assert_snapshot!(lines(&rig.bench.take()), @"");
+    rig.report("e1", &report);
+    let orders = rig.bench.take();
+    insta::assert_snapshot!(lines(&orders), @"e1: cancel 2 fencing 5");
+    insta::assert_snapshot!(rig.request(short(2)), @"vm-2 <- 2/0 queued 600ms");
+    rig.answer_orders(&orders, Ok(()));
+    rig.report("e1", &warm_report());
+    insta::assert_snapshot!(lines(&rig.tick_after(100)), @"vm-2 <- 2/0 granted e1 ttft 200ms runner-up None resume false");
+}
+
 #[test]
 fn a_leaving_owner_grants_nothing() {
     let mut rig = Rig::new(vec![("e1", engine("a", 10_000, 1))]);
