Choose owners from a few sampled ones, whatever the size of the fleet

Cause: the router looked at every owner of every failure domain for each request: 130 us at p99 with 3,100 upstreams.

Change: a few owners of the own failure domain at random (16 for a long prompt), the home of the prompt's prefix, one owner of another domain, and the one that the last denial named; all are looked at only where these give none. Queue counts are kept instead of counted.

--- a/crates/core/src/grant/pump.rs
+++ b/crates/core/src/grant/pump.rs
@@ -63,7 +63,13 @@
 
     /// Whether any upstream could take the shortest request of a lane.
     fn is_lane_open(&self, now: Time, lane: Lane) -> bool {
-        let Some(class) = self.queue.lane(lane).map(|w| w.class).min() else {
+        let Some(class) = self
+            .queue
+            .lane(lane)
+            .take(PASS_COUNT)
+            .map(|w| w.class)
+            .min()
+        else {
             return false;
         };
         let percent = self.settings.learning_percent;
--- a/crates/core/src/grant/waiting.rs
+++ b/crates/core/src/grant/waiting.rs
@@ -69,6 +69,7 @@
     places: BTreeMap<AttemptId, Place>,
     shares: [Fairness; Lane::ALL.len()],
     prefill_ms: [Millis; Lane::ALL.len()],
+    counts: [usize; Lane::ALL.len()],
     by_workspace: BTreeMap<(Lane, WorkspaceId), (usize, Millis)>,
     arrivals_count: u64,
 }
@@ -88,6 +89,7 @@
         let tag = self.tag(lane, share);
         let place = (lane, tag, self.arrivals_count);
         self.prefill_ms[lane as usize] = self.prefill_ms[lane as usize] + waiting.prefill_ms;
+        self.counts[lane as usize] += 1;
         let key = (lane, share.workspace.clone());
         let own = self.by_workspace.entry(key).or_default();
         *own = (own.0 + 1, own.1 + waiting.prefill_ms);
@@ -104,7 +106,7 @@
     pub(super) fn pass(&mut self, class: LengthClass, share: &Share) {
         let lane = Lane::of(class);
         let tag = self.tag(lane, share);
-        if self.len_of(lane) == 0 {
+        if self.counts[lane as usize] == 0 {
             self.shares[lane as usize].serve(tag);
         }
     }
@@ -121,6 +123,7 @@
         let waiting = self.order.remove(&place)?;
         let prefill_ms = &mut self.prefill_ms[place.0 as usize];
         *prefill_ms = prefill_ms.saturating_sub(waiting.prefill_ms);
+        self.counts[place.0 as usize] -= 1;
         self.take_from_workspace(place.0, &waiting);
         Some(waiting)
     }
@@ -156,7 +159,7 @@
         let all_ms = self.prefill_ms(lane);
         let share_ms = Millis::new(prefill_ms.get() * workspaces as u64);
         (
-            (count * workspaces).min(self.len_of(lane)),
+            (count * workspaces).min(self.counts[lane as usize]),
             share_ms.min(all_ms),
         )
     }
@@ -178,10 +181,6 @@
         self.order.len()
     }
 
-    pub(super) fn len_of(&self, lane: Lane) -> usize {
-        self.lane(lane).count()
-    }
-
     /// Prefill time of all that waits in a lane.
     pub(super) fn prefill_ms(&self, lane: Lane) -> Millis {
         self.prefill_ms[lane as usize]
--- a/crates/core/src/routing/candidates.rs
+++ b/crates/core/src/routing/candidates.rs
@@ -63,7 +63,6 @@
     settings: &RoutingSettings,
     query: &RouteQuery<'_>,
 ) -> Result<Vec<Candidate<'a>>, Refusal> {
-    check_target(view, query)?;
     let mut found = Vec::new();
     let mut serving = false;
     for (domain, config) in &view.config.domains {
@@ -75,8 +74,7 @@
             continue;
         }
         let members = view.directory.live_in(domain).iter();
-        let named = |m: &Member| query.better == Some(&m.vm);
-        let untried = members.filter(|m| named(m) || !query.tried.contains(&m.vm));
+        let untried = members.filter(|m| !query.tried.contains(&m.vm));
         found.extend(untried.filter_map(|member| candidate(view, domain, member, query)));
     }
     if found.is_empty() {
@@ -85,7 +83,28 @@
     Ok(found)
 }
 
-fn check_target(view: &View<'_>, query: &RouteQuery<'_>) -> Result<(), Refusal> {
+/// Candidates among some members of a failure domain; none where it does not serve the request.
+pub(super) fn among<'a>(
+    view: &View<'a>,
+    domain: &FailureDomain,
+    members: impl Iterator<Item = &'a Member>,
+    query: &RouteQuery<'_>,
+) -> Vec<Candidate<'a>> {
+    if !view.config.serves_domain(domain) || !serves(view, domain, query) {
+        return Vec::new();
+    }
+    let untried = members.filter(|m| !query.tried.contains(&m.vm));
+    untried
+        .filter_map(|member| candidate(view, domain, member, query))
+        .collect()
+}
+
+/// Whether workspace, model and service of a request are known.
+///
+/// # Errors
+///
+/// The refusal for the caller where one is not.
+pub(super) fn check_target(view: &View<'_>, query: &RouteQuery<'_>) -> Result<(), Refusal> {
     let workspace = &query.spec.workspace;
     if !view.config.workspaces.contains_key(workspace) {
         let text = format!("no workspace {workspace}: check the X-Workspace header");
--- a/crates/core/src/routing/cost.rs
+++ b/crates/core/src/routing/cost.rs
@@ -1,23 +1,28 @@
 //! The owner with the least predicted wait among a few sampled ones.
 
 use super::{
-    candidates::{candidates, Candidate, Tier},
+    candidates::{among, candidates, check_target, Candidate, Tier},
     sent::SentWork,
     Route, RouteQuery, Router, RoutingSettings,
 };
 use crate::{
     context::{Context, View},
-    ids::{UpstreamId, VmId},
-    message::{GrantAnswer, GrantDenial, GrantEnd},
+    ids::{FailureDomain, UpstreamId, VmId},
+    message::{GrantAnswer, GrantDenial, GrantEnd, Member},
     request::{CallTarget, LengthClass, Refusal},
     units::{Millis, Time, Tokens},
 };
 use rand::RngExt;
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    iter,
+};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Cost of an owner that has no free place, in milliseconds.
 const FULL_MS: u64 = 1_000;
+/// Least number of owners that are compared for a long prompt.
+const LONG_SAMPLED_COUNT: usize = 16;
 /// Weight of one grant in the share of grants with a cached prefix.
 const HIT_WEIGHT_RATIO: f64 = 0.02;
 /// Share of a prompt's prefill that a cached prefix is thought to save.
@@ -111,44 +116,82 @@
         Millis::new((prefill_ms * self.hit_ratio * SAVED_RATIO) as u64)
     }
 
-    /// Keeps the candidates of the own failure domain, if there are any.
-    fn nearest(&self, all: &mut Vec<Candidate<'_>>) {
-        if all.iter().any(|c| c.tier != Tier::Remote) {
-            all.retain(|c| c.tier != Tier::Remote);
-        }
-    }
-
-    /// Moves a few candidates, chosen at random, to the front.
-    fn sample(&self, ctx: &mut Context<'_>, all: &mut Vec<Candidate<'_>>) {
-        let count = self.settings.sampled_count.min(all.len());
-        for index in 0..count {
-            let other = ctx.rng.random_range(index..all.len());
-            all.swap(index, other);
+    /// A few owners of the own failure domain, with the prompt's home, and one of another domain.
+    /// More of them for a long prompt: fewer owners have an engine for it.
+    fn sampled<'a>(
+        &self,
+        ctx: &mut Context<'_>,
+        view: &View<'a>,
+        query: &RouteQuery<'_>,
+        home: Option<&'a Member>,
+    ) -> Vec<Candidate<'a>> {
+        if query.tried.len() >= self.settings.asked_count {
+            return Vec::new();
         }
-        all.truncate(count);
+        let near = view.directory.live_in(&view.me.domain);
+        let count = match is_long(query) {
+            true => self.settings.sampled_count.max(LONG_SAMPLED_COUNT),
+            false => self.settings.sampled_count,
+        };
+        let chosen: Vec<&Member> = if near.len() <= count {
+            near.iter().collect()
+        } else {
+            let mut indexes: BTreeSet<usize> = BTreeSet::new();
+            while indexes.len() < count {
+                indexes.insert(ctx.rng.random_range(0..near.len()));
+            }
+            let sampled = indexes.into_iter().map(|index| &near[index]);
+            let others = sampled.filter(|m| home.is_none_or(|home| home.vm != m.vm));
+            others.chain(home).collect()
+        };
+        let mut found = among(view, &view.me.domain, chosen.into_iter(), query);
+        found.extend(far(ctx, view, query));
+        found
     }
 }
 
 /// The owner to which prompts of one prefix go where nothing else speaks against it.
-fn home_of(all: &[Candidate<'_>], query: &RouteQuery<'_>) -> Option<VmId> {
+fn home_of<'a>(view: &View<'a>, query: &RouteQuery<'_>) -> Option<&'a Member> {
     let CallTarget::Model(call) = &query.spec.target else {
         return None;
     };
     let last_index = call.prefix_blocks.len().checked_sub(1)?;
     let block = call.prefix_blocks[last_index.min(HOME_BLOCK_INDEX)];
-    let near = all.iter().filter(|c| c.tier != Tier::Remote);
-    let weight =
-        |c: &&Candidate<'_>| xxh3_64_with_seed(c.member.vm.as_str().as_bytes(), block.get());
-    near.max_by_key(weight).map(|c| c.member.vm.clone())
+    let near = view.directory.live_in(&view.me.domain).iter();
+    near.max_by_key(|m| xxh3_64_with_seed(m.vm.as_str().as_bytes(), block.get()))
+}
+
+/// One owner of another failure domain, at random.
+fn far<'a>(ctx: &mut Context<'_>, view: &View<'a>, query: &RouteQuery<'_>) -> Vec<Candidate<'a>> {
+    let domains = view.config.domains.keys().filter(|d| **d != view.me.domain);
+    let domains: Vec<&FailureDomain> = domains.collect();
+    if domains.is_empty() {
+        return Vec::new();
+    }
+    let domain = domains[ctx.rng.random_range(0..domains.len())];
+    let members = view.directory.live_in(domain);
+    if members.is_empty() {
+        return Vec::new();
+    }
+    let member = &members[ctx.rng.random_range(0..members.len())];
+    among(view, domain, iter::once(member), query)
 }
 
-/// Adds the home to the sampled candidates.
-fn with_home<'a>(all: &mut Vec<Candidate<'a>>, everyone: &[Candidate<'a>], home: Option<&VmId>) {
-    let sampled = all.iter().any(|c| Some(&c.member.vm) == home);
-    let found = everyone.iter().find(|c| Some(&c.member.vm) == home);
-    if let (false, Some(candidate)) = (sampled, found) {
-        all.push(*candidate);
+/// The owner that the last denial named, also where it was asked before.
+fn named<'a>(
+    view: &View<'a>,
+    settings: &RoutingSettings,
+    query: &RouteQuery<'_>,
+) -> Option<Candidate<'a>> {
+    let member = view.directory.member(query.better?)?;
+    if query.tried.len() >= settings.asked_count {
+        return None;
     }
+    let query = RouteQuery {
+        tried: &[],
+        ..*query
+    };
+    among(view, &member.domain, iter::once(member), &query).pop()
 }
 
 fn is_long(query: &RouteQuery<'_>) -> bool {
@@ -165,24 +208,19 @@
         view: &View<'_>,
         query: &RouteQuery<'_>,
     ) -> Result<Route, Refusal> {
-        let mut all = candidates(view, &self.settings, query)?;
-        let named = |c: &&Candidate<'_>| Some(&c.member.vm) == query.better;
-        if let Some(better) = all.iter().find(named) {
-            self.note_sent(ctx.now, view, query, better);
+        check_target(view, query)?;
+        if let Some(better) = named(view, &self.settings, query) {
+            self.note_sent(ctx.now, view, query, &better);
             return Ok(better.route(None, "named by the last denial"));
         }
-        let everyone = all.clone();
-        if is_long(query) {
-            // Few owners have an engine for long prompts: a small sample would miss them.
-            self.nearest(&mut all);
-        } else {
-            self.sample(ctx, &mut all);
+        let home = home_of(view, query);
+        let mut all = self.sampled(ctx, view, query, home);
+        if all.is_empty() {
+            all = candidates(view, &self.settings, query)?;
         }
         let saved_ms = self.saved_by_prefix(view, query);
-        let home = home_of(&everyone, query);
-        with_home(&mut all, &everyone, home.as_ref());
         all.sort_by_key(|c| {
-            let away = if home.as_ref() == Some(&c.member.vm) {
+            let away = if home.map(|home| &home.vm) == Some(&c.member.vm) {
                 Millis::ZERO
             } else {
                 saved_ms
--- a/crates/core/src/routing/least_outstanding.rs
+++ b/crates/core/src/routing/least_outstanding.rs
@@ -1,7 +1,7 @@
 //! The owner with the fewest own outstanding grants: a baseline.
 
 use super::{
-    candidates::{best_tier, candidates},
+    candidates::{best_tier, candidates, check_target},
     Route, RouteQuery, Router, RoutingSettings,
 };
 use crate::{
@@ -39,6 +39,7 @@
         view: &View<'_>,
         query: &RouteQuery<'_>,
     ) -> Result<Route, Refusal> {
+        check_target(view, query)?;
         let all = candidates(view, &self.settings, query)?;
         let mut best = best_tier(&all);
         best.sort_by_key(|c| (self.outstanding_at(&c.member.vm), &c.member.vm));
--- a/crates/core/src/routing/round_robin.rs
+++ b/crates/core/src/routing/round_robin.rs
@@ -1,7 +1,7 @@
 //! Each owner in turn: a baseline.
 
 use super::{
-    candidates::{best_tier, candidates},
+    candidates::{best_tier, candidates, check_target},
     Route, RouteQuery, Router, RoutingSettings,
 };
 use crate::{
@@ -34,6 +34,7 @@
         view: &View<'_>,
         query: &RouteQuery<'_>,
     ) -> Result<Route, Refusal> {
+        check_target(view, query)?;
         let all = candidates(view, &self.settings, query)?;
         let best = best_tier(&all);
         let chosen = &best[self.turn_index % best.len()];
