--- a/crates/core/examples/grant_cold.rs
+++ b/crates/core/examples/grant_cold.rs
@@ -7,12 +7,8 @@
 #[allow(dead_code)]
 mod grant_bench;
 
-use fleet::{EngineMake, Figures, Mix, Setup, World};
-use persimmon_core::{
-    grant::{GrantSettings, RawGrantSettings},
-    request::LengthClass,
-    units::Time,
-};
+use fleet::{Figures, Mix, Setup, World};
+use persimmon_core::{request::LengthClass, units::Time};
 
 const SEED: u64 = 6;
 const SHORTS: [LengthClass; 2] = [LengthClass::Short, LengthClass::Medium];
@@ -21,21 +17,8 @@
     println!("ramp start  restarted refused-by-engine most-over good%<=16k refused failed  p95ms");
     for start_requests in [128, 2] {
         for restarted in [1, 16] {
-            let make = EngineMake::default();
-            let raw = RawGrantSettings {
-                ramp_start_requests: start_requests,
-                ..RawGrantSettings::default()
-            };
-            let setup = Setup {
-                engines_count: 16,
-                daemons_count: 3,
-                make,
-                grant: GrantSettings::try_from(raw).expect("the defaults are in range"),
-                routing: Default::default(),
-                workspaces_count: 10,
-                hides_prefixes: false,
-                seed: SEED,
-            };
+            let mut setup = Setup::warm(16, 3, SEED);
+            setup.grant.ramp_start_requests = start_requests;
             let mix = Mix::default();
             let rate = setup.prefill_per_s(mix.mean_prompt_tokens()) * 0.4;
             let arrivals = mix.arrivals(SEED, rate, (0.0, 90.0));
--- a/crates/core/examples/grant_fairness.rs
+++ b/crates/core/examples/grant_fairness.rs
@@ -7,11 +7,8 @@
 #[allow(dead_code)]
 mod grant_bench;
 
-use fleet::{Arrival, Asked, EngineMake, Figures, Mix, Setup, World};
-use persimmon_core::{
-    grant::{GrantSettings, RawGrantSettings},
-    request::LengthClass,
-};
+use fleet::{Arrival, Asked, Figures, Mix, Setup, World};
+use persimmon_core::request::LengthClass;
 
 const SEED: u64 = 5;
 /// Share of the prefill rate of all engines that the steady arrivals keep busy.
@@ -21,19 +18,9 @@
 const SHORTS: [LengthClass; 2] = [LengthClass::Short, LengthClass::Medium];
 
 fn setup(workspaces_count: usize) -> Setup {
-    let raw = RawGrantSettings {
-        ramp_start_requests: EngineMake::default().max_in_flight_requests,
-        ..RawGrantSettings::default()
-    };
     Setup {
-        engines_count: 16,
-        daemons_count: 3,
-        make: EngineMake::default(),
-        grant: GrantSettings::try_from(raw).expect("the defaults are in range"),
-        routing: Default::default(),
         workspaces_count,
-        hides_prefixes: false,
-        seed: SEED,
+        ..Setup::warm(16, 3, SEED)
     }
 }
 
--- a/crates/core/examples/grant_load.rs
+++ b/crates/core/examples/grant_load.rs
@@ -9,12 +9,8 @@
 #[allow(dead_code)]
 mod grant_bench;
 
-use fleet::{Asked, EngineMake, Figures, Mix, Policy, Setup, World};
-use persimmon_core::{
-    grant::{GrantSettings, RawGrantSettings},
-    request::LengthClass,
-    routing::{RawRoutingSettings, RoutingSettings},
-};
+use fleet::{Asked, Figures, Mix, Policy, Setup, World};
+use persimmon_core::request::LengthClass;
 
 const SEED: u64 = 4;
 const SPAN_S: f64 = 200.0;
@@ -22,30 +18,8 @@
 const PEAK_BUSY_RATIO: f64 = 0.77;
 const SHORTS: [LengthClass; 2] = [LengthClass::Short, LengthClass::Medium];
 
-fn setup(policy: Policy) -> Setup {
-    let raw = RawRoutingSettings {
-        policy,
-        ..RawRoutingSettings::default()
-    };
-    let grant = RawGrantSettings {
-        policy,
-        ramp_start_requests: EngineMake::default().max_in_flight_requests,
-        ..RawGrantSettings::default()
-    };
-    Setup {
-        engines_count: 16,
-        daemons_count: 3,
-        make: EngineMake::default(),
-        grant: GrantSettings::try_from(grant).expect("the defaults are in range"),
-        routing: RoutingSettings::try_from(raw).expect("the defaults are in range"),
-        workspaces_count: 10,
-        hides_prefixes: false,
-        seed: SEED,
-    }
-}
-
 fn run(policy: Policy, load_percent: f64, alone: bool) -> Vec<Asked> {
-    let setup = setup(policy);
+    let setup = Setup::warm(16, 3, SEED).under(policy);
     let mix = Mix::default();
     let busy = PEAK_BUSY_RATIO * load_percent / 100.0;
     let rate = setup.prefill_per_s(mix.mean_prompt_tokens()) * busy;
--- a/crates/core/examples/grant_prefixes.rs
+++ b/crates/core/examples/grant_prefixes.rs
@@ -7,11 +7,8 @@
 #[allow(dead_code)]
 mod grant_bench;
 
-use fleet::{Arrival, EngineMake, Figures, Mix, Setup, World};
-use persimmon_core::{
-    grant::{GrantSettings, RawGrantSettings},
-    ids::BlockHash,
-};
+use fleet::{Arrival, Figures, Mix, Setup, World};
+use persimmon_core::ids::BlockHash;
 
 const SEED: u64 = 7;
 const BLOCK_TOKENS: u64 = 256;
@@ -47,19 +44,9 @@
     println!("hot% affinity  asked good%  p50ms  p95ms  p99ms cached%  most/mean in engines");
     for hot_percent in [0, 60] {
         for hides_prefixes in [true, false] {
-            let raw = RawGrantSettings {
-                ramp_start_requests: EngineMake::default().max_in_flight_requests,
-                ..RawGrantSettings::default()
-            };
             let setup = Setup {
-                engines_count: 16,
-                daemons_count: 3,
-                make: EngineMake::default(),
-                grant: GrantSettings::try_from(raw).expect("the defaults are in range"),
-                routing: Default::default(),
-                workspaces_count: 10,
                 hides_prefixes,
-                seed: SEED,
+                ..Setup::warm(16, 3, SEED)
             };
             let arrivals = arrivals(&setup, hot_percent);
             let prompts: u64 = arrivals.iter().map(|arrival| arrival.prompt_tokens).sum();
--- a/crates/core/examples/grant_sizes.rs
+++ b/crates/core/examples/grant_sizes.rs
@@ -8,9 +8,9 @@
 #[allow(dead_code)]
 mod grant_bench;
 
-use fleet::{Arrival, Asked, EngineMake, Figures, Mix, Setup, World};
+use fleet::{Arrival, Asked, Figures, Mix, Setup, World};
 use persimmon_core::{
-    grant::{GrantSettings, LongPlacement, RawGrantSettings},
+    grant::LongPlacement,
     request::LengthClass,
     units::{Millis, Time},
 };
@@ -21,21 +21,9 @@
 const SHORTS: [LengthClass; 2] = [LengthClass::Short, LengthClass::Medium];
 
 fn setup(long_placement: LongPlacement, engines_count: usize, daemons_count: usize) -> Setup {
-    let raw = RawGrantSettings {
-        long_placement,
-        ramp_start_requests: EngineMake::default().max_in_flight_requests,
-        ..RawGrantSettings::default()
-    };
-    Setup {
-        engines_count,
-        daemons_count,
-        make: EngineMake::default(),
-        grant: GrantSettings::try_from(raw).expect("the defaults are in range"),
-        routing: Default::default(),
-        workspaces_count: 10,
-        hides_prefixes: false,
-        seed: SEED,
-    }
+    let mut setup = Setup::warm(engines_count, daemons_count, SEED);
+    setup.grant.long_placement = long_placement;
+    setup
 }
 
 fn steady(setup: &Setup, load_percent: f64, span_s: (f64, f64)) -> Vec<Arrival> {
--- a/crates/core/src/grant/choose.rs
+++ b/crates/core/src/grant/choose.rs
@@ -133,14 +133,11 @@
             .get_mut(&choice.upstream)
             .expect("a chosen upstream is owned");
         let offer = GrantOffer {
-            upstream: choice.upstream.clone(),
-            address: ledger.config.address,
-            fencing: ledger.fencing,
-            priority: level.priority(),
             predicted_ms: choice.predicted_ms,
             runner_up: choice.runner_up,
             cached_tokens: choice.need.cached_tokens,
             resume: request.resume_at.as_ref() == Some(&choice.upstream),
+            ..ledger.offer(choice.upstream.clone(), level)
         };
         if let CallTarget::Model(call) = &request.spec.target {
             ledger.cache.store(&call.prefix_blocks);
--- a/crates/core/src/grant/fit.rs
+++ b/crates/core/src/grant/fit.rs
@@ -1,7 +1,7 @@
 //! Which upstreams fit a request, and what it needs of them.
 
 use super::{
-    group::group_tokens, learnt::OutputShares, ledger::Ledger, level::Level, owner::Owner,
+    learnt::OutputShares, ledger::Ledger, level::Level, owner::Owner, segments::group_tokens,
     settings::LongPlacement, waiting::Lane,
 };
 use crate::{
--- a/crates/core/src/grant/ledger.rs
+++ b/crates/core/src/grant/ledger.rs
@@ -6,10 +6,9 @@
 };
 use crate::{
     config::{EngineConfig, UpstreamConfig, UpstreamKind},
-    ids::{AttemptId, FencingNumber, Incarnation, ModelVersion, RequestId},
+    ids::{AttemptId, FencingNumber, Incarnation, ModelVersion, RequestId, UpstreamId},
     message::{GrantOffer, HeldGrant, Member},
     platform::CallToken,
-    request::Priority,
     units::{KvBytes, Millis, Time, Tokens, TokensPerSecond},
     upstream::LoadReport,
 };
@@ -127,22 +126,28 @@
         }
     }
 
-    /// Takes over a grant that an earlier owner gave.
-    pub(super) fn hold_again(&mut self, now: Time, entry: &Member, grant: HeldGrant) {
-        let offer = GrantOffer {
-            upstream: grant.upstream,
+    /// An offer of this upstream that predicts nothing.
+    pub(super) fn offer(&self, upstream: UpstreamId, level: Level) -> GrantOffer {
+        GrantOffer {
+            upstream,
             address: self.config.address,
             fencing: self.fencing,
-            priority: Priority::default(),
+            priority: level.priority(),
             predicted_ms: Millis::ZERO,
             runner_up: None,
             cached_tokens: Tokens::ZERO,
             resume: false,
-        };
+        }
+    }
+
+    /// Takes over a grant that an earlier owner gave.
+    pub(super) fn hold_again(&mut self, now: Time, entry: &Member, grant: HeldGrant) {
+        let level = Level::of(class_of(&grant.spec.target));
+        let offer = self.offer(grant.upstream, level);
         let holding = Holding {
             entry: entry.clone(),
             model: grant.model,
-            level: Level::of(class_of(&grant.spec.target)),
+            level,
             kv_bytes: grant.kv_bytes,
             prefill_ms: Millis::ZERO,
             max_output_tokens: Tokens::ZERO,
--- a/crates/core/src/grant/owner.rs
+++ b/crates/core/src/grant/owner.rs
@@ -10,7 +10,6 @@
     waiting::{Lane, Queue},
 };
 use crate::{
-    action::Action,
     config::{UpstreamConfig, UpstreamKind},
     context::{Context, View},
     ids::{AttemptId, RequestId, UpstreamId, VmId},
@@ -39,7 +38,7 @@
     pub(super) long_set: LongSet,
     pub(super) outputs: OutputShares,
     pub(super) groups: Groups,
-    finished: BTreeSet<AttemptId>,
+    pub(super) finished: BTreeSet<AttemptId>,
 }
 
 impl Owner {
@@ -295,68 +294,6 @@
         }
     }
 
-    /// Fires the timers that are due.
-    pub fn on_tick(&mut self, ctx: &mut Context<'_>, view: &View<'_>) {
-        while let Some(timer) = self.timers.pop(ctx.now) {
-            self.on_timer(ctx, view, timer);
-        }
-        if self.leaving {
-            self.recheck_waiting(ctx, view);
-        }
-    }
-
-    fn on_timer(&mut self, ctx: &mut Context<'_>, view: &View<'_>, timer: Timer) {
-        match timer {
-            Timer::Waiting(attempt) => self.on_wait_over(ctx, view, &attempt),
-            Timer::Lapse(upstream, attempt) => {
-                if self.is_running(&upstream, &attempt) {
-                    self.revoke(ctx, view, &upstream, &attempt);
-                    self.cancel(ctx, &upstream, attempt);
-                }
-            }
-            Timer::Cancel(upstream, attempt) => self.resend_cancel(ctx, &upstream, attempt),
-            Timer::Poll(upstream) => self.poll(ctx, upstream),
-            Timer::Group(attempt) => self.end_group(ctx, view, attempt),
-            Timer::PollCache(upstream) => self.poll_cache(ctx, upstream),
-            Timer::Learning(_) => self.pump(ctx, view),
-            Timer::Drain(upstream) => self.on_drain_over(ctx, view, &upstream),
-            Timer::Pump => self.on_pump(ctx, view),
-            Timer::LongSet => self.on_long_set(ctx, view),
-            Timer::Finished(attempt) => {
-                self.finished.remove(&attempt);
-            }
-        }
-    }
-
-    fn poll(&mut self, ctx: &mut Context<'_>, upstream: UpstreamId) {
-        let Some(ledger) = self.ledgers.get(&upstream) else {
-            return;
-        };
-        ctx.act(Action::PollLoad {
-            upstream: upstream.clone(),
-            address: ledger.config.address,
-        });
-        let next = ctx.now + self.settings.poll_ms;
-        self.timers.replace(next, Timer::Poll(upstream));
-    }
-
-    fn on_long_set(&mut self, ctx: &Context<'_>, view: &View<'_>) {
-        if self.ledgers.is_empty() {
-            return;
-        }
-        self.refresh_long_set(ctx.now, view);
-        let next = ctx.now + self.settings.long_set_ms;
-        self.timers.replace(next, Timer::LongSet);
-    }
-
-    /// When `on_tick` is due next.
-    pub fn next_wakeup(&self) -> Option<Time> {
-        if self.leaving && self.queue.len() > 0 {
-            return Some(Time::START);
-        }
-        self.timers.next()
-    }
-
     /// The daemon leaves: no new grants from now on.
     pub fn set_leaving(&mut self) {
         self.leaving = true;
--- /dev/null
+++ b/crates/core/src/grant/segments.rs
@@ -0,0 +1,173 @@
+//! Which engines form a group for a prompt, and what each of them holds.
+
+use super::{
+    fit::{whole_tokens, Need},
+    owner::Owner,
+};
+use crate::{
+    config::{EngineConfig, UpstreamKind},
+    context::View,
+    ids::{AttemptId, UpstreamId, VmId},
+    message::GrantRequest,
+    units::{KvBytes, Time, Tokens},
+    upstream::OrderKind,
+};
+use std::collections::{BTreeMap, VecDeque};
+
+/// One member's share of a prompt.
+#[derive(Clone, Debug)]
+pub(super) struct Segment {
+    /// The member.
+    pub(super) upstream: UpstreamId,
+    /// First token.
+    pub(super) from_tokens: Tokens,
+    /// One past the last token.
+    pub(super) to_tokens: Tokens,
+    /// Memory that it holds, with the answer at the last member.
+    pub(super) kv_bytes: KvBytes,
+}
+
+/// Most members of a group among so many engines: one is left to others where it can be.
+fn most_members(engines_count: usize) -> usize {
+    engines_count.saturating_sub(1).max(2).min(engines_count)
+}
+
+/// Tokens that the largest group of engines of these sizes holds.
+pub(super) fn group_tokens(mut held: Vec<u64>) -> Tokens {
+    held.sort_unstable_by(|a, b| b.cmp(a));
+    let members = most_members(held.len());
+    Tokens::new(held.into_iter().take(members).sum())
+}
+
+impl Owner {
+    /// The fewest members with free memory for the whole prompt and answer, in the order of names.
+    pub(super) fn segments(
+        &self,
+        now: Time,
+        view: &View<'_>,
+        request: &GrantRequest,
+        need: Need,
+    ) -> Option<Vec<Segment>> {
+        let model = view.config.models.get(request.model.as_ref()?)?;
+        let per_token = model.kv_bytes_per_token;
+        let engines = self.groupable(request);
+        let most = most_members(engines.len());
+        let mut free: Vec<(u64, UpstreamId)> = Vec::new();
+        for upstream in engines {
+            let ledger = self.ledgers.get(&upstream)?;
+            let percent = self.settings.learning_percent;
+            if ledger.busy(now) < ledger.allowed(now, percent) {
+                let bytes = ledger.kv_free_for(now, &request.attempt).get();
+                free.push((bytes / per_token.get().max(1), upstream));
+            }
+        }
+        free.sort_unstable_by(|a, b| b.cmp(a));
+        let whole = need.prompt_tokens.get() + need.max_output_tokens.get();
+        let mut members: Vec<(u64, UpstreamId)> = Vec::new();
+        while members.iter().map(|(tokens, _)| tokens).sum::<u64>() < whole {
+            members.push(free.get(members.len()).cloned()?);
+        }
+        if members.len() > most {
+            return None;
+        }
+        members.sort_unstable_by(|a, b| a.1.cmp(&b.1));
+        Some(cut(&members, need, per_token))
+    }
+
+    /// The owned engines that hold the model and can join a group.
+    pub(super) fn groupable(&self, request: &GrantRequest) -> Vec<UpstreamId> {
+        let fits = self.ledgers.iter().filter(|(id, ledger)| {
+            ledger.can_group()
+                && ledger.has_model(request)
+                && ledger.drained_since.is_none()
+                && !request.avoid.contains(id)
+        });
+        fits.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Another owner of the domain whose engines hold a prompt as a group.
+    pub(super) fn better_for_group(&self, view: &View<'_>, request: &GrantRequest) -> Option<VmId> {
+        let model = view.config.models.get(request.model.as_ref()?)?;
+        let per_token = model.kv_bytes_per_token.get().max(1);
+        let whole = whole_tokens(request);
+        let mut held: BTreeMap<&VmId, Vec<u64>> = BTreeMap::new();
+        for (id, config) in &view.config.upstreams {
+            let owner = view.directory.owner_of(id).filter(|vm| **vm != view.me.vm);
+            if let (Some(owner), Some(engine)) = (owner, grouping(&config.kind)) {
+                let engines = held.entry(owner).or_default();
+                engines.push(engine.kv_bytes.get() / per_token);
+            }
+        }
+        let large = held
+            .into_iter()
+            .find(|(_, held)| group_tokens(held.clone()) >= whole);
+        large.map(|(owner, _)| owner.clone())
+    }
+}
+
+fn grouping(kind: &UpstreamKind) -> Option<&EngineConfig> {
+    match kind {
+        UpstreamKind::Engine(engine) if engine.can_group => Some(engine),
+        _ => None,
+    }
+}
+/// Cuts a prompt into one segment a member; the last also takes the answer.
+fn cut(members: &[(u64, UpstreamId)], need: Need, per_token: KvBytes) -> Vec<Segment> {
+    let mut segments = Vec::new();
+    let (prompt, output) = (need.prompt_tokens.get(), need.max_output_tokens.get());
+    let free: u64 = members.iter().map(|(tokens, _)| tokens).sum();
+    let mut spare = free - prompt - output;
+    let mut from = 0;
+    for (index, (tokens, upstream)) in members.iter().enumerate() {
+        let last = index + 1 == members.len();
+        let kept = if last { output } else { 0 };
+        let unused = spare.min(tokens.saturating_sub(kept + 1));
+        spare -= unused;
+        let to = if last {
+            prompt
+        } else {
+            (from + tokens - unused).min(prompt)
+        };
+        segments.push(Segment {
+            upstream: upstream.clone(),
+            from_tokens: Tokens::new(from),
+            to_tokens: Tokens::new(to),
+            kv_bytes: Tokens::new(to - from + kept).kv(per_token),
+        });
+        from = to;
+    }
+    segments
+}
+
+/// A group's orders: each member imports the segments before its own and prefills its own; the
+/// last one prefills when the request comes.
+pub(super) fn orders_of(
+    view: &View<'_>,
+    attempt: AttemptId,
+    segments: &[Segment],
+) -> VecDeque<(UpstreamId, OrderKind)> {
+    let mut orders = VecDeque::new();
+    for (index, segment) in segments.iter().enumerate() {
+        for earlier in &segments[..index] {
+            let Some(source) = view.config.upstreams.get(&earlier.upstream) else {
+                continue;
+            };
+            let kind = OrderKind::ImportKv {
+                request: attempt.request,
+                source: source.address,
+                from_tokens: earlier.from_tokens,
+                to_tokens: earlier.to_tokens,
+            };
+            orders.push_back((segment.upstream.clone(), kind));
+        }
+        if index + 1 < segments.len() {
+            let kind = OrderKind::PrefillSegment {
+                request: attempt.request,
+                from_tokens: segment.from_tokens,
+                to_tokens: segment.to_tokens,
+            };
+            orders.push_back((segment.upstream.clone(), kind));
+        }
+    }
+    orders
+}
--- a/crates/core/tests/common/fleet/mod.rs
+++ b/crates/core/tests/common/fleet/mod.rs
@@ -9,5 +9,6 @@
 
 pub(crate) use engine::EngineMake;
 pub(crate) use figures::Figures;
+pub(crate) use persimmon_core::routing::RoutingPolicy as Policy;
 pub(crate) use workload::{Arrival, Mix};
-pub(crate) use world::{Asked, Fate, Policy, Setup, World};
+pub(crate) use world::{Asked, Fate, Setup, World};
--- a/crates/core/tests/common/fleet/world.rs
+++ b/crates/core/tests/common/fleet/world.rs
@@ -10,7 +10,7 @@
         Configuration, DomainConfig, EngineConfig, ModelConfig, PlacementRule, ServiceState,
         UpstreamConfig, UpstreamKind, WorkspaceConfig,
     },
-    grant::{GrantSettings, Owner},
+    grant::{GrantSettings, Owner, RawGrantSettings},
     ids::{AttemptId, AttemptNumber, BlockHash, FencingNumber, RequestId, UpstreamId, VmId},
     message::{
         GrantAnswer, GrantDenial, GrantEnd, GrantMessage, GrantOffer, GrantRequest, Member,
@@ -19,7 +19,7 @@
     ownership::OwnershipChange,
     platform::CallToken,
     request::{CallTarget, LengthClass, ModelCall, RequestSpec, UpstreamError},
-    routing::{router, RouteQuery, Router, RoutingSettings},
+    routing::{router, RouteQuery, Router, RoutingPolicy as Policy, RoutingSettings},
     units::{KvBytes, Millis, Time, Tokens, TokensPerSecond},
     upstream::{CacheBatch, LoadReport, OrderKind},
     Action, Context, View,
@@ -40,8 +40,6 @@
 /// Before this nothing arrives: owners learn their engines.
 pub(crate) const WARM_UP_MS: Millis = Millis::new(2_000);
 
-pub(crate) use persimmon_core::routing::RoutingPolicy as Policy;
-
 /// What a world is made of.
 #[derive(Clone, Debug)]
 pub(crate) struct Setup {
@@ -57,6 +55,32 @@
 }
 
 impl Setup {
+    /// Warm engines and the settings' defaults.
+    pub(crate) fn warm(engines_count: usize, daemons_count: usize, seed: u64) -> Self {
+        let make = EngineMake::default();
+        let raw = RawGrantSettings {
+            ramp_start_requests: make.max_in_flight_requests,
+            ..RawGrantSettings::default()
+        };
+        Self {
+            engines_count,
+            daemons_count,
+            make,
+            grant: GrantSettings::try_from(raw).unwrap(),
+            routing: RoutingSettings::default(),
+            workspaces_count: 10,
+            hides_prefixes: false,
+            seed,
+        }
+    }
+
+    /// The same under another policy.
+    pub(crate) fn under(mut self, policy: Policy) -> Self {
+        self.grant.policy = policy;
+        self.routing.policy = policy;
+        self
+    }
+
     /// Arrivals a second that keep all prefill busy.
     pub(crate) fn prefill_per_s(&self, mean_prompt_tokens: f64) -> f64 {
         self.engines_count as f64 * self.make.prefill_tokens_per_s() / mean_prompt_tokens
--- a/crates/core/tests/grant_under_load.rs
+++ b/crates/core/tests/grant_under_load.rs
@@ -7,11 +7,9 @@
 #[allow(dead_code)]
 mod grant_bench;
 
-use fleet::{Arrival, Asked, EngineMake, Fate, Figures, Mix, Policy, Setup, World};
+use fleet::{Arrival, Asked, Fate, Figures, Mix, Policy, Setup, World};
 use persimmon_core::{
-    grant::{GrantSettings, RawGrantSettings},
     request::LengthClass,
-    routing::{RawRoutingSettings, RoutingSettings},
     units::{Millis, Time},
 };
 
@@ -19,25 +17,9 @@
 const SHORTS: [LengthClass; 2] = [LengthClass::Short, LengthClass::Medium];
 
 fn setup(policy: Policy, engines_count: usize, ramp_start_requests: u32) -> Setup {
-    let routing = RawRoutingSettings {
-        policy,
-        ..RawRoutingSettings::default()
-    };
-    let grant = RawGrantSettings {
-        policy,
-        ramp_start_requests,
-        ..RawGrantSettings::default()
-    };
-    Setup {
-        engines_count,
-        daemons_count: 3,
-        make: EngineMake::default(),
-        grant: GrantSettings::try_from(grant).unwrap(),
-        routing: RoutingSettings::try_from(routing).unwrap(),
-        workspaces_count: 10,
-        hides_prefixes: false,
-        seed: SEED,
-    }
+    let mut setup = Setup::warm(engines_count, 3, SEED).under(policy);
+    setup.grant.ramp_start_requests = ramp_start_requests;
+    setup
 }
 
 fn arrivals(setup: &Setup, busy_ratio: f64, span_s: f64) -> Vec<Arrival> {
