--- a/crates/core/src/grant/mod.rs
+++ b/crates/core/src/grant/mod.rs
@@ -1,20 +1,25 @@
 //! The owner's side of grants: exact accounts of each owned upstream, a queue, lapse and cancel.
 
 mod admit;
+mod audit;
 mod backlog;
 mod choose;
+mod clock;
 mod errors;
 mod fairness;
 mod fit;
+mod group;
 mod lapse;
 mod learnt;
 mod ledger;
 mod level;
 mod long_set;
+mod orphans;
 mod owner;
 mod prefix_cache;
 mod pump;
 mod ramp;
+mod segments;
 mod settings;
 mod summary;
 mod timers;
--- a/crates/core/src/grant/owner.rs
+++ b/crates/core/src/grant/owner.rs
@@ -1,6 +1,7 @@
 //! The owner of upstreams: who gets a grant, and what becomes of it.
 
 use super::{
+    group::Groups,
     learnt::OutputShares,
     ledger::{HoldState, Ledger},
     long_set::{Demand, LongSet},
@@ -9,10 +10,9 @@
     waiting::{Lane, Queue},
 };
 use crate::{
-    action::Action,
     config::{UpstreamConfig, UpstreamKind},
     context::{Context, View},
-    ids::{AttemptId, UpstreamId, VmId},
+    ids::{AttemptId, RequestId, UpstreamId, VmId},
     message::{GrantAnswer, GrantMessage, HeldGrant, Member, PeerMessage},
     ownership::OwnershipChange,
     platform::CallToken,
@@ -30,13 +30,15 @@
     pub(super) granted: BTreeMap<AttemptId, UpstreamId>,
     pub(super) queue: Queue,
     pub(super) cancels: BTreeMap<CallToken, (UpstreamId, AttemptId)>,
+    pub(super) orphan_cancels: BTreeMap<CallToken, (UpstreamId, RequestId)>,
     pub(super) timers: Timers,
     pub(super) leaving: bool,
     pub(super) grants_count: u64,
     pub(super) demand: [Demand; Lane::ALL.len()],
     pub(super) long_set: LongSet,
     pub(super) outputs: OutputShares,
-    finished: BTreeSet<AttemptId>,
+    pub(super) groups: Groups,
+    pub(super) finished: BTreeSet<AttemptId>,
 }
 
 impl Owner {
@@ -48,12 +50,14 @@
             granted: BTreeMap::new(),
             queue: Queue::default(),
             cancels: BTreeMap::new(),
+            orphan_cancels: BTreeMap::new(),
             timers: Timers::default(),
             leaving: false,
             grants_count: 0,
             demand: Default::default(),
             long_set: LongSet::default(),
             outputs: OutputShares::default(),
+            groups: Groups::default(),
             finished: BTreeSet::new(),
         }
     }
@@ -64,7 +68,10 @@
         for upstream in owned {
             match view.config.upstreams.get(&upstream) {
                 Some(config) => self.refresh_ledger(ctx, view, &upstream, config),
-                None => self.drop_ledger(&upstream),
+                None => {
+                    self.drop_ledger(&upstream);
+                    self.end_groups_of(ctx, view, &upstream);
+                }
             }
         }
         self.long_set.order(view);
@@ -136,6 +143,7 @@
             }
             OwnershipChange::Lost { upstream } => {
                 self.drop_ledger(upstream);
+                self.end_groups_of(ctx, view, upstream);
                 self.recheck_waiting(ctx, view);
             }
         }
@@ -176,6 +184,7 @@
         self.ledgers.remove(upstream);
         self.granted.retain(|_, at| at != upstream);
         self.cancels.retain(|_, (at, _)| at != upstream);
+        self.orphan_cancels.retain(|_, (at, _)| at != upstream);
     }
 
     /// The process was paused: its view of outstanding grants may be old.
@@ -199,7 +208,11 @@
             GrantMessage::Request(request) => self.on_request(ctx, view, from, *request),
             GrantMessage::Withdraw { attempt } => {
                 self.queue.remove(&attempt);
-                self.finish(ctx.now, attempt);
+                if self.groups.is_forming(&attempt) {
+                    self.end_group(ctx, view, attempt);
+                } else {
+                    self.finish(ctx.now, attempt);
+                }
                 self.pump(ctx, view);
             }
             GrantMessage::Release { attempt, end, .. } => {
@@ -262,7 +275,9 @@
             ledger.rates.forget();
             ledger.cache.empty();
             self.resend_cancels(ctx, upstream);
+            self.end_groups_of(ctx, view, upstream);
         }
+        self.cancel_orphans(ctx, upstream);
         self.pump(ctx, view);
     }
 
@@ -279,67 +294,6 @@
         }
     }
 
-    /// Fires the timers that are due.
-    pub fn on_tick(&mut self, ctx: &mut Context<'_>, view: &View<'_>) {
-        while let Some(timer) = self.timers.pop(ctx.now) {
-            self.on_timer(ctx, view, timer);
-        }
-        if self.leaving {
-            self.recheck_waiting(ctx, view);
-        }
-    }
-
-    fn on_timer(&mut self, ctx: &mut Context<'_>, view: &View<'_>, timer: Timer) {
-        match timer {
-            Timer::Waiting(attempt) => self.on_wait_over(ctx, view, &attempt),
-            Timer::Lapse(upstream, attempt) => {
-                if self.is_running(&upstream, &attempt) {
-                    self.revoke(ctx, view, &upstream, &attempt);
-                    self.cancel(ctx, &upstream, attempt);
-                }
-            }
-            Timer::Cancel(upstream, attempt) => self.resend_cancel(ctx, &upstream, attempt),
-            Timer::Poll(upstream) => self.poll(ctx, upstream),
-            Timer::PollCache(upstream) => self.poll_cache(ctx, upstream),
-            Timer::Learning(_) => self.pump(ctx, view),
-            Timer::Drain(upstream) => self.on_drain_over(ctx, view, &upstream),
-            Timer::Pump => self.on_pump(ctx, view),
-            Timer::LongSet => self.on_long_set(ctx, view),
-            Timer::Finished(attempt) => {
-                self.finished.remove(&attempt);
-            }
-        }
-    }
-
-    fn poll(&mut self, ctx: &mut Context<'_>, upstream: UpstreamId) {
-        let Some(ledger) = self.ledgers.get(&upstream) else {
-            return;
-        };
-        ctx.act(Action::PollLoad {
-            upstream: upstream.clone(),
-            address: ledger.config.address,
-        });
-        let next = ctx.now + self.settings.poll_ms;
-        self.timers.replace(next, Timer::Poll(upstream));
-    }
-
-    fn on_long_set(&mut self, ctx: &Context<'_>, view: &View<'_>) {
-        if self.ledgers.is_empty() {
-            return;
-        }
-        self.refresh_long_set(ctx.now, view);
-        let next = ctx.now + self.settings.long_set_ms;
-        self.timers.replace(next, Timer::LongSet);
-    }
-
-    /// When `on_tick` is due next.
-    pub fn next_wakeup(&self) -> Option<Time> {
-        if self.leaving && self.queue.len() > 0 {
-            return Some(Time::START);
-        }
-        self.timers.next()
-    }
-
     /// The daemon leaves: no new grants from now on.
     pub fn set_leaving(&mut self) {
         self.leaving = true;
@@ -365,10 +319,8 @@
 
     /// Takes an attempt's share back and remembers that it is over.
     pub(super) fn finish(&mut self, now: Time, attempt: AttemptId) {
-        if let Some(upstream) = self.granted.remove(&attempt) {
-            if let Some(ledger) = self.ledgers.get_mut(&upstream) {
-                ledger.give_back(now, &attempt);
-            }
+        if let Some(upstream) = self.granted.get(&attempt).cloned() {
+            self.finish_at(now, &upstream, attempt);
         }
         if self.finished.insert(attempt) {
             let end = now + self.settings.finished_ms;
@@ -376,6 +328,16 @@
         }
     }
 
+    /// Takes an attempt's share of one upstream back.
+    pub(super) fn finish_at(&mut self, now: Time, upstream: &UpstreamId, attempt: AttemptId) {
+        if let Some(ledger) = self.ledgers.get_mut(upstream) {
+            ledger.give_back(now, &attempt);
+        }
+        if self.granted.get(&attempt) == Some(upstream) {
+            self.granted.remove(&attempt);
+        }
+    }
+
     pub(super) fn answer(
         ctx: &mut Context<'_>,
         view: &View<'_>,
--- a/crates/core/src/grant/pump.rs
+++ b/crates/core/src/grant/pump.rs
@@ -1,7 +1,7 @@
 //! Passes over the queue: what has become free goes to who waits.
 
 use super::{
-    fit::need_of,
+    fit::{need_of, Need},
     level::Level,
     owner::Owner,
     timers::Timer,
@@ -12,7 +12,7 @@
     ids::{AttemptId, UpstreamId},
     message::{GrantAnswer, GrantDenial},
     routing::RoutingPolicy,
-    units::{Millis, Time},
+    units::{KvBytes, Millis, Time},
 };
 
 /// Waiting requests of a lane that are tried in one pass.
@@ -63,7 +63,13 @@
 
     /// Whether any upstream could take the shortest request of a lane.
     fn is_lane_open(&self, now: Time, lane: Lane) -> bool {
-        let Some(class) = self.queue.lane(lane).map(|w| w.class).min() else {
+        let Some(class) = self
+            .queue
+            .lane(lane)
+            .take(PASS_COUNT)
+            .map(|w| w.class)
+            .min()
+        else {
             return false;
         };
         let percent = self.settings.learning_percent;
@@ -89,11 +95,23 @@
                 continue;
             };
             let need = need_of(view, &self.outputs, &waiting.request);
-            if let Some(upstream) = self.to_reserve(now, &candidates) {
-                if let Some(ledger) = self.ledgers.get_mut(&upstream) {
-                    ledger.reserved = Some((attempt, need.kv_bytes));
-                }
-            }
+            self.reserve(now, attempt, need, &candidates);
+        }
+    }
+
+    /// Keeps the memory of the fewest engines that hold a request: one, or a group.
+    fn reserve(&mut self, now: Time, attempt: AttemptId, need: Need, candidates: &[UpstreamId]) {
+        let mut left = need.kv_bytes;
+        while left > KvBytes::ZERO {
+            let Some(upstream) = self.to_reserve(now, candidates) else {
+                return;
+            };
+            let Some(ledger) = self.ledgers.get_mut(&upstream) else {
+                return;
+            };
+            let kept = left.min(ledger.kv_total());
+            ledger.reserved = Some((attempt, kept));
+            left = left.saturating_sub(kept);
         }
     }
 
@@ -115,11 +133,14 @@
             Err(denial) => return self.deny_waiting(ctx, view, attempt, denial),
         };
         let need = need_of(view, &self.outputs, &waiting.request);
+        if self.needs_group(need, &candidates) {
+            return self.try_waiting_group(ctx, view, attempt, need);
+        }
         let Some(choice) = self.choose(ctx.now, &waiting.request, need, &candidates) else {
             return false;
         };
         if !self.is_in_time(ctx.now, waiting.deadline, &choice) {
-            let denial = self.busy(ctx.now, view, choice.predicted_ms);
+            let denial = self.busy(ctx.now, view, Lane::of(waiting.class), choice.predicted_ms);
             return self.deny_waiting(ctx, view, attempt, denial);
         }
         let Some(mut waiting) = self.queue.serve(attempt) else {
@@ -137,6 +158,24 @@
         true
     }
 
+    fn try_waiting_group(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        attempt: &AttemptId,
+        need: Need,
+    ) -> bool {
+        let Some(mut waiting) = self.queue.get(attempt).cloned() else {
+            return false;
+        };
+        waiting.request.remaining_ms = waiting.deadline.since(ctx.now);
+        let formed = self.try_group(ctx, view, &waiting.entry, &waiting.request, need);
+        if formed {
+            self.queue.serve(attempt);
+        }
+        formed
+    }
+
     fn deny_waiting(
         &mut self,
         ctx: &mut Context<'_>,
@@ -236,7 +275,7 @@
             return;
         };
         let wait_ms = self.wait_ahead(ctx.now, view, &waiting.request);
-        let denial = self.busy(ctx.now, view, wait_ms);
+        let denial = self.busy(ctx.now, view, Lane::of(waiting.class), wait_ms);
         self.deny_waiting(ctx, view, attempt, denial);
     }
 }
