Wait for orders that take work in a pool of their own

A group's prefill of 400,000 tokens takes 3.3 s at the stand-in's rate, and every order timed out after 2 s: the group fell apart and the largest prompt that fits (799,980 tokens) was refused with no_capacity. Orders that load, import or prefill now wait up to 300 s on threads of their own, so that cancels and load polls are not held up.

--- a/crates/core/src/upstream/order.rs
+++ b/crates/core/src/upstream/order.rs
@@ -78,6 +78,19 @@
     },
 }
 
+impl OrderKind {
+    /// Whether the upstream answers only when work that takes seconds or minutes is done.
+    pub const fn is_long(&self) -> bool {
+        matches!(
+            self,
+            Self::ImportKv { .. }
+                | Self::LoadAdapter { .. }
+                | Self::LoadModel { .. }
+                | Self::PrefillSegment { .. }
+        )
+    }
+}
+
 /// What work an engine takes.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/io/src/upstream/http_client.rs
+++ b/crates/io/src/upstream/http_client.rs
@@ -18,6 +18,9 @@
 /// Longest wait for an answer about an upstream's state, in seconds.
 const CONTROL_TIMEOUT_S: u64 = 2;
 
+/// Longest wait for the answer to an order that takes work, in seconds.
+const LONG_ORDER_TIMEOUT_S: u64 = 300;
+
 /// Largest error body that is read, in bytes.
 const ERROR_MAX_BYTES: u64 = 64 * 1024;
 
@@ -96,11 +99,15 @@
             fencing: order.fencing,
             kind: &order.kind,
         };
+        let timeout_s = match order.kind.is_long() {
+            true => LONG_ORDER_TIMEOUT_S,
+            false => CONTROL_TIMEOUT_S,
+        };
         let request = request(Method::Post, order.address, "/control/orders")
             .with_header("Content-Type", "application/json")
             .with_header("X-Fencing", order.fencing.to_string())
             .with_body(json(&body)?)
-            .with_timeout(CONTROL_TIMEOUT_S);
+            .with_timeout(timeout_s);
         check_ok(send(request)?).map(drop)
     }
 
--- a/crates/persimmon-standin/tests/whole_path.rs
+++ b/crates/persimmon-standin/tests/whole_path.rs
@@ -182,8 +182,8 @@
                 .split(' ')
                 .find_map(|word| word.parse::<usize>().ok())
                 .unwrap();
-            let (status, _) = complete(&fleet, "far-vm-1", &prompt(fits));
-            assert_eq!(status, 200);
+            let (status, answer) = complete(&fleet, "far-vm-1", &prompt(fits));
+            assert_eq!(status, 200, "{fits} tokens: {answer}");
         }
         _ => panic!("{status}: {answer}"),
     }
--- a/crates/persimmond/src/control.rs
+++ b/crates/persimmond/src/control.rs
@@ -51,6 +51,7 @@
     pub(crate) upstream: Arc<dyn UpstreamClient>,
     pub(crate) platform_pool: Pool,
     pub(crate) upstream_pool: Pool,
+    pub(crate) long_order_pool: Pool,
     pub(crate) killed: Arc<AtomicBool>,
 }
 
@@ -133,7 +134,12 @@
         match action {
             Action::Order(order) => {
                 let (upstream, token) = (order.upstream.clone(), order.token);
+                let pool = match order.kind.is_long() {
+                    true => &self.long_order_pool,
+                    false => &self.upstream_pool,
+                };
                 self.call_upstream(
+                    pool,
                     move |client| client.order(&order),
                     move |answer| {
                         Some(Event::OrderAnswered {
@@ -145,6 +151,7 @@
                 );
             }
             Action::PollLoad { upstream, address } => self.call_upstream(
+                &self.upstream_pool,
                 move |client| client.load(address).map(Box::new),
                 move |answer| Some(Event::Load { upstream, answer }),
             ),
@@ -172,6 +179,7 @@
 
     fn poll_cache(&self, upstream: UpstreamId, address: SocketAddr, from: Option<u64>) {
         self.call_upstream(
+            &self.upstream_pool,
             move |client| client.cache(address, from),
             // The next poll asks again: a missed batch shows as a gap.
             move |answer| answer.ok().map(|batch| Event::Cache { upstream, batch }),
@@ -196,6 +204,7 @@
 
     fn call_upstream<T: 'static>(
         &self,
+        pool: &Pool,
         call: impl FnOnce(&dyn UpstreamClient) -> Result<T, UpstreamError> + Send + 'static,
         event: impl FnOnce(Result<T, UpstreamError>) -> Option<Event> + Clone + Send + 'static,
     ) {
@@ -207,7 +216,7 @@
                 let _ = events.send(event);
             }
         };
-        if !self.upstream_pool.run(job) {
+        if !pool.run(job) {
             let reason = "the daemon's queue of upstream calls is full".into();
             if let Some(event) = event(Err(UpstreamError::NotRun { reason })) {
                 let _ = self.events.send(event);
--- a/crates/persimmond/src/daemon.rs
+++ b/crates/persimmond/src/daemon.rs
@@ -24,6 +24,9 @@
 /// Threads that call the platform.
 const PLATFORM_THREADS: usize = 4;
 
+/// Threads that wait for orders that take work, such as loading a model.
+const LONG_ORDER_THREADS: usize = 8;
+
 /// Threads that give orders to upstreams and ask for their load.
 const UPSTREAM_THREADS: usize = 8;
 
@@ -103,6 +106,7 @@
             upstream: parts.upstream,
             platform_pool: Pool::start(PLATFORM_THREADS),
             upstream_pool: Pool::start(UPSTREAM_THREADS),
+            long_order_pool: Pool::start(LONG_ORDER_THREADS),
             killed: Arc::clone(&killed),
         };
         let builder = thread::Builder::new().name(CONTROL_THREAD.into());
