--- a/crates/persimmon-load/src/args.rs
+++ b/crates/persimmon-load/src/args.rs
@@ -17,20 +17,20 @@
     #[argh(option)]
     pub mix: Option<PathBuf>,
     /// seed of arrivals and prompts (default 1)
-    #[argh(option, default = "1")]
-    pub seed: u64,
+    #[argh(option, long = "seed", default = "1")]
+    pub rng_seed: u64,
     /// length of a run in seconds (default 20)
-    #[argh(option, default = "20")]
-    pub seconds: u64,
+    #[argh(option, long = "seconds", default = "20")]
+    pub span_s: u64,
     /// load as a share of the prefill rate of all engines (default 0.3)
-    #[argh(option, default = "0.3")]
-    pub load: f64,
+    #[argh(option, long = "load", default = "0.3")]
+    pub load_ratio: f64,
     /// requests that arrive at the same time (default 1: Poisson arrivals)
-    #[argh(option, default = "1")]
-    pub burst: u32,
+    #[argh(option, long = "burst", default = "1")]
+    pub burst_requests: u32,
     /// most calls at a time (default 400)
-    #[argh(option, default = "400")]
-    pub threads: u32,
+    #[argh(option, long = "threads", default = "400")]
+    pub threads_count: u32,
     /// file for the result in JSON
     #[argh(option)]
     pub json: Option<PathBuf>,
@@ -73,8 +73,8 @@
     #[argh(option)]
     pub model: Option<ModelVersion>,
     /// requests a second (with --daemon; default 10)
-    #[argh(option, default = "10.0")]
-    pub rate: f64,
+    #[argh(option, long = "rate", default = "10.0")]
+    pub rate_per_s: f64,
 }
 
 /// routing policies in turn on the same arrivals, as ratios
@@ -108,8 +108,8 @@
     #[argh(option)]
     pub domain: FailureDomain,
     /// changes: drain and return in turn (default 2)
-    #[argh(option, default = "2")]
-    pub changes: u32,
+    #[argh(option, long = "changes", default = "2")]
+    pub changes_count: u32,
 }
 
 /// faults under load, each on a fresh deployment
--- a/crates/persimmon-load/src/caller/call.rs
+++ b/crates/persimmon-load/src/caller/call.rs
@@ -26,7 +26,7 @@
     /// Time that they give for a whole answer.
     pub timeout_ms: Millis,
     /// Seed of the run, part of idempotency keys.
-    pub seed: u64,
+    pub rng_seed: u64,
 }
 
 /// Makes calls.
@@ -89,7 +89,7 @@
 
     fn service(&self, arrival: &Arrival, service: &ServiceName) -> (Option<Instant>, End) {
         let path = format!("/services/{service}/orders/{}", arrival.number_index);
-        let key = arrival.key(self.settings.seed);
+        let key = arrival.key(self.settings.rng_seed);
         let mut answer = match self.send(arrival, &path, r#"{"release":true}"#, Some(&key)) {
             Err(end) => return (None, end),
             Ok(answer) => answer,
--- a/crates/persimmon-load/src/caller/pool.rs
+++ b/crates/persimmon-load/src/caller/pool.rs
@@ -65,7 +65,7 @@
 ) {
     let mut printed = Instant::now();
     for (sent_count, arrival) in arrivals.iter().enumerate() {
-        thread::sleep((start + arrival.at).saturating_duration_since(Instant::now()));
+        thread::sleep((start + arrival.at()).saturating_duration_since(Instant::now()));
         if due.send(arrival).is_err() {
             return;
         }
@@ -89,14 +89,14 @@
         prompts: settings.prompts,
     };
     for arrival in todo {
-        let due = start + arrival.at;
+        let due = start + arrival.at();
         let late_ms = ms(due.elapsed());
         let (first, end) = caller.call(arrival);
         let sample = Sample {
             number_index: arrival.number_index,
             workspace: arrival.workspace.clone(),
             class: arrival.class(),
-            at_ms: ms(arrival.at),
+            at_ms: ms(arrival.at()),
             late_ms,
             first_token_ms: first.map(|first| ms(first.saturating_duration_since(due))),
             end_ms: ms(due.elapsed()),
--- a/crates/persimmon-load/src/caller/sample.rs
+++ b/crates/persimmon-load/src/caller/sample.rs
@@ -1,9 +1,9 @@
 //! What came of one request.
 
-use crate::workload::{self, LengthClass};
+use crate::workload;
 use persimmon_core::{
     ids::WorkspaceId,
-    request::{Outcome, RefusalCode},
+    request::{LengthClass, Outcome, RefusalCode},
 };
 use serde::Serialize;
 
--- a/crates/persimmon-load/src/experiment/alone.rs
+++ b/crates/persimmon-load/src/experiment/alone.rs
@@ -1,12 +1,8 @@
 //! How much short requests slow down when long ones share the fleet.
 
 use super::{compare::p95_ratios, Bench, BenchSettings};
-use crate::{
-    measure::RunReport,
-    workload::{Arrival, LengthClass},
-    LoadError,
-};
-use persimmon_core::daemon::PartSettings;
+use crate::{measure::RunReport, workload::Arrival, LoadError};
+use persimmon_core::{daemon::PartSettings, request::LengthClass};
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -28,7 +24,7 @@
 /// A deployment does not start.
 pub fn alone(settings: &BenchSettings, parts: &PartSettings) -> Result<AloneReport, LoadError> {
     let all = settings.arrivals();
-    let is_short = |arrival: &&Arrival| arrival.class() <= Some(LengthClass::UpTo16k);
+    let is_short = |arrival: &&Arrival| arrival.class() <= Some(LengthClass::Medium);
     let short: Vec<Arrival> = all.iter().filter(is_short).cloned().collect();
     let alone = one_run(settings, parts, &short)?;
     let shared = one_run(settings, parts, &all)?;
--- a/crates/persimmon-load/src/experiment/bench.rs
+++ b/crates/persimmon-load/src/experiment/bench.rs
@@ -8,7 +8,7 @@
     workload::{schedule, Arrival, Mix, Prompts, ScheduleSettings},
     LoadError,
 };
-use persimmon_core::{daemon::PartSettings, ids::ModelVersion};
+use persimmon_core::{daemon::PartSettings, ids::ModelVersion, units::Millis};
 use persimmon_standin::demo::{Deployment, Fleet};
 use std::{
     thread,
@@ -29,9 +29,9 @@
     /// The mix of requests.
     pub mix: Mix,
     /// Seed of arrivals and prompts.
-    pub seed: u64,
+    pub rng_seed: u64,
     /// Length of a run.
-    pub span: Duration,
+    pub span_ms: Millis,
     /// Load, as a share of the prefill rate of all engines.
     pub load_ratio: f64,
     /// Requests that arrive at the same time.
@@ -83,9 +83,9 @@
             .collect();
         let services: Vec<_> = self.deployment.services.keys().cloned().collect();
         schedule(&ScheduleSettings {
-            seed: self.seed,
+            rng_seed: self.rng_seed,
             rate_per_s: self.rate_per_s(),
-            span: self.span,
+            span_ms: self.span_ms,
             burst_requests: self.burst_requests,
             mix: &self.mix,
             workspaces: &workspaces,
@@ -115,7 +115,7 @@
         Ok(Self {
             settings,
             model: model.expect("checked above").clone(),
-            prompts: Prompts::new(settings.seed, settings.mix.shared_prefix_tokens),
+            prompts: Prompts::new(settings.rng_seed, settings.mix.shared_prefix_tokens),
             fleet,
             balancer,
         })
@@ -134,7 +134,7 @@
         let caller = CallerSettings {
             model: self.model.clone(),
             timeout_ms: self.settings.mix.timeout_ms,
-            seed: self.settings.seed,
+            rng_seed: self.settings.rng_seed,
         };
         let settings = RunSettings {
             caller: &caller,
@@ -173,7 +173,7 @@
 
     /// Runs of idempotency keys against what callers were told.
     pub fn key_counts(&self, samples: &[Sample]) -> KeyCounts {
-        KeyCounts::of(&self.fleet, samples, self.settings.seed)
+        KeyCounts::of(&self.fleet, samples, self.settings.rng_seed)
     }
 }
 
--- a/crates/persimmon-load/src/experiment/compare.rs
+++ b/crates/persimmon-load/src/experiment/compare.rs
@@ -1,9 +1,11 @@
 //! Routing policies, in turn, on the same arrivals.
 
 use super::{Bench, BenchSettings, FleetCounts};
-use crate::{measure::RunReport, workload::LengthClass, LoadError};
+use crate::{measure::RunReport, LoadError};
 use persimmon_core::{
     daemon::PartSettings,
+    grant::{GrantSettings, RawGrantSettings},
+    request::LengthClass,
     routing::{RawRoutingSettings, RoutingPolicy, RoutingSettings},
 };
 use serde::Serialize;
@@ -55,14 +57,19 @@
     Ok(CompareReport::new(reports))
 }
 
-/// Default settings with a routing policy.
+/// Default settings with one policy for entry daemons and owners.
 fn parts(policy: RoutingPolicy) -> PartSettings {
-    let raw = RawRoutingSettings {
+    let routing = RawRoutingSettings {
         policy,
         ..RawRoutingSettings::default()
     };
+    let grant = RawGrantSettings {
+        policy,
+        ..RawGrantSettings::default()
+    };
     PartSettings {
-        routing: RoutingSettings::try_from(raw).unwrap_or_default(),
+        grant: GrantSettings::try_from(grant).unwrap_or_default(),
+        routing: RoutingSettings::try_from(routing).unwrap_or_default(),
         ..PartSettings::default()
     }
 }
--- a/crates/persimmon-load/src/experiment/domain_change.rs
+++ b/crates/persimmon-load/src/experiment/domain_change.rs
@@ -83,7 +83,7 @@
     let known = settings.deployment.domains.contains_key(domain);
     require(known, "domain", domain, "name one of the deployment")?;
     let mut bench = Bench::start(settings, parts)?;
-    let pause = settings.span / (changes_count + 1);
+    let pause = settings.span_ms.duration() / (changes_count + 1);
     let watched = bench.run(&settings.arrivals(), |fleet, _, start| {
         let mut timeline = Timeline::default();
         let mut changes = Vec::new();
--- a/crates/persimmon-load/src/experiment/faults.rs
+++ b/crates/persimmon-load/src/experiment/faults.rs
@@ -114,7 +114,7 @@
     case: FaultCase,
 ) -> Result<FaultRow, LoadError> {
     let mut bench = Bench::start(settings, parts)?;
-    let quarter = settings.span / 4;
+    let quarter = settings.span_ms.duration() / 4;
     let arrivals = settings.arrivals();
     let calls = arrivals.iter().filter(|a| a.class().is_some()).count();
     let watched = bench.run(&arrivals, |fleet, balancer, start| {
--- a/crates/persimmon-load/src/experiment/slopes.rs
+++ b/crates/persimmon-load/src/experiment/slopes.rs
@@ -56,7 +56,7 @@
 ) -> Result<SlopesReport, LoadError> {
     let rows = sizes.iter().map(|(daemons_count, engines_count)| {
         let deployment = sized(&settings.deployment, *daemons_count, *engines_count)?;
-        let row = one_size(&deployment, parts, settings.span)?;
+        let row = one_size(&deployment, parts, settings.span_ms.duration())?;
         eprintln!("{}", row.line());
         Ok(row)
     });
--- a/crates/persimmon-load/src/measure/report.rs
+++ b/crates/persimmon-load/src/measure/report.rs
@@ -1,11 +1,8 @@
 //! The result of a run.
 
 use super::{SpanReport, Spans, SystemUse};
-use crate::{
-    caller::{End, Sample},
-    workload::LengthClass,
-};
-use persimmon_core::request::Outcome;
+use crate::caller::{End, Sample};
+use persimmon_core::request::{LengthClass, Outcome};
 use serde::Serialize;
 use std::collections::BTreeMap;
 
--- a/crates/persimmon-load/src/run.rs
+++ b/crates/persimmon-load/src/run.rs
@@ -13,18 +13,15 @@
     workload::{schedule, Mix, Prompts, ScheduleSettings},
     LoadError,
 };
-use persimmon_core::{daemon::PartSettings, ids::FailureDomain, routing::RoutingPolicy};
+use persimmon_core::{
+    daemon::PartSettings, ids::FailureDomain, routing::RoutingPolicy, units::Millis,
+};
 use persimmon_standin::{
     demo::{Deployment, DeploymentFields},
     read_settings,
 };
 use serde::Serialize;
-use std::{
-    fs,
-    path::Path,
-    process::ExitCode,
-    time::{Duration, Instant},
-};
+use std::{fs, path::Path, process::ExitCode, time::Instant};
 
 /// Sizes that `slopes` measures where none is named: daemons and engines of a failure domain.
 const SLOPE_SIZES: [(u32, u32); 6] = [(1, 2), (3, 2), (6, 2), (3, 5), (3, 10), (3, 30)];
@@ -65,7 +62,7 @@
             Ok(report.table())
         }
         Command::Drain(args) => domain(cli, &settings, &parts, &args.domain, 1),
-        Command::Return(args) => domain(cli, &settings, &parts, &args.domain, args.changes),
+        Command::Return(args) => domain(cli, &settings, &parts, &args.domain, args.changes_count),
         Command::Faults(args) => {
             let cases = match args.case.is_empty() {
                 true => &FaultCase::ALL[..],
@@ -88,14 +85,19 @@
 }
 
 fn settings(cli: &Cli) -> Result<BenchSettings, LoadError> {
-    let loads = cli.load.is_finite() && cli.load > 0.0 && cli.load <= 10.0;
-    require(loads, "load", cli.load, "give a share above 0, at most 10")?;
-    let spans = (1..=86_400).contains(&cli.seconds);
-    require(spans, "seconds", cli.seconds, "give 1 to 86400")?;
-    let bursts = (1..=100_000).contains(&cli.burst);
-    require(bursts, "burst", cli.burst, "give 1 to 100000")?;
-    let threads = (1..=4_096).contains(&cli.threads);
-    require(threads, "threads", cli.threads, "give 1 to 4096")?;
+    let loads = cli.load_ratio.is_finite() && cli.load_ratio > 0.0 && cli.load_ratio <= 10.0;
+    require(
+        loads,
+        "load",
+        cli.load_ratio,
+        "give a share above 0, at most 10",
+    )?;
+    let spans = (1..=86_400).contains(&cli.span_s);
+    require(spans, "seconds", cli.span_s, "give 1 to 86400")?;
+    let bursts = (1..=100_000).contains(&cli.burst_requests);
+    require(bursts, "burst", cli.burst_requests, "give 1 to 100000")?;
+    let threads = (1..=4_096).contains(&cli.threads_count);
+    require(threads, "threads", cli.threads_count, "give 1 to 4096")?;
     let mix = match &cli.mix {
         Some(file) => Mix::read(file)?,
         None => Mix::example()?,
@@ -107,11 +109,11 @@
     Ok(BenchSettings {
         deployment,
         mix,
-        seed: cli.seed,
-        span: Duration::from_secs(cli.seconds),
-        load_ratio: cli.load,
-        burst_requests: cli.burst,
-        threads_count: cli.threads,
+        rng_seed: cli.rng_seed,
+        span_ms: Millis::from_secs(cli.span_s),
+        load_ratio: cli.load_ratio,
+        burst_requests: cli.burst_requests,
+        threads_count: cli.threads_count,
     })
 }
 
@@ -134,8 +136,13 @@
 }
 
 fn remote_run(settings: &BenchSettings, args: &RunArgs) -> Result<RunReport, LoadError> {
-    let rates = args.rate.is_finite() && args.rate > 0.0;
-    require(rates, "rate", args.rate, "give requests a second above 0")?;
+    let rates = args.rate_per_s.is_finite() && args.rate_per_s > 0.0;
+    require(
+        rates,
+        "rate",
+        args.rate_per_s,
+        "give requests a second above 0",
+    )?;
     let example = settings.deployment.models.keys().next();
     let model = args.model.as_ref().or(example).ok_or(LoadError::Setting {
         key: "model",
@@ -148,9 +155,9 @@
         .collect();
     let services: Vec<_> = settings.deployment.services.keys().cloned().collect();
     let arrivals = schedule(&ScheduleSettings {
-        seed: settings.seed,
-        rate_per_s: args.rate,
-        span: settings.span,
+        rng_seed: settings.rng_seed,
+        rate_per_s: args.rate_per_s,
+        span_ms: settings.span_ms,
         burst_requests: settings.burst_requests,
         mix: &settings.mix,
         workspaces: &workspaces,
@@ -159,12 +166,12 @@
     let caller = CallerSettings {
         model: model.clone(),
         timeout_ms: settings.mix.timeout_ms,
-        seed: settings.seed,
+        rng_seed: settings.rng_seed,
     };
     let run = RunSettings {
         caller: &caller,
         balancer: &Balancer::start(args.daemon.clone()),
-        prompts: &Prompts::new(settings.seed, settings.mix.shared_prefix_tokens),
+        prompts: &Prompts::new(settings.rng_seed, settings.mix.shared_prefix_tokens),
         threads_count: settings.threads_count,
     };
     let meter = UseMeter::start();
--- a/crates/persimmon-load/src/workload/arrival.rs
+++ b/crates/persimmon-load/src/workload/arrival.rs
@@ -1,8 +1,8 @@
 //! One request that is to be made.
 
-use super::LengthClass;
 use persimmon_core::{
     ids::{ServiceName, WorkspaceId},
+    request::LengthClass,
     units::Tokens,
 };
 use std::time::Duration;
@@ -13,7 +13,7 @@
     /// Its number in the run.
     pub number_index: u64,
     /// When, from the start of the run.
-    pub at: Duration,
+    pub at_us: u64,
     /// Whose it is.
     pub workspace: WorkspaceId,
     /// What is asked.
@@ -37,10 +37,15 @@
 }
 
 impl Arrival {
+    /// When, as the standard library's type.
+    pub fn at(&self) -> Duration {
+        Duration::from_micros(self.at_us)
+    }
+
     /// The class of its prompt; `None` for a call of a plain service.
     pub fn class(&self) -> Option<LengthClass> {
         match self.work {
-            Work::Model { prompt_tokens, .. } => Some(prompt_tokens.into()),
+            Work::Model { prompt_tokens, .. } => Some(LengthClass::of(prompt_tokens)),
             Work::Service(_) => None,
         }
     }
--- a/crates/persimmon-load/src/workload/mix.rs
+++ b/crates/persimmon-load/src/workload/mix.rs
@@ -127,42 +127,47 @@
                 "give 2 <= min <= max <= 1000000",
             )?;
         }
-        let (min, max) = (
-            fields.output_min_tokens.get(),
-            fields.output_max_tokens.get(),
-        );
-        let ordered = min >= 1 && min <= max && max <= OUTPUT_MAX_TOKENS;
-        require(
-            ordered,
-            "output_max_tokens",
-            max,
-            "give 1 <= min <= max <= 10000",
-        )?;
-        for (key, ratio) in [
-            ("service_ratio", fields.service_ratio),
-            ("shared_prefix_ratio", fields.shared_prefix_ratio),
-        ] {
-            let holds = (0.0..=1.0).contains(&ratio);
-            require(holds, key, ratio, "give a share from 0 to 1")?;
-        }
-        let prefix = fields.shared_prefix_tokens.get();
-        require(
-            prefix <= PROMPT_MAX_TOKENS,
-            "shared_prefix_tokens",
-            prefix,
-            "give at most 1000000",
-        )?;
-        let timeout = fields.timeout_ms;
-        require(
-            (100..=900_000).contains(&timeout.get()),
-            "timeout_ms",
-            timeout,
-            "give 100 to 900000",
-        )?;
+        check_answers(&fields)?;
         Ok(Self(fields))
     }
 }
 
+fn check_answers(fields: &MixFields) -> Result<(), LoadError> {
+    let (min, max) = (
+        fields.output_min_tokens.get(),
+        fields.output_max_tokens.get(),
+    );
+    let ordered = min >= 1 && min <= max && max <= OUTPUT_MAX_TOKENS;
+    require(
+        ordered,
+        "output_max_tokens",
+        max,
+        "give 1 <= min <= max <= 10000",
+    )?;
+    for (key, ratio) in [
+        ("service_ratio", fields.service_ratio),
+        ("shared_prefix_ratio", fields.shared_prefix_ratio),
+    ] {
+        let holds = (0.0..=1.0).contains(&ratio);
+        require(holds, key, ratio, "give a share from 0 to 1")?;
+    }
+    let prefix = fields.shared_prefix_tokens.get();
+    require(
+        prefix <= PROMPT_MAX_TOKENS,
+        "shared_prefix_tokens",
+        prefix,
+        "give at most 1000000",
+    )?;
+    let timeout = fields.timeout_ms;
+    require(
+        (100..=900_000).contains(&timeout.get()),
+        "timeout_ms",
+        timeout,
+        "give 100 to 900000",
+    )?;
+    Ok(())
+}
+
 impl Deref for Mix {
     type Target = MixFields;
 
--- a/crates/persimmon-load/src/workload/schedule.rs
+++ b/crates/persimmon-load/src/workload/schedule.rs
@@ -3,21 +3,20 @@
 use super::{Arrival, Mix, PromptRange, Work};
 use persimmon_core::{
     ids::{ServiceName, WorkspaceId},
-    units::Tokens,
+    units::{Millis, Tokens},
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::time::Duration;
 
 /// What a schedule is made from.
 #[derive(Clone, Debug)]
 pub struct ScheduleSettings<'a> {
     /// Seed of the generator.
-    pub seed: u64,
+    pub rng_seed: u64,
     /// Requests a second.
     pub rate_per_s: f64,
     /// Length of the run.
-    pub span: Duration,
+    pub span_ms: Millis,
     /// Requests that arrive at the same time; 1 makes Poisson arrivals.
     pub burst_requests: u32,
     /// The mix.
@@ -30,21 +29,21 @@
 
 /// The arrivals of a run, in order. The same settings give the same arrivals.
 pub fn schedule(settings: &ScheduleSettings<'_>) -> Vec<Arrival> {
-    let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
+    let mut rng = ChaCha8Rng::seed_from_u64(settings.rng_seed);
     let burst = settings.burst_requests.max(1);
     let groups_per_s = settings.rate_per_s / f64::from(burst);
     let mut arrivals = Vec::new();
     let mut at_s = 0.0;
     loop {
         at_s -= (1.0 - rng.random::<f64>()).ln() / groups_per_s;
-        if at_s >= settings.span.as_secs_f64() {
+        if at_s >= settings.span_ms.duration().as_secs_f64() {
             return arrivals;
         }
         for _ in 0..burst {
             let number_index = arrivals.len() as u64;
             arrivals.push(Arrival {
                 number_index,
-                at: Duration::from_secs_f64(at_s),
+                at_us: (at_s * 1e6) as u64,
                 workspace: workspace(&mut rng, settings.workspaces),
                 work: work(&mut rng, settings),
             });
--- a/crates/persimmon-load/tests/answers.rs
+++ b/crates/persimmon-load/tests/answers.rs
@@ -14,7 +14,7 @@
     http::{respond_status, Listener},
 };
 use serde_json::{json, Value};
-use std::{io::Write, net::SocketAddr, time::Duration};
+use std::{io::Write, net::SocketAddr};
 use tiny_http::Request;
 
 const OUTPUT_TOKENS: u64 = 3;
@@ -26,7 +26,7 @@
 fn arrival(work: Work) -> Arrival {
     Arrival {
         number_index: 5,
-        at: Duration::ZERO,
+        at_us: 0,
         workspace: "line-1".parse().unwrap(),
         work,
     }
@@ -51,7 +51,7 @@
     let settings = CallerSettings {
         model: model(),
         timeout_ms: Millis::from_secs(2),
-        seed: 1,
+        rng_seed: 1,
     };
     let caller = Caller {
         settings: &settings,
--- a/crates/persimmon-load/tests/workload.rs
+++ b/crates/persimmon-load/tests/workload.rs
@@ -2,13 +2,13 @@
 
 use persimmon_core::{
     ids::{ServiceName, WorkspaceId},
-    request::count_tokens,
-    units::Tokens,
+    request::{count_tokens, LengthClass},
+    units::{Millis, Tokens},
 };
 use persimmon_load::workload::{
-    schedule, Arrival, LengthClass, Mix, MixFields, Prompts, ScheduleSettings, Work,
+    schedule, Arrival, Mix, MixFields, Prompts, ScheduleSettings, Work,
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 fn arrivals(seed: u64, burst_requests: u32, rate_per_s: f64) -> Vec<Arrival> {
     let workspaces: Vec<(WorkspaceId, u32)> = vec![
@@ -17,9 +17,9 @@
     ];
     let services: Vec<ServiceName> = vec!["orders".parse().unwrap()];
     schedule(&ScheduleSettings {
-        seed,
+        rng_seed: seed,
         rate_per_s,
-        span: Duration::from_secs(60),
+        span_ms: Millis::from_secs(60),
         burst_requests,
         mix: &Mix::example().unwrap(),
         workspaces: &workspaces,
@@ -51,7 +51,7 @@
     let all = arrivals(1, 10, 20.0);
     assert!(all.len() >= 500, "only {}", all.len());
     for burst in all.chunks(10) {
-        assert!(burst.iter().all(|arrival| arrival.at == burst[0].at));
+        assert!(burst.iter().all(|arrival| arrival.at_us == burst[0].at_us));
     }
 }
 
@@ -60,7 +60,7 @@
     let prompts = Prompts::new(1, Tokens::new(100));
     let arrival = |number_index, tokens, shares_prefix| Arrival {
         number_index,
-        at: Duration::ZERO,
+        at_us: 0,
         workspace: "line-1".parse().unwrap(),
         work: Work::Model {
             prompt_tokens: Tokens::new(tokens),
@@ -83,9 +83,9 @@
 
 #[test]
 fn classes_have_their_bounds() {
-    let class = |tokens| LengthClass::from(Tokens::new(tokens)).to_string();
+    let class = |tokens| LengthClass::of(Tokens::new(tokens)).to_string();
     let bounds = [2_000, 2_001, 16_000, 16_001, 100_000, 100_001].map(class);
-    insta::assert_snapshot!(bounds.join(" "), @"<=2k 2k-16k 2k-16k 16k-100k 16k-100k >100k");
+    insta::assert_snapshot!(bounds.join(" "), @"short medium medium long long huge");
 }
 
 #[test]
@@ -100,7 +100,7 @@
         refused(|mix| mix.prompts[0].min_tokens = Tokens::new(3_000)),
         refused(|mix| mix.output_min_tokens = Tokens::ZERO),
         refused(|mix| mix.service_ratio = 1.5),
-        refused(|mix| mix.timeout_ms = persimmon_core::units::Millis::ZERO),
+        refused(|mix| mix.timeout_ms = Millis::ZERO),
     ];
     insta::assert_snapshot!(errors.join("\n"));
 }
