--- a/crates/persimmon-load/src/caller/call.rs
+++ b/crates/persimmon-load/src/caller/call.rs
@@ -18,6 +18,9 @@
 /// Time that a caller waits on top of the time that it gave.
 const PATIENCE_MS: Millis = Millis::from_secs(5);
 
+/// Characters of a strange answer that are shown.
+const SHOWN_LEN: usize = 120;
+
 /// What callers have in common.
 #[derive(Clone, Debug)]
 pub struct CallerSettings {
@@ -26,7 +29,7 @@
     /// Time that they give for a whole answer.
     pub timeout_ms: Millis,
     /// Seed of the run, part of idempotency keys.
-    pub seed: u64,
+    pub rng_seed: u64,
 }
 
 /// Makes calls.
@@ -89,7 +92,7 @@
 
     fn service(&self, arrival: &Arrival, service: &ServiceName) -> (Option<Instant>, End) {
         let path = format!("/services/{service}/orders/{}", arrival.number_index);
-        let key = arrival.key(self.settings.seed);
+        let key = arrival.key(self.settings.rng_seed);
         let mut answer = match self.send(arrival, &path, r#"{"release":true}"#, Some(&key)) {
             Err(end) => return (None, end),
             Ok(answer) => answer,
@@ -155,7 +158,11 @@
     }
     match serde_json::from_slice::<ErrorBody>(&body) {
         Ok(ErrorBody { error }) => End::Refused(error.code, error.outcome),
-        Err(_) => End::Lost(format!("status {status} without a refusal")),
+        Err(_) => {
+            let body = String::from_utf8_lossy(&body);
+            let start: String = body.chars().take(SHOWN_LEN).collect();
+            End::Lost(format!("status {status} without a refusal: {start}"))
+        }
     }
 }
 
