--- a/crates/persimmond/src/daemon.rs
+++ b/crates/persimmond/src/daemon.rs
@@ -4,9 +4,9 @@
 use flume::Sender;
 use persimmon_core::{ids::Incarnation, message::Member, Event};
 use persimmon_io::{
-    http::CallerServer,
+    http::{CallerServer, Pages},
     operator::{OperatorDesk, OperatorServer},
-    settings::Settings,
+    settings::{Listen, Settings},
     traffic::TrafficHub,
 };
 use std::{
@@ -73,15 +73,10 @@
         };
         let hub = Arc::new(TrafficHub::new(events.clone(), Arc::clone(&parts.upstream)));
         let desk = Arc::new(OperatorDesk::new(events.clone()));
-        let (limits, pages) = (settings.limits, parts.telemetry.clone());
-        let callers = CallerServer::start(settings.listen.callers, limits, hub.clone(), pages)
-            .map_err(listen_error("listen.callers", settings.listen.callers))?;
-        let token = settings.operator_token;
-        let operators = OperatorServer::start(settings.listen.operators, token, desk.clone())
-            .map_err(listen_error("listen.operators", settings.listen.operators))?;
+        let servers = Servers::start(&settings, &hub, &desk, parts.telemetry.clone())?;
         let addresses = Addresses {
-            callers: callers.address(),
-            operators: operators.address(),
+            callers: servers.callers.address(),
+            operators: servers.operators.address(),
             peers: me.peer_address,
         };
         let killed = Arc::new(AtomicBool::new(false));
@@ -107,7 +102,7 @@
         };
         let builder = thread::Builder::new().name(CONTROL_THREAD.into());
         let thread = builder
-            .spawn(move || run(control, callers, operators))
+            .spawn(move || run(control, &servers))
             .map_err(|reason| StartError::Thread { reason })?;
         Ok(DaemonHandle {
             addresses,
@@ -132,6 +127,32 @@
     }
 }
 
+/// Who listens for HTTP.
+struct Servers {
+    callers: CallerServer,
+    operators: OperatorServer,
+}
+
+impl Servers {
+    fn start(
+        settings: &Settings,
+        hub: &Arc<TrafficHub>,
+        desk: &Arc<OperatorDesk>,
+        pages: Arc<dyn Pages>,
+    ) -> Result<Self, StartError> {
+        let Listen {
+            callers, operators, ..
+        } = settings.listen;
+        let token = settings.operator_token.clone();
+        Ok(Self {
+            callers: CallerServer::start(callers, settings.limits, Arc::clone(hub), pages)
+                .map_err(listen_error("listen.callers", callers))?,
+            operators: OperatorServer::start(operators, token, Arc::clone(desk))
+                .map_err(listen_error("listen.operators", operators))?,
+        })
+    }
+}
+
 impl DaemonHandle {
     /// Where it listens.
     pub const fn addresses(&self) -> Addresses {
@@ -164,11 +185,11 @@
     }
 }
 
-fn run(control: Control, callers: CallerServer, operators: OperatorServer) {
+fn run(control: Control, servers: &Servers) {
     let (hub, desk) = (Arc::clone(&control.hub), Arc::clone(&control.desk));
     control.run();
-    callers.stop();
-    operators.stop();
+    servers.callers.stop();
+    servers.operators.stop();
     hub.close();
     desk.close();
 }
