--- a/crates/persimmond/tests/loopback/processes.rs
+++ b/crates/persimmond/tests/loopback/processes.rs
@@ -2,11 +2,13 @@
 
 use crate::world::{
     client::{page, post, read_until, rest, send, tokens, STREAM},
-    daemons::LEASE_MS,
+    daemons::{settings, LEASE_MS},
     load::{Load, Tally},
     process::{find, Process, Processes},
     wait,
 };
+use insta::assert_snapshot;
+use serde_json::json;
 use std::{
     net::TcpStream,
     thread,
@@ -154,3 +156,15 @@
     process.terminate();
     assert_eq!(process.ended().code(), Some(0));
 }
+
+#[test]
+fn settings_are_only_checked() {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let valid = settings("vm-1", "a", &json!([]), address);
+    let mut wrong = valid.clone();
+    wrong["entry"] = json!({"max_attempts": 0});
+    let mut other = valid.clone();
+    other["vm"] = json!("vm-2");
+    let outputs = [valid, wrong, other].map(|settings| Process::check("check", &settings));
+    assert_snapshot!(outputs.join("\n"));
+}
--- a/crates/persimmond/tests/loopback/world/process.rs
+++ b/crates/persimmond/tests/loopback/world/process.rs
@@ -54,6 +54,18 @@
         Self::start_by(command, &file)
     }
 
+    /// Exit code and output of `--check`, with its folder masked.
+    pub(crate) fn check(test: &str, settings: &Value) -> String {
+        let file = write_files(test, "vm-1", settings, &KeyPairPem::new_ca().unwrap());
+        let mut command = Command::new(env!("CARGO_BIN_EXE_persimmond"));
+        let output = command.arg("--check").arg("--settings").arg(&file).output();
+        let output = output.unwrap();
+        let text = [output.stdout, output.stderr].concat();
+        let folder = format!("{}/", file.parent().unwrap().display());
+        let text = String::from_utf8(text).unwrap().replace(&folder, "");
+        format!("{:?} {}", output.status.code().unwrap(), text.trim_end())
+    }
+
     fn start_by(mut command: Command, file: &Path) -> Self {
         let mut child = command
             .arg("--settings")
