Take the signals over before the daemon listens

Cause: a daemon whose callers took all files between its first connection and the taking over of the signals ended with an error; a SIGTERM in that gap ended it without a graceful stop.

--- a/crates/io/src/shutdown/mod.rs
+++ b/crates/io/src/shutdown/mod.rs
@@ -2,4 +2,4 @@
 
 mod signals;
 
-pub use signals::{on_stop, StopSignals};
+pub use signals::{StopSignals, Watch};
--- a/crates/io/src/shutdown/signals.rs
+++ b/crates/io/src/shutdown/signals.rs
@@ -6,8 +6,11 @@
 };
 use std::{fmt, io, thread};
 
+/// SIGTERM and SIGINT, which no longer end the process by themselves.
+pub struct StopSignals(Signals);
+
 /// Signals that are waited for. Dropped, they are no longer.
-pub struct StopSignals(Handle);
+pub struct Watch(Handle);
 
 impl fmt::Debug for StopSignals {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -15,26 +18,39 @@
     }
 }
 
-impl Drop for StopSignals {
+impl fmt::Debug for Watch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Watch").finish_non_exhaustive()
+    }
+}
+
+impl Drop for Watch {
     fn drop(&mut self) {
         self.0.close();
     }
 }
 
-/// Calls `stop` at each SIGTERM or SIGINT. A second one does not end the process early: its grace
-/// is bounded by `entry.shutdown_grace_ms`.
-///
-/// # Errors
-///
-/// The signals can't be taken over.
-pub fn on_stop(stop: impl Fn() + Send + 'static) -> io::Result<StopSignals> {
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
-    let handle = signals.handle();
-    thread::spawn(move || {
-        for signal in signals.forever() {
-            log::info!(signal; "asked to stop");
-            stop();
-        }
-    });
-    Ok(StopSignals(handle))
+impl StopSignals {
+    /// Takes the signals over.
+    ///
+    /// # Errors
+    ///
+    /// The system refuses.
+    pub fn take() -> io::Result<Self> {
+        Signals::new([SIGTERM, SIGINT]).map(Self)
+    }
+
+    /// Calls `stop` at each signal, also at one that came since they were taken over. A second one
+    /// does not end the process early: its grace is bounded by `entry.shutdown_grace_ms`.
+    pub fn watch(self, stop: impl Fn() + Send + 'static) -> Watch {
+        let Self(mut signals) = self;
+        let handle = signals.handle();
+        thread::spawn(move || {
+            for signal in signals.forever() {
+                log::info!(signal; "asked to stop");
+                stop();
+            }
+        });
+        Watch(handle)
+    }
 }
--- a/crates/persimmond/src/run.rs
+++ b/crates/persimmond/src/run.rs
@@ -5,7 +5,7 @@
     logs::{self, LogError},
     peer::Keys,
     settings::{self, Settings, SettingsError},
-    shutdown,
+    shutdown::StopSignals,
     telemetry::Telemetry,
 };
 use std::{io, process::ExitCode, sync::Arc};
@@ -54,6 +54,7 @@
         return Ok(());
     }
     logs::start(&settings.log)?;
+    let signals = StopSignals::take().map_err(RunError::Signals)?;
     let handle = Daemon::start_with(settings, parts)?;
     let addresses = handle.addresses();
     log::info!(
@@ -63,7 +64,7 @@
         "listening"
     );
     let stop = handle.stopper();
-    let _signals = shutdown::on_stop(move || stop.stop()).map_err(RunError::Signals)?;
+    let _watch = signals.watch(move || stop.stop());
     if handle.join() {
         log::info!("stopped");
         Ok(())
