--- a/crates/persimmond/tests/loopback/world/process.rs
+++ b/crates/persimmond/tests/loopback/world/process.rs
@@ -3,7 +3,7 @@
 use super::{
     client::page,
     daemons::{configure, seed, settings},
-    platform,
+    platform::Platform,
     upstream::Upstream,
     wait, PATIENCE,
 };
@@ -46,7 +46,7 @@
 
     /// Starts a daemon by itself that may open `files_count` files and sockets.
     pub(crate) fn start_limited(test: &str, files_count: u32) -> Self {
-        let settings = settings("vm-1", "a", &json!([]), platform::start());
+        let settings = settings("vm-1", "a", &json!([]), Platform::start().address);
         let file = write_files(test, "vm-1", &settings, &KeyPairPem::new_ca().unwrap());
         let mut command = Command::new("sh");
         let script = format!("ulimit -n {files_count}; exec \"$0\" \"$@\"");
@@ -54,6 +54,18 @@
         Self::start_by(command, &file)
     }
 
+    /// Exit code and output of `--check`, with its folder masked.
+    pub(crate) fn check(test: &str, settings: &Value) -> String {
+        let file = write_files(test, "vm-1", settings, &KeyPairPem::new_ca().unwrap());
+        let mut command = Command::new(env!("CARGO_BIN_EXE_persimmond"));
+        let output = command.arg("--check").arg("--settings").arg(&file).output();
+        let output = output.unwrap();
+        let text = [output.stdout, output.stderr].concat();
+        let folder = format!("{}/", file.parent().unwrap().display());
+        let text = String::from_utf8(text).unwrap().replace(&folder, "");
+        format!("{:?} {}", output.status.code().unwrap(), text.trim_end())
+    }
+
     fn start_by(mut command: Command, file: &Path) -> Self {
         let mut child = command
             .arg("--settings")
@@ -148,7 +160,7 @@
             upstream: Upstream::start(),
             daemons: Vec::new(),
             test,
-            platform: platform::start(),
+            platform: Platform::start().address,
             ca: KeyPairPem::new_ca().unwrap(),
         };
         for index in 0..VMS.len() {
