Plans: superseded ones marked, old ones removed, lists in pages; no stampede at the store

A confirm that finds its plan confirmed reads the record and applies it at once. A plan left behind is marked when a confirm of it is refused.

--- /dev/null
+++ b/crates/core/examples/confirm/main.rs
@@ -0,0 +1,152 @@
+//! Time from confirm to in force, and what the store is asked, on a virtual network.
+//!
+//! `cargo run --release -p persimmon-core --example confirm`
+
+#[path = "../../tests/common/concert.rs"]
+mod concert;
+
+use concert::{id, small_config, Cluster};
+use persimmon_core::{
+    config::Configuration,
+    ids::PlanId,
+    operator::{Intent, OperatorCommand, OperatorReply},
+};
+
+const DOMAINS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+/// Time of a store outage.
+const OUTAGE_S: u64 = 60;
+
+/// Time of counting.
+const COUNTED_S: u64 = 20;
+
+fn main() {
+    start(6, 63);
+    for (domains, vms, confirms) in [(3, 3, 100), (1, 63, 100), (3, 21, 100), (6, 63, 3)] {
+        let mut cluster = configured(domains, vms);
+        in_force(&mut cluster, domains * vms, confirms);
+        if domains == 1 {
+            store_load(&mut cluster, domains * vms);
+        }
+    }
+}
+
+/// All daemons start at once while the store holds a configuration.
+fn start(domains: usize, vms: usize) {
+    let stored = configured(1, 1);
+    let mut cluster = Cluster::new(&DOMAINS[..domains], vms);
+    cluster.table = stored.table;
+    cluster.objects = stored.objects;
+    let calls = busiest(&mut cluster, 6);
+    let fresh = cluster.nodes.values();
+    let fresh = fresh.filter(|node| node.config.current().generation.get() == 0);
+    println!(
+        "{} daemons start at once: store calls a second (mean, most) {calls}, {} without a \
+         configuration after 6 s",
+        domains * vms,
+        fresh.count()
+    );
+}
+
+fn configured(domains: usize, vms: usize) -> Cluster {
+    let mut cluster = Cluster::new(&DOMAINS[..domains], vms);
+    cluster.run(4_000);
+    let mut config: Configuration = small_config();
+    for name in &DOMAINS[..domains] {
+        config.domains.entry(id(name)).or_default();
+    }
+    let intent = Intent::Replace(Box::new(config));
+    let plan = plan(&mut cluster, intent);
+    confirm(&mut cluster, plan);
+    cluster.run(3_000);
+    cluster
+}
+
+fn plan(cluster: &mut Cluster, intent: Intent) -> PlanId {
+    let command = OperatorCommand::Plan {
+        intent,
+        force: true,
+    };
+    match cluster.ask("a-00", command, 1_000) {
+        OperatorReply::Plan(plan) => plan.id,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn confirm(cluster: &mut Cluster, plan: PlanId) -> u64 {
+    let reply = cluster.ask("a-00", OperatorCommand::Confirm(plan), 2_000);
+    match reply {
+        OperatorReply::Confirmed(report) => report.in_force.len() as u64,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// From the command to the last daemon that applies it, and to the operator's answer.
+fn in_force(cluster: &mut Cluster, daemons: usize, confirms: usize) {
+    let (mut applied_ms, mut answered_ms, mut known) = (Vec::new(), Vec::new(), u64::MAX);
+    for n in 0..confirms {
+        let intent = match n % 2 {
+            0 => Intent::DrainDomain(id("a")),
+            _ => Intent::ReturnDomain(id("a")),
+        };
+        let plan = plan(cluster, intent);
+        cluster.run(137);
+        let start = cluster.now;
+        let command = OperatorCommand::Confirm(plan.clone());
+        let call = cluster.command("a-00", command, 2_000);
+        let target = cluster.node("a-00").config.current().generation.next();
+        let behind = |c: &Cluster| {
+            let mut nodes = c.nodes.values();
+            nodes.any(|node| node.config.current().generation < target)
+        };
+        let (mut applied, mut answered) = (None, None);
+        while applied.is_none() || answered.is_none() {
+            cluster.run(concert::TICK_MS);
+            let span_ms = cluster.now.since(start).get();
+            if applied.is_none() && !behind(cluster) {
+                applied = Some(span_ms);
+            }
+            let reply = cluster.replies.iter().find(|(asked, _)| *asked == call);
+            if let (None, Some((_, OperatorReply::Confirmed(report)))) = (answered, reply) {
+                known = known.min(report.in_force.len() as u64);
+                answered = Some(span_ms);
+            }
+        }
+        applied_ms.extend(applied);
+        answered_ms.extend(answered);
+    }
+    println!(
+        "{daemons} daemons: in force everywhere {}, operator answered {} (fewest known in force \
+         {known}), {confirms} confirms",
+        quantiles(applied_ms),
+        quantiles(answered_ms)
+    );
+}
+
+fn quantiles(mut all: Vec<u64>) -> String {
+    all.sort_unstable();
+    let at = |percent: usize| all[(all.len() - 1) * percent / 100];
+    format!("p50 {} ms, p99 {} ms", at(50), at(99))
+}
+
+/// Calls of the store a second: at rest, in an outage and as it ends.
+fn store_load(cluster: &mut Cluster, daemons: usize) {
+    let rest = busiest(cluster, COUNTED_S);
+    cluster.store_down = true;
+    let down = busiest(cluster, OUTAGE_S);
+    cluster.store_down = false;
+    let back = busiest(cluster, COUNTED_S);
+    println!("{daemons} daemons, store calls a second (mean, most): at rest {rest}, down {down}, back {back}");
+}
+
+fn busiest(cluster: &mut Cluster, span_s: u64) -> String {
+    let first = cluster.store_calls_count;
+    let mut most = 0;
+    for _ in 0..span_s {
+        let before = cluster.store_calls_count;
+        cluster.run(1_000);
+        most = most.max(cluster.store_calls_count - before);
+    }
+    let mean = (cluster.store_calls_count - first) as f64 / span_s as f64;
+    format!("{mean:.1} {most}")
+}
--- a/crates/core/src/config/poll.rs
+++ b/crates/core/src/config/poll.rs
@@ -11,6 +11,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Pace {
     due: Time,
+    started: bool,
     failures_count: u32,
 }
 
@@ -23,6 +24,15 @@
         self.failures_count == 0
     }
 
+    /// The first look is at a random time within one gap: many daemons may start at once.
+    pub(super) fn start(&mut self, ctx: &mut Context<'_>, settings: &ConfigSettings) {
+        if !self.started {
+            self.started = true;
+            let gap_ms = ctx.rng.random_range(0..settings.poll().get());
+            self.due = ctx.now + Millis::new(gap_ms);
+        }
+    }
+
     /// Asks at once.
     pub(super) fn hurry(&mut self, now: Time) {
         self.due = now;
--- a/crates/core/src/config/store.rs
+++ b/crates/core/src/config/store.rs
@@ -68,6 +68,7 @@
             self.awaited = None;
             self.pace.fail(ctx, &self.settings);
         }
+        self.pace.start(ctx, &self.settings);
         if ctx.now < self.pace.due() {
             return;
         }
@@ -196,12 +197,11 @@
         })
     }
 
-    /// The first live daemons of a failure domain poll; so does one that knows nothing yet.
+    /// The first live daemons of a failure domain poll; so does one that knows nothing and nobody.
     fn polls(&self, me: &Member, directory: &dyn Directory) -> bool {
         let live = directory.live_in(&me.domain);
         let rank = live.iter().position(|member| member.vm == me.vm);
-        let fresh = self.history.generation() == Generation::default();
-        fresh || rank.is_some_and(|rank| rank < self.settings.pollers())
+        live.len() <= 1 || rank.is_some_and(|rank| rank < self.settings.pollers())
     }
 
     fn on_head(&mut self, ctx: &mut Context<'_>, value: Option<Bytes>) {
--- a/crates/core/src/plan/answers.rs
+++ b/crates/core/src/plan/answers.rs
@@ -20,6 +20,15 @@
     plan
 }
 
+/// A plan as shown: an open one whose base another change left behind is superseded.
+pub(super) fn shown(plan: Plan, unix_ms: u64, head: Generation) -> Plan {
+    let mut plan = aged(plan, unix_ms);
+    if plan.state == PlanState::Open && plan.base_generation < head {
+        plan.state = PlanState::Superseded;
+    }
+    plan
+}
+
 /// Where a generation is in force.
 pub(super) fn report(
     view: &View<'_>,
--- a/crates/core/src/plan/confirm.rs
+++ b/crates/core/src/plan/confirm.rs
@@ -4,7 +4,7 @@
     config::ChangeRecord,
     ids::{OperatorName, PlanId},
     operator::Plan,
-    platform::CallToken,
+    platform::{CallToken, TableKey},
     units::Time,
 };
 
@@ -15,14 +15,16 @@
     Storing(Box<Plan>),
     /// One plan is being read to be shown.
     Showing,
-    /// All plans are being read.
-    Listing,
+    /// All plans are being read, a page at a time.
+    Listing(Vec<Plan>, Option<TableKey>),
     /// The plan is being read before it is confirmed.
     Reading,
     /// The transaction is under way.
     Writing(Box<ChangeRecord>),
     /// The head is being read to explain a conflict.
     Explaining(Box<Plan>),
+    /// The plan was confirmed before: its record is being read.
+    Fetching(Box<ChangeRecord>),
     /// The generation is in the store; members apply it.
     Spreading(Box<ChangeRecord>, Time),
 }
--- a/crates/core/src/plan/mod.rs
+++ b/crates/core/src/plan/mod.rs
@@ -2,11 +2,13 @@
 
 mod answers;
 mod confirm;
+mod confirming;
 mod draft;
 mod facts;
 mod planner;
 mod rows;
 mod settings;
+mod sweeper;
 
 pub use facts::PlanFacts;
 pub use planner::Planner;
--- a/crates/core/src/plan/planner.rs
+++ b/crates/core/src/plan/planner.rs
@@ -1,20 +1,23 @@
 //! The operators' plans, from intent to confirmation.
 
 use super::{
-    answers::{aged, fresh_id, refuse, reply, report},
+    answers::{aged, fresh_id, refuse, reply, report, shown},
     confirm::{Command, Stage},
+    confirming::spread,
     draft::Draft,
-    rows, PlanFacts, PlanSettings,
+    rows,
+    sweeper::Sweeper,
+    PlanFacts, PlanSettings,
 };
 use crate::{
     config::{
-        rows::{plan_key, read_head, HEAD, PLANS},
+        rows::{plan_key, record_key, HEAD, PLANS},
         ChangeRecord,
     },
     ids::{Generation, OperatorName, PlanId},
     message::Member,
-    operator::{Intent, OperatorCommand, OperatorError, OperatorReply, Plan, PlanState},
-    platform::{CallToken, Part, PlatformError, TableAnswer, TableOp},
+    operator::{Intent, OperatorCommand, OperatorError, OperatorReply, Plan},
+    platform::{CallToken, Part, PlatformError, TableAnswer, TableKey, TableOp},
     units::{Millis, Time},
     Action, Context, View,
 };
@@ -24,15 +27,16 @@
 /// Gap between two looks at where a generation is in force.
 const REPORT_GAP: Millis = Millis::new(50);
 
-/// Most plans of a list.
-const LIST_LEN: u32 = 200;
+/// Plans read at a time for a list.
+const PAGE_LEN: u32 = 200;
 
 /// The operators' plans, from intent to confirmation.
 #[derive(Debug)]
 pub struct Planner {
-    settings: PlanSettings,
+    pub(super) settings: PlanSettings,
     commands: Vec<Command>,
-    committed: Vec<ChangeRecord>,
+    pub(super) committed: Vec<ChangeRecord>,
+    sweeper: Sweeper,
 }
 
 impl Planner {
@@ -42,6 +46,7 @@
             settings,
             commands: Vec::new(),
             committed: Vec::new(),
+            sweeper: Sweeper::default(),
         }
     }
 
@@ -74,7 +79,7 @@
                 }
             }
             OperatorCommand::PlanShow(id) => (Some(id), Stage::Showing),
-            OperatorCommand::PlanList => (None, Stage::Listing),
+            OperatorCommand::PlanList => (None, Stage::Listing(Vec::new(), None)),
             OperatorCommand::Confirm(id) => (Some(id), Stage::Reading),
             _ => return,
         };
@@ -97,10 +102,13 @@
     pub fn on_platform(
         &mut self,
         ctx: &mut Context<'_>,
-        _: &View<'_>,
+        view: &View<'_>,
         token: CallToken,
         answer: Result<TableAnswer, PlatformError>,
     ) {
+        if self.sweeper.on_answer(ctx, &self.settings, token, &answer) {
+            return;
+        }
         let asked = |command: &Command| command.token == Some(token);
         let Some(index) = self.commands.iter().position(asked) else {
             return;
@@ -108,7 +116,7 @@
         let mut command = self.commands.swap_remove(index);
         command.token = None;
         let next = match answer {
-            Ok(answer) => self.on_answer(ctx, command, answer),
+            Ok(answer) => self.on_answer(ctx, view, command, answer),
             Err(error) => self.on_failure(ctx, command, &error),
         };
         self.commands.extend(next);
@@ -183,6 +191,7 @@
     fn on_answer(
         &mut self,
         ctx: &mut Context<'_>,
+        view: &View<'_>,
         mut command: Command,
         answer: TableAnswer,
     ) -> Option<Command> {
@@ -191,23 +200,25 @@
             (Stage::Storing(plan), TableAnswer::Done | TableAnswer::Conflict) => {
                 // The id is random: a conflict is an earlier try of this very plan.
                 reply(ctx, command.call, OperatorReply::Plan(plan));
+                self.sweeper.look(ctx, command.unix_ms);
                 None
             }
             (Stage::Showing, TableAnswer::Value(value)) => {
                 let said = match self.read(&command, value) {
-                    Ok((plan, _)) => OperatorReply::Plan(Box::new(plan)),
+                    Ok((plan, _)) => {
+                        let plan = shown(plan, command.unix_ms, view.config.generation);
+                        OperatorReply::Plan(Box::new(plan))
+                    }
                     Err(error) => OperatorReply::Refused(error),
                 };
                 reply(ctx, command.call, said);
                 None
             }
-            (Stage::Listing, TableAnswer::Rows(rows)) => {
-                let parsed = rows
-                    .iter()
-                    .filter_map(|(_, raw)| serde_json::from_slice(raw).ok());
-                let plans = parsed.map(|plan| aged(plan, command.unix_ms)).collect();
-                reply(ctx, command.call, OperatorReply::Plans(plans));
-                None
+            (Stage::Listing(plans, _), TableAnswer::Rows(rows)) => {
+                on_page(ctx, view, command, plans, &rows)
+            }
+            (Stage::Fetching(record), TableAnswer::Value(value)) => {
+                self.on_record(ctx, command, *record, value)
             }
             (Stage::Reading, TableAnswer::Value(value)) => self.on_read(ctx, command, value),
             (Stage::Writing(record), TableAnswer::Done) => {
@@ -227,73 +238,6 @@
         }
     }
 
-    /// The plan's row was read before it is confirmed.
-    fn on_read(
-        &mut self,
-        ctx: &mut Context<'_>,
-        mut command: Command,
-        value: Option<Bytes>,
-    ) -> Option<Command> {
-        let (plan, stored) = match self.read(&command, value) {
-            Ok(found) => found,
-            Err(error) => return refuse(ctx, &command, error),
-        };
-        let record = ChangeRecord {
-            generation: plan.base_generation.next(),
-            plan: plan.id.clone(),
-            operator: command.operator.clone(),
-            confirmed_unix_ms: command.unix_ms,
-            change: plan.change.clone(),
-        };
-        match plan.state {
-            PlanState::Confirmed => Some(spread(ctx, command, record)),
-            PlanState::Expired => refuse(ctx, &command, OperatorError::Expired(plan.id)),
-            PlanState::Superseded | PlanState::Open if command.check_head => {
-                command.stage = Stage::Explaining(Box::new(Plan {
-                    state: PlanState::Open,
-                    ..plan
-                }));
-                Some(command)
-            }
-            _ => {
-                command.stage = Stage::Writing(Box::new(record));
-                command.token = None;
-                let op = match &command.stage {
-                    Stage::Writing(record) => rows::confirm(&plan, stored, record),
-                    _ => return None,
-                };
-                let token = ctx.token(Part::Plan);
-                command.token = Some(token);
-                command.store_attempts += 1;
-                command.due = ctx.now + self.settings.call_timeout();
-                ctx.act(Action::Table { token, op });
-                Some(command)
-            }
-        }
-    }
-
-    /// The head was read after a write whose outcome was not plain.
-    fn on_head(
-        &mut self,
-        ctx: &mut Context<'_>,
-        mut command: Command,
-        plan: Plan,
-        value: Option<Bytes>,
-    ) -> Option<Command> {
-        let head = read_head(value.as_deref()).unwrap_or_default();
-        if head == plan.base_generation {
-            // Nothing came first: the write is tried again, under the same conditions.
-            command.check_head = false;
-            command.stage = Stage::Reading;
-            return self.again(ctx, command);
-        }
-        let error = OperatorError::Conflict {
-            planned: plan.base_generation,
-            head,
-        };
-        refuse(ctx, &command, error)
-    }
-
     fn on_failure(
         &mut self,
         ctx: &mut Context<'_>,
@@ -310,7 +254,7 @@
     }
 
     /// Tries again a little later, or gives up with the most that can be said.
-    fn again(&mut self, ctx: &mut Context<'_>, mut command: Command) -> Option<Command> {
+    pub(super) fn again(&mut self, ctx: &mut Context<'_>, mut command: Command) -> Option<Command> {
         if command.store_attempts < self.settings.attempts() {
             let gap_ms = self.settings.retry().get();
             let jittered_ms = ctx.rng.random_range(gap_ms / 2..=gap_ms * 3 / 2);
@@ -324,7 +268,7 @@
         refuse(ctx, &command, error)
     }
 
-    fn read(
+    pub(super) fn read(
         &self,
         command: &Command,
         value: Option<Bytes>,
@@ -344,19 +288,40 @@
     match &command.stage {
         Stage::Storing(plan) => Some(rows::store(plan)),
         Stage::Showing | Stage::Reading => command.plan.as_ref().map(get),
-        Stage::Listing => Some(TableOp::Scan {
+        Stage::Listing(_, after) => Some(TableOp::Scan {
             prefix: PLANS.into(),
-            after: None,
-            limit_len: LIST_LEN,
+            after: after.clone(),
+            limit_len: PAGE_LEN,
+        }),
+        Stage::Fetching(record) => Some(TableOp::Get {
+            key: record_key(record.generation),
         }),
         Stage::Explaining(_) => Some(TableOp::Get { key: HEAD.into() }),
         Stage::Writing(_) | Stage::Spreading(..) => None,
     }
 }
 
-/// The generation is in the store: the members' reports are awaited.
-fn spread(ctx: &Context<'_>, mut command: Command, record: ChangeRecord) -> Command {
-    command.stage = Stage::Spreading(Box::new(record), ctx.now);
-    command.due = ctx.now;
-    command
+/// A page of plans was read: the next one follows until one is not full.
+fn on_page(
+    ctx: &mut Context<'_>,
+    view: &View<'_>,
+    mut command: Command,
+    mut plans: Vec<Plan>,
+    rows: &[(TableKey, Bytes)],
+) -> Option<Command> {
+    let parsed = rows
+        .iter()
+        .filter_map(|(_, raw)| serde_json::from_slice(raw).ok());
+    plans.extend(parsed.map(|plan| shown(plan, command.unix_ms, view.config.generation)));
+    match rows.last() {
+        Some((last, _)) if rows.len() == PAGE_LEN as usize => {
+            command.stage = Stage::Listing(plans, Some(last.clone()));
+            command.store_attempts = 0;
+            Some(command)
+        }
+        _ => {
+            reply(ctx, command.call, OperatorReply::Plans(plans));
+            None
+        }
+    }
 }
--- a/crates/core/src/plan/rows.rs
+++ b/crates/core/src/plan/rows.rs
@@ -7,7 +7,7 @@
     },
     ids::Generation,
     operator::{Plan, PlanState},
-    platform::{Condition, TableOp, Write},
+    platform::{Condition, TableKey, TableOp, Write},
 };
 use bytes::Bytes;
 
@@ -59,3 +59,35 @@
         ],
     }
 }
+
+/// The transaction that marks a plan whose base another change left behind.
+pub(super) fn supersede(plan: &Plan) -> TableOp {
+    let key = plan_key(&plan.id);
+    let superseded = Plan {
+        state: PlanState::Superseded,
+        ..plan.clone()
+    };
+    TableOp::Transact {
+        conditions: vec![Condition::Equals {
+            key: key.clone(),
+            value: encode(plan),
+        }],
+        writes: vec![Write::Put {
+            key,
+            value: encode(&superseded),
+        }],
+    }
+}
+
+/// The transaction that removes rows as they were read.
+pub(super) fn remove(rows: Vec<(TableKey, Bytes)>) -> TableOp {
+    let writes = rows
+        .iter()
+        .map(|(key, _)| Write::Delete { key: key.clone() });
+    let writes = writes.collect();
+    let same = |(key, value)| Condition::Equals { key, value };
+    TableOp::Transact {
+        conditions: rows.into_iter().map(same).collect(),
+        writes,
+    }
+}
--- a/crates/core/src/plan/settings.rs
+++ b/crates/core/src/plan/settings.rs
@@ -8,6 +8,7 @@
 #[serde(default, deny_unknown_fields)]
 pub struct RawPlanSettings {
     plan_lifetime_ms: Millis,
+    plan_retention_ms: Millis,
     confirm_wait_ms: Millis,
     call_timeout_ms: Millis,
     retry_ms: Millis,
@@ -23,6 +24,7 @@
     fn default() -> Self {
         Self {
             plan_lifetime_ms: Millis::from_secs(600),
+            plan_retention_ms: Millis::from_secs(86_400),
             confirm_wait_ms: Millis::new(3_000),
             call_timeout_ms: Millis::new(1_000),
             retry_ms: Millis::new(200),
@@ -43,6 +45,8 @@
     fn try_from(raw: RawPlanSettings) -> Result<Self, SettingError> {
         let lifetime_ms = raw.plan_lifetime_ms.get();
         SettingError::check("plan_lifetime_ms", lifetime_ms, 1_000, 86_400_000)?;
+        let retention_ms = raw.plan_retention_ms.get();
+        SettingError::check("plan_retention_ms", retention_ms, 60_000, 31_536_000_000)?;
         SettingError::check("confirm_wait_ms", raw.confirm_wait_ms.get(), 100, 60_000)?;
         SettingError::check("call_timeout_ms", raw.call_timeout_ms.get(), 50, 60_000)?;
         SettingError::check("retry_ms", raw.retry_ms.get(), 10, 60_000)?;
@@ -57,6 +61,11 @@
         self.0.plan_lifetime_ms
     }
 
+    /// How long a plan's row is kept after the plan's lifetime.
+    pub fn retention(&self) -> Millis {
+        self.0.plan_retention_ms
+    }
+
     /// How long `confirm` waits until the generation is in force everywhere.
     pub fn confirm_wait(&self) -> Millis {
         self.0.confirm_wait_ms
--- a/crates/core/tests/plan_basic.rs
+++ b/crates/core/tests/plan_basic.rs
@@ -6,7 +6,7 @@
 use concert::{id, small_config, Cluster};
 use persimmon_core::{
     ids::{Generation, PlanId},
-    operator::{Intent, OperatorCommand, OperatorReply},
+    operator::{Intent, OperatorCommand, OperatorReply, Plan, PlanState},
 };
 
 fn plan(cluster: &mut Cluster, vm: &str, intent: Intent) -> PlanId {
@@ -103,3 +103,61 @@
     };
     insta::assert_snapshot!(error, @"the platform's store is unavailable: nothing changed, retry later");
 }
+
+#[test]
+fn a_plan_left_behind_is_superseded_and_old_plans_are_removed() {
+    let mut cluster = configured();
+    let one = plan(&mut cluster, "a-00", Intent::DrainDomain(id("a")));
+    let two = plan(&mut cluster, "b-00", Intent::DrainDomain(id("b")));
+    cluster.ask("a-00", OperatorCommand::Confirm(one), 2_000);
+    let reply = cluster.ask("b-00", OperatorCommand::Confirm(two.clone()), 2_000);
+    assert!(matches!(reply, OperatorReply::Refused(_)), "{reply:?}");
+    cluster.run(100);
+    let row = &cluster.table[&format!("plans/{two}")];
+    let stored: Plan = serde_json::from_slice(row).unwrap();
+    assert_eq!(stored.state, PlanState::Superseded);
+    let days_later_ms = 3 * 86_400_000;
+    for n in 0..20 {
+        let intent = match n % 2 {
+            0 => Intent::ReturnDomain(id("a")),
+            _ => Intent::DrainDomain(id("c")),
+        };
+        let command = OperatorCommand::Plan {
+            intent,
+            force: true,
+        };
+        cluster.ask("a-00", command, days_later_ms);
+        cluster.run(100);
+    }
+    let rows = cluster.table.keys().filter(|key| key.starts_with("plans/"));
+    assert_eq!(rows.count(), 20);
+}
+
+#[test]
+fn a_list_of_plans_goes_over_pages() {
+    let mut cluster = configured();
+    for _ in 0..450 {
+        plan(&mut cluster, "a-00", Intent::DrainDomain(id("a")));
+    }
+    let OperatorReply::Plans(plans) = cluster.ask("b-00", OperatorCommand::PlanList, 2_000) else {
+        panic!("no list");
+    };
+    assert_eq!(plans.len(), 451);
+}
+
+#[test]
+fn a_daemon_that_dies_after_the_write_leaves_one_outcome() {
+    let mut cluster = configured();
+    let drain = plan(&mut cluster, "a-00", Intent::DrainDomain(id("a")));
+    cluster.command("a-00", OperatorCommand::Confirm(drain.clone()), 2_000);
+    while &cluster.table["config/head"][..] == b"1" {
+        cluster.run(concert::TICK_MS);
+    }
+    cluster.crash("a-00");
+    let reply = cluster.ask("c-02", OperatorCommand::Confirm(drain), 2_100);
+    let OperatorReply::Confirmed(report) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(report.generation, Generation::new(2));
+    assert_eq!(&cluster.table["config/head"][..], b"2");
+}
