Border: an intent and a change that set a model's adapters

Placement already loads the adapters that the configuration names; now operators can change them by a plan without replacing the whole configuration.

--- a/crates/core/src/config/change.rs
+++ b/crates/core/src/config/change.rs
@@ -1,8 +1,12 @@
 //! Changes of the configuration.
 
 use super::{ChangeError, Configuration, PlacementRule, ServiceState, UpstreamKind};
-use crate::ids::{FailureDomain, Generation, OperatorName, PlanId, UpstreamId, WorkspaceId};
+use crate::ids::{
+    AdapterName, FailureDomain, Generation, ModelVersion, OperatorName, PlanId, UpstreamId,
+    WorkspaceId,
+};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// One change of the configuration.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -26,6 +30,13 @@
     },
     /// Let a model version serve workspaces in failure domains.
     Serve(PlacementRule),
+    /// Set the adapters that are loaded beside a model version.
+    SetAdapters {
+        /// The model's version.
+        model: ModelVersion,
+        /// All its adapters from now on.
+        adapters: BTreeSet<AdapterName>,
+    },
     /// Set a workspace's weight.
     SetWorkspaceWeight {
         /// The workspace.
@@ -80,6 +91,13 @@
                 check_rule(rule, &next)?;
                 next.placement.push(rule.clone());
             }
+            Self::SetAdapters { model, adapters } => {
+                let entry = next.models.get_mut(model);
+                entry
+                    .ok_or_else(|| ChangeError::UnknownModel(model.clone()))?
+                    .adapters
+                    .clone_from(adapters);
+            }
             Self::SetWorkspaceWeight {
                 workspace,
                 weight_count,
--- a/crates/core/src/operator/intent.rs
+++ b/crates/core/src/operator/intent.rs
@@ -2,9 +2,10 @@
 
 use crate::{
     config::{Configuration, PlacementRule},
-    ids::{FailureDomain, UpstreamId, WorkspaceId},
+    ids::{AdapterName, FailureDomain, ModelVersion, UpstreamId, WorkspaceId},
 };
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// What an operator wants.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -27,6 +28,13 @@
         /// The weight, from 1.
         weight_count: u32,
     },
+    /// Set the adapters that are loaded beside a model version.
+    SetAdapters {
+        /// The model's version.
+        model: ModelVersion,
+        /// All its adapters from now on.
+        adapters: BTreeSet<AdapterName>,
+    },
     /// Replace the whole configuration: the first one, or a change of the inventory.
     Replace(Box<Configuration>),
 }
--- a/crates/core/src/plan/draft.rs
+++ b/crates/core/src/plan/draft.rs
@@ -67,6 +67,10 @@
         Intent::DrainUpstream(id) => upstream(id, ServiceState::Drained),
         Intent::ReturnUpstream(id) => upstream(id, ServiceState::Serving),
         Intent::Serve(rule) => Change::Serve(rule.clone()),
+        Intent::SetAdapters { model, adapters } => Change::SetAdapters {
+            model: model.clone(),
+            adapters: adapters.clone(),
+        },
         Intent::SetWeight {
             workspace,
             weight_count,
@@ -171,6 +175,18 @@
     }
     match intent {
         Intent::Serve(rule) => effects.push(format!("{} is placed and served", rule.model)),
+        Intent::SetAdapters { model, adapters } => {
+            let before = base.models.get(model).map(|make| &make.adapters);
+            let added = adapters
+                .iter()
+                .filter(|a| !before.is_some_and(|b| b.contains(*a)));
+            effects.extend(added.map(|adapter| format!("{model}: adapter {adapter} is loaded")));
+            let gone = before
+                .into_iter()
+                .flatten()
+                .filter(|a| !adapters.contains(*a));
+            effects.extend(gone.map(|adapter| format!("{model}: adapter {adapter} is not kept")));
+        }
         Intent::SetWeight {
             workspace,
             weight_count,
--- a/crates/core/tests/plan_basic.rs
+++ b/crates/core/tests/plan_basic.rs
@@ -8,6 +8,7 @@
     ids::{Generation, PlanId},
     operator::{Intent, OperatorCommand, OperatorReply, Plan, PlanState},
 };
+use std::collections::BTreeSet;
 
 fn plan(cluster: &mut Cluster, vm: &str, intent: Intent) -> PlanId {
     let command = OperatorCommand::Plan {
@@ -161,3 +162,27 @@
     assert_eq!(report.generation, Generation::new(2));
     assert_eq!(&cluster.table["config/head"][..], b"2");
 }
+
+#[test]
+fn adapters_are_set_by_a_plan() {
+    let mut cluster = configured();
+    let intent = Intent::SetAdapters {
+        model: id("m@1"),
+        adapters: BTreeSet::from([id("welding"), id("palletising")]),
+    };
+    let drawn = plan(&mut cluster, "a-00", intent);
+    cluster.ask("c-00", OperatorCommand::Confirm(drawn), 2_000);
+    let config = cluster.node("b-02").config.current().clone();
+    assert_eq!(config.models[&id("m@1")].adapters.len(), 2);
+    let unknown = OperatorCommand::Plan {
+        intent: Intent::SetAdapters {
+            model: id("m@9"),
+            adapters: BTreeSet::new(),
+        },
+        force: false,
+    };
+    let OperatorReply::Refused(error) = cluster.ask("a-00", unknown, 3_000) else {
+        panic!("planned");
+    };
+    insta::assert_snapshot!(error, @"no model version m@9: add it to the configuration first");
+}
