--- a/crates/core/tests/common/concert.rs
+++ b/crates/core/tests/common/concert.rs
@@ -74,6 +74,7 @@
     pub ownership: Ownership,
     pub config: ConfigStore,
     pub planner: Planner,
+    pub summary: OwnerSummary,
     pub up: bool,
     pub applied: Vec<Generation>,
     /// Upstreams that this daemon may grant, as told by its changes of ownership.
@@ -118,6 +119,8 @@
     pub table: BTreeMap<String, Bytes>,
     pub objects: BTreeMap<String, Bytes>,
     pub store_down: bool,
+    /// Failure domains that are cut off from the platform.
+    pub store_cuts: BTreeSet<FailureDomain>,
     /// Writes that take effect and whose answers are lost, counted down.
     pub lost_answers_count: u32,
     /// Pairs of failure domains that are cut off from each other.
@@ -148,6 +151,7 @@
             table: BTreeMap::new(),
             objects: BTreeMap::new(),
             store_down: false,
+            store_cuts: BTreeSet::new(),
             lost_answers_count: 0,
             cuts: BTreeSet::new(),
             unlisted: BTreeSet::new(),
@@ -192,6 +196,7 @@
             ownership: Ownership::new(OwnershipSettings::default(), me.clone()),
             config: ConfigStore::new(ConfigSettings::default()),
             planner: Planner::new(PlanSettings::default()),
+            summary: OwnerSummary::default(),
             up: true,
             applied: Vec::new(),
             holds: BTreeMap::new(),
@@ -346,11 +351,11 @@
                 }
             }
             Action::Table { token, op } => {
-                let answer = self.call(|cluster| cluster.transact(op));
+                let answer = self.call(&me.domain, |cluster| cluster.transact(op));
                 self.later(me.vm.clone(), Input::Platform(token, answer));
             }
             Action::Object { token, op } => {
-                let answer = self.call(|cluster| cluster.object(op));
+                let answer = self.call(&me.domain, |cluster| cluster.object(op));
                 self.later(me.vm.clone(), Input::Platform(token, answer));
             }
             Action::ListVms if !self.store_down => {
@@ -387,10 +392,11 @@
 
     fn call(
         &mut self,
+        from: &FailureDomain,
         run: impl FnOnce(&mut Self) -> TableAnswer,
     ) -> Result<TableAnswer, PlatformError> {
         self.store_calls_count += 1;
-        if self.store_down {
+        if self.store_down || self.store_cuts.contains(from) {
             return Err(PlatformError::Unavailable);
         }
         let answer = run(self);
@@ -458,6 +464,8 @@
     pub fn local(&self) -> LocalState {
         LocalState {
             generation: self.config.current().generation,
+            summary: self.summary.clone(),
+            config: self.config.current().clone(),
             ..LocalState::default()
         }
     }
--- /dev/null
+++ b/crates/core/tests/concert_cut.rs
@@ -0,0 +1,126 @@
+//! A failure domain that is cut off from the others and from the platform, and its return.
+
+#[path = "common/concert.rs"]
+mod concert;
+
+use concert::{id, small_config, Cluster};
+use persimmon_core::{
+    config::ServiceState,
+    ids::{FailureDomain, Generation, PlanId},
+    message::{ModelCapacity, OwnerSummary},
+    operator::{Intent, OperatorCommand, OperatorReply},
+    units::{KvBytes, Millis, Tokens},
+};
+
+fn plan(cluster: &mut Cluster, vm: &str, intent: Intent) -> PlanId {
+    let command = OperatorCommand::Plan {
+        intent,
+        force: true,
+    };
+    match cluster.ask(vm, command, 1_000) {
+        OperatorReply::Plan(plan) => plan.id,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn configured(vms: usize) -> Cluster {
+    let mut cluster = Cluster::new(&["a", "b", "c"], vms);
+    cluster.run(2_000);
+    let first = plan(
+        &mut cluster,
+        "a-00",
+        Intent::Replace(Box::new(small_config())),
+    );
+    cluster.ask("a-00", OperatorCommand::Confirm(first), 2_000);
+    cluster.run(3_000);
+    cluster
+}
+
+fn cut_off(cluster: &mut Cluster, domain: &str) {
+    for other in ["a", "b", "c"].into_iter().filter(|other| *other != domain) {
+        cluster.cuts.insert((id(domain), id(other)));
+    }
+    cluster.store_cuts.insert(id(domain));
+}
+
+#[test]
+fn a_domain_cut_off_goes_on_and_takes_the_newest_generation_on_return() {
+    let mut cluster = configured(3);
+    let held = cluster.node("a-00").holds.clone();
+    cut_off(&mut cluster, "a");
+    cluster.run(1_000);
+    let drain = plan(&mut cluster, "b-00", Intent::DrainDomain(id("a")));
+    let reply = cluster.ask("b-00", OperatorCommand::Confirm(drain), 2_000);
+    assert!(matches!(reply, OperatorReply::Confirmed(_)), "{reply:?}");
+    cluster.run(10_000);
+    let cut = cluster.node("a-00");
+    assert_eq!(cut.config.current().generation, Generation::new(1));
+    assert_eq!(cut.holds, held, "it goes on with its own upstreams");
+    let unreachable = cut.membership.unreachable_domains();
+    assert_eq!(unreachable, vec![id::<FailureDomain>("b"), id("c")]);
+    assert!(!cut.config.store_reachable());
+    cluster.cuts.clear();
+    cluster.run(2_000);
+    for node in cluster.nodes.values() {
+        let config = node.config.current();
+        assert_eq!(config.generation, Generation::new(2), "{}", node.me.vm);
+        assert_eq!(config.domains[&id("a")].state, ServiceState::Drained);
+    }
+}
+
+#[test]
+fn an_operator_in_a_domain_cut_off_changes_nothing() {
+    let mut cluster = configured(3);
+    let drain = plan(&mut cluster, "a-00", Intent::DrainDomain(id("a")));
+    cut_off(&mut cluster, "a");
+    let reply = cluster.ask("a-00", OperatorCommand::Confirm(drain), 2_000);
+    assert!(matches!(reply, OperatorReply::Refused(_)), "{reply:?}");
+    cluster.cuts.clear();
+    cluster.store_cuts.clear();
+    cluster.run(9_000);
+    let mut nodes = cluster.nodes.values();
+    assert!(nodes.all(|node| node.applied == [Generation::new(1)]));
+}
+
+#[test]
+fn a_death_among_63_is_known_to_all_in_two_seconds_at_5_percent_loss() {
+    let mut cluster = Cluster::new(&["a"], 63);
+    cluster.run(4_000);
+    cluster.loss_percent = 5;
+    for _ in 0..20 {
+        cluster.run(200);
+        let mut nodes = cluster.nodes.values();
+        assert!(nodes.all(|node| node.sees("a").len() == 63));
+    }
+    for vm in ["a-01", "a-02", "a-34"] {
+        cluster.crash(vm);
+    }
+    cluster.run(2_000);
+    let mut live = cluster.nodes.values().filter(|node| node.up);
+    assert!(live.all(|node| node.sees("a").len() == 60));
+}
+
+#[test]
+fn summaries_of_owners_reach_all_daemons_of_their_domain() {
+    let mut cluster = configured(9);
+    let capacity = ModelCapacity {
+        engines: 3,
+        free_requests: 21,
+        free_kv_bytes: KvBytes::new(80_000_000_000),
+        max_prompt_tokens: Tokens::new(262_144),
+        short_wait_ms: Millis::new(90),
+        long_wait_ms: Millis::new(2_900),
+    };
+    cluster.node_mut("a-04").summary = OwnerSummary {
+        models: vec![(id("m@1"), capacity)],
+        services: vec![(id("orders"), 321)],
+    };
+    cluster.run(2_000);
+    let summary = cluster.node("a-07").membership.summary_of(&id("a-04"));
+    insta::assert_debug_snapshot!(summary.unwrap());
+    let seen = cluster.nodes.values().filter(|node| {
+        let summary = node.membership.summary_of(&id("a-04"));
+        summary.is_some_and(|summary| !summary.models.is_empty())
+    });
+    assert!(seen.count() >= 8);
+}
