--- a/crates/core/examples/confirm/main.rs
+++ b/crates/core/examples/confirm/main.rs
@@ -8,7 +8,6 @@
 use concert::{id, small_config, Cluster};
 use persimmon_core::{
     config::Configuration,
-    ids::PlanId,
     operator::{Intent, OperatorCommand, OperatorReply},
 };
 
@@ -55,32 +54,11 @@
     for name in &DOMAINS[..domains] {
         config.domains.entry(id(name)).or_default();
     }
-    let intent = Intent::Replace(Box::new(config));
-    let plan = plan(&mut cluster, intent);
-    confirm(&mut cluster, plan);
+    cluster.configure(config);
     cluster.run(3_000);
     cluster
 }
 
-fn plan(cluster: &mut Cluster, intent: Intent) -> PlanId {
-    let command = OperatorCommand::Plan {
-        intent,
-        force: true,
-    };
-    match cluster.ask("a-00", command, 1_000) {
-        OperatorReply::Plan(plan) => plan.id,
-        other => panic!("{other:?}"),
-    }
-}
-
-fn confirm(cluster: &mut Cluster, plan: PlanId) -> u64 {
-    let reply = cluster.ask("a-00", OperatorCommand::Confirm(plan), 2_000);
-    match reply {
-        OperatorReply::Confirmed(report) => report.in_force.len() as u64,
-        other => panic!("{other:?}"),
-    }
-}
-
 /// From the command to the last daemon that applies it, and to the operator's answer.
 fn in_force(cluster: &mut Cluster, daemons: usize, confirms: usize) {
     let (mut applied_ms, mut answered_ms, mut known) = (Vec::new(), Vec::new(), u64::MAX);
@@ -89,10 +67,10 @@
             0 => Intent::DrainDomain(id("a")),
             _ => Intent::ReturnDomain(id("a")),
         };
-        let plan = plan(cluster, intent);
+        let plan = cluster.plan("a-00", intent, true);
         cluster.run(137);
         let start = cluster.now;
-        let command = OperatorCommand::Confirm(plan.clone());
+        let command = OperatorCommand::Confirm(plan);
         let call = cluster.command("a-00", command, 2_000);
         let target = cluster.node("a-00").config.current().generation.next();
         let behind = |c: &Cluster| {
--- a/crates/core/examples/dissemination/fleet.rs
+++ b/crates/core/examples/dissemination/fleet.rs
@@ -15,7 +15,7 @@
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::Arc,
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 /// IPv4, UDP, QUIC's short header, its tag and a frame's header, and half an acknowledgement.
@@ -47,7 +47,7 @@
 pub(crate) struct Counts {
     pub(crate) messages_count: u64,
     pub(crate) sent_bytes: u64,
-    pub(crate) cpu: Duration,
+    pub(crate) cpu_secs: f64,
 }
 
 /// Real memberships on a virtual network.
@@ -202,7 +202,7 @@
             }
         }
         node.membership.take_changes();
-        self.counts.cpu += start.elapsed();
+        self.counts.cpu_secs += start.elapsed().as_secs_f64();
         self.ticks.remove(&(node.due, vm.clone()));
         let wakeup = node.membership.next_wakeup().unwrap_or(now + TICK);
         node.due = wakeup.clamp(now + LEAST_GAP, now + TICK);
--- a/crates/core/examples/dissemination/main.rs
+++ b/crates/core/examples/dissemination/main.rs
@@ -78,7 +78,7 @@
          oldest {oldest} ms, missing {missing}",
         counts.sent_bytes as f64 / spans,
         counts.messages_count as f64 / spans,
-        counts.cpu.as_secs_f64() / spans * 100.0,
+        counts.cpu_secs / spans * 100.0,
     );
 }
 
--- a/crates/core/tests/common/concert.rs
+++ b/crates/core/tests/common/concert.rs
@@ -4,10 +4,13 @@
 use bytes::Bytes;
 use persimmon_core::{
     config::{ConfigSettings, ConfigStore, Configuration},
-    ids::{FailureDomain, FencingNumber, Generation, Incarnation, OperatorName, UpstreamId, VmId},
+    ids::{
+        FailureDomain, FencingNumber, Generation, Incarnation, OperatorName, PlanId, UpstreamId,
+        VmId,
+    },
     membership::{LocalState, Membership, MembershipSettings},
     message::{Member, OwnerSummary, PeerMessage},
-    operator::{OperatorCommand, OperatorReply},
+    operator::{Intent, OperatorCommand, OperatorReply},
     ownership::{Ownership, OwnershipChange, OwnershipSettings},
     plan::{PlanFacts, PlanSettings, Planner},
     platform::{
@@ -286,6 +289,21 @@
         call
     }
 
+    /// Makes a plan.
+    pub fn plan(&mut self, vm: &str, intent: Intent, force: bool) -> PlanId {
+        let command = OperatorCommand::Plan { intent, force };
+        match self.ask(vm, command, 1_000) {
+            OperatorReply::Plan(plan) => plan.id,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Puts the first configuration in force.
+    pub fn configure(&mut self, config: Configuration) {
+        let first = self.plan("a-00", Intent::Replace(Box::new(config)), false);
+        self.ask("a-00", OperatorCommand::Confirm(first), 2_000);
+    }
+
     /// Sends a command and waits for its reply.
     pub fn ask(&mut self, vm: &str, command: OperatorCommand, unix_ms: u64) -> OperatorReply {
         let call = self.command(vm, command, unix_ms);
--- a/crates/core/tests/concert_cut.rs
+++ b/crates/core/tests/concert_cut.rs
@@ -6,32 +6,16 @@
 use concert::{id, small_config, Cluster};
 use persimmon_core::{
     config::ServiceState,
-    ids::{FailureDomain, Generation, PlanId},
+    ids::{FailureDomain, Generation},
     message::{ModelCapacity, OwnerSummary},
     operator::{Intent, OperatorCommand, OperatorReply},
     units::{KvBytes, Millis, Tokens},
 };
 
-fn plan(cluster: &mut Cluster, vm: &str, intent: Intent) -> PlanId {
-    let command = OperatorCommand::Plan {
-        intent,
-        force: true,
-    };
-    match cluster.ask(vm, command, 1_000) {
-        OperatorReply::Plan(plan) => plan.id,
-        other => panic!("{other:?}"),
-    }
-}
-
 fn configured(vms: usize) -> Cluster {
     let mut cluster = Cluster::new(&["a", "b", "c"], vms);
     cluster.run(2_000);
-    let first = plan(
-        &mut cluster,
-        "a-00",
-        Intent::Replace(Box::new(small_config())),
-    );
-    cluster.ask("a-00", OperatorCommand::Confirm(first), 2_000);
+    cluster.configure(small_config());
     cluster.run(3_000);
     cluster
 }
@@ -49,7 +33,7 @@
     let held = cluster.node("a-00").holds.clone();
     cut_off(&mut cluster, "a");
     cluster.run(1_000);
-    let drain = plan(&mut cluster, "b-00", Intent::DrainDomain(id("a")));
+    let drain = cluster.plan("b-00", Intent::DrainDomain(id("a")), true);
     let reply = cluster.ask("b-00", OperatorCommand::Confirm(drain), 2_000);
     assert!(matches!(reply, OperatorReply::Confirmed(_)), "{reply:?}");
     cluster.run(10_000);
@@ -71,7 +55,7 @@
 #[test]
 fn an_operator_in_a_domain_cut_off_changes_nothing() {
     let mut cluster = configured(3);
-    let drain = plan(&mut cluster, "a-00", Intent::DrainDomain(id("a")));
+    let drain = cluster.plan("a-00", Intent::DrainDomain(id("a")), true);
     cut_off(&mut cluster, "a");
     let reply = cluster.ask("a-00", OperatorCommand::Confirm(drain), 2_000);
     assert!(matches!(reply, OperatorReply::Refused(_)), "{reply:?}");
--- a/crates/core/tests/ownership_basic.rs
+++ b/crates/core/tests/ownership_basic.rs
@@ -7,7 +7,6 @@
 use persimmon_core::{
     ids::{FailureDomain, UpstreamId, VmId},
     message::Member,
-    operator::{Intent, OperatorCommand, OperatorReply},
     ownership::rendezvous,
 };
 use std::collections::BTreeMap;
@@ -21,15 +20,7 @@
     config
         .upstreams
         .retain(|_, upstream| used(&upstream.domain));
-    let intent = Intent::Replace(Box::new(config));
-    let plan = OperatorCommand::Plan {
-        intent,
-        force: false,
-    };
-    let OperatorReply::Plan(plan) = cluster.ask("a-00", plan, 1_000) else {
-        panic!("no plan");
-    };
-    cluster.ask("a-00", OperatorCommand::Confirm(plan.id), 2_000);
+    cluster.configure(config);
     cluster
 }
 
--- a/crates/core/tests/plan_basic.rs
+++ b/crates/core/tests/plan_basic.rs
@@ -5,38 +5,22 @@
 
 use concert::{id, small_config, Cluster};
 use persimmon_core::{
-    ids::{Generation, PlanId},
+    ids::Generation,
     operator::{Intent, OperatorCommand, OperatorReply, Plan, PlanState},
 };
 use std::collections::BTreeSet;
 
-fn plan(cluster: &mut Cluster, vm: &str, intent: Intent) -> PlanId {
-    let command = OperatorCommand::Plan {
-        intent,
-        force: false,
-    };
-    match cluster.ask(vm, command, 1_000) {
-        OperatorReply::Plan(plan) => plan.id,
-        other => panic!("{other:?}"),
-    }
-}
-
 fn configured() -> Cluster {
     let mut cluster = Cluster::new(&["a", "b", "c"], 3);
     cluster.run(2_000);
-    let first = plan(
-        &mut cluster,
-        "a-00",
-        Intent::Replace(Box::new(small_config())),
-    );
-    cluster.ask("a-00", OperatorCommand::Confirm(first), 2_000);
+    cluster.configure(small_config());
     cluster
 }
 
 #[test]
 fn a_confirmed_plan_is_in_force_everywhere_within_a_second() {
     let mut cluster = configured();
-    let drain = plan(&mut cluster, "b-01", Intent::DrainDomain(id("a")));
+    let drain = cluster.plan("b-01", Intent::DrainDomain(id("a")), false);
     let start = cluster.now;
     let reply = cluster.ask("b-01", OperatorCommand::Confirm(drain), 2_000);
     let OperatorReply::Confirmed(report) = reply else {
@@ -52,7 +36,7 @@
 #[test]
 fn a_lost_answer_and_a_second_confirm_make_one_generation() {
     let mut cluster = configured();
-    let drain = plan(&mut cluster, "a-00", Intent::DrainDomain(id("a")));
+    let drain = cluster.plan("a-00", Intent::DrainDomain(id("a")), false);
     cluster.lost_answers_count = 1;
     for vm in ["a-00", "c-02"] {
         let reply = cluster.ask(vm, OperatorCommand::Confirm(drain.clone()), 2_000);
@@ -64,8 +48,8 @@
 #[test]
 fn of_two_racing_operators_one_is_told_of_the_other() {
     let mut cluster = configured();
-    let one = plan(&mut cluster, "a-00", Intent::DrainDomain(id("a")));
-    let two = plan(&mut cluster, "b-00", Intent::DrainDomain(id("b")));
+    let one = cluster.plan("a-00", Intent::DrainDomain(id("a")), false);
+    let two = cluster.plan("b-00", Intent::DrainDomain(id("b")), false);
     cluster.command("a-00", OperatorCommand::Confirm(one), 2_000);
     let reply = cluster.ask("b-00", OperatorCommand::Confirm(two), 2_000);
     let OperatorReply::Refused(error) = reply else {
@@ -78,7 +62,7 @@
 fn a_plan_that_takes_the_last_capacity_needs_force() {
     let mut cluster = configured();
     for domain in ["a", "b"] {
-        let drain = plan(&mut cluster, "a-00", Intent::DrainDomain(id(domain)));
+        let drain = cluster.plan("a-00", Intent::DrainDomain(id(domain)), false);
         cluster.ask("a-00", OperatorCommand::Confirm(drain), 2_000);
     }
     let command = OperatorCommand::Plan {
@@ -94,7 +78,7 @@
 #[test]
 fn an_old_plan_has_expired_and_a_store_that_is_down_changes_nothing() {
     let mut cluster = configured();
-    let drain = plan(&mut cluster, "a-00", Intent::DrainDomain(id("a")));
+    let drain = cluster.plan("a-00", Intent::DrainDomain(id("a")), false);
     let late = cluster.ask("a-00", OperatorCommand::Confirm(drain.clone()), 700_000);
     assert!(matches!(late, OperatorReply::Refused(_)), "{late:?}");
     cluster.store_down = true;
@@ -108,8 +92,8 @@
 #[test]
 fn a_plan_left_behind_is_superseded_and_old_plans_are_removed() {
     let mut cluster = configured();
-    let one = plan(&mut cluster, "a-00", Intent::DrainDomain(id("a")));
-    let two = plan(&mut cluster, "b-00", Intent::DrainDomain(id("b")));
+    let one = cluster.plan("a-00", Intent::DrainDomain(id("a")), false);
+    let two = cluster.plan("b-00", Intent::DrainDomain(id("b")), false);
     cluster.ask("a-00", OperatorCommand::Confirm(one), 2_000);
     let reply = cluster.ask("b-00", OperatorCommand::Confirm(two.clone()), 2_000);
     assert!(matches!(reply, OperatorReply::Refused(_)), "{reply:?}");
@@ -138,7 +122,7 @@
 fn a_list_of_plans_goes_over_pages() {
     let mut cluster = configured();
     for _ in 0..450 {
-        plan(&mut cluster, "a-00", Intent::DrainDomain(id("a")));
+        cluster.plan("a-00", Intent::DrainDomain(id("a")), false);
     }
     let OperatorReply::Plans(plans) = cluster.ask("b-00", OperatorCommand::PlanList, 2_000) else {
         panic!("no list");
@@ -149,7 +133,7 @@
 #[test]
 fn a_daemon_that_dies_after_the_write_leaves_one_outcome() {
     let mut cluster = configured();
-    let drain = plan(&mut cluster, "a-00", Intent::DrainDomain(id("a")));
+    let drain = cluster.plan("a-00", Intent::DrainDomain(id("a")), false);
     cluster.command("a-00", OperatorCommand::Confirm(drain.clone()), 2_000);
     while &cluster.table["config/head"][..] == b"1" {
         cluster.run(concert::TICK_MS);
@@ -170,7 +154,7 @@
         model: id("m@1"),
         adapters: BTreeSet::from([id("welding"), id("palletising")]),
     };
-    let drawn = plan(&mut cluster, "a-00", intent);
+    let drawn = cluster.plan("a-00", intent, false);
     cluster.ask("c-00", OperatorCommand::Confirm(drawn), 2_000);
     let config = cluster.node("b-02").config.current().clone();
     assert_eq!(config.models[&id("m@1")].adapters.len(), 2);
