--- a/crates/persimmonctl/src/report/plan.rs
+++ b/crates/persimmonctl/src/report/plan.rs
@@ -83,6 +83,10 @@
             list_or_all(rule.workspaces.iter()),
             list_or_all(rule.domains.iter()),
         ),
+        Change::SetAdapters { model, adapters } => {
+            let names: Vec<_> = adapters.iter().map(ToString::to_string).collect();
+            format!("set adapters of {model} to [{}]", names.join(", "))
+        }
         Change::SetWorkspaceWeight {
             workspace,
             weight_count,
