--- a/crates/core/src/entry/open_request.rs
+++ b/crates/core/src/entry/open_request.rs
@@ -61,6 +61,8 @@
 pub(super) struct OpenRequest {
     pub(super) spec: RequestSpec,
     pub(super) arrived: Time,
+    /// The caller's deadline.
+    pub(super) deadline: Time,
     /// When it is refused at the latest: a little before the caller's deadline.
     pub(super) ends_by: Time,
     pub(super) phase: Phase,
@@ -87,6 +89,8 @@
     pub(super) pauses_count: u32,
     /// Largest prompt that fits, where an owner said that this one does not.
     pub(super) too_long: Option<Tokens>,
+    /// Whether an owner with an engine that can hold it was only busy.
+    pub(super) fits_somewhere: bool,
     /// The broken stream that is being resumed.
     pub(super) kept: Option<Kept>,
 }
@@ -96,6 +100,7 @@
         let timeout = spec.timeout_ms.min(settings.max_timeout);
         let margin = settings.answer_margin.min(Millis::new(timeout.get() / 10));
         Self {
+            deadline: now + timeout,
             ends_by: now + timeout.saturating_sub(margin),
             spec,
             arrived: now,
@@ -112,6 +117,7 @@
             come_back: None,
             pauses_count: 0,
             too_long: None,
+            fits_somewhere: false,
             kept: None,
         }
     }
--- a/crates/core/src/grant/fit.rs
+++ b/crates/core/src/grant/fit.rs
@@ -1,6 +1,9 @@
 //! Which upstreams fit a request, and what it needs of them.
 
-use super::{ledger::Ledger, owner::Owner};
+use super::{
+    learnt::OutputShares, ledger::Ledger, level::Level, owner::Owner, segments::group_tokens,
+    settings::LongPlacement, waiting::Lane,
+};
 use crate::{
     config::UpstreamKind,
     context::View,
@@ -10,8 +13,6 @@
     units::{KvBytes, Millis, Time, Tokens},
 };
 
-/// Share of the longest allowed answer that is expected.
-const EXPECTED_OUTPUT_PERCENT: u64 = 50;
 /// Time that a call of a plain service is expected to take, in milliseconds.
 const SERVICE_CALL_MS: u64 = 100;
 
@@ -22,6 +23,10 @@
     pub(super) kv_bytes: KvBytes,
     /// Tokens to prefill.
     pub(super) prompt_tokens: Tokens,
+    /// Tokens of the prompt that the engine has probably cached.
+    pub(super) cached_tokens: Tokens,
+    /// Most tokens that may be decoded.
+    pub(super) max_output_tokens: Tokens,
     /// Tokens that are expected to be decoded.
     pub(super) output_tokens: Tokens,
 }
@@ -59,19 +64,88 @@
             }
         }
         if !fitting.is_empty() {
-            return Ok(fitting);
+            return self.confine(view, request, fitting);
         }
-        Err(match max_prompt_tokens {
-            Some(max_prompt_tokens) => GrantDenial::TooLong { max_prompt_tokens },
-            None if drained => GrantDenial::Drained,
-            None if unknown => GrantDenial::Learning {
+        if let Some(alone) = max_prompt_tokens {
+            return self.grouped(view, request, alone);
+        }
+        Err(if drained {
+            GrantDenial::Drained
+        } else if unknown {
+            GrantDenial::Learning {
                 retry_after_ms: self.settings.poll_ms,
-            },
-            None => GrantDenial::NotOwner { better: None },
+            }
+        } else {
+            GrantDenial::NotOwner { better: None }
         })
     }
 }
 
+impl Owner {
+    /// The engines that hold a prompt as a group, where no engine holds it alone.
+    fn grouped(
+        &self,
+        view: &View<'_>,
+        request: &GrantRequest,
+        alone: Tokens,
+    ) -> Result<Vec<UpstreamId>, GrantDenial> {
+        let engines = self.groupable(request);
+        let model = request
+            .model
+            .as_ref()
+            .and_then(|m| view.config.models.get(m));
+        let per_token = model.map_or(1, |model| model.kv_bytes_per_token.get().max(1));
+        let context = model.map_or(Tokens::ZERO, |model| model.context_tokens);
+        let ledgers = engines.iter().filter_map(|id| self.ledgers.get(id));
+        let held = ledgers.map(|ledger| ledger.kv_total().get() / per_token);
+        let together = group_tokens(held.collect()).min(context);
+        let whole = whole_tokens(request);
+        if engines.len() > 1 && whole <= together {
+            return Ok(engines);
+        }
+        if whole <= context {
+            if let Some(better) = self.better_for_group(view, request) {
+                let better = Some(better);
+                return Err(GrantDenial::NotOwner { better });
+            }
+        }
+        let answer = whole.saturating_sub(prompt_of(request));
+        let max_prompt_tokens = alone.max(together.saturating_sub(answer));
+        Err(GrantDenial::TooLong { max_prompt_tokens })
+    }
+
+    /// Whether no owned engine holds a request alone.
+    pub(super) fn needs_group(&self, need: Need, candidates: &[UpstreamId]) -> bool {
+        let ledgers = candidates.iter().filter_map(|id| self.ledgers.get(id));
+        let most = ledgers.map(Ledger::kv_total).max();
+        most.is_some_and(|most| need.kv_bytes > most)
+    }
+
+    /// Of the fitting upstreams, those that take prompts of this length.
+    fn confine(
+        &self,
+        view: &View<'_>,
+        request: &GrantRequest,
+        fitting: Vec<UpstreamId>,
+    ) -> Result<Vec<UpstreamId>, GrantDenial> {
+        let anywhere = self.settings.long_placement == LongPlacement::Anywhere;
+        if anywhere || Lane::of(self.class_for(request)) == Lane::Short {
+            return Ok(fitting);
+        }
+        let long = fitting.iter().filter(|id| self.long_set.contains(id));
+        let long: Vec<UpstreamId> = long.cloned().collect();
+        if !long.is_empty() {
+            return Ok(long);
+        }
+        match self.better_for_long(view, Millis::new(u64::MAX)) {
+            Some(better) => Err(GrantDenial::NotOwner {
+                better: Some(better),
+            }),
+            None => Ok(fitting),
+        }
+    }
+}
+
 fn model_call(request: &GrantRequest) -> Option<&ModelCall> {
     match &request.spec.target {
         CallTarget::Model(call) => Some(call),
@@ -79,16 +153,26 @@
     }
 }
 
+/// Tokens of prompt and longest answer.
+pub(super) fn whole_tokens(request: &GrantRequest) -> Tokens {
+    let call = model_call(request);
+    call.map_or(Tokens::ZERO, |call| {
+        call.prompt_tokens + call.max_output_tokens
+    })
+}
+
 fn prompt_of(request: &GrantRequest) -> Tokens {
     model_call(request).map_or(Tokens::ZERO, |call| call.prompt_tokens)
 }
 
 /// What a request needs, by its model's configuration.
-pub(super) fn need_of(view: &View<'_>, request: &GrantRequest) -> Need {
+pub(super) fn need_of(view: &View<'_>, outputs: &OutputShares, request: &GrantRequest) -> Need {
     let Some(call) = model_call(request) else {
         return Need {
             kv_bytes: KvBytes::ZERO,
             prompt_tokens: Tokens::ZERO,
+            cached_tokens: Tokens::ZERO,
+            max_output_tokens: Tokens::ZERO,
             output_tokens: Tokens::ZERO,
         };
     };
@@ -101,7 +185,9 @@
     Need {
         kv_bytes: (call.prompt_tokens + call.max_output_tokens).kv(per_token),
         prompt_tokens: call.prompt_tokens + request.offset_tokens,
-        output_tokens: Tokens::new(left.get() * EXPECTED_OUTPUT_PERCENT / 100),
+        cached_tokens: Tokens::ZERO,
+        max_output_tokens: left,
+        output_tokens: outputs.expected(request.model.as_ref(), left),
     }
 }
 
@@ -114,7 +200,7 @@
         }
     }
 
-    fn has_model(&self, request: &GrantRequest) -> bool {
+    pub(super) fn has_model(&self, request: &GrantRequest) -> bool {
         let Some(call) = model_call(request) else {
             return true;
         };
@@ -141,8 +227,13 @@
     }
 
     /// Predicted time to first token of a request granted now.
-    pub(super) fn first_token_span(&self, now: Time, prompt_tokens: Tokens) -> Millis {
-        self.prefill_free_at.since(now) + self.prefill_span(prompt_tokens)
+    pub(super) fn first_token_span(
+        &self,
+        now: Time,
+        level: Level,
+        prompt_tokens: Tokens,
+    ) -> Millis {
+        self.backlog.ahead(now, level) + self.prefill_span(prompt_tokens)
     }
 
     /// Time that a call is expected to take after its prefill.
--- a/crates/core/src/grant/ledger.rs
+++ b/crates/core/src/grant/ledger.rs
@@ -1,11 +1,14 @@
 //! The account of one owned upstream.
 
+use super::{
+    backlog::Backlog, learnt::Rates, level::Level, orphans::Orphans, prefix_cache::PrefixCache,
+    ramp::Ramp, waiting::class_of,
+};
 use crate::{
     config::{EngineConfig, UpstreamConfig, UpstreamKind},
-    ids::{AttemptId, FencingNumber, Incarnation, ModelVersion, RequestId},
+    ids::{AttemptId, FencingNumber, Incarnation, ModelVersion, RequestId, UpstreamId},
     message::{GrantOffer, HeldGrant, Member},
     platform::CallToken,
-    request::Priority,
     units::{KvBytes, Millis, Time, Tokens, TokensPerSecond},
     upstream::LoadReport,
 };
@@ -27,10 +30,18 @@
     pub(super) entry: Member,
     /// The version it runs on.
     pub(super) model: Option<ModelVersion>,
+    /// The level at which it runs.
+    pub(super) level: Level,
     /// KV memory reserved.
     pub(super) kv_bytes: KvBytes,
+    /// Time that its prefill takes.
+    pub(super) prefill_ms: Millis,
+    /// Most tokens of its answer.
+    pub(super) max_output_tokens: Tokens,
     /// The answer given, to repeat it.
     pub(super) offer: GrantOffer,
+    /// When its first token probably comes.
+    pub(super) expected_first: Time,
     /// When it probably ends.
     pub(super) expected_end: Time,
     /// How it stands.
@@ -50,8 +61,18 @@
     pub(super) learning_until: Time,
     /// Since when it is drained.
     pub(super) drained_since: Option<Time>,
-    /// When the prefills granted so far are probably done.
-    pub(super) prefill_free_at: Time,
+    /// Prefill work granted and probably not done yet.
+    pub(super) backlog: Backlog,
+    /// Memory kept free for a waiting long prompt.
+    pub(super) reserved: Option<(AttemptId, KvBytes)>,
+    /// The start-up limit.
+    pub(super) ramp: Ramp,
+    /// What was learnt of its rates.
+    pub(super) rates: Rates,
+    /// Prompt prefixes that it has probably cached.
+    pub(super) cache: PrefixCache,
+    /// What it runs and no grant accounts for.
+    pub(super) orphans: Orphans,
     /// The last load report.
     pub(super) report: Option<LoadReport>,
     holdings: BTreeMap<AttemptId, Holding>,
@@ -64,6 +85,7 @@
         limit_requests: u32,
         fencing: FencingNumber,
         learning_until: Time,
+        start_requests: u32,
     ) -> Self {
         Self {
             config,
@@ -71,7 +93,12 @@
             fencing,
             learning_until,
             drained_since: None,
-            prefill_free_at: Time::START,
+            backlog: Backlog::default(),
+            reserved: None,
+            ramp: Ramp::new(start_requests),
+            rates: Rates::default(),
+            cache: PrefixCache::default(),
+            orphans: Orphans::default(),
             report: None,
             holdings: BTreeMap::new(),
             kv_held_bytes: KvBytes::ZERO,
@@ -99,32 +126,48 @@
         }
     }
 
-    /// Takes over a grant that an earlier owner gave.
-    pub(super) fn hold_again(&mut self, now: Time, entry: &Member, grant: HeldGrant) {
-        let offer = GrantOffer {
-            upstream: grant.upstream,
+    /// An offer of this upstream that predicts nothing.
+    pub(super) fn offer(&self, upstream: UpstreamId, level: Level) -> GrantOffer {
+        GrantOffer {
+            upstream,
             address: self.config.address,
             fencing: self.fencing,
-            priority: Priority::default(),
+            priority: level.priority(),
             predicted_ms: Millis::ZERO,
             runner_up: None,
             cached_tokens: Tokens::ZERO,
             resume: false,
-        };
+        }
+    }
+
+    /// Takes over a grant that an earlier owner gave.
+    pub(super) fn hold_again(&mut self, now: Time, entry: &Member, grant: HeldGrant) {
+        let level = Level::of(class_of(&grant.spec.target));
+        let offer = self.offer(grant.upstream, level);
         let holding = Holding {
             entry: entry.clone(),
             model: grant.model,
+            level,
             kv_bytes: grant.kv_bytes,
+            prefill_ms: Millis::ZERO,
+            max_output_tokens: Tokens::ZERO,
             offer,
+            expected_first: now,
             expected_end: now + grant.remaining_ms,
             state: HoldState::Running,
         };
         self.hold(grant.attempt, holding);
     }
 
-    pub(super) fn give_back(&mut self, attempt: &AttemptId) -> Option<Holding> {
+    pub(super) fn give_back(&mut self, now: Time, attempt: &AttemptId) -> Option<Holding> {
         let holding = self.holdings.remove(attempt)?;
         self.kv_held_bytes -= holding.kv_bytes;
+        if self.holdings.is_empty() {
+            self.backlog.clear(now);
+        } else if now < holding.expected_first {
+            self.backlog
+                .take_back(now, holding.level, holding.prefill_ms);
+        }
         Some(holding)
     }
 
@@ -136,6 +179,14 @@
         self.kv_held_bytes
     }
 
+    pub(super) fn is_engine(&self) -> bool {
+        matches!(self.config.kind, UpstreamKind::Engine(_))
+    }
+
+    pub(super) fn can_group(&self) -> bool {
+        matches!(&self.config.kind, UpstreamKind::Engine(engine) if engine.can_group)
+    }
+
     pub(super) fn kv_total(&self) -> KvBytes {
         match &self.config.kind {
             UpstreamKind::Engine(engine) => engine.kv_bytes,
@@ -147,6 +198,7 @@
     pub(super) fn allowed(&self, now: Time, learning_percent: u32) -> u32 {
         let bearable = self.report.as_ref().and_then(|r| r.bearable_requests);
         let limit = self.limit_requests.min(bearable.unwrap_or(u32::MAX));
+        let limit = limit.min(self.ramp.limit());
         if now < self.learning_until {
             return (limit * learning_percent / 100).max(1).min(limit);
         }
@@ -162,25 +214,34 @@
         }
     }
 
-    /// Free KV memory; while grants are collected, the upstream's own figure counts as well.
+    /// Free KV memory; while grants are collected or orphans are cancelled, the upstream's own
+    /// figure counts as well.
     pub(super) fn kv_free(&self, now: Time) -> KvBytes {
         let reported = self
             .report
             .as_ref()
             .map_or(KvBytes::ZERO, |r| r.kv_held_bytes);
-        let held = match now < self.learning_until {
+        let unsure = now < self.learning_until || !self.orphans.is_empty();
+        let held = match unsure {
             true => self.kv_held_bytes.max(reported),
             false => self.kv_held_bytes,
         };
         self.kv_total().saturating_sub(held)
     }
 
+    /// Free KV memory for an attempt: none of what is kept for another one.
+    pub(super) fn kv_free_for(&self, now: Time, attempt: &AttemptId) -> KvBytes {
+        let kept = self.reserved.filter(|(id, _)| id != attempt);
+        let kept_bytes = kept.map_or(KvBytes::ZERO, |(_, bytes)| bytes);
+        self.kv_free(now).saturating_sub(kept_bytes)
+    }
+
     /// Whether a cancel of this request is still on its way to the upstream.
     pub(super) fn is_cancelling(&self, request: RequestId) -> bool {
         let of = |(id, h): (&AttemptId, &Holding)| {
             id.request == request && h.state != HoldState::Running
         };
-        self.holdings.iter().any(of)
+        self.orphans.is_cancelling(request) || self.holdings.iter().any(of)
     }
 
     /// The attempts of a request that run here.
@@ -198,12 +259,16 @@
 
     /// Time that a prefill takes.
     pub(super) fn prefill_span(&self, tokens: Tokens) -> Millis {
-        self.span(|engine| engine.prefill_tokens_per_s, tokens)
+        let span = self.span(|engine| engine.prefill_tokens_per_s, tokens);
+        Millis::new((span.get() as f64 * self.rates.pace_ratio) as u64)
     }
 
     /// Time that decoding takes.
     pub(super) fn decode_span(&self, tokens: Tokens) -> Millis {
-        self.span(|engine| engine.decode_tokens_per_s, tokens)
+        match self.rates.token_ms {
+            Some(token_ms) => Millis::new((tokens.get() as f64 * token_ms) as u64),
+            None => self.span(|engine| engine.decode_tokens_per_s, tokens),
+        }
     }
 
     fn span(&self, rate: impl Fn(&EngineConfig) -> TokensPerSecond, tokens: Tokens) -> Millis {
--- a/crates/core/src/grant/owner.rs
+++ b/crates/core/src/grant/owner.rs
@@ -1,16 +1,18 @@
 //! The owner of upstreams: who gets a grant, and what becomes of it.
 
 use super::{
+    group::Groups,
+    learnt::OutputShares,
     ledger::{HoldState, Ledger},
+    long_set::{Demand, LongSet},
     settings::GrantSettings,
     timers::{Timer, Timers},
-    waiting::Queue,
+    waiting::{Lane, Queue},
 };
 use crate::{
-    action::Action,
     config::{UpstreamConfig, UpstreamKind},
     context::{Context, View},
-    ids::{AttemptId, UpstreamId, VmId},
+    ids::{AttemptId, RequestId, UpstreamId, VmId},
     message::{GrantAnswer, GrantMessage, HeldGrant, Member, PeerMessage},
     ownership::OwnershipChange,
     platform::CallToken,
@@ -28,9 +30,15 @@
     pub(super) granted: BTreeMap<AttemptId, UpstreamId>,
     pub(super) queue: Queue,
     pub(super) cancels: BTreeMap<CallToken, (UpstreamId, AttemptId)>,
+    pub(super) orphan_cancels: BTreeMap<CallToken, (UpstreamId, RequestId)>,
     pub(super) timers: Timers,
     pub(super) leaving: bool,
-    finished: BTreeSet<AttemptId>,
+    pub(super) grants_count: u64,
+    pub(super) demand: [Demand; Lane::ALL.len()],
+    pub(super) long_set: LongSet,
+    pub(super) outputs: OutputShares,
+    pub(super) groups: Groups,
+    pub(super) finished: BTreeSet<AttemptId>,
 }
 
 impl Owner {
@@ -42,8 +50,14 @@
             granted: BTreeMap::new(),
             queue: Queue::default(),
             cancels: BTreeMap::new(),
+            orphan_cancels: BTreeMap::new(),
             timers: Timers::default(),
             leaving: false,
+            grants_count: 0,
+            demand: Default::default(),
+            long_set: LongSet::default(),
+            outputs: OutputShares::default(),
+            groups: Groups::default(),
             finished: BTreeSet::new(),
         }
     }
@@ -54,9 +68,14 @@
         for upstream in owned {
             match view.config.upstreams.get(&upstream) {
                 Some(config) => self.refresh_ledger(ctx, view, &upstream, config),
-                None => self.drop_ledger(&upstream),
+                None => {
+                    self.drop_ledger(&upstream);
+                    self.end_groups_of(ctx, view, &upstream);
+                }
             }
         }
+        self.long_set.order(view);
+        self.refresh_long_set(ctx.now, view);
         self.recheck_waiting(ctx, view);
         self.pump(ctx, view);
     }
@@ -74,7 +93,9 @@
         ledger.limit_requests = limit_of(view, config);
         ledger.config = config.clone();
         if view.config.serves_upstream(upstream) {
-            ledger.drained_since = None;
+            if ledger.drained_since.take().is_some() {
+                ledger.ramp.reset();
+            }
         } else if ledger.drained_since.is_none() {
             ledger.drained_since = Some(ctx.now);
             let end = ctx.now + self.settings.drain_grace_ms;
@@ -99,16 +120,30 @@
                     return;
                 };
                 let limit_requests = limit_of(view, config);
-                let fresh =
-                    || Ledger::new(config.clone(), limit_requests, *fencing, *learning_until);
+                let start = self.settings.ramp_start_requests;
+                let fresh = || {
+                    Ledger::new(
+                        config.clone(),
+                        limit_requests,
+                        *fencing,
+                        *learning_until,
+                        start,
+                    )
+                };
                 let ledger = self.ledgers.entry(upstream.clone()).or_insert_with(fresh);
                 ledger.fencing = *fencing;
                 self.refresh_ledger(ctx, view, upstream, config);
                 self.learn(ctx, view, upstream, *learning_until);
                 self.timers.replace(ctx.now, Timer::Poll(upstream.clone()));
+                let cache = Timer::PollCache(upstream.clone());
+                self.timers.replace(ctx.now, cache);
+                self.timers.replace(ctx.now, Timer::LongSet);
+                self.long_set.order(view);
+                self.refresh_long_set(ctx.now, view);
             }
             OwnershipChange::Lost { upstream } => {
                 self.drop_ledger(upstream);
+                self.end_groups_of(ctx, view, upstream);
                 self.recheck_waiting(ctx, view);
             }
         }
@@ -149,6 +184,7 @@
         self.ledgers.remove(upstream);
         self.granted.retain(|_, at| at != upstream);
         self.cancels.retain(|_, (at, _)| at != upstream);
+        self.orphan_cancels.retain(|_, (at, _)| at != upstream);
     }
 
     /// The process was paused: its view of outstanding grants may be old.
@@ -172,7 +208,11 @@
             GrantMessage::Request(request) => self.on_request(ctx, view, from, *request),
             GrantMessage::Withdraw { attempt } => {
                 self.queue.remove(&attempt);
-                self.finish(ctx.now, attempt);
+                if self.groups.is_forming(&attempt) {
+                    self.end_group(ctx, view, attempt);
+                } else {
+                    self.finish(ctx.now, attempt);
+                }
                 self.pump(ctx, view);
             }
             GrantMessage::Release { attempt, end, .. } => {
@@ -201,6 +241,7 @@
         let (attempt, upstream) = (grant.attempt, grant.upstream.clone());
         let lapse = ctx.now + grant.remaining_ms + self.settings.lapse_slack_ms;
         ledger.hold_again(ctx.now, from, grant);
+        ledger.ramp.bears(ledger.in_flight());
         self.granted.insert(attempt, upstream.clone());
         self.timers.set(lapse, Timer::Lapse(upstream, attempt));
     }
@@ -220,11 +261,23 @@
         let restarted = ledger
             .incarnation()
             .is_some_and(|i| i != report.incarnation);
+        if let Some(bearable) = report.bearable_requests {
+            ledger.ramp.cap(bearable);
+        }
+        let first = ledger.report.is_none();
         ledger.report = Some(report.clone());
+        if first {
+            ledger.ramp.bears(report.in_flight_requests);
+        }
         if restarted {
-            ledger.prefill_free_at = ctx.now;
+            ledger.backlog.clear(ctx.now);
+            ledger.ramp.reset();
+            ledger.rates.forget();
+            ledger.cache.empty();
             self.resend_cancels(ctx, upstream);
+            self.end_groups_of(ctx, view, upstream);
         }
+        self.cancel_orphans(ctx, upstream);
         self.pump(ctx, view);
     }
 
@@ -233,58 +286,12 @@
         &mut self,
         _ctx: &mut Context<'_>,
         _view: &View<'_>,
-        _upstream: &UpstreamId,
-        _batch: CacheBatch,
+        upstream: &UpstreamId,
+        batch: CacheBatch,
     ) {
-    }
-
-    /// Fires the timers that are due.
-    pub fn on_tick(&mut self, ctx: &mut Context<'_>, view: &View<'_>) {
-        while let Some(timer) = self.timers.pop(ctx.now) {
-            self.on_timer(ctx, view, timer);
-        }
-        if self.leaving {
-            self.recheck_waiting(ctx, view);
-        }
-    }
-
-    fn on_timer(&mut self, ctx: &mut Context<'_>, view: &View<'_>, timer: Timer) {
-        match timer {
-            Timer::Waiting(attempt) => self.on_wait_over(ctx, view, &attempt),
-            Timer::Lapse(upstream, attempt) => {
-                if self.is_running(&upstream, &attempt) {
-                    self.revoke(ctx, view, &upstream, &attempt);
-                    self.cancel(ctx, &upstream, attempt);
-                }
-            }
-            Timer::Cancel(upstream, attempt) => self.resend_cancel(ctx, &upstream, attempt),
-            Timer::Poll(upstream) => self.poll(ctx, upstream),
-            Timer::Learning(_) => self.pump(ctx, view),
-            Timer::Drain(upstream) => self.on_drain_over(ctx, view, &upstream),
-            Timer::Finished(attempt) => {
-                self.finished.remove(&attempt);
-            }
-        }
-    }
-
-    fn poll(&mut self, ctx: &mut Context<'_>, upstream: UpstreamId) {
-        let Some(ledger) = self.ledgers.get(&upstream) else {
-            return;
-        };
-        ctx.act(Action::PollLoad {
-            upstream: upstream.clone(),
-            address: ledger.config.address,
-        });
-        let next = ctx.now + self.settings.poll_ms;
-        self.timers.replace(next, Timer::Poll(upstream));
-    }
-
-    /// When `on_tick` is due next.
-    pub fn next_wakeup(&self) -> Option<Time> {
-        if self.leaving && self.queue.len() > 0 {
-            return Some(Time::START);
+        if let Some(ledger) = self.ledgers.get_mut(upstream) {
+            ledger.cache.take_in(&batch);
         }
-        self.timers.next()
     }
 
     /// The daemon leaves: no new grants from now on.
@@ -312,10 +319,8 @@
 
     /// Takes an attempt's share back and remembers that it is over.
     pub(super) fn finish(&mut self, now: Time, attempt: AttemptId) {
-        if let Some(upstream) = self.granted.remove(&attempt) {
-            if let Some(ledger) = self.ledgers.get_mut(&upstream) {
-                ledger.give_back(&attempt);
-            }
+        if let Some(upstream) = self.granted.get(&attempt).cloned() {
+            self.finish_at(now, &upstream, attempt);
         }
         if self.finished.insert(attempt) {
             let end = now + self.settings.finished_ms;
@@ -323,6 +328,16 @@
         }
     }
 
+    /// Takes an attempt's share of one upstream back.
+    pub(super) fn finish_at(&mut self, now: Time, upstream: &UpstreamId, attempt: AttemptId) {
+        if let Some(ledger) = self.ledgers.get_mut(upstream) {
+            ledger.give_back(now, &attempt);
+        }
+        if self.granted.get(&attempt) == Some(upstream) {
+            self.granted.remove(&attempt);
+        }
+    }
+
     pub(super) fn answer(
         ctx: &mut Context<'_>,
         view: &View<'_>,
--- a/crates/core/src/grant/summary.rs
+++ b/crates/core/src/grant/summary.rs
@@ -1,15 +1,24 @@
 //! What an owner says of its upstreams.
 
-use super::{ledger::Ledger, owner::Owner};
+use super::{ledger::Ledger, level::Level, owner::Owner, settings::LongPlacement, waiting::Lane};
 use crate::{
     config::UpstreamKind,
     context::View,
     ids::{ModelVersion, ServiceName, UpstreamId},
     message::{ModelCapacity, OwnerSummary},
+    routing::RoutingPolicy,
     units::{KvBytes, Millis, Time, Tokens},
 };
 use std::collections::BTreeMap;
 
+/// The wait that an owner names for what none of its upstreams takes.
+pub(super) const NOWHERE_MS: Millis = Millis::new(600_000);
+
+/// Free KV memory that an engine needs to take a short prompt without a wait.
+const SHORT_ROOM_TOKENS: Tokens = Tokens::new(16_000);
+/// Free KV memory that an engine needs to take a long prompt without a wait.
+const LONG_ROOM_TOKENS: Tokens = Tokens::new(100_000);
+
 /// The account of one owned upstream, as operators and plans see it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OwnedStatus {
@@ -28,8 +37,11 @@
     pub fn summary(&self, now: Time, view: &View<'_>) -> OwnerSummary {
         let mut models: BTreeMap<ModelVersion, ModelCapacity> = BTreeMap::new();
         let mut services: BTreeMap<ServiceName, u32> = BTreeMap::new();
-        let serving = self.ledgers.values().filter(|l| l.drained_since.is_none());
-        for ledger in serving.filter(|_| !self.leaving) {
+        let serving = self
+            .ledgers
+            .iter()
+            .filter(|(_, l)| l.drained_since.is_none());
+        for (id, ledger) in serving.filter(|_| !self.leaving) {
             let free_requests = self.free_places(now, ledger);
             match &ledger.config.kind {
                 UpstreamKind::Service(name) => {
@@ -39,7 +51,7 @@
                     let report = ledger.report.iter();
                     for version in report.flat_map(|report| report.models.keys()) {
                         let capacity = models.entry(version.clone()).or_default();
-                        self.add_engine(now, view, ledger, version, capacity);
+                        self.add_engine(now, view, (id, ledger), version, capacity);
                     }
                 }
             }
@@ -47,6 +59,8 @@
         OwnerSummary {
             models: models.into_iter().collect(),
             services: services.into_iter().collect(),
+            short_busy_permille: self.demand_permille(now, Lane::Short),
+            long_busy_permille: self.demand_permille(now, Lane::Long),
         }
     }
 
@@ -54,7 +68,7 @@
         &self,
         now: Time,
         view: &View<'_>,
-        ledger: &Ledger,
+        (id, ledger): (&UpstreamId, &Ledger),
         version: &ModelVersion,
         capacity: &mut ModelCapacity,
     ) {
@@ -62,21 +76,36 @@
         let per_token = model.map_or(1, |m| m.kv_bytes_per_token.get().max(1));
         let context = model.map_or(Tokens::ZERO, |m| m.context_tokens);
         let held = Tokens::new(ledger.kv_total().get() / per_token);
-        let wait = self.wait_at(now, ledger);
-        let first = capacity.engines == 0;
+        if capacity.engines == 0 {
+            capacity.short_wait_ms = NOWHERE_MS;
+            capacity.long_wait_ms = NOWHERE_MS;
+        }
         capacity.engines += 1;
         capacity.free_requests += self.free_places(now, ledger);
         capacity.free_kv_bytes += ledger.kv_free(now);
         capacity.max_prompt_tokens = capacity.max_prompt_tokens.max(held.min(context));
-        if first || wait < capacity.short_wait_ms {
-            capacity.short_wait_ms = wait;
-            capacity.long_wait_ms = wait;
+        let room = |tokens: Tokens| tokens.kv(KvBytes::new(per_token));
+        let short = self.wait_at(now, ledger, Level::Medium, room(SHORT_ROOM_TOKENS));
+        capacity.short_wait_ms = capacity.short_wait_ms.min(short);
+        let takes_long = self.long_set.contains(id)
+            || self.settings.long_placement == LongPlacement::Anywhere
+            || self.settings.policy != RoutingPolicy::Cost;
+        if takes_long {
+            let long = self.wait_at(now, ledger, Level::Huge, room(LONG_ROOM_TOKENS));
+            capacity.long_wait_ms = capacity.long_wait_ms.min(long);
         }
     }
 
-    fn wait_at(&self, now: Time, ledger: &Ledger) -> Millis {
-        let prefill = ledger.prefill_free_at.since(now);
-        if self.free_places(now, ledger) > 0 {
+    fn wait_at(&self, now: Time, ledger: &Ledger, level: Level, room: KvBytes) -> Millis {
+        let lane = if level >= Level::Long {
+            Lane::Long
+        } else {
+            Lane::Short
+        };
+        let queued = self.queue.prefill_ms(lane).get();
+        let queued = Millis::new(queued / self.ledgers.len().max(1) as u64);
+        let prefill = ledger.backlog.ahead(now, level) + queued;
+        if self.free_places(now, ledger) > 0 && ledger.kv_free(now) >= room {
             return prefill;
         }
         let ends = ledger.holdings().map(|(_, h)| h.expected_end.since(now));
@@ -88,6 +117,12 @@
         allowed.saturating_sub(ledger.busy(now))
     }
 
+    /// Predicted wait of the next request of a lane at the best upstream.
+    pub(super) fn lane_wait(&self, now: Time, view: &View<'_>, lane: Lane) -> Millis {
+        let summary = self.summary(now, view);
+        least_wait(&summary, lane).unwrap_or(NOWHERE_MS)
+    }
+
     /// The account of an owned upstream.
     pub fn status(&self, upstream: &UpstreamId) -> Option<OwnedStatus> {
         let ledger = self.ledgers.get(upstream)?;
@@ -100,3 +135,12 @@
         })
     }
 }
+
+/// The least wait that a summary names for a lane.
+pub(super) fn least_wait(summary: &OwnerSummary, lane: Lane) -> Option<Millis> {
+    let waits = summary.models.iter().map(|(_, capacity)| match lane {
+        Lane::Short => capacity.short_wait_ms,
+        Lane::Long => capacity.long_wait_ms,
+    });
+    waits.min()
+}
--- a/crates/core/src/grant/timers.rs
+++ b/crates/core/src/grant/timers.rs
@@ -17,10 +17,18 @@
     Cancel(UpstreamId, AttemptId),
     /// The next load poll.
     Poll(UpstreamId),
+    /// The end of a group's time.
+    Group(AttemptId),
+    /// The next poll of cache events.
+    PollCache(UpstreamId),
     /// The end of collecting outstanding grants.
     Learning(UpstreamId),
     /// The end of the grace of a drained upstream.
     Drain(UpstreamId),
+    /// The next pass over the queue.
+    Pump,
+    /// The engines for long prompts are agreed anew.
+    LongSet,
     /// A finished attempt may be forgotten.
     Finished(AttemptId),
 }
@@ -45,6 +53,11 @@
         self.set(at, timer);
     }
 
+    /// Whether a timer is set.
+    pub(super) fn has(&self, timer: &Timer) -> bool {
+        self.due.iter().any(|(_, set)| set == timer)
+    }
+
     pub(super) fn next(&self) -> Option<Time> {
         self.due.first().map(|(at, _)| *at)
     }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -15,4 +15,4 @@
 pub use local_state::LocalState;
 pub use member_change::MemberChange;
 pub use membership::Membership;
-pub use settings::MembershipSettings;
+pub use settings::{MembershipSettings, RawMembershipSettings};
--- a/crates/core/src/message/heartbeat.rs
+++ b/crates/core/src/message/heartbeat.rs
@@ -75,6 +75,8 @@
     pub models: Vec<(u16, [u8; 6])>,
     /// Free places a plain service.
     pub services: Vec<(u16, u32)>,
+    /// Engines that short and long prompts keep busy with prefill, in thousandths.
+    pub busy: [u8; 2],
 }
 
 /// What the upstreams of one owner can take.
@@ -84,6 +86,10 @@
     pub models: Vec<(ModelVersion, ModelCapacity)>,
     /// Free places a plain service.
     pub services: Vec<(ServiceName, u32)>,
+    /// Engines that short prompts keep busy with prefill, in thousandths.
+    pub short_busy_permille: u32,
+    /// Engines that long prompts keep busy with prefill, in thousandths.
+    pub long_busy_permille: u32,
 }
 
 /// What the engines of one owner can take for one model version.
--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -12,4 +12,4 @@
 pub use heartbeat::{
     CodedSummary, DomainDigest, FarMember, Heartbeat, Member, ModelCapacity, OwnerSummary,
 };
-pub use peer_message::{PeerMessage, TicketMessage};
+pub use peer_message::{PeerMessage, TicketMessage, TicketUse};
--- a/crates/core/src/plan/mod.rs
+++ b/crates/core/src/plan/mod.rs
@@ -12,4 +12,4 @@
 
 pub use facts::PlanFacts;
 pub use planner::Planner;
-pub use settings::PlanSettings;
+pub use settings::{PlanSettings, RawPlanSettings};
--- a/crates/core/tests/grant_owner.rs
+++ b/crates/core/tests/grant_owner.rs
@@ -9,7 +9,7 @@
 };
 use persimmon_core::{
     config::{ServiceState, UpstreamKind},
-    ids::{AttemptNumber, FencingNumber, Incarnation},
+    ids::{AttemptNumber, FencingNumber, Incarnation, RequestId},
     message::{GrantMessage, GrantRequest, HeldGrant},
     request::UpstreamError,
     units::{KvBytes, Millis, Time, Tokens},
@@ -42,9 +42,9 @@
     insta::assert_snapshot!(rig.request(short(2)), @"vm-2 <- 2/0 queued 600ms");
     insta::assert_snapshot!(rig.request(short(3)), @"vm-2 <- 3/0 queued 1200ms");
     assert_eq!(rig.account("e1"), (1, 11_000));
-    insta::assert_snapshot!(rig.release(1, false), @"vm-2 <- 2/0 granted e1 ttft 200ms runner-up None resume false");
+    insta::assert_snapshot!(rig.release(1, false), @"vm-2 <- 2/0 granted e1 ttft 97ms runner-up None resume false");
     assert_eq!(rig.account("e1"), (1, 11_000));
-    insta::assert_snapshot!(lines(&rig.tick_after(30_000)), @"vm-2 <- 3/0 denied Busy { better: None, retry_after_ms: Millis(1)");
+    insta::assert_snapshot!(lines(&rig.tick_after(30_000)), @"vm-2 <- 3/0 denied Busy { better: None, retry_after_ms: Millis(100)");
 }
 
 #[test]
@@ -111,7 +111,7 @@
     insta::assert_snapshot!(rig.request(grant_request(model_spec(1, 3_000, 500))), @"vm-2 <- 1/0 granted e2 ttft 300ms runner-up None resume false");
     insta::assert_snapshot!(rig.request(grant_request(model_spec(2, 3_000, 500))), @"vm-2 <- 2/0 queued 2800ms");
     insta::assert_snapshot!(rig.request(grant_request(model_spec(3, 1_000, 500))), @"vm-2 <- 3/0 granted e1 ttft 100ms runner-up None resume false");
-    insta::assert_snapshot!(rig.request(grant_request(model_spec(4, 9_000, 500))), @"vm-2 <- 4/0 denied TooLong { max_prompt_tokens: Tokens(3500) }");
+    insta::assert_snapshot!(rig.request(grant_request(model_spec(4, 9_000, 500))), @"vm-2 <- 4/0 denied TooLong { max_prompt_tokens: Tokens(5500) }");
 }
 
 #[test]
@@ -197,10 +197,32 @@
                 0,
             ),
         ],
+        short_busy_permille: 0,
+        long_busy_permille: 0,
     }
     "#);
 }
 
+#[test]
+fn what_two_reports_name_and_nobody_holds_is_cancelled() {
+    let mut rig = Rig::new(vec![("e1", engine("a", 10_000, 4))]);
+    rig.request(short(1));
+    let report = LoadReport {
+        requests: [1, 2].map(RequestId::new).into(),
+        kv_held_bytes: KvBytes::new(90_000),
+        ..warm_report()
+    };
+    rig.report("e1", &report);
+    insta::assert_snapshot!(lines(&rig.bench.take()), @"");
+    rig.report("e1", &report);
+    let orders = rig.bench.take();
+    insta::assert_snapshot!(lines(&orders), @"e1: cancel 2 fencing 5");
+    insta::assert_snapshot!(rig.request(short(2)), @"vm-2 <- 2/0 queued 600ms");
+    rig.answer_orders(&orders, Ok(()));
+    rig.report("e1", &warm_report());
+    insta::assert_snapshot!(lines(&rig.tick_after(100)), @"vm-2 <- 2/0 granted e1 ttft 200ms runner-up None resume false");
+}
+
 #[test]
 fn a_leaving_owner_grants_nothing() {
     let mut rig = Rig::new(vec![("e1", engine("a", 10_000, 1))]);
--- /dev/null
+++ b/crates/persimmon-standin/src/engine/engine_handle.rs
@@ -0,0 +1,103 @@
+//! Starts an engine: its batch thread, its listener and its control page.
+
+use super::{batch::Batch, serve::Shared, EngineCounters, EngineSettings};
+use crate::{
+    faults::Fault,
+    host::{Host, Standin},
+    lagged::{process_incarnation, Clock},
+    StandinError,
+};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+/// Length of one step of the batch.
+const STEP: Duration = Duration::from_millis(5);
+
+/// Starts engines.
+#[derive(Clone, Copy, Debug)]
+pub struct Engine;
+
+/// A running engine; it stops when it is dropped.
+pub struct EngineHandle {
+    host: Host<Shared>,
+    batch_thread: Option<JoinHandle<()>>,
+}
+
+impl Engine {
+    /// Starts an engine.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be bound.
+    pub fn start(settings: EngineSettings) -> Result<EngineHandle, StandinError> {
+        let clock = Clock::start();
+        let (address, control_address) = (settings.address, settings.control_address);
+        let batch = Batch::new(settings, process_incarnation(), clock.now());
+        let shared = Arc::new(Shared::new(batch, clock));
+        let host = Host::start(address, control_address, Arc::clone(&shared))?;
+        let batch_thread = thread::spawn(move || run_batch(&shared));
+        Ok(EngineHandle {
+            host,
+            batch_thread: Some(batch_thread),
+        })
+    }
+}
+
+impl EngineHandle {
+    /// Where it serves.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Where its control page listens.
+    pub fn control_address(&self) -> SocketAddr {
+        self.host.control_address()
+    }
+
+    /// The counts so far.
+    pub fn counters(&self) -> EngineCounters {
+        self.host.standin().counters()
+    }
+
+    /// Switches a fault, as its control page does.
+    ///
+    /// # Errors
+    ///
+    /// A revived engine can't listen on its address.
+    pub fn switch(&self, fault: &Fault) -> Result<(), StandinError> {
+        self.host.switch(fault)
+    }
+
+    /// Stops it: its connections are cut and its ports close.
+    pub fn stop(&mut self) {
+        self.host.standin().stop();
+        self.host.stop();
+        if let Some(thread) = self.batch_thread.take() {
+            // A panic of the batch thread has already been printed.
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for EngineHandle {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn run_batch(shared: &Shared) {
+    while !shared.stopped() {
+        thread::sleep(STEP);
+        let faults = shared.faults().now();
+        let rate_ratio = match faults.hung {
+            true => 0.0,
+            false => faults.rate_ratio,
+        };
+        shared.batch().step(shared.now(), rate_ratio);
+    }
+    shared.batch().restart(shared.now());
+}
--- /dev/null
+++ b/crates/persimmon-standin/src/service/service_handle.rs
@@ -0,0 +1,171 @@
+//! Starts a plain service: its listener and its control page.
+
+use super::{runs::Runs, ServiceCounters, ServiceSettings};
+use crate::{
+    faults::{Fault, Faults},
+    host::{Host, Standin},
+    http::{header, read_body, respond_error, respond_json},
+    lagged::{process_incarnation, Clock},
+    StandinError,
+};
+use serde_json::json;
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+    },
+    thread,
+};
+use tiny_http::{Method, Request};
+
+/// Starts plain services.
+#[derive(Clone, Copy, Debug)]
+pub struct Service;
+
+/// A running service; it stops when it is dropped.
+pub struct ServiceHandle {
+    host: Host<Shared>,
+}
+
+struct Shared {
+    settings: ServiceSettings,
+    runs: Mutex<Runs>,
+    clock: Clock,
+    faults: Faults,
+    dead: AtomicBool,
+}
+
+impl Shared {
+    fn runs(&self) -> MutexGuard<'_, Runs> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn gone(&self) -> bool {
+        self.dead.load(Ordering::Relaxed)
+    }
+}
+
+impl Standin for Shared {
+    type Counters = ServiceCounters;
+
+    fn serve(self: &Arc<Self>, request: Request) {
+        serve(self, request);
+    }
+
+    fn counters(&self) -> ServiceCounters {
+        self.runs().counters.clone()
+    }
+
+    fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    fn die(&self) {
+        self.dead.store(true, Ordering::Relaxed);
+    }
+
+    fn revive(&self) {
+        let mut runs = self.runs();
+        runs.incarnation = runs.incarnation.next();
+        drop(runs);
+        self.dead.store(false, Ordering::Relaxed);
+    }
+}
+
+impl Service {
+    /// Starts a service.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be bound.
+    pub fn start(settings: ServiceSettings) -> Result<ServiceHandle, StandinError> {
+        let (address, control_address) = (settings.address, settings.control_address);
+        let runs = Runs::new(
+            process_incarnation(),
+            settings.max_in_flight_requests,
+            settings.load_lag_ms,
+        );
+        let shared = Arc::new(Shared {
+            settings,
+            runs: Mutex::new(runs),
+            clock: Clock::start(),
+            faults: Faults::default(),
+            dead: AtomicBool::new(false),
+        });
+        let host = Host::start(address, control_address, shared)?;
+        Ok(ServiceHandle { host })
+    }
+}
+
+impl ServiceHandle {
+    /// Where it serves.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Where its control page listens.
+    pub fn control_address(&self) -> SocketAddr {
+        self.host.control_address()
+    }
+
+    /// The counts so far.
+    pub fn counters(&self) -> ServiceCounters {
+        self.host.standin().counters()
+    }
+
+    /// Switches a fault, as its control page does.
+    ///
+    /// # Errors
+    ///
+    /// A revived service can't listen on its address.
+    pub fn switch(&self, fault: &Fault) -> Result<(), StandinError> {
+        self.host.switch(fault)
+    }
+
+    /// Stops it: its ports close.
+    pub fn stop(&mut self) {
+        self.host.stop();
+    }
+}
+
+impl Drop for ServiceHandle {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn serve(shared: &Shared, request: Request) {
+    if !shared.faults.pass(|| shared.gone()) {
+        drop(request.into_writer());
+        return;
+    }
+    match (request.method(), request.url()) {
+        (Method::Get, "/control/load") => {
+            let report = shared.runs().report(shared.clock.now());
+            respond_json(request, &report);
+        }
+        _ => run(shared, request),
+    }
+}
+
+fn run(shared: &Shared, mut request: Request) {
+    let body = read_body(&mut request);
+    let key = header(&request, "Idempotency-Key").map(str::to_owned);
+    let call = format!("{} {}", request.method(), request.url());
+    let begun = shared
+        .runs()
+        .begin(shared.clock.now(), call.clone(), key.clone());
+    let Some(run_count) = begun else {
+        respond_error(request, 503, "overloaded", "not_run");
+        return;
+    };
+    thread::sleep(shared.settings.work_ms.duration());
+    shared.runs().end(shared.clock.now());
+    if shared.gone() || shared.faults.lose_answer() {
+        drop(request.into_writer());
+        return;
+    }
+    let answer = json!({"call": call, "key": key, "run": run_count, "body_len": body.len()});
+    respond_json(request, &answer);
+}
--- /dev/null
+++ b/crates/persimmond/src/run.rs
@@ -0,0 +1,78 @@
+//! From the command line to a running daemon.
+
+use crate::{Args, Daemon, Parts, StartError};
+use persimmon_io::{
+    logs::{self, LogError},
+    peer::Keys,
+    settings::{self, Settings, SettingsError},
+    shutdown,
+    telemetry::Telemetry,
+};
+use std::{io, process::ExitCode, sync::Arc};
+use thiserror::Error;
+
+/// Exit code for wrong settings.
+const WRONG_SETTINGS: u8 = 2;
+
+#[derive(Debug, Error)]
+enum RunError {
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    #[error(transparent)]
+    Start(#[from] StartError),
+    #[error(transparent)]
+    Log(#[from] LogError),
+    #[error("SIGTERM and SIGINT can't be taken over ({0}): check the process's signal mask")]
+    Signals(io::Error),
+    #[error("the control thread ended by a fault: see the log")]
+    Fault,
+}
+
+/// Runs a daemon until it is asked to stop.
+pub fn run(args: &Args) -> ExitCode {
+    match serve(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("persimmond: {error}");
+            match error {
+                RunError::Settings(_) => WRONG_SETTINGS.into(),
+                _ => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
+fn serve(args: &Args) -> Result<(), RunError> {
+    let settings = settings::load(&args.settings)?;
+    let keys = keys(&settings)?;
+    let telemetry = Telemetry::new().map_err(|error| StartError::Telemetry {
+        reason: error.to_string(),
+    })?;
+    let parts = Parts::real(&settings, &keys, Arc::new(telemetry))?;
+    if args.check {
+        println!("{}: no mistakes found", args.settings.display());
+        return Ok(());
+    }
+    logs::start(&settings.log)?;
+    let handle = Daemon::start_with(settings, parts)?;
+    let addresses = handle.addresses();
+    log::info!(
+        callers:% = addresses.callers,
+        operators:% = addresses.operators,
+        peers:% = addresses.peers;
+        "listening"
+    );
+    let stop = handle.stopper();
+    let _signals = shutdown::on_stop(move || stop.stop()).map_err(RunError::Signals)?;
+    if handle.join() {
+        log::info!("stopped");
+        Ok(())
+    } else {
+        Err(RunError::Fault)
+    }
+}
+
+fn keys(settings: &Settings) -> Result<Keys, StartError> {
+    let tls = &settings.tls;
+    Ok(Keys::read(&tls.ca_file, &tls.cert_file, &tls.key_file)?)
+}
