--- a/crates/core/examples/grant_sizes.rs
+++ b/crates/core/examples/grant_sizes.rs
@@ -1,5 +1,6 @@
 //! Small and large failure domains, long prompts placed in a bounded set or anywhere, bursts of
-//! long prompts after an hour without, and a backlog that comes at once.
+//! long prompts after a minute without, and a backlog that comes at once. With the name of an
+//! experiment as argument, that one alone.
 
 #[path = "../tests/common/fleet/mod.rs"]
 #[allow(dead_code)]
@@ -58,6 +59,9 @@
 }
 
 fn print(name: &str, setup: &Setup, arrivals: Vec<Arrival>) {
+    if std::env::args().nth(1).is_some_and(|only| only != name) {
+        return;
+    }
     let mut alone = arrivals.clone();
     alone.retain(|arrival| arrival.prompt_tokens <= 16_000);
     let alone = World::new(setup.clone(), alone).run().to_vec();
--- a/crates/core/src/grant/long_set.rs
+++ b/crates/core/src/grant/long_set.rs
@@ -82,7 +82,7 @@
         let Some(engines) = self.order.get(domain) else {
             return;
         };
-        let wanted = wanted_size(engines.len(), short_permille, long_permille);
+        let (wanted, most) = wanted_size(engines.len(), short_permille, long_permille);
         let size = self.sizes.entry(domain.clone()).or_insert(wanted);
         if wanted > *size {
             *size = wanted;
@@ -90,7 +90,8 @@
             *size -= 1;
             self.shrunk_at = now;
         }
-        *size = (*size).min(engines.len());
+        // What short prompts need is given back at once.
+        *size = (*size).min(most);
     }
 
     fn collect(&mut self) {
@@ -106,14 +107,14 @@
     }
 }
 
-/// Engines of a domain that should take long prompts.
-fn wanted_size(engines_count: usize, short_permille: u32, long_permille: u32) -> usize {
+/// Engines of a domain that should take long prompts, and most that may.
+fn wanted_size(engines_count: usize, short_permille: u32, long_permille: u32) -> (usize, usize) {
     let least = engines_count.div_ceil(LEAST_ONE_IN).max(1);
     let for_short = short_permille.div_ceil(SHORT_BUSY_PERMILLE) as usize;
     let for_short = for_short.max(engines_count / 4).max(1);
     let most = engines_count.saturating_sub(for_short).max(least);
     let for_long = long_permille.div_ceil(LONG_BUSY_PERMILLE) as usize;
-    for_long.clamp(least, most)
+    (for_long.clamp(least, most), most)
 }
 
 impl Owner {
