--- /dev/null
+++ b/crates/core/src/claim/ticket_claims.rs
@@ -0,0 +1,128 @@
+//! Claims of keys that are tickets: their issuer alone decides their one use.
+
+use super::{
+    pending::{key_reused, Pending, Step},
+    tickets::Issuer,
+    Claims, Verdict,
+};
+use crate::{
+    context::{Context, View},
+    ids::{IdempotencyKey, RequestId},
+    message::{Member, PeerMessage, TicketMessage, TicketUse},
+};
+use rand::Rng;
+
+impl Claims {
+    /// Issues a ticket.
+    pub fn issue_ticket(&mut self, ctx: &mut Context<'_>, me: &Member) -> Option<IdempotencyKey> {
+        let random = ctx.rng.next_u64();
+        self.tickets.issue(ctx.now, me, random)
+    }
+
+    /// Takes a message about a ticket.
+    pub fn on_ticket(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        from: &Member,
+        message: TicketMessage,
+    ) {
+        match message {
+            TicketMessage::Claim {
+                key,
+                claim,
+                body_hash,
+            } => {
+                let ticket_use = self.tickets.claim(ctx.now, &key, claim, body_hash);
+                let answer = TicketMessage::Answer {
+                    key,
+                    claim,
+                    ticket_use,
+                };
+                view.send(ctx, &from.vm, PeerMessage::Ticket(answer));
+            }
+            TicketMessage::Answer {
+                claim, ticket_use, ..
+            } => self.on_ticket_answer(ctx, view, claim, ticket_use),
+            TicketMessage::GiveBack { key, claim } => {
+                self.tickets.give_back(ctx.now, &key, claim);
+            }
+        }
+        self.drop_decided();
+    }
+
+    /// Asks the run of a daemon that issued a ticket for its one use.
+    pub(super) fn ask_issuer(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        pending: &mut Pending,
+        issuer: &Issuer,
+        key: &IdempotencyKey,
+    ) {
+        pending.step = Step::AskingIssuer;
+        pending.until = ctx.now + self.settings.ticket_timeout;
+        let (claim, body_hash) = (pending.claim, pending.body_hash);
+        if issuer.is_run(view.me) {
+            let ticket_use = self.tickets.claim(ctx.now, key, claim, body_hash);
+            return self.on_issuer_answer(ctx, view, pending, ticket_use);
+        }
+        let message = PeerMessage::Ticket(TicketMessage::Claim {
+            key: key.clone(),
+            claim,
+            body_hash,
+        });
+        let known = view.directory.peer(&issuer.vm);
+        let same_run = known.is_some_and(|member| issuer.is_run(member));
+        if !same_run || !view.send(ctx, &issuer.vm, message) {
+            // Whether it was used before its issuer ended is told by its result alone.
+            self.wait_for_first(ctx, pending);
+        }
+    }
+
+    fn on_ticket_answer(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        claim: RequestId,
+        ticket_use: TicketUse,
+    ) {
+        let asked = |p: &&Pending| p.claim == claim && p.step == Step::AskingIssuer;
+        let request = self.pending.values().find(asked).map(|p| p.request);
+        if let Some(request) = request {
+            self.with_pending(request, |claims, pending| {
+                claims.on_issuer_answer(ctx, view, pending, ticket_use);
+            });
+        }
+    }
+
+    fn on_issuer_answer(
+        &mut self,
+        ctx: &Context<'_>,
+        view: &View<'_>,
+        pending: &mut Pending,
+        ticket_use: TicketUse,
+    ) {
+        match ticket_use {
+            TicketUse::Granted => self.run(view, pending),
+            TicketUse::Taken => self.wait_for_first(ctx, pending),
+            TicketUse::OtherBody => self.decide(pending, Verdict::Refused(key_reused())),
+        }
+    }
+
+    /// Tells issuers of the tickets that were not used after all.
+    pub(super) fn send_given_back(&mut self, ctx: &mut Context<'_>, view: &View<'_>) {
+        for (key, claim) in std::mem::take(&mut self.given_back) {
+            match Issuer::of(&key) {
+                Some(issuer) if issuer.is_run(view.me) => {
+                    self.tickets.give_back(ctx.now, &key, claim);
+                }
+                Some(issuer) => {
+                    let message = TicketMessage::GiveBack { key, claim };
+                    view.send(ctx, &issuer.vm, PeerMessage::Ticket(message));
+                }
+                None => {}
+            }
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,17 +9,23 @@
 mod directory;
 mod event;
 
+pub mod claim;
 pub mod config;
+pub mod daemon;
 pub mod decision;
+pub mod entry;
 pub mod grant;
 pub mod ids;
 pub mod membership;
 pub mod message;
 pub mod operator;
 pub mod ownership;
+pub mod placement;
+pub mod plan;
 pub mod platform;
 pub mod request;
 pub mod routing;
+pub mod stream;
 pub mod units;
 pub mod upstream;
 
--- /dev/null
+++ b/crates/persimmon-load/src/experiment/domain_change.rs
@@ -0,0 +1,263 @@
+//! A failure domain is drained and returned under load.
+
+use super::{Bench, BenchSettings, FleetCounts, KeyCounts, Point, Timeline};
+use crate::{
+    errors::require,
+    measure::{RunReport, SpanReport, Spans},
+    LoadError,
+};
+use persimmon_core::{
+    daemon::PartSettings,
+    ids::{FailureDomain, Generation, VmId},
+    operator::{Intent, OperatorCommand, OperatorReply},
+    units::Millis,
+};
+use persimmon_standin::demo::Fleet;
+use persimmonctl::client::OperatorClient;
+use serde::Serialize;
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Longest wait for a daemon to apply a change.
+const APPLY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Pause between two questions to a daemon.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Changes of one run.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ChangeReport {
+    /// The failure domain.
+    pub domain: FailureDomain,
+    /// The result of the run.
+    pub report: RunReport,
+    /// Requests that were answered neither whole nor by `not_run`.
+    pub failed_requests: usize,
+    /// The changes, in order.
+    pub changes: Vec<DomainChange>,
+    /// From the plan to each daemon's own word that it applies the change.
+    pub applied: SpanReport,
+    /// From the plan of a drain to the last request taken in; zero where none came after it.
+    pub last_start: SpanReport,
+    /// What the stand-ins counted.
+    pub counts: FleetCounts,
+    /// Runs of idempotency keys.
+    pub keys: KeyCounts,
+    /// Rates over time.
+    pub points: Vec<Point>,
+}
+
+/// One drain or return.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct DomainChange {
+    /// Whether the domain left.
+    pub drained: bool,
+    /// When the plan was asked for, from the start of the run.
+    pub at_ms: f64,
+    /// How long `confirm` waited for the daemons, as it reports.
+    pub reported_ms: Millis,
+    /// Live daemons that `confirm` did not know to apply it.
+    pub not_reached_vms: usize,
+    /// From the plan to each daemon's own word that it applies the change.
+    pub applied_ms: Vec<f64>,
+    /// Daemons that did not say so in time.
+    pub never_applied_vms: usize,
+    /// From the start of the change to the last request taken in while drained; to the first
+    /// one after a return.
+    pub start_ms: Option<f64>,
+}
+
+/// Drains and returns `domain` in turn, `changes_count` times, under load.
+///
+/// # Errors
+///
+/// A deployment does not start, or a daemon refuses a change.
+pub fn change_domain(
+    settings: &BenchSettings,
+    parts: &PartSettings,
+    domain: &FailureDomain,
+    changes_count: u32,
+) -> Result<ChangeReport, LoadError> {
+    let known = settings.deployment.domains.contains_key(domain);
+    require(known, "domain", domain, "name one of the deployment")?;
+    let mut bench = Bench::start(settings, parts)?;
+    let pause = settings.span / (changes_count + 1);
+    let watched = bench.run(&settings.arrivals(), |fleet, _, start| {
+        let mut timeline = Timeline::default();
+        let mut changes = Vec::new();
+        for index in 0..=changes_count {
+            let until = start + pause * (index + 1);
+            if index > 0 {
+                let (change, seen) = one_change(fleet, settings, domain, start, index % 2 == 1);
+                changes.push(change?);
+                timeline.append(seen);
+            }
+            timeline.watch(fleet, &settings.deployment, domain, start, until);
+        }
+        Ok((timeline, changes))
+    })?;
+    let (timeline, mut changes) = watched.seen;
+    fill_starts(&mut changes, &timeline);
+    let report = RunReport::new(&watched.samples, watched.system);
+    let drains = changes.iter().filter(|change| change.drained);
+    let change_report = ChangeReport {
+        domain: domain.clone(),
+        failed_requests: report.requests_count
+            - report.whole_requests
+            - report.refused_not_run_requests,
+        applied: changes
+            .iter()
+            .flat_map(|change| change.applied_ms.clone())
+            .collect::<Spans>()
+            .report(),
+        last_start: drains
+            .map(|change| change.start_ms.unwrap_or(0.0))
+            .collect::<Spans>()
+            .report(),
+        counts: bench.settle(),
+        keys: bench.key_counts(&watched.samples),
+        points: timeline.points(&watched.samples),
+        report,
+        changes,
+    };
+    bench.fleet.stop();
+    Ok(change_report)
+}
+
+/// Makes one change, and watches the domain while the operator waits.
+fn one_change(
+    fleet: &Fleet,
+    settings: &BenchSettings,
+    domain: &FailureDomain,
+    start: Instant,
+    drain: bool,
+) -> (Result<DomainChange, LoadError>, Timeline) {
+    let mut timeline = Timeline::default();
+    let change = thread::scope(|scope| {
+        let asked = scope.spawn(|| ask(fleet, domain, start, drain));
+        while !asked.is_finished() {
+            let until = Instant::now() + LOOK;
+            timeline.watch(fleet, &settings.deployment, domain, start, until);
+        }
+        asked.join()
+    });
+    let change = change.unwrap_or_else(|_| Err(panicked()));
+    (change, timeline)
+}
+
+fn panicked() -> LoadError {
+    LoadError::Setting {
+        key: "thread",
+        value: "panicked".into(),
+        remedy: "report this",
+    }
+}
+
+fn ask(
+    fleet: &Fleet,
+    domain: &FailureDomain,
+    start: Instant,
+    drain: bool,
+) -> Result<DomainChange, LoadError> {
+    let intent = match drain {
+        true => Intent::DrainDomain(domain.clone()),
+        false => Intent::ReturnDomain(domain.clone()),
+    };
+    let vm = fleet.daemons.keys().next_back().ok_or(LoadError::Setting {
+        key: "daemons_count",
+        value: "0".into(),
+        remedy: "give the deployment a daemon",
+    })?;
+    let before = generation(fleet, vm).unwrap_or_default();
+    let asked = Instant::now();
+    let (reply, applied_ms) = thread::scope(|scope| {
+        let looks = fleet.daemons.keys().map(|vm| {
+            let look = move || applied_ms(fleet, vm, before, asked);
+            scope.spawn(look)
+        });
+        let looks: Vec<_> = looks.collect();
+        let reply = fleet.change(vm, intent);
+        let applied = looks.into_iter().map(|look| look.join().ok().flatten());
+        (reply, applied.collect::<Vec<_>>())
+    });
+    let (reported_ms, not_reached_vms) = match reply? {
+        OperatorReply::Confirmed(report) => (report.waited_ms, report.not_reached.len()),
+        _ => (Millis::ZERO, fleet.daemons.len()),
+    };
+    Ok(DomainChange {
+        drained: drain,
+        at_ms: ms(asked.saturating_duration_since(start)),
+        reported_ms,
+        not_reached_vms,
+        never_applied_vms: applied_ms.iter().filter(|ms| ms.is_none()).count(),
+        applied_ms: applied_ms.into_iter().flatten().collect(),
+        start_ms: None,
+    })
+}
+
+/// From `asked` until a daemon says that it applies a generation above `before`.
+fn applied_ms(fleet: &Fleet, vm: &VmId, before: Generation, asked: Instant) -> Option<f64> {
+    while asked.elapsed() < APPLY_TIMEOUT {
+        if generation(fleet, vm).is_some_and(|generation| generation > before) {
+            return Some(ms(asked.elapsed()));
+        }
+        thread::sleep(LOOK);
+    }
+    None
+}
+
+fn generation(fleet: &Fleet, vm: &VmId) -> Option<Generation> {
+    match fleet.operator(vm)?.ask(&OperatorCommand::Status) {
+        Ok(OperatorReply::Status(status)) => Some(status.generation),
+        _ => None,
+    }
+}
+
+fn ms(span: Duration) -> f64 {
+    span.as_secs_f64() * 1e3
+}
+
+fn fill_starts(changes: &mut [DomainChange], timeline: &Timeline) {
+    let next_ms: Vec<f64> = changes.iter().skip(1).map(|change| change.at_ms).collect();
+    for (index, change) in changes.iter_mut().enumerate() {
+        let to_ms = next_ms.get(index).copied().unwrap_or(f64::MAX);
+        let at = match change.drained {
+            true => timeline.last_start_ms(change.at_ms, to_ms),
+            false => timeline.first_start_ms(change.at_ms),
+        };
+        change.start_ms = at.map(|at| at - change.at_ms);
+    }
+}
+
+impl ChangeReport {
+    /// The result as a few lines of text.
+    pub fn table(&self) -> String {
+        let mut text = self.report.table();
+        for change in &self.changes {
+            let kind = if change.drained { "drain" } else { "return" };
+            let last = change.applied_ms.iter().copied().fold(0.0, f64::max);
+            text.push_str(&format!(
+                "{kind:>6} at {:>6.0} ms: applied by {} daemons within {last:.0} ms, {} never; \
+                 confirm waited {} and missed {}; {} start after {} ms\n",
+                change.at_ms,
+                change.applied_ms.len(),
+                change.never_applied_vms,
+                change.reported_ms,
+                change.not_reached_vms,
+                if change.drained { "last" } else { "first" },
+                change.start_ms.map_or("-".into(), |ms| format!("{ms:.0}")),
+            ));
+        }
+        text.push_str(&format!(
+            "failed {}; keys run twice {}, run though not_run {}; memory held {} bytes after {} ms\n",
+            self.failed_requests,
+            self.keys.run_twice_requests,
+            self.keys.false_not_run_requests,
+            self.counts.held_kv_bytes,
+            self.counts.settled_ms,
+        ));
+        text
+    }
+}
--- a/crates/persimmond/src/lib.rs
+++ b/crates/persimmond/src/lib.rs
@@ -1,1 +1,20 @@
-//! Placeholder.
+//! The daemon: one control thread that owns the core's state, and traffic threads round it.
+
+mod args;
+mod clock;
+mod control;
+mod control_core;
+mod daemon;
+mod errors;
+mod meter;
+mod parts;
+mod pool;
+mod run;
+
+pub use args::Args;
+pub use clock::Clock;
+pub use control_core::ControlCore;
+pub use daemon::{Addresses, Daemon, DaemonHandle, Stopper};
+pub use errors::StartError;
+pub use parts::{CoreSeed, MakeCore, OpenLink, Parts};
+pub use run::run;
