Wait for an owner through a hand-over; keep the scenarios' reports steady

Cause: for about 1 s in a planned hand-over (0.96 s with the store out of reach) upstreams have no owner; a request whose router named none was refused unreachable at once: 7 of 334 while a failure domain was cut off and a daemon in it stopped. It now looks again each 200 ms for takeover_wait_ms (3 s): 0 of 334. Reports that scenarios are held against name endings, not times and counts, so that a change of routing does not rewrite them all.

--- a/crates/core/src/entry/asking.rs
+++ b/crates/core/src/entry/asking.rs
@@ -12,11 +12,13 @@
     },
     request::{Refusal, RefusalCode},
     routing::RouteQuery,
-    units::{Millis, Tokens},
+    units::{Millis, Time, Tokens},
 };
 
 /// Most pauses of one request.
 const PAUSES_MAX_COUNT: u32 = 10;
+/// Pause before owners are looked for again where an upstream has none.
+const TAKEOVER_PAUSE_MS: Millis = Millis::new(200);
 /// Shortest pause.
 const PAUSE_MIN_MS: Millis = Millis::new(50);
 
@@ -184,6 +186,10 @@
         mut request: OpenRequest,
         refusal: Refusal,
     ) -> Option<OpenRequest> {
+        if let Some(until) = self.waits_for_owner(ctx.now, &mut request, refusal.code) {
+            request.phase = Phase::Pausing { until };
+            return Some(request);
+        }
         let told = refusal.retry_after_ms.or(request.come_back);
         let later = told.unwrap_or(self.settings.max_pause);
         let pause = later.max(PAUSE_MIN_MS).min(self.settings.max_pause);
@@ -202,6 +208,22 @@
         let refusal = request.honest(refusal);
         self.refuse(ctx, request, refusal)
     }
+
+    /// Until when a request waits because its upstreams have no owner just now, as in a hand-over.
+    fn waits_for_owner(
+        &self,
+        now: Time,
+        request: &mut OpenRequest,
+        code: RefusalCode,
+    ) -> Option<Time> {
+        if code != RefusalCode::Unreachable {
+            return None;
+        }
+        let since = *request.unreachable_since.get_or_insert(now);
+        let until = now + TAKEOVER_PAUSE_MS;
+        let ends_by = request.ends_by.min(since + self.settings.takeover_wait);
+        (until < ends_by).then_some(until)
+    }
 }
 
 fn note_denial(request: &mut OpenRequest, owner: VmId, denial: GrantDenial) {
--- a/crates/core/src/entry/open_request.rs
+++ b/crates/core/src/entry/open_request.rs
@@ -85,6 +85,8 @@
     pub(super) worth_a_pause: bool,
     /// When a busy owner said to come back.
     pub(super) come_back: Option<Millis>,
+    /// Since when no owner of a fitting upstream is known.
+    pub(super) unreachable_since: Option<Time>,
     /// Pauses so far.
     pub(super) pauses_count: u32,
     /// Largest prompt that fits, where an owner said that this one does not.
@@ -115,6 +117,7 @@
             better: None,
             worth_a_pause: false,
             come_back: None,
+            unreachable_since: None,
             pauses_count: 0,
             too_long: None,
             fits_somewhere: false,
--- a/crates/core/src/entry/running.rs
+++ b/crates/core/src/entry/running.rs
@@ -43,6 +43,7 @@
         request.tried.clear();
         request.better = None;
         request.too_long = None;
+        request.unreachable_since = None;
         request.fits_somewhere = false;
         request.come_back = None;
         request.phase = Phase::Running(Run {
--- a/crates/core/src/entry/settings.rs
+++ b/crates/core/src/entry/settings.rs
@@ -20,6 +20,8 @@
     pub queue_refresh_ms: u64,
     /// Longest pause before the owners are asked again.
     pub max_pause_ms: u64,
+    /// Longest wait for an owner while the upstreams that fit have none, as in a hand-over.
+    pub takeover_wait_ms: u64,
     /// Most owners asked for one attempt.
     pub max_owners_count: u32,
     /// Time to the first token on top of the predicted one.
@@ -55,6 +57,7 @@
             grant_answer_ms: 300,
             queue_refresh_ms: 1_000,
             max_pause_ms: 1_000,
+            takeover_wait_ms: 3_000,
             max_owners_count: 6,
             first_token_slack_ms: 2_000,
             first_token_factor_count: 3,
@@ -84,6 +87,8 @@
     pub queue_refresh: Millis,
     /// Longest pause before the owners are asked again.
     pub max_pause: Millis,
+    /// Longest wait for an owner while the upstreams that fit have none, as in a hand-over.
+    pub takeover_wait: Millis,
     /// Most owners asked for one attempt.
     pub max_owners_count: u32,
     /// Time to the first token on top of the predicted one.
@@ -125,6 +130,7 @@
             grant_answer: check.span("grant_answer_ms", raw.grant_answer_ms, 5, 10_000)?,
             queue_refresh: check.span("queue_refresh_ms", raw.queue_refresh_ms, 10, 60_000)?,
             max_pause: check.span("max_pause_ms", raw.max_pause_ms, 10, 60_000)?,
+            takeover_wait: check.span("takeover_wait_ms", raw.takeover_wait_ms, 0, 60_000)?,
             max_owners_count: check.number("max_owners_count", raw.max_owners_count, 1, 100)?,
             first_token_slack: check.span("first_token_slack_ms", slack, 10, 600_000)?,
             first_token_factor_count: check.number("first_token_factor_count", factor, 1, 100)?,
--- a/crates/scenario/examples/run_script.rs
+++ b/crates/scenario/examples/run_script.rs
@@ -7,7 +7,8 @@
 fn main() -> io::Result<()> {
     for path in env::args().skip(1) {
         let text = fs::read_to_string(&path)?;
-        println!("{path}\n{}", run_script(&text));
+        let report = run_script(&text);
+        println!("{path}\n{}{}", report.details, report.verdict);
     }
     Ok(())
 }
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -25,7 +25,7 @@
 pub use node::Node;
 pub use promises::{broken_promise, is_overdue};
 pub use queue::Queue;
-pub use script::{run_script, ScriptError};
+pub use script::{run_script, Report, ScriptError};
 pub use store::{Store, StoreCall, StoreFault};
 pub use switch::{Switch, Switches};
 pub use upstream::{Held, Upstream, UpstreamFault};
--- a/crates/scenario/src/script/mod.rs
+++ b/crates/scenario/src/script/mod.rs
@@ -9,4 +9,5 @@
 mod words;
 
 pub use errors::ScriptError;
+pub use report::Report;
 pub use runner::run_script;
