--- a/crates/core/src/entry/entry_daemon.rs
+++ b/crates/core/src/entry/entry_daemon.rs
@@ -12,7 +12,7 @@
     claim::{Claims, Verdict},
     context::{Context, View},
     decision::Record,
-    ids::{AttemptId, Generation, IdempotencyKey, RequestId, VmId},
+    ids::{AttemptId, IdempotencyKey, RequestId, VmId},
     membership::MemberChange,
     message::{GrantMessage, Member, TicketMessage},
     platform::{CallToken, PlatformError, TableAnswer},
@@ -33,9 +33,9 @@
     pub(super) open: BTreeMap<RequestId, OpenRequest>,
     pub(super) timers: Timers,
     /// When all that is still open is ended, after the process was asked to stop.
-    stops_at: Option<Time>,
+    pub(super) stops_at: Option<Time>,
     /// Until when requests are still taken then.
-    accepts_until: Option<Time>,
+    pub(super) accepts_until: Option<Time>,
 }
 
 impl Entry {
@@ -309,40 +309,6 @@
         }
     }
 
-    fn turned_away(&self, now: Time, view: &View<'_>, request: &OpenRequest) -> Option<Refusal> {
-        let not_run = |code, text| Some(Refusal::not_run(code, text));
-        let later = |code, text: &str| {
-            let refusal = Refusal::not_run(code, text);
-            Some(refusal.retry_after(self.settings.max_pause))
-        };
-        let stops = self.accepts_until.is_some_and(|until| until <= now);
-        if stops || view.config.generation == Generation::default() {
-            let text = "this daemon is stopping or has no configuration yet: ask another one";
-            return later(RefusalCode::NotReady, text);
-        }
-        if self.open.len() >= self.settings.max_open_requests as usize {
-            let text = "too many requests are open at this daemon: come back or ask another one";
-            return later(RefusalCode::TooManyRequests, text);
-        }
-        if !view.config.workspaces.contains_key(&request.spec.workspace) {
-            let text = "no such workspace: check X-Workspace";
-            return not_run(RefusalCode::UnknownWorkspace, text);
-        }
-        if request.ends_by <= now {
-            let text = "no time was given: raise X-Request-Timeout-Ms";
-            return not_run(RefusalCode::DeadlineExceeded, text);
-        }
-        match &request.spec.target {
-            CallTarget::Service(call) if !view.config.services.contains_key(&call.service) => {
-                not_run(
-                    RefusalCode::UnknownService,
-                    "no such service: check the path",
-                )
-            }
-            _ => None,
-        }
-    }
-
     fn on_due(
         &mut self,
         ctx: &mut Context<'_>,
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! Callers' requests, from their arrival to their last word.
 
+mod admission;
 mod asking;
 mod ending;
 mod entry_daemon;
--- a/crates/core/tests/entry_common/mod.rs
+++ b/crates/core/tests/entry_common/mod.rs
@@ -37,7 +37,11 @@
     ) -> Result<Route, Refusal> {
         let better = query.better.filter(|vm| !query.tried.contains(vm));
         let first = self.0.iter().find(|vm| !query.tried.contains(vm));
-        let refusal = || Refusal::not_run(RefusalCode::NoCapacity, "none left: come back");
+        let code = match self.0.is_empty() {
+            true => RefusalCode::Unreachable,
+            false => RefusalCode::NoCapacity,
+        };
+        let refusal = || Refusal::not_run(code, "none left: come back");
         let model = match &query.spec.target {
             CallTarget::Model(_) => Some("m@1".parse().expect("version")),
             CallTarget::Service(_) => None,
@@ -170,8 +174,13 @@
     }
 
     pub fn named(name: &str, seed: u64, raw: RawEntrySettings) -> Self {
+        Self::before(&["o1", "o2", "o3"], name, seed, raw)
+    }
+
+    /// A daemon before these owners.
+    pub fn before(owners: &[&str], name: &str, seed: u64, raw: RawEntrySettings) -> Self {
         let me = member(name, 1);
-        let owners: Vec<Member> = ["o1", "o2", "o3"].map(|name| member(name, 2)).into();
+        let owners: Vec<Member> = owners.iter().map(|name| member(name, 2)).collect();
         let router = FirstRouter(owners.iter().map(|m| m.vm.clone()).collect());
         let mut config = Configuration {
             generation: Generation::new(1),
--- a/crates/core/tests/entry_owners.rs
+++ b/crates/core/tests/entry_owners.rs
@@ -181,3 +181,18 @@
     ");
     assert_snapshot!(lines(&bench.ended(attempt(1, 1), complete(100))), @"");
 }
+
+#[test]
+fn a_request_without_an_owner_waits_for_a_hand_over_only() {
+    let mut bench = Bench::before(&[], "e1", 1, RawEntrySettings::default());
+    assert_snapshot!(lines(&bench.request(model_spec(1))), @"");
+    let mut waited_ms = 0;
+    while bench.entry.open_requests() > 0 {
+        let actions = bench.wait(100);
+        waited_ms += 100;
+        if bench.entry.open_requests() == 0 {
+            assert_snapshot!(lines(&actions), @"end refused unreachable not_run retry_after 1000ms");
+        }
+    }
+    assert_eq!(waited_ms, 2_800);
+}
--- /dev/null
+++ b/crates/scenario/src/faults.rs
@@ -0,0 +1,104 @@
+//! What goes wrong with VMs, upstreams and the network.
+
+use crate::{
+    caller::End,
+    fleet::{run_of, Fleet, Item},
+    upstream::UpstreamFault,
+    vm::Arrival,
+};
+use persimmon_core::{
+    ids::{FailureDomain, UpstreamId, VmId},
+    request::UpstreamError,
+    units::Millis,
+};
+
+/// Time in which owners must see that an upstream has turned cold without a sign.
+const CHILL_SEEN_MS: Millis = Millis::new(1_500);
+
+impl Fleet {
+    /// Kills a VM's process: its callers' connections break.
+    pub fn kill_vm(&mut self, vm: &VmId) {
+        if let Some(vm) = self.vms.get_mut(vm) {
+            vm.node = None;
+            vm.readings.clear();
+            vm.inbox.clear();
+            vm.is_ready = false;
+            vm.died_at = Some(self.now);
+        }
+        let now = self.now;
+        let lost = self.callers.values_mut();
+        for caller in lost.filter(|caller| caller.vm == *vm && caller.is_open()) {
+            caller.finish(now, End::ConnectionLost);
+        }
+    }
+
+    /// Pauses a VM's process.
+    pub fn pause_vm(&mut self, vm: &VmId) {
+        if let Some(vm) = self.vms.get_mut(vm) {
+            vm.is_paused = true;
+        }
+    }
+
+    /// Lets a paused process go on: what came in the meantime reaches it now.
+    pub fn wake_vm(&mut self, vm: &VmId) {
+        let Some(state) = self.vms.get_mut(vm) else {
+            return;
+        };
+        if state.is_paused {
+            state.is_paused = false;
+            state.woken_at = Some(self.now);
+        }
+        let run = run_of(state);
+        for arrival in std::mem::take(&mut state.inbox) {
+            self.queue.push(self.now, Item::Vm(run.clone(), arrival));
+        }
+        self.queue.push(self.now, Item::Vm(run, Arrival::Wake));
+    }
+
+    /// An upstream's process dies: whoever reads from it sees the connection break.
+    pub fn kill_upstream(&mut self, upstream: &UpstreamId) {
+        let Some(state) = self.upstreams.get_mut(upstream) else {
+            return;
+        };
+        for attempt in state.die() {
+            self.break_reading(attempt, UpstreamError::Broken);
+        }
+    }
+
+    /// Cuts a failure domain off, or joins it again. Streams across the cut break.
+    pub fn cut_domain(&mut self, domain: &FailureDomain, is_cut: bool) {
+        self.network.cut(domain, is_cut);
+        let readings = self.vms.iter().flat_map(|(vm, state)| {
+            let readings = state.readings.iter();
+            readings.map(move |(attempt, reading)| (vm, *attempt, &reading.upstream))
+        });
+        let broken = readings.filter(|(vm, _, upstream)| !self.reaches(vm, upstream));
+        let broken: Vec<_> = broken.map(|(_, attempt, _)| attempt).collect();
+        for attempt in broken {
+            self.break_reading(attempt, UpstreamError::Broken);
+        }
+    }
+
+    /// A new process of an upstream starts, cold: connections to the old one break.
+    pub fn restart_upstream(&mut self, upstream: &UpstreamId) {
+        self.kill_upstream(upstream);
+        if let Some(state) = self.upstreams.get_mut(upstream) {
+            state.restart();
+        }
+    }
+
+    /// An upstream turns cold without a sign.
+    pub fn chill_upstream(&mut self, upstream: &UpstreamId) {
+        let counts_from = self.now + CHILL_SEEN_MS;
+        if let Some(state) = self.upstreams.get_mut(upstream) {
+            state.turn_cold(counts_from);
+        }
+    }
+
+    /// An upstream hangs.
+    pub fn hang_upstream(&mut self, upstream: &UpstreamId) {
+        if let Some(state) = self.upstreams.get_mut(upstream) {
+            state.fault = UpstreamFault::Hangs;
+        }
+    }
+}
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -7,17 +7,17 @@
     queue::Queue,
     store::{Store, StoreCall},
     switch::{Switch, Switches},
-    upstream::{Upstream, UpstreamFault},
+    upstream::Upstream,
     vm::{Arrival, Vm},
 };
 use persimmon_core::{
     decision::Record,
-    ids::{FailureDomain, IdempotencyKey, Incarnation, OperatorName, RequestId, UpstreamId, VmId},
+    ids::{IdempotencyKey, Incarnation, OperatorName, RequestId, UpstreamId, VmId},
     message::{Member, PeerMessage},
     operator::{OperatorCommand, OperatorReply},
     platform::{CallToken, Part},
-    request::{AttemptPlan, RequestSpec, UpstreamError},
-    units::{Millis, Time, Tokens},
+    request::{AttemptPlan, RequestSpec},
+    units::{Millis, Time},
     upstream::Order,
     Action, Event,
 };
@@ -30,10 +30,6 @@
 
 /// Wall clock at the fleet's start, in milliseconds since the epoch.
 const EPOCH_UNIX_MS: u64 = 1_700_000_000_000;
-/// Time in which a process that was paused ends what is overdue.
-const WAKE_MS: Millis = Millis::new(20);
-/// Time in which owners must see that an upstream has turned cold without a sign.
-const CHILL_SEEN_MS: Millis = Millis::new(1_500);
 /// When the switches that make daemons deaf begin.
 const DEAF_FROM: Time = Time::from_ms(10_000);
 /// Shortest time between two ticks of one process.
@@ -140,45 +136,6 @@
         self.deliver(&member.vm, Event::Tick);
     }
 
-    /// Kills a VM's process: its callers' connections break.
-    pub fn kill_vm(&mut self, vm: &VmId) {
-        if let Some(vm) = self.vms.get_mut(vm) {
-            vm.node = None;
-            vm.readings.clear();
-            vm.inbox.clear();
-            vm.is_ready = false;
-            vm.died_at = Some(self.now);
-        }
-        let now = self.now;
-        let lost = self.callers.values_mut();
-        for caller in lost.filter(|caller| caller.vm == *vm && caller.is_open()) {
-            caller.finish(now, End::ConnectionLost);
-        }
-    }
-
-    /// Pauses a VM's process.
-    pub fn pause_vm(&mut self, vm: &VmId) {
-        if let Some(vm) = self.vms.get_mut(vm) {
-            vm.is_paused = true;
-        }
-    }
-
-    /// Lets a paused process go on: what came in the meantime reaches it now.
-    pub fn wake_vm(&mut self, vm: &VmId) {
-        let Some(state) = self.vms.get_mut(vm) else {
-            return;
-        };
-        if state.is_paused {
-            state.is_paused = false;
-            state.woken_at = Some(self.now);
-        }
-        let run = run_of(state);
-        for arrival in std::mem::take(&mut state.inbox) {
-            self.queue.push(self.now, Item::Vm(run.clone(), arrival));
-        }
-        self.queue.push(self.now, Item::Vm(run, Arrival::Wake));
-    }
-
     /// A caller sends a request to a VM.
     pub fn request(&mut self, vm: &VmId, spec: RequestSpec) {
         let mut caller = Caller::new(spec.clone(), vm.clone(), self.now);
@@ -219,53 +176,6 @@
         call
     }
 
-    /// An upstream's process dies: whoever reads from it sees the connection break.
-    pub fn kill_upstream(&mut self, upstream: &UpstreamId) {
-        let Some(state) = self.upstreams.get_mut(upstream) else {
-            return;
-        };
-        for attempt in state.die() {
-            self.break_reading(attempt, UpstreamError::Broken);
-        }
-    }
-
-    /// Cuts a failure domain off, or joins it again. Streams across the cut break.
-    pub fn cut_domain(&mut self, domain: &FailureDomain, is_cut: bool) {
-        self.network.cut(domain, is_cut);
-        let readings = self.vms.iter().flat_map(|(vm, state)| {
-            let readings = state.readings.iter();
-            readings.map(move |(attempt, reading)| (vm, *attempt, &reading.upstream))
-        });
-        let broken = readings.filter(|(vm, _, upstream)| !self.reaches(vm, upstream));
-        let broken: Vec<_> = broken.map(|(_, attempt, _)| attempt).collect();
-        for attempt in broken {
-            self.break_reading(attempt, UpstreamError::Broken);
-        }
-    }
-
-    /// A new process of an upstream starts, cold: connections to the old one break.
-    pub fn restart_upstream(&mut self, upstream: &UpstreamId) {
-        self.kill_upstream(upstream);
-        if let Some(state) = self.upstreams.get_mut(upstream) {
-            state.restart();
-        }
-    }
-
-    /// An upstream turns cold without a sign.
-    pub fn chill_upstream(&mut self, upstream: &UpstreamId) {
-        let counts_from = self.now + CHILL_SEEN_MS;
-        if let Some(state) = self.upstreams.get_mut(upstream) {
-            state.turn_cold(counts_from);
-        }
-    }
-
-    /// An upstream hangs.
-    pub fn hang_upstream(&mut self, upstream: &UpstreamId) {
-        if let Some(state) = self.upstreams.get_mut(upstream) {
-            state.fault = UpstreamFault::Hangs;
-        }
-    }
-
     /// Runs what is due up to `until`.
     pub fn run_until(&mut self, until: Time) {
         while let Some((at, item)) = self.queue.pop_due(until) {
@@ -390,46 +300,6 @@
         }
     }
 
-    /// When a request must have ended at the latest: a paused process speaks when it goes on.
-    pub fn must_end_by(&self, caller: &Caller) -> Time {
-        let woken_at = self.vms.get(&caller.vm).and_then(|vm| vm.woken_at);
-        let after_pause = woken_at.map(|at| at + WAKE_MS);
-        caller.deadline().max(after_pause.unwrap_or_default())
-    }
-
-    /// The failure domain of a VM.
-    pub fn domain_of(&self, vm: &VmId) -> Option<&FailureDomain> {
-        self.vms.get(vm).map(|state| &state.member.domain)
-    }
-
-    /// Memory that all engines' streams hold, in tokens.
-    pub fn held_tokens(&self) -> Tokens {
-        let held = self.upstreams.values().map(|u| u.kv_held().get());
-        Tokens::new(held.sum())
-    }
-
-    /// Attempts that were routed to upstreams of a failure domain at or after a time.
-    pub fn routed_since(&self, domain: &FailureDomain, since: Time) -> usize {
-        let is_inside = |upstream: &&UpstreamId| {
-            let state = self.upstreams.get(*upstream);
-            state.is_some_and(|state| state.config.domain == *domain)
-        };
-        self.routed(since).filter(is_inside).count()
-    }
-
-    /// Attempts that were routed to an upstream at or after a time.
-    pub fn routed_to_since(&self, upstream: &UpstreamId, since: Time) -> usize {
-        self.routed(since).filter(|to| *to == upstream).count()
-    }
-
-    fn routed(&self, since: Time) -> impl Iterator<Item = &UpstreamId> {
-        let late = self.log.iter().filter(move |(at, _, _)| *at >= since);
-        late.filter_map(|(_, _, record)| match record {
-            Record::Routed(routed) => Some(&routed.upstream),
-            _ => None,
-        })
-    }
-
     pub(crate) fn act(&mut self, vm: &VmId, action: Action) {
         crate::carry::carry_out(self, vm, action);
     }
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -6,10 +6,12 @@
 mod build;
 mod caller;
 mod carry;
+mod faults;
 mod fleet;
 mod network;
 mod node;
 mod promises;
+mod queries;
 mod queue;
 mod script;
 mod store;
