--- a/crates/core/examples/dissemination/fleet.rs
+++ b/crates/core/examples/dissemination/fleet.rs
@@ -243,6 +243,8 @@
         summary: OwnerSummary {
             models: models.to_vec(),
             services: vec![(service, stamp_of(now))],
+            short_busy_permille: 700,
+            long_busy_permille: 90,
             ..OwnerSummary::default()
         },
         config: CONFIG.with(Arc::clone),
--- a/crates/core/tests/concert_cut.rs
+++ b/crates/core/tests/concert_cut.rs
@@ -98,6 +98,8 @@
     cluster.node_mut("a-04").summary = OwnerSummary {
         models: vec![(id("m@1"), capacity)],
         services: vec![(id("orders"), 321)],
+        short_busy_permille: 700,
+        long_busy_permille: 90,
     };
     cluster.run(2_000);
     let summary = cluster.node("a-07").membership.summary_of(&id("a-04"));
