--- a/crates/core/examples/dissemination/fleet.rs
+++ b/crates/core/examples/dissemination/fleet.rs
@@ -245,7 +245,6 @@
             services: vec![(service, stamp_of(now))],
             short_busy_permille: 700,
             long_busy_permille: 90,
-            ..OwnerSummary::default()
         },
         config: CONFIG.with(Arc::clone),
         ..LocalState::default()
