--- a/crates/core/examples/dissemination/fleet.rs
+++ b/crates/core/examples/dissemination/fleet.rs
@@ -243,7 +243,8 @@
         summary: OwnerSummary {
             models: models.to_vec(),
             services: vec![(service, stamp_of(now))],
-            ..OwnerSummary::default()
+            short_busy_permille: 700,
+            long_busy_permille: 90,
         },
         config: CONFIG.with(Arc::clone),
         ..LocalState::default()
