Trust an upstream's own word on what it bears

Engines that report what they bear were still ramped from 2 requests after each take-over and at the start: alone, shorts waited 334 ms at p99 and 1,317 ms at most while the fleet was nearly idle. The limit now follows the word at once, unless a failure or a late first token since says otherwise; a new process's word counts from its first report.

--- a/crates/core/src/grant/learnt.rs
+++ b/crates/core/src/grant/learnt.rs
@@ -105,7 +105,7 @@
             self.outputs.learn(model, share);
         }
         let in_flight = ledger.in_flight();
-        ledger.ramp.on_end(health, in_flight);
+        ledger.ramp.on_end(now, health, in_flight);
         ledger.rates.learn(predicted_ms, level, end);
         match health {
             Health::Failed => {
--- a/crates/core/src/grant/ledger.rs
+++ b/crates/core/src/grant/ledger.rs
@@ -108,6 +108,14 @@
         }
     }
 
+    /// The upstream's process is a new one: nothing of the old one holds.
+    pub(super) fn on_restart(&mut self, now: Time) {
+        self.backlog.clear(now);
+        self.ramp.restart();
+        self.rates.forget();
+        self.cache.empty();
+    }
+
     pub(super) fn holdings(&self) -> impl Iterator<Item = (&AttemptId, &Holding)> {
         self.holdings.iter()
     }
--- a/crates/core/src/grant/owner.rs
+++ b/crates/core/src/grant/owner.rs
@@ -94,7 +94,7 @@
         ledger.config = config.clone();
         if view.config.serves_upstream(upstream) {
             if ledger.drained_since.take().is_some() {
-                ledger.ramp.reset();
+                ledger.ramp.reset(ctx.now);
             }
         } else if ledger.drained_since.is_none() {
             ledger.drained_since = Some(ctx.now);
@@ -267,19 +267,18 @@
         let restarted = ledger
             .incarnation()
             .is_some_and(|i| i != report.incarnation);
-        if let Some(bearable) = report.bearable_requests {
-            ledger.ramp.cap(bearable);
-        }
         let first = ledger.report.is_none();
         ledger.report = Some(report.clone());
         if first {
             ledger.ramp.bears(report.in_flight_requests);
         }
         if restarted {
-            ledger.backlog.clear(ctx.now);
-            ledger.ramp.reset();
-            ledger.rates.forget();
-            ledger.cache.empty();
+            ledger.on_restart(ctx.now);
+        }
+        if let Some(bearable) = report.bearable_requests {
+            ledger.ramp.on_word(bearable, ctx.now - report.age_ms);
+        }
+        if restarted {
             self.resend_cancels(ctx, upstream);
             self.end_groups_of(ctx, view, upstream);
         }
--- a/crates/core/src/grant/ramp.rs
+++ b/crates/core/src/grant/ramp.rs
@@ -1,5 +1,7 @@
 //! The start-up limit of an upstream: small at first, grown on evidence, falling at once.
 
+use crate::units::Time;
+
 /// Growth of the limit for each healthy completion.
 const GROWTH_RATIO: f64 = 0.5;
 /// Share of the limit that must be in use for a completion to count as evidence.
@@ -23,6 +25,7 @@
 pub(super) struct Ramp {
     start_requests: u32,
     limit: f64,
+    reset_at: Time,
 }
 
 impl Ramp {
@@ -30,6 +33,7 @@
         Self {
             start_requests,
             limit: start_requests.into(),
+            reset_at: Time::START,
         }
     }
 
@@ -39,8 +43,14 @@
     }
 
     /// The upstream is cold.
-    pub(super) fn reset(&mut self) {
+    pub(super) fn reset(&mut self, now: Time) {
         self.limit = self.start_requests.into();
+        self.reset_at = now;
+    }
+
+    /// The upstream's process is a new one: its word counts at once.
+    pub(super) fn restart(&mut self) {
+        self.reset(Time::START);
     }
 
     /// The upstream bears this many.
@@ -48,19 +58,23 @@
         self.limit = self.limit.max(requests.into());
     }
 
-    /// The upstream says that it bears no more than this.
-    pub(super) fn cap(&mut self, requests: u32) {
+    /// The upstream said at `as_of` that it bears this many. Less goes at once; more only where the
+    /// word is younger than the last sign that it is cold.
+    pub(super) fn on_word(&mut self, requests: u32, as_of: Time) {
         self.limit = self.limit.min(requests.max(1).into());
+        if as_of > self.reset_at {
+            self.bears(requests);
+        }
     }
 
     /// A call ended while this many were in flight, itself included.
-    pub(super) fn on_end(&mut self, health: Health, in_flight: u32) {
+    pub(super) fn on_end(&mut self, now: Time, health: Health, in_flight: u32) {
         match health {
             Health::Healthy if f64::from(in_flight) >= self.limit * USED_RATIO => {
                 self.limit += GROWTH_RATIO;
             }
             Health::Healthy | Health::Unknown => {}
-            Health::Slow | Health::Failed => self.reset(),
+            Health::Slow | Health::Failed => self.reset(now),
         }
     }
 }
