--- a/crates/core/src/config/errors.rs
+++ b/crates/core/src/config/errors.rs
@@ -1,7 +1,6 @@
 //! Errors of the configuration.
 
 use crate::ids::{FailureDomain, ModelVersion, ServiceName, UpstreamId, WorkspaceId};
-use std::ops::RangeInclusive;
 use thiserror::Error;
 
 /// Why a change can't be applied to a configuration.
@@ -26,34 +25,3 @@
     #[error("workspace {0} would have weight 0: give 1 or more")]
     ZeroWeight(WorkspaceId),
 }
-
-/// A setting outside its range.
-#[derive(Clone, Debug, Eq, Error, PartialEq)]
-#[error("setting {key} is {value}: give {} to {}", .range.start(), .range.end())]
-pub struct SettingError {
-    /// The setting's name.
-    pub key: &'static str,
-    /// The refused value.
-    pub value: String,
-    /// The values allowed.
-    pub range: RangeInclusive<u64>,
-}
-
-impl SettingError {
-    /// Checks that a setting lies in its range.
-    ///
-    /// # Errors
-    ///
-    /// Names the setting, its value and the range.
-    pub fn check(key: &'static str, value: u64, low: u64, high: u64) -> Result<(), Self> {
-        let range = low..=high;
-        if range.contains(&value) {
-            return Ok(());
-        }
-        Err(Self {
-            key,
-            value: value.to_string(),
-            range,
-        })
-    }
-}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -14,6 +14,6 @@
     Configuration, DomainConfig, EngineConfig, ModelConfig, PlacementRule, ServiceConfig,
     ServiceState, UpstreamConfig, UpstreamKind, WorkspaceConfig,
 };
-pub use errors::{ChangeError, SettingError};
+pub use errors::ChangeError;
 pub use settings::{ConfigSettings, RawConfigSettings};
 pub use store::ConfigStore;
--- a/crates/core/src/config/settings.rs
+++ b/crates/core/src/config/settings.rs
@@ -1,7 +1,6 @@
 //! Settings of the configuration store.
 
-use super::SettingError;
-use crate::units::Millis;
+use crate::units::{Millis, RangeCheck, RangeError};
 use serde::{Deserialize, Serialize};
 
 /// Settings of the configuration store as written.
@@ -41,16 +40,17 @@
 }
 
 impl TryFrom<RawConfigSettings> for ConfigSettings {
-    type Error = SettingError;
+    type Error = RangeError;
 
-    fn try_from(raw: RawConfigSettings) -> Result<Self, SettingError> {
+    fn try_from(raw: RawConfigSettings) -> Result<Self, RangeError> {
+        let check = RangeCheck::new("config");
         let poll_ms = raw.poll_ms.get();
-        SettingError::check("poll_ms", poll_ms, 50, 60_000)?;
-        SettingError::check("call_timeout_ms", raw.call_timeout_ms.get(), 100, 60_000)?;
-        SettingError::check("backoff_max_ms", raw.backoff_max_ms.get(), poll_ms, 600_000)?;
-        SettingError::check("pollers_vms", u64::from(raw.pollers_vms), 1, 16)?;
-        SettingError::check("snapshot_every_count", raw.snapshot_every_count, 1, 100_000)?;
-        SettingError::check("history_len", u64::from(raw.history_len), 1, 10_000)?;
+        check.number("poll_ms", poll_ms, 50, 60_000)?;
+        check.number("call_timeout_ms", raw.call_timeout_ms.get(), 100, 60_000)?;
+        check.number("backoff_max_ms", raw.backoff_max_ms.get(), poll_ms, 600_000)?;
+        check.number("pollers_vms", u64::from(raw.pollers_vms), 1, 16)?;
+        check.number("snapshot_every_count", raw.snapshot_every_count, 1, 100_000)?;
+        check.number("history_len", u64::from(raw.history_len), 1, 10_000)?;
         Ok(Self(raw))
     }
 }
--- a/crates/core/src/grant/mod.rs
+++ b/crates/core/src/grant/mod.rs
@@ -6,7 +6,6 @@
 mod breaker;
 mod choose;
 mod clock;
-mod errors;
 mod fairness;
 mod fit;
 mod group;
@@ -26,7 +25,6 @@
 mod timers;
 mod waiting;
 
-pub use errors::GrantSettingsError;
 pub use owner::Owner;
 pub use settings::{GrantSettings, LongPlacement, RawGrantSettings};
 pub use summary::OwnedStatus;
--- a/crates/core/src/grant/settings.rs
+++ b/crates/core/src/grant/settings.rs
@@ -1,7 +1,9 @@
 //! Settings of the owner's side of grants.
 
-use super::GrantSettingsError;
-use crate::{routing::RoutingPolicy, units::Millis};
+use crate::{
+    routing::RoutingPolicy,
+    units::{Millis, RangeCheck, RangeError},
+};
 use serde::{Deserialize, Serialize};
 
 /// Which engines of a failure domain take long prompts.
@@ -104,24 +106,13 @@
     pub long_set_ms: Millis,
 }
 
-fn check(key: &'static str, value: u64, min: u64, max: u64) -> Result<u64, GrantSettingsError> {
-    if (min..=max).contains(&value) {
-        return Ok(value);
-    }
-    Err(GrantSettingsError::Range {
-        key,
-        value,
-        min,
-        max,
-    })
-}
-
 impl TryFrom<RawGrantSettings> for GrantSettings {
-    type Error = GrantSettingsError;
+    type Error = RangeError;
 
-    fn try_from(raw: RawGrantSettings) -> Result<Self, GrantSettingsError> {
-        let span = |key, value, min, max| check(key, value, min, max).map(Millis::new);
-        let count = |key, value: u32, max| check(key, value.into(), 1, max).map(|v| v as u32);
+    fn try_from(raw: RawGrantSettings) -> Result<Self, RangeError> {
+        let check = RangeCheck::new("grant");
+        let span = |key, value, min, max| check.span(key, value, min, max);
+        let count = |key, value: u32, max| check.number(key, value, 1, max);
         Ok(Self {
             policy: raw.policy,
             long_placement: raw.long_placement,
--- a/crates/core/src/membership/settings.rs
+++ b/crates/core/src/membership/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of membership.
 
-use crate::{config::SettingError, units::Millis};
+use crate::units::{Millis, RangeCheck, RangeError};
 use serde::{Deserialize, Serialize};
 
 /// Settings of membership as written.
@@ -40,18 +40,19 @@
 }
 
 impl TryFrom<RawMembershipSettings> for MembershipSettings {
-    type Error = SettingError;
+    type Error = RangeError;
 
-    fn try_from(raw: RawMembershipSettings) -> Result<Self, SettingError> {
+    fn try_from(raw: RawMembershipSettings) -> Result<Self, RangeError> {
+        let check = RangeCheck::new("membership");
         let heartbeat_ms = raw.heartbeat_ms.get();
-        SettingError::check("heartbeat_ms", heartbeat_ms, 50, 10_000)?;
+        check.number("heartbeat_ms", heartbeat_ms, 50, 10_000)?;
         let death_ms = raw.death_ms.get();
-        SettingError::check("death_ms", death_ms, 10 * heartbeat_ms, 60_000)?;
-        SettingError::check("relay_ms", raw.relay_ms.get(), death_ms, 120_000)?;
-        SettingError::check("list_ms", raw.list_ms.get(), 500, 600_000)?;
+        check.number("death_ms", death_ms, 10 * heartbeat_ms, 60_000)?;
+        check.number("relay_ms", raw.relay_ms.get(), death_ms, 120_000)?;
+        check.number("list_ms", raw.list_ms.get(), 500, 600_000)?;
         let links = u64::from(raw.domain_links_vms);
-        SettingError::check("domain_links_vms", links, 1, 16)?;
-        SettingError::check("relayed_len", u64::from(raw.relayed_len), 1, 64)?;
+        check.number("domain_links_vms", links, 1, 16)?;
+        check.number("relayed_len", u64::from(raw.relayed_len), 1, 64)?;
         Ok(Self(raw))
     }
 }
--- a/crates/core/src/ownership/settings.rs
+++ b/crates/core/src/ownership/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of ownership.
 
-use crate::{config::SettingError, units::Millis};
+use crate::units::{Millis, RangeCheck, RangeError};
 use serde::{Deserialize, Serialize};
 
 /// Settings of ownership as written.
@@ -38,20 +38,21 @@
 }
 
 impl TryFrom<RawOwnershipSettings> for OwnershipSettings {
-    type Error = SettingError;
+    type Error = RangeError;
 
-    fn try_from(raw: RawOwnershipSettings) -> Result<Self, SettingError> {
-        SettingError::check("lease_ms", raw.lease_ms.get(), 200, 60_000)?;
-        SettingError::check("join_window_ms", raw.join_window_ms.get(), 1, 60_000)?;
-        SettingError::check("store_wait_ms", raw.store_wait_ms.get(), 50, 60_000)?;
+    fn try_from(raw: RawOwnershipSettings) -> Result<Self, RangeError> {
+        let check = RangeCheck::new("ownership");
+        check.number("lease_ms", raw.lease_ms.get(), 200, 60_000)?;
+        check.number("join_window_ms", raw.join_window_ms.get(), 1, 60_000)?;
+        check.number("store_wait_ms", raw.store_wait_ms.get(), 50, 60_000)?;
         let adopted_ms = raw.adopted_learning_ms.get();
-        SettingError::check(
+        check.number(
             "adopted_learning_ms",
             adopted_ms,
             raw.lease_ms.get(),
             3_600_000,
         )?;
-        SettingError::check("fencing_block_len", raw.fencing_block_len, 1, 65_536)?;
+        check.number("fencing_block_len", raw.fencing_block_len, 1, 65_536)?;
         Ok(Self(raw))
     }
 }
--- a/crates/core/src/placement/settings.rs
+++ b/crates/core/src/placement/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of placement.
 
-use crate::{config::SettingError, units::Millis};
+use crate::units::{Millis, RangeCheck, RangeError};
 use serde::{Deserialize, Serialize};
 
 /// Settings of placement as written.
@@ -38,21 +38,22 @@
 }
 
 impl TryFrom<RawPlacementSettings> for PlacementSettings {
-    type Error = SettingError;
+    type Error = RangeError;
 
-    fn try_from(raw: RawPlacementSettings) -> Result<Self, SettingError> {
-        SettingError::check("order_timeout_ms", raw.order_timeout_ms.get(), 100, 600_000)?;
+    fn try_from(raw: RawPlacementSettings) -> Result<Self, RangeError> {
+        let check = RangeCheck::new("placement");
+        check.number("order_timeout_ms", raw.order_timeout_ms.get(), 100, 600_000)?;
         let backoff_ms = raw.backoff_ms.get();
-        SettingError::check("backoff_ms", backoff_ms, 10, 60_000)?;
-        SettingError::check(
+        check.number("backoff_ms", backoff_ms, 10, 60_000)?;
+        check.number(
             "backoff_max_ms",
             raw.backoff_max_ms.get(),
             backoff_ms,
             600_000,
         )?;
-        SettingError::check("report_age_ms", raw.report_age_ms.get(), 100, 600_000)?;
+        check.number("report_age_ms", raw.report_age_ms.get(), 100, 600_000)?;
         let loads = u64::from(raw.loads_at_once_count);
-        SettingError::check("loads_at_once_count", loads, 1, 1_000)?;
+        check.number("loads_at_once_count", loads, 1, 1_000)?;
         Ok(Self(raw))
     }
 }
--- a/crates/core/src/plan/settings.rs
+++ b/crates/core/src/plan/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of plans.
 
-use crate::{config::SettingError, units::Millis};
+use crate::units::{Millis, RangeCheck, RangeError};
 use serde::{Deserialize, Serialize};
 
 /// Settings of plans as written.
@@ -40,17 +40,18 @@
 }
 
 impl TryFrom<RawPlanSettings> for PlanSettings {
-    type Error = SettingError;
+    type Error = RangeError;
 
-    fn try_from(raw: RawPlanSettings) -> Result<Self, SettingError> {
+    fn try_from(raw: RawPlanSettings) -> Result<Self, RangeError> {
+        let check = RangeCheck::new("plan");
         let lifetime_ms = raw.plan_lifetime_ms.get();
-        SettingError::check("plan_lifetime_ms", lifetime_ms, 1_000, 86_400_000)?;
+        check.number("plan_lifetime_ms", lifetime_ms, 1_000, 86_400_000)?;
         let retention_ms = raw.plan_retention_ms.get();
-        SettingError::check("plan_retention_ms", retention_ms, 60_000, 31_536_000_000)?;
-        SettingError::check("confirm_wait_ms", raw.confirm_wait_ms.get(), 100, 60_000)?;
-        SettingError::check("call_timeout_ms", raw.call_timeout_ms.get(), 50, 60_000)?;
-        SettingError::check("retry_ms", raw.retry_ms.get(), 10, 60_000)?;
-        SettingError::check("store_attempts", u64::from(raw.store_attempts), 1, 100)?;
+        check.number("plan_retention_ms", retention_ms, 60_000, 31_536_000_000)?;
+        check.number("confirm_wait_ms", raw.confirm_wait_ms.get(), 100, 60_000)?;
+        check.number("call_timeout_ms", raw.call_timeout_ms.get(), 50, 60_000)?;
+        check.number("retry_ms", raw.retry_ms.get(), 10, 60_000)?;
+        check.number("store_attempts", u64::from(raw.store_attempts), 1, 100)?;
         Ok(Self(raw))
     }
 }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -2,14 +2,12 @@
 
 mod candidates;
 mod cost;
-mod errors;
 mod least_outstanding;
 mod round_robin;
 mod router;
 mod sent;
 mod settings;
 
-pub use errors::RoutingSettingsError;
 pub use router::{Route, RouteQuery, Router};
 pub use settings::{RawRoutingSettings, RoutingPolicy, RoutingSettings};
 
--- a/crates/core/src/routing/settings.rs
+++ b/crates/core/src/routing/settings.rs
@@ -1,7 +1,6 @@
 //! Settings of routing.
 
-use super::RoutingSettingsError;
-use crate::units::Millis;
+use crate::units::{Millis, RangeCheck, RangeError};
 use serde::{Deserialize, Serialize};
 
 /// How an entry daemon chooses the owner to ask.
@@ -66,24 +65,14 @@
     pub retry_after_ms: Millis,
 }
 
-fn check(key: &'static str, value: u64, min: u64, max: u64) -> Result<u64, RoutingSettingsError> {
-    if (min..=max).contains(&value) {
-        return Ok(value);
-    }
-    Err(RoutingSettingsError::Range {
-        key,
-        value,
-        min,
-        max,
-    })
-}
-
 impl TryFrom<RawRoutingSettings> for RoutingSettings {
-    type Error = RoutingSettingsError;
+    type Error = RangeError;
 
-    fn try_from(raw: RawRoutingSettings) -> Result<Self, RoutingSettingsError> {
-        let span = |key, value, min, max| check(key, value, min, max).map(Millis::new);
-        let count = |key, value: u32, max| check(key, value.into(), 1, max).map(|v| v as usize);
+    fn try_from(raw: RawRoutingSettings) -> Result<Self, RangeError> {
+        let check = RangeCheck::new("routing");
+        let span = |key, value, min, max| check.span(key, value, min, max);
+        let count =
+            |key, value: u32, max| check.number(key, value, 1, max).map(|v: u32| v as usize);
         Ok(Self {
             policy: raw.policy,
             sampled_count: count("sampled_count", raw.sampled_count, 64)?,
--- a/crates/core/tests/membership_basic.rs
+++ b/crates/core/tests/membership_basic.rs
@@ -104,7 +104,7 @@
 #[test]
 fn settings_out_of_range_are_refused_by_name() {
     let parsed = serde_json::from_str::<MembershipSettings>(r#"{"death_ms": 500}"#);
-    insta::assert_snapshot!(parsed.unwrap_err(), @"setting death_ms is 500: give 1300 to 60000");
+    insta::assert_snapshot!(parsed.unwrap_err(), @"membership.death_ms is 500: give 1300 to 60000");
 }
 
 #[test]
--- a/crates/core/tests/routing_policies.rs
+++ b/crates/core/tests/routing_policies.rs
@@ -197,10 +197,10 @@
 #[test]
 fn settings_out_of_range_name_key_value_and_remedy() {
     let parse = |text: &str| serde_json::from_str::<RoutingSettings>(text);
-    insta::assert_snapshot!(parse(r#"{"sampled_count": 0}"#).unwrap_err(), @"routing setting sampled_count is 0: give 1 to 64");
+    insta::assert_snapshot!(parse(r#"{"sampled_count": 0}"#).unwrap_err(), @"routing.sampled_count is 0: give 1 to 64");
     insta::assert_snapshot!(parse(r#"{"sample": 1}"#).unwrap_err(), @"unknown field `sample`, expected one of `policy`, `sampled_count`, `asked_count`, `cross_domain_ms`, `no_summary_ms`, `retry_after_ms` at line 1 column 9");
     let checked = parse(r#"{"policy": "round_robin"}"#).unwrap();
     assert_eq!(checked.policy, RoutingPolicy::RoundRobin);
     let parse = |text: &str| serde_json::from_str::<persimmon_core::grant::GrantSettings>(text);
-    insta::assert_snapshot!(parse(r#"{"poll_ms": 1}"#).unwrap_err(), @"grant setting poll_ms is 1: give 50 to 60000");
+    insta::assert_snapshot!(parse(r#"{"poll_ms": 1}"#).unwrap_err(), @"grant.poll_ms is 1: give 50 to 60000");
 }
