--- a/crates/core/src/entry/asking.rs
+++ b/crates/core/src/entry/asking.rs
@@ -290,7 +290,12 @@
 }
 
 fn too_long(max: Tokens) -> Refusal {
-    let text = format!("the prompt fits no engine or group: send at most {max} tokens");
+    let text = match max {
+        Tokens::ZERO => {
+            "prompt and max_tokens together fit no engine or group: lower max_tokens".into()
+        }
+        max => format!("the prompt fits no engine or group: send at most {max} tokens"),
+    };
     Refusal::not_run(RefusalCode::PromptTooLong, text)
 }
 
--- a/crates/persimmon-standin/src/demo/errors.rs
+++ b/crates/persimmon-standin/src/demo/errors.rs
@@ -1,7 +1,7 @@
 //! Errors of a demo.
 
 use crate::StandinError;
-use persimmon_io::{peer::PeerError, settings::SettingError};
+use persimmon_io::{logs::LogError, peer::PeerError, settings::SettingError};
 use persimmonctl::CtlError;
 use persimmond::StartError;
 use thiserror::Error;
@@ -21,6 +21,9 @@
     /// A setting that the demo makes is refused.
     #[error("the demo's own setting is refused: {0}; report this")]
     Setting(#[from] SettingError),
+    /// Logs can't be written.
+    #[error(transparent)]
+    Log(#[from] LogError),
     /// A daemon refused the first configuration or could not be asked.
     #[error("first configuration: {0}")]
     Operator(#[from] CtlError),
--- a/crates/persimmon-standin/src/main.rs
+++ b/crates/persimmon-standin/src/main.rs
@@ -1,7 +1,12 @@
 //! Starts one stand-in and prints its addresses.
 
 use argh::FromArgs;
+use log::LevelFilter;
 use persimmon_core::daemon::PartSettings;
+use persimmon_io::{
+    logs,
+    settings::{LogFormat, LogSettings},
+};
 use persimmon_standin::{
     demo::{DemoError, Deployment, DeploymentFields, Fleet, DEMO_TOKEN},
     engine::EngineFields,
@@ -35,6 +40,9 @@
     /// the deployment in JSON (default: the jadeleaf example)
     #[argh(option)]
     deployment: Option<PathBuf>,
+    /// least important level of the daemons' log lines (default: none are written)
+    #[argh(option)]
+    log: Option<LevelFilter>,
 }
 
 /// a model engine
@@ -105,6 +113,10 @@
         Some(file) => read_settings::<DeploymentFields, Deployment>(file)?,
         None => Deployment::example()?,
     };
+    if let Some(level) = args.log {
+        let format = LogFormat::Text;
+        logs::start(&LogSettings { format, level })?;
+    }
     let fleet = Fleet::start(&deployment, &PartSettings::default())?;
     print_fleet(&fleet);
     print_hints(&deployment, &fleet);
