--- a/crates/persimmon-standin/src/demo/daemons.rs
+++ b/crates/persimmon-standin/src/demo/daemons.rs
@@ -7,9 +7,8 @@
     link::PeerLink,
     peer::KeyPairPem,
     settings::{Listen, LogFormat, LogSettings, OperatorToken, Settings, TlsFiles},
-    telemetry::Telemetry,
 };
-use persimmond::{Daemon, DaemonHandle, Parts, StartError};
+use persimmond::{telemetry, Daemon, DaemonHandle, Parts};
 use std::{
     net::SocketAddr,
     path::PathBuf,
@@ -61,10 +60,7 @@
 /// Starts one daemon with keys of its own.
 pub(super) fn start(settings: Settings, ca: &KeyPairPem) -> Result<Started, DemoError> {
     let keys = ca.new_vm(&settings.vm)?;
-    let telemetry = Telemetry::new().map_err(|error| StartError::Telemetry {
-        reason: error.to_string(),
-    })?;
-    let mut parts = Parts::real(&settings, &keys, Arc::new(telemetry))?;
+    let mut parts = Parts::real(&settings, &keys, telemetry()?)?;
     let (open, opened) = (parts.link, Arc::new(OnceLock::new()));
     let opening = Arc::clone(&opened);
     parts.link = Box::new(move |vm, incarnation, events| {
--- a/crates/persimmond/src/lib.rs
+++ b/crates/persimmond/src/lib.rs
@@ -16,5 +16,5 @@
 pub use control_core::ControlCore;
 pub use daemon::{Addresses, Daemon, DaemonHandle, Stopper};
 pub use errors::StartError;
-pub use parts::{CoreSeed, MakeCore, OpenLink, Parts};
+pub use parts::{telemetry, CoreSeed, MakeCore, OpenLink, Parts};
 pub use run::run;
--- a/crates/persimmond/src/parts.rs
+++ b/crates/persimmond/src/parts.rs
@@ -79,6 +79,18 @@
     }
 }
 
+/// The counts of one daemon.
+///
+/// # Errors
+///
+/// The library refuses the metrics.
+pub fn telemetry() -> Result<Arc<Telemetry>, StartError> {
+    let telemetry = Telemetry::new().map_err(|error| StartError::Telemetry {
+        reason: error.to_string(),
+    })?;
+    Ok(Arc::new(telemetry))
+}
+
 fn core(seed: CoreSeed, parts: PartSettings) -> Daemon {
     Daemon::new(DaemonSettings {
         me: seed.me,
--- a/crates/persimmond/src/run.rs
+++ b/crates/persimmond/src/run.rs
@@ -1,14 +1,13 @@
 //! From the command line to a running daemon.
 
-use crate::{Args, Daemon, Parts, StartError};
+use crate::{telemetry, Args, Daemon, Parts, StartError};
 use persimmon_io::{
     logs::{self, LogError},
     peer::Keys,
     settings::{self, Settings, SettingsError},
     shutdown::StopSignals,
-    telemetry::Telemetry,
 };
-use std::{io, process::ExitCode, sync::Arc};
+use std::{io, process::ExitCode};
 use thiserror::Error;
 
 /// Exit code for wrong settings.
@@ -45,10 +44,7 @@
 fn serve(args: &Args) -> Result<(), RunError> {
     let settings = settings::load(&args.settings)?;
     let keys = keys(&settings)?;
-    let telemetry = Telemetry::new().map_err(|error| StartError::Telemetry {
-        reason: error.to_string(),
-    })?;
-    let parts = Parts::real(&settings, &keys, Arc::new(telemetry))?;
+    let parts = Parts::real(&settings, &keys, telemetry()?)?;
     if args.check {
         println!("{}: no mistakes found", args.settings.display());
         return Ok(());
