--- /dev/null
+++ b/crates/core/src/catalog/engine_profile.rs
@@ -0,0 +1,60 @@
+//! How the engines of a service process prompts.
+
+use crate::units::Tokens;
+
+/// Tokens in a unit of context cost.
+const CONTEXT_UNIT_TOKENS: f64 = 1_000.0;
+
+/// Token pairs in a unit of attention cost.
+const PAIR_UNIT: f64 = 1e6;
+
+/// How the engines of a service process prompts, as the service declares it. An engine works in
+/// passes: each runs `stride` token steps for all answers that are being written, and reads waiting
+/// prompts in pieces between the steps.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineProfile {
+    /// Requests that an engine processes at once.
+    pub slots: u32,
+    /// Memory of an engine.
+    pub kv_tokens: Tokens,
+    /// Token steps in a pass that writes.
+    pub stride_len: u32,
+    /// Time of a step.
+    pub step_ms: f64,
+    /// Added time of a step for each answer that is being written.
+    pub per_writer_ms: f64,
+    /// Added time of a step for each 1,000 tokens of context of an answer that is being written.
+    pub context_ms: f64,
+    /// Prompt tokens read in a millisecond.
+    pub read_tokens_per_ms: f64,
+    /// Added reading time for each million pairs of a token and an earlier one.
+    pub pairs_ms: f64,
+    /// Most prompt tokens read in a step.
+    pub chunk_tokens: Tokens,
+    /// Added time of a step for answers whose memory is spread over engines.
+    pub hop_ms: f64,
+}
+
+impl EngineProfile {
+    /// Time to read a prompt on an idle engine.
+    pub fn read_ms(&self, prompt: Tokens) -> f64 {
+        let tokens = prompt.get() as f64;
+        let pairs = tokens * tokens / 2.0;
+        tokens / self.read_tokens_per_ms + pairs / PAIR_UNIT * self.pairs_ms
+    }
+
+    /// Added time of a step for one answer with this context.
+    pub fn writer_ms(&self, context: Tokens) -> f64 {
+        self.per_writer_ms + context.get() as f64 / CONTEXT_UNIT_TOKENS * self.context_ms
+    }
+
+    /// Time of the token steps of a pass, where `writers_ms` is the added time of all answers.
+    pub fn pass_ms(&self, writers_ms: f64) -> f64 {
+        f64::from(self.stride_len) * (self.step_ms + writers_ms)
+    }
+
+    /// Most prompt tokens that one pass with writers reads.
+    pub fn pass_read_max_tokens(&self) -> Tokens {
+        Tokens::new(self.chunk_tokens.get() * u64::from(self.stride_len))
+    }
+}
--- /dev/null
+++ b/crates/core/src/catalog/in_force.rs
@@ -0,0 +1,140 @@
+//! The catalog in force.
+
+use super::{ApiKey, CallKind, CallerLimits, CatalogError, KeyHolder, Route, Service};
+use crate::{
+    ids::{CatalogVersion, ServiceName},
+    units::Millis,
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+/// A catalog as operators wrote it, not yet checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RawCatalog {
+    /// Its version.
+    pub version: CatalogVersion,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Limits of callers.
+    pub limits: CallerLimits,
+    /// Keys and who holds them; absent where callers need none.
+    pub keys: Option<Vec<(ApiKey, KeyHolder)>>,
+}
+
+/// A checked catalog.
+#[derive(Clone, Debug)]
+pub struct Catalog {
+    version: CatalogVersion,
+    routes: HashMap<String, Vec<Arc<Route>>>,
+    services: BTreeMap<ServiceName, Arc<Service>>,
+    limits: CallerLimits,
+    keys: Option<HashMap<ApiKey, KeyHolder>>,
+}
+
+impl Catalog {
+    /// Its version.
+    pub const fn version(&self) -> CatalogVersion {
+        self.version
+    }
+
+    /// Limits of callers.
+    pub const fn limits(&self) -> &CallerLimits {
+        &self.limits
+    }
+
+    /// The route of a request: the longest prefix of its path among the routes of its host.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.routes.get(&host_name(host))?;
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// A service.
+    pub fn service(&self, name: &ServiceName) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// The shortest pause target among the routes that lead to a service.
+    pub fn tightest_pause_ms(&self, service: &ServiceName) -> Option<Millis> {
+        let routes = self.routes.values().flatten();
+        let leading = routes.filter(|r| r.targets.iter().any(|t| t.service == *service));
+        let pauses = leading.filter_map(|route| match route.kind {
+            CallKind::Streaming {
+                pause_target_ms, ..
+            } => Some(pause_target_ms),
+            CallKind::Idempotent | CallKind::NonIdempotent => None,
+        });
+        pauses.filter(|pause| *pause > Millis::ZERO).min()
+    }
+
+    /// Whether callers of routes that aren't open need a key.
+    pub const fn needs_keys(&self) -> bool {
+        self.keys.is_some()
+    }
+
+    /// Who holds a key.
+    pub fn holder(&self, key: &ApiKey) -> Option<&KeyHolder> {
+        self.keys.as_ref()?.get(key)
+    }
+}
+
+impl TryFrom<RawCatalog> for Catalog {
+    type Error = CatalogError;
+
+    fn try_from(raw: RawCatalog) -> Result<Self, CatalogError> {
+        let named = raw.services.into_iter();
+        let services: BTreeMap<_, _> = named.map(|s| (s.name.clone(), Arc::new(s))).collect();
+        let mut routes: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in raw.routes {
+            check(&route, &services)?;
+            let host = host_name(&route.host);
+            routes.entry(host).or_default().push(Arc::new(route));
+        }
+        for of_host in routes.values_mut() {
+            of_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Ok(Self {
+            version: raw.version,
+            routes,
+            services,
+            limits: raw.limits,
+            keys: raw.keys.map(|keys| keys.into_iter().collect()),
+        })
+    }
+}
+
+fn check(
+    route: &Route,
+    services: &BTreeMap<ServiceName, Arc<Service>>,
+) -> Result<(), CatalogError> {
+    let name = || route.name.clone();
+    if !(route.prefix.starts_with('/') && route.prefix.ends_with('/')) {
+        return Err(CatalogError::Prefix {
+            route: name(),
+            prefix: route.prefix.clone(),
+        });
+    }
+    if route.targets.iter().all(|target| target.weight == 0) {
+        return Err(CatalogError::NoTarget { route: name() });
+    }
+    let mut named = route.targets.iter().map(|target| &target.service);
+    match named.find(|service| !services.contains_key(*service)) {
+        Some(service) => Err(CatalogError::UnknownService {
+            route: name(),
+            service: service.to_string(),
+        }),
+        None => Ok(()),
+    }
+}
+
+/// Hosts are compared in lower case, without a port.
+fn host_name(host: &str) -> String {
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    };
+    name.to_ascii_lowercase()
+}
--- /dev/null
+++ b/crates/core/src/dispatch/budget.rs
@@ -0,0 +1,73 @@
+//! The budget of repeated transmissions, shared by all daemons.
+
+use crate::{
+    ids::ServiceName,
+    units::{Millis, Time},
+};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Part of the shared allowance that is used: daemons come and go, and count apart.
+const SHARE_RATIO: f64 = 0.8;
+
+/// Calls and repeats of one service in the window.
+#[derive(Debug, Default)]
+struct Window {
+    calls: VecDeque<Time>,
+    repeats: VecDeque<Time>,
+}
+
+/// Bounds repeats to a share of a service's calls in a sliding window, and an allowance that is
+/// split evenly among the daemons.
+#[derive(Debug)]
+pub struct RetryBudget {
+    percent: u32,
+    allowance_requests: u32,
+    window_ms: Millis,
+    services: BTreeMap<ServiceName, Window>,
+}
+
+impl RetryBudget {
+    /// A budget of `percent` repeats for each 100 calls, and `allowance_requests` more of all
+    /// daemons together, in each window.
+    pub const fn new(percent: u32, allowance_requests: u32, window_ms: Millis) -> Self {
+        Self {
+            percent,
+            allowance_requests,
+            window_ms,
+            services: BTreeMap::new(),
+        }
+    }
+
+    /// A call came in.
+    pub fn on_call(&mut self, now: Time, service: &ServiceName) {
+        let window = self.window(now, service);
+        window.calls.push_back(now);
+    }
+
+    /// Takes one repeat. False where none is left.
+    pub fn take(&mut self, now: Time, service: &ServiceName, daemons_len: usize) -> bool {
+        let ratio = f64::from(self.percent) / 100.0;
+        let own = f64::from(self.allowance_requests) / daemons_len.max(1) as f64;
+        let window = self.window(now, service);
+        let limit = (window.calls.len() as f64 * ratio + own) * SHARE_RATIO;
+        let allowed = ((window.repeats.len() + 1) as f64) <= limit;
+        if allowed {
+            window.repeats.push_back(now);
+        }
+        allowed
+    }
+
+    fn window(&mut self, now: Time, service: &ServiceName) -> &mut Window {
+        let start = now - self.window_ms;
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), Window::default());
+        }
+        let window = self.services.entry(service.clone()).or_default();
+        for times in [&mut window.calls, &mut window.repeats] {
+            while times.front().is_some_and(|time| *time < start) {
+                times.pop_front();
+            }
+        }
+        window
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/cold.rs
@@ -0,0 +1,42 @@
+//! The rate of requests that cold upstreams bear, shared by all daemons.
+
+use crate::{
+    ids::UpstreamId,
+    units::{Millis, Time},
+};
+use std::collections::{HashMap, VecDeque};
+
+/// Window of the rate.
+const WINDOW_MS: Millis = Millis::new(1_000);
+
+/// Counts what all daemons sent to each upstream in the last second.
+#[derive(Debug, Default)]
+pub struct ColdRates {
+    sent: HashMap<UpstreamId, VecDeque<Time>>,
+}
+
+impl ColdRates {
+    /// A daemon sent a request.
+    pub fn on_sent(&mut self, now: Time, upstream: &UpstreamId) {
+        let times = self.sent.entry(upstream.clone()).or_default();
+        while times
+            .front()
+            .is_some_and(|time| now.since(*time) >= WINDOW_MS)
+        {
+            times.pop_front();
+        }
+        times.push_back(now);
+    }
+
+    /// Requests sent to an upstream in the last second.
+    pub fn recent_len(&self, now: Time, upstream: &UpstreamId) -> usize {
+        let recent = |time: &&Time| now.since(**time) < WINDOW_MS;
+        let times = self.sent.get(upstream);
+        times.map_or(0, |times| times.iter().rev().take_while(recent).count())
+    }
+
+    /// Forgets an upstream.
+    pub fn forget(&mut self, upstream: &UpstreamId) {
+        self.sent.remove(upstream);
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -0,0 +1,323 @@
+//! The dispatcher: events go in, actions come out.
+
+use super::{
+    ledger::OWN, Call, ColdRates, DispatchAction, DispatchRecord, DispatchSettings, HealthBook,
+    Ledger, RetryBudget, SendEnd, WorkId, WorkNote,
+};
+use crate::{
+    catalog::{Catalog, KeyHolder, Route, Service},
+    dispatch::stop::Stop,
+    fleet::Fleet,
+    ids::{CallId, FailureDomain, SendId, UpstreamId, VmId},
+    units::{Millis, Time},
+    watch::{Batch, StoreError, Topic, TopicWatch},
+};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+
+/// Time between two looks at requests that wait or are overdue.
+const TICK_MS: Millis = Millis::new(20);
+
+/// Time between two looks where nothing is open.
+const IDLE_TICK_MS: Millis = Millis::new(250);
+
+/// One input of the dispatcher. The time comes beside it.
+#[derive(Debug)]
+pub enum DispatchEvent {
+    /// A caller's request is here, whole.
+    Arrived(Box<Call>),
+    /// The first byte of a streamed answer, or a whole answer, went to the caller.
+    First {
+        /// The call.
+        call: CallId,
+        /// The transmission.
+        send: SendId,
+    },
+    /// A transmission ended.
+    Ended {
+        /// The call.
+        call: CallId,
+        /// The transmission.
+        send: SendId,
+        /// How.
+        end: SendEnd,
+    },
+    /// A caller left.
+    Left {
+        /// The call.
+        call: CallId,
+    },
+    /// The store answered.
+    Watched {
+        /// The topic.
+        topic: Topic,
+        /// The answer.
+        answer: Result<Box<Batch>, StoreError>,
+    },
+    /// A peer is connected.
+    PeerUp {
+        /// Its VM.
+        vm: VmId,
+    },
+    /// A peer is no longer connected.
+    PeerDown {
+        /// Its VM.
+        vm: VmId,
+    },
+    /// A peer told of its work.
+    PeerNote {
+        /// Its VM.
+        vm: VmId,
+        /// What.
+        note: WorkNote,
+    },
+    /// The process was asked to stop.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// A transmission under way.
+#[derive(Clone, Debug)]
+pub(super) struct Sending {
+    pub(super) send: SendId,
+    pub(super) upstream: UpstreamId,
+    pub(super) sent_at: Time,
+    pub(super) predicted_ms: Option<f64>,
+}
+
+/// A call without a last word.
+#[derive(Debug)]
+pub(super) struct OpenCall {
+    pub(super) call: Call,
+    pub(super) arrived_at: Time,
+    pub(super) due_at: Time,
+    pub(super) route: Arc<Route>,
+    pub(super) service: Arc<Service>,
+    pub(super) holder: Option<KeyHolder>,
+    pub(super) tried: Vec<UpstreamId>,
+    pub(super) reached_count: u32,
+    pub(super) tries_count: u32,
+    pub(super) sending: Option<Sending>,
+    pub(super) first_at: Option<Time>,
+    pub(super) may_have_run: bool,
+    pub(super) waiting_since: Option<Time>,
+}
+
+impl OpenCall {
+    /// Time left for the answer.
+    pub(super) fn left_ms(&self, now: Time) -> Millis {
+        self.due_at.since(now)
+    }
+
+    /// Age of the request.
+    pub(super) fn age_ms(&self, now: Time) -> Millis {
+        now.since(self.arrived_at)
+    }
+}
+
+/// The time of an event and the actions that it brings about.
+pub(super) struct Out<'a> {
+    pub(super) now: Time,
+    pub(super) actions: &'a mut Vec<DispatchAction>,
+}
+
+impl Out<'_> {
+    pub(super) fn act(&mut self, action: DispatchAction) {
+        self.actions.push(action);
+    }
+
+    pub(super) fn log(&mut self, record: DispatchRecord) {
+        self.act(DispatchAction::Log(Box::new(record)));
+    }
+
+    pub(super) fn tell_all(&mut self, note: WorkNote) {
+        self.act(DispatchAction::Tell { to: None, note });
+    }
+}
+
+/// Decides what happens to each caller's request of one daemon.
+#[derive(Debug)]
+pub struct Dispatcher {
+    pub(super) settings: DispatchSettings,
+    pub(super) domain: FailureDomain,
+    pub(super) catalog: Option<Arc<Catalog>>,
+    pub(super) fleet: Fleet,
+    pub(super) operators: TopicWatch,
+    pub(super) upstreams: TopicWatch,
+    pub(super) ledger: Ledger,
+    pub(super) health: HealthBook,
+    pub(super) cold: ColdRates,
+    pub(super) budget: RetryBudget,
+    pub(super) calls: BTreeMap<CallId, OpenCall>,
+    pub(super) waiting: VecDeque<CallId>,
+    pub(super) peers: BTreeMap<VmId, u32>,
+    pub(super) last_peer_index: u32,
+    pub(super) last_send: SendId,
+    pub(super) ready: Option<bool>,
+    pub(super) stop: Option<Stop>,
+    last_tick: Time,
+}
+
+impl Dispatcher {
+    /// A dispatcher that knows nothing yet.
+    pub fn new(settings: DispatchSettings, domain: FailureDomain) -> Self {
+        Self {
+            domain,
+            catalog: None,
+            fleet: Fleet::default(),
+            operators: TopicWatch::new(Topic::Operators, settings.operators),
+            upstreams: TopicWatch::new(Topic::Upstreams, settings.upstreams),
+            ledger: Ledger::default(),
+            health: HealthBook::default(),
+            cold: ColdRates::default(),
+            budget: RetryBudget::new(
+                settings.retry_percent,
+                settings.retry_allowance_requests,
+                settings.retry_window_ms,
+            ),
+            calls: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            peers: BTreeMap::new(),
+            last_peer_index: OWN,
+            last_send: SendId::default(),
+            ready: None,
+            stop: None,
+            last_tick: Time::START,
+            settings,
+        }
+    }
+
+    /// Takes an event in and adds the actions that it brings about.
+    pub fn handle(&mut self, now: Time, event: DispatchEvent, actions: &mut Vec<DispatchAction>) {
+        let mut out = Out { now, actions };
+        match event {
+            DispatchEvent::Arrived(call) => self.on_arrived(&mut out, *call),
+            DispatchEvent::First { call, send } => self.on_first(&mut out, call, send),
+            DispatchEvent::Ended { call, send, end } => self.on_ended(&mut out, call, send, end),
+            DispatchEvent::Left { call } => self.on_left(&mut out, call),
+            DispatchEvent::Watched { topic, answer } => self.on_watched(&mut out, topic, answer),
+            DispatchEvent::PeerUp { vm } => self.on_peer_up(&mut out, vm),
+            DispatchEvent::PeerDown { vm } => self.on_peer_down(&mut out, &vm),
+            DispatchEvent::PeerNote { vm, note } => self.on_peer_note(&mut out, &vm, note),
+            DispatchEvent::Stop => self.on_stop(&mut out),
+            DispatchEvent::Tick => {}
+        }
+        self.settle(&mut out);
+    }
+
+    /// When the next `Tick` is due.
+    pub fn next_wakeup(&self) -> Time {
+        let busy = !self.waiting.is_empty() || self.stop.is_some();
+        let tick_ms = if busy { TICK_MS } else { IDLE_TICK_MS };
+        let watches = [self.operators.next_wakeup(), self.upstreams.next_wakeup()];
+        let due = self.calls.values().map(|open| open.due_at).min();
+        let times = watches.into_iter().chain([self.fleet.next_expiry(), due]);
+        times.flatten().fold(self.last_tick + tick_ms, Time::min)
+    }
+
+    /// Calls without a last word.
+    pub fn open_len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// What is known of the upstreams.
+    pub const fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// What all daemons have on the upstreams, as far as this one knows.
+    pub const fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Daemons that share the budgets: this one, and the peers connected.
+    pub(super) fn daemons_len(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Age of what is known of the operators' writes.
+    pub(super) fn knowledge_ms(&self, now: Time) -> Option<Millis> {
+        self.operators
+            .fresh_at()
+            .map(|fresh_at| now.since(fresh_at))
+    }
+
+    /// Whether keys may be honoured: none can have been revoked unseen for too long.
+    pub(super) fn keys_are_fresh(&self, now: Time) -> bool {
+        let lease_ms = self.settings.key_lease_ms;
+        self.knowledge_ms(now)
+            .is_some_and(|age_ms| age_ms <= lease_ms)
+    }
+
+    fn settle(&mut self, out: &mut Out<'_>) {
+        self.last_tick = out.now;
+        for id in self.fleet.expire_missing(out.now) {
+            self.forget_upstream(out, &id, "lapsed");
+        }
+        for watch in [&mut self.operators, &mut self.upstreams] {
+            if let Some(call) = watch.poll(out.now) {
+                out.act(DispatchAction::Watch(call));
+            }
+        }
+        self.end_overdue(out);
+        self.place_waiting(out);
+        self.progress_stop(out);
+        self.update_ready(out);
+    }
+
+    /// Number of a peer in the ledger.
+    pub(super) fn peer_index(&mut self, vm: VmId) -> u32 {
+        let last = &mut self.last_peer_index;
+        *self.peers.entry(vm).or_insert_with(|| {
+            *last += 1;
+            *last
+        })
+    }
+
+    fn on_peer_up(&mut self, out: &mut Out<'_>, vm: VmId) {
+        self.peer_index(vm.clone());
+        let note = WorkNote::All(self.ledger.own_work(out.now));
+        out.log(DispatchRecord::Peer {
+            member: vm.clone(),
+            connected: true,
+        });
+        out.act(DispatchAction::Tell { to: Some(vm), note });
+    }
+
+    fn on_peer_down(&mut self, out: &mut Out<'_>, vm: &VmId) {
+        let Some(index) = self.peers.remove(vm) else {
+            return;
+        };
+        self.ledger.forget_daemon(out.now, index);
+        out.log(DispatchRecord::Peer {
+            member: vm.clone(),
+            connected: false,
+        });
+    }
+
+    fn on_peer_note(&mut self, out: &mut Out<'_>, vm: &VmId, note: WorkNote) {
+        let index = self.peer_index(vm.clone());
+        match &note {
+            WorkNote::Started(start) => self.cold.on_sent(out.now, &start.upstream),
+            WorkNote::Sick { upstream, for_ms } => {
+                self.health.on_peer_rest(out.now, upstream, *for_ms);
+            }
+            _ => {}
+        }
+        self.ledger.on_note(out.now, index, note);
+    }
+
+    /// Takes a transmission off the ledger, here and at the peers.
+    pub(super) fn end_work(&mut self, out: &mut Out<'_>, send: SendId) {
+        let id = WorkId {
+            daemon_index: OWN,
+            send,
+        };
+        if self.ledger.end(out.now, id).is_some() {
+            out.tell_all(WorkNote::Ended(send));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/health.rs
@@ -0,0 +1,82 @@
+//! Which upstreams fail, and for how long they get no work.
+
+use crate::{
+    ids::UpstreamId,
+    units::{Millis, Time},
+};
+use std::collections::HashMap;
+
+/// Weight of the newest answer in an upstream's failure rate.
+const RATE_WEIGHT: f64 = 0.15;
+
+/// First time without work after a failure that points at the whole upstream.
+const REST_MS: Millis = Millis::new(300);
+
+/// Longest time without work.
+const REST_MAX_MS: Millis = Millis::new(4_000);
+
+/// How an upstream fared of late.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Health {
+    /// Share of its answers that were failures, newest first in weight.
+    pub failure_ratio: f64,
+    /// It gets no work until then.
+    pub rest_until: Option<Time>,
+    rests_count: u32,
+}
+
+impl Health {
+    /// Whether it gets no work now.
+    pub fn rests(&self, now: Time) -> bool {
+        self.rest_until.is_some_and(|until| now < until)
+    }
+}
+
+/// How all upstreams fared of late.
+#[derive(Debug, Default)]
+pub struct HealthBook {
+    upstreams: HashMap<UpstreamId, Health>,
+}
+
+impl HealthBook {
+    /// How an upstream fared.
+    pub fn get(&self, upstream: &UpstreamId) -> Health {
+        self.upstreams.get(upstream).copied().unwrap_or_default()
+    }
+
+    /// It answered well.
+    pub fn on_success(&mut self, upstream: &UpstreamId) {
+        if let Some(health) = self.upstreams.get_mut(upstream) {
+            health.failure_ratio *= 1.0 - RATE_WEIGHT;
+            health.rests_count = 0;
+        }
+    }
+
+    /// One of its answers was a failure.
+    pub fn on_failure(&mut self, upstream: &UpstreamId) {
+        let health = self.upstreams.entry(upstream.clone()).or_default();
+        health.failure_ratio += (1.0 - health.failure_ratio) * RATE_WEIGHT;
+    }
+
+    /// It broke off, was silent or could not be reached: it rests, longer with each time in a row.
+    pub fn on_broken(&mut self, now: Time, upstream: &UpstreamId) -> Millis {
+        self.on_failure(upstream);
+        let health = self.upstreams.entry(upstream.clone()).or_default();
+        let rest_ms = Millis::new(REST_MS.get() << health.rests_count.min(8)).min(REST_MAX_MS);
+        health.rests_count += 1;
+        health.rest_until = Some(now + rest_ms);
+        rest_ms
+    }
+
+    /// A peer saw it fail.
+    pub fn on_peer_rest(&mut self, now: Time, upstream: &UpstreamId, for_ms: Millis) {
+        let health = self.upstreams.entry(upstream.clone()).or_default();
+        let until = now + for_ms.min(REST_MAX_MS);
+        health.rest_until = health.rest_until.max(Some(until));
+    }
+
+    /// Forgets an upstream.
+    pub fn forget(&mut self, upstream: &UpstreamId) {
+        self.upstreams.remove(upstream);
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/mod.rs
@@ -0,0 +1,38 @@
+//! Decides what happens to each caller's request: where it goes, whether it waits, is refused,
+//! or is sent again.
+
+mod action;
+mod budget;
+mod call;
+mod choose;
+mod cold;
+mod dispatcher;
+mod health;
+mod ledger;
+mod note;
+mod operators;
+mod outcome;
+mod place;
+mod record;
+mod refusal;
+mod retry;
+mod sending;
+mod settings;
+mod stop;
+mod work;
+
+pub use action::DispatchAction;
+pub use budget::RetryBudget;
+pub use call::{Call, PromptSize};
+pub use choose::{choose_engine, choose_plain, Candidate, EngineChoice, Wanted};
+pub use cold::ColdRates;
+pub use dispatcher::{DispatchEvent, Dispatcher};
+pub use health::{Health, HealthBook};
+pub use ledger::Ledger;
+pub use note::{WorkNote, WorkStart};
+pub use outcome::SendEnd;
+pub use record::DispatchRecord;
+pub use refusal::{Reason, Refusal};
+pub use sending::{Helper, SendPlan};
+pub use settings::{DispatchSettings, RawDispatchSettings};
+pub use work::{Phase, Work, WorkId};
--- /dev/null
+++ b/crates/core/src/dispatch/operators.rs
@@ -0,0 +1,193 @@
+//! What the store says: catalogs, failure domains out of service, upstreams.
+
+use super::{
+    dispatcher::{Dispatcher, Out},
+    DispatchAction, DispatchRecord,
+};
+use crate::{
+    catalog::{Catalog, RawCatalog},
+    fleet::UpstreamRecord,
+    ids::{FailureDomain, UpstreamId},
+    watch::{Batch, Change, Contact, StoreError, Topic},
+};
+use std::{collections::BTreeSet, sync::Arc};
+
+impl Dispatcher {
+    /// The store answered about a topic.
+    pub(super) fn on_watched(
+        &mut self,
+        out: &mut Out<'_>,
+        topic: Topic,
+        answer: Result<Box<Batch>, StoreError>,
+    ) {
+        let watch = match topic {
+            Topic::Operators => &mut self.operators,
+            Topic::Upstreams => &mut self.upstreams,
+        };
+        let knowledge_ms = watch.fresh_at().map(|fresh_at| out.now.since(fresh_at));
+        let dependency = |reachable, detail| DispatchRecord::Dependency {
+            dependency: topic.name(),
+            reachable,
+            detail,
+            knowledge_ms,
+        };
+        match answer {
+            Err(error) => {
+                if watch.on_error(out.now, &error) {
+                    out.log(dependency(false, error.to_string()));
+                }
+            }
+            Ok(batch) => {
+                let contact = watch.on_answer(out.now, &batch);
+                if contact.regained {
+                    out.log(dependency(true, format!("version {}", batch.version)));
+                }
+                match topic {
+                    Topic::Operators => self.on_operators(out, *batch),
+                    Topic::Upstreams => self.on_upstreams(out, *batch, contact),
+                }
+            }
+        }
+    }
+
+    fn on_operators(&mut self, out: &mut Out<'_>, batch: Batch) {
+        let mut listed_out = BTreeSet::new();
+        for change in batch.changes {
+            match change {
+                Change::Catalog(raw) => self.on_catalog(out, *raw),
+                Change::DomainOut(domain) => {
+                    listed_out.insert(domain.clone());
+                    self.on_domain(out, domain, true);
+                }
+                Change::DomainBack(domain) => self.on_domain(out, domain, false),
+                change => log_unreadable(out, change),
+            }
+        }
+        if batch.whole {
+            let back: Vec<_> = self.fleet.out().difference(&listed_out).cloned().collect();
+            for domain in back {
+                self.on_domain(out, domain, false);
+            }
+        }
+    }
+
+    fn on_catalog(&mut self, out: &mut Out<'_>, raw: RawCatalog) {
+        let version = raw.version;
+        let known = self.catalog.as_ref().map(|catalog| catalog.version());
+        if known.is_some_and(|known| known >= version) {
+            return;
+        }
+        match Catalog::try_from(raw) {
+            Ok(catalog) => {
+                out.act(DispatchAction::Limits(*catalog.limits()));
+                self.catalog = Some(Arc::new(catalog));
+                out.log(DispatchRecord::Catalog { version });
+            }
+            Err(error) => out.log(DispatchRecord::CatalogRefused {
+                version,
+                reason: error.to_string(),
+            }),
+        }
+    }
+
+    fn on_domain(&mut self, out: &mut Out<'_>, domain: FailureDomain, leaves: bool) {
+        let changed = if leaves {
+            self.fleet.take_out(domain.clone())
+        } else {
+            self.fleet.take_back(&domain)
+        };
+        if changed {
+            out.log(DispatchRecord::Domain {
+                domain,
+                out: leaves,
+            });
+        }
+    }
+
+    fn on_upstreams(&mut self, out: &mut Out<'_>, batch: Batch, contact: Contact) {
+        if batch.whole {
+            return self.on_upstream_list(out, batch, contact);
+        }
+        for change in batch.changes {
+            match change {
+                Change::Upstream(record) => self.on_record(out, *record),
+                Change::UpstreamGone(id) => {
+                    let kept = contact.after_outage && self.fleet.keep_missing(out.now, &id);
+                    if !kept && self.fleet.on_gone(&id) {
+                        self.forget_upstream(out, &id, "gone");
+                    }
+                }
+                change => log_unreadable(out, change),
+            }
+        }
+    }
+
+    fn on_upstream_list(&mut self, out: &mut Out<'_>, batch: Batch, contact: Contact) {
+        let mut records = Vec::new();
+        for change in batch.changes {
+            match change {
+                Change::Upstream(record) => records.push(*record),
+                change => log_unreadable(out, change),
+            }
+        }
+        let gone = self
+            .fleet
+            .on_snapshot(out.now, records, contact.after_outage);
+        for id in gone {
+            self.forget_upstream(out, &id, "gone");
+        }
+    }
+
+    fn on_record(&mut self, out: &mut Out<'_>, record: UpstreamRecord) {
+        let upstream = record.id.clone();
+        let state = if record.draining { "draining" } else { "ready" };
+        if self.fleet.on_record(out.now, record) {
+            out.log(DispatchRecord::Upstream { upstream, state });
+        }
+    }
+
+    /// Forgets what is known of an upstream that is gone.
+    pub(super) fn forget_upstream(
+        &mut self,
+        out: &mut Out<'_>,
+        upstream: &UpstreamId,
+        state: &'static str,
+    ) {
+        self.health.forget(upstream);
+        self.cold.forget(upstream);
+        let upstream = upstream.clone();
+        out.log(DispatchRecord::Upstream { upstream, state });
+    }
+
+    /// Tells whether new callers are taken, where that changed.
+    pub(super) fn update_ready(&mut self, out: &mut Out<'_>) {
+        let reason = if self.stop.is_some() {
+            Some("stopping")
+        } else if self.catalog.is_none() {
+            Some("no catalog is known")
+        } else if !self.fleet.loaded() {
+            Some("upstreams are not known")
+        } else if !self.keys_are_fresh(out.now) {
+            Some("the store can't be followed")
+        } else {
+            None
+        };
+        let ready = reason.is_none();
+        if self.ready != Some(ready) {
+            self.ready = Some(ready);
+            out.act(DispatchAction::Ready(ready));
+            out.log(DispatchRecord::Ready { ready, reason });
+        }
+    }
+}
+
+fn log_unreadable(out: &mut Out<'_>, change: Change) {
+    let record = match change {
+        Change::Unreadable { key, reason } => DispatchRecord::Unreadable { key, reason },
+        other => DispatchRecord::Unreadable {
+            key: "row".to_owned(),
+            reason: format!("{other:?} does not belong to this topic"),
+        },
+    };
+    out.log(record);
+}
--- /dev/null
+++ b/crates/core/src/dispatch/retry.rs
@@ -0,0 +1,259 @@
+//! What follows when a transmission ends, a caller leaves, or time runs out.
+
+use super::{
+    dispatcher::{Dispatcher, Out, Sending},
+    ledger::OWN,
+    DispatchAction, DispatchRecord, Reason, Refusal, SendEnd, WorkId, WorkNote,
+};
+use crate::{
+    ids::{CallId, SendId},
+    units::{Millis, Time},
+};
+use std::sync::Arc;
+
+/// Most transmissions of one call, those included that reached no upstream.
+const TRIES_MAX_COUNT: u32 = 4;
+
+/// A call is not sent again with less time left.
+const RETRY_LEFT_MIN_MS: Millis = Millis::new(50);
+
+/// Time that an upstream gets beyond a call's time to say itself that it is over.
+const OVERDUE_SLACK_MS: Millis = Millis::new(60);
+
+/// Lowest status of a failure that another upstream may not repeat.
+const SERVER_FAILURE_STATUS: u16 = 500;
+
+/// What follows after a failed transmission.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Next {
+    SendAgain,
+    PassFailure,
+    GiveUp(Reason),
+}
+
+impl Next {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::SendAgain => "send_again",
+            Self::PassFailure => "pass_failure",
+            Self::GiveUp(_) => "give_up",
+        }
+    }
+}
+
+impl Dispatcher {
+    /// The first event or the whole of an answer is here.
+    pub(super) fn on_first(&mut self, out: &mut Out<'_>, call: CallId, send: SendId) {
+        let Some(open) = self.calls.get_mut(&call) else {
+            return;
+        };
+        if open
+            .sending
+            .as_ref()
+            .is_none_or(|sending| sending.send != send)
+        {
+            return;
+        }
+        open.may_have_run = true;
+        open.first_at.get_or_insert(out.now);
+        self.ledger.writing(
+            out.now,
+            WorkId {
+                daemon_index: OWN,
+                send,
+            },
+        );
+        out.tell_all(WorkNote::Writing(send));
+    }
+
+    /// A transmission ended.
+    pub(super) fn on_ended(&mut self, out: &mut Out<'_>, call: CallId, send: SendId, end: SendEnd) {
+        self.end_work(out, send);
+        let Some(open) = self.calls.get_mut(&call) else {
+            return;
+        };
+        let Some(sending) = open.sending.take_if(|sending| sending.send == send) else {
+            return;
+        };
+        open.may_have_run |= end.may_have_run();
+        if end.may_have_run() {
+            open.reached_count += 1;
+        }
+        if end == SendEnd::Delivered {
+            self.health.on_success(&sending.upstream);
+            return self.finish(out, call, &sending, None);
+        }
+        self.judge(out, &sending, &end);
+        let next = self.next(out.now, call, &end);
+        let request = self.calls.get(&call).map(|open| Arc::clone(&open.call.tag));
+        out.log(DispatchRecord::SendFailed {
+            request: request.unwrap_or_else(|| "".into()),
+            send,
+            upstream: sending.upstream.clone(),
+            end: end.clone(),
+            next: next.name(),
+            after_ms: out.now.since(sending.sent_at),
+        });
+        match (next, end) {
+            (Next::SendAgain, _) => self.place(out, call),
+            (Next::PassFailure, SendEnd::Failed { status, .. }) => {
+                out.act(DispatchAction::PassFailure { call });
+                self.finish(out, call, &sending, Some(status));
+            }
+            (Next::PassFailure, _) => self.give_up(out, call, Reason::UpstreamFailed),
+            (Next::GiveUp(reason), _) => self.give_up(out, call, reason),
+        }
+    }
+
+    /// What a failure says about its upstream.
+    fn judge(&mut self, out: &mut Out<'_>, sending: &Sending, end: &SendEnd) {
+        let upstream = &sending.upstream;
+        match end {
+            SendEnd::Delivered => {}
+            SendEnd::Failed {
+                wrong_upstream: true,
+                ..
+            } => {
+                if self.fleet.on_gone(upstream) {
+                    self.forget_upstream(out, upstream, "replaced");
+                }
+            }
+            SendEnd::Failed {
+                status, not_run, ..
+            } => {
+                if *status >= SERVER_FAILURE_STATUS && !*not_run {
+                    self.health.on_failure(upstream);
+                }
+            }
+            SendEnd::NotSent { .. } | SendEnd::Lost { .. } => {
+                let for_ms = self.health.on_broken(out.now, upstream);
+                let upstream = upstream.clone();
+                out.log(DispatchRecord::Upstream {
+                    upstream: upstream.clone(),
+                    state: "rests",
+                });
+                out.tell_all(WorkNote::Sick { upstream, for_ms });
+            }
+        }
+    }
+
+    fn next(&mut self, now: Time, call: CallId, end: &SendEnd) -> Next {
+        let daemons_len = self.daemons_len();
+        let Some(open) = self.calls.get(&call) else {
+            return Next::GiveUp(Reason::UpstreamFailed);
+        };
+        let failed = match end {
+            SendEnd::Failed { not_run: true, .. } | SendEnd::NotSent { .. } => {
+                Next::GiveUp(if open.may_have_run {
+                    Reason::UpstreamFailed
+                } else {
+                    Reason::UpstreamsRefused
+                })
+            }
+            SendEnd::Failed { .. } => Next::PassFailure,
+            SendEnd::Lost { .. } | SendEnd::Delivered => Next::GiveUp(Reason::UpstreamFailed),
+        };
+        let worth_it = match end {
+            SendEnd::Failed {
+                status, not_run, ..
+            } => *not_run || *status >= SERVER_FAILURE_STATUS,
+            _ => true,
+        };
+        let repeatable = !end.may_have_run()
+            || (open.route.kind.repeatable() && open.reached_count < open.route.max_attempts);
+        let in_time = open.left_ms(now) > RETRY_LEFT_MIN_MS;
+        let tries_left = open.tries_count < TRIES_MAX_COUNT;
+        let wanted = worth_it && repeatable && in_time && tries_left;
+        let service = open.service.name.clone();
+        if wanted && self.budget.take(now, &service, daemons_len) {
+            Next::SendAgain
+        } else {
+            failed
+        }
+    }
+
+    fn finish(&mut self, out: &mut Out<'_>, call: CallId, sending: &Sending, status: Option<u16>) {
+        let Some(open) = self.calls.remove(&call) else {
+            return;
+        };
+        let first_at = open.first_at;
+        out.log(DispatchRecord::Answered {
+            request: Arc::clone(&open.call.tag),
+            upstream: sending.upstream.clone(),
+            first_ms: first_at.map(|first_at| first_at.since(open.arrived_at)),
+            predicted_ms: sending.predicted_ms.map(|ms| Millis::new(ms as u64)),
+            age_ms: open.age_ms(out.now),
+            tries_count: open.tries_count,
+            status,
+        });
+    }
+
+    /// A caller left: its request is cut at the upstream by the traffic side.
+    pub(super) fn on_left(&mut self, out: &mut Out<'_>, call: CallId) {
+        let Some(open) = self.calls.remove(&call) else {
+            return;
+        };
+        if let Some(sending) = &open.sending {
+            self.end_work(out, sending.send);
+        }
+        out.log(DispatchRecord::CallerLeft {
+            request: Arc::clone(&open.call.tag),
+            age_ms: open.age_ms(out.now),
+            sent: open.sending.is_some(),
+        });
+    }
+
+    /// Gives a call its last word, other than an upstream's answer.
+    pub(super) fn give_up(&mut self, out: &mut Out<'_>, call: CallId, reason: Reason) {
+        let Some(open) = self.calls.remove(&call) else {
+            return;
+        };
+        let may_have_run = open.may_have_run || open.sending.is_some();
+        if let Some(sending) = &open.sending {
+            self.end_work(out, sending.send);
+        }
+        let refusal = Refusal {
+            reason,
+            may_have_run,
+            retry_after_ms: if may_have_run {
+                None
+            } else {
+                self.retry_after_ms(reason)
+            },
+        };
+        out.log(DispatchRecord::Refused {
+            request: Arc::clone(&open.call.tag),
+            route: Some(open.route.name.clone()),
+            reason,
+            may_have_run,
+            retry_after_ms: refusal.retry_after_ms,
+            tries_count: open.tries_count,
+            usable_len: self.fleet.usable(&open.service.name).count(),
+            catalog: self.catalog.as_ref().map(|c| c.version()),
+            knowledge_ms: self.knowledge_ms(out.now),
+            age_ms: open.age_ms(out.now),
+        });
+        if open.first_at.is_some() {
+            out.act(DispatchAction::Break { call });
+        } else {
+            out.act(DispatchAction::Refuse { call, refusal });
+        }
+    }
+
+    /// Gives up the calls whose time is over.
+    pub(super) fn end_overdue(&mut self, out: &mut Out<'_>) {
+        let overdue = |open: &super::dispatcher::OpenCall| {
+            let slack_ms = if open.sending.is_some() {
+                OVERDUE_SLACK_MS
+            } else {
+                Millis::ZERO
+            };
+            open.due_at + slack_ms <= out.now
+        };
+        let calls = self.calls.iter().filter(|(_, open)| overdue(open));
+        let calls: Vec<_> = calls.map(|(call, _)| *call).collect();
+        for call in calls {
+            self.give_up(out, call, Reason::TimedOut);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/settings.rs
@@ -0,0 +1,96 @@
+//! Settings of the dispatcher.
+
+use crate::{
+    units::{Millis, RangeCheck, RangeError},
+    watch::WatchSettings,
+};
+use serde::Deserialize;
+
+/// Name of the section in errors.
+const SECTION: &str = "dispatch";
+
+/// Longest span of any setting.
+const SPAN_MAX_MS: u64 = 600_000;
+
+/// Settings as they are written.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawDispatchSettings {
+    /// Longest time without contact to the store for which keys are still honoured.
+    pub key_lease_ms: u64,
+    /// Repeats for each call, over all daemons, in each budget window.
+    pub retry_ratio: f64,
+    /// Repeats beyond that, of all daemons together, in each budget window.
+    pub retry_allowance_requests: f64,
+    /// The budget window.
+    pub retry_window_s: f64,
+    /// Time between the request to stop and the end of the process.
+    pub grace_s: f64,
+    /// How long the store may hold a call about what operators write.
+    pub operators_wait_ms: u64,
+    /// Time between two calls about the list of upstreams.
+    pub upstreams_pause_ms: u64,
+    /// A call to the store without an answer has failed after this time.
+    pub store_timeout_ms: u64,
+}
+
+impl Default for RawDispatchSettings {
+    fn default() -> Self {
+        Self {
+            key_lease_ms: 3_500,
+            retry_ratio: 0.2,
+            retry_allowance_requests: 100.0,
+            retry_window_s: 10.0,
+            grace_s: 8.0,
+            operators_wait_ms: 1_500,
+            upstreams_pause_ms: 1_000,
+            store_timeout_ms: 1_000,
+        }
+    }
+}
+
+/// Settings of the dispatcher.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DispatchSettings {
+    /// Longest time without contact to the store for which keys are still honoured.
+    pub key_lease_ms: Millis,
+    /// Repeats for each 100 calls, over all daemons, in each budget window.
+    pub retry_percent: u32,
+    /// Repeats beyond that, of all daemons together, in each budget window.
+    pub retry_allowance_requests: u32,
+    /// The budget window.
+    pub retry_window_ms: Millis,
+    /// Time between the request to stop and the end of the process.
+    pub grace_ms: Millis,
+    /// How what operators write is followed.
+    pub operators: WatchSettings,
+    /// How the list of upstreams is followed.
+    pub upstreams: WatchSettings,
+}
+
+impl TryFrom<RawDispatchSettings> for DispatchSettings {
+    type Error = RangeError;
+
+    fn try_from(raw: RawDispatchSettings) -> Result<Self, RangeError> {
+        let check = RangeCheck::new(SECTION);
+        let span = |key, ms| check.span(key, ms, 1, SPAN_MAX_MS);
+        let timeout_ms = span("store_timeout_ms", raw.store_timeout_ms)?;
+        Ok(Self {
+            key_lease_ms: span("key_lease_ms", raw.key_lease_ms)?,
+            retry_percent: check.number("retry_ratio", (raw.retry_ratio * 100.0) as u32, 0, 100)?,
+            retry_allowance_requests: raw.retry_allowance_requests as u32,
+            retry_window_ms: span("retry_window_s", (raw.retry_window_s * 1e3) as u64)?,
+            grace_ms: span("grace_s", (raw.grace_s * 1e3) as u64)?,
+            operators: WatchSettings {
+                wait_ms: span("operators_wait_ms", raw.operators_wait_ms)?,
+                pause_ms: Millis::ZERO,
+                timeout_ms,
+            },
+            upstreams: WatchSettings {
+                wait_ms: Millis::ZERO,
+                pause_ms: span("upstreams_pause_ms", raw.upstreams_pause_ms)?,
+                timeout_ms,
+            },
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/work.rs
@@ -0,0 +1,44 @@
+//! One request on an upstream.
+
+use crate::{
+    ids::{SendId, UpstreamId},
+    units::{Millis, Time, Tokens},
+};
+
+/// A request on an upstream: which daemon sent it, and its number there.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct WorkId {
+    /// The daemon, as numbered here; 0 is this one.
+    pub daemon_index: u32,
+    /// The transmission.
+    pub send: SendId,
+}
+
+/// How far an upstream is with a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// The prompt is not read, or nothing was answered yet.
+    Reading,
+    /// The answer is being written since then.
+    Writing {
+        /// When the first event came.
+        since: Time,
+    },
+}
+
+/// One request on an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Work {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Tokens of the prompt; zero where it is for a plain service.
+    pub prompt_tokens: Tokens,
+    /// Tokens of the answer, estimated.
+    pub output_tokens: Tokens,
+    /// Longest pause between events for an answer that is on time.
+    pub pause_target_ms: Millis,
+    /// When it was sent.
+    pub sent_at: Time,
+    /// How far it is.
+    pub phase: Phase,
+}
--- /dev/null
+++ b/crates/core/src/engine/prediction.rs
@@ -0,0 +1,14 @@
+//! What a prompt would bring about on one engine.
+
+/// What a prompt would bring about on one engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prediction {
+    /// Time until its first event.
+    pub first_event_ms: f64,
+    /// Longest pause that its reading causes between events of answers that are being written.
+    pub pause_ms: f64,
+    /// Answers being written there whose pauses would be longer than their targets.
+    pub broken_weight: f64,
+    /// Whether a slot is free and its memory fits for the whole of its answer.
+    pub fits: bool,
+}
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -10,5 +10,8 @@
     AdapterName, FailureDomain, IdempotencyKey, ModelName, ModelVersion, OperatorName, PlanId,
     ServiceName, UpstreamId, VmId, WorkspaceId,
 };
-pub use numbers::{AttemptNumber, BlockHash, BodyHash, FencingNumber, Generation, Incarnation};
+pub use numbers::{
+    AttemptNumber, BlockHash, BodyHash, CallId, CatalogVersion, FencingNumber, Generation,
+    Incarnation, SendId, StoreVersion,
+};
 pub use request_id::{AttemptId, RequestId};
--- a/crates/core/src/ids/numbers.rs
+++ b/crates/core/src/ids/numbers.rs
@@ -93,3 +93,27 @@
     u64,
     "incarnation"
 );
+number!(
+    /// Version of the operators' catalog of routes.
+    CatalogVersion,
+    u64,
+    "catalog version"
+);
+number!(
+    /// A caller's request at the daemon that took it.
+    CallId,
+    u64,
+    "call id"
+);
+number!(
+    /// One transmission of a call to an upstream, counted in its daemon.
+    SendId,
+    u64,
+    "send id"
+);
+number!(
+    /// Version of the platform's store, which grows with each transaction.
+    StoreVersion,
+    u64,
+    "store version"
+);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,11 +9,15 @@
 mod directory;
 mod event;
 
+pub mod catalog;
 pub mod claim;
 pub mod config;
 pub mod daemon;
 pub mod decision;
+pub mod dispatch;
+pub mod engine;
 pub mod entry;
+pub mod fleet;
 pub mod grant;
 pub mod ids;
 pub mod membership;
@@ -28,6 +32,7 @@
 pub mod stream;
 pub mod units;
 pub mod upstream;
+pub mod watch;
 
 pub use action::Action;
 pub use context::{Context, View};
--- /dev/null
+++ b/crates/core/src/watch/topic_watch.rs
@@ -0,0 +1,139 @@
+//! Follows one topic of the store.
+
+use super::{Batch, StoreError, Topic};
+use crate::{
+    ids::StoreVersion,
+    units::{Millis, Time},
+};
+
+/// First pause after a call that failed. Doubles with each further one.
+const RETRY_MS: Millis = Millis::new(100);
+
+/// Longest pause after calls that failed: a store that is back is noticed within half a second.
+const RETRY_MAX_MS: Millis = Millis::new(500);
+
+/// Time without contact after which entries may have lapsed unseen.
+const OUTAGE_MS: Millis = Millis::new(2_500);
+
+/// How a topic is followed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WatchSettings {
+    /// How long the store may hold a call until something changes.
+    pub wait_ms: Millis,
+    /// Time from an answer to the next call.
+    pub pause_ms: Millis,
+    /// A call without an answer has failed after this time beyond `wait_ms`.
+    pub timeout_ms: Millis,
+}
+
+/// A call to the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WatchCall {
+    /// The topic.
+    pub topic: Topic,
+    /// Changes since this version; absent for all entries.
+    pub after: Option<StoreVersion>,
+    /// How long the store may hold the call.
+    pub wait_ms: Millis,
+    /// When it counts as failed.
+    pub timeout_ms: Millis,
+}
+
+/// Follows one topic of the store.
+#[derive(Debug)]
+pub struct TopicWatch {
+    topic: Topic,
+    settings: WatchSettings,
+    position: Option<StoreVersion>,
+    fresh_at: Option<Time>,
+    sent_at: Option<Time>,
+    due_at: Time,
+    failures_count: u32,
+}
+
+/// What an answer means for those who keep the topic's entries.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Contact {
+    /// The store could not be followed for so long that entries may have lapsed unseen.
+    pub after_outage: bool,
+    /// The store was lost before this answer.
+    pub regained: bool,
+}
+
+impl TopicWatch {
+    /// A watch that has read nothing yet.
+    pub const fn new(topic: Topic, settings: WatchSettings) -> Self {
+        Self {
+            topic,
+            settings,
+            position: None,
+            fresh_at: None,
+            sent_at: None,
+            due_at: Time::START,
+            failures_count: 0,
+        }
+    }
+
+    /// When the next call is due; absent while one is under way.
+    pub fn next_wakeup(&self) -> Option<Time> {
+        self.sent_at.is_none().then_some(self.due_at)
+    }
+
+    /// The next call, where it is due.
+    pub fn poll(&mut self, now: Time) -> Option<WatchCall> {
+        if self.sent_at.is_some() || now < self.due_at {
+            return None;
+        }
+        self.sent_at = Some(now);
+        let wait_ms = match self.position {
+            Some(_) => self.settings.wait_ms,
+            None => Millis::ZERO,
+        };
+        Some(WatchCall {
+            topic: self.topic,
+            after: self.position,
+            wait_ms,
+            timeout_ms: wait_ms + self.settings.timeout_ms,
+        })
+    }
+
+    /// An answer came. What it says was true when the call was sent, or later.
+    pub fn on_answer(&mut self, now: Time, batch: &Batch) -> Contact {
+        let sent_at = self.sent_at.take().unwrap_or(now);
+        let silence_ms = self.fresh_at.map(|fresh_at| sent_at.since(fresh_at));
+        let regained = self.failures_count > 0;
+        self.position = Some(batch.version);
+        self.fresh_at = Some(sent_at);
+        self.failures_count = 0;
+        self.due_at = now + self.settings.pause_ms;
+        Contact {
+            after_outage: silence_ms.is_some_and(|ms| ms >= OUTAGE_MS),
+            regained,
+        }
+    }
+
+    /// A call failed. True where it is the first in a row.
+    pub fn on_error(&mut self, now: Time, error: &StoreError) -> bool {
+        self.sent_at = None;
+        if *error == StoreError::HistoryGone {
+            self.position = None;
+            self.due_at = now;
+            return false;
+        }
+        let doublings = self.failures_count.min(8);
+        let pause_ms = Millis::new(RETRY_MS.get() << doublings).min(RETRY_MAX_MS);
+        self.failures_count += 1;
+        self.due_at = now + pause_ms;
+        self.failures_count == 1
+    }
+
+    /// Time up to which what is known here is sure to be all that was acknowledged.
+    pub const fn fresh_at(&self) -> Option<Time> {
+        self.fresh_at
+    }
+
+    /// Version of the store that is known.
+    pub const fn position(&self) -> Option<StoreVersion> {
+        self.position
+    }
+}
--- a/crates/io/src/lib.rs
+++ b/crates/io/src/lib.rs
@@ -4,6 +4,8 @@
 
 mod web;
 
+mod clock;
+
 pub mod http;
 pub mod link;
 pub mod listener;
@@ -15,4 +17,7 @@
 pub mod shutdown;
 pub mod telemetry;
 pub mod traffic;
+pub mod transport;
 pub mod upstream;
+
+pub use clock::BootClock;
--- a/crates/io/src/logs/line.rs
+++ b/crates/io/src/logs/line.rs
@@ -5,6 +5,7 @@
     Level, Log,
 };
 use persimmon_core::{decision::Record, ids::VmId};
+use serde::Serialize;
 use serde_json::{Map, Value as Json};
 
 /// Target of all decisions.
@@ -34,6 +35,21 @@
     type Error = serde_json::Error;
 
     fn try_from((vm, record): (&VmId, &Record)) -> Result<Self, serde_json::Error> {
+        Self::new(vm, level(record), record)
+    }
+}
+
+impl LogLine {
+    /// The line of any record that is serialized with its kind as `event`.
+    ///
+    /// # Errors
+    ///
+    /// The record can't be serialized.
+    pub fn new(
+        vm: &VmId,
+        level: Level,
+        record: &impl Serialize,
+    ) -> Result<Self, serde_json::Error> {
         let mut fields = match serde_json::to_value(record)? {
             Json::Object(fields) => flat(fields),
             other => Map::from_iter([("value".to_owned(), other)]),
@@ -46,14 +62,12 @@
             fields.insert(MEMBER.into(), subject);
         }
         Ok(Self {
-            level: level(record),
+            level,
             message,
             fields,
         })
     }
-}
 
-impl LogLine {
     /// Hands the line to `logger`.
     pub fn write(&self, logger: &dyn Log) {
         let fields = Fields(&self.fields);
--- a/crates/io/src/logs/mod.rs
+++ b/crates/io/src/logs/mod.rs
@@ -1,7 +1,9 @@
-//! Logs: JSON lines or text on standard error, one line for each decision of the core.
+//! Logs: JSON lines or text, one line for each decision of the core.
 
 mod line;
+mod queue;
 mod setup;
 
 pub use line::LogLine;
-pub use setup::{layout, start, LogError};
+pub use queue::QueueAppend;
+pub use setup::{layout, start, start_on_stdout, LogError};
--- a/crates/io/src/logs/setup.rs
+++ b/crates/io/src/logs/setup.rs
@@ -1,5 +1,6 @@
 //! Starts the process's logger.
 
+use super::QueueAppend;
 use crate::settings::{LogFormat, LogSettings};
 use jiff::tz::TimeZone;
 use log::LevelFilter as LogFilter;
@@ -7,7 +8,7 @@
     append::Stderr,
     layout::{JsonLayout, TextLayout},
     record::{Level, LevelFilter},
-    starter_log, Layout,
+    starter_log, Append, Layout,
 };
 use thiserror::Error;
 
@@ -25,7 +26,27 @@
 ///
 /// The process has a logger already.
 pub fn start(settings: &LogSettings) -> Result<(), LogError> {
-    let append = Stderr::default().with_layout(layout(settings.format));
+    install(
+        settings,
+        Stderr::default().with_layout(layout(settings.format)),
+    )
+}
+
+/// Starts the process's logger: lines go to standard output, and a slow reader costs lines rather
+/// than time.
+///
+/// # Errors
+///
+/// The process has a logger already, or no thread can be started.
+pub fn start_on_stdout(settings: &LogSettings) -> Result<(), LogError> {
+    let append = QueueAppend::start(layout(settings.format), std::io::stdout());
+    let append = append.map_err(|error| LogError {
+        reason: error.to_string(),
+    })?;
+    install(settings, append)
+}
+
+fn install(settings: &LogSettings, append: impl Append) -> Result<(), LogError> {
     let filter = filter(settings.level);
     let builder = starter_log::builder().dispatch(|d| d.filter(filter).append(append));
     builder.try_apply().map_err(|error| LogError {
--- a/crates/io/src/settings/checked.rs
+++ b/crates/io/src/settings/checked.rs
@@ -218,11 +218,14 @@
     Ok(seeds)
 }
 
-fn name<T: TryFrom<String, Error = IdError>>(key: &str, text: String) -> Result<T, SettingError> {
+pub(super) fn name<T: TryFrom<String, Error = IdError>>(
+    key: &str,
+    text: String,
+) -> Result<T, SettingError> {
     T::try_from(text.clone()).map_err(|error| refuse(key, text, error))
 }
 
-fn reachable(key: &str, address: SocketAddr) -> Result<SocketAddr, SettingError> {
+pub(super) fn reachable(key: &str, address: SocketAddr) -> Result<SocketAddr, SettingError> {
     if address.port() == 0 || address.ip().is_unspecified() {
         let remedy = "give the IP number and port that it listens on";
         return Err(refuse(key, address, remedy));
--- a/crates/io/src/settings/load.rs
+++ b/crates/io/src/settings/load.rs
@@ -1,7 +1,10 @@
 //! Reads a settings file.
 
-use super::{object::Object, RawSettings, SettingError, Settings, SettingsError};
-use serde::de::IgnoredAny;
+use super::{
+    object::Object, GatewaySettings, RawGatewaySettings, RawSettings, SettingError, Settings,
+    SettingsError,
+};
+use serde::de::{DeserializeOwned, IgnoredAny};
 use serde_json::Value;
 use serde_path_to_error::{Path as KeyPath, Segment};
 use std::{fs, path::Path};
@@ -18,12 +21,24 @@
 ///
 /// Names the file, the key, its value and the remedy.
 pub fn load(file: &Path) -> Result<Settings, SettingsError> {
+    parse(file, &read(file)?)
+}
+
+/// Reads and checks the settings file of a gateway.
+///
+/// # Errors
+///
+/// As [`load`].
+pub fn load_gateway(file: &Path) -> Result<GatewaySettings, SettingsError> {
+    parse_as::<RawGatewaySettings, _>(file, &read(file)?)
+}
+
+fn read(file: &Path) -> Result<Vec<u8>, SettingsError> {
     let read = fs::read(file);
-    let bytes = read.map_err(|error| SettingsError::Unreadable {
+    read.map_err(|error| SettingsError::Unreadable {
         file: file.into(),
         reason: error.to_string(),
-    })?;
-    parse(file, &bytes)
+    })
 }
 
 /// Checks the content of a settings file.
@@ -32,6 +47,14 @@
 ///
 /// As [`load`].
 pub fn parse(file: &Path, bytes: &[u8]) -> Result<Settings, SettingsError> {
+    parse_as::<RawSettings, _>(file, bytes)
+}
+
+fn parse_as<Raw, Checked>(file: &Path, bytes: &[u8]) -> Result<Checked, SettingsError>
+where
+    Raw: DeserializeOwned,
+    Checked: TryFrom<Raw, Error = SettingError>,
+{
     let syntax = |error: serde_json::Error| SettingsError::Syntax {
         file: file.into(),
         reason: error.to_string(),
@@ -39,11 +62,11 @@
     serde_json::from_slice::<IgnoredAny>(bytes).map_err(syntax)?;
     let mut source = serde_json::Deserializer::from_slice(bytes);
     let parsed = serde_path_to_error::deserialize(&mut source);
-    let Object(raw): Object<RawSettings> = parsed.map_err(|error| SettingsError::Setting {
+    let Object(raw): Object<Raw> = parsed.map_err(|error| SettingsError::Setting {
         file: file.into(),
         setting: data_error(error.path(), error.inner(), bytes),
     })?;
-    let checked = Settings::try_from(raw);
+    let checked = Checked::try_from(raw);
     checked.map_err(|setting| SettingsError::Setting {
         file: file.into(),
         setting,
--- a/crates/io/src/settings/mod.rs
+++ b/crates/io/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod checked;
 mod errors;
+mod gateway;
 mod limits;
 mod load;
 mod object;
@@ -10,5 +11,6 @@
 
 pub use checked::{Listen, LogFormat, LogSettings, OperatorToken, Settings, TlsFiles};
 pub use errors::{SettingError, SettingsError};
-pub use load::{load, parse};
+pub use gateway::{GatewayListen, GatewaySettings, RawGatewaySettings};
+pub use load::{load, load_gateway, parse};
 pub use raw::RawSettings;
--- a/crates/io/src/settings/parts.rs
+++ b/crates/io/src/settings/parts.rs
@@ -38,7 +38,7 @@
     }
 }
 
-fn checked<R, T>(raw: R) -> Result<T, SettingError>
+pub(super) fn checked<R, T>(raw: R) -> Result<T, SettingError>
 where
     T: TryFrom<R, Error = RangeError>,
 {
--- /dev/null
+++ b/crates/io/src/transport/answer_body.rs
@@ -0,0 +1,59 @@
+//! The body of an answer to a caller.
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+use thiserror::Error;
+use tokio::sync::mpsc;
+
+/// An answer that can't be finished: its connection is closed, so that it does not look whole.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("the answer was broken off: the connection is closed")]
+pub struct BrokenAnswer;
+
+/// The body of an answer to a caller.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// All of it at once.
+    Whole(Option<Bytes>),
+    /// Pieces as they arrive.
+    Pieces(mpsc::Receiver<Result<Bytes, BrokenAnswer>>),
+}
+
+impl From<Bytes> for AnswerBody {
+    fn from(bytes: Bytes) -> Self {
+        Self::Whole(Some(bytes).filter(|bytes| !bytes.is_empty()))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenAnswer;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Pieces(pieces) => {
+                let piece = pieces.poll_recv(context);
+                piece.map(|piece| piece.map(|piece| piece.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Pieces(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/io/src/transport/call_task.rs
@@ -0,0 +1,149 @@
+//! The task of one call: does what the dispatcher decides.
+
+use super::{
+    exchange::{self, Outcome, Outgoing},
+    reply::Reply,
+    AnswerBody, CallCommand, Dialect, EventStream, Hub, Pool,
+};
+use bytes::Bytes;
+use flume::Receiver;
+use http::{header, request, HeaderValue, Response};
+use persimmon_core::{
+    dispatch::{DispatchEvent, Refusal, SendPlan},
+    ids::CallId,
+};
+use std::{rc::Rc, sync::Arc};
+use tokio::{sync::oneshot, time::Instant};
+
+/// What all calls share.
+pub(super) struct Shared {
+    pub(super) hub: Arc<Hub>,
+    pub(super) pool: Rc<Pool>,
+    pub(super) dialect: Rc<dyn Dialect>,
+}
+
+/// The task of one call.
+pub(super) struct CallTask {
+    pub(super) shared: Rc<Shared>,
+    pub(super) id: CallId,
+    pub(super) tag: Arc<str>,
+    pub(super) head: request::Parts,
+    pub(super) body: Bytes,
+    pub(super) commands: Receiver<CallCommand>,
+}
+
+/// What the task does next.
+enum Step {
+    Command(CallCommand),
+    Stop,
+}
+
+impl CallTask {
+    /// Runs until the caller has its last word, or has left.
+    pub(super) async fn run(self, head: oneshot::Sender<Response<AnswerBody>>) {
+        let mut reply = Reply::Open(head);
+        let mut events = EventStream::default();
+        let mut failure = None;
+        let mut next = self.next_command(&mut reply).await;
+        while let Step::Command(command) = next {
+            next = match command {
+                CallCommand::Send(plan) => {
+                    self.send(&plan, &mut reply, &mut events, &mut failure)
+                        .await
+                }
+                CallCommand::PassFailure => {
+                    if let Some(failure) = failure.take() {
+                        let (head, body) = Response::into_parts(failure);
+                        // A caller who left meanwhile needs no answer.
+                        let _ = reply.whole(head, body);
+                    }
+                    Step::Stop
+                }
+                CallCommand::Refuse(refusal) => {
+                    self.refuse(&mut reply, &refusal);
+                    Step::Stop
+                }
+                CallCommand::Break => {
+                    reply.break_off().await;
+                    Step::Stop
+                }
+            };
+        }
+        self.shared.hub.close(self.id);
+    }
+
+    async fn next_command(&self, reply: &mut Reply) -> Step {
+        tokio::select! {
+            biased;
+            command = self.commands.recv_async() => match command {
+                Ok(command) => Step::Command(command),
+                Err(_) => Step::Stop,
+            },
+            () = reply.closed() => {
+                self.event(DispatchEvent::Left { call: self.id });
+                Step::Stop
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        plan: &SendPlan,
+        reply: &mut Reply,
+        events: &mut EventStream,
+        failure: &mut Option<Response<Bytes>>,
+    ) -> Step {
+        events.resume();
+        let (call, send) = (self.id, plan.send);
+        let out = Outgoing {
+            pool: &self.shared.pool,
+            dialect: &*self.shared.dialect,
+            head: &self.head,
+            body: &self.body,
+            tag: &self.tag,
+            plan,
+            sent_at: Instant::now(),
+        };
+        let on_first = || self.event(DispatchEvent::First { call, send });
+        let outcome = tokio::select! {
+            biased;
+            command = self.commands.recv_async() => {
+                return command.map_or(Step::Stop, Step::Command);
+            }
+            outcome = exchange::run(&out, reply, events, &on_first) => outcome,
+        };
+        let end = match outcome {
+            Outcome::Left => {
+                self.event(DispatchEvent::Left { call });
+                return Step::Stop;
+            }
+            Outcome::Ended(end) => end,
+            Outcome::Failure(end, answer) => {
+                *failure = Some(*answer);
+                end
+            }
+        };
+        let delivered = matches!(reply, Reply::Done);
+        self.event(DispatchEvent::Ended { call, send, end });
+        if delivered {
+            return Step::Stop;
+        }
+        self.next_command(reply).await
+    }
+
+    fn refuse(&self, reply: &mut Reply, refusal: &Refusal) {
+        let (status, headers) = self.shared.dialect.refusal(refusal);
+        let (mut head, ()) = Response::new(()).into_parts();
+        head.status = status;
+        head.headers = headers;
+        let text = HeaderValue::from_static("text/plain");
+        head.headers.insert(header::CONTENT_TYPE, text);
+        let body = format!("{}\n", refusal.reason.name());
+        // A caller who left meanwhile needs no answer.
+        let _ = reply.whole(head, body.into());
+    }
+
+    fn event(&self, event: DispatchEvent) {
+        self.shared.hub.event(event);
+    }
+}
--- /dev/null
+++ b/crates/persimmond/src/gateway/control.rs
@@ -0,0 +1,111 @@
+//! The control thread: owns the dispatcher.
+
+use super::traffic::Job;
+use flume::{Receiver, RecvTimeoutError, Sender};
+use log::Level;
+use persimmon_core::{
+    dispatch::{DispatchAction, DispatchEvent, DispatchRecord, Dispatcher},
+    ids::VmId,
+};
+use persimmon_io::{
+    logs::LogLine,
+    transport::{CallCommand, Hub, SharedLimits},
+    BootClock,
+};
+use std::{
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, PoisonError,
+    },
+    time::Duration,
+};
+
+/// The control thread's state.
+pub(super) struct Control {
+    pub(super) vm: VmId,
+    pub(super) dispatcher: Dispatcher,
+    pub(super) clock: BootClock,
+    pub(super) inbox: Receiver<DispatchEvent>,
+    pub(super) hub: Arc<Hub>,
+    pub(super) jobs: Sender<Job>,
+    pub(super) limits: SharedLimits,
+    pub(super) ready: Arc<AtomicBool>,
+}
+
+impl Control {
+    /// Runs until the dispatcher says that all is done.
+    pub(super) fn run(mut self) {
+        let mut actions = Vec::new();
+        loop {
+            let now = self.clock.now();
+            let wait_ms = self.dispatcher.next_wakeup().since(now);
+            let wait = wait_ms.duration() + Duration::from_millis(1);
+            let event = match self.inbox.recv_timeout(wait) {
+                Ok(event) => event,
+                Err(RecvTimeoutError::Timeout) => DispatchEvent::Tick,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            self.dispatcher
+                .handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                if self.carry_out(action) {
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Carries an action out. True where it is the last.
+    fn carry_out(&self, action: DispatchAction) -> bool {
+        match action {
+            DispatchAction::Send(plan) => {
+                self.hub.command(plan.call, CallCommand::Send(plan));
+            }
+            DispatchAction::PassFailure { call } => {
+                self.hub.command(call, CallCommand::PassFailure);
+            }
+            DispatchAction::Refuse { call, refusal } => {
+                self.hub.command(call, CallCommand::Refuse(refusal));
+            }
+            DispatchAction::Break { call } => self.hub.command(call, CallCommand::Break),
+            DispatchAction::Tell { to, note } => self.job(Job::Tell { to, note }),
+            DispatchAction::Watch(call) => self.job(Job::Watch(call)),
+            DispatchAction::Limits(limits) => {
+                *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = limits;
+            }
+            DispatchAction::Ready(ready) => self.ready.store(ready, Ordering::Relaxed),
+            DispatchAction::CloseIdle => self.job(Job::CloseIdle),
+            DispatchAction::Log(record) => self.log(&record),
+            DispatchAction::Exit => {
+                self.job(Job::Exit);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Hands work to the traffic thread. It is gone only when the process ends.
+    fn job(&self, job: Job) {
+        let _ = self.jobs.send(job);
+    }
+
+    fn log(&self, record: &DispatchRecord) {
+        match LogLine::new(&self.vm, level(record), record) {
+            Ok(line) => line.write(log::logger()),
+            Err(error) => log::error!("a decision can't be logged: {error}"),
+        }
+    }
+}
+
+const fn level(record: &DispatchRecord) -> Level {
+    match record {
+        DispatchRecord::Refused { .. }
+        | DispatchRecord::SendFailed { .. }
+        | DispatchRecord::CatalogRefused { .. }
+        | DispatchRecord::Unreadable { .. }
+        | DispatchRecord::Dependency {
+            reachable: false, ..
+        } => Level::Warn,
+        _ => Level::Info,
+    }
+}
--- /dev/null
+++ b/crates/persimmond/src/gateway/mod.rs
@@ -0,0 +1,13 @@
+//! The daemon on the users' platform: a control thread that owns the dispatcher, and a traffic
+//! thread that carries requests.
+
+mod adapter;
+mod control;
+mod errors;
+mod run;
+mod signals;
+mod traffic;
+
+pub use adapter::Adapter;
+pub use errors::GatewayError;
+pub use run::{run, GatewayArgs};
--- /dev/null
+++ b/crates/persimmond/src/gateway/run.rs
@@ -0,0 +1,108 @@
+//! From the command line to a running gateway.
+
+use super::{control::Control, signals, traffic::Traffic, Adapter, GatewayError};
+use crate::telemetry;
+use argh::FromArgs;
+use persimmon_core::dispatch::{DispatchEvent, Dispatcher};
+use persimmon_io::{
+    logs,
+    settings::load_gateway,
+    transport::{CallerListener, Hub},
+    BootClock,
+};
+use std::{
+    path::PathBuf,
+    process::ExitCode,
+    sync::{atomic::AtomicBool, Arc},
+    thread,
+};
+
+/// Name of the control thread, as the system's tools show it.
+const CONTROL_THREAD: &str = "control";
+
+/// Exit code for wrong settings.
+const WRONG_SETTINGS: u8 = 2;
+
+/// Serve callers on the users' platform.
+#[derive(Debug, FromArgs, PartialEq)]
+pub struct GatewayArgs {
+    /// file with the settings as JSON
+    #[argh(option)]
+    pub settings: PathBuf,
+    /// only check the settings
+    #[argh(switch)]
+    pub check: bool,
+}
+
+/// Runs a gateway until it is asked to stop.
+pub fn run(args: &GatewayArgs, adapter: Adapter) -> ExitCode {
+    match serve(args, adapter) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("persimmon-gateway: {error}");
+            match error {
+                GatewayError::Settings(_) => WRONG_SETTINGS.into(),
+                _ => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
+fn serve(args: &GatewayArgs, adapter: Adapter) -> Result<(), GatewayError> {
+    let settings = load_gateway(&args.settings)?;
+    if args.check {
+        println!("{}: no mistakes found", args.settings.display());
+        return Ok(());
+    }
+    logs::start_on_stdout(&settings.log)?;
+    let (events, inbox) = flume::unbounded();
+    let (stop, reload) = (events.clone(), args.settings.clone());
+    let stopping = move || {
+        // The control thread has ended already: the process ends by itself.
+        let _ = stop.send(DispatchEvent::Stop);
+    };
+    let reloading = move || match load_gateway(&reload) {
+        Ok(_) => log::info!(file:% = reload.display(); "settings read again"),
+        Err(error) => log::warn!("settings not taken over: {error}"),
+    };
+    signals::watch(stopping, reloading).map_err(GatewayError::Signals)?;
+    let telemetry = telemetry().map_err(|error| GatewayError::Telemetry(error.to_string()))?;
+    let hub = Arc::new(Hub::new(events));
+    let (jobs, job_inbox) = flume::unbounded();
+    let limits = CallerListener::first_limits();
+    let ready = Arc::new(AtomicBool::new(false));
+    let control = Control {
+        vm: settings.vm.clone(),
+        dispatcher: Dispatcher::new(settings.dispatch, settings.domain.clone()),
+        clock: BootClock::start(),
+        inbox,
+        hub: Arc::clone(&hub),
+        jobs,
+        limits: Arc::clone(&limits),
+        ready: Arc::clone(&ready),
+    };
+    log::info!(
+        vm:% = settings.vm,
+        callers:% = settings.listen.callers,
+        peers:% = settings.listen.peers,
+        store:% = settings.store;
+        "started"
+    );
+    let builder = thread::Builder::new().name(CONTROL_THREAD.into());
+    let thread = builder
+        .spawn(move || control.run())
+        .map_err(GatewayError::Thread)?;
+    let traffic = Traffic {
+        settings,
+        adapter,
+        hub,
+        jobs: job_inbox,
+        limits,
+        ready,
+        telemetry,
+    };
+    traffic.run()?;
+    thread.join().map_err(|_| GatewayError::Fault)?;
+    log::info!("stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/persimmond/src/gateway/traffic.rs
@@ -0,0 +1,162 @@
+//! The traffic thread: one event loop for callers, upstreams, the store and peers.
+
+use super::{Adapter, GatewayError};
+use flume::Receiver;
+use http::StatusCode;
+use persimmon_core::{
+    dispatch::{DispatchEvent, WorkNote},
+    ids::VmId,
+    watch::{StoreError, WatchCall},
+};
+use persimmon_io::{
+    http::Pages,
+    settings::GatewaySettings,
+    telemetry::Telemetry,
+    transport::{serve_pages, CallerListener, Hub, MetadataStore, Pool, SharedLimits},
+};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    runtime::Builder,
+    sync::watch,
+    task::{spawn_local, LocalSet},
+    time::{interval, timeout},
+};
+
+/// Connections that wait to be accepted.
+const BACKLOG_LEN: u32 = 1_024;
+
+/// Time between two looks for connections that nobody uses any more.
+const TIDY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Work of the traffic thread that belongs to no call.
+#[derive(Debug)]
+pub(super) enum Job {
+    /// Ask the store.
+    Watch(WatchCall),
+    /// Tell peers about work.
+    Tell {
+        /// The peer; absent for all.
+        to: Option<VmId>,
+        /// What.
+        note: WorkNote,
+    },
+    /// Close connections as soon as they are idle.
+    CloseIdle,
+    /// End the loop.
+    Exit,
+}
+
+/// What the traffic thread is started with.
+pub(super) struct Traffic {
+    pub(super) settings: GatewaySettings,
+    pub(super) adapter: Adapter,
+    pub(super) hub: Arc<Hub>,
+    pub(super) jobs: Receiver<Job>,
+    pub(super) limits: SharedLimits,
+    pub(super) ready: Arc<AtomicBool>,
+    pub(super) telemetry: Arc<Telemetry>,
+}
+
+impl Traffic {
+    /// Runs until the control thread says that all is done.
+    pub(super) fn run(self) -> Result<(), GatewayError> {
+        let runtime = Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(GatewayError::Thread)?;
+        LocalSet::new().block_on(&runtime, self.serve())
+    }
+
+    async fn serve(self) -> Result<(), GatewayError> {
+        let (close, closing) = watch::channel(false);
+        let pool = Rc::new(Pool::default());
+        let store = (self.adapter.store)(Rc::clone(&pool), self.settings.store);
+        let callers = CallerListener::new(
+            Arc::clone(&self.hub),
+            Rc::clone(&pool),
+            (self.adapter.dialect)(),
+            Arc::clone(&self.limits),
+            self.settings.connections_max_len,
+            closing,
+        );
+        let listen = self.settings.listen;
+        let socket = open("listen.callers", listen.callers)?;
+        spawn_local(Rc::new(callers).accept(socket));
+        self.serve_pages()?;
+        spawn_local(tidy(pool));
+        while let Ok(job) = self.jobs.recv_async().await {
+            match job {
+                Job::Watch(call) => {
+                    spawn_local(ask(Rc::clone(&store), Arc::clone(&self.hub), call));
+                }
+                Job::Tell { .. } => {}
+                Job::CloseIdle => {
+                    close.send_replace(true);
+                }
+                Job::Exit => break,
+            }
+        }
+        Ok(())
+    }
+
+    fn serve_pages(&self) -> Result<(), GatewayError> {
+        let listen = self.settings.listen;
+        let ready = Arc::clone(&self.ready);
+        let readiness = move |_: &str| {
+            if ready.load(Ordering::Relaxed) {
+                (StatusCode::OK, "ready\n".to_owned())
+            } else {
+                (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
+            }
+        };
+        let socket = open("listen.readiness", listen.readiness)?;
+        spawn_local(serve_pages(socket, Rc::new(readiness)));
+        let telemetry = Arc::clone(&self.telemetry);
+        let metrics = move |_: &str| (StatusCode::OK, telemetry.metrics());
+        let socket = open("listen.metrics", listen.metrics)?;
+        spawn_local(serve_pages(socket, Rc::new(metrics)));
+        Ok(())
+    }
+}
+
+fn open(key: &'static str, address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    let listen = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG_LEN)
+    };
+    listen().map_err(|reason| GatewayError::Listen {
+        key,
+        address,
+        reason,
+    })
+}
+
+async fn ask(store: Rc<dyn MetadataStore>, hub: Arc<Hub>, call: WatchCall) {
+    let answer = timeout(call.timeout_ms.duration(), store.watch(call)).await;
+    let answer = answer.unwrap_or_else(|_| {
+        Err(StoreError::Lost {
+            reason: "time ran out".to_owned(),
+        })
+    });
+    hub.event(DispatchEvent::Watched {
+        topic: call.topic,
+        answer: answer.map(Box::new),
+    });
+}
+
+async fn tidy(pool: Rc<Pool>) {
+    let mut ticks = interval(TIDY_PAUSE);
+    loop {
+        ticks.tick().await;
+        pool.tidy();
+    }
+}
--- a/crates/persimmond/src/lib.rs
+++ b/crates/persimmond/src/lib.rs
@@ -6,6 +6,7 @@
 mod control_core;
 mod daemon;
 mod errors;
+pub mod gateway;
 mod meter;
 mod parts;
 mod pool;
