--- a/crates/io/src/peer/connection.rs
+++ b/crates/io/src/peer/connection.rs
@@ -33,7 +33,8 @@
     }
 }
 
-async fn read_frame(stream: &mut RecvStream) -> Result<Vec<u8>, PeerError> {
+/// Reads one message of an ordered stream.
+pub(super) async fn read_frame(stream: &mut RecvStream) -> Result<Vec<u8>, PeerError> {
     let mut len = [0; 4];
     stream
         .read_exact(&mut len)
--- a/crates/io/src/peer/identity.rs
+++ b/crates/io/src/peer/identity.rs
@@ -19,6 +19,13 @@
 /// A silent connection is closed after this time.
 const IDLE_TIMEOUT_MS: u32 = 10_000;
 
+/// A silent connection of a mesh is closed after this time: a peer that is frozen or cut off holds
+/// nothing up.
+const MESH_IDLE_TIMEOUT_MS: u32 = 2_000;
+
+/// Time between two signs of life on a connection of a mesh.
+const MESH_KEEP_ALIVE: Duration = Duration::from_millis(700);
+
 /// Name of the protocol in the TLS handshake.
 const PROTOCOL: &[u8] = b"persimmonfront/1";
 
@@ -37,6 +44,24 @@
     ///
     /// Names the malformed key, or the VM where the certificate is of another one.
     pub fn new(vm: &VmId, keys: &Keys) -> Result<Self, PeerError> {
+        Self::with_transport(vm, keys, &transport(IDLE_TIMEOUT_MS, None))
+    }
+
+    /// The identity of a daemon whose peers are all connected, and watched for silence.
+    ///
+    /// # Errors
+    ///
+    /// As [`Identity::new`].
+    pub fn of_mesh(vm: &VmId, keys: &Keys) -> Result<Self, PeerError> {
+        let transport = transport(MESH_IDLE_TIMEOUT_MS, Some(MESH_KEEP_ALIVE));
+        Self::with_transport(vm, keys, &transport)
+    }
+
+    fn with_transport(
+        vm: &VmId,
+        keys: &Keys,
+        transport: &Arc<TransportConfig>,
+    ) -> Result<Self, PeerError> {
         let certificate = certificate(&keys.own.certificate, "VM certificate")?;
         let named = vm_of(&certificate)?;
         if named != *vm {
@@ -49,8 +74,9 @@
         let ca = self::certificate(&keys.ca, "CA certificate")?;
         roots.add(ca).map_err(|e| malformed("CA certificate", &e))?;
         let roots = Arc::new(roots);
-        let server = server_config(certificate.clone(), private_key(keys)?, roots.clone())?;
-        let client = client_config(certificate, private_key(keys)?, roots)?;
+        let (key, other_key) = (private_key(keys)?, private_key(keys)?);
+        let server = server_config(certificate.clone(), key, roots.clone(), transport)?;
+        let client = client_config(certificate, other_key, roots, transport)?;
         Ok(Self {
             vm: vm.clone(),
             server,
@@ -84,6 +110,7 @@
     certificate: CertificateDer<'static>,
     key: PrivateKeyDer<'static>,
     roots: Arc<RootCertStore>,
+    transport: &Arc<TransportConfig>,
 ) -> Result<ServerConfig, PeerError> {
     let provider = Arc::new(ring::default_provider());
     let verifier = WebPkiClientVerifier::builder_with_provider(roots, provider.clone())
@@ -98,7 +125,7 @@
     tls.alpn_protocols = vec![PROTOCOL.to_vec()];
     let crypto = QuicServerConfig::try_from(tls).map_err(|e| malformed("TLS", &e))?;
     let mut config = ServerConfig::with_crypto(Arc::new(crypto));
-    config.transport_config(transport());
+    config.transport_config(Arc::clone(transport));
     Ok(config)
 }
 
@@ -106,6 +133,7 @@
     certificate: CertificateDer<'static>,
     key: PrivateKeyDer<'static>,
     roots: Arc<RootCertStore>,
+    transport: &Arc<TransportConfig>,
 ) -> Result<ClientConfig, PeerError> {
     let provider = Arc::new(ring::default_provider());
     let mut tls = rustls::ClientConfig::builder_with_provider(provider)
@@ -117,13 +145,14 @@
     tls.alpn_protocols = vec![PROTOCOL.to_vec()];
     let crypto = QuicClientConfig::try_from(tls).map_err(|e| malformed("TLS", &e))?;
     let mut config = ClientConfig::new(Arc::new(crypto));
-    config.transport_config(transport());
+    config.transport_config(Arc::clone(transport));
     Ok(config)
 }
 
-fn transport() -> Arc<TransportConfig> {
+fn transport(idle_timeout_ms: u32, keep_alive: Option<Duration>) -> Arc<TransportConfig> {
     let mut transport = TransportConfig::default();
-    transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))));
+    transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(idle_timeout_ms))));
+    transport.keep_alive_interval(keep_alive);
     transport.initial_rtt(Duration::from_millis(10));
     transport.max_concurrent_bidi_streams(VarInt::from_u32(0));
     Arc::new(transport)
--- /dev/null
+++ b/crates/io/src/peer/mesh.rs
@@ -0,0 +1,244 @@
+//! Connections among all daemons of a system, on the traffic thread.
+
+use super::{
+    connection,
+    identity::{self, Identity},
+    keys::SERVER_NAME,
+    PeerError,
+};
+use bytes::Bytes;
+use flume::{Receiver, Sender};
+use persimmon_core::{
+    dispatch::{DispatchEvent, WorkNote},
+    ids::VmId,
+    message::Member,
+};
+use quinn::{Connection, Endpoint, RecvStream};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+/// Time for a connection to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Time between two looks for peers that are not connected.
+const DIAL_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Tries after which a peer that can't be reached is left to connect by itself.
+const DIALS_MAX_COUNT: u32 = 60;
+
+/// Where events go.
+pub type MeshSink = Rc<dyn Fn(DispatchEvent)>;
+
+/// Connections to all peers.
+pub struct Mesh {
+    me: VmId,
+    endpoint: Endpoint,
+    sink: MeshSink,
+    peers: RefCell<BTreeMap<VmId, Peer>>,
+}
+
+/// What is known of one peer.
+#[derive(Default)]
+struct Peer {
+    address: Option<SocketAddr>,
+    dials_count: u32,
+    links: Vec<Link>,
+}
+
+/// A connection to a peer, and what waits to be sent on it.
+struct Link {
+    connection: Connection,
+    outbox: Sender<Bytes>,
+}
+
+impl std::fmt::Debug for Mesh {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Mesh")
+            .field("me", &self.me)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Mesh {
+    /// Listens for peers and hands what they tell to `sink`.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be used.
+    pub fn start(
+        me: VmId,
+        address: SocketAddr,
+        identity: &Identity,
+        sink: MeshSink,
+    ) -> Result<Rc<Self>, PeerError> {
+        let listen = |source| PeerError::Listen { address, source };
+        let mut endpoint = Endpoint::server(identity.server.clone(), address).map_err(listen)?;
+        endpoint.set_default_client_config(identity.client.clone());
+        let mesh = Rc::new(Self {
+            me,
+            endpoint,
+            sink,
+            peers: RefCell::default(),
+        });
+        spawn_local(Rc::clone(&mesh).accept());
+        spawn_local(Rc::clone(&mesh).dial());
+        Ok(mesh)
+    }
+
+    /// Peers that the store names. Those that aren't connected are dialled.
+    pub fn know(&self, members: Vec<Member>) {
+        let mut peers = self.peers.borrow_mut();
+        for member in members.into_iter().filter(|member| member.vm != self.me) {
+            let peer = peers.entry(member.vm).or_default();
+            peer.address = Some(member.peer_address);
+            peer.dials_count = 0;
+        }
+    }
+
+    /// Tells one peer, or all that are connected.
+    pub fn tell(&self, to: Option<&VmId>, note: &WorkNote) {
+        let coded = match postcard::to_stdvec(note) {
+            Ok(coded) => Bytes::from(coded),
+            Err(error) => return log::error!("a note can't be coded: {error}"),
+        };
+        let peers = self.peers.borrow();
+        let named = peers.iter().filter(|(vm, _)| to.is_none_or(|to| to == *vm));
+        for link in named.filter_map(|(_, peer)| peer.links.first()) {
+            // The connection has just ended: the next one begins with all work.
+            let _ = link.outbox.send(coded.clone());
+        }
+    }
+
+    async fn accept(self: Rc<Self>) {
+        while let Some(incoming) = self.endpoint.accept().await {
+            let mesh = Rc::clone(&self);
+            spawn_local(async move {
+                let Ok(connection) = incoming.await else {
+                    return;
+                };
+                match identity::peer_of(&connection) {
+                    Ok(vm) => mesh.keep(vm, connection).await,
+                    Err(error) => log::warn!("peer refused: {error}"),
+                }
+            });
+        }
+    }
+
+    async fn dial(self: Rc<Self>) {
+        loop {
+            for (vm, address) in self.lost() {
+                spawn_local(Rc::clone(&self).open(vm, address));
+            }
+            sleep(DIAL_PAUSE).await;
+        }
+    }
+
+    /// Peers to dial now.
+    fn lost(&self) -> Vec<(VmId, SocketAddr)> {
+        let mut peers = self.peers.borrow_mut();
+        let lost = peers.iter_mut().filter(|(_, peer)| peer.links.is_empty());
+        let lost = lost.filter_map(|(vm, peer)| {
+            peer.dials_count += 1;
+            let address = peer
+                .address
+                .filter(|_| peer.dials_count <= DIALS_MAX_COUNT)?;
+            Some((vm.clone(), address))
+        });
+        lost.collect()
+    }
+
+    async fn open(self: Rc<Self>, vm: VmId, address: SocketAddr) {
+        let connecting = match self.endpoint.connect(address, SERVER_NAME) {
+            Ok(connecting) => connecting,
+            Err(error) => return log::warn!(peer:% = vm; "peer can't be dialled: {error}"),
+        };
+        let connection = match timeout(CONNECT_TIMEOUT, connecting).await {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(error)) => return log::debug!(peer:% = vm; "peer not reached: {error}"),
+            Err(_) => return log::debug!(peer:% = vm; "peer not reached in time"),
+        };
+        match identity::peer_of(&connection) {
+            Ok(named) if named == vm => self.keep(vm, connection).await,
+            Ok(named) => log::warn!(peer:% = vm; "{address} is VM {named}: its entry is old"),
+            Err(error) => log::warn!(peer:% = vm; "peer refused: {error}"),
+        }
+    }
+
+    /// Uses a connection until it ends.
+    async fn keep(self: &Rc<Self>, vm: VmId, connection: Connection) {
+        let (outbox, queue) = flume::unbounded();
+        let link = Link {
+            connection: connection.clone(),
+            outbox,
+        };
+        let first = {
+            let mut peers = self.peers.borrow_mut();
+            let peer = peers.entry(vm.clone()).or_default();
+            peer.dials_count = 0;
+            peer.links.push(link);
+            peer.links.len() == 1
+        };
+        if first {
+            (self.sink)(DispatchEvent::PeerUp { vm: vm.clone() });
+        }
+        spawn_local(write(connection.clone(), queue));
+        while let Ok(stream) = connection.accept_uni().await {
+            spawn_local(read(stream, vm.clone(), Rc::clone(&self.sink)));
+        }
+        self.drop_link(&vm, &connection);
+    }
+
+    fn drop_link(&self, vm: &VmId, connection: &Connection) {
+        let event = {
+            let mut peers = self.peers.borrow_mut();
+            let Some(peer) = peers.get_mut(vm) else {
+                return;
+            };
+            let id = connection.stable_id();
+            let was_first = peer
+                .links
+                .first()
+                .is_some_and(|l| l.connection.stable_id() == id);
+            peer.links.retain(|link| link.connection.stable_id() != id);
+            match (was_first, peer.links.is_empty()) {
+                (_, true) => Some(DispatchEvent::PeerDown { vm: vm.clone() }),
+                (true, false) => Some(DispatchEvent::PeerUp { vm: vm.clone() }),
+                (false, false) => None,
+            }
+        };
+        if let Some(event) = event {
+            (self.sink)(event);
+        }
+    }
+
+    /// Tells all peers that this daemon ends.
+    pub fn close(&self) {
+        self.endpoint.close(0u32.into(), b"stopped");
+    }
+}
+
+async fn write(connection: Connection, queue: Receiver<Bytes>) {
+    let Ok(mut stream) = connection.open_uni().await else {
+        return;
+    };
+    while let Ok(coded) = queue.recv_async().await {
+        if let Err(error) = connection::write_frame(&mut stream, &coded).await {
+            return log::debug!("{error}");
+        }
+    }
+}
+
+async fn read(mut stream: RecvStream, vm: VmId, sink: MeshSink) {
+    while let Ok(coded) = connection::read_frame(&mut stream).await {
+        match postcard::from_bytes(&coded) {
+            Ok(note) => sink(DispatchEvent::PeerNote {
+                vm: vm.clone(),
+                note,
+            }),
+            Err(error) => log::warn!(peer:% = vm; "a note makes no sense: {error}"),
+        }
+    }
+}
--- a/crates/io/src/peer/mod.rs
+++ b/crates/io/src/peer/mod.rs
@@ -5,9 +5,11 @@
 mod errors;
 mod identity;
 mod keys;
+mod mesh;
 mod quic_link;
 
 pub use errors::PeerError;
 pub use identity::Identity;
 pub use keys::{KeyPairPem, Keys};
+pub use mesh::{Mesh, MeshSink};
 pub use quic_link::{EventSink, QuicLink};
--- a/crates/persimmond/src/gateway/traffic.rs
+++ b/crates/persimmond/src/gateway/traffic.rs
@@ -1,6 +1,9 @@
 //! The traffic thread: one event loop for callers, upstreams, the store and peers.
 
-use super::{Adapter, GatewayError};
+use super::{
+    peers::{self, JoinedMesh},
+    Adapter, GatewayError,
+};
 use flume::Receiver;
 use http::StatusCode;
 use persimmon_core::{
@@ -28,7 +31,7 @@
     runtime::Builder,
     sync::watch,
     task::{spawn_local, LocalSet},
-    time::{interval, timeout},
+    time::{interval, sleep, timeout},
 };
 
 /// Connections that wait to be accepted.
@@ -37,6 +40,9 @@
 /// Time between two looks for connections that nobody uses any more.
 const TIDY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time for the last words to peers to leave the process.
+const CLOSE_PAUSE: Duration = Duration::from_millis(30);
+
 /// Work of the traffic thread that belongs to no call.
 #[derive(Debug)]
 pub(super) enum Job {
@@ -91,21 +97,44 @@
         spawn_local(Rc::new(callers).accept(socket));
         self.serve_pages()?;
         spawn_local(tidy(pool));
+        let mesh = self.join_peers(&store);
         while let Ok(job) = self.jobs.recv_async().await {
             match job {
                 Job::Watch(call) => {
                     spawn_local(ask(Rc::clone(&store), Arc::clone(&self.hub), call));
                 }
-                Job::Tell { .. } => {}
+                Job::Tell { to, note } => {
+                    if let Some(mesh) = &*mesh.borrow() {
+                        mesh.tell(to.as_ref(), &note);
+                    }
+                }
                 Job::CloseIdle => {
                     close.send_replace(true);
                 }
                 Job::Exit => break,
             }
         }
+        if let Some(mesh) = mesh.take() {
+            mesh.close();
+            sleep(CLOSE_PAUSE).await;
+        }
         Ok(())
     }
 
+    fn join_peers(&self, store: &Rc<dyn MetadataStore>) -> JoinedMesh {
+        let joined = JoinedMesh::default();
+        let hub = Arc::clone(&self.hub);
+        let sink = Rc::new(move |event| hub.event(event));
+        let store = Rc::clone(store);
+        spawn_local(peers::join(
+            self.settings.clone(),
+            store,
+            sink,
+            Rc::clone(&joined),
+        ));
+        joined
+    }
+
     fn serve_pages(&self) -> Result<(), GatewayError> {
         let listen = self.settings.listen;
         let ready = Arc::clone(&self.ready);
