Long prompts are read by several engines; silence is judged by the core

Cause: a 154k prompt takes 3 s on one engine, its aim is 3 s; a stream on its last attempt was cut after 1.6 s of silence and broke LOST (mix). Ruled out: cutting only at the caller's patience (still an answer broken off that may come).

--- a/crates/core/src/dispatch/choose.rs
+++ b/crates/core/src/dispatch/choose.rs
@@ -23,6 +23,12 @@
 /// ones from the other: keeps engines free of answers that a long prompt would disturb.
 const ORDER_COST: f64 = 0.4;
 
+/// Cost of each engine that helps: breaks ties only.
+const HELPER_COST: f64 = 0.01;
+
+/// Most engines that read one prompt: the protocol's limit of 16 helpers, and the first.
+const PARTS_MAX_LEN: usize = 17;
+
 /// Cost of an upstream whose last answers all failed.
 const FAILURE_COST: f64 = 2.0;
 
@@ -58,41 +64,115 @@
     pub tightest_pause_ms: Option<Millis>,
 }
 
-/// The engine chosen.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// The engine chosen, and those that help it to read.
+#[derive(Clone, Debug, PartialEq)]
 pub struct EngineChoice {
-    /// Its index among the candidates.
+    /// Index of the engine that answers among the candidates.
     pub index: usize,
+    /// Indices of the engines that read parts of the prompt for it.
+    pub helpers: Vec<usize>,
     /// What is predicted.
     pub prediction: Prediction,
     /// What the choice costs callers, in worth of requests without a prompt.
     pub cost: f64,
 }
 
-/// The engine at which a prompt costs callers least: its own lateness, and the pauses that its
+/// The engines at which a prompt costs callers least: its own lateness, and the pauses that its
 /// reading tears into the answers of others. Candidates stand in an order that all daemons agree
 /// on. Answers the load in which bursts of short and long prompts take turns: short ones fill
-/// engines from the front, long ones from the back, so the border moves with demand.
+/// engines from the front, long ones from the back, so the border moves with demand. A prompt too
+/// long to be read on one engine in time is read by several in even parts.
 pub fn choose_engine<T>(candidates: &[Candidate<T>], wanted: &Wanted<'_>) -> Option<EngineChoice> {
-    let last_index = candidates.len().saturating_sub(1).max(1) as f64;
+    let alone = choose_one(candidates, wanted);
+    if !is_long(wanted) {
+        return alone;
+    }
+    let groups = choose_group(candidates, wanted);
+    alone
+        .into_iter()
+        .chain(groups)
+        .min_by(|a, b| a.cost.total_cmp(&b.cost))
+}
+
+fn choose_one<T>(candidates: &[Candidate<T>], wanted: &Wanted<'_>) -> Option<EngineChoice> {
     let long = is_long(wanted);
     let choices = candidates.iter().enumerate().map(|(index, candidate)| {
-        let prediction =
-            candidate
-                .load
-                .predict(wanted.profile, wanted.prompt_tokens, wanted.output_tokens);
-        let place = index as f64 / last_index;
-        let order_ratio = if long { 1.0 - place } else { place };
+        let load = &candidate.load;
+        let prediction = load.predict(
+            wanted.profile,
+            wanted.prompt_tokens,
+            wanted.output_tokens,
+            1,
+        );
+        let order = order_cost(index, candidates.len(), long);
         EngineChoice {
             index,
+            helpers: Vec::new(),
             prediction,
-            cost: cost(wanted, candidate.health, &prediction) + ORDER_COST * order_ratio,
+            cost: cost(wanted, candidate.health, &prediction) + order,
         }
     });
     let fitting = choices.filter(|choice| choice.prediction.fits);
     fitting.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
+/// The best group of each size: the engines that are soonest done with what they read.
+fn choose_group<T>(candidates: &[Candidate<T>], wanted: &Wanted<'_>) -> Vec<EngineChoice> {
+    let mut order: Vec<usize> = (0..candidates.len()).collect();
+    let ready_ms = |index: &usize| {
+        let load = &candidates[*index].load;
+        load.backlog_ms() + load.writers.iter().map(|writer| writer.weight).sum::<f64>()
+    };
+    order.sort_by(|a, b| ready_ms(a).total_cmp(&ready_ms(b)).then(b.cmp(a)));
+    let sizes = 2..=order.len().min(PARTS_MAX_LEN);
+    sizes
+        .filter_map(|parts_len| group(candidates, wanted, &order[..parts_len]))
+        .collect()
+}
+
+fn group<T>(
+    candidates: &[Candidate<T>],
+    wanted: &Wanted<'_>,
+    members: &[usize],
+) -> Option<EngineChoice> {
+    let (profile, prompt_tokens) = (wanted.profile, wanted.prompt_tokens);
+    let predict = |index: usize| {
+        let load = &candidates[index].load;
+        load.predict(profile, prompt_tokens, wanted.output_tokens, members.len())
+    };
+    let fitting = members.iter().copied().filter(|index| predict(*index).fits);
+    let first =
+        fitting.min_by_key(|index| (candidates[*index].load.writers.len(), usize::MAX - index))?;
+    let helpers: Vec<_> = members
+        .iter()
+        .copied()
+        .filter(|index| *index != first)
+        .collect();
+    let mut prediction = predict(first);
+    for helper in &helpers {
+        let load = &candidates[*helper].load;
+        let part = load.predict_part(profile, prompt_tokens, members.len());
+        prediction.first_event_ms = prediction.first_event_ms.max(part.read_ms);
+        prediction.pause_ms = prediction.pause_ms.max(part.pause_ms);
+        prediction.broken_weight += part.broken_weight;
+    }
+    let health = candidates[first].health;
+    let spread = HELPER_COST * helpers.len() as f64;
+    Some(EngineChoice {
+        index: first,
+        helpers,
+        prediction,
+        cost: cost(wanted, health, &prediction) + spread,
+    })
+}
+
+/// Short prompts fill engines from the front of the order, long ones from its back.
+fn order_cost(index: usize, candidates_len: usize, long: bool) -> f64 {
+    let last_index = candidates_len.saturating_sub(1).max(1) as f64;
+    let place = index as f64 / last_index;
+    ORDER_COST * if long { 1.0 - place } else { place }
+}
+
 /// Whether reading a prompt breaks the pauses of the most sensitive answers.
 fn is_long(wanted: &Wanted<'_>) -> bool {
     let Some(tightest_ms) = wanted.tightest_pause_ms else {
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -35,6 +35,13 @@
         /// The transmission.
         send: SendId,
     },
+    /// An upstream has been silent for as long as its plan says.
+    Stalled {
+        /// The call.
+        call: CallId,
+        /// The transmission.
+        send: SendId,
+    },
     /// A transmission ended.
     Ended {
         /// The call.
@@ -197,6 +204,7 @@
             DispatchEvent::Arrived(call) => self.on_arrived(&mut out, *call),
             DispatchEvent::First { call, send } => self.on_first(&mut out, call, send),
             DispatchEvent::Ended { call, send, end } => self.on_ended(&mut out, call, send, end),
+            DispatchEvent::Stalled { call, send } => self.on_stalled(&mut out, call, send),
             DispatchEvent::Left { call } => self.on_left(&mut out, call),
             DispatchEvent::Watched { topic, answer } => self.on_watched(&mut out, topic, answer),
             DispatchEvent::PeerUp { vm } => self.on_peer_up(&mut out, vm),
@@ -315,8 +323,9 @@
         let id = WorkId {
             daemon_index: OWN,
             send,
+            part_index: 0,
         };
-        if self.ledger.end(out.now, id).is_some() {
+        if self.ledger.end(out.now, id) {
             out.tell_all(WorkNote::Ended(send));
         }
     }
--- /dev/null
+++ b/crates/core/src/dispatch/foresee.rs
@@ -0,0 +1,45 @@
+//! Foresees when a place is free.
+
+use super::dispatcher::{Dispatcher, OpenCall};
+use crate::units::{Millis, Time};
+
+/// Pause that callers are told where nothing is foreseen.
+const RETRY_AFTER_MS: Millis = Millis::new(500);
+
+/// Longest wait, as a share of the time that the caller has left: after it, another daemon's
+/// upstreams can still serve the caller.
+const WAIT_RATIO: f64 = 0.25;
+
+/// Longest wait where the target is short, as a multiple of the target.
+const WAIT_TARGETS: f64 = 4.0;
+
+impl Dispatcher {
+    /// When the `place`th caller in line is foreseen to find a free place at an engine.
+    pub(super) fn foreseen_ms(&self, now: Time, open: &OpenCall, place: usize) -> Option<f64> {
+        let profile = open.service.engine.as_ref()?;
+        let mut ends: Vec<f64> = Vec::new();
+        for upstream in self.fleet.usable(&open.service.name) {
+            let load = self.ledger.engine_load(now, &upstream.record.id, profile);
+            ends.extend(load.ends_ms(profile));
+        }
+        ends.sort_by(f64::total_cmp);
+        ends.get(place).copied()
+    }
+
+    /// Whether a call may wait for a place: one is foreseen soon enough.
+    pub(super) fn may_wait(&self, now: Time, open: &OpenCall, place: usize) -> bool {
+        let target_ms = open.route.target_latency_ms.get() as f64;
+        let left_ms = open.left_ms(now).get() as f64;
+        let limit_ms = (left_ms * WAIT_RATIO).min(target_ms * WAIT_TARGETS);
+        let waited_ms = open.waiting_since.map_or(0, |since| now.since(since).get()) as f64;
+        let foreseen_ms = self.foreseen_ms(now, open, place).unwrap_or_default();
+        waited_ms + foreseen_ms < limit_ms
+    }
+
+    /// When a caller who is refused for want of a place should come back.
+    pub(super) fn place_after_ms(&self, now: Time, open: &OpenCall) -> Millis {
+        let place = self.waiting.len() * self.daemons_len();
+        let foreseen = self.foreseen_ms(now, open, place);
+        foreseen.map_or(RETRY_AFTER_MS, |ms| Millis::new(ms as u64))
+    }
+}
--- a/crates/core/src/dispatch/ledger.rs
+++ b/crates/core/src/dispatch/ledger.rs
@@ -30,11 +30,22 @@
 }
 
 impl Ledger {
-    /// A request was sent.
-    pub fn start(&mut self, id: WorkId, work: Work) {
-        let of_upstream = self.by_upstream.entry(work.upstream.clone());
-        of_upstream.or_default().insert(id);
-        self.works.insert(id, work);
+    /// A request was sent, with the engines that read parts of its prompt.
+    pub fn start(&mut self, id: WorkId, work: &Work, helpers: &[UpstreamId]) {
+        let upstreams = std::iter::once(&work.upstream).chain(helpers);
+        for (part_index, upstream) in (0..).zip(upstreams) {
+            let id = WorkId { part_index, ..id };
+            let upstream = upstream.clone();
+            let of_upstream = self.by_upstream.entry(upstream.clone());
+            of_upstream.or_default().insert(id);
+            self.works.insert(
+                id,
+                Work {
+                    upstream,
+                    ..work.clone()
+                },
+            );
+        }
     }
 
     /// The first event of an answer came: its prompt is read.
@@ -46,11 +57,38 @@
             work.phase = Phase::Writing { since: now };
             self.read_since.insert(work.upstream.clone(), now);
         }
+        let parts = self.parts(id.daemon_index, id.send);
+        for part in parts.into_iter().filter(|part| part.part_index > 0) {
+            self.remove(now, part);
+        }
+    }
+
+    /// A request is off its upstream. False where it was not known.
+    pub fn end(&mut self, now: Time, id: WorkId) -> bool {
+        let parts = self.parts(id.daemon_index, id.send);
+        let known = !parts.is_empty();
+        for part in parts {
+            self.remove(now, part);
+        }
+        known
+    }
+
+    fn parts(&self, daemon_index: u32, send: SendId) -> Vec<WorkId> {
+        let id = |part_index| WorkId {
+            daemon_index,
+            send,
+            part_index,
+        };
+        self.works
+            .range(id(0)..=id(u32::MAX))
+            .map(|(id, _)| *id)
+            .collect()
     }
 
-    /// A request is off its upstream.
-    pub fn end(&mut self, now: Time, id: WorkId) -> Option<Work> {
-        let work = self.works.remove(&id)?;
+    fn remove(&mut self, now: Time, id: WorkId) {
+        let Some(work) = self.works.remove(&id) else {
+            return;
+        };
         if work.phase == Phase::Reading {
             self.read_since.insert(work.upstream.clone(), now);
         }
@@ -61,20 +99,25 @@
                 self.read_since.remove(&work.upstream);
             }
         }
-        Some(work)
     }
 
     /// A peer told of its work.
     pub fn on_note(&mut self, now: Time, daemon_index: u32, note: WorkNote) {
-        let id = |send| WorkId { daemon_index, send };
+        let id = |send| WorkId {
+            daemon_index,
+            send,
+            part_index: 0,
+        };
         match note {
             WorkNote::All(works) => {
                 self.forget_daemon(now, daemon_index);
                 for start in works {
-                    self.start(id(start.send), work(now, start));
+                    self.start(id(start.send), &work(now, &start), &start.helpers);
                 }
             }
-            WorkNote::Started(start) => self.start(id(start.send), work(now, start)),
+            WorkNote::Started(start) => {
+                self.start(id(start.send), &work(now, &start), &start.helpers);
+            }
             WorkNote::Writing(send) => self.writing(now, id(send)),
             WorkNote::Ended(send) => {
                 self.end(now, id(send));
@@ -85,33 +128,35 @@
 
     /// A peer is gone: its upstream connections are closed, and its work with them.
     pub fn forget_daemon(&mut self, now: Time, daemon_index: u32) {
-        let first = WorkId {
-            daemon_index,
-            send: SendId::new(0),
-        };
-        let last = WorkId {
+        for id in self.of_daemon(daemon_index) {
+            self.remove(now, id);
+        }
+    }
+
+    fn of_daemon(&self, daemon_index: u32) -> Vec<WorkId> {
+        let id = |send, part_index| WorkId {
             daemon_index,
-            send: SendId::new(u64::MAX),
+            send,
+            part_index,
         };
-        let ids: Vec<_> = self.works.range(first..=last).map(|(id, _)| *id).collect();
-        for id in ids {
-            self.end(now, id);
-        }
+        let (first, last) = (id(SendId::new(0), 0), id(SendId::new(u64::MAX), u32::MAX));
+        self.works.range(first..=last).map(|(id, _)| *id).collect()
     }
 
     /// This daemon's work, as its peers are told.
     pub fn own_work(&self, now: Time) -> Vec<WorkStart> {
-        let first = WorkId {
-            daemon_index: OWN,
-            send: SendId::new(0),
+        let own = self
+            .of_daemon(OWN)
+            .into_iter()
+            .filter(|id| id.part_index == 0);
+        let start = |id: WorkId| {
+            let parts = self.parts(OWN, id.send).into_iter().skip(1);
+            let helpers = parts.filter_map(|part| self.works.get(&part));
+            let helpers = helpers.map(|work| work.upstream.clone()).collect();
+            let work = self.works.get(&id)?;
+            Some(work_start(now, id.send, work, helpers))
         };
-        let last = WorkId {
-            daemon_index: OWN,
-            send: SendId::new(u64::MAX),
-        };
-        let own = self.works.range(first..=last);
-        own.map(|(id, work)| work_start(now, id.send, work))
-            .collect()
+        own.filter_map(start).collect()
     }
 
     /// Requests on an upstream.
@@ -133,47 +178,58 @@
         profile: &EngineProfile,
     ) -> EngineLoad {
         let mut load = EngineLoad::default();
-        let mut reading: Vec<&Work> = Vec::new();
-        for work in self.works_on(upstream) {
+        let mut reading = Vec::new();
+        let ids = self.by_upstream.get(upstream).into_iter().flatten();
+        for (id, work) in ids.filter_map(|id| Some((*id, self.works.get(id)?))) {
             match work.phase {
-                Phase::Reading => reading.push(work),
-                Phase::Writing { .. } => load.writers.push(writer(work)),
+                Phase::Reading => reading.push((id, work)),
+                Phase::Writing { since } => {
+                    load.writers
+                        .push(writer(work, now.since(since).get() as f64));
+                }
             }
         }
-        reading.sort_by_key(|work| work.sent_at);
+        reading.sort_by_key(|(id, work)| (id.part_index == 0, work.sent_at));
         let since = self.read_since.get(upstream).copied().unwrap_or_default();
-        let begun = reading.first().map(|work| work.sent_at.max(since));
+        let begun = reading.first().map(|(_, work)| work.sent_at.max(since));
         let mut spent_ms = begun.map_or(0.0, |begun| now.since(begun).get() as f64);
-        for work in reading {
-            let whole_ms = profile.read_ms(work.prompt_tokens);
+        for (id, work) in reading {
+            let whole_ms = profile.read_ms(work.prompt_tokens) / f64::from(work.parts_len.max(1));
             let left_ms = (whole_ms - spent_ms).max(0.0);
             spent_ms = (spent_ms - whole_ms).max(0.0);
-            load.readers.push(reader(work, left_ms, whole_ms));
+            load.readers.push(reader(id, work, left_ms, whole_ms));
         }
         load
     }
 }
 
-fn work(now: Time, start: WorkStart) -> Work {
+fn work(now: Time, start: &WorkStart) -> Work {
     let phase = match start.writing_ms {
         Some(ms) => Phase::Writing { since: now - ms },
         None => Phase::Reading,
     };
     Work {
-        upstream: start.upstream,
+        upstream: start.upstream.clone(),
         prompt_tokens: start.prompt_tokens,
         output_tokens: start.output_tokens,
         pause_target_ms: start.pause_target_ms,
+        parts_len: start.helpers.len() as u32 + 1,
         sent_at: now - start.age_ms,
         phase,
     }
 }
 
 /// One request of this daemon, as its peers are told.
-pub(super) fn work_start(now: Time, send: SendId, work: &Work) -> WorkStart {
+pub(super) fn work_start(
+    now: Time,
+    send: SendId,
+    work: &Work,
+    helpers: Vec<UpstreamId>,
+) -> WorkStart {
     WorkStart {
         send,
         upstream: work.upstream.clone(),
+        helpers,
         prompt_tokens: work.prompt_tokens,
         output_tokens: work.output_tokens,
         pause_target_ms: work.pause_target_ms,
@@ -185,25 +241,32 @@
     }
 }
 
-fn writer(work: &Work) -> Writer {
+fn writer(work: &Work, written_ms: f64) -> Writer {
     Writer {
         context_tokens: work.prompt_tokens,
-        memory_tokens: work.prompt_tokens + work.output_tokens,
+        output_tokens: work.output_tokens,
+        written_ms,
         pause_target_ms: work.pause_target_ms,
         weight: prompt_weight(work.prompt_tokens),
     }
 }
 
-fn reader(work: &Work, left_ms: f64, whole_ms: f64) -> Reader {
+fn reader(id: WorkId, work: &Work, left_ms: f64, whole_ms: f64) -> Reader {
     let left_ratio = if whole_ms > 0.0 {
         left_ms / whole_ms
     } else {
         0.0
     };
+    let part_tokens = work.prompt_tokens.get() as f64 / f64::from(work.parts_len.max(1));
+    let helps = id.part_index > 0;
     Reader {
         left_ms,
-        left_tokens: Tokens::new((work.prompt_tokens.get() as f64 * left_ratio) as u64),
-        memory_tokens: work.prompt_tokens + work.output_tokens,
-        pause_target_ms: work.pause_target_ms,
+        left_tokens: Tokens::new((part_tokens * left_ratio) as u64),
+        memory_tokens: if helps {
+            Tokens::ZERO
+        } else {
+            work.prompt_tokens + work.output_tokens
+        },
+        helps,
     }
 }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod choose;
 mod cold;
 mod dispatcher;
+mod foresee;
 mod health;
 mod ledger;
 mod note;
--- a/crates/core/src/dispatch/note.rs
+++ b/crates/core/src/dispatch/note.rs
@@ -13,6 +13,8 @@
     pub send: SendId,
     /// The upstream.
     pub upstream: UpstreamId,
+    /// Engines that read parts of the prompt for it.
+    pub helpers: Vec<UpstreamId>,
     /// Tokens of the prompt.
     pub prompt_tokens: Tokens,
     /// Tokens of the answer, estimated.
--- a/crates/core/src/dispatch/place.rs
+++ b/crates/core/src/dispatch/place.rs
@@ -4,8 +4,8 @@
     choose_engine, choose_plain,
     dispatcher::{Dispatcher, OpenCall, Out, Sending},
     ledger::{work_start, OWN},
-    Call, Candidate, DispatchAction, DispatchRecord, Phase, Reason, Refusal, SendPlan, Wanted,
-    Work, WorkId, WorkNote,
+    Call, Candidate, DispatchAction, DispatchRecord, Helper, Phase, Reason, Refusal, SendPlan,
+    Wanted, Work, WorkId, WorkNote,
 };
 use crate::{
     catalog::{CallKind, Catalog, KeyHolder, Route, Service},
@@ -16,10 +16,7 @@
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Longest wait for a place, as a share of the latency target: later answers are late anyway.
-const WAIT_RATIO: f64 = 0.8;
-
-/// Pause that callers are told where nothing else is foreseen.
+/// Pause that callers are told where upstreams are missing or fail.
 const RETRY_AFTER_MS: Millis = Millis::new(500);
 
 /// Pause that callers are told while nothing is known yet, as after a start.
@@ -48,8 +45,9 @@
 }
 
 /// Where a call goes.
-struct Place {
+pub(super) struct Place {
     upstream: UpstreamId,
+    helpers: Vec<UpstreamId>,
     predicted_ms: Option<f64>,
 }
 
@@ -136,15 +134,21 @@
         }
         match self.find(out.now, open) {
             Ok(place) => self.send(out, id, place),
-            Err(Reason::NoCapacity) if self.may_wait(out.now, open) => self.wait(out, id),
+            Err(Reason::NoCapacity) if self.may_wait(out.now, open, self.line_place(id)) => {
+                self.wait(out, id);
+            }
             Err(reason) => self.give_up(out, id, reason),
         }
     }
 
-    /// Whether a call can still be on time, or nearly so, if it waits for a place.
-    fn may_wait(&self, now: Time, open: &OpenCall) -> bool {
-        let target_ms = open.route.target_latency_ms.get() as f64;
-        (open.age_ms(now).get() as f64) < target_ms * WAIT_RATIO
+    /// Callers who wait before this one, at all daemons.
+    fn line_place(&self, id: CallId) -> usize {
+        let own = self
+            .waiting
+            .iter()
+            .take_while(|waiting| **waiting != id)
+            .count();
+        own * self.daemons_len()
     }
 
     fn wait(&mut self, out: &mut Out<'_>, id: CallId) {
@@ -184,7 +188,7 @@
     }
 
     /// The best upstream for a call now.
-    fn find(&self, now: Time, open: &OpenCall) -> Result<Place, Reason> {
+    pub(super) fn find(&self, now: Time, open: &OpenCall) -> Result<Place, Reason> {
         let mut candidates = self.candidates(now, open);
         if candidates.is_empty() {
             return Err(Reason::NoCapacity);
@@ -194,6 +198,7 @@
             let upstream = candidates.swap_remove(index).upstream;
             return Ok(Place {
                 upstream,
+                helpers: Vec::new(),
                 predicted_ms: None,
             });
         };
@@ -213,8 +218,10 @@
         if choice.prediction.first_event_ms > open.left_ms(now).get() as f64 {
             return Err(Reason::TooLarge);
         }
+        let upstream = |index: &usize| candidates[*index].upstream.clone();
         Ok(Place {
-            upstream: candidates.swap_remove(choice.index).upstream,
+            upstream: upstream(&choice.index),
+            helpers: choice.helpers.iter().map(upstream).collect(),
             predicted_ms: Some(choice.prediction.first_event_ms),
         })
     }
@@ -259,6 +266,13 @@
             .as_ref()
             .map(|c| c.version())
             .unwrap_or_default();
+        let address = |id: &UpstreamId| {
+            self.fleet.get(id).map(|helper| Helper {
+                address: helper.record.address,
+                ticket: None,
+            })
+        };
+        let helpers: Vec<_> = place.helpers.iter().filter_map(address).collect();
         let (Some(open), Some(upstream)) =
             (self.calls.get_mut(&id), self.fleet.get(&place.upstream))
         else {
@@ -284,7 +298,7 @@
             try_count: open.tries_count,
             load_requests,
             predicted_ms: place.predicted_ms.map(|ms| Millis::new(ms as u64)),
-            helpers_len: 0,
+            helpers_len: place.helpers.len(),
             left_ms,
             catalog,
             knowledge_ms,
@@ -302,18 +316,18 @@
             streaming: matches!(open.route.kind, CallKind::Streaming { .. }),
             first_timeout_ms: first_timeout_ms(left_ms, place.predicted_ms),
             pause_timeout_ms: pause_timeout_ms(&open.route),
-            helpers: Vec::new(),
+            helpers,
         })));
-        let work = open.work(out.now, &place.upstream);
-        out.tell_all(WorkNote::Started(work_start(out.now, send, &work)));
+        let work = open.work(out.now, &place);
+        let start = work_start(out.now, send, &work, place.helpers.clone());
+        out.tell_all(WorkNote::Started(start));
         self.cold.on_sent(out.now, &place.upstream);
-        self.ledger.start(
-            WorkId {
-                daemon_index: OWN,
-                send,
-            },
-            work,
-        );
+        let id = WorkId {
+            daemon_index: OWN,
+            send,
+            part_index: 0,
+        };
+        self.ledger.start(id, &work, &place.helpers);
     }
 
     fn refuse_new(&mut self, out: &mut Out<'_>, call: &Call, refusal: Refusal) {
@@ -336,13 +350,17 @@
     }
 
     /// Pause after which a caller who is refused for this reason has a chance.
-    pub(super) fn retry_after_ms(&self, reason: Reason) -> Option<Millis> {
+    pub(super) fn retry_after_ms(
+        &self,
+        now: Time,
+        open: &OpenCall,
+        reason: Reason,
+    ) -> Option<Millis> {
         match reason {
+            Reason::NoCapacity => Some(self.place_after_ms(now, open)),
             Reason::NoCatalog | Reason::KnowledgeTooOld => Some(START_RETRY_MS),
             Reason::Stopping => Some(Millis::ZERO),
-            Reason::NoUpstream | Reason::NoCapacity | Reason::UpstreamsRefused => {
-                Some(RETRY_AFTER_MS)
-            }
+            Reason::NoUpstream | Reason::UpstreamsRefused => Some(RETRY_AFTER_MS),
             _ => None,
         }
     }
@@ -360,7 +378,7 @@
         self.arrived_at + self.route.target_latency_ms
     }
 
-    fn work(&self, now: Time, upstream: &UpstreamId) -> Work {
+    fn work(&self, now: Time, place: &Place) -> Work {
         let size = self.call.prompt;
         let pause_target_ms = match self.route.kind {
             CallKind::Streaming {
@@ -369,10 +387,11 @@
             CallKind::Idempotent | CallKind::NonIdempotent => Millis::ZERO,
         };
         Work {
-            upstream: upstream.clone(),
+            upstream: place.upstream.clone(),
             prompt_tokens: size.map_or(Tokens::ZERO, |size| size.prompt_tokens),
             output_tokens: size.map_or(Tokens::ZERO, |size| size.output_tokens),
             pause_target_ms,
+            parts_len: place.helpers.len() as u32 + 1,
             sent_at: now,
             phase: Phase::Reading,
         }
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -61,11 +61,56 @@
             WorkId {
                 daemon_index: OWN,
                 send,
+                part_index: 0,
             },
         );
         out.tell_all(WorkNote::Writing(send));
     }
 
+    /// An upstream is silent for longer than is usual. It is left only where another one can go on:
+    /// its answer may still come.
+    pub(super) fn on_stalled(&mut self, out: &mut Out<'_>, call: CallId, send: SendId) {
+        let Some(open) = self.calls.get(&call) else {
+            return;
+        };
+        let Some(sending) = open.sending.clone().filter(|sending| sending.send == send) else {
+            return;
+        };
+        let others = open.route.kind.repeatable()
+            && open.reached_count + 1 < open.route.max_attempts
+            && self.find(out.now, open).is_ok();
+        let end = SendEnd::Lost {
+            reason: "silent".to_owned(),
+            stalled: true,
+        };
+        self.judge(out, &sending, &end);
+        let leave = others && self.next(out.now, call, &end) == Next::SendAgain;
+        out.log(DispatchRecord::SendFailed {
+            request: self.tag(call),
+            send,
+            upstream: sending.upstream.clone(),
+            end,
+            next: if leave { "send_again" } else { "wait" },
+            after_ms: out.now.since(sending.sent_at),
+        });
+        if !leave {
+            return;
+        }
+        self.end_work(out, send);
+        if let Some(open) = self.calls.get_mut(&call) {
+            open.sending = None;
+            open.may_have_run = true;
+            open.reached_count += 1;
+        }
+        self.place(out, call);
+    }
+
+    /// The caller's id of a call.
+    fn tag(&self, call: CallId) -> Arc<str> {
+        let open = self.calls.get(&call);
+        open.map_or_else(|| "".into(), |open| Arc::clone(&open.call.tag))
+    }
+
     /// A transmission ended.
     pub(super) fn on_ended(&mut self, out: &mut Out<'_>, call: CallId, send: SendId, end: SendEnd) {
         self.end_work(out, send);
@@ -85,9 +130,8 @@
         }
         self.judge(out, &sending, &end);
         let next = self.next(out.now, call, &end);
-        let request = self.calls.get(&call).map(|open| Arc::clone(&open.call.tag));
         out.log(DispatchRecord::SendFailed {
-            request: request.unwrap_or_else(|| "".into()),
+            request: self.tag(call),
             send,
             upstream: sending.upstream.clone(),
             end: end.clone(),
@@ -218,7 +262,7 @@
             retry_after_ms: if may_have_run {
                 None
             } else {
-                self.retry_after_ms(reason)
+                self.retry_after_ms(out.now, &open, reason)
             },
         };
         out.log(DispatchRecord::Refused {
--- a/crates/core/src/dispatch/settings.rs
+++ b/crates/core/src/dispatch/settings.rs
@@ -37,7 +37,7 @@
 impl Default for RawDispatchSettings {
     fn default() -> Self {
         Self {
-            key_lease_ms: 3_500,
+            key_lease_ms: 3_800,
             retry_ratio: 0.2,
             retry_allowance_requests: 100.0,
             retry_window_s: 10.0,
--- a/crates/core/src/dispatch/work.rs
+++ b/crates/core/src/dispatch/work.rs
@@ -12,6 +12,8 @@
     pub daemon_index: u32,
     /// The transmission.
     pub send: SendId,
+    /// The part of the prompt: 0 at the upstream that answers, more at engines that help to read.
+    pub part_index: u32,
 }
 
 /// How far an upstream is with a request.
@@ -37,6 +39,8 @@
     pub output_tokens: Tokens,
     /// Longest pause between events for an answer that is on time.
     pub pause_target_ms: Millis,
+    /// Engines that read the prompt, this one included.
+    pub parts_len: u32,
     /// When it was sent.
     pub sent_at: Time,
     /// How far it is.
--- a/crates/core/src/engine/engine_load.rs
+++ b/crates/core/src/engine/engine_load.rs
@@ -1,6 +1,6 @@
 //! What runs on one engine.
 
-use super::Prediction;
+use super::{PartPrediction, Prediction};
 use crate::{
     catalog::EngineProfile,
     units::{Millis, Tokens},
@@ -12,10 +12,12 @@
 /// An answer that is being written.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Writer {
-    /// Prompt and answer so far.
+    /// Tokens of its prompt.
     pub context_tokens: Tokens,
-    /// Memory that it needs by its end.
-    pub memory_tokens: Tokens,
+    /// Tokens of its whole answer, estimated.
+    pub output_tokens: Tokens,
+    /// Time since its first event.
+    pub written_ms: f64,
     /// Longest pause between events for an answer that is on time.
     pub pause_target_ms: Millis,
     /// What a late answer costs, against other calls.
@@ -29,10 +31,10 @@
     pub left_ms: f64,
     /// Tokens that are left.
     pub left_tokens: Tokens,
-    /// Memory that it needs by the end of its answer.
+    /// Memory that it needs by the end of its answer; none where it is read for another engine.
     pub memory_tokens: Tokens,
-    /// Longest pause between events for an answer that is on time.
-    pub pause_target_ms: Millis,
+    /// Whether it is a part that is read for another engine.
+    pub helps: bool,
 }
 
 /// What runs on one engine, as far as all daemons told.
@@ -45,9 +47,9 @@
 }
 
 impl EngineLoad {
-    /// Requests on the engine.
+    /// Requests that the engine answers.
     pub fn requests_len(&self) -> usize {
-        self.writers.len() + self.readers.len()
+        self.writers.len() + self.readers.iter().filter(|reader| !reader.helps).count()
     }
 
     /// Time to read all prompts that wait.
@@ -57,7 +59,10 @@
 
     /// Memory that all requests need by their ends.
     pub fn memory_tokens(&self) -> Tokens {
-        let writers = self.writers.iter().map(|writer| writer.memory_tokens);
+        let writers = self
+            .writers
+            .iter()
+            .map(|w| w.context_tokens + w.output_tokens);
         let readers = self.readers.iter().map(|reader| reader.memory_tokens);
         writers.chain(readers).sum()
     }
@@ -74,45 +79,70 @@
         profile.pass_ms(added.sum())
     }
 
-    /// What a further prompt would bring about.
+    /// Times until each answer that is being written is finished.
+    pub fn ends_ms<'a>(&'a self, profile: &'a EngineProfile) -> impl Iterator<Item = f64> + 'a {
+        let pass_ms = self.pass_ms(profile);
+        self.writers.iter().map(move |writer| {
+            let passes = writer.output_tokens.get() as f64 / f64::from(profile.stride_len.max(1));
+            (passes * pass_ms - writer.written_ms).max(0.0)
+        })
+    }
+
+    /// What a further prompt would bring about, which `parts_len` engines read in even parts.
     pub fn predict(
         &self,
         profile: &EngineProfile,
         prompt_tokens: Tokens,
         output_tokens: Tokens,
+        parts_len: usize,
     ) -> Prediction {
-        let read_ms = profile.read_ms(prompt_tokens);
+        let part = self.predict_part(profile, prompt_tokens, parts_len);
+        let own_pass_ms = profile.pass_ms(profile.writer_ms(prompt_tokens));
+        let memory_tokens = self.memory_tokens() + prompt_tokens + output_tokens;
+        Prediction {
+            first_event_ms: part.read_ms + own_pass_ms.max(self.pass_ms(profile)),
+            pause_ms: part.pause_ms,
+            broken_weight: part.broken_weight,
+            fits: self.requests_len() < profile.slots as usize
+                && memory_tokens <= profile.kv_tokens,
+        }
+    }
+
+    /// What reading one of `parts_len` even parts of a prompt would bring about.
+    pub fn predict_part(
+        &self,
+        profile: &EngineProfile,
+        prompt_tokens: Tokens,
+        parts_len: usize,
+    ) -> PartPrediction {
+        let part_ms = profile.read_ms(prompt_tokens) / parts_len.max(1) as f64;
+        let part_tokens = prompt_tokens.get() / parts_len.max(1) as u64;
         let pass_ms = self.pass_ms(profile);
-        let own_pass_ms = profile
-            .pass_ms(profile.writer_ms(prompt_tokens))
-            .max(pass_ms);
         let backlog_ms = self.backlog_ms();
         let left_tokens: Tokens = self.readers.iter().map(|reader| reader.left_tokens).sum();
-        let to_read_tokens = left_tokens + prompt_tokens;
-        let per_pass_tokens = profile.pass_read_max_tokens();
-        let passes = to_read_tokens.get().div_ceil(per_pass_tokens.get().max(1)) as f64;
+        let to_read_tokens = (left_tokens.get() + part_tokens).max(1);
+        let per_pass_tokens = profile.pass_read_max_tokens().get().max(1);
+        let passes = to_read_tokens.div_ceil(per_pass_tokens) as f64;
         let between_ms = if self.writers.is_empty() {
             0.0
         } else {
             pass_ms * (passes - 0.5)
         };
-        let pass_share = per_pass_tokens.get() as f64 / to_read_tokens.get().max(1) as f64;
-        let pause_ms = pass_ms + (backlog_ms + read_ms) * pass_share.min(1.0);
-        let memory_tokens = self.memory_tokens() + prompt_tokens + output_tokens;
-        Prediction {
-            first_event_ms: backlog_ms + read_ms + between_ms + own_pass_ms,
+        let pass_share = (per_pass_tokens as f64 / to_read_tokens as f64).min(1.0);
+        let pause_ms = pass_ms + (backlog_ms + part_ms) * pass_share;
+        let broken_weight = self.broken_weight(pause_ms, pass_ms + backlog_ms * pass_share);
+        PartPrediction {
+            read_ms: backlog_ms + part_ms + between_ms,
             pause_ms,
-            broken_weight: self.broken_weight(pause_ms, pass_ms, backlog_ms * pass_share.min(1.0)),
-            fits: self.requests_len() < profile.slots as usize
-                && memory_tokens <= profile.kv_tokens,
+            broken_weight,
         }
     }
 
     /// Weight of the answers whose pauses become too long, and were not before.
-    fn broken_weight(&self, pause_ms: f64, pass_ms: f64, backlog_ms: f64) -> f64 {
+    fn broken_weight(&self, pause_ms: f64, before_ms: f64) -> f64 {
         let broken = |writer: &&Writer| {
             let limit_ms = writer.pause_target_ms.get() as f64 * PAUSE_MARGIN_RATIO;
-            pause_ms > limit_ms && pass_ms + backlog_ms <= limit_ms
+            pause_ms > limit_ms && before_ms <= limit_ms
         };
         self.writers
             .iter()
--- a/crates/core/src/engine/prediction.rs
+++ b/crates/core/src/engine/prediction.rs
@@ -1,4 +1,4 @@
-//! What a prompt would bring about on one engine.
+//! What a prompt, or a part of one, would bring about on an engine.
 
 /// What a prompt would bring about on one engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -12,3 +12,14 @@
     /// Whether a slot is free and its memory fits for the whole of its answer.
     pub fits: bool,
 }
+
+/// What reading a part of a prompt would bring about on one engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PartPrediction {
+    /// Time until it is read.
+    pub read_ms: f64,
+    /// Longest pause that it causes between events of answers that are being written.
+    pub pause_ms: f64,
+    /// Weight of the answers being written there whose pauses would be longer than their targets.
+    pub broken_weight: f64,
+}
--- a/crates/core/src/watch/topic_watch.rs
+++ b/crates/core/src/watch/topic_watch.rs
@@ -97,13 +97,20 @@
         })
     }
 
-    /// An answer came. What it says was true when the call was sent, or later.
+    /// An answer came. What it says was true when the call was sent, or later: the store holds a call
+    /// without changes until its time is over.
     pub fn on_answer(&mut self, now: Time, batch: &Batch) -> Contact {
         let sent_at = self.sent_at.take().unwrap_or(now);
         let silence_ms = self.fresh_at.map(|fresh_at| sent_at.since(fresh_at));
         let regained = self.failures_count > 0;
+        let held = !batch.whole && batch.changes.is_empty();
+        let answered_at = sent_at + self.settings.wait_ms;
         self.position = Some(batch.version);
-        self.fresh_at = Some(sent_at);
+        self.fresh_at = Some(if held && answered_at <= now {
+            answered_at
+        } else {
+            sent_at
+        });
         self.failures_count = 0;
         self.due_at = now + self.settings.pause_ms;
         Contact {
--- a/crates/io/src/transport/call_task.rs
+++ b/crates/io/src/transport/call_task.rs
@@ -1,7 +1,7 @@
 //! The task of one call: does what the dispatcher decides.
 
 use super::{
-    exchange::{self, Outcome, Outgoing},
+    exchange::{self, Outcome, Outgoing, Signals},
     reply::Reply,
     AnswerBody, CallCommand, Dialect, EventStream, Hub, Pool,
 };
@@ -104,13 +104,16 @@
             plan,
             sent_at: Instant::now(),
         };
-        let on_first = || self.event(DispatchEvent::First { call, send });
+        let signals = Signals {
+            on_first: &|| self.event(DispatchEvent::First { call, send }),
+            on_stall: &|| self.event(DispatchEvent::Stalled { call, send }),
+        };
         let outcome = tokio::select! {
             biased;
             command = self.commands.recv_async() => {
                 return command.map_or(Step::Stop, Step::Command);
             }
-            outcome = exchange::run(&out, reply, events, &on_first) => outcome,
+            outcome = exchange::run(&out, reply, events, signals) => outcome,
         };
         let end = match outcome {
             Outcome::Left => {
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -13,8 +13,8 @@
     dispatch::{SendEnd, SendPlan},
     units::Millis,
 };
-use std::time::Duration;
-use tokio::time::{timeout, Instant};
+use std::{future::Future, pin::pin, time::Duration};
+use tokio::time::{sleep, Instant};
 
 /// Longest idle time of a connection for a request that can't be repeated: one that the upstream
 /// closes at that moment leaves its fate unknown.
@@ -37,6 +37,15 @@
     pub(super) sent_at: Instant,
 }
 
+/// What the control thread is told while a transmission is under way.
+#[derive(Clone, Copy)]
+pub(super) struct Signals<'a> {
+    /// The first event, or the whole answer, is here.
+    pub(super) on_first: &'a dyn Fn(),
+    /// The upstream has been silent for as long as the plan says.
+    pub(super) on_stall: &'a dyn Fn(),
+}
+
 /// How a transmission ended, as the task of the call sees it.
 pub(super) enum Outcome {
     /// The transmission ended.
@@ -68,15 +77,14 @@
     }
 }
 
-/// Sends a request and passes its answer on. `on_first` is called with the first event, or with
-/// the whole answer.
+/// Sends a request and passes its answer on.
 pub(super) async fn run(
     out: &Outgoing<'_>,
     reply: &mut Reply,
     events: &mut EventStream,
-    on_first: &dyn Fn(),
+    signals: Signals<'_>,
 ) -> Outcome {
-    match exchange(out, reply, events, on_first).await {
+    match exchange(out, reply, events, signals).await {
         Ok(()) => Outcome::Ended(SendEnd::Delivered),
         Err(outcome) => outcome,
     }
@@ -86,7 +94,7 @@
     out: &Outgoing<'_>,
     reply: &mut Reply,
     events: &mut EventStream,
-    on_first: &dyn Fn(),
+    signals: Signals<'_>,
 ) -> Result<(), Outcome> {
     let how = Use {
         idle_max: if out.plan.repeatable {
@@ -98,14 +106,13 @@
     };
     let first_limit = out.plan.first_timeout_ms.duration();
     let sent = out.pool.send(out.plan.address, request(out, events), how);
-    let sent = until_left(reply, timeout(first_limit, sent)).await?;
-    let (response, lease) = sent.map_err(|_| stalled("no answer"))??;
+    let (response, lease) = watched(reply, first_limit, signals, sent).await??;
     let (head, body) = response.into_parts();
     let answer = out.dialect.answer(&head);
     check(out, &head, &answer)?;
     if !head.status.is_success() {
         let limit = rest_of(out, first_limit);
-        let body = whole(reply, body, FAILURE_MAX_BYTES, limit).await?;
+        let body = whole(reply, body, FAILURE_MAX_BYTES, limit, signals).await?;
         out.pool.give_back(lease, &head);
         let end = SendEnd::Failed {
             status: head.status.as_u16(),
@@ -116,11 +123,11 @@
         return Err(Outcome::Failure(end, Box::new(failure)));
     }
     if out.plan.streaming {
-        stream(out, reply, events, on_first, &head, body).await?;
+        stream(out, reply, events, signals, &head, body).await?;
     } else {
         let limit = out.plan.deadline_ms.duration();
-        let body = whole(reply, body, WHOLE_MAX_BYTES, limit).await?;
-        on_first();
+        let body = whole(reply, body, WHOLE_MAX_BYTES, limit, signals).await?;
+        (signals.on_first)();
         reply.whole(end_to_end(&head), body)?;
     }
     out.pool.give_back(lease, &head);
@@ -132,7 +139,7 @@
     out: &Outgoing<'_>,
     reply: &mut Reply,
     events: &mut EventStream,
-    on_first: &dyn Fn(),
+    signals: Signals<'_>,
     head: &response::Parts,
     mut body: Incoming,
 ) -> Result<(), Outcome> {
@@ -141,8 +148,7 @@
     let mut limit = rest_of(out, out.plan.first_timeout_ms.duration());
     let mut first = true;
     loop {
-        let frame = until_left(reply, timeout(limit, body.frame())).await?;
-        let Some(frame) = frame.map_err(|_| stalled("no event"))? else {
+        let Some(frame) = watched(reply, limit, signals, body.frame()).await? else {
             break;
         };
         let Ok(data) = frame.map_err(|error| lost(error.to_string()))?.into_data() else {
@@ -156,7 +162,7 @@
         }
         if first {
             first = false;
-            on_first();
+            (signals.on_first)();
             limit = out.plan.pause_timeout_ms.duration();
         }
         pass(reply, head, whole).await?;
@@ -201,19 +207,28 @@
     body: Incoming,
     max_bytes: usize,
     limit: Duration,
+    signals: Signals<'_>,
 ) -> Result<Bytes, Outcome> {
     let collected = Limited::new(body, max_bytes).collect();
-    let collected = until_left(reply, timeout(limit, collected)).await?;
-    let collected = collected.map_err(|_| stalled("the answer stopped"))?;
+    let collected = watched(reply, limit, signals, collected).await?;
     let collected = collected.map_err(|error| lost(error.to_string()))?;
     Ok(collected.to_bytes())
 }
 
-/// Waits for `future`, or until the caller leaves.
-async fn until_left<F: std::future::Future>(
+/// Waits for `future`, or until the caller leaves. Says once where it takes longer than `limit`.
+async fn watched<F: Future>(
     reply: &mut Reply,
+    limit: Duration,
+    signals: Signals<'_>,
     future: F,
 ) -> Result<F::Output, CallerLeft> {
+    let mut future = pin!(future);
+    tokio::select! {
+        biased;
+        () = reply.closed() => return Err(CallerLeft),
+        output = future.as_mut() => return Ok(output),
+        () = sleep(limit) => (signals.on_stall)(),
+    }
     tokio::select! {
         biased;
         () = reply.closed() => Err(CallerLeft),
@@ -266,10 +281,3 @@
         stalled: false,
     }
 }
-
-fn stalled(reason: &str) -> SendEnd {
-    SendEnd::Lost {
-        reason: reason.to_owned(),
-        stalled: true,
-    }
-}
