--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -1,6 +1,6 @@
 //! What the dispatcher wants done.
 
-use super::{DispatchRecord, Refusal, SendPlan, WorkNote};
+use super::{DispatchRecord, Refusal, ReserveOrder, SendPlan, WorkNote};
 use crate::{
     catalog::CallerLimits,
     ids::{CallId, VmId},
@@ -36,6 +36,8 @@
         /// What.
         note: WorkNote,
     },
+    /// Give an engine an order about a reservation.
+    Order(ReserveOrder),
     /// Ask the store.
     Watch(WatchCall),
     /// Limits of callers came into force.
--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -54,6 +54,8 @@
                     first_at: None,
                     may_have_run: false,
                     waiting_since: None,
+                    reserving: None,
+                    groups_count: 0,
                 };
                 self.calls.insert(id, open);
                 self.place(out, id);
--- a/crates/core/src/dispatch/choose.rs
+++ b/crates/core/src/dispatch/choose.rs
@@ -26,6 +26,13 @@
 /// Pause that a request which comes meanwhile can bear, and be on time.
 const COMING_PAUSE_MS: f64 = 120.0;
 
+/// Slots that are left free while other engines have more: daemons that choose in the same
+/// millisecond do not see each other.
+const SPARE_SLOTS_LEN: usize = 2;
+
+/// Cost of each spare slot taken.
+const SPARE_COST: f64 = 0.3;
+
 /// Cost of each engine that helps: breaks ties only.
 const HELPER_COST: f64 = 0.01;
 
@@ -74,8 +81,8 @@
 pub struct EngineChoice {
     /// Index of the engine that answers among the candidates.
     pub candidate_index: usize,
-    /// Indices of the engines that read parts of the prompt for it.
-    pub helpers: Vec<usize>,
+    /// Engines that read parts of the prompt for it: their indices, and the memory to reserve there.
+    pub helpers: Vec<(usize, Tokens)>,
     /// What is predicted.
     pub prediction: Prediction,
     /// What the choice costs callers, in worth of requests without a prompt.
@@ -116,10 +123,13 @@
             prediction,
             cost_requests: cost(wanted, candidate.health, &prediction)
                 + coming_cost(candidate, prediction.pause_ms)
+                + crowd_cost(candidate, wanted.profile)
                 + order,
         }
     });
-    let fitting = choices.filter(|choice| choice.prediction.fits);
+    let fitting = choices.filter(|choice| {
+        choice.prediction.slot_free && choice.prediction.missing_tokens == Tokens::ZERO
+    });
     fitting.min_by(|a, b| a.cost_requests.total_cmp(&b.cost_requests))
 }
 
@@ -152,17 +162,24 @@
         let load = &candidates[index].load;
         load.predict(profile, prompt_tokens, wanted.output_tokens, members.len())
     };
-    let fitting = members.iter().copied().filter(|index| predict(*index).fits);
-    let first =
-        fitting.min_by_key(|index| (candidates[*index].load.writers.len(), usize::MAX - index))?;
-    let helpers: Vec<_> = members
+    let with_slot = members
         .iter()
         .copied()
-        .filter(|index| *index != first)
-        .collect();
+        .filter(|index| predict(*index).slot_free);
+    let first = with_slot.min_by_key(|index| {
+        let load = &candidates[*index].load;
+        (
+            predict(*index).missing_tokens,
+            load.writers.len(),
+            usize::MAX - index,
+        )
+    })?;
+    let missing_tokens = predict(first).missing_tokens;
+    let others = members.iter().copied().filter(|index| *index != first);
+    let helpers = holders(candidates, profile, others.collect(), missing_tokens)?;
     let mut prediction = predict(first);
     let mut coming = coming_cost(&candidates[first], prediction.pause_ms);
-    for helper in &helpers {
+    for (helper, _) in &helpers {
         let load = &candidates[*helper].load;
         let part = load.predict_part(profile, prompt_tokens, members.len());
         prediction.first_event_ms = prediction.first_event_ms.max(part.read_ms);
@@ -180,6 +197,32 @@
     })
 }
 
+/// Keeps some slots of each engine free.
+fn crowd_cost<T>(candidate: &Candidate<T>, profile: &EngineProfile) -> f64 {
+    let taken_len = candidate.load.requests_len() + 1 + SPARE_SLOTS_LEN;
+    SPARE_COST * taken_len.saturating_sub(profile.slots_len as usize) as f64
+}
+
+/// Spreads the memory that the first engine lacks over helpers, on as few as can be. Those with
+/// memory to give come first, as the protocol fills them in turn. None where it is not enough.
+fn holders<T>(
+    candidates: &[Candidate<T>],
+    profile: &EngineProfile,
+    mut helpers: Vec<usize>,
+    missing_tokens: Tokens,
+) -> Option<Vec<(usize, Tokens)>> {
+    let free = |index: &usize| candidates[*index].load.free_tokens(profile);
+    helpers.sort_by_key(|index| std::cmp::Reverse(free(index)));
+    let mut left_tokens = missing_tokens;
+    let mut taken = Vec::new();
+    for index in helpers {
+        let part = left_tokens.min(free(&index));
+        left_tokens = left_tokens.saturating_sub(part);
+        taken.push((index, part));
+    }
+    (left_tokens == Tokens::ZERO).then_some(taken)
+}
+
 /// What a pause costs those who are about to come, judged by the last second.
 fn coming_cost<T>(candidate: &Candidate<T>, pause_ms: f64) -> f64 {
     let blocked_s = (pause_ms - COMING_PAUSE_MS).max(0.0) / 1_000.0;
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -2,11 +2,11 @@
 
 use super::{
     ledger::OWN, Call, ColdRates, DispatchAction, DispatchRecord, DispatchSettings, HealthBook,
-    Ledger, RetryBudget, SendEnd, WorkId, WorkNote,
+    Ledger, OrderEnd, OrderKind, RetryBudget, SendEnd, WorkId, WorkNote,
 };
 use crate::{
     catalog::{Catalog, KeyHolder, Route, Service},
-    dispatch::stop::Stop,
+    dispatch::{place::Place, reserve::Reservations, stop::Stop},
     fleet::Fleet,
     ids::{CallId, FailureDomain, SendId, UpstreamId, VmId},
     units::{Millis, Time},
@@ -35,12 +35,14 @@
         /// The transmission.
         send: SendId,
     },
-    /// An upstream has been silent for as long as its plan says.
+    /// An upstream has been silent for as long as its plan says, or a multiple of it.
     Stalled {
         /// The call.
         call: CallId,
         /// The transmission.
         send: SendId,
+        /// How long.
+        silent_ms: Millis,
     },
     /// A transmission ended.
     Ended {
@@ -56,6 +58,15 @@
         /// The call.
         call: CallId,
     },
+    /// An engine answered an order about a reservation, or did not.
+    Ordered {
+        /// The reservation.
+        ticket: Arc<str>,
+        /// The order.
+        kind: OrderKind,
+        /// How it ended.
+        end: OrderEnd,
+    },
     /// The store answered.
     Watched {
         /// The topic.
@@ -111,6 +122,8 @@
     pub(super) first_at: Option<Time>,
     pub(super) may_have_run: bool,
     pub(super) waiting_since: Option<Time>,
+    pub(super) reserving: Option<Place>,
+    pub(super) groups_count: u32,
 }
 
 impl OpenCall {
@@ -149,6 +162,7 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     pub(super) settings: DispatchSettings,
+    pub(super) vm: VmId,
     pub(super) domain: FailureDomain,
     pub(super) catalog: Option<Arc<Catalog>>,
     pub(super) fleet: Fleet,
@@ -158,6 +172,7 @@
     pub(super) health: HealthBook,
     pub(super) cold: ColdRates,
     pub(super) budget: RetryBudget,
+    pub(super) reservations: Reservations,
     pub(super) calls: BTreeMap<CallId, OpenCall>,
     pub(super) waiting: VecDeque<CallId>,
     pub(super) peers: BTreeMap<VmId, u32>,
@@ -170,8 +185,9 @@
 
 impl Dispatcher {
     /// A dispatcher that knows nothing yet.
-    pub fn new(settings: DispatchSettings, domain: FailureDomain) -> Self {
+    pub fn new(settings: DispatchSettings, vm: VmId, domain: FailureDomain) -> Self {
         Self {
+            vm,
             domain,
             catalog: None,
             fleet: Fleet::default(),
@@ -185,6 +201,7 @@
                 settings.retry_allowance_requests,
                 settings.retry_window_ms,
             ),
+            reservations: Reservations::default(),
             calls: BTreeMap::new(),
             waiting: VecDeque::new(),
             peers: BTreeMap::new(),
@@ -204,8 +221,15 @@
             DispatchEvent::Arrived(call) => self.on_arrived(&mut out, *call),
             DispatchEvent::First { call, send } => self.on_first(&mut out, call, send),
             DispatchEvent::Ended { call, send, end } => self.on_ended(&mut out, call, send, end),
-            DispatchEvent::Stalled { call, send } => self.on_stalled(&mut out, call, send),
+            DispatchEvent::Stalled {
+                call,
+                send,
+                silent_ms,
+            } => self.on_stalled(&mut out, call, send, silent_ms),
             DispatchEvent::Left { call } => self.on_left(&mut out, call),
+            DispatchEvent::Ordered { ticket, kind, end } => {
+                self.on_ordered(&mut out, &ticket, kind, end);
+            }
             DispatchEvent::Watched { topic, answer } => self.on_watched(&mut out, topic, answer),
             DispatchEvent::PeerUp { vm } => self.on_peer_up(&mut out, vm),
             DispatchEvent::PeerDown { vm } => self.on_peer_down(&mut out, &vm),
@@ -222,7 +246,11 @@
         let tick_ms = if busy { TICK_MS } else { IDLE_TICK_MS };
         let watches = [self.operators.next_wakeup(), self.upstreams.next_wakeup()];
         let due = self.calls.values().map(|open| open.due_at).min();
-        let times = watches.into_iter().chain([self.fleet.next_expiry(), due]);
+        let times = watches.into_iter().chain([
+            self.fleet.next_expiry(),
+            self.reservations.next_wakeup(),
+            due,
+        ]);
         times.flatten().fold(self.last_tick + tick_ms, Time::min)
     }
 
@@ -271,6 +299,7 @@
             }
         }
         self.end_overdue(out);
+        self.progress_reservations(out);
         self.place_waiting(out);
         self.progress_stop(out);
         self.update_ready(out);
@@ -313,13 +342,21 @@
             WorkNote::Sick { upstream, for_ms } => {
                 self.health.on_peer_rest(out.now, upstream, *for_ms);
             }
+            WorkNote::Upstreams {
+                after,
+                version,
+                changes,
+            } => {
+                return self.on_upstream_news(out, *after, *version, changes.clone());
+            }
             _ => {}
         }
         self.ledger.on_note(out.now, index, note);
     }
 
-    /// Takes a transmission off the ledger, here and at the peers.
-    pub(super) fn end_work(&mut self, out: &mut Out<'_>, send: SendId) {
+    /// Takes a transmission off the ledger, here and at the peers, and gives its memory back.
+    pub(super) fn end_work(&mut self, out: &mut Out<'_>, call: CallId, send: SendId) {
+        self.release(out, call);
         let id = WorkId {
             daemon_index: OWN,
             send,
--- a/crates/core/src/dispatch/ledger.rs
+++ b/crates/core/src/dispatch/ledger.rs
@@ -1,6 +1,6 @@
 //! All work on all upstreams, as far as this daemon knows.
 
-use super::{Phase, Work, WorkId, WorkNote, WorkStart};
+use super::{HelperWork, Phase, Work, WorkId, WorkNote, WorkStart};
 use crate::{
     catalog::EngineProfile,
     engine::{EngineLoad, Reader, Writer},
@@ -31,35 +31,37 @@
 
 impl Ledger {
     /// A request was sent, with the engines that read parts of its prompt.
-    pub fn start(&mut self, id: WorkId, work: &Work, helpers: &[UpstreamId]) {
-        let upstreams = std::iter::once(&work.upstream).chain(helpers);
-        for (part_index, upstream) in (0..).zip(upstreams) {
-            let id = WorkId { part_index, ..id };
-            let upstream = upstream.clone();
-            let of_upstream = self.by_upstream.entry(upstream.clone());
-            of_upstream.or_default().insert(id);
-            self.works.insert(
-                id,
-                Work {
-                    upstream,
-                    ..work.clone()
-                },
-            );
+    pub fn start(&mut self, id: WorkId, work: &Work, helpers: &[HelperWork]) {
+        self.add(id, work.clone());
+        for (part_index, helper) in (1..).zip(helpers) {
+            let part = Work {
+                upstream: helper.upstream.clone(),
+                memory_tokens: helper.memory_tokens,
+                ..work.clone()
+            };
+            self.add(WorkId { part_index, ..id }, part);
         }
     }
 
-    /// The first event of an answer came: its prompt is read.
+    fn add(&mut self, id: WorkId, work: Work) {
+        let of_upstream = self.by_upstream.entry(work.upstream.clone());
+        of_upstream.or_default().insert(id);
+        self.works.insert(id, work);
+    }
+
+    /// The first event of an answer came: its prompt is read. Engines that keep a part of its memory
+    /// take part in writing.
     pub fn writing(&mut self, now: Time, id: WorkId) {
-        let Some(work) = self.works.get_mut(&id) else {
-            return;
-        };
-        if work.phase == Phase::Reading {
-            work.phase = Phase::Writing { since: now };
-            self.read_since.insert(work.upstream.clone(), now);
-        }
-        let parts = self.parts(id.daemon_index, id.send);
-        for part in parts.into_iter().filter(|part| part.part_index > 0) {
-            self.remove(now, part);
+        for part in self.parts(id.daemon_index, id.send) {
+            let Some(work) = self.works.get_mut(&part) else {
+                continue;
+            };
+            if part.part_index > 0 && work.memory_tokens == Tokens::ZERO {
+                self.remove(now, part);
+            } else if work.phase == Phase::Reading {
+                work.phase = Phase::Writing { since: now };
+                self.read_since.insert(work.upstream.clone(), now);
+            }
         }
     }
 
@@ -122,7 +124,7 @@
             WorkNote::Ended(send) => {
                 self.end(now, id(send));
             }
-            WorkNote::Sick { .. } => {}
+            WorkNote::Sick { .. } | WorkNote::Upstreams { .. } => {}
         }
     }
 
@@ -152,7 +154,11 @@
         let start = |id: WorkId| {
             let parts = self.parts(OWN, id.send).into_iter().skip(1);
             let helpers = parts.filter_map(|part| self.works.get(&part));
-            let helpers = helpers.map(|work| work.upstream.clone()).collect();
+            let helpers = helpers.map(|work| HelperWork {
+                upstream: work.upstream.clone(),
+                memory_tokens: work.memory_tokens,
+            });
+            let helpers = helpers.collect();
             let work = self.works.get(&id)?;
             Some(work_start(now, id.send, work, helpers))
         };
@@ -185,7 +191,7 @@
                 Phase::Reading => reading.push((id, work)),
                 Phase::Writing { since } => {
                     load.writers
-                        .push(writer(work, now.since(since).get() as f64));
+                        .push(writer(id, work, now.since(since).get() as f64));
                 }
             }
         }
@@ -212,6 +218,7 @@
         upstream: start.upstream.clone(),
         prompt_tokens: start.prompt_tokens,
         output_tokens: start.output_tokens,
+        memory_tokens: start.memory_tokens,
         pause_target_ms: start.pause_target_ms,
         parts_len: start.helpers.len() as u32 + 1,
         sent_at: now - start.age_ms,
@@ -224,7 +231,7 @@
     now: Time,
     send: SendId,
     work: &Work,
-    helpers: Vec<UpstreamId>,
+    helpers: Vec<HelperWork>,
 ) -> WorkStart {
     WorkStart {
         send,
@@ -232,6 +239,7 @@
         helpers,
         prompt_tokens: work.prompt_tokens,
         output_tokens: work.output_tokens,
+        memory_tokens: work.memory_tokens,
         pause_target_ms: work.pause_target_ms,
         age_ms: now.since(work.sent_at),
         writing_ms: match work.phase {
@@ -241,13 +249,17 @@
     }
 }
 
-fn writer(work: &Work, written_ms: f64) -> Writer {
+fn writer(id: WorkId, work: &Work, written_ms: f64) -> Writer {
+    let holds = id.part_index > 0;
+    let answers = work.memory_tokens.saturating_sub(work.output_tokens);
     Writer {
-        context_tokens: work.prompt_tokens,
+        context_tokens: if holds { work.memory_tokens } else { answers },
         output_tokens: work.output_tokens,
+        memory_tokens: work.memory_tokens,
         written_ms,
         pause_target_ms: work.pause_target_ms,
         weight_requests: prompt_weight(work.prompt_tokens),
+        holds,
     }
 }
 
@@ -258,15 +270,10 @@
         0.0
     };
     let part_tokens = work.prompt_tokens.get() as f64 / f64::from(work.parts_len.max(1));
-    let helps = id.part_index > 0;
     Reader {
         left_ms,
         left_tokens: Tokens::new((part_tokens * left_ratio) as u64),
-        memory_tokens: if helps {
-            Tokens::ZERO
-        } else {
-            work.prompt_tokens + work.output_tokens
-        },
-        helps,
+        memory_tokens: work.memory_tokens,
+        helps: id.part_index > 0,
     }
 }
--- a/crates/core/src/dispatch/note.rs
+++ b/crates/core/src/dispatch/note.rs
@@ -1,7 +1,9 @@
 //! What daemons tell each other about their work.
 
+use super::HelperWork;
 use crate::{
-    ids::{SendId, UpstreamId},
+    fleet::UpstreamRecord,
+    ids::{SendId, StoreVersion, UpstreamId},
     units::{Millis, Tokens},
 };
 use serde::{Deserialize, Serialize};
@@ -14,11 +16,13 @@
     /// The upstream.
     pub upstream: UpstreamId,
     /// Engines that read parts of the prompt for it.
-    pub helpers: Vec<UpstreamId>,
+    pub helpers: Vec<HelperWork>,
     /// Tokens of the prompt.
     pub prompt_tokens: Tokens,
     /// Tokens of the answer, estimated.
     pub output_tokens: Tokens,
+    /// Memory that it takes at the upstream that answers.
+    pub memory_tokens: Tokens,
     /// Longest pause between events for an answer that is on time.
     pub pause_target_ms: Millis,
     /// Time since it was sent.
@@ -27,7 +31,16 @@
     pub writing_ms: Option<Millis>,
 }
 
-/// What a daemon tells its peers about its work.
+/// A change of the list of upstreams.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum UpstreamNews {
+    /// An upstream registered, or something but the age of its entry changed.
+    Registered(UpstreamRecord),
+    /// Its entry was removed.
+    Gone(UpstreamId),
+}
+
+/// What a daemon tells its peers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum WorkNote {
     /// All its work, in place of what it told before.
@@ -38,6 +51,15 @@
     Writing(SendId),
     /// A request is off its upstream.
     Ended(SendId),
+    /// What the store said about the list of upstreams.
+    Upstreams {
+        /// Version up to which the list must be known for the changes to make it whole.
+        after: StoreVersion,
+        /// Version that the list is of with the changes.
+        version: StoreVersion,
+        /// The changes.
+        changes: Vec<UpstreamNews>,
+    },
     /// An upstream failed: others may keep away from it for this time.
     Sick {
         /// The upstream.
--- a/crates/core/src/dispatch/operators.rs
+++ b/crates/core/src/dispatch/operators.rs
@@ -2,16 +2,26 @@
 
 use super::{
     dispatcher::{Dispatcher, Out},
-    DispatchAction, DispatchRecord,
+    DispatchAction, DispatchRecord, UpstreamNews, WorkNote,
 };
 use crate::{
     catalog::{Catalog, RawCatalog},
     fleet::UpstreamRecord,
-    ids::{FailureDomain, UpstreamId},
+    ids::{FailureDomain, StoreVersion, UpstreamId},
+    units::Millis,
     watch::{Batch, Change, Contact, StoreError, Topic},
 };
 use std::{collections::BTreeSet, sync::Arc};
 
+/// Pause for each peer that comes before this daemon in reading the list of upstreams: a daemon
+/// reads only where those before it are silent.
+const RANK_PAUSE_MS: Millis = Millis::new(50);
+
+/// Calls a second about operators' writes that all daemons make together, and the longest time that
+/// the store may then hold one: a share of the price of all calls, and of the lease on keys.
+const OPERATORS_CALLS_PER_S: usize = 20;
+const OPERATORS_WAIT_MAX_MS: Millis = Millis::new(2_500);
+
 impl Dispatcher {
     /// The store answered about a topic.
     pub(super) fn on_watched(
@@ -38,13 +48,14 @@
                 }
             }
             Ok(batch) => {
+                let after = watch.position();
                 let contact = watch.on_answer(out.now, &batch);
                 if contact.regained {
                     out.log(dependency(true, format!("version {}", batch.version)));
                 }
                 match topic {
                     Topic::Operators => self.on_operators(out, *batch),
-                    Topic::Upstreams => self.on_upstreams(out, *batch, contact),
+                    Topic::Upstreams => self.on_upstreams(out, after, *batch, contact),
                 }
             }
         }
@@ -63,6 +74,13 @@
                 change => log_unreadable(out, change),
             }
         }
+        let shared_ms = 1_000 * self.daemons_len() / OPERATORS_CALLS_PER_S;
+        let wait_ms = self
+            .settings
+            .operators
+            .wait_ms
+            .max(Millis::new(shared_ms as u64));
+        self.operators.hold_for(wait_ms.min(OPERATORS_WAIT_MAX_MS));
         if batch.whole {
             let back: Vec<_> = self.fleet.out().difference(&listed_out).cloned().collect();
             for domain in back {
@@ -104,22 +122,75 @@
         }
     }
 
-    fn on_upstreams(&mut self, out: &mut Out<'_>, batch: Batch, contact: Contact) {
+    fn on_upstreams(
+        &mut self,
+        out: &mut Out<'_>,
+        after: Option<StoreVersion>,
+        batch: Batch,
+        contact: Contact,
+    ) {
+        self.upstreams
+            .put_off(out.now, self.settings.upstreams.pause_ms);
         if batch.whole {
             return self.on_upstream_list(out, batch, contact);
         }
+        let mut news = Vec::new();
         for change in batch.changes {
             match change {
-                Change::Upstream(record) => self.on_record(out, *record),
+                Change::Upstream(record) => {
+                    if self.on_record(out, (*record).clone()) {
+                        news.push(UpstreamNews::Registered(*record));
+                    }
+                }
                 Change::UpstreamGone(id) => {
                     let kept = contact.after_outage && self.fleet.keep_missing(out.now, &id);
                     if !kept && self.fleet.on_gone(&id) {
                         self.forget_upstream(out, &id, "gone");
+                        news.push(UpstreamNews::Gone(id));
                     }
                 }
                 change => log_unreadable(out, change),
             }
         }
+        if let Some(after) = after {
+            out.tell_all(WorkNote::Upstreams {
+                after,
+                version: batch.version,
+                changes: news,
+            });
+        }
+    }
+
+    /// A peer read the list of upstreams: this daemon need not.
+    pub(super) fn on_upstream_news(
+        &mut self,
+        out: &mut Out<'_>,
+        after: StoreVersion,
+        version: StoreVersion,
+        changes: Vec<UpstreamNews>,
+    ) {
+        let pause_ms = self.settings.upstreams.pause_ms.get();
+        let due_ms = Millis::new(pause_ms + RANK_PAUSE_MS.get() * self.rank_len() as u64);
+        if !self.upstreams.hear(out.now, after, version, due_ms) {
+            return;
+        }
+        for change in changes {
+            match change {
+                UpstreamNews::Registered(record) => {
+                    self.on_record(out, record);
+                }
+                UpstreamNews::Gone(id) => {
+                    if self.fleet.on_gone(&id) {
+                        self.forget_upstream(out, &id, "gone");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Peers that come before this daemon in reading the list of upstreams.
+    fn rank_len(&self) -> usize {
+        self.peers.keys().filter(|peer| **peer < self.vm).count()
     }
 
     fn on_upstream_list(&mut self, out: &mut Out<'_>, batch: Batch, contact: Contact) {
@@ -138,12 +209,15 @@
         }
     }
 
-    fn on_record(&mut self, out: &mut Out<'_>, record: UpstreamRecord) {
+    /// True where something but the entry's age changed.
+    fn on_record(&mut self, out: &mut Out<'_>, record: UpstreamRecord) -> bool {
         let upstream = record.id.clone();
         let state = if record.draining { "draining" } else { "ready" };
-        if self.fleet.on_record(out.now, record) {
+        let changed = self.fleet.on_record(out.now, record);
+        if changed {
             out.log(DispatchRecord::Upstream { upstream, state });
         }
+        changed
     }
 
     /// Forgets what is known of an upstream that is gone.
--- a/crates/core/src/dispatch/place.rs
+++ b/crates/core/src/dispatch/place.rs
@@ -3,23 +3,34 @@
 use super::{
     choose_engine, choose_plain,
     dispatcher::{Dispatcher, OpenCall, Out},
-    Candidate, DispatchRecord, Reason, Wanted,
+    Candidate, DispatchRecord, HelperWork, Reason, Wanted,
 };
 use crate::{
     engine::EngineLoad,
     ids::{CallId, UpstreamId},
-    units::Time,
+    units::{Time, Tokens},
 };
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Where a call goes.
+#[derive(Debug)]
 pub(super) struct Place {
     pub(super) upstream: UpstreamId,
-    pub(super) helpers: Vec<UpstreamId>,
+    pub(super) helpers: Vec<HelperWork>,
+    pub(super) memory_tokens: Tokens,
     pub(super) predicted_ms: Option<f64>,
 }
 
+impl Place {
+    /// Whether helpers keep a part of the prompt's memory.
+    fn needs_reservations(&self) -> bool {
+        self.helpers
+            .iter()
+            .any(|helper| helper.memory_tokens > Tokens::ZERO)
+    }
+}
+
 impl Dispatcher {
     /// Finds an upstream for a call, or lets it wait, or refuses it.
     pub(super) fn place(&mut self, out: &mut Out<'_>, id: CallId) {
@@ -30,6 +41,7 @@
             return self.give_up(out, id, Reason::NoUpstream);
         }
         match self.find(out.now, open) {
+            Ok(place) if place.needs_reservations() => self.reserve(out, id, place),
             Ok(place) => self.send(out, id, place),
             Err(Reason::NoCapacity) if self.may_wait(out.now, open, self.line_place(id)) => {
                 self.wait(out, id);
@@ -72,7 +84,7 @@
         waiting.retain(|id| {
             self.calls
                 .get(id)
-                .is_some_and(|open| open.sending.is_none())
+                .is_some_and(|open| open.sending.is_none() && open.reserving.is_none())
         });
         waiting.sort_by_key(|id| {
             self.calls
@@ -102,11 +114,12 @@
             return Ok(Place {
                 upstream,
                 helpers: Vec::new(),
+                memory_tokens: Tokens::ZERO,
                 predicted_ms: None,
             });
         };
         let whole_tokens = prompt.prompt_tokens + prompt.output_tokens;
-        if whole_tokens > profile.kv_tokens {
+        if whole_tokens.get() > profile.kv_tokens.get() * candidates.len() as u64 {
             return Err(Reason::TooLarge);
         }
         let catalog = self.catalog.as_ref();
@@ -121,10 +134,18 @@
         if choice.prediction.first_event_ms > open.left_ms(now).get() as f64 {
             return Err(Reason::TooLarge);
         }
-        let upstream = |index: &usize| candidates[*index].upstream.clone();
+        let upstream = |index: usize| candidates[index].upstream.clone();
+        let helpers = choice
+            .helpers
+            .iter()
+            .map(|(index, memory_tokens)| HelperWork {
+                upstream: upstream(*index),
+                memory_tokens: *memory_tokens,
+            });
         Ok(Place {
-            upstream: upstream(&choice.candidate_index),
-            helpers: choice.helpers.iter().map(upstream).collect(),
+            upstream: upstream(choice.candidate_index),
+            memory_tokens: whole_tokens.saturating_sub(choice.prediction.missing_tokens),
+            helpers: helpers.collect(),
             predicted_ms: Some(choice.prediction.first_event_ms),
         })
     }
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -1,6 +1,6 @@
 //! Log records of the dispatcher's decisions.
 
-use super::{Reason, SendEnd};
+use super::{OrderEnd, OrderKind, Reason, SendEnd};
 use crate::{
     ids::{CatalogVersion, FailureDomain, SendId, ServiceName, UpstreamId, VmId},
     units::Millis,
@@ -64,6 +64,18 @@
         /// Time since it was sent.
         after_ms: Millis,
     },
+    /// An order about a reservation was not carried out, as far as is known.
+    OrderFailed {
+        /// The reservation, named by the request.
+        ticket: Arc<str>,
+        /// The engine.
+        upstream: UpstreamId,
+        /// The order.
+        #[serde(flatten)]
+        kind: OrderKind,
+        /// How it ended.
+        end: OrderEnd,
+    },
     /// A request was refused or given up.
     Refused {
         /// The caller's id of the request.
--- /dev/null
+++ b/crates/core/src/dispatch/reserve.rs
@@ -0,0 +1,271 @@
+//! Reservations of memory at engines, for prompts that fit no single one.
+
+use super::{
+    dispatcher::{Dispatcher, Out},
+    place::Place,
+    DispatchAction, DispatchRecord, Reason,
+};
+use crate::{
+    ids::{CallId, UpstreamId},
+    units::{Millis, Time, Tokens},
+};
+use serde::Serialize;
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+/// Time for which an engine keeps a reservation without word: as long as memory may stay set aside
+/// after its daemon died.
+const HOLD_MS: Millis = Millis::new(3_500);
+
+/// Time between two renewals.
+const RENEW_MS: Millis = Millis::new(1_500);
+
+/// Time between two tries to release.
+const RELEASE_PAUSE_MS: Millis = Millis::new(1_000);
+
+/// Time for which an order without an answer may still be carried out (the users' bench: up to 12 s).
+const LATE_ORDER_MS: Millis = Millis::new(12_500);
+
+/// Groups of engines that are tried for one call.
+const GROUPS_MAX_COUNT: u32 = 3;
+
+/// What an engine is to do with a reservation.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "order")]
+pub enum OrderKind {
+    /// Set memory aside, or renew the reservation.
+    Reserve {
+        /// How much.
+        tokens: Tokens,
+        /// For how long.
+        hold_ms: Millis,
+    },
+    /// Give it back.
+    Release,
+}
+
+/// An order about a reservation.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ReserveOrder {
+    /// The reservation.
+    pub ticket: Arc<str>,
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it is to do.
+    pub kind: OrderKind,
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderEnd {
+    /// It is carried out.
+    Done,
+    /// It is not, and never will be.
+    Refused,
+    /// No answer: it may be carried out, or seconds later.
+    Lost,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    /// The first order is under way.
+    Asked,
+    /// The memory is set aside.
+    Held,
+    /// It is to be given back.
+    Released,
+}
+
+#[derive(Debug)]
+struct Reservation {
+    call: CallId,
+    upstream: UpstreamId,
+    address: SocketAddr,
+    tokens: Tokens,
+    state: State,
+    next_at: Time,
+    late_until: Time,
+}
+
+/// The reservations of one daemon.
+#[derive(Debug, Default)]
+pub(super) struct Reservations {
+    tickets: BTreeMap<Arc<str>, Reservation>,
+}
+
+impl Reservations {
+    /// When the next order is due.
+    pub(super) fn next_wakeup(&self) -> Option<Time> {
+        self.tickets
+            .values()
+            .map(|reservation| reservation.next_at)
+            .min()
+    }
+
+    fn of_call(&self, call: CallId) -> impl Iterator<Item = (&Arc<str>, &Reservation)> {
+        let tickets = self.tickets.iter();
+        tickets.filter(move |(_, reservation)| {
+            reservation.call == call && reservation.state != State::Released
+        })
+    }
+
+    /// The reservation of a call at an engine.
+    pub(super) fn ticket(&self, call: CallId, upstream: &UpstreamId) -> Option<Arc<str>> {
+        let mut tickets = self.of_call(call);
+        let found = tickets.find(|(_, reservation)| reservation.upstream == *upstream);
+        found.map(|(ticket, _)| Arc::clone(ticket))
+    }
+}
+
+impl Dispatcher {
+    /// Sets memory aside at the engines that are to keep a part of the prompt. The call is sent
+    /// when all have done so.
+    pub(super) fn reserve(&mut self, out: &mut Out<'_>, call: CallId, place: Place) {
+        let Some(open) = self.calls.get_mut(&call) else {
+            return;
+        };
+        open.groups_count += 1;
+        let name = format!("{}-{}", open.call.tag, open.groups_count);
+        let holders = place
+            .helpers
+            .iter()
+            .filter(|helper| helper.memory_tokens > Tokens::ZERO);
+        for (index, holder) in holders.enumerate() {
+            let Some(known) = self.fleet.get(&holder.upstream) else {
+                continue;
+            };
+            let reservation = Reservation {
+                call,
+                upstream: holder.upstream.clone(),
+                address: known.record.address,
+                tokens: holder.memory_tokens,
+                state: State::Asked,
+                next_at: out.now + RENEW_MS,
+                late_until: Time::START,
+            };
+            let ticket: Arc<str> = format!("{name}-{index}").into();
+            give(out, &ticket, &reservation);
+            self.reservations.tickets.insert(ticket, reservation);
+        }
+        open.reserving = Some(place);
+    }
+
+    /// An engine answered an order, or did not.
+    pub(super) fn on_ordered(
+        &mut self,
+        out: &mut Out<'_>,
+        ticket: &Arc<str>,
+        kind: OrderKind,
+        end: OrderEnd,
+    ) {
+        let Some(reservation) = self.reservations.tickets.get_mut(ticket) else {
+            return;
+        };
+        if end != OrderEnd::Done {
+            out.log(DispatchRecord::OrderFailed {
+                ticket: Arc::clone(ticket),
+                upstream: reservation.upstream.clone(),
+                kind,
+                end,
+            });
+        }
+        if end == OrderEnd::Lost && kind != OrderKind::Release {
+            reservation.late_until = out.now + LATE_ORDER_MS;
+        }
+        let call = reservation.call;
+        match (reservation.state, kind, end) {
+            (State::Asked, OrderKind::Reserve { .. }, OrderEnd::Done) => {
+                reservation.state = State::Held;
+                self.send_reserved(out, call);
+            }
+            (State::Asked, OrderKind::Reserve { .. }, _) => {
+                let holder = reservation.upstream.clone();
+                self.try_other_group(out, call, holder);
+            }
+            (State::Held, OrderKind::Reserve { .. }, OrderEnd::Lost) => {
+                reservation.next_at = out.now;
+            }
+            (State::Released, OrderKind::Release, OrderEnd::Done | OrderEnd::Refused) => {
+                if reservation.late_until <= out.now {
+                    self.reservations.tickets.remove(ticket);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn send_reserved(&mut self, out: &mut Out<'_>, call: CallId) {
+        let asked = |(_, reservation): (_, &Reservation)| reservation.state == State::Asked;
+        if self.reservations.of_call(call).any(asked) {
+            return;
+        }
+        let open = self.calls.get_mut(&call);
+        if let Some(place) = open.and_then(|open| open.reserving.take()) {
+            self.send(out, call, place);
+        }
+    }
+
+    /// Gives all memory back and looks for other engines.
+    fn try_other_group(&mut self, out: &mut Out<'_>, call: CallId, holder: UpstreamId) {
+        self.release(out, call);
+        let Some(open) = self.calls.get_mut(&call) else {
+            return;
+        };
+        open.reserving = None;
+        open.tried.push(holder);
+        if open.groups_count < GROUPS_MAX_COUNT {
+            self.place(out, call);
+        } else {
+            self.give_up(out, call, Reason::NoCapacity);
+        }
+    }
+
+    /// Gives the memory of a call back.
+    pub(super) fn release(&mut self, out: &mut Out<'_>, call: CallId) {
+        for (ticket, reservation) in &mut self.reservations.tickets {
+            if reservation.call == call && reservation.state != State::Released {
+                reservation.state = State::Released;
+                reservation.next_at = out.now + RELEASE_PAUSE_MS;
+                give(out, ticket, reservation);
+            }
+        }
+    }
+
+    /// Renews and releases what is due. An engine that is gone needs no word.
+    pub(super) fn progress_reservations(&mut self, out: &mut Out<'_>) {
+        let fleet = &self.fleet;
+        let known = |reservation: &Reservation| fleet.get(&reservation.upstream).is_some();
+        self.reservations
+            .tickets
+            .retain(|_, reservation| known(reservation));
+        for (ticket, reservation) in &mut self.reservations.tickets {
+            if reservation.next_at > out.now {
+                continue;
+            }
+            reservation.next_at = out.now
+                + match reservation.state {
+                    State::Asked | State::Held => RENEW_MS,
+                    State::Released => RELEASE_PAUSE_MS,
+                };
+            give(out, ticket, reservation);
+        }
+    }
+}
+
+fn give(out: &mut Out<'_>, ticket: &Arc<str>, reservation: &Reservation) {
+    let kind = match reservation.state {
+        State::Asked | State::Held => OrderKind::Reserve {
+            tokens: reservation.tokens,
+            hold_ms: HOLD_MS,
+        },
+        State::Released => OrderKind::Release,
+    };
+    out.act(DispatchAction::Order(ReserveOrder {
+        ticket: Arc::clone(ticket),
+        upstream: reservation.upstream.clone(),
+        address: reservation.address,
+        kind,
+    }));
+}
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -1,7 +1,7 @@
 //! What follows when a transmission ends, a caller leaves, or time runs out.
 
 use super::{
-    dispatcher::{Dispatcher, Out, Sending},
+    dispatcher::{Dispatcher, OpenCall, Out, Sending},
     ledger::OWN,
     DispatchAction, DispatchRecord, Reason, Refusal, SendEnd, WorkId, WorkNote,
 };
@@ -20,6 +20,9 @@
 /// Time that an upstream gets beyond a call's time to say itself that it is over.
 const OVERDUE_SLACK_MS: Millis = Millis::new(60);
 
+/// Multiple of the work ahead that an engine may be silent for.
+const SILENCE_FACTOR: f64 = 2.0;
+
 /// Lowest status of a failure that another upstream may not repeat.
 const SERVER_FAILURE_STATUS: u16 = 500;
 
@@ -69,13 +72,22 @@
 
     /// An upstream is silent for longer than is usual. It is left only where another one can go on:
     /// its answer may still come.
-    pub(super) fn on_stalled(&mut self, out: &mut Out<'_>, call: CallId, send: SendId) {
+    pub(super) fn on_stalled(
+        &mut self,
+        out: &mut Out<'_>,
+        call: CallId,
+        send: SendId,
+        silent_ms: Millis,
+    ) {
         let Some(open) = self.calls.get(&call) else {
             return;
         };
         let Some(sending) = open.sending.clone().filter(|sending| sending.send == send) else {
             return;
         };
+        if (silent_ms.get() as f64) < self.usual_silence_ms(out.now, open, &sending) {
+            return;
+        }
         let others = open.route.kind.repeatable()
             && open.reached_count + 1 < open.route.max_attempts
             && self.find(out.now, open).is_ok();
@@ -96,7 +108,7 @@
         if !leave {
             return;
         }
-        self.end_work(out, send);
+        self.end_work(out, call, send);
         if let Some(open) = self.calls.get_mut(&call) {
             open.sending = None;
             open.may_have_run = true;
@@ -105,6 +117,16 @@
         self.place(out, call);
     }
 
+    /// How long an engine may be silent with what it has to read: sending elsewhere what is only
+    /// slow would have it read twice.
+    fn usual_silence_ms(&self, now: Time, open: &OpenCall, sending: &Sending) -> f64 {
+        let Some(profile) = &open.service.engine else {
+            return 0.0;
+        };
+        let load = self.ledger.engine_load(now, &sending.upstream, profile);
+        (load.backlog_ms() + load.pass_ms(profile)) * SILENCE_FACTOR
+    }
+
     /// The caller's id of a call.
     fn tag(&self, call: CallId) -> Arc<str> {
         let open = self.calls.get(&call);
@@ -113,7 +135,7 @@
 
     /// A transmission ended.
     pub(super) fn on_ended(&mut self, out: &mut Out<'_>, call: CallId, send: SendId, end: SendEnd) {
-        self.end_work(out, send);
+        self.end_work(out, call, send);
         let Some(open) = self.calls.get_mut(&call) else {
             return;
         };
@@ -237,8 +259,9 @@
         let Some(open) = self.calls.remove(&call) else {
             return;
         };
+        self.release(out, call);
         if let Some(sending) = &open.sending {
-            self.end_work(out, sending.send);
+            self.end_work(out, call, sending.send);
         }
         out.log(DispatchRecord::CallerLeft {
             request: Arc::clone(&open.call.tag),
@@ -252,9 +275,10 @@
         let Some(open) = self.calls.remove(&call) else {
             return;
         };
+        self.release(out, call);
         let may_have_run = open.may_have_run || open.sending.is_some();
         if let Some(sending) = &open.sending {
-            self.end_work(out, sending.send);
+            self.end_work(out, call, sending.send);
         }
         let refusal = Refusal {
             reason,
@@ -286,7 +310,7 @@
 
     /// Gives up the calls whose time is over.
     pub(super) fn end_overdue(&mut self, out: &mut Out<'_>) {
-        let overdue = |open: &super::dispatcher::OpenCall| {
+        let overdue = |open: &OpenCall| {
             let slack_ms = if open.sending.is_some() {
                 OVERDUE_SLACK_MS
             } else {
--- a/crates/core/src/dispatch/transmit.rs
+++ b/crates/core/src/dispatch/transmit.rs
@@ -4,11 +4,11 @@
     dispatcher::{Dispatcher, OpenCall, Out, Sending},
     ledger::{work_start, OWN},
     place::Place,
-    DispatchAction, DispatchRecord, Helper, Phase, SendPlan, Work, WorkId, WorkNote,
+    DispatchAction, DispatchRecord, Helper, HelperWork, Phase, SendPlan, Work, WorkId, WorkNote,
 };
 use crate::{
     catalog::{CallKind, Route},
-    ids::{CallId, SendId, UpstreamId},
+    ids::{CallId, SendId},
     units::{Millis, Time, Tokens},
 };
 use std::sync::Arc;
@@ -64,10 +64,12 @@
     fn plan(&self, now: Time, id: CallId, send: SendId, place: &Place) -> Option<SendPlan> {
         let open = self.calls.get(&id)?;
         let upstream = self.fleet.get(&place.upstream)?;
-        let helper = |id: &UpstreamId| {
-            self.fleet.get(id).map(|helper| Helper {
-                address: helper.record.address,
-                ticket: None,
+        let helper = |helper: &HelperWork| {
+            let known = self.fleet.get(&helper.upstream)?;
+            let ticket = self.reservations.ticket(id, &helper.upstream);
+            Some(Helper {
+                address: known.record.address,
+                ticket: ticket.map(|ticket| ticket.to_string()),
             })
         };
         let left_ms = open.left_ms(now);
@@ -135,6 +137,7 @@
             upstream: place.upstream.clone(),
             prompt_tokens: size.map_or(Tokens::ZERO, |size| size.prompt_tokens),
             output_tokens: size.map_or(Tokens::ZERO, |size| size.output_tokens),
+            memory_tokens: place.memory_tokens,
             pause_target_ms,
             parts_len: place.helpers.len() as u32 + 1,
             sent_at: now,
--- a/crates/core/src/dispatch/work.rs
+++ b/crates/core/src/dispatch/work.rs
@@ -4,6 +4,7 @@
     ids::{SendId, UpstreamId},
     units::{Millis, Time, Tokens},
 };
+use serde::{Deserialize, Serialize};
 
 /// A request on an upstream: which daemon sent it, and its number there.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -16,6 +17,15 @@
     pub part_index: u32,
 }
 
+/// An engine that reads a part of a prompt, and may keep a part of its memory.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HelperWork {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// Memory that is reserved there.
+    pub memory_tokens: Tokens,
+}
+
 /// How far an upstream is with a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
@@ -37,6 +47,8 @@
     pub prompt_tokens: Tokens,
     /// Tokens of the answer, estimated.
     pub output_tokens: Tokens,
+    /// Memory that it takes there until its end.
+    pub memory_tokens: Tokens,
     /// Longest pause between events for an answer that is on time.
     pub pause_target_ms: Millis,
     /// Engines that read the prompt, this one included.
--- a/crates/core/src/engine/engine_load.rs
+++ b/crates/core/src/engine/engine_load.rs
@@ -9,19 +9,26 @@
 /// Share of a pause's target that may be planned: clocks and other daemons' sends are not exact.
 const PAUSE_MARGIN_RATIO: f64 = 0.9;
 
+/// Share of an engine's memory that is planned.
+const MEMORY_RATIO: f64 = 0.98;
+
 /// An answer that is being written.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Writer {
-    /// Tokens of its prompt.
+    /// Tokens of its prompt that are kept here.
     pub context_tokens: Tokens,
     /// Tokens of its whole answer, estimated.
     pub output_tokens: Tokens,
+    /// Memory that it takes here until its end.
+    pub memory_tokens: Tokens,
     /// Time since its first event.
     pub written_ms: f64,
     /// Longest pause between events for an answer that is on time.
     pub pause_target_ms: Millis,
     /// What a late answer costs, against other calls.
     pub weight_requests: f64,
+    /// Whether this engine only keeps a part of its memory, for another one that answers.
+    pub holds: bool,
 }
 
 /// A prompt that waits to be read, or is being read.
@@ -31,7 +38,7 @@
     pub left_ms: f64,
     /// Tokens that are left.
     pub left_tokens: Tokens,
-    /// Memory that it needs by the end of its answer; none where it is read for another engine.
+    /// Memory that it takes here until the end of its answer.
     pub memory_tokens: Tokens,
     /// Whether it is a part that is read for another engine.
     pub helps: bool,
@@ -49,7 +56,8 @@
 impl EngineLoad {
     /// Requests that the engine answers.
     pub fn requests_len(&self) -> usize {
-        self.writers.len() + self.readers.iter().filter(|reader| !reader.helps).count()
+        let writers = self.writers.iter().filter(|writer| !writer.holds).count();
+        writers + self.readers.iter().filter(|reader| !reader.helps).count()
     }
 
     /// Time to read all prompts that wait.
@@ -59,14 +67,18 @@
 
     /// Memory that all requests need by their ends.
     pub fn memory_tokens(&self) -> Tokens {
-        let writers = self
-            .writers
-            .iter()
-            .map(|w| w.context_tokens + w.output_tokens);
+        let writers = self.writers.iter().map(|writer| writer.memory_tokens);
         let readers = self.readers.iter().map(|reader| reader.memory_tokens);
         writers.chain(readers).sum()
     }
 
+    /// Memory that is free, with some spare: sizes are rounded up to blocks, and answers can be
+    /// longer than was thought.
+    pub fn free_tokens(&self, profile: &EngineProfile) -> Tokens {
+        let usable = Tokens::new((profile.kv_tokens.get() as f64 * MEMORY_RATIO) as u64);
+        usable.saturating_sub(self.memory_tokens())
+    }
+
     /// Time of the token steps of one pass.
     pub fn pass_ms(&self, profile: &EngineProfile) -> f64 {
         if self.writers.is_empty() {
@@ -98,13 +110,13 @@
     ) -> Prediction {
         let part = self.predict_part(profile, prompt_tokens, parts_len);
         let own_pass_ms = profile.pass_ms(profile.writer_ms(prompt_tokens));
-        let memory_tokens = self.memory_tokens() + prompt_tokens + output_tokens;
+        let free_tokens = self.free_tokens(profile);
         Prediction {
             first_event_ms: part.read_ms + own_pass_ms.max(self.pass_ms(profile)),
             pause_ms: part.pause_ms,
             broken_requests: part.broken_requests,
-            fits: self.requests_len() < profile.slots_len as usize
-                && memory_tokens <= profile.kv_tokens,
+            slot_free: self.requests_len() < profile.slots_len as usize,
+            missing_tokens: (prompt_tokens + output_tokens).saturating_sub(free_tokens),
         }
     }
 
--- a/crates/core/src/engine/prediction.rs
+++ b/crates/core/src/engine/prediction.rs
@@ -1,5 +1,7 @@
 //! What a prompt, or a part of one, would bring about on an engine.
 
+use crate::units::Tokens;
+
 /// What a prompt would bring about on one engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Prediction {
@@ -9,8 +11,10 @@
     pub pause_ms: f64,
     /// Answers being written there whose pauses would be longer than their targets.
     pub broken_requests: f64,
-    /// Whether a slot is free and its memory fits for the whole of its answer.
-    pub fits: bool,
+    /// Whether a slot is free.
+    pub slot_free: bool,
+    /// Memory that is missing for the whole of its answer.
+    pub missing_tokens: Tokens,
 }
 
 /// What reading a part of a prompt would bring about on one engine.
--- a/crates/core/src/fleet/record.rs
+++ b/crates/core/src/fleet/record.rs
@@ -4,10 +4,11 @@
     ids::{FailureDomain, ServiceName, UpstreamId},
     units::{Millis, Time},
 };
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// An upstream as it registered itself.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpstreamRecord {
     /// Its id, new with most starts.
     pub id: UpstreamId,
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -72,6 +72,7 @@
             known.draining != record.draining
                 || known.address != record.address
                 || known.born_unix_ms != record.born_unix_ms
+                || record.cold_remaining_ms > known.cold_remaining_ms
         });
         self.gone.remove(&record.id);
         let upstream = Upstream {
--- a/crates/core/src/watch/topic_watch.rs
+++ b/crates/core/src/watch/topic_watch.rs
@@ -47,6 +47,7 @@
     position: Option<StoreVersion>,
     fresh_at: Option<Time>,
     sent_at: Option<Time>,
+    asked_wait_ms: Millis,
     due_at: Time,
     failures_count: u32,
 }
@@ -69,6 +70,7 @@
             position: None,
             fresh_at: None,
             sent_at: None,
+            asked_wait_ms: Millis::ZERO,
             due_at: Time::START,
             failures_count: 0,
         }
@@ -85,10 +87,13 @@
             return None;
         }
         self.sent_at = Some(now);
-        let wait_ms = match self.position {
-            Some(_) => self.settings.wait_ms,
-            None => Millis::ZERO,
+        let follows = self.position.is_some() && self.failures_count == 0;
+        let wait_ms = if follows {
+            self.settings.wait_ms
+        } else {
+            Millis::ZERO
         };
+        self.asked_wait_ms = wait_ms;
         Some(WatchCall {
             topic: self.topic,
             after: self.position,
@@ -104,7 +109,7 @@
         let silence_ms = self.fresh_at.map(|fresh_at| sent_at.since(fresh_at));
         let regained = self.failures_count > 0;
         let held = !batch.whole && batch.changes.is_empty();
-        let answered_at = sent_at + self.settings.wait_ms;
+        let answered_at = sent_at + self.asked_wait_ms;
         self.position = Some(batch.version);
         self.fresh_at = Some(if held && answered_at <= now {
             answered_at
@@ -119,6 +124,34 @@
         }
     }
 
+    /// A peer told of an answer it had. True where its changes make the knowledge here whole. The
+    /// next call of this daemon waits until `due_ms` later.
+    pub fn hear(
+        &mut self,
+        now: Time,
+        after: StoreVersion,
+        version: StoreVersion,
+        due_ms: Millis,
+    ) -> bool {
+        let whole = self.position.is_some_and(|position| position >= after);
+        if whole {
+            self.position = self.position.max(Some(version));
+            self.fresh_at = Some(now);
+            self.due_at = self.due_at.max(now + due_ms);
+        }
+        whole
+    }
+
+    /// Puts the next call off, after an answer.
+    pub fn put_off(&mut self, now: Time, due_ms: Millis) {
+        self.due_at = now + due_ms;
+    }
+
+    /// Changes how long the store may hold a call.
+    pub fn hold_for(&mut self, wait_ms: Millis) {
+        self.settings.wait_ms = wait_ms;
+    }
+
     /// A call failed. True where it is the first in a row.
     pub fn on_error(&mut self, now: Time, error: &StoreError) -> bool {
         self.sent_at = None;
--- a/crates/core/tests/common/dispatch/engine.rs
+++ b/crates/core/tests/common/dispatch/engine.rs
@@ -3,7 +3,7 @@
 use persimmon_core::{catalog::EngineProfile, units::Tokens};
 
 /// Tokens of an answer in one event.
-const EVENT_TOKENS: f64 = 51.0;
+const EVENT_TOKENS: Tokens = Tokens::new(51);
 
 /// One request on an engine.
 #[derive(Clone, Debug)]
@@ -94,7 +94,7 @@
                 continue;
             }
             job.events_left -= 1;
-            job.context = job.context + Tokens::new(EVENT_TOKENS as u64);
+            job.context += EVENT_TOKENS;
             progress.push(Progress::Event {
                 tag: job.tag,
                 pause_ms: now_ms - job.last_event_ms,
--- a/crates/core/tests/common/dispatch/node.rs
+++ b/crates/core/tests/common/dispatch/node.rs
@@ -4,8 +4,8 @@
 use persimmon_core::{
     catalog::ApiKey,
     dispatch::{
-        Call, DispatchAction, DispatchEvent, DispatchSettings, Dispatcher, PromptSize,
-        RawDispatchSettings, Reason, SendEnd, SendPlan,
+        Call, DispatchAction, DispatchEvent, DispatchSettings, Dispatcher, OrderEnd, PromptSize,
+        RawDispatchSettings, Reason, ReserveOrder, SendEnd, SendPlan,
     },
     ids::CallId,
     units::{Millis, Time, Tokens},
@@ -27,6 +27,7 @@
     Refuse(CallId, Reason, bool, Option<Millis>),
     Break(CallId),
     Ready(bool),
+    Order(ReserveOrder),
     Exit,
 }
 
@@ -35,7 +36,7 @@
     pub(crate) fn empty() -> Self {
         let settings = DispatchSettings::try_from(RawDispatchSettings::default()).unwrap();
         Self {
-            dispatcher: Dispatcher::new(settings, id("a")),
+            dispatcher: Dispatcher::new(settings, id("vm-0"), id("a")),
             now: Time::START,
             last_call: CallId::default(),
             version: 0,
@@ -115,6 +116,14 @@
         (call, self.step(event))
     }
 
+    pub(crate) fn ordered(&mut self, order: &ReserveOrder, end: OrderEnd) -> Vec<Seen> {
+        self.step(DispatchEvent::Ordered {
+            ticket: order.ticket.clone(),
+            kind: order.kind,
+            end,
+        })
+    }
+
     pub(crate) fn ends(&mut self, plan: &SendPlan, end: SendEnd) -> Vec<Seen> {
         let (call, send) = (plan.call, plan.send);
         self.step(DispatchEvent::Ended { call, send, end })
@@ -133,6 +142,7 @@
         ),
         DispatchAction::Break { call } => Seen::Break(call),
         DispatchAction::Ready(ready) => Seen::Ready(ready),
+        DispatchAction::Order(order) => Seen::Order(order),
         DispatchAction::Exit => Seen::Exit,
         _ => return None,
     })
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -151,7 +151,7 @@
 impl Replay {
     pub(crate) fn new(policy: Policy, daemons_len: usize, engines_len: u16, seed: u64) -> Self {
         let settings = DispatchSettings::try_from(RawDispatchSettings::default()).unwrap();
-        let daemon = |_| Dispatcher::new(settings, id("a"));
+        let daemon = |index| Dispatcher::new(settings, vm(index), id("a"));
         let mut replay = Self {
             policy,
             profile: profile(),
@@ -295,12 +295,16 @@
     }
 
     fn turn(&mut self, now: u64) {
-        let due: Vec<_> = self.notes.extract_if(.., |(at, ..)| *at <= now).collect();
+        let notes = std::mem::take(&mut self.notes);
+        let (due, later): (Vec<_>, Vec<_>) = notes.into_iter().partition(|(at, ..)| *at <= now);
+        self.notes = later;
         for (_, from, to, note) in due {
             let event = DispatchEvent::PeerNote { vm: vm(from), note };
             self.handle(now, to, event);
         }
-        let answered: Vec<_> = self.held.extract_if(.., |(at, ..)| *at <= now).collect();
+        let held = std::mem::take(&mut self.held);
+        let (answered, later): (Vec<_>, Vec<_>) = held.into_iter().partition(|(at, ..)| *at <= now);
+        self.held = later;
         for (_, daemon, topic) in answered {
             let answer = Ok(Box::new(batch(9, false, Vec::new())));
             self.handle(now, daemon, DispatchEvent::Watched { topic, answer });
--- a/crates/core/tests/dispatch_rules.rs
+++ b/crates/core/tests/dispatch_rules.rs
@@ -9,7 +9,7 @@
     upstream, ENGINES,
 };
 use persimmon_core::{
-    dispatch::{DispatchEvent, Reason, SendEnd},
+    dispatch::{DispatchEvent, OrderEnd, OrderKind, Reason, SendEnd},
     watch::{Change, Topic},
 };
 
@@ -140,6 +140,7 @@
     let stalled = |plan: &persimmon_core::dispatch::SendPlan| DispatchEvent::Stalled {
         call,
         send: plan.send,
+        silent_ms: ms(1_600),
     };
     node.pass(ms(1_600));
     let seen = node.step(stalled(&first));
@@ -240,3 +241,76 @@
     // A fifth of the calls, and a tenth of the shared allowance of 100, of which four fifths count.
     assert!(repeats <= 24, "{repeats}");
 }
+
+/// Found on the users' quiet day: memory stayed set aside for 26 s after its request was over.
+#[test]
+fn memory_set_aside_is_given_back_when_its_request_ends() {
+    let mut node = Node::ready(4, 0);
+    let (call, seen) = node.call("digest", 500_000);
+    let orders = seen.iter().filter_map(|seen| match seen {
+        Seen::Order(order) => Some(order.clone()),
+        _ => None,
+    });
+    let orders: Vec<_> = orders.collect();
+    assert!(!orders.is_empty() && orders.len() == seen.len(), "{seen:?}");
+    let mut last = Vec::new();
+    for order in &orders {
+        last = node.ordered(order, OrderEnd::Done);
+    }
+    let plan = sent(&last).clone();
+    assert_eq!(plan.call, call);
+    let tickets = plan.helpers.iter().filter(|helper| helper.ticket.is_some());
+    assert_eq!(tickets.count(), orders.len());
+    let seen = node.ends(&plan, SendEnd::Delivered);
+    assert_eq!(seen.len(), orders.len());
+    for (seen, reserved) in seen.iter().zip(&orders) {
+        let Seen::Order(order) = seen else {
+            panic!("{seen:?}")
+        };
+        assert_eq!(
+            (order.kind, &order.ticket),
+            (OrderKind::Release, &reserved.ticket)
+        );
+        assert_eq!(node.ordered(order, OrderEnd::Done), []);
+    }
+    assert_eq!(
+        node.pass(ms(20_000))
+            .iter()
+            .filter(|seen| matches!(seen, Seen::Order(_)))
+            .count(),
+        0
+    );
+}
+
+#[test]
+fn all_memory_is_given_back_where_one_engine_has_none_to_give() {
+    let mut node = Node::ready(17, 0);
+    let (_, seen) = node.call("digest", 700_000);
+    let [Seen::Order(first), Seen::Order(second), ..] = &seen[..] else {
+        panic!("{seen:?}")
+    };
+    assert_eq!(node.ordered(first, OrderEnd::Done), []);
+    let seen = node.ordered(second, OrderEnd::Refused);
+    let released = seen.iter().any(|seen| {
+        matches!(seen, Seen::Order(order)
+            if order.kind == OrderKind::Release && order.ticket == first.ticket)
+    });
+    assert!(released, "{seen:?}");
+}
+
+/// An order without an answer may be carried out seconds later, after the release.
+#[test]
+fn an_order_without_an_answer_is_taken_back_until_it_can_no_longer_come() {
+    let mut node = Node::ready(4, 0);
+    let (_, seen) = node.call("digest", 500_000);
+    let [Seen::Order(first), ..] = &seen[..] else {
+        panic!("{seen:?}")
+    };
+    node.ordered(first, OrderEnd::Lost);
+    let releases = node.pass(ms(15_000));
+    let releases = releases.iter().filter(|seen| {
+        matches!(seen, Seen::Order(order)
+            if order.kind == OrderKind::Release && order.ticket == first.ticket)
+    });
+    assert!(releases.count() >= 11);
+}
--- a/crates/io/src/transport/call_task.rs
+++ b/crates/io/src/transport/call_task.rs
@@ -106,7 +106,13 @@
         };
         let signals = Signals {
             on_first: &|| self.event(DispatchEvent::First { call, send }),
-            on_stall: &|| self.event(DispatchEvent::Stalled { call, send }),
+            on_stall: &|silent_ms| {
+                self.event(DispatchEvent::Stalled {
+                    call,
+                    send,
+                    silent_ms,
+                });
+            },
         };
         let outcome = tokio::select! {
             biased;
--- a/crates/io/src/transport/dialect.rs
+++ b/crates/io/src/transport/dialect.rs
@@ -1,9 +1,10 @@
 //! The border to the headers that callers and upstreams use.
 
-use http::{request, response, HeaderMap, StatusCode};
+use bytes::Bytes;
+use http::{request, response, HeaderMap, Request, StatusCode};
 use persimmon_core::{
     catalog::ApiKey,
-    dispatch::{PromptSize, Refusal, SendPlan},
+    dispatch::{PromptSize, Refusal, ReserveOrder, SendPlan},
     units::Millis,
 };
 use std::{fmt, sync::Arc};
@@ -76,6 +77,9 @@
     /// Reads an upstream's head.
     fn answer(&self, head: &response::Parts) -> AnswerHead;
 
+    /// The request that gives an engine an order.
+    fn order(&self, order: &ReserveOrder) -> Request<Bytes>;
+
     /// Status and headers of a last word that is not an upstream's answer.
     fn refusal(&self, refusal: &Refusal) -> (StatusCode, HeaderMap);
 }
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -20,6 +20,9 @@
 /// closes at that moment leaves its fate unknown.
 const FRESH_IDLE_MS: Millis = Millis::new(400);
 
+/// Least time between two words about the same silence.
+const STALL_PAUSE_MIN: Duration = Duration::from_millis(200);
+
 /// Longest answer that is read as a whole before it is passed on.
 const WHOLE_MAX_BYTES: usize = 1 << 20;
 
@@ -42,8 +45,8 @@
 pub(super) struct Signals<'a> {
     /// The first event, or the whole answer, is here.
     pub(super) on_first: &'a dyn Fn(),
-    /// The upstream has been silent for as long as the plan says.
-    pub(super) on_stall: &'a dyn Fn(),
+    /// The upstream has been silent for as long as the plan says, or a multiple of it: how long.
+    pub(super) on_stall: &'a dyn Fn(Millis),
 }
 
 /// How a transmission ended, as the task of the call sees it.
@@ -215,24 +218,24 @@
     Ok(collected.to_bytes())
 }
 
-/// Waits for `future`, or until the caller leaves. Says once where it takes longer than `limit`.
+/// Waits for `future`, or until the caller leaves. Says each time that another `limit` is over.
 async fn watched<F: Future>(
     reply: &mut Reply,
     limit: Duration,
     signals: Signals<'_>,
     future: F,
 ) -> Result<F::Output, CallerLeft> {
+    let begun = Instant::now();
     let mut future = pin!(future);
-    tokio::select! {
-        biased;
-        () = reply.closed() => return Err(CallerLeft),
-        output = future.as_mut() => return Ok(output),
-        () = sleep(limit) => (signals.on_stall)(),
-    }
-    tokio::select! {
-        biased;
-        () = reply.closed() => Err(CallerLeft),
-        output = future => Ok(output),
+    loop {
+        tokio::select! {
+            biased;
+            () = reply.closed() => return Err(CallerLeft),
+            output = future.as_mut() => return Ok(output),
+            () = sleep(limit.max(STALL_PAUSE_MIN)) => {
+                (signals.on_stall)(Millis::new(begun.elapsed().as_millis() as u64));
+            }
+        }
     }
 }
 
--- /dev/null
+++ b/crates/io/src/transport/orders.rs
@@ -0,0 +1,29 @@
+//! Gives engines orders about reservations.
+
+use super::{Dialect, Hub, Pool, PoolError};
+use http_body_util::Full;
+use persimmon_core::dispatch::{DispatchEvent, OrderEnd, ReserveOrder};
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+/// Time for an engine to answer an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Gives an engine an order and tells the control thread how it ended.
+pub async fn give_order(
+    pool: Rc<Pool>,
+    dialect: Rc<dyn Dialect>,
+    hub: Arc<Hub>,
+    order: ReserveOrder,
+) {
+    let request = dialect.order(&order).map(Full::new);
+    let end = match pool.call(order.address, request, ORDER_TIMEOUT).await {
+        Ok(answer) if answer.status().is_success() => OrderEnd::Done,
+        Ok(_) | Err(PoolError::NotSent { .. }) => OrderEnd::Refused,
+        Err(PoolError::Lost { .. }) => OrderEnd::Lost,
+    };
+    hub.event(DispatchEvent::Ordered {
+        ticket: order.ticket,
+        kind: order.kind,
+        end,
+    });
+}
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -1,10 +1,11 @@
 //! Callers and upstreams over loopback: what callers see when either side misbehaves.
 
+use bytes::Bytes;
 use flume::Receiver;
-use http::{request, response, HeaderMap, HeaderValue, StatusCode};
+use http::{request, response, HeaderMap, HeaderValue, Request, StatusCode};
 use insta::assert_snapshot;
 use persimmon_core::{
-    dispatch::{DispatchEvent, Reason, Refusal, SendEnd, SendPlan},
+    dispatch::{DispatchEvent, Reason, Refusal, ReserveOrder, SendEnd, SendPlan},
     ids::{CallId, SendId},
     units::Millis,
 };
@@ -63,6 +64,10 @@
         }
     }
 
+    fn order(&self, _: &ReserveOrder) -> Request<Bytes> {
+        Request::new(Bytes::new())
+    }
+
     fn refusal(&self, refusal: &Refusal) -> (StatusCode, HeaderMap) {
         let status = if refusal.may_have_run { 502 } else { 503 };
         (StatusCode::from_u16(status).unwrap(), HeaderMap::new())
--- a/crates/persimmond/src/gateway/control.rs
+++ b/crates/persimmond/src/gateway/control.rs
@@ -70,6 +70,7 @@
             DispatchAction::Break { call } => self.hub.command(call, CallCommand::Break),
             DispatchAction::Tell { to, note } => self.job(Job::Tell { to, note }),
             DispatchAction::Watch(call) => self.job(Job::Watch(call)),
+            DispatchAction::Order(order) => self.job(Job::Order(order)),
             DispatchAction::Limits(limits) => {
                 *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = limits;
             }
@@ -102,6 +103,7 @@
         DispatchRecord::Refused { .. }
         | DispatchRecord::SendFailed { .. }
         | DispatchRecord::CatalogRefused { .. }
+        | DispatchRecord::OrderFailed { .. }
         | DispatchRecord::Unreadable { .. }
         | DispatchRecord::Dependency {
             reachable: false, ..
--- a/crates/persimmond/src/gateway/run.rs
+++ b/crates/persimmond/src/gateway/run.rs
@@ -65,7 +65,11 @@
     let ready = Arc::new(AtomicBool::new(false));
     let control = Control {
         vm: settings.vm.clone(),
-        dispatcher: Dispatcher::new(settings.dispatch, settings.domain.clone()),
+        dispatcher: Dispatcher::new(
+            settings.dispatch,
+            settings.vm.clone(),
+            settings.domain.clone(),
+        ),
         clock: BootClock::start(),
         inbox,
         hub: Arc::clone(&hub),
--- a/crates/persimmond/src/gateway/traffic.rs
+++ b/crates/persimmond/src/gateway/traffic.rs
@@ -7,7 +7,7 @@
 use flume::Receiver;
 use http::StatusCode;
 use persimmon_core::{
-    dispatch::{DispatchEvent, WorkNote},
+    dispatch::{DispatchEvent, ReserveOrder, WorkNote},
     ids::VmId,
     watch::{StoreError, WatchCall},
 };
@@ -15,7 +15,7 @@
     http::Pages,
     settings::GatewaySettings,
     telemetry::Telemetry,
-    transport::{serve_pages, CallerListener, Hub, MetadataStore, Pool, SharedLimits},
+    transport::{give_order, serve_pages, CallerListener, Hub, MetadataStore, Pool, SharedLimits},
 };
 use std::{
     net::SocketAddr,
@@ -48,6 +48,8 @@
 pub(super) enum Job {
     /// Ask the store.
     Watch(WatchCall),
+    /// Give an engine an order.
+    Order(ReserveOrder),
     /// Tell peers about work.
     Tell {
         /// The peer; absent for all.
@@ -84,10 +86,11 @@
         let (close, closing) = watch::channel(false);
         let pool = Rc::new(Pool::default());
         let store = (self.adapter.store)(Rc::clone(&pool), self.settings.store);
+        let dialect = (self.adapter.dialect)();
         let callers = CallerListener::new(
             Arc::clone(&self.hub),
             Rc::clone(&pool),
-            (self.adapter.dialect)(),
+            Rc::clone(&dialect),
             Arc::clone(&self.limits),
             self.settings.connections_max_len,
             closing,
@@ -96,13 +99,17 @@
         let socket = open("listen.callers", listen.callers)?;
         spawn_local(Rc::new(callers).accept(socket));
         self.serve_pages()?;
-        spawn_local(tidy(pool));
+        spawn_local(tidy(Rc::clone(&pool)));
         let mesh = self.join_peers(&store);
         while let Ok(job) = self.jobs.recv_async().await {
             match job {
                 Job::Watch(call) => {
                     spawn_local(ask(Rc::clone(&store), Arc::clone(&self.hub), call));
                 }
+                Job::Order(order) => {
+                    let (pool, dialect) = (Rc::clone(&pool), Rc::clone(&dialect));
+                    spawn_local(give_order(pool, dialect, Arc::clone(&self.hub), order));
+                }
                 Job::Tell { to, note } => {
                     if let Some(mesh) = &*mesh.borrow() {
                         mesh.tell(to.as_ref(), &note);
