Metrics, reload and operations page of the gateway; second tries leave a lost failure domain

Cause: calls of a failure domain that was being cut off were sent again into it; each pair of daemons held two connections.

--- a/crates/core/src/decision.rs
+++ b/crates/core/src/decision.rs
@@ -92,7 +92,7 @@
     },
     /// Something an operator must look at.
     Alarm {
-        /// Short name: docs/OPERATING.md lists them.
+        /// Short name: docs/OPERATIONS.md lists them.
         name: &'static str,
         /// What was seen, with the remedy.
         message: String,
--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -48,6 +48,7 @@
                     service,
                     holder,
                     tried: Vec::new(),
+                    lost_domain: None,
                     reached_count: 0,
                     tries_count: 0,
                     sending: None,
@@ -102,6 +103,7 @@
         out.log(DispatchRecord::Refused {
             request: Arc::clone(&call.tag),
             route: None,
+            class: None,
             reason: refusal.reason,
             may_have_run: false,
             retry_after_ms: refusal.retry_after_ms,
--- a/crates/core/src/dispatch/budget.rs
+++ b/crates/core/src/dispatch/budget.rs
@@ -38,6 +38,13 @@
         }
     }
 
+    /// Changes the limits; what was counted stays.
+    pub fn limit(&mut self, percent: u32, allowance_requests: u32, window_ms: Millis) {
+        self.percent = percent;
+        self.allowance_requests = allowance_requests;
+        self.window_ms = window_ms;
+    }
+
     /// A call came in.
     pub fn on_call(&mut self, now: Time, service: &ServiceName) {
         let window = self.window(now, service);
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -91,6 +91,8 @@
         /// What.
         note: WorkNote,
     },
+    /// The settings were read again.
+    Reload(Box<DispatchSettings>),
     /// The process was asked to stop.
     Stop,
     /// Time has passed.
@@ -116,6 +118,7 @@
     pub(super) service: Arc<Service>,
     pub(super) holder: Option<KeyHolder>,
     pub(super) tried: Vec<UpstreamId>,
+    pub(super) lost_domain: Option<FailureDomain>,
     pub(super) reached_count: u32,
     pub(super) tries_count: u32,
     pub(super) sending: Option<Sending>,
@@ -234,6 +237,7 @@
             DispatchEvent::PeerUp { vm } => self.on_peer_up(&mut out, vm),
             DispatchEvent::PeerDown { vm } => self.on_peer_down(&mut out, &vm),
             DispatchEvent::PeerNote { vm, note } => self.on_peer_note(&mut out, &vm, note),
+            DispatchEvent::Reload(settings) => self.on_reload(&mut out, *settings),
             DispatchEvent::Stop => self.on_stop(&mut out),
             DispatchEvent::Tick => {}
         }
@@ -259,6 +263,16 @@
         self.calls.len()
     }
 
+    /// Calls that wait for a place.
+    pub fn waiting_len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Daemons that see each other's work, this one included.
+    pub fn members_len(&self) -> usize {
+        self.daemons_len()
+    }
+
     /// What is known of the upstreams.
     pub const fn fleet(&self) -> &Fleet {
         &self.fleet
@@ -305,6 +319,19 @@
         self.update_ready(out);
     }
 
+    fn on_reload(&mut self, out: &mut Out<'_>, settings: DispatchSettings) {
+        self.budget.limit(
+            settings.retry_percent,
+            settings.retry_allowance_requests,
+            settings.retry_window_ms,
+        );
+        self.operators.settle(settings.operators);
+        self.upstreams.settle(settings.upstreams);
+        let changed = self.settings != settings;
+        self.settings = settings;
+        out.log(DispatchRecord::Reloaded { changed });
+    }
+
     /// Number of a peer in the ledger.
     pub(super) fn peer_index(&mut self, vm: VmId) -> u32 {
         let last = &mut self.last_peer_index;
--- a/crates/core/src/dispatch/foresee.rs
+++ b/crates/core/src/dispatch/foresee.rs
@@ -6,6 +6,9 @@
 /// Pause that callers are told where nothing is foreseen.
 const RETRY_AFTER_MS: Millis = Millis::new(500);
 
+/// Shortest pause that callers are told: a place that is about to be free has callers in line.
+const RETRY_MIN_MS: Millis = Millis::new(100);
+
 /// Longest wait, as a share of the time that the caller has left: after it, another daemon's
 /// upstreams can still serve the caller.
 const WAIT_RATIO: f64 = 0.25;
@@ -40,6 +43,8 @@
     pub(super) fn place_after_ms(&self, now: Time, open: &OpenCall) -> Millis {
         let place = self.waiting.len() * self.daemons_len();
         let foreseen = self.foreseen_ms(now, open, place);
-        foreseen.map_or(RETRY_AFTER_MS, |ms| Millis::new(ms as u64))
+        foreseen.map_or(RETRY_AFTER_MS, |ms| {
+            Millis::new(ms as u64).max(RETRY_MIN_MS)
+        })
     }
 }
--- a/crates/core/src/dispatch/place.rs
+++ b/crates/core/src/dispatch/place.rs
@@ -154,6 +154,7 @@
     /// Upstreams that a call may go to now, in an order that all daemons agree on.
     fn candidates(&self, now: Time, open: &OpenCall) -> Vec<Candidate<UpstreamId>> {
         let mut candidates = Vec::new();
+        let mut in_lost_domain = Vec::new();
         for upstream in self.fleet.usable(&open.service.name) {
             let record = &upstream.record;
             let health = self.health.get(&record.id);
@@ -169,7 +170,13 @@
                 continue;
             }
             let load = |profile| self.ledger.engine_load(now, &record.id, profile);
-            candidates.push(Candidate {
+            let lost = open.lost_domain.as_ref() == Some(&record.domain);
+            let kept = if lost {
+                &mut in_lost_domain
+            } else {
+                &mut candidates
+            };
+            kept.push(Candidate {
                 upstream: record.id.clone(),
                 load: engine.map_or_else(EngineLoad::default, load),
                 requests_len,
@@ -179,6 +186,9 @@
                 near: record.domain == self.domain,
             });
         }
+        if candidates.is_empty() {
+            candidates = in_lost_domain;
+        }
         let own = self.peers.is_empty().then_some(&self.vm);
         candidates.sort_by_cached_key(|candidate| order_key(&candidate.upstream, own));
         candidates
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -16,6 +16,8 @@
     Sent {
         /// The caller's id of the request.
         request: Arc<str>,
+        /// The route's kind.
+        class: &'static str,
         /// The route.
         route: String,
         /// The transmission.
@@ -82,6 +84,8 @@
         request: Arc<str>,
         /// The route, where one was found.
         route: Option<String>,
+        /// The route's kind, where one was found.
+        class: Option<&'static str>,
         /// Why.
         reason: Reason,
         /// Whether it may have run.
@@ -103,6 +107,8 @@
     Answered {
         /// The caller's id of the request.
         request: Arc<str>,
+        /// The route's kind.
+        class: &'static str,
         /// The upstream.
         upstream: UpstreamId,
         /// Time to the first event or the whole answer.
@@ -120,6 +126,8 @@
     CallerLeft {
         /// The caller's id of the request.
         request: Arc<str>,
+        /// The route's kind.
+        class: &'static str,
         /// Age of the request.
         age_ms: Millis,
         /// Whether it was at an upstream.
@@ -183,6 +191,11 @@
         /// What stands against it.
         reason: Option<&'static str>,
     },
+    /// The settings were read again.
+    Reloaded {
+        /// Whether any that can change at run time did.
+        changed: bool,
+    },
     /// The daemon was asked to stop.
     Stopping {
         /// Requests that are open.
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -101,7 +101,7 @@
             request: self.tag(call),
             send,
             upstream: sending.upstream.clone(),
-            end,
+            end: end.clone(),
             next: if leave { "send_again" } else { "wait" },
             after_ms: out.now.since(sending.sent_at),
         });
@@ -109,6 +109,7 @@
             return;
         }
         self.end_work(out, call, send);
+        self.avoid_domain(call, &sending, &end);
         if let Some(open) = self.calls.get_mut(&call) {
             open.sending = None;
             open.may_have_run = true;
@@ -151,6 +152,7 @@
             return self.finish(out, call, &sending, None);
         }
         self.judge(out, &sending, &end);
+        self.avoid_domain(call, &sending, &end);
         let next = self.next(out.now, call, &end);
         out.log(DispatchRecord::SendFailed {
             request: self.tag(call),
@@ -171,6 +173,16 @@
         }
     }
 
+    /// A lost connection may be the first sign of a failure domain that is cut off: the next try goes
+    /// to another one where it can.
+    fn avoid_domain(&mut self, call: CallId, sending: &Sending, end: &SendEnd) {
+        let upstream = self.fleet.get(&sending.upstream);
+        let lost = matches!(end, SendEnd::NotSent { .. } | SendEnd::Lost { .. });
+        if let (true, Some(open)) = (lost, self.calls.get_mut(&call)) {
+            open.lost_domain = upstream.map(|upstream| upstream.record.domain.clone());
+        }
+    }
+
     /// What a failure says about its upstream.
     fn judge(&mut self, out: &mut Out<'_>, sending: &Sending, end: &SendEnd) {
         let upstream = &sending.upstream;
@@ -245,6 +257,7 @@
         let first_at = open.first_at;
         out.log(DispatchRecord::Answered {
             request: Arc::clone(&open.call.tag),
+            class: open.route.kind.name(),
             upstream: sending.upstream.clone(),
             first_ms: first_at.map(|first_at| first_at.since(open.arrived_at)),
             predicted_ms: sending.predicted_ms.map(|ms| Millis::new(ms as u64)),
@@ -265,6 +278,7 @@
         }
         out.log(DispatchRecord::CallerLeft {
             request: Arc::clone(&open.call.tag),
+            class: open.route.kind.name(),
             age_ms: open.age_ms(out.now),
             sent: open.sending.is_some(),
         });
@@ -292,6 +306,7 @@
         out.log(DispatchRecord::Refused {
             request: Arc::clone(&open.call.tag),
             route: Some(open.route.name.clone()),
+            class: Some(open.route.kind.name()),
             reason,
             may_have_run,
             retry_after_ms: refusal.retry_after_ms,
--- a/crates/core/src/dispatch/transmit.rs
+++ b/crates/core/src/dispatch/transmit.rs
@@ -98,6 +98,7 @@
         let catalog = self.catalog.as_ref().map(|catalog| catalog.version());
         out.log(DispatchRecord::Sent {
             request: Arc::clone(&open.call.tag),
+            class: open.route.kind.name(),
             route: open.route.name.clone(),
             send,
             upstream: place.upstream.clone(),
--- a/crates/core/src/watch/topic_watch.rs
+++ b/crates/core/src/watch/topic_watch.rs
@@ -147,6 +147,11 @@
         self.due_at = now + due_ms;
     }
 
+    /// Takes new settings over.
+    pub fn settle(&mut self, settings: WatchSettings) {
+        self.settings = settings;
+    }
+
     /// Changes how long the store may hold a call.
     pub fn hold_for(&mut self, wait_ms: Millis) {
         self.settings.wait_ms = wait_ms;
--- a/crates/core/tests/dispatch_rules.rs
+++ b/crates/core/tests/dispatch_rules.rs
@@ -346,3 +346,15 @@
         "{seen:?}"
     );
 }
+
+/// Found on the users' day trouble-2: calls of a failure domain that was being cut off were sent again
+/// into the same one, and lost their last try there.
+#[test]
+fn a_call_that_was_lost_is_sent_again_in_another_failure_domain() {
+    let mut node = Node::ready(0, 6);
+    let (_, seen) = node.call("status", 0);
+    let first = sent(&seen).clone();
+    let seen = node.ends(&first, lost());
+    let domain = |upstream| &node.dispatcher.fleet().get(upstream).unwrap().record.domain;
+    assert_ne!(domain(&first.upstream), domain(&sent(&seen).upstream));
+}
--- a/crates/io/src/peer/mesh.rs
+++ b/crates/io/src/peer/mesh.rs
@@ -43,6 +43,7 @@
 struct Peer {
     address: Option<SocketAddr>,
     dials_count: u32,
+    dialling: bool,
     links: Vec<Link>,
 }
 
@@ -141,7 +142,9 @@
     /// Peers to dial now.
     fn lost(&self) -> Vec<(VmId, SocketAddr)> {
         let mut peers = self.peers.borrow_mut();
-        let lost = peers.iter_mut().filter(|(_, peer)| peer.links.is_empty());
+        let lost = peers
+            .iter_mut()
+            .filter(|(_, peer)| peer.links.is_empty() && !peer.dialling);
         let lost = lost.filter_map(|(vm, peer)| {
             peer.dials_count += 1;
             let address = peer
@@ -153,20 +156,35 @@
     }
 
     async fn open(self: Rc<Self>, vm: VmId, address: SocketAddr) {
+        let connection = self.connect(&vm, address).await;
+        if let Some(peer) = self.peers.borrow_mut().get_mut(&vm) {
+            peer.dialling = false;
+        }
+        if let Some(connection) = connection {
+            self.keep(vm, connection).await;
+        }
+    }
+
+    async fn connect(&self, vm: &VmId, address: SocketAddr) -> Option<Connection> {
         let connecting = match self.endpoint.connect(address, SERVER_NAME) {
             Ok(connecting) => connecting,
-            Err(error) => return log::warn!(peer:% = vm; "peer can't be dialled: {error}"),
+            Err(error) => {
+                log::warn!(peer:% = vm; "peer can't be dialled: {error}");
+                return None;
+            }
         };
-        let connection = match timeout(CONNECT_TIMEOUT, connecting).await {
-            Ok(Ok(connection)) => connection,
-            Ok(Err(error)) => return log::debug!(peer:% = vm; "peer not reached: {error}"),
-            Err(_) => return log::debug!(peer:% = vm; "peer not reached in time"),
+        let reached = timeout(CONNECT_TIMEOUT, connecting).await;
+        let refused = match reached {
+            Ok(Ok(connection)) => match identity::peer_of(&connection) {
+                Ok(named) if named == *vm => return Some(connection),
+                Ok(named) => format!("{address} is VM {named}: its entry is old"),
+                Err(error) => error.to_string(),
+            },
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "no answer in time".to_owned(),
         };
-        match identity::peer_of(&connection) {
-            Ok(named) if named == vm => self.keep(vm, connection).await,
-            Ok(named) => log::warn!(peer:% = vm; "{address} is VM {named}: its entry is old"),
-            Err(error) => log::warn!(peer:% = vm; "peer refused: {error}"),
-        }
+        log::debug!(peer:% = vm; "peer not reached: {refused}");
+        None
     }
 
     /// Uses a connection until it ends.
--- a/crates/io/src/telemetry/catalog.rs
+++ b/crates/io/src/telemetry/catalog.rs
@@ -89,6 +89,23 @@
         Unit::Seconds,
         "Time that the oldest open request is over its deadline",
     );
+    /// Transmissions that ended without a whole answer.
+    pub const SENDS_FAILED: Self = counter(
+        "persimmon_sends_failed_total",
+        Unit::Count,
+        "Transmissions to upstreams without a whole answer, by how they ended and what followed",
+    );
+    /// Requests that wait for a place.
+    pub const WAITING: Self = gauge(
+        "persimmon_waiting_requests",
+        Unit::Count,
+        "Requests that wait for a place at an upstream",
+    );
+    /// How wrong predictions are.
+    pub const PREDICTION_ERROR: Self = histogram(
+        "persimmon_first_event_error_seconds",
+        "Distance between the predicted and the seen first event, by class",
+    );
     /// Answers of this daemon as an owner.
     pub const GRANTS: Self = counter(
         "persimmon_grants_total",
@@ -132,13 +149,16 @@
 }
 
 /// All metrics.
-pub const CATALOG: [Metric; 13] = [
+pub const CATALOG: [Metric; 16] = [
     Metric::REQUESTS,
     Metric::REFUSALS,
     Metric::FIRST_TOKEN,
     Metric::ATTEMPTS,
     Metric::OPEN,
     Metric::OVERDUE,
+    Metric::SENDS_FAILED,
+    Metric::WAITING,
+    Metric::PREDICTION_ERROR,
     Metric::GRANTS,
     Metric::GENERATION,
     Metric::MEMBERS,
--- /dev/null
+++ b/crates/io/tests/mesh.rs
@@ -0,0 +1,96 @@
+//! Daemons that tell each other their work over loopback.
+
+use flume::Receiver;
+use persimmon_core::{
+    dispatch::{DispatchEvent, WorkNote},
+    ids::{Incarnation, SendId, VmId},
+    message::Member,
+};
+use persimmon_io::peer::{Identity, KeyPairPem, Mesh};
+use std::{net::UdpSocket, rc::Rc, time::Duration};
+use tokio::{
+    runtime::Builder,
+    task::LocalSet,
+    time::{sleep, timeout},
+};
+
+/// Longest time that any step of a test may take.
+const STEP: Duration = Duration::from_secs(10);
+
+struct Node {
+    member: Member,
+    mesh: Rc<Mesh>,
+    events: Receiver<DispatchEvent>,
+}
+
+fn node(ca: &KeyPairPem, name: &str) -> Node {
+    let vm: VmId = name.parse().unwrap();
+    let identity = Identity::of_mesh(&vm, &ca.new_vm(&vm).unwrap()).unwrap();
+    let free = UdpSocket::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let (sender, events) = flume::unbounded();
+    let sink = Rc::new(move |event| sender.send(event).unwrap());
+    let member = Member {
+        vm: vm.clone(),
+        incarnation: Incarnation::new(1),
+        domain: "a".parse().unwrap(),
+        peer_address: free,
+    };
+    Node {
+        member,
+        mesh: Mesh::start(vm, free, &identity, sink).unwrap(),
+        events,
+    }
+}
+
+impl Node {
+    async fn event(&self) -> DispatchEvent {
+        timeout(STEP, self.events.recv_async())
+            .await
+            .unwrap()
+            .unwrap()
+    }
+}
+
+fn run(test: impl std::future::Future<Output = ()>) {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+#[test]
+fn peers_connect_tell_in_order_and_are_missed() {
+    run(async {
+        let ca = KeyPairPem::new_ca().unwrap();
+        let (one, two) = (node(&ca, "vm-1"), node(&ca, "vm-2"));
+        one.mesh.know(vec![one.member.clone(), two.member.clone()]);
+        assert!(matches!(one.event().await, DispatchEvent::PeerUp { vm } if vm == two.member.vm));
+        assert!(matches!(two.event().await, DispatchEvent::PeerUp { vm } if vm == one.member.vm));
+        for send in 1..=50 {
+            one.mesh.tell(None, &WorkNote::Ended(SendId::new(send)));
+        }
+        for send in 1..=50 {
+            match two.event().await {
+                DispatchEvent::PeerNote { vm, note } => {
+                    assert_eq!(vm, one.member.vm);
+                    assert_eq!(note, WorkNote::Ended(SendId::new(send)));
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+        two.mesh.close();
+        assert!(matches!(one.event().await, DispatchEvent::PeerDown { vm } if vm == two.member.vm));
+    });
+}
+
+#[test]
+fn daemons_of_another_authority_are_refused() {
+    run(async {
+        let one = node(&KeyPairPem::new_ca().unwrap(), "vm-1");
+        let stranger = node(&KeyPairPem::new_ca().unwrap(), "vm-2");
+        stranger.mesh.know(vec![one.member.clone()]);
+        sleep(Duration::from_millis(500)).await;
+        assert!(one.events.is_empty() && stranger.events.is_empty());
+    });
+}
--- a/crates/persimmond/src/gateway/control.rs
+++ b/crates/persimmond/src/gateway/control.rs
@@ -1,11 +1,12 @@
 //! The control thread: owns the dispatcher.
 
-use super::traffic::Job;
+use super::{meter::Meter, traffic::Job};
 use flume::{Receiver, RecvTimeoutError, Sender};
 use log::Level;
 use persimmon_core::{
     dispatch::{DispatchAction, DispatchEvent, DispatchRecord, Dispatcher},
     ids::VmId,
+    units::Millis,
 };
 use persimmon_io::{
     logs::LogLine,
@@ -20,6 +21,9 @@
     time::Duration,
 };
 
+/// Time between two refreshes of the gauges.
+const REFRESH_MS: Millis = Millis::new(1_000);
+
 /// The control thread's state.
 pub(super) struct Control {
     pub(super) vm: VmId,
@@ -30,14 +34,20 @@
     pub(super) jobs: Sender<Job>,
     pub(super) limits: SharedLimits,
     pub(super) ready: Arc<AtomicBool>,
+    pub(super) meter: Meter,
 }
 
 impl Control {
     /// Runs until the dispatcher says that all is done.
     pub(super) fn run(mut self) {
         let mut actions = Vec::new();
+        let mut refreshed = self.clock.now();
         loop {
             let now = self.clock.now();
+            if now.since(refreshed) >= REFRESH_MS {
+                refreshed = now;
+                self.meter.refresh(&self.dispatcher);
+            }
             let wait_ms = self.dispatcher.next_wakeup().since(now);
             let wait = wait_ms.duration() + Duration::from_millis(1);
             let event = match self.inbox.recv_timeout(wait) {
@@ -45,6 +55,9 @@
                 Err(RecvTimeoutError::Timeout) => DispatchEvent::Tick,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
+            if let DispatchEvent::Watched { topic, answer } = &event {
+                self.meter.on_store(*topic, answer);
+            }
             self.dispatcher
                 .handle(self.clock.now(), event, &mut actions);
             for action in actions.drain(..) {
@@ -91,6 +104,7 @@
     }
 
     fn log(&self, record: &DispatchRecord) {
+        self.meter.on_record(record);
         match LogLine::new(&self.vm, level(record), record) {
             Ok(line) => line.write(log::logger()),
             Err(error) => log::error!("a decision can't be logged: {error}"),
--- /dev/null
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -0,0 +1,127 @@
+//! Counts the dispatcher's decisions.
+
+use persimmon_core::{
+    dispatch::{DispatchRecord, Dispatcher, SendEnd},
+    units::Millis,
+    watch::{StoreError, Topic},
+};
+use persimmon_io::telemetry::{Metric, Telemetry};
+use std::{sync::Arc, time::Duration};
+
+/// Class of requests for which no route was found.
+const NO_CLASS: &str = "none";
+
+/// Counts the dispatcher's decisions.
+pub(super) struct Meter {
+    telemetry: Arc<Telemetry>,
+}
+
+impl Meter {
+    pub(super) const fn new(telemetry: Arc<Telemetry>) -> Self {
+        Self { telemetry }
+    }
+
+    /// Counts one decision.
+    pub(super) fn on_record(&self, record: &DispatchRecord) {
+        match record {
+            DispatchRecord::Sent { class, .. } => {
+                self.count(Metric::ATTEMPTS, &[("class", class)]);
+            }
+            DispatchRecord::SendFailed { end, next, .. } => {
+                self.count(
+                    Metric::SENDS_FAILED,
+                    &[("end", end_name(end)), ("next", next)],
+                );
+            }
+            DispatchRecord::Refused {
+                reason,
+                class,
+                may_have_run,
+                ..
+            } => {
+                let outcome = if *may_have_run {
+                    "refused_unknown"
+                } else {
+                    "refused_not_run"
+                };
+                let class = class.unwrap_or(NO_CLASS);
+                self.count(Metric::REQUESTS, &[("outcome", outcome), ("class", class)]);
+                self.count(Metric::REFUSALS, &[("code", reason.name())]);
+            }
+            DispatchRecord::Answered {
+                class,
+                status,
+                first_ms,
+                predicted_ms,
+                ..
+            } => {
+                let outcome = if status.is_some() {
+                    "failure_passed_on"
+                } else {
+                    "complete"
+                };
+                self.count(Metric::REQUESTS, &[("outcome", outcome), ("class", class)]);
+                self.on_first(class, *first_ms, *predicted_ms);
+            }
+            DispatchRecord::CallerLeft { class, .. } => {
+                self.count(
+                    Metric::REQUESTS,
+                    &[("outcome", "caller_gone"), ("class", class)],
+                );
+            }
+            _ => {}
+        }
+    }
+
+    /// Counts a call to the store.
+    pub(super) fn on_store<T>(&self, topic: Topic, answer: &Result<T, StoreError>) {
+        let result = match answer {
+            Ok(_) => "ok",
+            Err(StoreError::Refused { .. } | StoreError::Conflict) => "refused",
+            Err(StoreError::HistoryGone) => "history_gone",
+            Err(StoreError::Lost { .. }) => "answer_lost",
+            Err(StoreError::Malformed { .. }) => "malformed",
+        };
+        let labels = [("service", topic.name()), ("result", result)];
+        self.count(Metric::STORE_CALLS, &labels);
+    }
+
+    /// Brings the gauges up to date.
+    pub(super) fn refresh(&self, dispatcher: &Dispatcher) {
+        let set = |metric, value: usize| self.telemetry.gauge(metric, &[]).set(value as f64);
+        set(Metric::OPEN, dispatcher.open_len());
+        set(Metric::WAITING, dispatcher.waiting_len());
+        set(Metric::MEMBERS, dispatcher.members_len());
+        self.telemetry.tidy();
+    }
+
+    fn on_first(&self, class: &str, first_ms: Option<Millis>, predicted_ms: Option<Millis>) {
+        let Some(first_ms) = first_ms else { return };
+        let labels = [("class", class)];
+        let first = self.telemetry.histogram(Metric::FIRST_TOKEN, &labels);
+        first.record(first_ms.duration());
+        if let Some(predicted_ms) = predicted_ms {
+            let error = self.telemetry.histogram(Metric::PREDICTION_ERROR, &labels);
+            error.record(distance(first_ms, predicted_ms));
+        }
+    }
+
+    fn count(&self, metric: Metric, labels: &[(&'static str, &str)]) {
+        self.telemetry.counter(metric, labels).increment(1);
+    }
+}
+
+const fn end_name(end: &SendEnd) -> &'static str {
+    match end {
+        SendEnd::Delivered => "delivered",
+        SendEnd::Failed { not_run: true, .. } => "not_run",
+        SendEnd::Failed { .. } => "failed",
+        SendEnd::NotSent { .. } => "not_sent",
+        SendEnd::Lost { stalled: true, .. } => "stalled",
+        SendEnd::Lost { .. } => "lost",
+    }
+}
+
+fn distance(a: Millis, b: Millis) -> Duration {
+    a.duration().abs_diff(b.duration())
+}
--- a/crates/persimmond/src/gateway/mod.rs
+++ b/crates/persimmond/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod adapter;
 mod control;
 mod errors;
+mod meter;
 mod peers;
 mod run;
 mod signals;
--- a/crates/persimmond/src/gateway/run.rs
+++ b/crates/persimmond/src/gateway/run.rs
@@ -1,6 +1,6 @@
 //! From the command line to a running gateway.
 
-use super::{control::Control, signals, traffic::Traffic, Adapter, GatewayError};
+use super::{control::Control, meter::Meter, signals, traffic::Traffic, Adapter, GatewayError};
 use crate::telemetry;
 use argh::FromArgs;
 use flume::Sender;
@@ -76,6 +76,7 @@
         jobs,
         limits: Arc::clone(&limits),
         ready: Arc::clone(&ready),
+        meter: Meter::new(Arc::clone(&telemetry)),
     };
     log::info!(
         vm:% = settings.vm,
@@ -103,14 +104,14 @@
     Ok(())
 }
 
-/// Stops at SIGTERM and reads the settings again at SIGHUP.
+/// Stops at SIGTERM and reads the settings again at SIGHUP. Addresses and the VM's name can't change
+/// at run time.
 fn watch_signals(events: Sender<DispatchEvent>, settings: PathBuf) -> Result<(), GatewayError> {
-    let stop = move || {
-        // The control thread has ended already: the process ends by itself.
-        let _ = events.send(DispatchEvent::Stop);
-    };
+    let stopped = events.clone();
+    // Where the control thread has ended already, the process ends by itself.
+    let stop = move || drop(stopped.send(DispatchEvent::Stop));
     let reload = move || match load_gateway(&settings) {
-        Ok(_) => log::info!(file:% = settings.display(); "settings read again"),
+        Ok(settings) => drop(events.send(DispatchEvent::Reload(Box::new(settings.dispatch)))),
         Err(error) => log::warn!("settings not taken over: {error}"),
     };
     signals::watch(stop, reload).map_err(GatewayError::Signals)
