--- a/crates/core/src/dispatch/place.rs
+++ b/crates/core/src/dispatch/place.rs
@@ -3,9 +3,10 @@
 use super::{
     choose_engine, choose_plain,
     dispatcher::{Dispatcher, OpenCall, Out},
-    Candidate, DispatchRecord, HelperWork, Reason, Wanted,
+    Candidate, DispatchRecord, HelperWork, PromptSize, Reason, Wanted,
 };
 use crate::{
+    catalog::EngineProfile,
     engine::EngineLoad,
     ids::{CallId, UpstreamId, VmId},
     units::{Time, Tokens},
@@ -23,6 +24,16 @@
 }
 
 impl Place {
+    /// A place at an upstream that is no engine.
+    fn plain(upstream: UpstreamId) -> Self {
+        Self {
+            upstream,
+            helpers: Vec::new(),
+            memory_tokens: Tokens::ZERO,
+            predicted_ms: None,
+        }
+    }
+
     /// Whether helpers keep a part of the prompt's memory.
     fn needs_reservations(&self) -> bool {
         self.helpers
@@ -108,45 +119,53 @@
                 Reason::NoCapacity
             });
         }
-        let (Some(profile), Some(prompt)) = (&open.service.engine, open.call.prompt) else {
-            let index = choose_plain(&candidates).ok_or(Reason::NoCapacity)?;
-            let upstream = candidates.swap_remove(index).upstream;
-            return Ok(Place {
-                upstream,
-                helpers: Vec::new(),
-                memory_tokens: Tokens::ZERO,
-                predicted_ms: None,
-            });
-        };
+        match (&open.service.engine, open.call.prompt) {
+            (Some(profile), Some(prompt)) => {
+                self.find_engine(now, open, profile, prompt, &candidates)
+            }
+            _ => {
+                let index = choose_plain(&candidates).ok_or(Reason::NoCapacity)?;
+                Ok(Place::plain(candidates.swap_remove(index).upstream))
+            }
+        }
+    }
+
+    /// The best engine for a prompt now, and those that help it to read.
+    fn find_engine(
+        &self,
+        now: Time,
+        open: &OpenCall,
+        profile: &EngineProfile,
+        prompt: PromptSize,
+        candidates: &[Candidate<UpstreamId>],
+    ) -> Result<Place, Reason> {
         let whole_tokens = prompt.prompt_tokens + prompt.output_tokens;
         if whole_tokens.get() > profile.kv_tokens.get() * candidates.len() as u64 {
             return Err(Reason::TooLarge);
         }
         let catalog = self.catalog.as_ref();
+        let left_ms = open.left_ms(now).get() as f64;
         let wanted = Wanted {
             profile,
             prompt_tokens: prompt.prompt_tokens,
             output_tokens: prompt.output_tokens,
             target_ms: open.on_time_until().since(now).get() as f64,
-            left_ms: open.left_ms(now).get() as f64,
+            left_ms,
             tightest_pause_ms: catalog.and_then(|c| c.tightest_pause_ms(&open.service.name)),
         };
-        let choice = choose_engine(&candidates, &wanted).ok_or(Reason::NoCapacity)?;
-        if choice.prediction.first_event_ms > open.left_ms(now).get() as f64 {
+        let choice = choose_engine(candidates, &wanted).ok_or(Reason::NoCapacity)?;
+        if choice.prediction.first_event_ms > left_ms {
             return Err(Reason::TooLarge);
         }
         let upstream = |index: usize| candidates[index].upstream.clone();
-        let helpers = choice
-            .helpers
-            .iter()
-            .map(|(index, memory_tokens)| HelperWork {
-                upstream: upstream(*index),
-                memory_tokens: *memory_tokens,
-            });
+        let helper = |(index, memory_tokens): &(usize, Tokens)| HelperWork {
+            upstream: upstream(*index),
+            memory_tokens: *memory_tokens,
+        };
         Ok(Place {
             upstream: upstream(choice.candidate_index),
             memory_tokens: whole_tokens.saturating_sub(choice.prediction.missing_tokens),
-            helpers: helpers.collect(),
+            helpers: choice.helpers.iter().map(helper).collect(),
             predicted_ms: Some(choice.prediction.first_event_ms),
         })
     }
--- a/crates/io/src/peer/mesh.rs
+++ b/crates/io/src/peer/mesh.rs
@@ -146,10 +146,10 @@
             .iter_mut()
             .filter(|(_, peer)| peer.links.is_empty() && !peer.dialling);
         let lost = lost.filter_map(|(vm, peer)| {
+            let may_dial = peer.dials_count < DIALS_MAX_COUNT;
+            let address = peer.address.filter(|_| may_dial)?;
             peer.dials_count += 1;
-            let address = peer
-                .address
-                .filter(|_| peer.dials_count <= DIALS_MAX_COUNT)?;
+            peer.dialling = true;
             Some((vm.clone(), address))
         });
         lost.collect()
--- a/crates/io/src/transport/call_task.rs
+++ b/crates/io/src/transport/call_task.rs
@@ -95,15 +95,7 @@
     ) -> Step {
         events.resume();
         let (call, send) = (self.id, plan.send);
-        let out = Outgoing {
-            pool: &self.shared.pool,
-            dialect: &*self.shared.dialect,
-            head: &self.head,
-            body: &self.body,
-            tag: &self.tag,
-            plan,
-            sent_at: Instant::now(),
-        };
+        let out = self.outgoing(plan);
         let signals = Signals {
             on_first: &|| self.event(DispatchEvent::First { call, send }),
             on_stall: &|silent_ms| {
@@ -140,6 +132,18 @@
         self.next_command(reply).await
     }
 
+    fn outgoing<'a>(&'a self, plan: &'a SendPlan) -> Outgoing<'a> {
+        Outgoing {
+            pool: &self.shared.pool,
+            dialect: &*self.shared.dialect,
+            head: &self.head,
+            body: &self.body,
+            tag: &self.tag,
+            plan,
+            sent_at: Instant::now(),
+        }
+    }
+
     fn refuse(&self, reply: &mut Reply, refusal: &Refusal) {
         let (status, headers) = self.shared.dialect.refusal(refusal);
         let (mut head, ()) = Response::new(()).into_parts();
--- a/crates/io/tests/mesh.rs
+++ b/crates/io/tests/mesh.rs
@@ -80,7 +80,10 @@
             }
         }
         two.mesh.close();
-        assert!(matches!(one.event().await, DispatchEvent::PeerDown { vm } if vm == two.member.vm));
+        match one.event().await {
+            DispatchEvent::PeerDown { vm } => assert_eq!(vm, two.member.vm),
+            other => panic!("{other:?}"),
+        }
     });
 }
 
--- a/crates/persimmonctl/src/args/cli.rs
+++ b/crates/persimmonctl/src/args/cli.rs
@@ -1,6 +1,6 @@
 //! The top of the command line.
 
-use super::{ConfigArgs, KeysArgs, PlanArgs};
+use super::{ConfigArgs, ExplainArgs, KeysArgs, PlanArgs};
 use argh::FromArgs;
 use persimmon_core::ids::PlanId;
 use std::{net::SocketAddr, path::PathBuf};
@@ -48,6 +48,8 @@
     Confirm(ConfirmArgs),
     /// Keys of the daemons.
     Keys(KeysArgs),
+    /// A request's story from the daemons' logs.
+    Explain(ExplainArgs),
 }
 
 /// Show the daemon's state and the members it knows.
--- a/crates/persimmonctl/src/errors.rs
+++ b/crates/persimmonctl/src/errors.rs
@@ -24,6 +24,12 @@
         /// Why.
         source: serde_json::Error,
     },
+    /// No log names a request.
+    #[error("no line about request {request}: give the logs of all daemons of that time")]
+    NoSuchRequest {
+        /// The caller's id of the request.
+        request: String,
+    },
     /// No token was given.
     #[error("no operators' token: give --token-file or set PERSIMMON_TOKEN")]
     NoToken,
--- a/crates/persimmonctl/src/exit.rs
+++ b/crates/persimmonctl/src/exit.rs
@@ -24,7 +24,7 @@
     fn from(error: &CtlError) -> Self {
         match error {
             CtlError::Refused(OperatorError::OutcomeUnknown(_)) => Self::Unknown,
-            CtlError::Refused(_) => Self::Refused,
+            CtlError::Refused(_) | CtlError::NoSuchRequest { .. } => Self::Refused,
             CtlError::Answer { .. }
             | CtlError::Unauthorized { .. }
             | CtlError::Unreachable { .. } => Self::Unreachable,
--- a/crates/persimmonctl/src/lib.rs
+++ b/crates/persimmonctl/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod errors;
 mod exit;
+mod explain;
 mod keys;
 mod run;
 
--- a/crates/persimmonctl/src/run.rs
+++ b/crates/persimmonctl/src/run.rs
@@ -3,6 +3,7 @@
 use crate::{
     args::{Cli, Command, ConfigCommand, KeysArgs, KeysCommand, PlanArgs, PlanCommand},
     client::{HttpClient, OperatorClient},
+    explain::explain,
     keys::new_keys,
     report, CtlError, Exit,
 };
@@ -41,6 +42,7 @@
         Command::Keys(KeysArgs {
             command: KeysCommand::New(new),
         }) => new_keys(new),
+        Command::Explain(args) => explain(args),
         Command::Status(_) => ask(cli, &OperatorCommand::Status),
         Command::Fleet(_) => ask(cli, &OperatorCommand::Fleet),
         Command::Config(config) => match config.command {
--- a/crates/persimmond/src/gateway/run.rs
+++ b/crates/persimmond/src/gateway/run.rs
@@ -7,7 +7,7 @@
 use persimmon_core::dispatch::{DispatchEvent, Dispatcher};
 use persimmon_io::{
     logs,
-    settings::load_gateway,
+    settings::{load_gateway, GatewaySettings},
     transport::{CallerListener, Hub},
     BootClock,
 };
@@ -78,13 +78,7 @@
         ready: Arc::clone(&ready),
         meter: Meter::new(Arc::clone(&telemetry)),
     };
-    log::info!(
-        vm:% = settings.vm,
-        callers:% = settings.listen.callers,
-        peers:% = settings.listen.peers,
-        store:% = settings.store;
-        "started"
-    );
+    log_start(&settings);
     let builder = thread::Builder::new().name(CONTROL_THREAD.into());
     let thread = builder
         .spawn(move || control.run())
@@ -104,6 +98,16 @@
     Ok(())
 }
 
+fn log_start(settings: &GatewaySettings) {
+    log::info!(
+        vm:% = settings.vm,
+        callers:% = settings.listen.callers,
+        peers:% = settings.listen.peers,
+        store:% = settings.store;
+        "started"
+    );
+}
+
 /// Stops at SIGTERM and reads the settings again at SIGHUP. Addresses and the VM's name can't change
 /// at run time.
 fn watch_signals(events: Sender<DispatchEvent>, settings: PathBuf) -> Result<(), GatewayError> {
