--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -44,7 +44,9 @@
     Limits(CallerLimits),
     /// Whether the daemon takes new callers.
     Ready(bool),
-    /// Ask callers to open new connections elsewhere from now on.
+    /// Ask callers to open their next connections elsewhere.
+    LastAnswers,
+    /// Close connections as soon as they are idle.
     CloseIdle,
     /// Write a log line.
     Log(Box<DispatchRecord>),
--- a/crates/core/src/dispatch/operators.rs
+++ b/crates/core/src/dispatch/operators.rs
@@ -8,11 +8,15 @@
     catalog::{Catalog, RawCatalog},
     fleet::UpstreamRecord,
     ids::{FailureDomain, StoreVersion, UpstreamId},
-    units::Millis,
+    units::{Millis, Time},
     watch::{Batch, Change, Contact, StoreError, Topic},
 };
 use std::{collections::BTreeSet, sync::Arc};
 
+/// Age of knowledge from which on a daemon whose calls to the store fail takes no new callers: the
+/// balancer needs two seconds to move them.
+const LOSING_MS: Millis = Millis::new(1_600);
+
 /// Pause for each peer that comes before this daemon in reading the list of upstreams: a daemon
 /// reads only where those before it are silent.
 const RANK_PAUSE_MS: Millis = Millis::new(50);
@@ -233,6 +237,15 @@
         out.log(DispatchRecord::Upstream { upstream, state });
     }
 
+    /// Whether the store is being lost: callers are better off elsewhere before their keys can no
+    /// longer be honoured here.
+    fn loses_store(&self, now: Time) -> bool {
+        let old = self
+            .knowledge_ms(now)
+            .is_none_or(|age_ms| age_ms >= LOSING_MS);
+        self.operators.fails() && old
+    }
+
     /// Tells whether new callers are taken, where that changed.
     pub(super) fn update_ready(&mut self, out: &mut Out<'_>) {
         let reason = if self.stop.is_some() {
@@ -241,7 +254,7 @@
             Some("no catalog is known")
         } else if !self.fleet.loaded() {
             Some("upstreams are not known")
-        } else if !self.keys_are_fresh(out.now) {
+        } else if !self.keys_are_fresh(out.now) || self.loses_store(out.now) {
             Some("the store can't be followed")
         } else {
             None
--- a/crates/core/src/dispatch/stop.rs
+++ b/crates/core/src/dispatch/stop.rs
@@ -37,6 +37,7 @@
             broken_at: None,
             exited: false,
         });
+        out.act(DispatchAction::LastAnswers);
         out.log(DispatchRecord::Stopping {
             open_requests: self.calls.len(),
             grace_ms: self.settings.grace_ms,
--- a/crates/core/src/watch/topic_watch.rs
+++ b/crates/core/src/watch/topic_watch.rs
@@ -172,6 +172,11 @@
         self.failures_count == 1
     }
 
+    /// Whether the last call failed.
+    pub const fn fails(&self) -> bool {
+        self.failures_count > 0
+    }
+
     /// Time up to which what is known here is sure to be all that was acknowledged.
     pub const fn fresh_at(&self) -> Option<Time> {
         self.fresh_at
--- a/crates/io/src/transport/caller_listener.rs
+++ b/crates/io/src/transport/caller_listener.rs
@@ -48,13 +48,25 @@
 /// Limits of callers, shared with the control thread.
 pub type SharedLimits = Arc<Mutex<CallerLimits>>;
 
+/// How far a listener has taken leave of its callers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Closing {
+    /// Connections are kept.
+    #[default]
+    Open,
+    /// Each answer is the last one of its connection.
+    LastAnswers,
+    /// Connections are closed as soon as they are idle.
+    Idle,
+}
+
 /// Listens for callers.
 pub struct CallerListener {
     shared: Rc<Shared>,
     limits: SharedLimits,
     connections_len: Cell<usize>,
     connections_max_len: usize,
-    closing: watch::Receiver<bool>,
+    closing: watch::Receiver<Closing>,
 }
 
 impl std::fmt::Debug for CallerListener {
@@ -71,7 +83,7 @@
         dialect: Rc<dyn Dialect>,
         limits: SharedLimits,
         connections_max_len: usize,
-        closing: watch::Receiver<bool>,
+        closing: watch::Receiver<Closing>,
     ) -> Self {
         Self {
             shared: Rc::new(Shared { hub, pool, dialect }),
@@ -121,7 +133,7 @@
         let mut closing = self.closing.clone();
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
-            _ = closing.wait_for(|closing| *closing) => {
+            _ = closing.wait_for(|closing| *closing == Closing::Idle) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
@@ -142,7 +154,7 @@
             Ok(response) => response,
             Err((status, text)) => plain(status, text),
         };
-        if *self.closing.borrow() {
+        if *self.closing.borrow() != Closing::Open {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
--- a/crates/io/src/transport/mod.rs
+++ b/crates/io/src/transport/mod.rs
@@ -15,7 +15,7 @@
 mod store;
 
 pub use answer_body::{AnswerBody, BrokenAnswer};
-pub use caller_listener::{CallerListener, SharedLimits};
+pub use caller_listener::{CallerListener, Closing, SharedLimits};
 pub use dialect::{remove_hop_headers, AnswerHead, CallHead, CallHeadError, Dialect, Forwarded};
 pub use event_stream::EventStream;
 pub use hub::{CallCommand, Hub};
--- a/crates/persimmond/src/gateway/control.rs
+++ b/crates/persimmond/src/gateway/control.rs
@@ -10,7 +10,7 @@
 };
 use persimmon_io::{
     logs::LogLine,
-    transport::{CallCommand, Hub, SharedLimits},
+    transport::{CallCommand, Closing, Hub, SharedLimits},
     BootClock,
 };
 use std::{
@@ -88,7 +88,8 @@
                 *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = limits;
             }
             DispatchAction::Ready(ready) => self.ready.store(ready, Ordering::Relaxed),
-            DispatchAction::CloseIdle => self.job(Job::CloseIdle),
+            DispatchAction::LastAnswers => self.job(Job::Close(Closing::LastAnswers)),
+            DispatchAction::CloseIdle => self.job(Job::Close(Closing::Idle)),
             DispatchAction::Log(record) => self.log(&record),
             DispatchAction::Exit => {
                 self.job(Job::Exit);
--- a/crates/persimmond/src/gateway/traffic.rs
+++ b/crates/persimmond/src/gateway/traffic.rs
@@ -15,7 +15,9 @@
     http::Pages,
     settings::GatewaySettings,
     telemetry::Telemetry,
-    transport::{give_order, serve_pages, CallerListener, Hub, MetadataStore, Pool, SharedLimits},
+    transport::{
+        give_order, serve_pages, CallerListener, Closing, Hub, MetadataStore, Pool, SharedLimits,
+    },
 };
 use std::{
     net::SocketAddr,
@@ -57,8 +59,8 @@
         /// What.
         note: WorkNote,
     },
-    /// Close connections as soon as they are idle.
-    CloseIdle,
+    /// Take leave of callers.
+    Close(Closing),
     /// End the loop.
     Exit,
 }
@@ -83,7 +85,7 @@
     }
 
     async fn serve(self) -> Result<(), GatewayError> {
-        let (close, closing) = watch::channel(false);
+        let (close, closing) = watch::channel(Closing::default());
         let pool = Rc::new(Pool::default());
         let store = (self.adapter.store)(Rc::clone(&pool), self.settings.store);
         let dialect = (self.adapter.dialect)();
@@ -115,8 +117,8 @@
                         mesh.tell(to.as_ref(), &note);
                     }
                 }
-                Job::CloseIdle => {
-                    close.send_replace(true);
+                Job::Close(closing) => {
+                    close.send_replace(closing);
                 }
                 Job::Exit => break,
             }
