A stream without its end is broken off; shares of limits hold for daemons that are alone

Cause, found by reading: a failure passed on after the first event, or a task that ended early, closed a stream as if it were whole; daemons without peers used the whole allowance of repeats each; a daemon's own connection limit marked upstreams as broken. Ruled out for streams: passing the failure's body on (joins two answers).

--- a/crates/core/src/catalog/engine_profile.rs
+++ b/crates/core/src/catalog/engine_profile.rs
@@ -31,8 +31,6 @@
     pub pairs_ms: f64,
     /// Most prompt tokens read in a step.
     pub chunk_tokens: Tokens,
-    /// Added time of a step for answers whose memory is spread over engines.
-    pub hop_ms: f64,
 }
 
 impl EngineProfile {
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -23,6 +23,15 @@
 /// Time between two looks where nothing is open.
 const IDLE_TICK_MS: Millis = Millis::new(250);
 
+/// Time that an upstream gets beyond a call's time to say itself that it is over.
+const OVERDUE_SLACK_MS: Millis = Millis::new(60);
+
+/// Time after a start for which other daemons may not be connected yet.
+const JOIN_MS: Millis = Millis::new(5_000);
+
+/// Daemons that limits are shared among until then, where fewer are seen.
+const SHARERS_ASSUMED_LEN: usize = 16;
+
 /// One input of the dispatcher. The time comes beside it.
 #[derive(Debug)]
 pub enum DispatchEvent {
@@ -135,6 +144,14 @@
         self.due_at.since(now)
     }
 
+    /// When it is given up: an upstream gets a moment to say itself that time is over.
+    pub(super) fn overdue_at(&self) -> Time {
+        match self.sending {
+            Some(_) => self.due_at + OVERDUE_SLACK_MS,
+            None => self.due_at,
+        }
+    }
+
     /// Age of the request.
     pub(super) fn age_ms(&self, now: Time) -> Millis {
         now.since(self.arrived_at)
@@ -180,6 +197,7 @@
     pub(super) waiting: VecDeque<CallId>,
     pub(super) peers: BTreeMap<VmId, u32>,
     pub(super) last_peer_index: u32,
+    most_members_len: usize,
     pub(super) last_send: SendId,
     pub(super) ready: Option<bool>,
     pub(super) stop: Option<Stop>,
@@ -209,6 +227,7 @@
             waiting: VecDeque::new(),
             peers: BTreeMap::new(),
             last_peer_index: OWN,
+            most_members_len: 1,
             last_send: SendId::default(),
             ready: None,
             stop: None,
@@ -249,7 +268,7 @@
         let busy = !self.waiting.is_empty() || self.stop.is_some();
         let tick_ms = if busy { TICK_MS } else { IDLE_TICK_MS };
         let watches = [self.operators.next_wakeup(), self.upstreams.next_wakeup()];
-        let due = self.calls.values().map(|open| open.due_at).min();
+        let due = self.calls.values().map(OpenCall::overdue_at).min();
         let times = watches.into_iter().chain([
             self.fleet.next_expiry(),
             self.reservations.next_wakeup(),
@@ -268,9 +287,9 @@
         self.waiting.len()
     }
 
-    /// Daemons that see each other's work, this one included.
+    /// Daemons that see each other's work: this one, and the peers connected.
     pub fn members_len(&self) -> usize {
-        self.daemons_len()
+        self.peers.len() + 1
     }
 
     /// What is known of the upstreams.
@@ -283,9 +302,15 @@
         &self.ledger
     }
 
-    /// Daemons that share the budgets: this one, and the peers connected.
-    pub(super) fn daemons_len(&self) -> usize {
-        self.peers.len() + 1
+    /// Daemons that limits are shared among: the most that were seen together, since those that can't
+    /// be heard go on using their shares. After a start others may only not be connected yet.
+    pub(super) fn sharers_len(&self, now: Time) -> usize {
+        let assumed_len = if now < Time::START + JOIN_MS {
+            SHARERS_ASSUMED_LEN
+        } else {
+            1
+        };
+        self.most_members_len.max(assumed_len)
     }
 
     /// Age of what is known of the operators' writes.
@@ -343,6 +368,7 @@
 
     fn on_peer_up(&mut self, out: &mut Out<'_>, vm: VmId) {
         self.peer_index(vm.clone());
+        self.most_members_len = self.most_members_len.max(self.members_len());
         let note = WorkNote::All(self.ledger.own_work(out.now));
         out.log(DispatchRecord::Peer {
             member: vm.clone(),
--- a/crates/core/src/dispatch/foresee.rs
+++ b/crates/core/src/dispatch/foresee.rs
@@ -41,7 +41,7 @@
 
     /// When a caller who is refused for want of a place should come back.
     pub(super) fn place_after_ms(&self, now: Time, open: &OpenCall) -> Millis {
-        let place = self.waiting.len() * self.daemons_len();
+        let place = self.waiting.len() * self.members_len();
         let foreseen = self.foreseen_ms(now, open, place);
         foreseen.map_or(RETRY_AFTER_MS, |ms| {
             Millis::new(ms as u64).max(RETRY_MIN_MS)
--- a/crates/core/src/dispatch/ledger.rs
+++ b/crates/core/src/dispatch/ledger.rs
@@ -170,12 +170,6 @@
         self.by_upstream.get(upstream).map_or(0, BTreeSet::len)
     }
 
-    /// Prompts of all engines that are not read yet.
-    pub fn works_on<'a>(&'a self, upstream: &UpstreamId) -> impl Iterator<Item = &'a Work> {
-        let ids = self.by_upstream.get(upstream).into_iter().flatten();
-        ids.filter_map(|id| self.works.get(id))
-    }
-
     /// What runs on an engine, as its profile sees it.
     pub fn engine_load(
         &self,
--- a/crates/core/src/dispatch/operators.rs
+++ b/crates/core/src/dispatch/operators.rs
@@ -78,7 +78,7 @@
                 change => log_unreadable(out, change),
             }
         }
-        let shared_ms = 1_000 * self.daemons_len() / OPERATORS_CALLS_PER_S;
+        let shared_ms = 1_000 * self.members_len() / OPERATORS_CALLS_PER_S;
         let wait_ms = self
             .settings
             .operators
--- a/crates/core/src/dispatch/outcome.rs
+++ b/crates/core/src/dispatch/outcome.rs
@@ -17,6 +17,8 @@
         /// Another upstream has the address.
         wrong_upstream: bool,
     },
+    /// This daemon has as many connections to the upstream as it may: nothing was sent.
+    Busy,
     /// Nothing reached the upstream.
     NotSent {
         /// What happened.
@@ -36,7 +38,7 @@
     pub const fn may_have_run(&self) -> bool {
         !matches!(
             self,
-            Self::NotSent { .. } | Self::Failed { not_run: true, .. }
+            Self::Busy | Self::NotSent { .. } | Self::Failed { not_run: true, .. }
         )
     }
 }
--- a/crates/core/src/dispatch/place.rs
+++ b/crates/core/src/dispatch/place.rs
@@ -68,7 +68,7 @@
             .iter()
             .take_while(|waiting| **waiting != id)
             .count();
-        own * self.daemons_len()
+        own * self.members_len()
     }
 
     fn wait(&mut self, out: &mut Out<'_>, id: CallId) {
--- a/crates/core/src/dispatch/reserve.rs
+++ b/crates/core/src/dispatch/reserve.rs
@@ -187,10 +187,10 @@
             (State::Held, OrderKind::Reserve { .. }, OrderEnd::Lost) => {
                 reservation.next_at = out.now;
             }
-            (State::Released, OrderKind::Release, OrderEnd::Done | OrderEnd::Refused) => {
-                if reservation.late_until <= out.now {
-                    self.reservations.tickets.remove(ticket);
-                }
+            (State::Released, OrderKind::Release, OrderEnd::Done | OrderEnd::Refused)
+                if reservation.late_until <= out.now =>
+            {
+                self.reservations.tickets.remove(ticket);
             }
             _ => {}
         }
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -17,9 +17,6 @@
 /// A call is not sent again with less time left.
 const RETRY_LEFT_MIN_MS: Millis = Millis::new(50);
 
-/// Time that an upstream gets beyond a call's time to say itself that it is over.
-const OVERDUE_SLACK_MS: Millis = Millis::new(60);
-
 /// Multiple of the work ahead that an engine may be silent for.
 const SILENCE_FACTOR: f64 = 2.0;
 
@@ -187,7 +184,7 @@
     fn judge(&mut self, out: &mut Out<'_>, sending: &Sending, end: &SendEnd) {
         let upstream = &sending.upstream;
         match end {
-            SendEnd::Delivered => {}
+            SendEnd::Delivered | SendEnd::Busy => {}
             SendEnd::Failed {
                 wrong_upstream: true,
                 ..
@@ -216,18 +213,21 @@
     }
 
     fn next(&mut self, now: Time, call: CallId, end: &SendEnd) -> Next {
-        let daemons_len = self.daemons_len();
+        let sharers_len = self.sharers_len(now);
         let Some(open) = self.calls.get(&call) else {
             return Next::GiveUp(Reason::UpstreamFailed);
         };
         let failed = match end {
-            SendEnd::Failed { not_run: true, .. } | SendEnd::NotSent { .. } => {
+            SendEnd::Failed { not_run: true, .. } | SendEnd::NotSent { .. } | SendEnd::Busy => {
                 Next::GiveUp(if open.may_have_run {
                     Reason::UpstreamFailed
                 } else {
                     Reason::UpstreamsRefused
                 })
             }
+            SendEnd::Failed { .. } if open.first_at.is_some() => {
+                Next::GiveUp(Reason::UpstreamFailed)
+            }
             SendEnd::Failed { .. } => Next::PassFailure,
             SendEnd::Lost { .. } | SendEnd::Delivered => Next::GiveUp(Reason::UpstreamFailed),
         };
@@ -243,7 +243,7 @@
         let tries_left = open.tries_count < TRIES_MAX_COUNT;
         let wanted = worth_it && repeatable && in_time && tries_left;
         let service = open.service.name.clone();
-        if wanted && self.budget.take(now, &service, daemons_len) {
+        if wanted && self.budget.take(now, &service, sharers_len) {
             Next::SendAgain
         } else {
             failed
@@ -325,16 +325,11 @@
 
     /// Gives up the calls whose time is over.
     pub(super) fn end_overdue(&mut self, out: &mut Out<'_>) {
-        let overdue = |open: &OpenCall| {
-            let slack_ms = if open.sending.is_some() {
-                OVERDUE_SLACK_MS
-            } else {
-                Millis::ZERO
-            };
-            open.due_at + slack_ms <= out.now
-        };
-        let calls = self.calls.iter().filter(|(_, open)| overdue(open));
-        let calls: Vec<_> = calls.map(|(call, _)| *call).collect();
+        let overdue = self
+            .calls
+            .iter()
+            .filter(|(_, open)| open.overdue_at() <= out.now);
+        let calls: Vec<_> = overdue.map(|(call, _)| *call).collect();
         for call in calls {
             self.give_up(out, call, Reason::TimedOut);
         }
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -34,11 +34,6 @@
         self.upstreams.get(id)
     }
 
-    /// All upstreams.
-    pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
-        self.upstreams.values()
-    }
-
     /// Upstreams of a service that may get new work.
     pub fn usable<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Upstream> {
         self.upstreams.values().filter(move |upstream| {
@@ -47,13 +42,6 @@
         })
     }
 
-    /// Whether an upstream may get new work.
-    pub fn is_usable(&self, id: &UpstreamId) -> bool {
-        self.upstreams.get(id).is_some_and(|upstream| {
-            !upstream.record.draining && !self.out.contains(&upstream.record.domain)
-        })
-    }
-
     /// An upstream registered, or renewed its entry. A write that was delayed and is older than
     /// what is known says nothing. True where something but the entry's age changed.
     pub fn on_record(&mut self, now: Time, record: UpstreamRecord) -> bool {
--- a/crates/core/tests/common/dispatch/mod.rs
+++ b/crates/core/tests/common/dispatch/mod.rs
@@ -42,7 +42,6 @@
         read_tokens_per_ms: 177.0,
         pairs_ms: 0.184,
         chunk_tokens: Tokens::new(2_048),
-        hop_ms: 0.05,
     }
 }
 
--- a/crates/core/tests/dispatch_rules.rs
+++ b/crates/core/tests/dispatch_rules.rs
@@ -360,3 +360,73 @@
     let domain = |upstream| &node.dispatcher.fleet().get(upstream).unwrap().record.domain;
     assert_ne!(domain(&first.upstream), domain(&sent(&seen).upstream));
 }
+
+/// Daemons that are cut off from each other, or have just started, keep to their shares: together they
+/// would else use the allowance once each.
+#[test]
+fn a_daemon_alone_keeps_to_its_share_of_the_repeats() {
+    let repeats = |node: &mut Node| {
+        let sent_again = (0..60).filter(|_| {
+            let (_, seen) = node.call("status", 0);
+            let Some(Seen::Send(first)) = seen.first() else {
+                return false;
+            };
+            let first = first.clone();
+            let seen = node.ends(&first, lost());
+            let Some(Seen::Send(second)) = seen.first() else {
+                return false;
+            };
+            let second = second.clone();
+            node.ends(&second, SendEnd::Delivered);
+            true
+        });
+        sent_again.count()
+    };
+    let mut started = Node::ready(0, 100);
+    let share = repeats(&mut started);
+    assert!(share <= 15, "{share}");
+    let mut cut = Node::ready(0, 100);
+    for peer in 1..9 {
+        let vm: persimmon_core::ids::VmId = id(&format!("vm-{peer}"));
+        cut.step(DispatchEvent::PeerUp { vm: vm.clone() });
+        cut.step(DispatchEvent::PeerDown { vm });
+    }
+    cut.now = cut.now + ms(6_000);
+    cut.operators(false, Vec::new());
+    let share = repeats(&mut cut);
+    assert!(share <= 20, "{share}");
+}
+
+#[test]
+fn a_stream_that_has_begun_is_broken_off_where_the_next_upstream_fails() {
+    let mut node = Node::ready(3, 0);
+    let (call, seen) = node.call("alarm", 5_000);
+    let first = sent(&seen).clone();
+    node.step(DispatchEvent::First {
+        call,
+        send: first.send,
+    });
+    let seen = node.ends(&first, lost());
+    let second = sent(&seen).clone();
+    let end = SendEnd::Failed {
+        status: 500,
+        not_run: false,
+        wrong_upstream: false,
+    };
+    assert_eq!(node.ends(&second, end), [Seen::Break(call)]);
+}
+
+#[test]
+fn an_upstream_whose_connections_are_taken_is_not_thought_broken() {
+    let mut node = Node::ready(0, 2);
+    let (_, seen) = node.call("order", 0);
+    let first = sent(&seen).clone();
+    let seen = node.ends(&first, SendEnd::Busy);
+    let second = sent(&seen).clone();
+    node.ends(&second, SendEnd::Delivered);
+    // Both are still chosen, the one with nothing on it first.
+    let (_, seen) = node.call("order", 0);
+    let third = sent(&seen).upstream.clone();
+    let (_, seen) = node.call("order", 0);
+    assert_ne!(third, sent(&seen).upstream);
+}
--- a/crates/io/src/transport/answer_body.rs
+++ b/crates/io/src/transport/answer_body.rs
@@ -14,13 +14,22 @@
 #[error("the answer was broken off: the connection is closed")]
 pub struct BrokenAnswer;
 
+/// A piece of an answer's body.
+#[derive(Debug)]
+pub enum Piece {
+    /// Bytes.
+    Data(Bytes),
+    /// The body is whole.
+    End,
+}
+
 /// The body of an answer to a caller.
 #[derive(Debug)]
 pub enum AnswerBody {
     /// All of it at once.
     Whole(Option<Bytes>),
-    /// Pieces as they arrive.
-    Pieces(mpsc::Receiver<Result<Bytes, BrokenAnswer>>),
+    /// Pieces as they arrive. Without an end the body is broken off.
+    Pieces(mpsc::Receiver<Piece>),
 }
 
 impl From<Bytes> for AnswerBody {
@@ -37,12 +46,18 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
-        match self.get_mut() {
+        let body = self.get_mut();
+        match body {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Pieces(pieces) => {
-                let piece = pieces.poll_recv(context);
-                piece.map(|piece| piece.map(|piece| piece.map(Frame::data)))
-            }
+            Self::Pieces(pieces) => match pieces.poll_recv(context) {
+                Poll::Pending => Poll::Pending,
+                Poll::Ready(Some(Piece::Data(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                Poll::Ready(Some(Piece::End)) => {
+                    *body = Self::Whole(None);
+                    Poll::Ready(None)
+                }
+                Poll::Ready(None) => Poll::Ready(Some(Err(BrokenAnswer))),
+            },
         }
     }
 
--- a/crates/io/src/transport/call_task.rs
+++ b/crates/io/src/transport/call_task.rs
@@ -64,7 +64,7 @@
                     Step::Stop
                 }
                 CallCommand::Break => {
-                    reply.break_off().await;
+                    reply.break_off();
                     Step::Stop
                 }
             };
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -75,6 +75,7 @@
     fn from(error: PoolError) -> Self {
         Self::Ended(match error {
             PoolError::NotSent { reason, .. } => SendEnd::NotSent { reason },
+            PoolError::AllTaken { .. } => SendEnd::Busy,
             PoolError::Lost { reason, .. } => lost(reason),
         })
     }
@@ -180,8 +181,7 @@
     if !reply.has_begun() {
         reply.whole(end_to_end(head), Bytes::new())?;
     }
-    reply.end();
-    Ok(())
+    Ok(reply.end().await?)
 }
 
 async fn pass(reply: &mut Reply, head: &response::Parts, piece: Bytes) -> Result<(), Outcome> {
--- a/crates/io/src/transport/orders.rs
+++ b/crates/io/src/transport/orders.rs
@@ -18,7 +18,7 @@
     let request = dialect.order(&order).map(Full::new);
     let end = match pool.call(order.address, request, ORDER_TIMEOUT).await {
         Ok(answer) if answer.status().is_success() => OrderEnd::Done,
-        Ok(_) | Err(PoolError::NotSent { .. }) => OrderEnd::Refused,
+        Ok(_) | Err(PoolError::NotSent { .. } | PoolError::AllTaken { .. }) => OrderEnd::Refused,
         Err(PoolError::Lost { .. }) => OrderEnd::Lost,
     };
     hub.event(DispatchEvent::Ordered {
--- a/crates/io/src/transport/pool.rs
+++ b/crates/io/src/transport/pool.rs
@@ -50,6 +50,12 @@
         /// Why.
         reason: String,
     },
+    /// This daemon has as many connections there as it may.
+    #[error("all connections to {address} are taken: send elsewhere, or later")]
+    AllTaken {
+        /// The address.
+        address: SocketAddr,
+    },
     /// It was sent and may have been carried out.
     #[error("{address} gave no answer ({reason}): it may have carried the request out")]
     Lost {
@@ -211,8 +217,7 @@
             Rc::clone(&host.open_len)
         };
         if open_len.get() >= how.connections_max_len {
-            let reason = "all connections are taken".to_owned();
-            return Err(PoolError::NotSent { address, reason });
+            return Err(PoolError::AllTaken { address });
         }
         Ok((open(address, open_len).await?, false))
     }
--- a/crates/io/src/transport/reply.rs
+++ b/crates/io/src/transport/reply.rs
@@ -1,6 +1,6 @@
 //! The answer to one caller, as far as it is given.
 
-use super::{AnswerBody, BrokenAnswer};
+use super::{answer_body::Piece, AnswerBody};
 use bytes::Bytes;
 use http::{response, Response};
 use tokio::sync::{mpsc, oneshot};
@@ -13,7 +13,7 @@
     /// Nothing was said yet.
     Open(oneshot::Sender<Response<AnswerBody>>),
     /// The head is out, pieces follow.
-    Begun(mpsc::Sender<Result<Bytes, BrokenAnswer>>),
+    Begun(mpsc::Sender<Piece>),
     /// All is said.
     Done,
 }
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Gives a whole answer.
+    /// Gives a whole answer. One that has begun is broken off instead.
     pub(super) fn whole(&mut self, head: response::Parts, body: Bytes) -> Result<(), CallerLeft> {
         match std::mem::replace(self, Self::Done) {
             Self::Open(open) => {
@@ -66,20 +66,24 @@
     /// Gives a piece of the body.
     pub(super) async fn piece(&mut self, piece: Bytes) -> Result<(), CallerLeft> {
         match self {
-            Self::Begun(pieces) => pieces.send(Ok(piece)).await.map_err(|_| CallerLeft),
+            Self::Begun(pieces) => {
+                let sent = pieces.send(Piece::Data(piece)).await;
+                sent.map_err(|_| CallerLeft)
+            }
             Self::Open(_) | Self::Done => Ok(()),
         }
     }
 
     /// Ends the body as whole.
-    pub(super) fn end(&mut self) {
-        *self = Self::Done;
+    pub(super) async fn end(&mut self) -> Result<(), CallerLeft> {
+        match std::mem::replace(self, Self::Done) {
+            Self::Begun(pieces) => pieces.send(Piece::End).await.map_err(|_| CallerLeft),
+            Self::Open(_) | Self::Done => Ok(()),
+        }
     }
 
-    /// Ends the body so that it does not look whole. A caller who left meanwhile needs no word.
-    pub(super) async fn break_off(&mut self) {
-        if let Self::Begun(pieces) = std::mem::replace(self, Self::Done) {
-            let _ = pieces.send(Err(BrokenAnswer)).await;
-        }
+    /// Ends the answer so that it does not look whole.
+    pub(super) fn break_off(&mut self) {
+        *self = Self::Done;
     }
 }
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -348,6 +348,27 @@
     });
 }
 
+/// Whatever ends the task of a stream that has begun, only its last event makes it look whole.
+#[test]
+fn a_failure_after_the_first_event_does_not_end_a_stream() {
+    run(async {
+        let mut site = Site::start().await;
+        let caller = site.caller().await;
+        let call = site.arrived().await;
+        let first: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\nx-signed: 1\r\n\r\nid: 1\ndata: a\n\nid:"];
+        let second: &[&[u8]] =
+            &[b"HTTP/1.1 500 Oops\r\nx-signed: 1\r\ncontent-length: 2\r\n\r\nno"];
+        let (first, second) = (upstream(first).await, upstream(second).await);
+        site.send(call, first, true);
+        assert!(matches!(site.end().await, SendEnd::Lost { .. }));
+        site.send(call, second, true);
+        assert!(matches!(site.end().await, SendEnd::Failed { .. }));
+        site.hub.command(call, CallCommand::PassFailure);
+        let got = all(caller).await;
+        assert!(got.contains("data: a") && !got.contains("\n0\n"), "{got}");
+    });
+}
+
 /// Seen on a recorded day: callers went on using connections of a daemon that stopped, and were
 /// refused there.
 #[test]
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -114,6 +114,7 @@
 const fn end_name(end: &SendEnd) -> &'static str {
     match end {
         SendEnd::Delivered => "delivered",
+        SendEnd::Busy => "busy",
         SendEnd::Failed { not_run: true, .. } => "not_run",
         SendEnd::Failed { .. } => "failed",
         SendEnd::NotSent { .. } => "not_sent",
