Tidy the gateway: predictions once a group, pauses once a catalog, one accept loop

Found by reading the whole change again: a group's predictions were worked out up to four times, the shortest pause by a scan over all routes at every placement, memory released twice on the same path, the next read of upstreams set twice, two accept loops, a type parameter with one use, and the daemon's own work id written out in four places. The events have a file of their own; tests share their start.

--- a/crates/core/src/catalog/in_force.rs
+++ b/crates/core/src/catalog/in_force.rs
@@ -31,6 +31,7 @@
     version: CatalogVersion,
     routes: HashMap<String, Vec<Arc<Route>>>,
     services: BTreeMap<ServiceName, Arc<Service>>,
+    tightest_pauses_ms: BTreeMap<ServiceName, Millis>,
     limits: CallerLimits,
     keys: Option<HashMap<ApiKey, KeyHolder>>,
 }
@@ -59,15 +60,7 @@
 
     /// The shortest pause target among the routes that lead to a service.
     pub fn tightest_pause_ms(&self, service: &ServiceName) -> Option<Millis> {
-        let routes = self.routes.values().flatten();
-        let leading = routes.filter(|r| r.targets.iter().any(|t| t.service == *service));
-        let pauses = leading.filter_map(|route| match route.kind {
-            CallKind::Streaming {
-                pause_target_ms, ..
-            } => Some(pause_target_ms),
-            CallKind::Idempotent | CallKind::NonIdempotent => None,
-        });
-        pauses.filter(|pause| *pause > Millis::ZERO).min()
+        self.tightest_pauses_ms.get(service).copied()
     }
 
     /// Whether callers of routes that aren't open need a key.
@@ -88,8 +81,10 @@
         let named = raw.services.into_iter();
         let services: BTreeMap<_, _> = named.map(|s| (s.name.clone(), Arc::new(s))).collect();
         let mut routes: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        let mut tightest_pauses_ms = BTreeMap::new();
         for route in raw.routes {
             check(&route, &services)?;
+            note_pause(&route, &mut tightest_pauses_ms);
             let host = host_name(&route.host);
             routes.entry(host).or_default().push(Arc::new(route));
         }
@@ -100,12 +95,31 @@
             version: raw.version,
             routes,
             services,
+            tightest_pauses_ms,
             limits: raw.limits,
             keys: raw.keys.map(|keys| keys.into_iter().collect()),
         })
     }
 }
 
+fn note_pause(route: &Route, tightest_pauses_ms: &mut BTreeMap<ServiceName, Millis>) {
+    let CallKind::Streaming {
+        pause_target_ms, ..
+    } = route.kind
+    else {
+        return;
+    };
+    if pause_target_ms == Millis::ZERO {
+        return;
+    }
+    for target in &route.targets {
+        let tightest_ms = tightest_pauses_ms
+            .entry(target.service.clone())
+            .or_insert(pause_target_ms);
+        *tightest_ms = pause_target_ms.min(*tightest_ms);
+    }
+}
+
 fn check(
     route: &Route,
     services: &BTreeMap<ServiceName, Arc<Service>>,
--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -2,6 +2,7 @@
 
 use super::{
     dispatcher::{Dispatcher, OpenCall, Out},
+    foresee::RETRY_AFTER_MS,
     Call, DispatchAction, DispatchRecord, Reason, Refusal,
 };
 use crate::{
@@ -10,9 +11,6 @@
 };
 use std::sync::Arc;
 
-/// Pause that callers are told where upstreams are missing or fail.
-const RETRY_AFTER_MS: Millis = Millis::new(500);
-
 /// Pause that callers are told while nothing is known yet, as after a start.
 const START_RETRY_MS: Millis = Millis::new(300);
 
--- a/crates/core/src/dispatch/budget.rs
+++ b/crates/core/src/dispatch/budget.rs
@@ -66,9 +66,6 @@
 
     fn window(&mut self, now: Time, service: &ServiceName) -> &mut Window {
         let start = now - self.window_ms;
-        if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), Window::default());
-        }
         let window = self.services.entry(service.clone()).or_default();
         for times in [&mut window.calls, &mut window.repeats] {
             while times.front().is_some_and(|time| *time < start) {
--- a/crates/core/src/dispatch/choose.rs
+++ b/crates/core/src/dispatch/choose.rs
@@ -4,6 +4,7 @@
 use crate::{
     catalog::EngineProfile,
     engine::{EngineLoad, Prediction},
+    ids::UpstreamId,
     units::{Millis, Tokens},
 };
 
@@ -47,9 +48,9 @@
 
 /// One upstream that a call may go to.
 #[derive(Clone, Debug)]
-pub struct Candidate<T> {
+pub struct Candidate {
     /// Which.
-    pub upstream: T,
+    pub upstream: UpstreamId,
     /// What runs on it, where it is an engine.
     pub load: EngineLoad,
     /// Requests on it.
@@ -108,9 +109,10 @@
 /// engines from the front, long ones from the back, so the border moves with demand. A prompt too
 /// long to be read on one engine in time is read by several in even parts. None where every choice
 /// costs others more than the prompt is worth: it waits, or is refused.
-pub fn choose_engine<T>(candidates: &[Candidate<T>], wanted: &Wanted<'_>) -> Option<EngineChoice> {
-    let alone = choose_one(candidates, wanted);
-    let groups = if is_long(wanted) {
+pub fn choose_engine(candidates: &[Candidate], wanted: &Wanted<'_>) -> Option<EngineChoice> {
+    let long = is_long(wanted);
+    let alone = choose_one(candidates, wanted, long);
+    let groups = if long {
         choose_group(candidates, wanted)
     } else {
         Vec::new()
@@ -120,8 +122,7 @@
     best.filter(|best| best.cost_requests < prompt_weight(wanted.prompt_tokens) * WORTH_RATIO)
 }
 
-fn choose_one<T>(candidates: &[Candidate<T>], wanted: &Wanted<'_>) -> Option<EngineChoice> {
-    let long = is_long(wanted);
+fn choose_one(candidates: &[Candidate], wanted: &Wanted<'_>, long: bool) -> Option<EngineChoice> {
     let choices = candidates.iter().enumerate().map(|(index, candidate)| {
         let load = &candidate.load;
         let prediction = load.predict(
@@ -136,7 +137,7 @@
             helpers: Vec::new(),
             prediction,
             cost_requests: cost(wanted, candidate.health, &prediction)
-                + coming_cost(candidate, prediction.pause_ms, prediction.added_pause_ms),
+                + coming_cost(candidate, &prediction),
             preference_requests: order + crowd_cost(candidate, wanted.profile),
         }
     });
@@ -147,7 +148,7 @@
 }
 
 /// The best group of each size: the engines that are soonest done with what they read.
-fn choose_group<T>(candidates: &[Candidate<T>], wanted: &Wanted<'_>) -> Vec<EngineChoice> {
+fn choose_group(candidates: &[Candidate], wanted: &Wanted<'_>) -> Vec<EngineChoice> {
     let mut order: Vec<usize> = (0..candidates.len()).collect();
     let ready_ms = |index: &usize| {
         let load = &candidates[*index].load;
@@ -165,44 +166,37 @@
         .collect()
 }
 
-fn group<T>(
-    candidates: &[Candidate<T>],
-    wanted: &Wanted<'_>,
-    members: &[usize],
-) -> Option<EngineChoice> {
+fn group(candidates: &[Candidate], wanted: &Wanted<'_>, members: &[usize]) -> Option<EngineChoice> {
     let (profile, prompt_tokens) = (wanted.profile, wanted.prompt_tokens);
-    let predict = |index: usize| {
-        let load = &candidates[index].load;
-        load.predict(profile, prompt_tokens, wanted.output_tokens, members.len())
-    };
-    let with_slot = members
+    let predictions: Vec<_> = members
         .iter()
-        .copied()
-        .filter(|index| predict(*index).slot_free);
-    let first = with_slot.min_by_key(|index| {
-        let load = &candidates[*index].load;
-        (
-            predict(*index).missing_tokens,
-            load.writers.len(),
-            usize::MAX - index,
-        )
+        .map(|index| {
+            let load = &candidates[*index].load;
+            let parts_len = members.len();
+            (
+                *index,
+                load.predict(profile, prompt_tokens, wanted.output_tokens, parts_len),
+            )
+        })
+        .collect();
+    let with_slot = predictions.iter().filter(|(_, own)| own.slot_free);
+    let (first, mut prediction) = *with_slot.min_by_key(|(index, own)| {
+        let writers_len = candidates[*index].load.writers.len();
+        (own.missing_tokens, writers_len, usize::MAX - index)
     })?;
-    let missing_tokens = predict(first).missing_tokens;
     let others = members.iter().copied().filter(|index| *index != first);
-    let helpers = holders(candidates, profile, others.collect(), missing_tokens)?;
-    let mut prediction = predict(first);
-    let mut coming = coming_cost(
-        &candidates[first],
-        prediction.pause_ms,
-        prediction.added_pause_ms,
-    );
-    for (helper, _) in &helpers {
-        let load = &candidates[*helper].load;
-        let part = load.predict_part(profile, prompt_tokens, members.len());
-        prediction.first_event_ms = prediction.first_event_ms.max(part.read_ms);
-        prediction.pause_ms = prediction.pause_ms.max(part.pause_ms);
-        prediction.broken_requests += part.broken_requests;
-        coming += coming_cost(&candidates[*helper], part.pause_ms, part.added_pause_ms);
+    let helpers = holders(
+        candidates,
+        profile,
+        others.collect(),
+        prediction.missing_tokens,
+    )?;
+    let mut coming = coming_cost(&candidates[first], &prediction);
+    for (helper, own) in predictions.iter().filter(|(index, _)| *index != first) {
+        prediction.first_event_ms = prediction.first_event_ms.max(own.read_ms);
+        prediction.pause_ms = prediction.pause_ms.max(own.pause_ms);
+        prediction.broken_requests += own.broken_requests;
+        coming += coming_cost(&candidates[*helper], own);
     }
     let health = candidates[first].health;
     let spread = HELPER_COST * helpers.len() as f64;
@@ -216,15 +210,15 @@
 }
 
 /// Keeps some slots of each engine free.
-fn crowd_cost<T>(candidate: &Candidate<T>, profile: &EngineProfile) -> f64 {
+fn crowd_cost(candidate: &Candidate, profile: &EngineProfile) -> f64 {
     let taken_len = candidate.load.requests_len() + 1 + SPARE_SLOTS_LEN;
     SPARE_COST * taken_len.saturating_sub(profile.slots_len as usize) as f64
 }
 
 /// Spreads the memory that the first engine lacks over helpers, on as few as can be. Those with
 /// memory to give come first, as the protocol fills them in turn. None where it is not enough.
-fn holders<T>(
-    candidates: &[Candidate<T>],
+fn holders(
+    candidates: &[Candidate],
     profile: &EngineProfile,
     mut helpers: Vec<usize>,
     missing_tokens: Tokens,
@@ -242,8 +236,9 @@
 }
 
 /// What a pause costs those who are about to come, judged by the last second.
-fn coming_cost<T>(candidate: &Candidate<T>, pause_ms: f64, added_pause_ms: f64) -> f64 {
-    let blocked_ms = (pause_ms - COMING_PAUSE_MS).clamp(0.0, added_pause_ms);
+fn coming_cost(candidate: &Candidate, prediction: &Prediction) -> f64 {
+    let blocked_ms = prediction.pause_ms - COMING_PAUSE_MS;
+    let blocked_ms = blocked_ms.clamp(0.0, prediction.added_pause_ms);
     let blocked_s = blocked_ms / 1_000.0;
     LATE_RATIO * candidate.recent_requests as f64 * blocked_s
 }
@@ -277,8 +272,8 @@
 }
 
 /// The upstream of a plain service with the most room, sound ones first.
-pub fn choose_plain<T>(candidates: &[Candidate<T>]) -> Option<usize> {
-    let key = |candidate: &Candidate<T>| {
+pub fn choose_plain(candidates: &[Candidate]) -> Option<usize> {
+    let key = |candidate: &Candidate| {
         let load = candidate.requests_len as f64 / f64::from(candidate.slots_len.max(1));
         load + FAILURE_COST * candidate.health.failure_ratio
     };
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -1,8 +1,8 @@
 //! The dispatcher: events go in, actions come out.
 
 use super::{
-    ledger::OWN, Call, ColdRates, DispatchAction, DispatchRecord, DispatchSettings, HealthBook,
-    Ledger, OrderEnd, OrderKind, RetryBudget, SendEnd, WorkId, WorkNote,
+    ledger::OWN, Call, ColdRates, DispatchAction, DispatchEvent, DispatchRecord, DispatchSettings,
+    HealthBook, Ledger, RetryBudget, WorkId, WorkNote,
 };
 use crate::{
     catalog::{Catalog, KeyHolder, Route, Service},
@@ -10,7 +10,7 @@
     fleet::Fleet,
     ids::{CallId, FailureDomain, SendId, UpstreamId, VmId},
     units::{Millis, Time},
-    watch::{Batch, StoreError, Topic, TopicWatch},
+    watch::{Topic, TopicWatch},
 };
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -32,82 +32,6 @@
 /// Daemons that limits are shared among until then, where fewer are seen.
 const SHARERS_ASSUMED_LEN: usize = 16;
 
-/// One input of the dispatcher. The time comes beside it.
-#[derive(Debug)]
-pub enum DispatchEvent {
-    /// A caller's request is here, whole.
-    Arrived(Box<Call>),
-    /// The first byte of a streamed answer, or a whole answer, went to the caller.
-    First {
-        /// The call.
-        call: CallId,
-        /// The transmission.
-        send: SendId,
-    },
-    /// An upstream has been silent for as long as its plan says, or a multiple of it.
-    Stalled {
-        /// The call.
-        call: CallId,
-        /// The transmission.
-        send: SendId,
-        /// How long.
-        silent_ms: Millis,
-    },
-    /// A transmission ended.
-    Ended {
-        /// The call.
-        call: CallId,
-        /// The transmission.
-        send: SendId,
-        /// How.
-        end: SendEnd,
-    },
-    /// A caller left.
-    Left {
-        /// The call.
-        call: CallId,
-    },
-    /// An engine answered an order about a reservation, or did not.
-    Ordered {
-        /// The reservation.
-        ticket: Arc<str>,
-        /// The order.
-        kind: OrderKind,
-        /// How it ended.
-        end: OrderEnd,
-    },
-    /// The store answered.
-    Watched {
-        /// The topic.
-        topic: Topic,
-        /// The answer.
-        answer: Result<Box<Batch>, StoreError>,
-    },
-    /// A peer is connected.
-    PeerUp {
-        /// Its VM.
-        vm: VmId,
-    },
-    /// A peer is no longer connected.
-    PeerDown {
-        /// Its VM.
-        vm: VmId,
-    },
-    /// A peer told of its work.
-    PeerNote {
-        /// Its VM.
-        vm: VmId,
-        /// What.
-        note: WorkNote,
-    },
-    /// The settings were read again.
-    Reload(Box<DispatchSettings>),
-    /// The process was asked to stop.
-    Stop,
-    /// Time has passed.
-    Tick,
-}
-
 /// A transmission under way.
 #[derive(Clone, Debug)]
 pub(super) struct Sending {
@@ -144,6 +68,11 @@
         self.due_at.since(now)
     }
 
+    /// The transmission under way.
+    pub(super) fn sending_id(&self) -> Option<SendId> {
+        self.sending.as_ref().map(|sending| sending.send)
+    }
+
     /// When it is given up: an upstream gets a moment to say itself that time is over.
     pub(super) fn overdue_at(&self) -> Time {
         match self.sending {
@@ -407,15 +336,12 @@
         self.ledger.on_note(out.now, index, note);
     }
 
-    /// Takes a transmission off the ledger, here and at the peers, and gives its memory back.
-    pub(super) fn end_work(&mut self, out: &mut Out<'_>, call: CallId, send: SendId) {
+    /// Takes a call's transmission, where one is under way, off the ledger here and at the peers, and
+    /// gives its memory back.
+    pub(super) fn end_work(&mut self, out: &mut Out<'_>, call: CallId, send: Option<SendId>) {
         self.release(out, call);
-        let id = WorkId {
-            daemon_index: OWN,
-            send,
-            part_index: 0,
-        };
-        if self.ledger.end(out.now, id) {
+        let Some(send) = send else { return };
+        if self.ledger.end(out.now, WorkId::own(send)) {
             out.tell_all(WorkNote::Ended(send));
         }
     }
--- a/crates/core/src/dispatch/foresee.rs
+++ b/crates/core/src/dispatch/foresee.rs
@@ -3,8 +3,8 @@
 use super::dispatcher::{Dispatcher, OpenCall};
 use crate::units::{Millis, Time};
 
-/// Pause that callers are told where nothing is foreseen.
-const RETRY_AFTER_MS: Millis = Millis::new(500);
+/// Pause that callers are told where nothing is foreseen, and where upstreams are missing or fail.
+pub(super) const RETRY_AFTER_MS: Millis = Millis::new(500);
 
 /// Shortest pause that callers are told: a place that is about to be free has callers in line.
 const RETRY_MIN_MS: Millis = Millis::new(100);
--- a/crates/core/src/dispatch/operators.rs
+++ b/crates/core/src/dispatch/operators.rs
@@ -133,8 +133,6 @@
         batch: Batch,
         contact: Contact,
     ) {
-        self.upstreams
-            .put_off(out.now, self.settings.upstreams.pause_ms);
         if batch.whole {
             return self.on_upstream_list(out, batch, contact);
         }
--- a/crates/core/src/dispatch/place.rs
+++ b/crates/core/src/dispatch/place.rs
@@ -137,7 +137,7 @@
         open: &OpenCall,
         profile: &EngineProfile,
         prompt: PromptSize,
-        candidates: &[Candidate<UpstreamId>],
+        candidates: &[Candidate],
     ) -> Result<Place, Reason> {
         let whole_tokens = prompt.prompt_tokens + prompt.output_tokens;
         if whole_tokens.get() > profile.kv_tokens.get() * candidates.len() as u64 {
@@ -171,7 +171,7 @@
     }
 
     /// Upstreams that a call may go to now, in an order that all daemons agree on.
-    fn candidates(&self, now: Time, open: &OpenCall) -> Vec<Candidate<UpstreamId>> {
+    fn candidates(&self, now: Time, open: &OpenCall) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         let mut in_lost_domain = Vec::new();
         for upstream in self.fleet.usable(&open.service.name) {
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -2,7 +2,6 @@
 
 use super::{
     dispatcher::{Dispatcher, OpenCall, Out, Sending},
-    ledger::OWN,
     DispatchAction, DispatchRecord, Reason, Refusal, SendEnd, WorkId, WorkNote,
 };
 use crate::{
@@ -56,14 +55,7 @@
         }
         open.may_have_run = true;
         open.first_at.get_or_insert(out.now);
-        self.ledger.writing(
-            out.now,
-            WorkId {
-                daemon_index: OWN,
-                send,
-                part_index: 0,
-            },
-        );
+        self.ledger.writing(out.now, WorkId::own(send));
         out.tell_all(WorkNote::Writing(send));
     }
 
@@ -105,7 +97,7 @@
         if !leave {
             return;
         }
-        self.end_work(out, call, send);
+        self.end_work(out, call, Some(send));
         self.avoid_domain(call, &sending, &end);
         if let Some(open) = self.calls.get_mut(&call) {
             open.sending = None;
@@ -133,7 +125,7 @@
 
     /// A transmission ended.
     pub(super) fn on_ended(&mut self, out: &mut Out<'_>, call: CallId, send: SendId, end: SendEnd) {
-        self.end_work(out, call, send);
+        self.end_work(out, call, Some(send));
         let Some(open) = self.calls.get_mut(&call) else {
             return;
         };
@@ -272,10 +264,7 @@
         let Some(open) = self.calls.remove(&call) else {
             return;
         };
-        self.release(out, call);
-        if let Some(sending) = &open.sending {
-            self.end_work(out, call, sending.send);
-        }
+        self.end_work(out, call, open.sending_id());
         out.log(DispatchRecord::CallerLeft {
             request: Arc::clone(&open.call.tag),
             class: open.route.kind.name(),
@@ -289,11 +278,8 @@
         let Some(open) = self.calls.remove(&call) else {
             return;
         };
-        self.release(out, call);
         let may_have_run = open.may_have_run || open.sending.is_some();
-        if let Some(sending) = &open.sending {
-            self.end_work(out, call, sending.send);
-        }
+        self.end_work(out, call, open.sending_id());
         let refusal = Refusal {
             reason,
             may_have_run,
--- a/crates/core/src/dispatch/transmit.rs
+++ b/crates/core/src/dispatch/transmit.rs
@@ -2,7 +2,7 @@
 
 use super::{
     dispatcher::{Dispatcher, OpenCall, Out, Sending},
-    ledger::{work_start, OWN},
+    ledger::work_start,
     place::Place,
     DispatchAction, DispatchRecord, Helper, HelperWork, Phase, SendPlan, Work, WorkId, WorkNote,
 };
@@ -53,11 +53,7 @@
         let start = work_start(out.now, send, &work, place.helpers.clone());
         out.tell_all(WorkNote::Started(start));
         self.cold.on_sent(out.now, &place.upstream);
-        let id = WorkId {
-            daemon_index: OWN,
-            send,
-            part_index: 0,
-        };
+        let id = WorkId::own(send);
         self.ledger.start(id, &work, &place.helpers);
     }
 
--- a/crates/core/src/dispatch/work.rs
+++ b/crates/core/src/dispatch/work.rs
@@ -1,5 +1,6 @@
 //! One request on an upstream.
 
+use super::ledger::OWN;
 use crate::{
     ids::{SendId, UpstreamId},
     units::{Millis, Time, Tokens},
@@ -17,6 +18,17 @@
     pub part_index: u32,
 }
 
+impl WorkId {
+    /// A transmission of this daemon, at the upstream that answers.
+    pub const fn own(send: SendId) -> Self {
+        Self {
+            daemon_index: OWN,
+            send,
+            part_index: 0,
+        }
+    }
+}
+
 /// An engine that reads a part of a prompt, and may keep a part of its memory.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HelperWork {
--- a/crates/core/src/engine/engine_load.rs
+++ b/crates/core/src/engine/engine_load.rs
@@ -1,6 +1,6 @@
 //! What runs on one engine.
 
-use super::{PartPrediction, Prediction};
+use super::Prediction;
 use crate::{
     catalog::EngineProfile,
     units::{Millis, Tokens},
@@ -108,26 +108,6 @@
         output_tokens: Tokens,
         parts_len: usize,
     ) -> Prediction {
-        let part = self.predict_part(profile, prompt_tokens, parts_len);
-        let own_pass_ms = profile.pass_ms(profile.writer_ms(prompt_tokens));
-        let free_tokens = self.free_tokens(profile);
-        Prediction {
-            first_event_ms: part.read_ms + own_pass_ms.max(self.pass_ms(profile)),
-            pause_ms: part.pause_ms,
-            added_pause_ms: part.added_pause_ms,
-            broken_requests: part.broken_requests,
-            slot_free: self.requests_len() < profile.slots_len as usize,
-            missing_tokens: (prompt_tokens + output_tokens).saturating_sub(free_tokens),
-        }
-    }
-
-    /// What reading one of `parts_len` even parts of a prompt would bring about.
-    pub fn predict_part(
-        &self,
-        profile: &EngineProfile,
-        prompt_tokens: Tokens,
-        parts_len: usize,
-    ) -> PartPrediction {
         let part_ms = profile.read_ms(prompt_tokens) / parts_len.max(1) as f64;
         let part_tokens = prompt_tokens.get() / parts_len.max(1) as u64;
         let pass_ms = self.pass_ms(profile);
@@ -143,12 +123,17 @@
         };
         let pass_share = (per_pass_tokens as f64 / to_read_tokens as f64).min(1.0);
         let pause_ms = pass_ms + (backlog_ms + part_ms) * pass_share;
-        let broken_requests = self.broken_requests(pause_ms, pass_ms + backlog_ms * pass_share);
-        PartPrediction {
-            read_ms: backlog_ms + part_ms + between_ms,
+        let read_ms = backlog_ms + part_ms + between_ms;
+        let own_pass_ms = profile.pass_ms(profile.writer_ms(prompt_tokens));
+        let free_tokens = self.free_tokens(profile);
+        Prediction {
+            read_ms,
+            first_event_ms: read_ms + own_pass_ms.max(pass_ms),
             pause_ms,
             added_pause_ms: part_ms * pass_share,
-            broken_requests,
+            broken_requests: self.broken_requests(pause_ms, pass_ms + backlog_ms * pass_share),
+            slot_free: self.requests_len() < profile.slots_len as usize,
+            missing_tokens: (prompt_tokens + output_tokens).saturating_sub(free_tokens),
         }
     }
 
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -4,4 +4,4 @@
 mod prediction;
 
 pub use engine_load::{EngineLoad, Reader, Writer};
-pub use prediction::{PartPrediction, Prediction};
+pub use prediction::Prediction;
--- a/crates/core/src/engine/prediction.rs
+++ b/crates/core/src/engine/prediction.rs
@@ -1,10 +1,12 @@
-//! What a prompt, or a part of one, would bring about on an engine.
+//! What a prompt, or a part of one, would bring about on one engine.
 
 use crate::units::Tokens;
 
 /// What a prompt would bring about on one engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Prediction {
+    /// Time until it is read here.
+    pub read_ms: f64,
     /// Time until its first event.
     pub first_event_ms: f64,
     /// Longest pause that its reading causes between events of answers that are being written.
@@ -18,16 +20,3 @@
     /// Memory that is missing for the whole of its answer.
     pub missing_tokens: Tokens,
 }
-
-/// What reading a part of a prompt would bring about on one engine.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PartPrediction {
-    /// Time until it is read.
-    pub read_ms: f64,
-    /// Longest pause that it causes between events of answers that are being written.
-    pub pause_ms: f64,
-    /// Part of that pause which it adds.
-    pub added_pause_ms: f64,
-    /// Weight of the answers being written there whose pauses would be longer than their targets.
-    pub broken_requests: f64,
-}
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -123,8 +123,8 @@
     /// Removes upstreams whose entries did not come back.
     pub fn expire_missing(&mut self, now: Time) -> Vec<UpstreamId> {
         let expired = |upstream: &&Upstream| upstream.missing_until.is_some_and(|at| at <= now);
-        let gone: Vec<_> = self.upstreams.values().filter(expired).collect();
-        let gone: Vec<_> = gone.into_iter().map(|u| u.record.id.clone()).collect();
+        let gone = self.upstreams.values().filter(expired);
+        let gone: Vec<_> = gone.map(|upstream| upstream.record.id.clone()).collect();
         for id in &gone {
             self.on_gone(id);
         }
--- a/crates/core/src/watch/topic_watch.rs
+++ b/crates/core/src/watch/topic_watch.rs
@@ -142,11 +142,6 @@
         whole
     }
 
-    /// Puts the next call off, after an answer.
-    pub fn put_off(&mut self, now: Time, due_ms: Millis) {
-        self.due_at = now + due_ms;
-    }
-
     /// Takes new settings over.
     pub fn settle(&mut self, settings: WatchSettings) {
         self.settings = settings;
--- a/crates/io/src/transport/caller_listener.rs
+++ b/crates/io/src/transport/caller_listener.rs
@@ -1,6 +1,7 @@
 //! Listens for callers.
 
 use super::{
+    accept::accept,
     call_task::{CallTask, Shared},
     pool, AnswerBody, Dialect, Hub, Pool,
 };
@@ -25,12 +26,9 @@
     net::{TcpListener, TcpStream},
     sync::{oneshot, watch},
     task::spawn_local,
-    time::{sleep, timeout, Instant},
+    time::{timeout, Instant},
 };
 
-/// Pause after a connection could not be accepted, as where descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Longest time for a body to arrive, where the caller gives no deadline.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -102,15 +100,11 @@
     /// Accepts callers for ever.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) if self.connections_len.get() < self.connections_max_len => {
-                    spawn_local(Rc::clone(&self).connection(stream));
-                }
-                Ok(_) => log::warn!("connection closed: {} are open", self.connections_max_len),
-                Err(error) => {
-                    log::warn!("connection not accepted ({error}): raise the descriptor limit");
-                    sleep(ACCEPT_PAUSE).await;
-                }
+            let stream = accept(&listener).await;
+            if self.connections_len.get() < self.connections_max_len {
+                spawn_local(Rc::clone(&self).connection(stream));
+            } else {
+                log::warn!("connection closed: {} are open", self.connections_max_len);
             }
         }
     }
--- a/crates/io/src/transport/mod.rs
+++ b/crates/io/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP between callers and upstreams, on one thread: a listener, connections to upstreams, and a
 //! task for each request, which does what the dispatcher decides.
 
+mod accept;
 mod answer_body;
 mod call_task;
 mod caller_listener;
--- a/crates/io/src/transport/page_listener.rs
+++ b/crates/io/src/transport/page_listener.rs
@@ -1,33 +1,23 @@
 //! Serves small pages: readiness and metrics.
 
-use super::AnswerBody;
+use super::{accept::accept, AnswerBody};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{convert::Infallible, rc::Rc, time::Duration};
-use tokio::{net::TcpListener, task::spawn_local, time::sleep};
+use tokio::{net::TcpListener, task::spawn_local};
 
 /// Longest time for a question to arrive on a kept connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Gives the page of a path.
 pub type Page = Rc<dyn Fn(&str) -> (StatusCode, String)>;
 
 /// Answers every request with the page that `page` gives for its path.
 pub async fn serve_pages(listener: TcpListener, page: Page) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("connection not accepted ({error}): raise the descriptor limit");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = accept(&listener).await;
         let page = Rc::clone(&page);
         let service = service_fn(move |request: Request<Incoming>| {
             let (status, text) = page(request.uri().path());
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -108,6 +108,14 @@
         }
     }
 
+    /// A site with one caller, whose request has arrived.
+    async fn begun() -> (Self, TcpStream, CallId) {
+        let site = Self::start().await;
+        let caller = site.caller().await;
+        let call = site.arrived().await;
+        (site, caller, call)
+    }
+
     async fn event(&self) -> DispatchEvent {
         timeout(STEP, self.events.recv_async())
             .await
@@ -207,9 +215,7 @@
 #[test]
 fn an_answer_is_passed_on_as_it_is() {
     run(async {
-        let mut site = Site::start().await;
-        let caller = site.caller().await;
-        let call = site.arrived().await;
+        let (mut site, caller, call) = Site::begun().await;
         let says: &[&[u8]] = &[b"HTTP/1.1 201 Created\r\nx-id: 7\r\nx-signed: 1\r\nkeep-alive: timeout=5\r\ncontent-length: 5\r\n\r\nwhole"];
         let upstream = upstream(says).await;
         site.send(call, upstream, false);
@@ -228,9 +234,7 @@
 #[test]
 fn an_answer_that_stops_short_is_no_answer() {
     run(async {
-        let mut site = Site::start().await;
-        let caller = site.caller().await;
-        let call = site.arrived().await;
+        let (mut site, caller, call) = Site::begun().await;
         let says: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nwho"];
         let upstream = upstream(says).await;
         site.send(call, upstream, false);
@@ -249,9 +253,7 @@
 #[test]
 fn an_answer_to_another_request_or_without_signature_is_no_answer() {
     run(async {
-        let mut site = Site::start().await;
-        let caller = site.caller().await;
-        let call = site.arrived().await;
+        let (mut site, caller, call) = Site::begun().await;
         let says: &[&[u8]] = &[
             b"HTTP/1.1 200 OK\r\nx-id: 6\r\nx-signed: 1\r\ncontent-length: 2\r\n\r\nno",
             b"HTTP/1.1 200 OK\r\nx-id: 7\r\ncontent-length: 2\r\n\r\nno",
@@ -270,9 +272,7 @@
 #[test]
 fn a_caller_who_leaves_is_noticed_and_its_request_is_cut() {
     run(async {
-        let mut site = Site::start().await;
-        let caller = site.caller().await;
-        let call = site.arrived().await;
+        let (mut site, caller, call) = Site::begun().await;
         let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
         site.send(call, socket.local_addr().unwrap(), false);
         let (mut sent, _) = socket.accept().await.unwrap();
@@ -288,9 +288,7 @@
 #[test]
 fn a_stream_that_breaks_off_is_resumed_with_each_event_once() {
     run(async {
-        let mut site = Site::start().await;
-        let caller = site.caller().await;
-        let call = site.arrived().await;
+        let (mut site, caller, call) = Site::begun().await;
         let first: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n1c\r\nid: 1\ndata: a\n\nid: 2\ndata:\r\n"];
         let second: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\nx-signed: 2\r\ntransfer-encoding: chunked\r\n\r\n2d\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n\r\n0\r\n\r\n"];
         let (first, second) = (upstream(first).await, upstream(second).await);
@@ -324,9 +322,7 @@
 #[test]
 fn a_stream_that_can_not_go_on_does_not_look_whole() {
     run(async {
-        let mut site = Site::start().await;
-        let caller = site.caller().await;
-        let call = site.arrived().await;
+        let (mut site, caller, call) = Site::begun().await;
         let says: &[&[u8]] =
             &[b"HTTP/1.1 200 OK\r\nx-signed: 1\r\n\r\nid: 1\ndata: a\n\nid: 2\nda"];
         let upstream = upstream(says).await;
@@ -352,9 +348,7 @@
 #[test]
 fn a_failure_after_the_first_event_does_not_end_a_stream() {
     run(async {
-        let mut site = Site::start().await;
-        let caller = site.caller().await;
-        let call = site.arrived().await;
+        let (mut site, caller, call) = Site::begun().await;
         let first: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\nx-signed: 1\r\n\r\nid: 1\ndata: a\n\nid:"];
         let second: &[&[u8]] =
             &[b"HTTP/1.1 500 Oops\r\nx-signed: 1\r\ncontent-length: 2\r\n\r\nno"];
@@ -374,9 +368,7 @@
 #[test]
 fn answers_after_a_request_to_stop_are_the_last_of_their_connections() {
     run(async {
-        let mut site = Site::start().await;
-        let caller = site.caller().await;
-        let call = site.arrived().await;
+        let (mut site, caller, call) = Site::begun().await;
         site.closing.send_replace(Closing::LastAnswers);
         let says: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\nx-signed: 1\r\ncontent-length: 2\r\n\r\nok"];
         let upstream = upstream(says).await;
@@ -395,9 +387,7 @@
 #[test]
 fn an_upstream_that_can_not_be_reached_got_nothing() {
     run(async {
-        let mut site = Site::start().await;
-        let _caller = site.caller().await;
-        let call = site.arrived().await;
+        let (mut site, _caller, call) = Site::begun().await;
         let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = socket.local_addr().unwrap();
         drop(socket);
