A daemon's entry carries a run that grows with restarts

The gateway wrote the microseconds since its own start, always near zero; the own interface's wall clock is used instead. Nothing reads it yet.

--- a/crates/persimmond/src/daemon.rs
+++ b/crates/persimmond/src/daemon.rs
@@ -206,7 +206,8 @@
     }
 }
 
-fn unix_ms() -> u64 {
+/// Wall clock in milliseconds since the epoch.
+pub(crate) fn unix_ms() -> u64 {
     let age = SystemTime::now().duration_since(UNIX_EPOCH);
     age.map_or(0, |age| age.as_millis() as u64)
 }
--- a/crates/persimmond/src/gateway/peers.rs
+++ b/crates/persimmond/src/gateway/peers.rs
@@ -1,16 +1,15 @@
 //! Finds the other daemons, and joins them.
 
+use crate::daemon::unix_ms;
 use persimmon_core::{
     ids::{Incarnation, VmId},
     message::Member,
-    units::Time,
     watch::StoreError,
 };
 use persimmon_io::{
     peer::{Identity, KeyPairPem, Keys, Mesh, MeshSink, PeerError},
     settings::GatewaySettings,
     transport::MetadataStore,
-    BootClock,
 };
 use serde::{Deserialize, Serialize};
 use std::{cell::RefCell, rc::Rc, time::Duration};
@@ -54,9 +53,8 @@
     sink: MeshSink,
     joined: JoinedMesh,
 ) {
-    let clock = BootClock::start();
     let mesh = loop {
-        match start(&settings, &*store, &sink, clock.now()).await {
+        match start(&settings, &*store, &sink).await {
             Ok(mesh) => break mesh,
             Err(error) => log::warn!("the other daemons can't be joined yet: {error}"),
         }
@@ -81,14 +79,13 @@
     settings: &GatewaySettings,
     store: &dyn MetadataStore,
     sink: &MeshSink,
-    now: Time,
 ) -> Result<Rc<Mesh>, JoinError> {
     let keys = keys(&settings.vm, store).await?;
     let identity = Identity::of_mesh(&settings.vm, &keys)?;
     store
         .join(&Member {
             vm: settings.vm.clone(),
-            incarnation: Incarnation::new(now.as_us()),
+            incarnation: Incarnation::new(unix_ms()),
             domain: settings.domain.clone(),
             peer_address: settings.listen.peers,
         })
