--- a/crates/core/src/catalog/api_key.rs
+++ b/crates/core/src/catalog/api_key.rs
@@ -7,6 +7,13 @@
 #[derive(Clone, Eq, Hash, PartialEq)]
 pub struct ApiKey(Arc<str>);
 
+impl ApiKey {
+    /// Its text, for the wire only.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
 impl From<&str> for ApiKey {
     fn from(text: &str) -> Self {
         Self(text.into())
--- /dev/null
+++ b/crates/soak/src/world/daemon.rs
@@ -0,0 +1,194 @@
+//! One gateway: a process of its own.
+
+use super::proxy::Proxy;
+use crate::{
+    history::{DaemonIndex, History, Observation, Part},
+    SoakError,
+};
+use rustix::process::{kill_process, Pid, Signal as SystemSignal};
+use serde_json::json;
+use std::{
+    fs::{self, File, OpenOptions},
+    io,
+    net::{SocketAddr, TcpListener, UdpSocket},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+    },
+    time::Duration,
+};
+use tokio::time::sleep;
+
+/// Time between two looks at a process.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time until a process that ended is started again.
+const RESTART_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time from a start within which a daemon counts as starting.
+const START_SPAN: Duration = Duration::from_millis(1_500);
+
+/// A signal to a process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Signal {
+    /// Stop in good order.
+    Terminate,
+    /// End at once.
+    Kill,
+    /// Stand still.
+    Pause,
+    /// Go on.
+    Resume,
+    /// Read the settings again.
+    Reload,
+}
+
+impl Signal {
+    const fn number(self) -> SystemSignal {
+        match self {
+            Self::Terminate => SystemSignal::TERM,
+            Self::Kill => SystemSignal::KILL,
+            Self::Pause => SystemSignal::STOP,
+            Self::Resume => SystemSignal::CONT,
+            Self::Reload => SystemSignal::HUP,
+        }
+    }
+}
+
+/// One gateway.
+#[derive(Debug)]
+pub(crate) struct Daemon {
+    pub(crate) index: DaemonIndex,
+    pub(crate) readiness: SocketAddr,
+    pub(crate) callers: Proxy,
+    pub(crate) store: Proxy,
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    history: History,
+    child: Mutex<Option<Child>>,
+    over: AtomicBool,
+}
+
+impl Daemon {
+    /// Starts a gateway, and starts it again whenever it ends.
+    pub(crate) async fn start(
+        index: DaemonIndex,
+        domain: &str,
+        program: &Path,
+        folder: &Path,
+        store: SocketAddr,
+        history: &History,
+    ) -> Result<Arc<Self>, SoakError> {
+        let [callers, readiness, metrics] = [free_port()?, free_port()?, free_port()?];
+        let peers = UdpSocket::bind("127.0.0.1:0")?.local_addr()?;
+        let store = Proxy::start(Some(store)).await?;
+        let settings = folder.join(format!("daemon-{index}.json"));
+        let text = json!({
+            "vm": format!("vm-{index}"),
+            "domain": domain,
+            "listen": {
+                "callers": callers, "readiness": readiness, "metrics": metrics, "peers": peers
+            },
+            "store": store.address(),
+            "descriptors_max_len": 1_000,
+        });
+        fs::write(&settings, text.to_string())?;
+        let daemon = Arc::new(Self {
+            index,
+            readiness,
+            callers: Proxy::start(Some(callers)).await?,
+            store,
+            program: program.to_owned(),
+            settings,
+            log: folder.join(format!("daemon-{index}.log")),
+            history: history.clone(),
+            child: Mutex::default(),
+            over: AtomicBool::new(false),
+        });
+        daemon.spawn()?;
+        tokio::spawn(Arc::clone(&daemon).keep());
+        Ok(daemon)
+    }
+
+    fn spawn(&self) -> Result<(), SoakError> {
+        let log = |path: &Path| OpenOptions::new().create(true).append(true).open(path);
+        let output: File = log(&self.log)?;
+        let errors = output.try_clone()?;
+        let mut command = Command::new(&self.program);
+        command.arg("--settings").arg(&self.settings);
+        command.stdin(Stdio::null()).stdout(output).stderr(errors);
+        let child = command.spawn().map_err(|reason| SoakError::Program {
+            program: self.program.clone(),
+            reason,
+        })?;
+        *self.lock() = Some(child);
+        Ok(())
+    }
+
+    /// Sends its process a signal. False where none runs.
+    pub(crate) fn signal(&self, signal: Signal) -> bool {
+        let child = self.lock();
+        let pid = child
+            .as_ref()
+            .and_then(|child| Pid::from_raw(child.id() as i32));
+        pid.is_some_and(|pid| kill_process(pid, signal.number()).is_ok())
+    }
+
+    /// Starts it again whenever it ends, until the soak is over.
+    async fn keep(self: Arc<Self>) {
+        loop {
+            sleep(LOOK_PAUSE).await;
+            let Some(code) = self.ended() else { continue };
+            if self.over.load(Ordering::Relaxed) {
+                return;
+            }
+            let restart = Part::Restart(self.index);
+            self.history.note(Observation::Disturbed(restart.clone()));
+            self.history.note(Observation::Ended {
+                daemon: self.index,
+                code,
+            });
+            sleep(RESTART_PAUSE).await;
+            if self.over.load(Ordering::Relaxed) || self.spawn().is_err() {
+                return;
+            }
+            sleep(START_SPAN).await;
+            self.history.note(Observation::Calm(restart));
+        }
+    }
+
+    /// The exit code of a process that has just ended.
+    fn ended(&self) -> Option<Option<i32>> {
+        let mut child = self.lock();
+        let status = child.as_mut()?.try_wait().ok()??;
+        *child = None;
+        Some(status.code())
+    }
+
+    /// Ends its process for good.
+    pub(crate) fn end(&self) {
+        self.over.store(true, Ordering::Relaxed);
+        if let Some(mut child) = self.lock().take() {
+            // A process that has ended already can't be ended; both are waited for.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Child>> {
+        self.child.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+fn free_port() -> io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
--- /dev/null
+++ b/crates/soak/src/world/deployment.rs
@@ -0,0 +1,74 @@
+//! All of the deployment.
+
+use super::{store::Store, upstream::Upstream, CatalogDesk, Daemon};
+use crate::{history::History, SoakError};
+use persimmon_core::ids::FailureDomain;
+use persimmon_platform::far_side::domain_out_row;
+use std::{io, path::Path, sync::Arc};
+
+/// Failure domains.
+const DOMAINS: [&str; 3] = ["north", "middle", "south"];
+
+/// All of the deployment.
+#[derive(Debug)]
+pub(crate) struct Deployment {
+    pub(crate) store: Store,
+    pub(crate) desk: CatalogDesk,
+    pub(crate) upstreams: Vec<Arc<Upstream>>,
+    pub(crate) daemons: Vec<Arc<Daemon>>,
+}
+
+/// How large it is.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Size {
+    pub(crate) daemons_len: usize,
+    pub(crate) engines_len: usize,
+    pub(crate) desks_len: usize,
+}
+
+impl Deployment {
+    pub(crate) async fn start(
+        size: Size,
+        program: &Path,
+        folder: &Path,
+        history: &History,
+    ) -> Result<Self, SoakError> {
+        let store = Store::new(history.clock());
+        let desk = CatalogDesk::open(store.clone(), history.clone()).map_err(io::Error::other)?;
+        let mut upstreams = Vec::new();
+        for index in 0..size.engines_len + size.desks_len {
+            let engine = index < size.engines_len;
+            let domain = domain(index)?;
+            upstreams.push(Upstream::start(index, engine, domain, history, &store).await?);
+        }
+        let address = store.serve().await?;
+        let mut daemons = Vec::new();
+        for index in 0..size.daemons_len {
+            let domain = DOMAINS[index % DOMAINS.len()];
+            let daemon = Daemon::start(index, domain, program, folder, address, history).await?;
+            daemons.push(daemon);
+        }
+        Ok(Self {
+            store,
+            desk,
+            upstreams,
+            daemons,
+        })
+    }
+
+    /// Takes a failure domain out of service, or back.
+    pub(crate) fn take_out(&self, domain: &FailureDomain, out: bool) {
+        let (table, key, value) = domain_out_row(domain);
+        if out {
+            self.store.put((table, key, value));
+        } else {
+            self.store.remove(table, key);
+        }
+    }
+}
+
+/// The failure domain of an upstream or of a number drawn.
+pub(crate) fn domain(index: usize) -> io::Result<FailureDomain> {
+    let name = DOMAINS[index % DOMAINS.len()];
+    name.parse().map_err(io::Error::other)
+}
