--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -80,12 +80,20 @@
         if !self.keys_are_fresh(now) {
             return Err(refuse(Reason::KnowledgeTooOld, wait));
         }
-        let no_route = || refuse(Reason::NoRoute, None);
+        let unsure = self.may_miss_changes(now);
+        let denied = |reason| {
+            if unsure {
+                refuse(Reason::KnowledgeTooOld, wait)
+            } else {
+                refuse(reason, None)
+            }
+        };
+        let no_route = || denied(Reason::NoRoute);
         let route = catalog.route(&call.host, &call.path).ok_or_else(no_route)?;
         let key = call.key.as_ref();
         let holder = key.and_then(|key| catalog.holder(key)).cloned();
         if catalog.needs_keys() && !route.open && holder.is_none() {
-            return Err(refuse(Reason::WrongKey, None));
+            return Err(denied(Reason::WrongKey));
         }
         let target = route.target(&call.tag);
         let service = target.and_then(|target| catalog.service(&target.service));
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     catalog::{Catalog, KeyHolder, Route, Service},
-    dispatch::{place::Place, reserve::Reservations, stop::Stop},
+    dispatch::{follow::Follows, outbox::Outbox, place::Place, reserve::Reservations, stop::Stop},
     fleet::Fleet,
     ids::{CallId, FailureDomain, SendId, UpstreamId, VmId},
     units::{Millis, Time},
@@ -39,6 +39,8 @@
     pub(super) upstream: UpstreamId,
     pub(super) sent_at: Time,
     pub(super) predicted_ms: Option<f64>,
+    /// Whether no other engine reads a part of the prompt.
+    pub(super) alone: bool,
 }
 
 /// A call without a last word.
@@ -101,10 +103,6 @@
     pub(super) fn log(&mut self, record: DispatchRecord) {
         self.act(DispatchAction::Log(Box::new(record)));
     }
-
-    pub(super) fn tell_all(&mut self, note: WorkNote) {
-        self.act(DispatchAction::Tell { to: None, note });
-    }
 }
 
 /// Decides what happens to each caller's request of one daemon.
@@ -122,6 +120,8 @@
     pub(super) cold: ColdRates,
     pub(super) budget: RetryBudget,
     pub(super) reservations: Reservations,
+    pub(super) follows: Follows,
+    pub(super) outbox: Outbox,
     pub(super) calls: BTreeMap<CallId, OpenCall>,
     pub(super) waiting: VecDeque<CallId>,
     pub(super) peers: BTreeMap<VmId, u32>,
@@ -152,6 +152,8 @@
                 settings.retry_window_ms,
             ),
             reservations: Reservations::default(),
+            follows: Follows::default(),
+            outbox: Outbox::default(),
             calls: BTreeMap::new(),
             waiting: VecDeque::new(),
             peers: BTreeMap::new(),
@@ -201,6 +203,7 @@
         let times = watches.into_iter().chain([
             self.fleet.next_expiry(),
             self.reservations.next_wakeup(),
+            self.outbox.due_at(),
             due,
         ]);
         times.flatten().fold(self.last_tick + tick_ms, Time::min)
@@ -261,6 +264,7 @@
         for id in self.fleet.expire_missing(out.now) {
             self.forget_upstream(out, &id, "lapsed");
         }
+        self.follow_readers(out);
         for watch in [&mut self.operators, &mut self.upstreams] {
             if let Some(call) = watch.poll(out.now) {
                 out.act(DispatchAction::Watch(call));
@@ -269,6 +273,7 @@
         self.end_overdue(out);
         self.progress_reservations(out);
         self.place_waiting(out);
+        self.progress_outbox(out);
         self.progress_stop(out);
         self.update_ready(out);
     }
@@ -311,6 +316,7 @@
             return;
         };
         self.ledger.forget_daemon(out.now, index);
+        self.forget_follower(vm);
         out.log(DispatchRecord::Peer {
             member: vm.clone(),
             connected: false,
@@ -319,21 +325,42 @@
 
     fn on_peer_note(&mut self, out: &mut Out<'_>, vm: &VmId, note: WorkNote) {
         let index = self.peer_index(vm.clone());
-        match &note {
-            WorkNote::Started(start) => self.cold.on_sent(out.now, &start.upstream),
-            WorkNote::Sick { upstream, for_ms } => {
-                self.health.on_peer_rest(out.now, upstream, *for_ms);
+        match note {
+            WorkNote::Several(notes) => {
+                for note in notes {
+                    self.on_peer_note(out, vm, note);
+                }
             }
+            WorkNote::Follow { asked_at } => self.on_follow(out.now, vm, asked_at),
+            WorkNote::Vouch {
+                asked_at,
+                changed,
+                version,
+            } => self.on_vouch(out, vm.clone(), asked_at, changed, version),
             WorkNote::Upstreams {
                 after,
                 version,
                 changes,
-            } => {
-                return self.on_upstream_news(out, *after, *version, changes.clone());
+            } => self.on_upstream_news(out, after, version, changes),
+            WorkNote::Sick { upstream, for_ms } => {
+                self.health.on_peer_rest(out.now, &upstream, for_ms);
+            }
+            WorkNote::Replaced(upstream) => self.on_replaced(out, &upstream),
+            WorkNote::Started(start) => {
+                self.cold.on_sent(out.now, &start.upstream);
+                self.ledger
+                    .on_note(out.now, index, WorkNote::Started(start));
+            }
+            WorkNote::Writing(send) => {
+                if let Some(upstream) = self.ledger.upstream(index, send) {
+                    self.health.on_peer_success(upstream);
+                }
+                self.ledger.on_note(out.now, index, WorkNote::Writing(send));
+            }
+            note @ (WorkNote::All(_) | WorkNote::Ended(_)) => {
+                self.ledger.on_note(out.now, index, note);
             }
-            _ => {}
         }
-        self.ledger.on_note(out.now, index, note);
     }
 
     /// Takes a call's transmission, where one is under way, off the ledger here and at the peers, and
@@ -342,7 +369,7 @@
         self.release(out, call);
         let Some(send) = send else { return };
         if self.ledger.end(out.now, WorkId::own(send)) {
-            out.tell_all(WorkNote::Ended(send));
+            self.tell_soon(out.now, WorkNote::Ended(send));
         }
     }
 }
--- /dev/null
+++ b/crates/core/src/dispatch/follow.rs
@@ -0,0 +1,121 @@
+//! Few daemons read the store; the others follow them. Answers the load of a large fleet: calls to
+//! the store are priced one by one, and each daemon must know operators' writes to the second.
+//!
+//! A daemon tells the readers its own time. With its next contact to the store, a reader gives that
+//! time back, and the daemon's knowledge counts as old as that, however long the words were under way.
+
+use super::{
+    dispatcher::{Dispatcher, Out},
+    DispatchAction, DispatchRecord, WorkNote,
+};
+use crate::{
+    ids::{StoreVersion, VmId},
+    units::{Millis, Time},
+    watch::Topic,
+};
+use std::collections::BTreeMap;
+
+/// Daemons that read the store, the first by name: one may be frozen or cut off.
+const READERS_LEN: usize = 2;
+
+/// Time after which a reader that did not answer is asked again.
+const ASK_AGAIN_MS: Millis = Millis::new(700);
+
+/// Who follows this daemon, and whom it follows.
+#[derive(Debug, Default)]
+pub(super) struct Follows {
+    followers: BTreeMap<VmId, Asked>,
+    ask_at: Time,
+}
+
+/// A follower's word.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    /// The follower's own time.
+    asked_at: Time,
+    /// When it was heard here.
+    heard_at: Time,
+}
+
+impl Dispatcher {
+    /// Asks the readers to vouch, where this daemon is none itself.
+    pub(super) fn follow_readers(&mut self, out: &mut Out<'_>) {
+        let listens = self.listens();
+        self.operators.listen(listens);
+        if !listens || out.now < self.follows.ask_at {
+            return;
+        }
+        self.follows.ask_at = out.now + ASK_AGAIN_MS;
+        for reader in self.peers.keys().take(READERS_LEN) {
+            out.act(DispatchAction::Tell {
+                to: Some(reader.clone()),
+                note: WorkNote::Follow { asked_at: out.now },
+            });
+        }
+    }
+
+    fn listens(&self) -> bool {
+        self.rank_len() >= READERS_LEN
+    }
+
+    /// A peer follows this daemon.
+    pub(super) fn on_follow(&mut self, now: Time, peer: &VmId, asked_at: Time) {
+        let asked = Asked {
+            asked_at,
+            heard_at: now,
+        };
+        self.follows.followers.insert(peer.clone(), asked);
+    }
+
+    /// A peer is gone.
+    pub(super) fn forget_follower(&mut self, peer: &VmId) {
+        self.follows.followers.remove(peer);
+    }
+
+    /// Tells all followers of a contact with the store.
+    pub(super) fn vouch(&mut self, out: &mut Out<'_>) {
+        let (Some(version), Some(fresh_at)) =
+            (self.operators.position(), self.operators.fresh_at())
+        else {
+            return;
+        };
+        let changed = self.operators.changed_at();
+        for (peer, asked) in &self.follows.followers {
+            let asked_at = (asked.heard_at <= fresh_at).then_some(asked.asked_at);
+            out.act(DispatchAction::Tell {
+                to: Some(peer.clone()),
+                note: WorkNote::Vouch {
+                    asked_at,
+                    changed,
+                    version,
+                },
+            });
+        }
+    }
+
+    /// A reader had contact with the store.
+    pub(super) fn on_vouch(
+        &mut self,
+        out: &mut Out<'_>,
+        peer: VmId,
+        asked_at: Option<Time>,
+        changed: StoreVersion,
+        version: StoreVersion,
+    ) {
+        let knowledge_ms = self.knowledge_ms(out.now);
+        if self.operators.on_vouch(out.now, asked_at, changed, version) {
+            out.log(DispatchRecord::Dependency {
+                dependency: Topic::Operators.name(),
+                reachable: true,
+                detail: format!("version {version}, by word of {peer}"),
+                knowledge_ms,
+            });
+        }
+        if asked_at.is_some() && self.listens() {
+            out.act(DispatchAction::Tell {
+                to: Some(peer),
+                note: WorkNote::Follow { asked_at: out.now },
+            });
+        }
+    }
+}
--- a/crates/core/src/dispatch/health.rs
+++ b/crates/core/src/dispatch/health.rs
@@ -22,13 +22,15 @@
     pub failure_ratio: f64,
     /// It gets no work until then.
     pub rest_until: Option<Time>,
-    rests_count: u32,
+    rest_ms: Millis,
+    told_until: Option<Time>,
 }
 
 impl Health {
     /// Whether it gets no work now.
     pub fn rests(&self, now: Time) -> bool {
-        self.rest_until.is_some_and(|until| now < until)
+        let until = self.rest_until.max(self.told_until);
+        until.is_some_and(|until| now < until)
     }
 }
 
@@ -48,7 +50,14 @@
     pub fn on_success(&mut self, upstream: &UpstreamId) {
         if let Some(health) = self.upstreams.get_mut(upstream) {
             health.failure_ratio *= 1.0 - RATE_WEIGHT;
-            health.rests_count = 0;
+            health.rest_ms = Millis::ZERO;
+        }
+    }
+
+    /// It answered a peer: what peers told of its failures is over.
+    pub fn on_peer_success(&mut self, upstream: &UpstreamId) {
+        if let Some(health) = self.upstreams.get_mut(upstream) {
+            health.told_until = None;
         }
     }
 
@@ -58,12 +67,14 @@
         health.failure_ratio += (1.0 - health.failure_ratio) * RATE_WEIGHT;
     }
 
-    /// It broke off, was silent or could not be reached: it rests, longer with each time in a row.
+    /// It broke off, was silent or could not be reached: it rests, longer with each time in a row,
+    /// here or at a peer.
     pub fn on_broken(&mut self, now: Time, upstream: &UpstreamId) -> Millis {
         self.on_failure(upstream);
         let health = self.upstreams.entry(upstream.clone()).or_default();
-        let rest_ms = Millis::new(REST_MS.get() << health.rests_count.min(8)).min(REST_MAX_MS);
-        health.rests_count += 1;
+        let rest_ms = Millis::new(health.rest_ms.get() * 2);
+        let rest_ms = rest_ms.max(REST_MS).min(REST_MAX_MS);
+        health.rest_ms = rest_ms;
         health.rest_until = Some(now + rest_ms);
         rest_ms
     }
@@ -71,8 +82,9 @@
     /// A peer saw it fail.
     pub fn on_peer_rest(&mut self, now: Time, upstream: &UpstreamId, for_ms: Millis) {
         let health = self.upstreams.entry(upstream.clone()).or_default();
-        let until = now + for_ms.min(REST_MAX_MS);
-        health.rest_until = health.rest_until.max(Some(until));
+        let for_ms = for_ms.min(REST_MAX_MS);
+        health.told_until = health.told_until.max(Some(now + for_ms));
+        health.rest_ms = health.rest_ms.max(for_ms);
     }
 
     /// Forgets an upstream.
--- a/crates/core/src/dispatch/ledger.rs
+++ b/crates/core/src/dispatch/ledger.rs
@@ -124,7 +124,12 @@
             WorkNote::Ended(send) => {
                 self.end(now, id(send));
             }
-            WorkNote::Sick { .. } | WorkNote::Upstreams { .. } => {}
+            WorkNote::Follow { .. }
+            | WorkNote::Replaced(_)
+            | WorkNote::Several(_)
+            | WorkNote::Sick { .. }
+            | WorkNote::Upstreams { .. }
+            | WorkNote::Vouch { .. } => {}
         }
     }
 
@@ -165,6 +170,16 @@
         own.filter_map(start).collect()
     }
 
+    /// Where a daemon's transmission went.
+    pub fn upstream(&self, daemon_index: u32, send: SendId) -> Option<&UpstreamId> {
+        let id = WorkId {
+            daemon_index,
+            send,
+            part_index: 0,
+        };
+        self.works.get(&id).map(|work| &work.upstream)
+    }
+
     /// Requests on an upstream.
     pub fn requests_len(&self, upstream: &UpstreamId) -> usize {
         self.by_upstream.get(upstream).map_or(0, BTreeSet::len)
--- a/crates/core/src/dispatch/note.rs
+++ b/crates/core/src/dispatch/note.rs
@@ -4,7 +4,7 @@
 use crate::{
     fleet::UpstreamRecord,
     ids::{SendId, StoreVersion, UpstreamId},
-    units::{Millis, Tokens},
+    units::{Millis, Time, Tokens},
 };
 use serde::{Deserialize, Serialize};
 
@@ -60,6 +60,24 @@
         /// The changes.
         changes: Vec<UpstreamNews>,
     },
+    /// It follows this peer's contact with the store about operators' writes.
+    Follow {
+        /// Its own time, given back with the peer's word.
+        asked_at: Time,
+    },
+    /// It had contact with the store about operators' writes.
+    Vouch {
+        /// When the peer that is told asked for it, where that was before the contact.
+        asked_at: Option<Time>,
+        /// Version of the store up to which the last change was seen.
+        changed: StoreVersion,
+        /// Version up to which there is no other one.
+        version: StoreVersion,
+    },
+    /// Several, in their order.
+    Several(Vec<WorkNote>),
+    /// Another upstream has this one's address: it is gone.
+    Replaced(UpstreamId),
     /// An upstream failed: others may keep away from it for this time.
     Sick {
         /// The upstream.
--- a/crates/core/src/dispatch/operators.rs
+++ b/crates/core/src/dispatch/operators.rs
@@ -17,15 +17,14 @@
 /// balancer needs two seconds to move them.
 const LOSING_MS: Millis = Millis::new(1_600);
 
+/// Age of knowledge up to which callers are told that their key or route does not exist: a change is
+/// known everywhere after two seconds. It is twice the time that the store holds a reader's call.
+const DENY_AGE_MAX_MS: Millis = Millis::new(1_800);
+
 /// Pause for each peer that comes before this daemon in reading the list of upstreams: a daemon
 /// reads only where those before it are silent.
 const RANK_PAUSE_MS: Millis = Millis::new(50);
 
-/// Calls a second about operators' writes that all daemons make together, and the longest time that
-/// the store may then hold one: a share of the price of all calls, and of the lease on keys.
-const OPERATORS_CALLS_PER_S: usize = 20;
-const OPERATORS_WAIT_MAX_MS: Millis = Millis::new(2_500);
-
 impl Dispatcher {
     /// The store answered about a topic.
     pub(super) fn on_watched(
@@ -58,7 +57,10 @@
                     out.log(dependency(true, format!("version {}", batch.version)));
                 }
                 match topic {
-                    Topic::Operators => self.on_operators(out, *batch),
+                    Topic::Operators => {
+                        self.on_operators(out, *batch);
+                        self.vouch(out);
+                    }
                     Topic::Upstreams => self.on_upstreams(out, after, *batch, contact),
                 }
             }
@@ -78,13 +80,6 @@
                 change => log_unreadable(out, change),
             }
         }
-        let shared_ms = 1_000 * self.members_len() / OPERATORS_CALLS_PER_S;
-        let wait_ms = self
-            .settings
-            .operators
-            .wait_ms
-            .max(Millis::new(shared_ms as u64));
-        self.operators.hold_for(wait_ms.min(OPERATORS_WAIT_MAX_MS));
         if batch.whole {
             let back: Vec<_> = self.fleet.out().difference(&listed_out).cloned().collect();
             for domain in back {
@@ -155,11 +150,12 @@
             }
         }
         if let Some(after) = after {
-            out.tell_all(WorkNote::Upstreams {
+            let note = WorkNote::Upstreams {
                 after,
                 version: batch.version,
                 changes: news,
-            });
+            };
+            self.tell_now(out, note);
         }
     }
 
@@ -191,7 +187,7 @@
     }
 
     /// Peers that come before this daemon in reading the list of upstreams.
-    fn rank_len(&self) -> usize {
+    pub(super) fn rank_len(&self) -> usize {
         self.peers.keys().filter(|peer| **peer < self.vm).count()
     }
 
@@ -235,6 +231,12 @@
         out.log(DispatchRecord::Upstream { upstream, state });
     }
 
+    /// Whether a key or route that is not known here may have been added meanwhile.
+    pub(super) fn may_miss_changes(&self, now: Time) -> bool {
+        let age_ms = self.knowledge_ms(now);
+        self.operators.fails() || age_ms.is_none_or(|age_ms| age_ms >= DENY_AGE_MAX_MS)
+    }
+
     /// Whether the store is being lost: callers are better off elsewhere before their keys can no
     /// longer be honoured here.
     fn loses_store(&self, now: Time) -> bool {
--- /dev/null
+++ b/crates/core/src/dispatch/outbox.rs
@@ -0,0 +1,61 @@
+//! Notes to all peers. Answers the load of a large fleet, where each note costs every peer a wake-up:
+//! only the word that work was started, which keeps others off the upstream, goes at once.
+
+use super::{
+    dispatcher::{Dispatcher, Out},
+    DispatchAction, WorkNote,
+};
+use crate::units::{Millis, Time};
+
+/// Time for which other notes wait for company: a slot that became free is taken by others that much
+/// later, a twentieth of a short answer's life.
+const GATHER_MS: Millis = Millis::new(100);
+
+/// Notes that wait to be sent.
+#[derive(Debug, Default)]
+pub(super) struct Outbox {
+    notes: Vec<WorkNote>,
+    due_at: Option<Time>,
+}
+
+impl Outbox {
+    /// When notes are sent at the latest.
+    pub(super) const fn due_at(&self) -> Option<Time> {
+        self.due_at
+    }
+}
+
+impl Dispatcher {
+    /// Tells all peers, with what else waits for them.
+    pub(super) fn tell_now(&mut self, out: &mut Out<'_>, note: WorkNote) {
+        self.outbox.notes.push(note);
+        self.flush_outbox(out);
+    }
+
+    /// Tells all peers soon.
+    pub(super) fn tell_soon(&mut self, now: Time, note: WorkNote) {
+        self.outbox.notes.push(note);
+        self.outbox.due_at.get_or_insert(now + GATHER_MS);
+    }
+
+    /// Sends the notes that have waited for long enough.
+    pub(super) fn progress_outbox(&mut self, out: &mut Out<'_>) {
+        if self.outbox.due_at.is_some_and(|due_at| due_at <= out.now) {
+            self.flush_outbox(out);
+        }
+    }
+
+    fn flush_outbox(&mut self, out: &mut Out<'_>) {
+        self.outbox.due_at = None;
+        let mut notes = std::mem::take(&mut self.outbox.notes);
+        if self.peers.is_empty() {
+            return;
+        }
+        let note = match notes.len() {
+            0 => return,
+            1 => notes.swap_remove(0),
+            _ => WorkNote::Several(notes),
+        };
+        out.act(DispatchAction::Tell { to: None, note });
+    }
+}
--- a/crates/core/src/dispatch/place.rs
+++ b/crates/core/src/dispatch/place.rs
@@ -140,9 +140,14 @@
         candidates: &[Candidate],
     ) -> Result<Place, Reason> {
         let whole_tokens = prompt.prompt_tokens + prompt.output_tokens;
-        if whole_tokens.get() > profile.kv_tokens.get() * candidates.len() as u64 {
+        let fits =
+            |engines_len: usize| whole_tokens.get() <= profile.kv_tokens.get() * engines_len as u64;
+        if !fits(self.fleet.usable(&open.service.name).count()) {
             return Err(Reason::TooLarge);
         }
+        if !fits(candidates.len()) {
+            return Err(Reason::NoCapacity);
+        }
         let catalog = self.catalog.as_ref();
         let left_ms = open.left_ms(now).get() as f64;
         let wanted = Wanted {
@@ -155,7 +160,12 @@
         };
         let choice = choose_engine(candidates, &wanted).ok_or(Reason::NoCapacity)?;
         if choice.prediction.first_event_ms > left_ms {
-            return Err(Reason::TooLarge);
+            let read_ms = profile.read_ms(prompt.prompt_tokens) / candidates.len() as f64;
+            return Err(if read_ms > left_ms {
+                Reason::TooLarge
+            } else {
+                Reason::NoCapacity
+            });
         }
         let upstream = |index: usize| candidates[index].upstream.clone();
         let helper = |(index, memory_tokens): &(usize, Tokens)| HelperWork {
--- a/crates/core/src/dispatch/reserve.rs
+++ b/crates/core/src/dispatch/reserve.rs
@@ -12,12 +12,8 @@
 use serde::Serialize;
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-/// Time for which an engine keeps a reservation without word: as long as memory may stay set aside
-/// after its daemon died.
-const HOLD_MS: Millis = Millis::new(3_500);
-
-/// Time between two renewals.
-const RENEW_MS: Millis = Millis::new(1_500);
+/// Renewals in the life of a reservation: one may be lost.
+const RENEWALS_COUNT: u64 = 2;
 
 /// Time between two tries to release.
 const RELEASE_PAUSE_MS: Millis = Millis::new(1_000);
@@ -142,11 +138,11 @@
                 address: known.record.address,
                 tokens: holder.memory_tokens,
                 state: State::Asked,
-                next_at: out.now + RENEW_MS,
+                next_at: out.now + renew_ms(self.settings.hold_ms),
                 late_until: Time::START,
             };
             let ticket: Arc<str> = format!("{name}-{index}").into();
-            give(out, &ticket, &reservation);
+            give(out, &ticket, &reservation, self.settings.hold_ms);
             self.reservations.tickets.insert(ticket, reservation);
         }
         open.reserving = Some(place);
@@ -224,17 +220,19 @@
 
     /// Gives the memory of a call back.
     pub(super) fn release(&mut self, out: &mut Out<'_>, call: CallId) {
+        let hold_ms = self.settings.hold_ms;
         for (ticket, reservation) in &mut self.reservations.tickets {
             if reservation.call == call && reservation.state != State::Released {
                 reservation.state = State::Released;
                 reservation.next_at = out.now + RELEASE_PAUSE_MS;
-                give(out, ticket, reservation);
+                give(out, ticket, reservation, hold_ms);
             }
         }
     }
 
     /// Renews and releases what is due. An engine that is gone needs no word.
     pub(super) fn progress_reservations(&mut self, out: &mut Out<'_>) {
+        let hold_ms = self.settings.hold_ms;
         let fleet = &self.fleet;
         let known = |reservation: &Reservation| fleet.get(&reservation.upstream).is_some();
         self.reservations
@@ -246,19 +244,24 @@
             }
             reservation.next_at = out.now
                 + match reservation.state {
-                    State::Asked | State::Held => RENEW_MS,
+                    State::Asked | State::Held => renew_ms(hold_ms),
                     State::Released => RELEASE_PAUSE_MS,
                 };
-            give(out, ticket, reservation);
+            give(out, ticket, reservation, hold_ms);
         }
     }
 }
 
-fn give(out: &mut Out<'_>, ticket: &Arc<str>, reservation: &Reservation) {
+/// Time between two renewals.
+fn renew_ms(hold_ms: Millis) -> Millis {
+    Millis::new(hold_ms.get() / (RENEWALS_COUNT + 1))
+}
+
+fn give(out: &mut Out<'_>, ticket: &Arc<str>, reservation: &Reservation, hold_ms: Millis) {
     let kind = match reservation.state {
         State::Asked | State::Held => OrderKind::Reserve {
             tokens: reservation.tokens,
-            hold_ms: HOLD_MS,
+            hold_ms,
         },
         State::Released => OrderKind::Release,
     };
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -5,7 +5,7 @@
     DispatchAction, DispatchRecord, Reason, Refusal, SendEnd, WorkId, WorkNote,
 };
 use crate::{
-    ids::{CallId, SendId},
+    ids::{CallId, SendId, UpstreamId},
     units::{Millis, Time},
 };
 use std::sync::Arc;
@@ -56,7 +56,7 @@
         open.may_have_run = true;
         open.first_at.get_or_insert(out.now);
         self.ledger.writing(out.now, WorkId::own(send));
-        out.tell_all(WorkNote::Writing(send));
+        self.tell_soon(out.now, WorkNote::Writing(send));
     }
 
     /// An upstream is silent for longer than is usual. It is left only where another one can go on:
@@ -107,11 +107,15 @@
         self.place(out, call);
     }
 
-    /// How long an engine may be silent with what it has to read: sending elsewhere what is only
-    /// slow would have it read twice.
+    /// How long an upstream may be silent with the work that it has: sending elsewhere what is only
+    /// slow would have it done twice.
     fn usual_silence_ms(&self, now: Time, open: &OpenCall, sending: &Sending) -> f64 {
         let Some(profile) = &open.service.engine else {
-            return 0.0;
+            let requests_len = self.ledger.requests_len(&sending.upstream) as f64;
+            let upstream = self.fleet.get(&sending.upstream);
+            let slots_len = upstream.map_or(1, |known| known.record.slots_len.max(1));
+            let rounds = requests_len / f64::from(slots_len);
+            return open.route.target_latency_ms.get() as f64 * rounds * SILENCE_FACTOR;
         };
         let load = self.ledger.engine_load(now, &sending.upstream, profile);
         (load.backlog_ms() + load.pass_ms(profile)) * SILENCE_FACTOR
@@ -181,8 +185,10 @@
                 wrong_upstream: true,
                 ..
             } => {
-                if self.fleet.on_gone(upstream) {
-                    self.forget_upstream(out, upstream, "replaced");
+                // Where others read parts of the prompt, it may be one of them that is gone.
+                if sending.alone {
+                    self.on_replaced(out, upstream);
+                    self.tell_now(out, WorkNote::Replaced(upstream.clone()));
                 }
             }
             SendEnd::Failed {
@@ -199,11 +205,18 @@
                     upstream: upstream.clone(),
                     state: "rests",
                 });
-                out.tell_all(WorkNote::Sick { upstream, for_ms });
+                self.tell_now(out, WorkNote::Sick { upstream, for_ms });
             }
         }
     }
 
+    /// Another upstream has this one's address.
+    pub(super) fn on_replaced(&mut self, out: &mut Out<'_>, upstream: &UpstreamId) {
+        if self.fleet.on_gone(upstream) {
+            self.forget_upstream(out, upstream, "replaced");
+        }
+    }
+
     fn next(&mut self, now: Time, call: CallId, end: &SendEnd) -> Next {
         let sharers_len = self.sharers_len(now);
         let Some(open) = self.calls.get(&call) else {
@@ -235,7 +248,9 @@
         let tries_left = open.tries_count < TRIES_MAX_COUNT;
         let wanted = worth_it && repeatable && in_time && tries_left;
         let service = open.service.name.clone();
-        if wanted && self.budget.take(now, &service, sharers_len) {
+        // What never reached an upstream is no repeat there.
+        let free = matches!(end, SendEnd::NotSent { .. } | SendEnd::Busy);
+        if wanted && (free || self.budget.take(now, &service, sharers_len)) {
             Next::SendAgain
         } else {
             failed
--- a/crates/core/src/dispatch/settings.rs
+++ b/crates/core/src/dispatch/settings.rs
@@ -12,12 +12,27 @@
 /// Longest span of any setting.
 const SPAN_MAX_MS: u64 = 600_000;
 
+/// Part of the time for revocations that is kept for watches that hear nothing while the store drops
+/// its history (a second), and for requests under way.
+const KEY_MARGIN_MS: Millis = Millis::new(1_200);
+
+/// Shortest time for revocations that can be kept.
+const REVOKE_MIN_MS: u64 = 2_500;
+
+/// Part of the time for memory that is kept for the engine's own clock.
+const HOLD_MARGIN_MS: Millis = Millis::new(500);
+
+/// Shortest time for memory that can be kept.
+const FREE_MIN_MS: u64 = 1_500;
+
 /// Settings as they are written.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 pub struct RawDispatchSettings {
-    /// Longest time without contact to the store for which keys are still honoured.
-    pub key_lease_ms: u64,
+    /// Time from a key's revocation until no daemon honours it.
+    pub revoke_ms: u64,
+    /// Time from a request's end until engines have its memory back.
+    pub memory_free_ms: u64,
     /// Repeats for each call, over all daemons, in each budget window.
     pub retry_ratio: f64,
     /// Repeats beyond that, of all daemons together, in each budget window.
@@ -37,12 +52,13 @@
 impl Default for RawDispatchSettings {
     fn default() -> Self {
         Self {
-            key_lease_ms: 3_800,
+            revoke_ms: 5_000,
+            memory_free_ms: 4_000,
             retry_ratio: 0.2,
             retry_allowance_requests: 100.0,
             retry_window_s: 10.0,
             grace_s: 8.0,
-            operators_wait_ms: 1_500,
+            operators_wait_ms: 800,
             upstreams_pause_ms: 1_000,
             store_timeout_ms: 1_000,
         }
@@ -54,6 +70,8 @@
 pub struct DispatchSettings {
     /// Longest time without contact to the store for which keys are still honoured.
     pub key_lease_ms: Millis,
+    /// Time for which an engine keeps a reservation without word.
+    pub hold_ms: Millis,
     /// Repeats for each 100 calls, over all daemons, in each budget window.
     pub retry_percent: u32,
     /// Repeats beyond that, of all daemons together, in each budget window.
@@ -75,14 +93,25 @@
         let check = RangeCheck::new(SECTION);
         let span = |key, ms| check.span(key, ms, 1, SPAN_MAX_MS);
         let timeout_ms = span("store_timeout_ms", raw.store_timeout_ms)?;
+        let revoke_ms = check.span("revoke_ms", raw.revoke_ms, REVOKE_MIN_MS, SPAN_MAX_MS)?;
+        let key_lease_ms = revoke_ms.saturating_sub(KEY_MARGIN_MS);
+        let free_ms = check.span(
+            "memory_free_ms",
+            raw.memory_free_ms,
+            FREE_MIN_MS,
+            SPAN_MAX_MS,
+        )?;
+        // Knowledge is as old as two held calls where a change comes at the end of the first one.
+        let hold_max_ms = key_lease_ms.get() / 3;
         Ok(Self {
-            key_lease_ms: span("key_lease_ms", raw.key_lease_ms)?,
+            key_lease_ms,
+            hold_ms: free_ms.saturating_sub(HOLD_MARGIN_MS),
             retry_percent: check.number("retry_ratio", (raw.retry_ratio * 100.0) as u32, 0, 100)?,
             retry_allowance_requests: raw.retry_allowance_requests as u32,
             retry_window_ms: span("retry_window_s", (raw.retry_window_s * 1e3) as u64)?,
             grace_ms: span("grace_s", (raw.grace_s * 1e3) as u64)?,
             operators: WatchSettings {
-                wait_ms: span("operators_wait_ms", raw.operators_wait_ms)?,
+                wait_ms: check.span("operators_wait_ms", raw.operators_wait_ms, 1, hold_max_ms)?,
                 pause_ms: Millis::ZERO,
                 timeout_ms,
             },
--- a/crates/core/src/dispatch/transmit.rs
+++ b/crates/core/src/dispatch/transmit.rs
@@ -19,6 +19,9 @@
 /// Multiple of the predicted first event after which an engine counts as stalled.
 const FIRST_TIMEOUT_FACTOR: f64 = 3.0;
 
+/// Multiple of the latency target after which a plain server counts as stalled.
+const PLAIN_TIMEOUT_FACTOR: u64 = 3;
+
 /// Multiple of the pause target after which an engine counts as stalled.
 const PAUSE_TIMEOUT_FACTOR: u64 = 5;
 
@@ -46,12 +49,13 @@
             upstream: place.upstream.clone(),
             sent_at: out.now,
             predicted_ms: place.predicted_ms,
+            alone: place.helpers.is_empty(),
         });
         let work = open.work(out.now, &place);
         self.log_sent(out, id, send, &place);
         out.act(DispatchAction::Send(Box::new(plan)));
         let start = work_start(out.now, send, &work, place.helpers.clone());
-        out.tell_all(WorkNote::Started(start));
+        self.tell_now(out, WorkNote::Started(start));
         self.cold.on_sent(out.now, &place.upstream);
         let id = WorkId::own(send);
         self.ledger.start(id, &work, &place.helpers);
@@ -80,7 +84,7 @@
             deadline_ms: left_ms,
             repeatable: open.route.kind.repeatable(),
             streaming: matches!(open.route.kind, CallKind::Streaming { .. }),
-            first_timeout_ms: first_timeout_ms(left_ms, place.predicted_ms),
+            first_timeout_ms: first_timeout_ms(&open.route, left_ms, place.predicted_ms),
             pause_timeout_ms: pause_timeout_ms(&open.route),
             helpers: place.helpers.iter().filter_map(helper).collect(),
         })
@@ -143,12 +147,14 @@
     }
 }
 
-fn first_timeout_ms(left_ms: Millis, predicted_ms: Option<f64>) -> Millis {
-    let Some(predicted_ms) = predicted_ms else {
-        return left_ms;
+fn first_timeout_ms(route: &Route, left_ms: Millis, predicted_ms: Option<f64>) -> Millis {
+    let borne_ms = match predicted_ms {
+        Some(predicted_ms) => {
+            FIRST_TIMEOUT_MIN_MS + Millis::new((predicted_ms * FIRST_TIMEOUT_FACTOR) as u64)
+        }
+        None => Millis::new(route.target_latency_ms.get() * PLAIN_TIMEOUT_FACTOR),
     };
-    let borne_ms = Millis::new((predicted_ms * FIRST_TIMEOUT_FACTOR) as u64);
-    (borne_ms + FIRST_TIMEOUT_MIN_MS).min(left_ms)
+    borne_ms.min(left_ms)
 }
 
 fn pause_timeout_ms(route: &Route) -> Millis {
--- a/crates/core/src/engine/engine_load.rs
+++ b/crates/core/src/engine/engine_load.rs
@@ -9,6 +9,10 @@
 /// Share of a pause's target that may be planned: clocks and other daemons' sends are not exact.
 const PAUSE_MARGIN_RATIO: f64 = 0.9;
 
+/// Part of its first pass after which an answer that is alone shows its first event (seen on the
+/// users' bench: docs/MEASUREMENTS.md).
+const IDLE_PASS_RATIO: f64 = 0.4;
+
 /// Share of an engine's memory that is planned.
 const MEMORY_RATIO: f64 = 0.98;
 
@@ -116,19 +120,20 @@
         let to_read_tokens = (left_tokens.get() + part_tokens).max(1);
         let per_pass_tokens = profile.pass_read_max_tokens().get().max(1);
         let passes = to_read_tokens.div_ceil(per_pass_tokens) as f64;
-        let between_ms = if self.writers.is_empty() {
-            0.0
-        } else {
-            pass_ms * (passes - 0.5)
-        };
+        let between_ms = pass_ms * passes;
         let pass_share = (per_pass_tokens as f64 / to_read_tokens as f64).min(1.0);
         let pause_ms = pass_ms + (backlog_ms + part_ms) * pass_share;
         let read_ms = backlog_ms + part_ms + between_ms;
         let own_pass_ms = profile.pass_ms(profile.writer_ms(prompt_tokens));
+        let first_pass_ms = if self.writers.is_empty() {
+            own_pass_ms * IDLE_PASS_RATIO
+        } else {
+            own_pass_ms.max(pass_ms)
+        };
         let free_tokens = self.free_tokens(profile);
         Prediction {
             read_ms,
-            first_event_ms: read_ms + own_pass_ms.max(pass_ms),
+            first_event_ms: read_ms + first_pass_ms,
             pause_ms,
             added_pause_ms: part_ms * pass_share,
             broken_requests: self.broken_requests(pause_ms, pass_ms + backlog_ms * pass_share),
--- a/crates/core/src/watch/topic_watch.rs
+++ b/crates/core/src/watch/topic_watch.rs
@@ -15,6 +15,14 @@
 /// Time without contact after which entries may have lapsed unseen.
 const OUTAGE_MS: Millis = Millis::new(2_500);
 
+/// Age of knowledge at which a daemon that follows a reader asks the store itself: a change that the
+/// reader did not tell is then still in force within the two seconds that users allow.
+const LISTEN_MS: Millis = Millis::new(1_900);
+
+/// Time from a reader's word about a change to the call that reads it: changes that come in quick
+/// succession are read together.
+const GATHER_MS: Millis = Millis::new(150);
+
 /// How a topic is followed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct WatchSettings {
@@ -50,6 +58,8 @@
     asked_wait_ms: Millis,
     due_at: Time,
     failures_count: u32,
+    listens: bool,
+    changed_at: StoreVersion,
 }
 
 /// What an answer means for those who keep the topic's entries.
@@ -73,6 +83,8 @@
             asked_wait_ms: Millis::ZERO,
             due_at: Time::START,
             failures_count: 0,
+            listens: false,
+            changed_at: StoreVersion::new(0),
         }
     }
 
@@ -87,7 +99,7 @@
             return None;
         }
         self.sent_at = Some(now);
-        let follows = self.position.is_some() && self.failures_count == 0;
+        let follows = self.position.is_some() && self.failures_count == 0 && !self.listens;
         let wait_ms = if follows {
             self.settings.wait_ms
         } else {
@@ -110,14 +122,22 @@
         let regained = self.failures_count > 0;
         let held = !batch.whole && batch.changes.is_empty();
         let answered_at = sent_at + self.asked_wait_ms;
-        self.position = Some(batch.version);
-        self.fresh_at = Some(if held && answered_at <= now {
+        if batch.whole || !batch.changes.is_empty() {
+            self.changed_at = batch.version;
+        }
+        self.position = self.position.max(Some(batch.version));
+        let fresh_at = if held && answered_at <= now {
             answered_at
         } else {
             sent_at
-        });
+        };
+        self.fresh_at = self.fresh_at.max(Some(fresh_at));
         self.failures_count = 0;
-        self.due_at = now + self.settings.pause_ms;
+        self.due_at = if self.listens {
+            fresh_at + LISTEN_MS
+        } else {
+            now + self.settings.pause_ms
+        };
         Contact {
             after_outage: silence_ms.is_some_and(|ms| ms >= OUTAGE_MS),
             regained,
@@ -142,16 +162,51 @@
         whole
     }
 
+    /// Whether this daemon follows peers that read the store, and asks it only where they are silent.
+    pub fn listen(&mut self, listens: bool) {
+        if self.listens && !listens {
+            self.due_at = Time::START;
+        }
+        self.listens = listens;
+    }
+
+    /// A peer had contact with the store after it heard of this daemon at `asked_at`. It saw no
+    /// change after `changed` up to `version`. The peer's word is as good as an answer of the store,
+    /// unless there is a change that is not known here: that one is read. True where the store was
+    /// lost before.
+    pub fn on_vouch(
+        &mut self,
+        now: Time,
+        asked_at: Option<Time>,
+        changed: StoreVersion,
+        version: StoreVersion,
+    ) -> bool {
+        if self.position.is_none_or(|position| position < changed) {
+            self.due_at = self.due_at.min(now + GATHER_MS);
+            return false;
+        }
+        self.position = self.position.max(Some(version));
+        let Some(asked_at) = asked_at else {
+            return false;
+        };
+        self.fresh_at = self.fresh_at.max(Some(asked_at));
+        if !self.listens {
+            return false;
+        }
+        self.due_at = self.due_at.max(asked_at + LISTEN_MS);
+        std::mem::take(&mut self.failures_count) > 0
+    }
+
+    /// Version of the store up to which the last change was seen.
+    pub const fn changed_at(&self) -> StoreVersion {
+        self.changed_at
+    }
+
     /// Takes new settings over.
     pub fn settle(&mut self, settings: WatchSettings) {
         self.settings = settings;
     }
 
-    /// Changes how long the store may hold a call.
-    pub fn hold_for(&mut self, wait_ms: Millis) {
-        self.settings.wait_ms = wait_ms;
-    }
-
     /// A call failed. True where it is the first in a row.
     pub fn on_error(&mut self, now: Time, error: &StoreError) -> bool {
         self.sent_at = None;
--- /dev/null
+++ b/crates/core/tests/dispatch_follow.rs
@@ -0,0 +1,241 @@
+//! Daemons that follow readers of the store: how old their knowledge is, and when they ask themselves.
+
+#[path = "common/dispatch/mod.rs"]
+mod dispatch;
+
+use dispatch::{
+    catalog, id, ms,
+    node::{sent, Node, Seen},
+};
+use persimmon_core::{
+    dispatch::{DispatchAction, DispatchEvent, Reason, SendEnd, WorkNote, WorkStart},
+    ids::{SendId, StoreVersion, VmId},
+    units::{Millis, Time, Tokens},
+    watch::{Change, Topic},
+};
+use std::collections::BTreeSet;
+
+/// The last daemon by name, with two readers before it.
+fn follower() -> Node {
+    let mut node = Node::named("vm-5");
+    node.step(DispatchEvent::PeerUp { vm: id("vm-0") });
+    node.step(DispatchEvent::PeerUp { vm: id("vm-1") });
+    node.learn(2, 2);
+    node
+}
+
+fn act(node: &mut Node, event: DispatchEvent) -> Vec<DispatchAction> {
+    let mut actions = Vec::new();
+    node.dispatcher.handle(node.now, event, &mut actions);
+    actions
+}
+
+fn asks_store(actions: &[DispatchAction]) -> bool {
+    actions.iter().any(
+        |action| matches!(action, DispatchAction::Watch(call) if call.topic == Topic::Operators),
+    )
+}
+
+/// Lets time pass by ticks; tells when the store was asked about operators' writes.
+fn pass(node: &mut Node, span: u64) -> Vec<Time> {
+    let end = node.now + ms(span);
+    let mut asked = Vec::new();
+    while node.now < end {
+        node.now = node.dispatcher.next_wakeup().max(node.now + ms(1)).min(end);
+        if asks_store(&act(node, DispatchEvent::Tick)) {
+            asked.push(node.now);
+        }
+    }
+    asked
+}
+
+fn vouch(node: &mut Node, asked_at: Option<Time>, changed: u64, version: u64) {
+    let note = WorkNote::Vouch {
+        asked_at,
+        changed: StoreVersion::new(changed),
+        version: StoreVersion::new(version),
+    };
+    act(
+        node,
+        DispatchEvent::PeerNote {
+            vm: id("vm-0"),
+            note,
+        },
+    );
+}
+
+fn is_served(node: &mut Node) -> bool {
+    matches!(node.call("status", 0).1[..], [Seen::Send(_)])
+}
+
+#[test]
+fn a_follower_asks_the_store_only_where_its_readers_are_silent() {
+    let mut node = follower();
+    for round in 0..20 {
+        let asked_at = node.now;
+        assert_eq!(pass(&mut node, 800), [], "round {round}");
+        vouch(&mut node, Some(asked_at), 1, 10 + round);
+    }
+    assert!(is_served(&mut node));
+    let silent_since = node.now;
+    let asked = pass(&mut node, 2_000);
+    assert!(asked[0] <= silent_since + ms(1_200), "{asked:?}");
+}
+
+#[test]
+fn knowledge_is_as_old_as_the_word_that_a_reader_gives_back() {
+    let mut node = follower();
+    let asked_at = node.now;
+    pass(&mut node, 1_000);
+    vouch(&mut node, Some(asked_at), 1, 10);
+    pass(&mut node, 1_500);
+    // A word that was under way for long proves no more than when it was asked for.
+    vouch(&mut node, Some(asked_at), 1, 11);
+    pass(&mut node, 1_000);
+    // A contact from before the question proves nothing.
+    vouch(&mut node, None, 1, 12);
+    pass(&mut node, 400);
+    let (_, seen) = node.call("status", 0);
+    assert!(
+        matches!(seen[..], [Seen::Refuse(_, Reason::KnowledgeTooOld, ..)]),
+        "{seen:?}"
+    );
+}
+
+#[test]
+fn a_change_that_a_reader_saw_is_read_at_once() {
+    let mut node = follower();
+    let asked_at = node.now;
+    vouch(&mut node, Some(asked_at), 10, 10);
+    let told_at = node.now;
+    let asked = pass(&mut node, 1_000);
+    assert!(asked[0] <= told_at + ms(200), "{asked:?}");
+    node.operators(false, vec![Change::Catalog(Box::new(catalog(2)))]);
+    assert!(is_served(&mut node));
+}
+
+#[test]
+fn a_reader_vouches_only_for_contacts_after_the_question() {
+    let mut node = Node::named("vm-0");
+    node.step(DispatchEvent::PeerUp { vm: id("vm-5") });
+    node.learn(2, 2);
+    let follower: VmId = id("vm-5");
+    let follow = |asked_at| DispatchEvent::PeerNote {
+        vm: id("vm-5"),
+        note: WorkNote::Follow { asked_at },
+    };
+    let theirs = Time::START + ms(77_000);
+    pass(&mut node, 300);
+    act(&mut node, follow(theirs));
+    let told = |actions: &[DispatchAction]| {
+        let vouches = actions.iter().filter_map(|action| match action {
+            DispatchAction::Tell {
+                to,
+                note: WorkNote::Vouch { asked_at, .. },
+            } => {
+                assert_eq!(to.as_ref(), Some(&follower));
+                Some(*asked_at)
+            }
+            _ => None,
+        });
+        vouches.collect::<Vec<_>>()
+    };
+    let contact = |node: &mut Node, version| {
+        let answer = Ok(Box::new(dispatch::batch(version, false, Vec::new())));
+        act(
+            node,
+            DispatchEvent::Watched {
+                topic: Topic::Operators,
+                answer,
+            },
+        )
+    };
+    // The call was sent before the question, and the store answered at once.
+    assert_eq!(told(&contact(&mut node, 20)), [None]);
+    pass(&mut node, 900);
+    // The store held this one until after the question.
+    assert_eq!(told(&contact(&mut node, 21)), [Some(theirs)]);
+}
+
+fn note(node: &mut Node, note: WorkNote) -> Vec<DispatchAction> {
+    act(
+        node,
+        DispatchEvent::PeerNote {
+            vm: id("vm-0"),
+            note,
+        },
+    )
+}
+
+fn told(actions: &[DispatchAction]) -> Vec<&WorkNote> {
+    let told = actions.iter().filter_map(|action| match action {
+        DispatchAction::Tell { to: None, note } => Some(note),
+        _ => None,
+    });
+    told.collect()
+}
+
+#[test]
+fn only_the_word_of_started_work_goes_at_once() {
+    let mut node = follower();
+    let (_, seen) = node.call("alarm", 5_000);
+    let plan = sent(&seen).clone();
+    let first = DispatchEvent::First {
+        call: plan.call,
+        send: plan.send,
+    };
+    assert_eq!(told(&act(&mut node, first)), Vec::<&WorkNote>::new());
+    let ended = DispatchEvent::Ended {
+        call: plan.call,
+        send: plan.send,
+        end: SendEnd::Delivered,
+    };
+    assert_eq!(told(&act(&mut node, ended)), Vec::<&WorkNote>::new());
+    node.now = node.now + ms(100);
+    let actions = act(&mut node, DispatchEvent::Tick);
+    let both = WorkNote::Several(vec![
+        WorkNote::Writing(plan.send),
+        WorkNote::Ended(plan.send),
+    ]);
+    assert_eq!(told(&actions), [&both]);
+}
+
+#[test]
+fn an_upstream_that_a_peer_found_replaced_gets_nothing() {
+    let mut node = follower();
+    let gone = WorkNote::Replaced(id("orders-101"));
+    note(&mut node, gone);
+    for _ in 0..8 {
+        let (_, seen) = node.call("status", 0);
+        assert_eq!(sent(&seen).upstream, id("orders-102"));
+    }
+}
+
+#[test]
+fn an_upstream_that_failed_at_a_peer_rests_until_it_answers_one() {
+    let mut node = follower();
+    let start = WorkStart {
+        send: SendId::new(7),
+        upstream: id("orders-101"),
+        helpers: Vec::new(),
+        prompt_tokens: Tokens::ZERO,
+        output_tokens: Tokens::ZERO,
+        memory_tokens: Tokens::ZERO,
+        pause_target_ms: Millis::ZERO,
+        age_ms: Millis::ZERO,
+        writing_ms: None,
+    };
+    note(&mut node, WorkNote::Started(start));
+    let sick = WorkNote::Sick {
+        upstream: id("orders-101"),
+        for_ms: ms(4_000),
+    };
+    note(&mut node, sick);
+    let goes_to = |node: &mut Node| {
+        let upstreams = (0..6).map(|_| sent(&node.call("status", 0).1).upstream.to_string());
+        upstreams.collect::<BTreeSet<_>>().len()
+    };
+    assert_eq!(goes_to(&mut node), 1);
+    note(&mut node, WorkNote::Writing(SendId::new(7)));
+    assert_eq!(goes_to(&mut node), 2);
+}
--- a/crates/io/src/peer/identity.rs
+++ b/crates/io/src/peer/identity.rs
@@ -4,7 +4,8 @@
 use persimmon_core::ids::VmId;
 use quinn::{
     crypto::rustls::{QuicClientConfig, QuicServerConfig},
-    ClientConfig, Connection, IdleTimeout, ServerConfig, TransportConfig, VarInt,
+    AckFrequencyConfig, ClientConfig, Connection, IdleTimeout, ServerConfig, TransportConfig,
+    VarInt,
 };
 use rustls::{
     crypto::ring,
@@ -26,6 +27,13 @@
 /// Time between two signs of life on a connection of a mesh.
 const MESH_KEEP_ALIVE: Duration = Duration::from_millis(700);
 
+/// Acknowledgements in a mesh wait for notes that go the same way: each packet costs a wake-up, and
+/// a lost one is noticed later by as much.
+const MESH_ACK_DELAY: Duration = Duration::from_millis(200);
+
+/// Packets that are acknowledged together at the latest.
+const MESH_ACK_THRESHOLD: VarInt = VarInt::from_u32(16);
+
 /// Name of the protocol in the TLS handshake.
 const PROTOCOL: &[u8] = b"persimmonfront/1";
 
@@ -44,7 +52,7 @@
     ///
     /// Names the malformed key, or the VM where the certificate is of another one.
     pub fn new(vm: &VmId, keys: &Keys) -> Result<Self, PeerError> {
-        Self::with_transport(vm, keys, &transport(IDLE_TIMEOUT_MS, None))
+        Self::with_transport(vm, keys, &Arc::new(transport(IDLE_TIMEOUT_MS, None)))
     }
 
     /// The identity of a daemon whose peers are all connected, and watched for silence.
@@ -53,7 +61,12 @@
     ///
     /// As [`Identity::new`].
     pub fn of_mesh(vm: &VmId, keys: &Keys) -> Result<Self, PeerError> {
-        let transport = transport(MESH_IDLE_TIMEOUT_MS, Some(MESH_KEEP_ALIVE));
+        let mut transport = transport(MESH_IDLE_TIMEOUT_MS, Some(MESH_KEEP_ALIVE));
+        let mut acks = AckFrequencyConfig::default();
+        acks.ack_eliciting_threshold(MESH_ACK_THRESHOLD);
+        acks.max_ack_delay(Some(MESH_ACK_DELAY));
+        transport.ack_frequency_config(Some(acks));
+        let transport = Arc::new(transport);
         Self::with_transport(vm, keys, &transport)
     }
 
@@ -149,13 +162,13 @@
     Ok(config)
 }
 
-fn transport(idle_timeout_ms: u32, keep_alive: Option<Duration>) -> Arc<TransportConfig> {
+fn transport(idle_timeout_ms: u32, keep_alive: Option<Duration>) -> TransportConfig {
     let mut transport = TransportConfig::default();
     transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(idle_timeout_ms))));
     transport.keep_alive_interval(keep_alive);
     transport.initial_rtt(Duration::from_millis(10));
     transport.max_concurrent_bidi_streams(VarInt::from_u32(0));
-    Arc::new(transport)
+    transport
 }
 
 fn certificate(pem: &str, what: &'static str) -> Result<CertificateDer<'static>, PeerError> {
--- a/crates/soak/src/history/observation.rs
+++ b/crates/soak/src/history/observation.rs
@@ -116,6 +116,16 @@
         /// The route, by its name.
         route: Arc<str>,
     },
+    /// The store acknowledged a catalog with a new key.
+    KeyNew {
+        /// The key.
+        key: Arc<str>,
+    },
+    /// The store acknowledged a catalog with a new route.
+    RouteNew {
+        /// The route, by its name.
+        route: Arc<str>,
+    },
     /// An upstream is cold from now on.
     Cold {
         /// The upstream.
--- a/crates/soak/src/promise/answers.rs
+++ b/crates/soak/src/promise/answers.rs
@@ -61,7 +61,7 @@
         let denied = asked
             .answer
             .is_some_and(|(status, _)| DENIED.contains(&status));
-        denied && !super::changes::withdrawn(book, asked)
+        denied && super::changes::in_force(book, asked)
     };
     let denied = book.asked.iter().filter(denied);
     denied
--- a/crates/soak/src/promise/changes.rs
+++ b/crates/soak/src/promise/changes.rs
@@ -133,6 +133,20 @@
         .any(|at| at <= ended_at + SLACK_MS)
 }
 
+/// Whether a request's key and route were surely in force at its daemon.
+pub(super) fn in_force(book: &Book, asked: &Asked) -> bool {
+    let is_new = |seen: &Observation| match seen {
+        Observation::KeyNew { key } => *key == asked.key,
+        Observation::RouteNew { route } => *route == asked.route,
+        _ => false,
+    };
+    let mut news = book.events.iter().filter(|(_, seen)| is_new(seen));
+    let known = news.all(|(at, _)| {
+        asked.at > *at + ROUTE_MS + SLACK_MS && book.in_touch(asked.daemon, *at, asked.at)
+    });
+    known && !withdrawn(book, asked)
+}
+
 /// Whether the link to the upstream of a run was free of faults while it lasted.
 pub(super) fn undisturbed(book: &Book, run: &Ran) -> bool {
     let end = run.ended_at.unwrap_or(book.now);
--- a/crates/soak/src/promise/runs.rs
+++ b/crates/soak/src/promise/runs.rs
@@ -35,7 +35,9 @@
     for asked in &book.asked {
         let of_daemon = Part::Daemon(asked.daemon);
         let wrong = asked.runs.iter().filter(|run| too_long(asked, run));
-        let wrong = wrong.filter(|run| book.calm(&of_daemon, asked.at, run.at));
+        // A link that holds bytes back makes them late, not the daemon.
+        let held = |run: &Ran| !book.calm(&Part::Upstream(run.upstream.clone()), asked.at, run.at);
+        let wrong = wrong.filter(|run| book.calm(&of_daemon, asked.at, run.at) && !held(run));
         found.extend(wrong.map(|run| format!("{} was given {:?}", asked.tag, run.deadline_ms)));
     }
     found
--- a/crates/soak/src/world/catalog.rs
+++ b/crates/soak/src/world/catalog.rs
@@ -110,9 +110,10 @@
         let gone = state.keys.remove(0);
         state.keys_count += 1;
         let new = key(state.keys_count);
-        state.keys.push(new);
+        state.keys.push(Arc::clone(&new));
         self.write(&mut state)?;
         self.history.note(Observation::KeyGone { key: gone });
+        self.history.note(Observation::KeyNew { key: new });
         Ok(())
     }
 
@@ -124,10 +125,14 @@
             state.extras_count += 1;
             state.extra = Some(format!("extra{}", state.extras_count).into());
         }
+        let new = state.extra.clone();
         self.write(&mut state)?;
         if let Some(route) = gone {
             self.history.note(Observation::RouteGone { route });
         }
+        if let Some(route) = new {
+            self.history.note(Observation::RouteNew { route });
+        }
         Ok(())
     }
 
