Three failures explained over real processes; a network of its own for each soak

Cause: the issue on explaining failures asks for a test that finds the causes by the documented steps. Two drills of one process had the same addresses (the first run of this test: no catalog known).

--- a/crates/persimmonctl/src/explain.rs
+++ b/crates/persimmonctl/src/explain.rs
@@ -28,7 +28,11 @@
 
 /// The story of one request: its lines by daemon, in the order in which each daemon wrote them. A
 /// request is one daemon's, so clocks that differ do not matter.
-pub(crate) fn explain(args: &ExplainArgs) -> Result<String, CtlError> {
+///
+/// # Errors
+///
+/// A log can't be read, or none is about the request.
+pub fn explain(args: &ExplainArgs) -> Result<String, CtlError> {
     let mut story = String::new();
     for log in &args.logs {
         let lines = lines_about(log, &args.request)?;
--- a/crates/persimmonctl/src/lib.rs
+++ b/crates/persimmonctl/src/lib.rs
@@ -12,4 +12,5 @@
 
 pub use errors::CtlError;
 pub use exit::Exit;
+pub use explain::explain;
 pub use run::run;
--- a/crates/soak/src/caller/balancer.rs
+++ b/crates/soak/src/caller/balancer.rs
@@ -31,7 +31,7 @@
 impl Balancer {
     /// Asks from now on.
     pub(crate) fn start(daemons: &[Arc<Daemon>]) -> Arc<Self> {
-        let misses = daemons.iter().map(|_| AtomicU32::new(MISSES_MAX_COUNT));
+        let misses = daemons.iter().map(|_| AtomicU32::new(0));
         let balancer = Arc::new(Self {
             daemons: daemons.to_vec(),
             misses: misses.collect(),
@@ -67,15 +67,10 @@
             ready
         }
     }
-
-    /// Whether all daemons take callers.
-    pub(crate) fn all_ready(&self) -> bool {
-        let mut misses = self.misses.iter();
-        misses.all(|misses| misses.load(Ordering::Relaxed) < MISSES_MAX_COUNT)
-    }
 }
 
-async fn is_ready(address: SocketAddr) -> bool {
+/// Whether a daemon says that it takes callers.
+pub(crate) async fn is_ready(address: SocketAddr) -> bool {
     let ask = async {
         let mut stream = TcpStream::connect(address).await?;
         let question = b"GET /api/readiness HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
--- a/crates/soak/src/caller/exchange.rs
+++ b/crates/soak/src/caller/exchange.rs
@@ -29,26 +29,26 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 
 /// A connection to a daemon.
-pub(super) struct Connection {
-    pub(super) daemon: DaemonIndex,
+pub(crate) struct Connection {
+    pub(crate) daemon: DaemonIndex,
     sender: SendRequest<Full<Bytes>>,
 }
 
 /// What is asked.
 #[derive(Clone, Debug)]
-pub(super) struct Question {
-    pub(super) tag: Arc<str>,
-    pub(super) kind: CallKind,
-    pub(super) route: Arc<str>,
-    pub(super) key: Arc<str>,
-    pub(super) deadline_ms: Millis,
-    pub(super) prompt_tokens: Tokens,
-    pub(super) script: Script,
-    pub(super) leaves_after: Option<Duration>,
+pub(crate) struct Question {
+    pub(crate) tag: Arc<str>,
+    pub(crate) kind: CallKind,
+    pub(crate) route: Arc<str>,
+    pub(crate) key: Arc<str>,
+    pub(crate) deadline_ms: Millis,
+    pub(crate) prompt_tokens: Tokens,
+    pub(crate) script: Script,
+    pub(crate) leaves_after: Option<Duration>,
 }
 
 impl Connection {
-    pub(super) async fn open(daemon: DaemonIndex, address: SocketAddr) -> Option<Self> {
+    pub(crate) async fn open(daemon: DaemonIndex, address: SocketAddr) -> Option<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .ok()?
@@ -62,12 +62,12 @@
         Some(Self { daemon, sender })
     }
 
-    pub(super) fn is_open(&self) -> bool {
+    pub(crate) fn is_open(&self) -> bool {
         self.sender.is_ready()
     }
 
     /// Asks and waits for the end. False where the connection is of no more use.
-    pub(super) async fn ask(&mut self, question: &Question, history: &History) -> bool {
+    pub(crate) async fn ask(&mut self, question: &Question, history: &History) -> bool {
         let Some(request) = question.request() else {
             return false;
         };
--- a/crates/soak/src/caller/mod.rs
+++ b/crates/soak/src/caller/mod.rs
@@ -5,6 +5,7 @@
 mod load;
 mod script;
 
-pub(crate) use balancer::Balancer;
+pub(crate) use balancer::{is_ready, Balancer};
+pub(crate) use exchange::{Connection, Question};
 pub(crate) use load::{Load, Pace};
 pub(crate) use script::Script;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,9 +6,11 @@
 pub mod promise;
 
 mod caller;
+mod drill;
 mod errors;
 mod run;
 mod world;
 
+pub use drill::{Drill, Outcome};
 pub use errors::SoakError;
 pub use run::{run, soak, SoakArgs, Verdict};
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,9 +22,6 @@
     time::{sleep, sleep_until, Instant},
 };
 
-/// Time for all daemons to be ready.
-const READY_TIMEOUT: Duration = Duration::from_secs(15);
-
 /// Time between two looks at the promises.
 const JUDGE_PAUSE: Duration = Duration::from_secs(3);
 
@@ -136,8 +133,8 @@
         desks_len: args.desks,
     };
     let world = Arc::new(Deployment::start(size, &args.program, folder, &history).await?);
+    world.wait_ready().await?;
     let balancer = Balancer::start(&world.daemons);
-    wait_ready(&balancer).await?;
     let moments = schedule(seed, Duration::from_secs(args.seconds));
     note_schedule(folder, &moments)?;
     let pace = Pace {
@@ -175,19 +172,6 @@
     Ok(verdict)
 }
 
-async fn wait_ready(balancer: &Balancer) -> Result<(), SoakError> {
-    let until = Instant::now() + READY_TIMEOUT;
-    while !balancer.all_ready() {
-        if Instant::now() > until {
-            return Err(SoakError::NotReady {
-                waited_s: READY_TIMEOUT.as_secs(),
-            });
-        }
-        sleep(Duration::from_millis(50)).await;
-    }
-    Ok(())
-}
-
 async fn bring_about(begun: Instant, world: Arc<Deployment>, history: History, moment: Moment) {
     sleep_until(begun + moment.at).await;
     inject(world, history, moment).await;
--- a/crates/soak/src/world/daemon.rs
+++ b/crates/soak/src/world/daemon.rs
@@ -13,7 +13,7 @@
     path::{Path, PathBuf},
     process::{self, Child, Command, Stdio},
     sync::{
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU16, Ordering},
         Arc, Mutex, MutexGuard, PoisonError,
     },
     time::Duration,
@@ -32,6 +32,9 @@
 /// Ports of a daemon: for callers, readiness, metrics and peers.
 const PORTS: [u16; 4] = [7_001, 7_002, 7_003, 7_004];
 
+/// Step from the network of a deployment to that of the next one.
+const NETWORK_STEP: u16 = 9_973;
+
 /// Networks below this one are left to others.
 const NETWORK_MIN: u8 = 0x80;
 
@@ -62,6 +65,14 @@
     }
 }
 
+/// Where a gateway runs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Place<'a> {
+    pub(crate) network: Network,
+    pub(crate) index: DaemonIndex,
+    pub(crate) domain: &'a str,
+}
+
 /// One gateway.
 #[derive(Debug)]
 pub(crate) struct Daemon {
@@ -80,14 +91,18 @@
 impl Daemon {
     /// Starts a gateway, and starts it again whenever it ends.
     pub(crate) async fn start(
-        index: DaemonIndex,
-        domain: &str,
+        at: Place<'_>,
         program: &Path,
         folder: &Path,
         store: SocketAddr,
         history: &History,
     ) -> Result<Arc<Self>, SoakError> {
-        let [callers, readiness, metrics, peers] = PORTS.map(|port| address(index, port));
+        let Place {
+            network,
+            index,
+            domain,
+        } = at;
+        let [callers, readiness, metrics, peers] = PORTS.map(|port| network.address(index, port));
         let store = Proxy::start(Some(store)).await?;
         let settings = folder.join(format!("daemon-{index}.json"));
         let text = json!({
@@ -193,10 +208,25 @@
     }
 }
 
-/// An address that no other soak and no outgoing connection has: daemons listen on addresses of the
-/// loopback network that are named after this process.
-fn address(index: DaemonIndex, port: u16) -> SocketAddr {
-    let [_, _, high, low] = process::id().to_be_bytes();
-    let ip = Ipv4Addr::new(127, NETWORK_MIN | high >> 1, low, index as u8 + 1);
-    SocketAddr::from((ip, port))
+/// The network of a deployment's daemons, a part of the loopback network: no other soak and no outgoing
+/// connection has its addresses.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Network([u8; 2]);
+
+/// Deployments of this process so far.
+static NETWORKS_COUNT: AtomicU16 = AtomicU16::new(0);
+
+impl Network {
+    /// A network that is named after this process and the number of the deployment.
+    pub(crate) fn next() -> Self {
+        let count = NETWORKS_COUNT.fetch_add(1, Ordering::Relaxed);
+        let name = (process::id() as u16).wrapping_add(count.wrapping_mul(NETWORK_STEP));
+        let [high, low] = name.to_be_bytes();
+        Self([NETWORK_MIN | high >> 1, low])
+    }
+
+    fn address(self, index: DaemonIndex, port: u16) -> SocketAddr {
+        let Self([high, low]) = self;
+        SocketAddr::from((Ipv4Addr::new(127, high, low, index as u8 + 1), port))
+    }
 }
--- a/crates/soak/src/world/deployment.rs
+++ b/crates/soak/src/world/deployment.rs
@@ -1,10 +1,22 @@
 //! All of the deployment.
 
-use super::{store::Store, upstream::Upstream, CatalogDesk, Daemon};
-use crate::{history::History, SoakError};
+use super::{
+    daemon::{Network, Place},
+    store::Store,
+    upstream::Upstream,
+    CatalogDesk, Daemon,
+};
+use crate::{caller::is_ready, history::History, SoakError};
 use persimmon_core::ids::FailureDomain;
 use persimmon_platform::far_side::domain_out_row;
-use std::{io, path::Path, sync::Arc};
+use std::{io, path::Path, sync::Arc, time::Duration};
+use tokio::time::{sleep, Instant};
+
+/// Time for all daemons to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Time between two looks whether a daemon is.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
 /// Failure domains.
 const DOMAINS: [&str; 3] = ["north", "middle", "south"];
@@ -42,10 +54,16 @@
             upstreams.push(Upstream::start(index, engine, domain, history, &store).await?);
         }
         let address = store.serve().await?;
+        let network = Network::next();
         let mut daemons = Vec::new();
         for index in 0..size.daemons_len {
             let domain = DOMAINS[index % DOMAINS.len()];
-            let daemon = Daemon::start(index, domain, program, folder, address, history).await?;
+            let at = Place {
+                network,
+                index,
+                domain,
+            };
+            let daemon = Daemon::start(at, program, folder, address, history).await?;
             daemons.push(daemon);
         }
         Ok(Self {
@@ -56,6 +74,22 @@
         })
     }
 
+    /// Waits until all daemons take callers.
+    pub(crate) async fn wait_ready(&self) -> Result<(), SoakError> {
+        let until = Instant::now() + READY_TIMEOUT;
+        for daemon in &self.daemons {
+            while !is_ready(daemon.readiness).await {
+                if Instant::now() > until {
+                    return Err(SoakError::NotReady {
+                        waited_s: READY_TIMEOUT.as_secs(),
+                    });
+                }
+                sleep(LOOK_PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+
     /// Takes a failure domain out of service, or back.
     pub(crate) fn take_out(&self, domain: &FailureDomain, out: bool) {
         let (table, key, value) = domain_out_row(domain);
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -1,24 +1,10 @@
 //! A short seeded run of the real gateway, and the seeds that once failed.
 
-use persimmon_soak::{soak, SoakArgs};
-use std::{env, path::PathBuf, process::Command};
+mod common;
 
-/// The gateway, built for tests beside this crate.
-fn gateway() -> PathBuf {
-    let built = Command::new(env!("CARGO"))
-        .args([
-            "build",
-            "-p",
-            "persimmon-platform",
-            "--bin",
-            "persimmon-gateway",
-        ])
-        .status();
-    assert!(built.unwrap().success(), "the gateway can't be built");
-    let test = env::current_exe().unwrap();
-    let profile = test.ancestors().nth(2).unwrap();
-    profile.join("persimmon-gateway")
-}
+use common::gateway;
+use persimmon_soak::{soak, SoakArgs};
+use std::env;
 
 #[test]
 fn promises_hold_under_a_short_series_of_faults() {
