--- a/crates/soak/src/caller/exchange.rs
+++ b/crates/soak/src/caller/exchange.rs
@@ -44,7 +44,7 @@
     pub(crate) deadline_ms: Millis,
     pub(crate) prompt_tokens: Tokens,
     pub(crate) script: Script,
-    pub(crate) leaves_after: Option<Duration>,
+    pub(crate) leaves_after_ms: Option<Millis>,
 }
 
 impl Connection {
@@ -81,7 +81,7 @@
             deadline_ms: question.deadline_ms,
         });
         let patience = question.deadline_ms.duration() + PATIENCE;
-        let leaves = question.leaves_after.unwrap_or(patience);
+        let leaves = question.leaves_after_ms.map_or(patience, Millis::duration);
         tokio::select! {
             kept = self.exchange(question, request, history) => kept,
             () = sleep(leaves) => {
--- a/crates/soak/src/caller/load.rs
+++ b/crates/soak/src/caller/load.rs
@@ -149,13 +149,13 @@
                 } else {
                     1
                 },
-                pause: Duration::from_millis(if streams {
+                pause_ms: Millis::new(if streams {
                     30 + draws.next_u64() % 40
                 } else {
                     20
                 }),
             },
-            leaves_after: leaves.then(|| Duration::from_millis(leaves_ms)),
+            leaves_after_ms: leaves.then(|| Millis::new(leaves_ms)),
         }
     }
 }
--- a/crates/soak/src/caller/script.rs
+++ b/crates/soak/src/caller/script.rs
@@ -1,7 +1,7 @@
 //! What a request asks its upstream for, written into its path: callers know the right answer.
 
 use bytes::Bytes;
-use std::time::Duration;
+use persimmon_core::units::Millis;
 
 /// What a request asks its upstream for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -9,21 +9,24 @@
     /// Events of the answer.
     pub(crate) events_len: u64,
     /// Time before each event.
-    pub(crate) pause: Duration,
+    pub(crate) pause_ms: Millis,
 }
 
 impl Script {
     /// The path of a request on a route.
     pub(crate) fn path(self, route: &str) -> String {
-        format!("/{route}/{}/{}", self.events_len, self.pause.as_millis())
+        format!("/{route}/{}/{}", self.events_len, self.pause_ms.get())
     }
 
     /// Reads a path.
     pub(crate) fn read(path: &str) -> Option<Self> {
         let mut parts = path.rsplit('/');
-        let pause = Duration::from_millis(parts.next()?.parse().ok()?);
+        let pause_ms = Millis::new(parts.next()?.parse().ok()?);
         let events_len = parts.next()?.parse().ok()?;
-        Some(Self { events_len, pause })
+        Some(Self {
+            events_len,
+            pause_ms,
+        })
     }
 
     /// One event of the answer, counted from 1.
--- a/crates/soak/src/drill.rs
+++ b/crates/soak/src/drill.rs
@@ -81,8 +81,8 @@
     /// Brings a fault about, for a while.
     pub fn inject(&self, fault: Fault, span: Duration) {
         let moment = Moment {
-            at: Duration::ZERO,
-            span,
+            at_ms: Millis::ZERO,
+            span_ms: Millis::new(span.as_millis() as u64),
             fault,
         };
         let (world, history) = (Arc::clone(&self.world), self.history.clone());
@@ -106,9 +106,9 @@
             prompt_tokens: Tokens::new(1_000),
             script: Script {
                 events_len,
-                pause: Duration::from_millis(40),
+                pause_ms: Millis::new(40),
             },
-            leaves_after: None,
+            leaves_after_ms: None,
         };
         let daemon = &self.world.daemons[daemon];
         self.runtime.block_on(async {
--- a/crates/soak/src/fault/inject.rs
+++ b/crates/soak/src/fault/inject.rs
@@ -3,11 +3,16 @@
 use super::{Fault, Moment};
 use crate::{
     history::{History, Observation, Part},
-    world::{domain, Daemon, Deployment, Grey, Link, Proxy, Signal, StoreMode, Upstream},
+    world::{
+        domain, CatalogDesk, Daemon, Deployment, Grey, Link, Proxy, Signal, StoreMode, Upstream,
+    },
 };
 use std::{sync::Arc, time::Duration};
 use tokio::time::sleep;
 
+/// Time for which a link that breaks stays so.
+const RESET: Duration = Duration::from_millis(50);
+
 /// Delay of a slow link.
 const SLOW: Duration = Duration::from_millis(60);
 
@@ -23,65 +28,33 @@
 /// Brings a fault about and returns when it is over.
 pub(crate) async fn inject(world: Arc<Deployment>, history: History, moment: Moment) {
     let scene = Scene { world, history };
+    let span = moment.span_ms.duration();
     match moment.fault {
         Fault::Kill(index) => scene.kill(index),
         Fault::Terminate(index) => scene.terminate(index).await,
-        Fault::Pause(index) => scene.pause(index, moment.span).await,
+        Fault::Pause(index) => scene.pause(index, span).await,
         Fault::Reload(index) => drop(scene.daemon(index).signal(Signal::Reload)),
-        Fault::CallersReset(index) => {
-            let daemon = scene.daemon(index);
-            let part = Part::Daemon(daemon.index);
-            scene
-                .link(
-                    &daemon.callers,
-                    Link::Reset,
-                    part,
-                    Duration::from_millis(50),
-                )
-                .await;
-        }
-        Fault::CallersSlow(index) => {
-            let daemon = scene.daemon(index);
-            let part = Part::Daemon(daemon.index);
-            scene
-                .link(&daemon.callers, Link::Slow(SLOW), part, moment.span)
-                .await;
-        }
-        Fault::StoreSilent(index) => {
-            let daemon = scene.daemon(index);
-            let part = Part::StoreOf(daemon.index);
-            scene
-                .link(&daemon.store, Link::Silent, part, moment.span)
-                .await;
-        }
-        Fault::StoreReset(index) => {
-            let daemon = scene.daemon(index);
-            let part = Part::StoreOf(daemon.index);
-            scene
-                .link(&daemon.store, Link::Reset, part, moment.span)
-                .await;
-        }
-        Fault::StoreDown => scene.store(StoreMode::Down, moment.span).await,
-        Fault::StoreSlow => scene.store(StoreMode::Slow, moment.span).await,
-        Fault::StoreLosesAnswers => scene.store(StoreMode::LosesAnswers, moment.span).await,
+        Fault::CallersReset(index) => scene.callers_link(index, Link::Reset, RESET).await,
+        Fault::CallersSlow(index) => scene.callers_link(index, Link::Slow(SLOW), span).await,
+        Fault::StoreSilent(index) => scene.store_link(index, Link::Silent, span).await,
+        Fault::StoreReset(index) => scene.store_link(index, Link::Reset, span).await,
+        Fault::StoreDown => scene.store(StoreMode::Down, span).await,
+        Fault::StoreSlow => scene.store(StoreMode::Slow, span).await,
+        Fault::StoreLosesAnswers => scene.store(StoreMode::LosesAnswers, span).await,
         Fault::StoreForgets => scene.forget(),
-        Fault::Crash(index) => scene.crash(index, moment.span).await,
+        Fault::Crash(index) => scene.crash(index, span).await,
         Fault::Leave(index) => scene.leave(index).await,
-        Fault::Silent(index) => scene.upstream_link(index, Link::Silent, moment.span).await,
-        Fault::OneWay(index) => scene.upstream_link(index, Link::OneWay, moment.span).await,
-        Fault::Reset(index) => scene.upstream_link(index, Link::Reset, moment.span).await,
-        Fault::Slow(index) => {
-            scene
-                .upstream_link(index, Link::Slow(SLOW), moment.span)
-                .await
-        }
-        Fault::Fails(index) => scene.grey(index, Grey::Fails, moment.span).await,
-        Fault::Sheds(index) => scene.grey(index, Grey::Sheds, moment.span).await,
-        Fault::Breaks(index) => scene.grey(index, Grey::Breaks, moment.span).await,
+        Fault::Silent(index) => scene.upstream_link(index, Link::Silent, span).await,
+        Fault::OneWay(index) => scene.upstream_link(index, Link::OneWay, span).await,
+        Fault::Reset(index) => scene.upstream_link(index, Link::Reset, span).await,
+        Fault::Slow(index) => scene.upstream_link(index, Link::Slow(SLOW), span).await,
+        Fault::Fails(index) => scene.grey(index, Grey::Fails, span).await,
+        Fault::Sheds(index) => scene.grey(index, Grey::Sheds, span).await,
+        Fault::Breaks(index) => scene.grey(index, Grey::Breaks, span).await,
         Fault::Chill(index) => scene.upstream(index).chill(COLD),
-        Fault::DomainOut(index) => scene.domain_out(index, moment.span).await,
-        Fault::KeyGone => scene.change(crate::world::CatalogDesk::change_key),
-        Fault::RouteChange => scene.change(crate::world::CatalogDesk::change_route),
+        Fault::DomainOut(index) => scene.domain_out(index, span).await,
+        Fault::KeyGone => scene.change(CatalogDesk::change_key),
+        Fault::RouteChange => scene.change(CatalogDesk::change_route),
     }
 }
 
@@ -146,6 +119,18 @@
         self.disturb(&part, false);
     }
 
+    async fn callers_link(&self, index: usize, link: Link, span: Duration) {
+        let daemon = self.daemon(index);
+        let part = Part::Daemon(daemon.index);
+        self.link(&daemon.callers, link, part, span).await;
+    }
+
+    async fn store_link(&self, index: usize, link: Link, span: Duration) {
+        let daemon = self.daemon(index);
+        let part = Part::StoreOf(daemon.index);
+        self.link(&daemon.store, link, part, span).await;
+    }
+
     async fn upstream_link(&self, index: usize, link: Link, span: Duration) {
         let upstream = self.upstream(index);
         let part = Part::Upstream(upstream.id());
@@ -207,7 +192,7 @@
 
     fn change<E: std::error::Error + Send + Sync + 'static>(
         &self,
-        change: impl Fn(&crate::world::CatalogDesk) -> Result<(), E>,
+        change: impl Fn(&CatalogDesk) -> Result<(), E>,
     ) {
         self.log(change(&self.world.desk).map_err(std::io::Error::other));
     }
--- a/crates/soak/src/fault/schedule.rs
+++ b/crates/soak/src/fault/schedule.rs
@@ -1,5 +1,6 @@
 //! Which faults come when, drawn from a seed.
 
+use persimmon_core::units::Millis;
 use rand_chacha::{
     rand_core::{Rng, SeedableRng},
     ChaCha8Rng,
@@ -81,9 +82,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Moment {
     /// Time from the start of the load.
-    pub at: Duration,
+    pub at_ms: Millis,
     /// How long it lasts, where it does.
-    pub span: Duration,
+    pub span_ms: Millis,
     /// The fault.
     pub fault: Fault,
 }
@@ -99,8 +100,8 @@
         for index in 0..series_len {
             let drawn_ms = draws.next_u64() % (SPAN_MAX_MS - SPAN_MIN_MS);
             moments.push(Moment {
-                at: Duration::from_millis(at_ms + index * SERIES_PAUSE_MS),
-                span: Duration::from_millis(SPAN_MIN_MS + drawn_ms),
+                at_ms: Millis::new(at_ms + index * SERIES_PAUSE_MS),
+                span_ms: Millis::new(SPAN_MIN_MS + drawn_ms),
                 fault: fault(kind, draws.next_u64() as usize % 1_000),
             });
         }
--- a/crates/soak/src/history/book.rs
+++ b/crates/soak/src/history/book.rs
@@ -111,6 +111,20 @@
                     left_at: None,
                 });
             }
+            Observation::Disturbed(part) => self.faults.push((part, at, None)),
+            Observation::Calm(part) => {
+                let mut open = self.faults.iter_mut().rev();
+                if let Some((_, _, end)) = open.find(|(of, _, end)| *of == part && end.is_none()) {
+                    *end = Some(at);
+                }
+            }
+            other => self.take_progress(at, other),
+        }
+    }
+
+    /// What became of a request; all else is kept as it is.
+    fn take_progress(&mut self, at: Time, observation: Observation) {
+        match observation {
             Observation::Answered {
                 tag,
                 status,
@@ -142,13 +156,6 @@
                     run.ended_at = Some(at);
                 }
             }),
-            Observation::Disturbed(part) => self.faults.push((part, at, None)),
-            Observation::Calm(part) => {
-                let mut open = self.faults.iter_mut().rev();
-                if let Some((_, _, end)) = open.find(|(of, _, end)| *of == part && end.is_none()) {
-                    *end = Some(at);
-                }
-            }
             other => self.events.push((at, other)),
         }
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -44,33 +44,33 @@
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     pub folder: PathBuf,
     /// first seed
-    #[argh(option, default = "1")]
-    pub seed: u64,
+    #[argh(option, long = "seed", default = "1")]
+    pub first_seed: u64,
     /// seeds to run
-    #[argh(option, default = "1")]
-    pub seeds: u64,
+    #[argh(option, long = "seeds", default = "1")]
+    pub seeds_count: u64,
     /// time with faults, in seconds
-    #[argh(option, default = "30")]
-    pub seconds: u64,
+    #[argh(option, long = "seconds", default = "30")]
+    pub faults_s: u64,
     /// gateways
-    #[argh(option, default = "6")]
-    pub daemons: usize,
+    #[argh(option, long = "daemons", default = "6")]
+    pub daemons_len: usize,
     /// model engines
-    #[argh(option, default = "9")]
-    pub engines: usize,
+    #[argh(option, long = "engines", default = "9")]
+    pub engines_len: usize,
     /// plain servers
-    #[argh(option, default = "3")]
-    pub desks: usize,
+    #[argh(option, long = "desks", default = "3")]
+    pub desks_len: usize,
     /// callers
-    #[argh(option, default = "24")]
-    pub callers: usize,
+    #[argh(option, long = "callers", default = "24")]
+    pub callers_len: usize,
 }
 
 /// What a soak found.
 #[derive(Clone, Debug)]
 pub struct Verdict {
     /// Its seed.
-    pub seed: u64,
+    pub run_seed: u64,
     /// Requests asked.
     pub asked_len: usize,
     /// Whole answers among them.
@@ -84,7 +84,7 @@
 /// Runs all seeds. Fails where a promise did not hold.
 pub fn run(args: &SoakArgs) -> ExitCode {
     let mut failed = false;
-    for seed in args.seed..args.seed + args.seeds {
+    for seed in args.first_seed..args.first_seed + args.seeds_count {
         match soak(args, seed) {
             Ok(verdict) => {
                 failed |= !verdict.breaches.is_empty();
@@ -128,17 +128,17 @@
 async fn play(args: &SoakArgs, seed: u64, folder: &Path) -> Result<Verdict, SoakError> {
     let history = History::new(Clock::start());
     let size = Size {
-        daemons_len: args.daemons,
-        engines_len: args.engines,
-        desks_len: args.desks,
+        daemons_len: args.daemons_len,
+        engines_len: args.engines_len,
+        desks_len: args.desks_len,
     };
     let world = Arc::new(Deployment::start(size, &args.program, folder, &history).await?);
     world.wait_ready().await?;
     let balancer = Balancer::start(&world.daemons);
-    let moments = schedule(seed, Duration::from_secs(args.seconds));
+    let moments = schedule(seed, Duration::from_secs(args.faults_s));
     note_schedule(folder, &moments)?;
     let pace = Pace {
-        callers_len: args.callers,
+        callers_len: args.callers_len,
         pause_ms: Millis::new(400),
     };
     let load = Load::start(seed, pace, &balancer, &world.desk, &history);
@@ -154,7 +154,7 @@
             ))
         })
         .collect();
-    let whole_span = Duration::from_secs(args.seconds) + RECOVERY;
+    let whole_span = Duration::from_secs(args.faults_s) + RECOVERY;
     let found = watch(&history, begun + whole_span).await;
     for fault in faults {
         // A fault that panicked is a mistake of the soak itself: it must not pass.
@@ -173,7 +173,7 @@
 }
 
 async fn bring_about(begun: Instant, world: Arc<Deployment>, history: History, moment: Moment) {
-    sleep_until(begun + moment.at).await;
+    sleep_until(begun + moment.at_ms.duration()).await;
     inject(world, history, moment).await;
 }
 
@@ -193,7 +193,7 @@
     let book = Book::new(history.clock().now(), history.all());
     let whole = book.asked.iter().filter(|asked| asked.is_served());
     Verdict {
-        seed,
+        run_seed: seed,
         asked_len: book.asked.len(),
         whole_len: whole.count(),
         faults_len,
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -13,13 +13,13 @@
     let args = SoakArgs {
         program,
         folder,
-        seed: 1,
-        seeds: 1,
-        seconds: 14,
-        daemons: 4,
-        engines: 6,
-        desks: 3,
-        callers: 12,
+        first_seed: 1,
+        seeds_count: 1,
+        faults_s: 14,
+        daemons_len: 4,
+        engines_len: 6,
+        desks_len: 3,
+        callers_len: 12,
     };
     let verdict = soak(&args, 1).unwrap();
     assert!(verdict.breaches.is_empty(), "{verdict:#?}");
