--- a/crates/io/src/transport/pool.rs
+++ b/crates/io/src/transport/pool.rs
@@ -9,7 +9,7 @@
 };
 use hyper_util::rt::TokioIo;
 use persimmon_core::units::Millis;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -30,6 +30,13 @@
 /// Bytes without acknowledgement for so long break a connection.
 const SEND_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Silence of a connection to an upstream after which it is probed, the time between two probes, and
+/// the probes without an answer that break it: an upstream that is gone without a word is noticed
+/// within three seconds, while an answer is awaited as well.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+const PROBE_PAUSE: Duration = Duration::from_secs(1);
+const PROBES_MAX_COUNT: u32 = 2;
+
 /// Longest idle time of a kept connection, where the other side states none.
 const IDLE_MAX_MS: Millis = Millis::from_secs(4);
 
@@ -233,7 +240,9 @@
         Ok(Err(error)) => return Err(not_sent(error.to_string())),
         Err(_) => return Err(not_sent("no answer to the connection".to_owned())),
     };
-    prepare(&stream).map_err(|error| not_sent(error.to_string()))?;
+    prepare(&stream)
+        .and_then(|()| probe(&stream))
+        .map_err(|error| not_sent(error.to_string()))?;
     let shaken = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = shaken.map_err(|error| not_sent(error.to_string()))?;
     open_len.set(open_len.get() + 1);
@@ -252,6 +261,15 @@
     SockRef::from(stream).set_tcp_user_timeout(Some(SEND_TIMEOUT))
 }
 
+/// Has the system probe a connection on which nothing comes.
+fn probe(stream: &TcpStream) -> std::io::Result<()> {
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_PAUSE)
+        .with_retries(PROBES_MAX_COUNT);
+    SockRef::from(stream).set_tcp_keepalive(&probes)
+}
+
 fn stated_idle(head: &http::response::Parts) -> Option<Duration> {
     let stated = head.headers.get("keep-alive")?.to_str().ok()?;
     let seconds = stated
