--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod route;
 mod service;
+mod stamp;
 mod validated;
 
 pub use api_key::{ApiKey, KeyHolder};
@@ -14,4 +15,5 @@
 pub use limits::CallerLimits;
 pub use route::{CallKind, Route, Target};
 pub use service::Service;
+pub use stamp::CatalogStamp;
 pub use validated::{Catalog, RawCatalog};
--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -4,6 +4,7 @@
 use crate::{
     catalog::CallerLimits,
     ids::{CallId, VmId},
+    units::Millis,
     watch::WatchCall,
 };
 
@@ -41,6 +42,12 @@
     Order(ReserveOrder),
     /// Read a topic from the store.
     ReadStore(WatchCall),
+    /// Write this daemon's entry and the shared certificate authority to the store again, which may
+    /// have lost them, and read the entries of the other daemons.
+    Register {
+        /// Time to wait before, so that not all daemons write at once.
+        after_ms: Millis,
+    },
     /// Apply new limits to callers' connections and requests.
     Limits(CallerLimits),
     /// Report whether the daemon is ready for new callers.
--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -77,7 +77,7 @@
         if self.refuses_new(now) {
             return Err(refuse(RefusalReason::Stopping, Some(Millis::ZERO)));
         }
-        if !self.keys_are_fresh(now) {
+        if !self.keys_are_fresh(now) || self.has_outdated_catalog() {
             return Err(refuse(RefusalReason::KnowledgeTooOld, wait));
         }
         let may_be_outdated = self.may_miss_changes(now);
@@ -117,6 +117,7 @@
             usable_len: 0,
             catalog: self.catalog.as_ref().map(|c| c.version()),
             knowledge_ms: self.knowledge_ms(out.now),
+            store: self.operators.position(),
             age_ms: call.age_ms,
         });
         out.act(DispatchAction::Refuse {
@@ -136,9 +137,11 @@
             RefusalReason::NoCapacity => Some(self.capacity_retry_after_ms(now, open)),
             RefusalReason::NoCatalog | RefusalReason::KnowledgeTooOld => Some(START_RETRY_MS),
             RefusalReason::Stopping => Some(Millis::ZERO),
-            RefusalReason::NoUpstream | RefusalReason::UpstreamsRefused => {
-                Some(DEFAULT_RETRY_AFTER_MS)
+            RefusalReason::UpstreamsRefused => {
+                let backoff_ms = self.backoff_left_ms(now, open);
+                Some(backoff_ms.map_or(DEFAULT_RETRY_AFTER_MS, |ms| ms.max(DEFAULT_RETRY_AFTER_MS)))
             }
+            RefusalReason::NoUpstream => Some(DEFAULT_RETRY_AFTER_MS),
             _ => None,
         }
     }
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -8,11 +8,11 @@
 use crate::{
     catalog::{Catalog, KeyHolder, Route, Service},
     dispatch::{
-        freshness::FreshnessState, outbox::Outbox, placement::Placement, reservation::Reservations,
-        shutdown::Shutdown,
+        backoff::BackoffTable, freshness::FreshnessState, outbox::Outbox, placement::Placement,
+        reservation::Reservations, restore::RestoreState, shutdown::Shutdown,
     },
     fleet::Fleet,
-    ids::{CallId, FailureDomain, SendId, UpstreamId, VmId},
+    ids::{CallId, CatalogVersion, FailureDomain, SendId, StoreEra, UpstreamId, VmId},
     units::{Millis, Time},
     watch::{Topic, TopicWatch},
 };
@@ -123,15 +123,19 @@
     pub(super) vm: VmId,
     pub(super) domain: FailureDomain,
     pub(super) catalog: Option<Arc<Catalog>>,
+    /// The latest era of the store that had the catalog.
+    pub(super) catalog_era: StoreEra,
     pub(super) fleet: Fleet,
     pub(super) operators: TopicWatch,
     pub(super) upstreams: TopicWatch,
     pub(super) in_flight: InFlightTable,
     pub(super) health: HealthTable,
+    pub(super) backoff: BackoffTable,
     pub(super) slow_start: SlowStartLimiter,
     pub(super) budget: RetryBudget,
     pub(super) reservations: Reservations,
     pub(super) freshness: FreshnessState,
+    pub(super) restore: RestoreState,
     pub(super) outbox: Outbox,
     pub(super) calls: BTreeMap<CallId, OpenCall>,
     pub(super) waiting: VecDeque<CallId>,
@@ -151,11 +155,13 @@
             vm,
             domain,
             catalog: None,
+            catalog_era: StoreEra::default(),
             fleet: Fleet::default(),
             operators: TopicWatch::new(Topic::Operators, settings.operators),
             upstreams: TopicWatch::new(Topic::Upstreams, settings.upstreams),
             in_flight: InFlightTable::default(),
             health: HealthTable::default(),
+            backoff: BackoffTable::default(),
             slow_start: SlowStartLimiter::default(),
             budget: RetryBudget::new(
                 settings.retry_percent,
@@ -164,6 +170,7 @@
             ),
             reservations: Reservations::default(),
             freshness: FreshnessState::default(),
+            restore: RestoreState::default(),
             outbox: Outbox::default(),
             calls: BTreeMap::new(),
             waiting: VecDeque::new(),
@@ -190,6 +197,7 @@
                 send,
                 silent_ms,
             } => self.on_stalled(&mut out, call, send, silent_ms),
+            DispatchEvent::UpstreamLeaving(notice) => self.on_leaving_notice(&mut out, notice),
             DispatchEvent::CallerLeft { call } => self.on_caller_left(&mut out, call),
             DispatchEvent::OrderEnded { ticket, kind, end } => {
                 self.on_order_ended(&mut out, &ticket, kind, end);
@@ -218,6 +226,7 @@
         let times = watches.into_iter().chain([
             self.fleet.next_expiry(),
             self.reservations.next_wakeup(),
+            self.restore.next_wakeup(),
             self.outbox.due_at(),
             due,
         ]);
@@ -239,6 +248,11 @@
         self.peers.len() + 1
     }
 
+    /// Version of the catalog in use.
+    pub fn catalog_version(&self) -> Option<CatalogVersion> {
+        self.catalog.as_ref().map(|catalog| catalog.version())
+    }
+
     /// The known upstreams.
     pub const fn fleet(&self) -> &Fleet {
         &self.fleet
@@ -280,6 +294,7 @@
         for id in self.fleet.expire_missing(out.now) {
             self.forget_upstream(out, &id, "lapsed");
         }
+        self.release_held_domains(out);
         self.request_freshness(out);
         for watch in [&mut self.operators, &mut self.upstreams] {
             if let Some(call) = watch.poll(out.now) {
@@ -325,9 +340,10 @@
             connected: true,
         });
         out.act(DispatchAction::Notify {
-            to: Some(vm),
+            to: Some(vm.clone()),
             message,
         });
+        self.report_catalog(out, vm);
     }
 
     fn on_peer_down(&mut self, out: &mut Out<'_>, vm: &VmId) {
@@ -336,6 +352,7 @@
         };
         self.in_flight.forget_daemon(out.now, index);
         self.forget_follower(vm);
+        self.restore.forget_peer(vm);
         out.log(DispatchRecord::Peer {
             member: vm.clone(),
             connected: false,
@@ -356,13 +373,18 @@
             DispatchMessage::FreshnessReport {
                 asked_at,
                 changed,
-                version,
-            } => self.on_freshness_report(out, vm.clone(), asked_at, changed, version),
+                position,
+            } => self.on_freshness_report(out, vm.clone(), asked_at, changed, position),
             DispatchMessage::UpstreamChanges {
                 after,
-                version,
+                position,
                 changes,
-            } => self.on_upstream_changes(out, after, version, changes),
+            } => self.on_upstream_changes(out, after, position, changes),
+            DispatchMessage::CatalogInUse(stamp) => self.on_peer_catalog(vm, stamp),
+            DispatchMessage::UpstreamLeaving(leaving) => self.on_peer_leaving(out, vm, &leaving),
+            DispatchMessage::UpstreamBackoff { upstream, for_ms } => {
+                self.on_peer_backoff(out, vm, &upstream, for_ms);
+            }
             DispatchMessage::UpstreamEjected { upstream, for_ms } => {
                 self.health.on_peer_ejection(out.now, &upstream, for_ms);
             }
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -1,6 +1,8 @@
 //! Events that the dispatcher handles.
 
-use super::{Call, DispatchMessage, DispatchSettings, OrderKind, OrderOutcome, SendOutcome};
+use super::{
+    Call, DispatchMessage, DispatchSettings, LeavingNotice, OrderKind, OrderOutcome, SendOutcome,
+};
 use crate::{
     ids::{CallId, SendId, VmId},
     units::Millis,
@@ -38,6 +40,8 @@
         /// The outcome.
         end: SendOutcome,
     },
+    /// An upstream said in an answer that it is about to stop.
+    UpstreamLeaving(LeavingNotice),
     /// A caller closed its connection before its answer was complete.
     CallerLeft {
         /// The call.
--- a/crates/core/src/dispatch/freshness.rs
+++ b/crates/core/src/dispatch/freshness.rs
@@ -11,9 +11,9 @@
     DispatchAction, DispatchMessage, DispatchRecord,
 };
 use crate::{
-    ids::{StoreVersion, VmId},
+    ids::VmId,
     units::{Millis, Time},
-    watch::Topic,
+    watch::{StorePosition, Topic},
 };
 use std::collections::BTreeMap;
 
@@ -79,7 +79,7 @@
 
     /// Reports a contact with the store to all followers.
     pub(super) fn report_freshness(&mut self, out: &mut Out<'_>) {
-        let (Some(version), Some(fresh_at)) =
+        let (Some(position), Some(fresh_at)) =
             (self.operators.position(), self.operators.fresh_at())
         else {
             return;
@@ -92,7 +92,7 @@
                 message: DispatchMessage::FreshnessReport {
                     asked_at,
                     changed,
-                    version,
+                    position,
                 },
             });
         }
@@ -104,18 +104,18 @@
         out: &mut Out<'_>,
         peer: VmId,
         asked_at: Option<Time>,
-        changed: StoreVersion,
-        version: StoreVersion,
+        changed: StorePosition,
+        position: StorePosition,
     ) {
         let knowledge_ms = self.knowledge_ms(out.now);
         if self
             .operators
-            .on_peer_confirmation(out.now, asked_at, changed, version)
+            .on_peer_confirmation(out.now, asked_at, changed, position)
         {
             out.log(DispatchRecord::Dependency {
                 dependency: Topic::Operators.name(),
                 reachable: true,
-                detail: format!("version {version}, reported by {peer}"),
+                detail: format!("position {position}, reported by {peer}"),
                 knowledge_ms,
             });
         }
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -2,9 +2,11 @@
 
 use super::HelperAssignment;
 use crate::{
-    fleet::UpstreamRecord,
-    ids::{SendId, StoreVersion, UpstreamId},
+    catalog::CatalogStamp,
+    fleet::{UpstreamIncarnation, UpstreamRecord},
+    ids::{SendId, UpstreamId},
     units::{Millis, Time, Tokens},
+    watch::StorePosition,
 };
 use serde::{Deserialize, Serialize};
 
@@ -59,10 +61,10 @@
     /// Changes to the list of upstreams that the sender read from the store.
     #[serde(rename = "Upstreams")]
     UpstreamChanges {
-        /// Version that the receiver's list must have at least for the changes to complete it.
-        after: StoreVersion,
-        /// Version of the list after the changes.
-        version: StoreVersion,
+        /// Position that the receiver's list must have at least for the changes to complete it.
+        after: StorePosition,
+        /// Position of the list after the changes.
+        position: StorePosition,
         /// The changes.
         changes: Vec<UpstreamChange>,
     },
@@ -77,10 +79,10 @@
     FreshnessReport {
         /// The receiver's clock from its last request, if that request came before the contact.
         asked_at: Option<Time>,
-        /// Store version of the last change to operators' writes that the sender has seen.
-        changed: StoreVersion,
-        /// Store version up to which there is no later change.
-        version: StoreVersion,
+        /// Position of the last change to operators' writes that the sender has seen.
+        changed: StorePosition,
+        /// Position up to which there is no later change.
+        position: StorePosition,
     },
     /// Several messages, in order.
     #[serde(rename = "Several")]
@@ -96,4 +98,18 @@
         /// Duration of the ejection.
         for_ms: Millis,
     },
+    /// The catalog that the sender uses, and the era of the store that it was read in.
+    #[serde(rename = "Catalog")]
+    CatalogInUse(CatalogStamp),
+    /// The upstream said in an answer that it is about to stop.
+    #[serde(rename = "Leaving")]
+    UpstreamLeaving(UpstreamIncarnation),
+    /// The upstream asked the sender to back off.
+    #[serde(rename = "Backoff")]
+    UpstreamBackoff {
+        /// The upstream.
+        upstream: UpstreamIncarnation,
+        /// Time until it wants requests again.
+        for_ms: Millis,
+    },
 }
--- a/crates/core/src/dispatch/outcome.rs
+++ b/crates/core/src/dispatch/outcome.rs
@@ -1,6 +1,6 @@
 //! Outcomes of transmissions to upstreams.
 
-use crate::ids::UpstreamId;
+use crate::{ids::UpstreamId, units::Millis};
 use serde::Serialize;
 use std::{net::SocketAddr, str::FromStr};
 
@@ -44,6 +44,9 @@
         /// The upstream that the answer names as the cause.
         #[serde(skip_serializing_if = "Option::is_none")]
         culprit: Option<Culprit>,
+        /// Time for which the upstream wants no more requests from this daemon.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        retry_after_ms: Option<Millis>,
     },
     /// Nothing was sent: this daemon's connections to the upstream are all in use.
     Busy,
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -49,6 +49,12 @@
         (self.helpers.is_empty() && first_ms <= UNREPORTED_FIRST_EVENT_MAX_MS).then_some(first_ms)
     }
 
+    /// The upstream and the helpers.
+    pub(super) fn upstreams(&self) -> impl Iterator<Item = &UpstreamId> {
+        let helpers = self.helpers.iter().map(|helper| &helper.upstream);
+        std::iter::once(&self.upstream).chain(helpers)
+    }
+
     /// Whether helpers hold part of the prompt's KV memory.
     fn needs_reservations(&self) -> bool {
         self.helpers
@@ -242,8 +248,11 @@
         let claims = open.service.engine.is_some() && open.first_at.is_none();
         let contention = claims.then(|| self.contention(now, service));
         let usable = self.fleet.usable(service);
-        let free =
-            usable.filter(|upstream| self.has_room(now, open, upstream, most_ejected, contention));
+        let probing = self.all_back_off(now, service);
+        let free = usable.filter(|upstream| {
+            self.backoff_allows(now, upstream, probing)
+                && self.has_room(now, open, upstream, most_ejected, contention)
+        });
         let is_lost =
             |upstream: &&Upstream| open.lost_domain.as_ref() == Some(&upstream.record.domain);
         let (lost, elsewhere): (Vec<_>, Vec<_>) = free.partition(is_lost);
@@ -259,6 +268,15 @@
         candidates
     }
 
+    /// Whether an upstream that was chosen a moment ago may still get new work.
+    pub(super) fn takes_work(&self, now: Time, upstream: &UpstreamId) -> bool {
+        let in_service = self.fleet.get(upstream).is_some_and(|known| {
+            let record = &known.record;
+            !record.draining && !self.fleet.withdrawn_domains().contains(&record.domain)
+        });
+        in_service && !self.backoff.is_active(now, upstream)
+    }
+
     /// Whether an upstream has room for a call now and this daemon may use it.
     fn has_room(
         &self,
--- a/crates/core/src/dispatch/queue_order.rs
+++ b/crates/core/src/dispatch/queue_order.rs
@@ -49,6 +49,9 @@
     /// Whether more slots are free than the expected arrivals of the next `ARRIVALS_SPAN_MS` take.
     fn has_spare_slots(&self, now: Time, service: &ServiceName) -> bool {
         let free_len = |upstream: &Upstream| {
+            if self.backoff.is_active(now, &upstream.record.id) {
+                return 0;
+            }
             let taken_len = self.in_flight.requests_len(&upstream.record.id);
             (upstream.record.slots_len as usize).saturating_sub(taken_len)
         };
--- a/crates/core/src/dispatch/queue_wait.rs
+++ b/crates/core/src/dispatch/queue_wait.rs
@@ -17,21 +17,35 @@
 const WAIT_MAX_TARGET_FACTOR: f64 = 4.0;
 
 impl Dispatcher {
-    /// Predicted time in ms until a call at this queue position, from 0, finds a free slot at an
-    /// engine. None for a service without engines, or if fewer requests than that are in flight.
+    /// Predicted time in ms until a call at this queue position, from 0, finds a free slot. None if
+    /// fewer requests than that are in flight, and for a service without engines unless all of its
+    /// upstreams back off.
     pub(super) fn predicted_wait_ms(
         &self,
         now: Time,
         open: &OpenCall,
         queue_position: usize,
     ) -> Option<f64> {
-        let profile = open.service.engine.as_ref()?;
+        let Some(profile) = open.service.engine.as_ref() else {
+            return self
+                .backoff_left_ms(now, open)
+                .map(|left_ms| left_ms.get() as f64);
+        };
         let mut ends: Vec<f64> = Vec::new();
         for upstream in self.fleet.usable(&open.service.name) {
-            let load = self
-                .in_flight
-                .engine_load(now, &upstream.record.id, profile);
-            ends.extend(load.completions_ms(profile));
+            let id = &upstream.record.id;
+            let load = self.in_flight.engine_load(now, id, profile);
+            let backoff_ms = self.backoff.left_ms(now, id).get() as f64;
+            let known_len = ends.len();
+            let completions = load.completions_ms(profile);
+            ends.extend(completions.map(|end_ms| end_ms.max(backoff_ms)));
+            if backoff_ms > 0.0 {
+                let slots_len = upstream.record.slots_len as usize;
+                ends.resize(
+                    known_len + slots_len.max(ends.len() - known_len),
+                    backoff_ms,
+                );
+            }
         }
         ends.sort_by(f64::total_cmp);
         ends.get(queue_position).copied()
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -4,6 +4,7 @@
 use crate::{
     ids::{CatalogVersion, FailureDomain, SendId, ServiceName, UpstreamId, VmId},
     units::Millis,
+    watch::StorePosition,
 };
 use serde::Serialize;
 use std::sync::Arc;
@@ -40,6 +41,8 @@
         catalog: CatalogVersion,
         /// Time since the daemon's knowledge of operators' writes was current.
         knowledge_ms: Millis,
+        /// Position of the store up to which operators' writes are known.
+        store: Option<StorePosition>,
     },
     /// A request was queued because no upstream has room.
     Waits {
@@ -100,6 +103,8 @@
         catalog: Option<CatalogVersion>,
         /// Time since the daemon's knowledge of operators' writes was current.
         knowledge_ms: Option<Millis>,
+        /// Position of the store up to which operators' writes are known.
+        store: Option<StorePosition>,
         /// Age of the request.
         age_ms: Millis,
     },
@@ -145,6 +150,57 @@
         /// The reason.
         reason: String,
     },
+    /// The store has an older catalog since it was restored, and the one in use stays.
+    CatalogHeld {
+        /// Version of the catalog in use.
+        version: CatalogVersion,
+        /// Version of the catalog in the store.
+        stored_version: CatalogVersion,
+        /// Position of the store.
+        store: StorePosition,
+    },
+    /// The restored store no longer lists a failure domain as out of service, and it stays out of
+    /// service until operators have had time to write that again.
+    DomainHeld {
+        /// The failure domain.
+        domain: FailureDomain,
+        /// How long it stays out of service.
+        for_ms: Millis,
+    },
+    /// The store was restored from an older copy.
+    StoreRestored {
+        /// What was read: the topic's name.
+        dependency: &'static str,
+        /// Position of the store.
+        store: StorePosition,
+        /// Version of the catalog in use.
+        catalog: Option<CatalogVersion>,
+    },
+    /// An upstream said that it is about to stop.
+    UpstreamLeaving {
+        /// The request id that the caller chose, if this daemon got the notice with an answer to a
+        /// request.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        request: Option<Arc<str>>,
+        /// The upstream.
+        upstream: UpstreamId,
+        /// The peer that got the notice.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        reported_by: Option<VmId>,
+    },
+    /// An upstream turned a request away and asked for a pause.
+    UpstreamBackoff {
+        /// The request id that the caller chose, if it was a request of this daemon.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        request: Option<Arc<str>>,
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Time until the upstream wants requests again.
+        for_ms: Millis,
+        /// The peer whose request was turned away.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        reported_by: Option<VmId>,
+    },
     /// A failure domain was taken out of service or returned to it.
     Domain {
         /// The failure domain.
--- a/crates/core/src/dispatch/reservation.rs
+++ b/crates/core/src/dispatch/reservation.rs
@@ -6,6 +6,7 @@
     DispatchAction, DispatchRecord, RefusalReason,
 };
 use crate::{
+    fleet::UpstreamIncarnation,
     ids::{CallId, UpstreamId},
     units::{Millis, Time, Tokens},
 };
@@ -47,12 +48,24 @@
     pub ticket: Arc<str>,
     /// The engine.
     pub upstream: UpstreamId,
+    /// Start of the engine's process, in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
     /// The address that the engine listens at.
     pub address: SocketAddr,
     /// The kind of the order.
     pub kind: OrderKind,
 }
 
+impl ReserveOrder {
+    /// The incarnation of the engine that the order is for.
+    pub fn incarnation(&self) -> UpstreamIncarnation {
+        UpstreamIncarnation {
+            id: self.upstream.clone(),
+            started_unix_ms: self.started_unix_ms,
+        }
+    }
+}
+
 /// Outcome of an order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -79,6 +92,7 @@
 struct Reservation {
     call: CallId,
     upstream: UpstreamId,
+    started_unix_ms: u64,
     address: SocketAddr,
     tokens: Tokens,
     state: State,
@@ -136,6 +150,7 @@
             let reservation = Reservation {
                 call,
                 upstream: holder.upstream.clone(),
+                started_unix_ms: known.record.started_unix_ms,
                 address: known.record.address,
                 tokens: holder.memory_tokens,
                 state: State::Requested,
@@ -199,8 +214,15 @@
             return;
         }
         let open = self.calls.get_mut(&call);
-        if let Some(placement) = open.and_then(|open| open.reserving.take()) {
-            self.send(out, call, placement);
+        let Some(placement) = open.and_then(|open| open.reserving.take()) else {
+            return;
+        };
+        let lost = placement
+            .upstreams()
+            .find(|id| !self.takes_work(out.now, id));
+        match lost.cloned() {
+            Some(upstream) => self.try_other_group(out, call, upstream),
+            None => self.send(out, call, placement),
         }
     }
 
@@ -269,6 +291,7 @@
     out.act(DispatchAction::Order(ReserveOrder {
         ticket: Arc::clone(ticket),
         upstream: reservation.upstream.clone(),
+        started_unix_ms: reservation.started_unix_ms,
         address: reservation.address,
         kind,
     }));
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -91,7 +91,7 @@
             reason: "silent".to_owned(),
             stalled: true,
         };
-        self.record_outcome(out, &sending, &end);
+        self.record_outcome(out, call, &sending, &end);
         let other = other.filter(|_| self.next_step(out.now, call, &end) == NextStep::SendAgain);
         out.log(DispatchRecord::SendFailed {
             request: self.request_id(call),
@@ -159,7 +159,7 @@
             self.health.on_success(&sending.upstream);
             return self.finish(out, call, &sending, None);
         }
-        self.record_outcome(out, &sending, &end);
+        self.record_outcome(out, call, &sending, &end);
         self.avoid_domain(call, &sending, &end);
         self.avoid_helpers(out, call, &sending, &end);
         let next = self.next_step(out.now, call, &end);
@@ -246,7 +246,13 @@
     }
 
     /// Updates the upstream's health and registration by the outcome of a transmission.
-    fn record_outcome(&mut self, out: &mut Out<'_>, sending: &Sending, end: &SendOutcome) {
+    fn record_outcome(
+        &mut self,
+        out: &mut Out<'_>,
+        call: CallId,
+        sending: &Sending,
+        end: &SendOutcome,
+    ) {
         let upstream = &sending.upstream;
         match end {
             SendOutcome::Delivered | SendOutcome::Busy => {}
@@ -260,6 +266,10 @@
                     self.notify_now(out.now, DispatchMessage::UpstreamReplaced(upstream.clone()));
                 }
             }
+            SendOutcome::Failed {
+                retry_after_ms: Some(for_ms),
+                ..
+            } => self.on_backoff_asked(out, self.request_id(call), sending, *for_ms),
             SendOutcome::Failed {
                 status, not_run, ..
             } => {
@@ -380,6 +390,7 @@
             usable_len: self.fleet.usable(&open.service.name).count(),
             catalog: self.catalog.as_ref().map(|c| c.version()),
             knowledge_ms: self.knowledge_ms(out.now),
+            store: self.operators.position(),
             age_ms: open.age_ms(out.now),
         });
         if open.first_at.is_some() {
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -69,6 +69,7 @@
         let report = in_flight_report(out.now, send, &entry, placement.helpers.clone());
         self.notify_now(out.now, DispatchMessage::Started(report));
         self.slow_start.on_sent(out.now, &placement.upstream);
+        self.backoff.on_sent(out.now, &placement.upstream);
         let id = InFlightId::own(send);
         self.in_flight.start(id, &entry, &placement.helpers);
     }
@@ -90,6 +91,7 @@
             call: id,
             send,
             upstream: placement.upstream.clone(),
+            started_unix_ms: upstream.record.started_unix_ms,
             address: upstream.record.address,
             connections_max_len: (connections / self.sharing_daemons_len(now) as f64).max(1.0)
                 as u32,
@@ -128,6 +130,7 @@
             left_ms: open.left_ms(out.now),
             catalog: catalog.unwrap_or_default(),
             knowledge_ms: self.knowledge_ms(out.now).unwrap_or_default(),
+            store: self.operators.position(),
         });
     }
 }
--- a/crates/core/src/dispatch/send_plan.rs
+++ b/crates/core/src/dispatch/send_plan.rs
@@ -1,6 +1,7 @@
 //! Instructions for one transmission to an upstream.
 
 use crate::{
+    fleet::UpstreamIncarnation,
     ids::{CallId, SendId, UpstreamId, WorkspaceId},
     units::Millis,
 };
@@ -24,6 +25,8 @@
     pub send: SendId,
     /// The upstream that is to run the call. Another upstream that now has the address must refuse it.
     pub upstream: UpstreamId,
+    /// Start of the upstream's process, in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
     /// The address that the upstream listens at.
     pub address: SocketAddr,
     /// Maximum number of connections from this daemon to the upstream.
@@ -43,3 +46,13 @@
     /// Engines that prefill parts of the prompt.
     pub helpers: Vec<PrefillHelper>,
 }
+
+impl SendPlan {
+    /// The incarnation of the upstream that is to run the call.
+    pub fn incarnation(&self) -> UpstreamIncarnation {
+        UpstreamIncarnation {
+            id: self.upstream.clone(),
+            started_unix_ms: self.started_unix_ms,
+        }
+    }
+}
--- a/crates/core/src/dispatch/store_updates.rs
+++ b/crates/core/src/dispatch/store_updates.rs
@@ -6,10 +6,10 @@
 };
 use crate::{
     catalog::{Catalog, RawCatalog},
-    fleet::UpstreamRecord,
-    ids::{FailureDomain, StoreVersion, UpstreamId},
+    fleet::{SnapshotKind, UpstreamRecord},
+    ids::{FailureDomain, UpstreamId},
     units::{Millis, Time},
-    watch::{Batch, Change, ReconnectStatus, StoreError, Topic},
+    watch::{Batch, Change, ReconnectStatus, StoreError, StorePosition, Topic},
 };
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -53,13 +53,16 @@
             }
             Ok(batch) => {
                 let after = watch.position();
-                let reconnect = watch.on_answer(out.now, &batch);
+                let Some(reconnect) = watch.on_answer(out.now, &batch) else {
+                    return;
+                };
                 if reconnect.recovered {
-                    out.log(dependency(true, format!("version {}", batch.version)));
+                    out.log(dependency(true, format!("position {}", batch.position)));
                 }
+                self.on_position(out, topic, batch.position, reconnect.restored);
                 match topic {
                     Topic::Operators => {
-                        self.on_operators(out, *batch);
+                        self.on_operators(out, *batch, reconnect.restored);
                         self.report_freshness(out);
                     }
                     Topic::Upstreams => self.on_upstreams(out, after, *batch, reconnect),
@@ -68,11 +71,11 @@
         }
     }
 
-    fn on_operators(&mut self, out: &mut Out<'_>, batch: Batch) {
+    fn on_operators(&mut self, out: &mut Out<'_>, batch: Batch, restored: bool) {
         let mut listed_out = BTreeSet::new();
         for change in batch.changes {
             match change {
-                Change::Catalog(raw) => self.on_catalog(out, *raw),
+                Change::Catalog(raw) => self.on_catalog(out, *raw, batch.position),
                 Change::DomainWithdrawn(domain) => {
                     listed_out.insert(domain.clone());
                     self.on_domain(out, domain, true);
@@ -81,11 +84,13 @@
                 change => log_unreadable(out, change),
             }
         }
+        if restored {
+            self.hold_domains(out, &listed_out);
+        }
         if batch.is_snapshot {
-            let back: Vec<_> = self
-                .fleet
-                .withdrawn_domains()
-                .difference(&listed_out)
+            let missing = self.fleet.withdrawn_domains().difference(&listed_out);
+            let back: Vec<_> = missing
+                .filter(|domain| !self.is_domain_held(domain))
                 .cloned()
                 .collect();
             for domain in back {
@@ -94,14 +99,26 @@
         }
     }
 
-    fn on_catalog(&mut self, out: &mut Out<'_>, raw: RawCatalog) {
+    fn on_catalog(&mut self, out: &mut Out<'_>, raw: RawCatalog, store: StorePosition) {
         let version = raw.version;
-        let known = self.catalog.as_ref().map(|catalog| catalog.version());
-        if known.is_some_and(|known| known >= version) {
+        if let Some(known) = self
+            .catalog_stamp()
+            .filter(|known| known.version >= version)
+        {
+            if known.version == version {
+                self.catalog_era = store.era;
+            } else if known.era < store.era {
+                out.log(DispatchRecord::CatalogHeld {
+                    version: known.version,
+                    stored_version: version,
+                    store,
+                });
+            }
             return;
         }
         match Catalog::try_from(raw) {
             Ok(catalog) => {
+                self.catalog_era = store.era;
                 out.act(DispatchAction::Limits(*catalog.limits()));
                 self.catalog = Some(Arc::new(catalog));
                 out.log(DispatchRecord::Catalog { version });
@@ -113,7 +130,13 @@
         }
     }
 
-    fn on_domain(&mut self, out: &mut Out<'_>, domain: FailureDomain, out_of_service: bool) {
+    pub(super) fn on_domain(
+        &mut self,
+        out: &mut Out<'_>,
+        domain: FailureDomain,
+        out_of_service: bool,
+    ) {
+        self.restore.release_domain(&domain);
         let changed = if out_of_service {
             self.fleet.withdraw_domain(domain.clone())
         } else {
@@ -130,7 +153,7 @@
     fn on_upstreams(
         &mut self,
         out: &mut Out<'_>,
-        after: Option<StoreVersion>,
+        after: Option<StorePosition>,
         batch: Batch,
         reconnect: ReconnectStatus,
     ) {
@@ -158,7 +181,7 @@
         if let Some(after) = after {
             let message = DispatchMessage::UpstreamChanges {
                 after,
-                version: batch.version,
+                position: batch.position,
                 changes: reported,
             };
             self.notify_now(out.now, message);
@@ -169,15 +192,15 @@
     pub(super) fn on_upstream_changes(
         &mut self,
         out: &mut Out<'_>,
-        after: StoreVersion,
-        version: StoreVersion,
+        after: StorePosition,
+        position: StorePosition,
         changes: Vec<UpstreamChange>,
     ) {
         let pause_ms = self.settings.upstreams.pause_ms.get();
         let due_ms = Millis::new(pause_ms + READER_RANK_DELAY_MS.get() * self.reader_rank() as u64);
         if !self
             .upstreams
-            .on_peer_changes(out.now, after, version, due_ms)
+            .on_peer_changes(out.now, after, position, due_ms)
         {
             return;
         }
@@ -213,9 +236,14 @@
                 change => log_unreadable(out, change),
             }
         }
-        let gone = self
-            .fleet
-            .on_snapshot(out.now, records, reconnect.after_outage);
+        let kind = if reconnect.restored {
+            SnapshotKind::Restored
+        } else if reconnect.after_outage {
+            SnapshotKind::AfterOutage
+        } else {
+            SnapshotKind::Current
+        };
+        let gone = self.fleet.on_snapshot(out.now, records, kind);
         for id in gone {
             self.forget_upstream(out, &id, "gone");
         }
@@ -225,6 +253,10 @@
     fn on_record(&mut self, out: &mut Out<'_>, record: UpstreamRecord) -> bool {
         let upstream = record.id.clone();
         let state = if record.draining { "draining" } else { "ready" };
+        let known = self.fleet.get(&upstream).map(|known| &known.record);
+        if known.is_some_and(|known| known.started_unix_ms != record.started_unix_ms) {
+            self.backoff.forget(&upstream);
+        }
         let changed = self.fleet.on_record(out.now, record);
         if changed {
             out.log(DispatchRecord::Upstream { upstream, state });
@@ -241,6 +273,7 @@
     ) {
         self.health.forget(upstream);
         self.slow_start.forget(upstream);
+        self.backoff.forget(upstream);
         let upstream = upstream.clone();
         out.log(DispatchRecord::Upstream { upstream, state });
     }
@@ -270,6 +303,8 @@
             Some("upstreams are not known")
         } else if !self.keys_are_fresh(out.now) || self.is_store_outage_prolonged(out.now) {
             Some("the store's changes can't be read")
+        } else if self.has_outdated_catalog() {
+            Some("the store was restored and lacks the catalog that peers use")
         } else {
             None
         };
--- a/crates/core/src/fleet/record.rs
+++ b/crates/core/src/fleet/record.rs
@@ -31,7 +31,24 @@
     pub writes_count: u64,
 }
 
+/// One incarnation of an upstream: an upstream may start again under the id that it had.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct UpstreamIncarnation {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// Start of its process, in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
+}
+
 impl UpstreamRecord {
+    /// The incarnation that wrote the record.
+    pub fn incarnation(&self) -> UpstreamIncarnation {
+        UpstreamIncarnation {
+            id: self.id.clone(),
+            started_unix_ms: self.started_unix_ms,
+        }
+    }
+
     /// Sort key that orders the writes of one entry.
     pub const fn write_order(&self) -> (u64, u64) {
         (self.started_unix_ms, self.writes_count)
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -1,11 +1,14 @@
 //! Registry of upstreams by id.
 
-use super::{Upstream, UpstreamRecord};
+use super::{Upstream, UpstreamIncarnation, UpstreamRecord};
 use crate::{
     ids::{FailureDomain, ServiceName, UpstreamId},
     units::{Millis, Time},
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 /// Time for which upstreams stay registered whose entries expired during an outage of the store.
 /// Upstreams register again within about 2 s of its recovery; the difference to 2 s is left for the
@@ -16,6 +19,18 @@
 /// not register them again.
 const TOMBSTONES_MAX_LEN: usize = 10_000;
 
+/// What a full list of entries says about entries that it lacks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SnapshotKind {
+    /// Missing upstreams are gone.
+    Current,
+    /// The store was not reachable for long: entries may have expired meanwhile.
+    AfterOutage,
+    /// The store was restored from a copy: it may lack entries, and have those of upstreams that are
+    /// gone.
+    Restored,
+}
+
 /// The registered upstreams, and the failure domains that are out of service.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -89,24 +104,29 @@
     }
 
     /// Handles a full list of entries, and returns the removed upstreams. After an outage of the
-    /// store, an entry may be missing merely because it expired meanwhile, so its upstream is kept
-    /// for a grace period.
+    /// store or a restore, an entry may be missing although its upstream lives, so the upstream is
+    /// kept for a grace period. A restored store may also list upstreams as they were before they
+    /// were removed; those stay removed.
     pub fn on_snapshot(
         &mut self,
         now: Time,
         records: Vec<UpstreamRecord>,
-        after_outage: bool,
+        kind: SnapshotKind,
     ) -> Vec<UpstreamId> {
         self.loaded = true;
         let listed: BTreeSet<_> = records.iter().map(|record| record.id.clone()).collect();
         for record in records {
-            self.on_record(now, record);
+            let outdated = kind == SnapshotKind::Restored && self.is_outdated(&record);
+            if !outdated {
+                self.on_record(now, record);
+            }
         }
         let missing = self.upstreams.keys().filter(|id| !listed.contains(*id));
         let missing: Vec<_> = missing.cloned().collect();
         let mut removed_ids = Vec::new();
         for id in missing {
-            if !(after_outage && self.keep_missing(now, &id)) {
+            let kept = kind != SnapshotKind::Current && self.keep_missing(now, &id);
+            if !kept {
                 self.on_removed(&id);
                 removed_ids.push(id);
             }
@@ -114,6 +134,30 @@
         removed_ids
     }
 
+    /// Whether the record is of a removed upstream and not newer than its last known one.
+    fn is_outdated(&self, record: &UpstreamRecord) -> bool {
+        let removed = self.removed.get(&record.id);
+        removed.is_some_and(|removed| record.write_order() <= removed.write_order())
+    }
+
+    /// Handles that an upstream said that it is about to stop: this incarnation of it gets no new
+    /// work, even if its entry does not say so or is written again. Returns true if that is new.
+    pub fn on_leaving(&mut self, leaving: &UpstreamIncarnation) -> bool {
+        let known = self.upstreams.get_mut(&leaving.id).map(|u| &mut u.record);
+        let Some(record) = known.or_else(|| self.removed.get_mut(&leaving.id)) else {
+            return false;
+        };
+        let is_new = record.started_unix_ms == leaving.started_unix_ms && !record.draining;
+        record.draining |= is_new;
+        is_new
+    }
+
+    /// The upstreams that listen at an address.
+    pub fn at_address(&self, address: SocketAddr) -> impl Iterator<Item = &Upstream> {
+        let upstreams = self.upstreams.values();
+        upstreams.filter(move |upstream| upstream.record.address == address)
+    }
+
     /// Keeps an upstream whose entry expired during an outage for a grace period. Returns false if
     /// it is unknown or was draining.
     pub fn keep_missing(&mut self, now: Time, id: &UpstreamId) -> bool {
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -12,6 +12,6 @@
 };
 pub use numbers::{
     AttemptNumber, BlockHash, BodyHash, CallId, CatalogVersion, FencingNumber, Generation,
-    Incarnation, SendId, StoreVersion,
+    Incarnation, SendId, StoreEra, StoreVersion,
 };
 pub use request_id::{AttemptId, RequestId};
--- a/crates/core/src/ids/numbers.rs
+++ b/crates/core/src/ids/numbers.rs
@@ -117,3 +117,10 @@
     u64,
     "store version"
 );
+number!(
+    /// Era of the platform's store. Increases each time the store is restored from a copy, after which
+    /// it gives versions out again.
+    StoreEra,
+    u64,
+    "store era"
+);
--- a/crates/core/src/watch/change.rs
+++ b/crates/core/src/watch/change.rs
@@ -1,9 +1,10 @@
 //! Changes read from the platform's store, and errors of calls to it.
 
+use super::StorePosition;
 use crate::{
     catalog::RawCatalog,
     fleet::UpstreamRecord,
-    ids::{FailureDomain, StoreVersion, UpstreamId},
+    ids::{FailureDomain, UpstreamId},
     message::Member,
 };
 use thiserror::Error;
@@ -54,8 +55,8 @@
 /// An answer of the store for a topic.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Batch {
-    /// Version of the store that the answer reflects.
-    pub version: StoreVersion,
+    /// Position of the store that the answer reflects.
+    pub position: StorePosition,
     /// Whether `changes` lists all entries, rather than the changes since the requested version.
     pub is_snapshot: bool,
     /// The entries or changes, oldest first.
--- a/crates/core/src/watch/topic_watch.rs
+++ b/crates/core/src/watch/topic_watch.rs
@@ -1,8 +1,8 @@
 //! Schedules the calls that watch one topic of the store, and tracks how current the state is.
 
-use super::{Batch, StoreError, Topic};
+use super::{Batch, StoreError, StorePosition, Topic};
 use crate::{
-    ids::StoreVersion,
+    ids::StoreEra,
     units::{Millis, Time},
 };
 
@@ -40,8 +40,8 @@
 pub struct WatchCall {
     /// The topic.
     pub topic: Topic,
-    /// Return the changes since this version; `None` returns all entries.
-    pub after: Option<StoreVersion>,
+    /// Return the changes since this position; `None` returns all entries.
+    pub after: Option<StorePosition>,
     /// Maximum time for which the store holds the call if nothing changes.
     pub wait_ms: Millis,
     /// Time after which the call has failed.
@@ -53,14 +53,15 @@
 pub struct TopicWatch {
     topic: Topic,
     settings: WatchSettings,
-    position: Option<StoreVersion>,
+    era: Option<StoreEra>,
+    position: Option<StorePosition>,
     fresh_at: Option<Time>,
     sent_at: Option<Time>,
     requested_wait_ms: Millis,
     due_at: Time,
     failures_count: u32,
     is_follower: bool,
-    changed_at: StoreVersion,
+    changed_at: StorePosition,
 }
 
 /// State of the connection to the store before an answer.
@@ -70,6 +71,8 @@
     pub after_outage: bool,
     /// The calls before this answer had failed.
     pub recovered: bool,
+    /// The store was restored from a copy since the answer before: it may lack what it had.
+    pub restored: bool,
 }
 
 impl TopicWatch {
@@ -78,6 +81,7 @@
         Self {
             topic,
             settings,
+            era: None,
             position: None,
             fresh_at: None,
             sent_at: None,
@@ -85,7 +89,7 @@
             due_at: Time::START,
             failures_count: 0,
             is_follower: false,
-            changed_at: StoreVersion::new(0),
+            changed_at: StorePosition::START,
         }
     }
 
@@ -118,16 +122,31 @@
     /// Handles an answer. The state was current when the call was sent. If the answer has no
     /// changes and the store held the call for the whole wait time, the state was current until the
     /// end of that time.
-    pub fn on_answer(&mut self, now: Time, batch: &Batch) -> ReconnectStatus {
+    ///
+    /// Returns none if the answer can't be used: it is of an era before the known one, or it has the
+    /// changes since a position of another era. All entries are read again then.
+    pub fn on_answer(&mut self, now: Time, batch: &Batch) -> Option<ReconnectStatus> {
         let sent_at = self.sent_at.take().unwrap_or(now);
+        let era = batch.position.era;
+        if self.era.is_some_and(|known| era < known) {
+            self.due_at = now + RETRY_MS;
+            return None;
+        }
+        let continues = self.position.is_some_and(|position| position.era == era);
+        if !batch.is_snapshot && !continues {
+            self.read_all(now);
+            return None;
+        }
+        let restored = self.era.is_some_and(|known| known < era);
+        self.era = Some(era);
         let gap_ms = self.fresh_at.map(|fresh_at| sent_at.since(fresh_at));
         let recovered = self.failures_count > 0;
         let unchanged = !batch.is_snapshot && batch.changes.is_empty();
         let held_until = sent_at + self.requested_wait_ms;
         if batch.is_snapshot || !batch.changes.is_empty() {
-            self.changed_at = batch.version;
+            self.changed_at = batch.position;
         }
-        self.position = self.position.max(Some(batch.version));
+        self.position = self.position.max(Some(batch.position));
         let fresh_at = if unchanged && held_until <= now {
             held_until
         } else {
@@ -140,25 +159,43 @@
         } else {
             now + self.settings.pause_ms
         };
-        ReconnectStatus {
+        Some(ReconnectStatus {
             after_outage: gap_ms.is_some_and(|ms| ms >= OUTAGE_MIN_MS),
             recovered,
+            restored,
+        })
+    }
+
+    /// Handles news that the store is in an era: if that is newer than the known one, the history
+    /// since the known position is void, and all entries are read again by `due_at`.
+    pub fn on_era(&mut self, era: StoreEra, due_at: Time) {
+        if self.era.is_some_and(|known| known < era) {
+            self.read_all(self.due_at.min(due_at));
         }
     }
 
-    /// Handles changes that a peer read from the store, from version `after` to `version`. Returns
-    /// true if they follow the known version without a gap. This daemon's next call is then
-    /// postponed by `due_ms`.
+    /// Schedules a call that reads all entries.
+    fn read_all(&mut self, due_at: Time) {
+        self.position = None;
+        self.due_at = due_at;
+    }
+
+    /// Handles changes that a peer read from the store, from position `after` to `position`. Returns
+    /// true if they follow the known position without a gap. This daemon's next call is then
+    /// postponed by `due_ms`. Changes of an older era are ignored; those of a newer one say that all
+    /// entries have to be read again.
     pub fn on_peer_changes(
         &mut self,
         now: Time,
-        after: StoreVersion,
-        version: StoreVersion,
+        after: StorePosition,
+        position: StorePosition,
         due_ms: Millis,
     ) -> bool {
-        let contiguous = self.position.is_some_and(|position| position >= after);
+        self.on_era(position.era, now + CHANGE_BATCH_DELAY_MS);
+        let contiguous = after.era == position.era
+            && self.position.is_some_and(|known| known.continues_at(after));
         if contiguous {
-            self.position = self.position.max(Some(version));
+            self.position = self.position.max(Some(position));
             self.fresh_at = Some(now);
             self.due_at = self.due_at.max(now + due_ms);
         }
@@ -174,26 +211,28 @@
         self.is_follower = is_follower;
     }
 
-    /// Handles a peer's confirmation that the store has no change after version `changed_version`
-    /// up to `version`. The peer read the store after it received the request that this daemon sent
+    /// Handles a peer's confirmation that the store has no change after position `changed` up to
+    /// `position`. The peer read the store after it received the request that this daemon sent
     /// at `asked_at`, so the confirmation is equivalent to an answer of the store as of that time;
-    /// `None` means that the read predates the request. If `changed_version` is not known here yet,
-    /// a call that reads it is scheduled instead. Returns true if the calls before had failed.
+    /// `None` means that the read predates the request. If `changed` is not known here yet,
+    /// a call that reads it is scheduled instead. A peer that has not seen the latest restore of the
+    /// store confirms nothing. Returns true if the calls before had failed.
     pub fn on_peer_confirmation(
         &mut self,
         now: Time,
         asked_at: Option<Time>,
-        changed_version: StoreVersion,
-        version: StoreVersion,
+        changed: StorePosition,
+        position: StorePosition,
     ) -> bool {
-        if self
-            .position
-            .is_none_or(|position| position < changed_version)
-        {
+        if self.era.is_some_and(|known| position.era < known) {
+            return false;
+        }
+        self.on_era(position.era, now + CHANGE_BATCH_DELAY_MS);
+        if self.position.is_none_or(|known| known < changed) {
             self.due_at = self.due_at.min(now + CHANGE_BATCH_DELAY_MS);
             return false;
         }
-        self.position = self.position.max(Some(version));
+        self.position = self.position.max(Some(position));
         let Some(asked_at) = asked_at else {
             return false;
         };
@@ -205,8 +244,8 @@
         std::mem::take(&mut self.failures_count) > 0
     }
 
-    /// Version of the store at the last answer that contained changes.
-    pub const fn changed_at(&self) -> StoreVersion {
+    /// Position of the store at the last answer that contained changes.
+    pub const fn changed_at(&self) -> StorePosition {
         self.changed_at
     }
 
@@ -219,8 +258,7 @@
     pub fn on_error(&mut self, now: Time, error: &StoreError) -> bool {
         self.sent_at = None;
         if *error == StoreError::HistoryGone {
-            self.position = None;
-            self.due_at = now;
+            self.read_all(now);
             return false;
         }
         let doublings = self.failures_count.min(8);
@@ -240,8 +278,8 @@
         self.fresh_at
     }
 
-    /// The last known version of the store.
-    pub const fn position(&self) -> Option<StoreVersion> {
+    /// The last known position of the store.
+    pub const fn position(&self) -> Option<StorePosition> {
         self.position
     }
 }
--- a/crates/core/tests/common/dispatch/mod.rs
+++ b/crates/core/tests/common/dispatch/mod.rs
@@ -12,9 +12,9 @@
         Target,
     },
     fleet::UpstreamRecord,
-    ids::{CatalogVersion, StoreVersion},
+    ids::{CatalogVersion, StoreEra, StoreVersion},
     units::{Millis, Tokens},
-    watch::{Batch, Change},
+    watch::{Batch, Change, StorePosition},
 };
 use std::{fmt::Debug, str::FromStr};
 
@@ -126,9 +126,22 @@
     }
 }
 
+/// A position of the store in its first era.
+pub(crate) fn position(version: u64) -> StorePosition {
+    position_in(0, version)
+}
+
+pub(crate) fn position_in(era: u64, version: u64) -> StorePosition {
+    StorePosition::new(StoreEra::new(era), StoreVersion::new(version))
+}
+
 pub(crate) fn batch(version: u64, whole: bool, changes: Vec<Change>) -> Batch {
+    batch_at(position(version), whole, changes)
+}
+
+pub(crate) fn batch_at(position: StorePosition, whole: bool, changes: Vec<Change>) -> Batch {
     Batch {
-        version: StoreVersion::new(version),
+        position,
         is_snapshot: whole,
         changes,
     }
--- a/crates/core/tests/common/dispatch/node.rs
+++ b/crates/core/tests/common/dispatch/node.rs
@@ -1,6 +1,6 @@
 //! One daemon's dispatcher in virtual time.
 
-use super::{batch, catalog, id, ms, upstream_list, KEY};
+use super::{batch_at, catalog, id, ms, position_in, upstream_list, KEY};
 use persimmon_core::{
     catalog::ApiKey,
     dispatch::{
@@ -16,6 +16,7 @@
     pub(crate) dispatcher: Dispatcher,
     pub(crate) now: Time,
     last_call: CallId,
+    era: u64,
     version: u64,
 }
 
@@ -44,6 +45,7 @@
             dispatcher: Dispatcher::new(settings, id(vm), id("a")),
             now: Time::START,
             last_call: CallId::default(),
+            era: 0,
             version: 0,
         }
     }
@@ -87,6 +89,12 @@
         self.watched(Topic::Upstreams, whole, changes)
     }
 
+    /// The store is restored from a copy that was made `lost_len` versions ago.
+    pub(crate) fn restore_store(&mut self, lost_len: u64) {
+        self.era += 1;
+        self.version -= lost_len;
+    }
+
     pub(crate) fn store_fails(&mut self, topic: Topic) -> Vec<Seen> {
         let answer = Err(StoreError::Refused { status: 503 });
         self.step(DispatchEvent::StoreAnswered { topic, answer })
@@ -94,7 +102,11 @@
 
     fn watched(&mut self, topic: Topic, whole: bool, changes: Vec<Change>) -> Vec<Seen> {
         self.version += 1;
-        let answer = Ok(Box::new(batch(self.version, whole, changes)));
+        let answer = Ok(Box::new(batch_at(
+            position_in(self.era, self.version),
+            whole,
+            changes,
+        )));
         self.step(DispatchEvent::StoreAnswered { topic, answer })
     }
 
--- a/crates/core/tests/dispatch_follow.rs
+++ b/crates/core/tests/dispatch_follow.rs
@@ -7,13 +7,13 @@
 use dispatch::{
     catalog, id, ms,
     node::{sent, Node, Seen},
-    upstream_list,
+    position, upstream_list,
 };
 use persimmon_core::{
     dispatch::{
         DispatchAction, DispatchEvent, DispatchMessage, InFlightReport, RefusalReason, SendOutcome,
     },
-    ids::{SendId, StoreVersion, VmId},
+    ids::{SendId, VmId},
     units::{Millis, Time, Tokens},
     watch::{Change, Topic},
 };
@@ -56,8 +56,8 @@
 fn report_freshness(node: &mut Node, asked_at: Option<Time>, changed: u64, version: u64) {
     let message = DispatchMessage::FreshnessReport {
         asked_at,
-        changed: StoreVersion::new(changed),
-        version: StoreVersion::new(version),
+        changed: position(changed),
+        position: position(version),
     };
     act(
         node,
--- a/crates/core/tests/dispatch_rules.rs
+++ b/crates/core/tests/dispatch_rules.rs
@@ -114,6 +114,7 @@
         not_run: true,
         wrong_upstream: false,
         culprit: None,
+        retry_after_ms: None,
     };
     let seen = node.ends(&plan, full());
     let second = sent(&seen).clone();
@@ -135,6 +136,7 @@
         not_run: false,
         wrong_upstream: false,
         culprit: None,
+        retry_after_ms: None,
     };
     assert_eq!(node.ends(&plan, end), [Seen::PassFailure(call)]);
 }
@@ -268,6 +270,7 @@
         not_run: true,
         wrong_upstream: false,
         culprit,
+        retry_after_ms: None,
     }
 }
 
@@ -548,6 +551,7 @@
         not_run: false,
         wrong_upstream: false,
         culprit: None,
+        retry_after_ms: None,
     };
     assert_eq!(node.ends(&second, end), [Seen::AbortAnswer(call)]);
 }
--- a/crates/core/tests/fleet_and_store.rs
+++ b/crates/core/tests/fleet_and_store.rs
@@ -5,7 +5,7 @@
 
 use dispatch::{batch, id, ms, upstream, upstream_list, ENGINES};
 use persimmon_core::{
-    fleet::{Fleet, UpstreamRecord},
+    fleet::{Fleet, SnapshotKind, UpstreamRecord},
     ids::UpstreamId,
     units::{Millis, Time},
     watch::{Change, StoreError, Topic, TopicWatch, WatchSettings},
@@ -57,8 +57,8 @@
 fn entries_missing_after_an_outage_are_kept_for_two_seconds() {
     let mut fleet = Fleet::default();
     let now = Time::from_ms(10_000);
-    fleet.on_snapshot(now, records(upstream_list(3, 0)), false);
-    fleet.on_snapshot(now, Vec::new(), true);
+    fleet.on_snapshot(now, records(upstream_list(3, 0)), SnapshotKind::Current);
+    fleet.on_snapshot(now, Vec::new(), SnapshotKind::AfterOutage);
     assert_eq!(usable(&fleet).len(), 3);
     let mut returned = upstream(ENGINES, 2);
     returned.writes_count = 2;
@@ -71,8 +71,16 @@
 #[test]
 fn entries_missing_without_an_outage_are_removed_at_once() {
     let mut fleet = Fleet::default();
-    fleet.on_snapshot(Time::START, records(upstream_list(3, 0)), false);
-    let gone = fleet.on_snapshot(Time::START, records(upstream_list(1, 0)), false);
+    fleet.on_snapshot(
+        Time::START,
+        records(upstream_list(3, 0)),
+        SnapshotKind::Current,
+    );
+    let gone = fleet.on_snapshot(
+        Time::START,
+        records(upstream_list(1, 0)),
+        SnapshotKind::Current,
+    );
     assert_eq!(gone.len(), 2);
     assert_eq!(usable(&fleet), ["advisor-1"]);
 }
--- a/crates/io/src/peer/identity.rs
+++ b/crates/io/src/peer/identity.rs
@@ -34,8 +34,9 @@
 /// Number of received packets after which an acknowledgement is sent without delay.
 const MESH_ACK_THRESHOLD: VarInt = VarInt::from_u32(16);
 
-/// ALPN protocol name in the TLS handshake.
-const ALPN_PROTOCOL: &[u8] = b"persimmonfront/1";
+/// ALPN protocol name in the TLS handshake. Its number changes with the encoding of messages: daemons
+/// of builds with different encodings don't connect.
+const ALPN_PROTOCOL: &[u8] = b"persimmonfront/2";
 
 /// A daemon's TLS configuration for connections to and from its peers.
 #[derive(Clone)]
--- a/crates/io/src/peer/mesh.rs
+++ b/crates/io/src/peer/mesh.rs
@@ -13,7 +13,7 @@
     ids::VmId,
     message::Member,
 };
-use quinn::{Connection, Endpoint, RecvStream};
+use quinn::{ClientConfig, Connection, Endpoint, RecvStream};
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     sync::Notify,
@@ -44,6 +44,7 @@
 pub struct Mesh {
     own_vm: VmId,
     endpoint: Endpoint,
+    client: RefCell<ClientConfig>,
     sink: MeshSink,
     peers: RefCell<BTreeMap<VmId, Peer>>,
     members_updated: Notify,
@@ -86,11 +87,11 @@
         sink: MeshSink,
     ) -> Result<Rc<Self>, PeerError> {
         let listen = |source| PeerError::Listen { address, source };
-        let mut endpoint = Endpoint::server(identity.server.clone(), address).map_err(listen)?;
-        endpoint.set_default_client_config(identity.client.clone());
+        let endpoint = Endpoint::server(identity.server.clone(), address).map_err(listen)?;
         let mesh = Rc::new(Self {
             own_vm,
             endpoint,
+            client: RefCell::new(identity.client.clone()),
             sink,
             peers: RefCell::default(),
             members_updated: Notify::new(),
@@ -100,6 +101,13 @@
         Ok(mesh)
     }
 
+    /// Uses another identity for connections from now on. Open connections stay.
+    pub fn set_identity(&self, identity: &Identity) {
+        self.endpoint
+            .set_server_config(Some(identity.server.clone()));
+        self.client.replace(identity.client.clone());
+    }
+
     /// Adds the daemons that the store lists. Those that are not connected are dialled.
     pub fn update_members(&self, members: Vec<Member>) {
         let mut peers = self.peers.borrow_mut();
@@ -194,7 +202,8 @@
     }
 
     async fn connect(&self, vm: &VmId, address: SocketAddr) -> Option<Connection> {
-        let connecting = match self.endpoint.connect(address, SERVER_NAME) {
+        let client = self.client.borrow().clone();
+        let connecting = match self.endpoint.connect_with(client, address, SERVER_NAME) {
             Ok(connecting) => connecting,
             Err(error) => {
                 log::warn!(peer:% = vm; "dialling the peer failed: {error}");
--- a/crates/io/src/transport/call_task.rs
+++ b/crates/io/src/transport/call_task.rs
@@ -9,7 +9,7 @@
 use flume::Receiver;
 use http::{header, request, HeaderValue, Response};
 use persimmon_core::{
-    dispatch::{DispatchEvent, Refusal, SendPlan},
+    dispatch::{DispatchEvent, LeavingNotice, Refusal, SendPlan},
     ids::CallId,
 };
 use std::{rc::Rc, sync::Arc};
@@ -105,6 +105,14 @@
                     silent_ms,
                 });
             },
+            on_leaving: &|is_misdirected| {
+                self.event(DispatchEvent::UpstreamLeaving(LeavingNotice {
+                    upstream: plan.incarnation(),
+                    address: plan.address,
+                    is_misdirected,
+                    request: Some(Arc::clone(&self.request_id)),
+                }));
+            },
         };
         let outcome = tokio::select! {
             biased;
--- a/crates/io/src/transport/dialect.rs
+++ b/crates/io/src/transport/dialect.rs
@@ -49,6 +49,10 @@
     pub wrong_upstream: bool,
     /// The upstream that the response names as the cause of the failure.
     pub culprit: Option<Culprit>,
+    /// Whether the upstream that answers states that it is about to stop.
+    pub is_leaving: bool,
+    /// Time for which the upstream wants no more requests from this daemon.
+    pub retry_after_ms: Option<Millis>,
     /// Whether the body has a content encoding, so that it is not as the upstream's handler wrote
     /// it.
     pub encoded: bool,
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -49,6 +49,9 @@
     /// Called with the duration of the silence each time the upstream has sent nothing for another
     /// time limit of the plan.
     pub(super) on_stall: &'a dyn Fn(Millis),
+    /// Called when the upstream states that it is about to stop. The argument tells whether another
+    /// upstream than the planned one may have answered.
+    pub(super) on_leaving: &'a dyn Fn(bool),
 }
 
 /// How a transmission ended, from the view of the call's task.
@@ -118,6 +121,9 @@
         wait_reporting_stalls(reply, first_byte_timeout, signals, sent).await??;
     let (head, body) = response.into_parts();
     let parsed = out.dialect.parse_response(&head);
+    if parsed.is_leaving {
+        (signals.on_leaving)(parsed.wrong_upstream);
+    }
     check(out, &head, &parsed)?;
     if !head.status.is_success() {
         let limit = time_left(out, first_byte_timeout);
@@ -128,6 +134,7 @@
             not_run: parsed.not_run,
             wrong_upstream: parsed.wrong_upstream,
             culprit: parsed.culprit,
+            retry_after_ms: parsed.retry_after_ms,
         };
         let failure = Response::from_parts(end_to_end(&head), body);
         return Err(Outcome::Failure(end, Box::new(failure)));
--- a/crates/io/src/transport/orders.rs
+++ b/crates/io/src/transport/orders.rs
@@ -2,7 +2,7 @@
 
 use super::{Dialect, Hub, Pool, PoolError};
 use http_body_util::Full;
-use persimmon_core::dispatch::{DispatchEvent, OrderOutcome, ReserveOrder};
+use persimmon_core::dispatch::{DispatchEvent, LeavingNotice, OrderOutcome, ReserveOrder};
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 /// Time limit for an engine's answer to an order.
@@ -17,10 +17,24 @@
 ) {
     let request = dialect.order_request(&order).map(Full::new);
     let end = match pool.call(order.address, request, ORDER_TIMEOUT).await {
-        Ok(answer) if answer.status().is_success() => OrderOutcome::Done,
-        Ok(_) | Err(PoolError::NotSent { .. } | PoolError::Exhausted { .. }) => {
-            OrderOutcome::Refused
+        Ok(answer) => {
+            let (head, _) = answer.into_parts();
+            let parsed = dialect.parse_response(&head);
+            if parsed.is_leaving {
+                hub.send_event(DispatchEvent::UpstreamLeaving(LeavingNotice {
+                    upstream: order.incarnation(),
+                    address: order.address,
+                    is_misdirected: parsed.wrong_upstream,
+                    request: None,
+                }));
+            }
+            if head.status.is_success() {
+                OrderOutcome::Done
+            } else {
+                OrderOutcome::Refused
+            }
         }
+        Err(PoolError::NotSent { .. } | PoolError::Exhausted { .. }) => OrderOutcome::Refused,
         Err(PoolError::Lost { .. }) => OrderOutcome::Lost,
     };
     hub.send_event(DispatchEvent::OrderEnded {
--- a/crates/io/tests/mesh.rs
+++ b/crates/io/tests/mesh.rs
@@ -119,6 +119,35 @@
     });
 }
 
+/// A daemon that started when the store had lost the authority has stored another one: the others use
+/// that for new connections and keep those that they have.
+#[test]
+fn a_daemon_that_adopts_another_ca_connects_under_it_and_keeps_its_connections() {
+    run(async {
+        let (old_ca, new_ca) = (KeyPairPem::new_ca().unwrap(), KeyPairPem::new_ca().unwrap());
+        let (one, two) = (node(&old_ca, "vm-1"), node(&old_ca, "vm-2"));
+        one.mesh.update_members(vec![two.member.clone()]);
+        assert!(matches!(one.event().await, DispatchEvent::PeerUp { .. }));
+        assert!(matches!(two.event().await, DispatchEvent::PeerUp { .. }));
+        let later = node(&new_ca, "vm-3");
+        later.mesh.update_members(vec![one.member.clone()]);
+        sleep(Duration::from_millis(2_500)).await;
+        assert!(later.events.is_empty());
+        let vm = &one.member.vm;
+        let identity = Identity::for_mesh(vm, &new_ca.new_vm(vm).unwrap()).unwrap();
+        one.mesh.set_identity(&identity);
+        assert!(matches!(later.event().await, DispatchEvent::PeerUp { vm } if vm == one.member.vm));
+        assert!(matches!(one.event().await, DispatchEvent::PeerUp { vm } if vm == later.member.vm));
+        assert!(two.events.is_empty());
+        let message = DispatchMessage::Ended(SendId::new(1));
+        one.mesh.send(Some(&two.member.vm), &message);
+        assert!(matches!(
+            two.event().await,
+            DispatchEvent::PeerMessage { .. }
+        ));
+    });
+}
+
 #[test]
 fn daemons_with_another_ca_are_rejected() {
     run(async {
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -62,6 +62,12 @@
             request_id,
             signed: head.headers.contains_key("x-signed"),
             not_run: head.headers.contains_key("x-not-run"),
+            wrong_upstream: head.status == StatusCode::MISDIRECTED_REQUEST,
+            is_leaving: head.headers.contains_key("x-leaving"),
+            retry_after_ms: head
+                .headers
+                .get("x-after")
+                .map(|after_ms| Millis::new(after_ms.to_str().unwrap().parse().unwrap())),
             ..ResponseHead::default()
         }
     }
@@ -149,6 +155,7 @@
             call,
             send: self.last_send,
             upstream: "upstream-1".parse().unwrap(),
+            started_unix_ms: 7,
             address: upstream,
             connections_max_len: 10,
             workspace: None,
@@ -272,6 +279,44 @@
     });
 }
 
+/// Whole, failed, misdirected and broken answers: all say that the upstream leaves, and are reported
+/// before they end.
+#[test]
+fn a_notice_in_any_response_is_reported() {
+    run(async {
+        let (mut fixture, caller, call) = Fixture::with_call().await;
+        let responses: &[&[u8]] = &[
+            b"HTTP/1.1 503 No\r\nx-not-run: 1\r\nx-after: 250\r\nx-leaving: 1\r\ncontent-length: 0\r\n\r\n",
+            b"HTTP/1.1 421 Other\r\nx-leaving: 1\r\ncontent-length: 0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nx-signed: 1\r\nx-leaving: 1\r\ncontent-length: 5\r\n\r\nwho",
+            b"HTTP/1.1 200 OK\r\nx-id: 7\r\nx-signed: 1\r\nx-leaving: 1\r\ncontent-length: 5\r\n\r\nwhole",
+        ];
+        let upstream = upstream(responses).await;
+        let mut lines = Vec::new();
+        for _ in responses {
+            fixture.send(call, upstream, false);
+            let DispatchEvent::UpstreamLeaving(notice) = fixture.event().await else {
+                panic!("no notice");
+            };
+            assert_eq!(notice.upstream.started_unix_ms, 7);
+            assert_eq!(notice.address, upstream);
+            let end = match fixture.end().await {
+                SendOutcome::Failed { retry_after_ms, .. } => format!("failed, {retry_after_ms:?}"),
+                SendOutcome::Lost { .. } => "lost".to_owned(),
+                other => format!("{other:?}"),
+            };
+            lines.push(format!("misdirected: {}, {end}", notice.is_misdirected));
+        }
+        assert_snapshot!(lines.join("\n"), @r"
+        misdirected: false, failed, Some(Millis(250))
+        misdirected: true, failed, None
+        misdirected: false, lost
+        misdirected: false, Delivered
+        ");
+        assert!(received(caller).await.ends_with("whole"));
+    });
+}
+
 #[test]
 fn a_callers_disconnect_is_reported_and_closes_the_upstream_connection() {
     run(async {
--- a/crates/persimmond/src/gateway/control.rs
+++ b/crates/persimmond/src/gateway/control.rs
@@ -84,6 +84,7 @@
             DispatchAction::Notify { to, message } => self.send_job(Job::Notify { to, message }),
             DispatchAction::ReadStore(call) => self.send_job(Job::ReadStore(call)),
             DispatchAction::Order(order) => self.send_job(Job::Order(order)),
+            DispatchAction::Register { after_ms } => self.send_job(Job::Register { after_ms }),
             DispatchAction::Limits(limits) => {
                 *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = limits;
             }
@@ -121,8 +122,11 @@
     match record {
         DispatchRecord::Refused { .. }
         | DispatchRecord::SendFailed { .. }
+        | DispatchRecord::CatalogHeld { .. }
         | DispatchRecord::CatalogRefused { .. }
+        | DispatchRecord::DomainHeld { .. }
         | DispatchRecord::OrderFailed { .. }
+        | DispatchRecord::StoreRestored { .. }
         | DispatchRecord::Unreadable { .. }
         | DispatchRecord::Dependency {
             reachable: false, ..
--- a/crates/persimmond/src/gateway/peers.rs
+++ b/crates/persimmond/src/gateway/peers.rs
@@ -7,14 +7,17 @@
     watch::StoreError,
 };
 use persimmon_io::{
-    peer::{Identity, KeyPairPem, Keys, Mesh, MeshSink, PeerError},
+    peer::{Identity, KeyPairPem, Mesh, MeshSink, PeerError},
     settings::GatewaySettings,
     transport::MetadataStore,
 };
 use serde::{Deserialize, Serialize};
 use std::{cell::RefCell, rc::Rc, time::Duration};
 use thiserror::Error;
-use tokio::time::sleep;
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 /// Name of the shared secret that holds the certificate authority.
 const CA_SECRET: &str = "certificate-authority";
@@ -46,64 +49,108 @@
 /// The mesh; none until this daemon has joined it.
 pub(super) type JoinedMesh = Rc<RefCell<Option<Rc<Mesh>>>>;
 
-/// Joins the mesh of daemons, then updates its members from the store. Does not return.
+/// Joins the mesh of daemons, then updates its members from the store. Does not return. `lost_entry`
+/// is notified when the store may have lost this daemon's entry.
 pub(super) async fn join(
     settings: GatewaySettings,
     store: Rc<dyn MetadataStore>,
     sink: MeshSink,
     joined: JoinedMesh,
+    lost_entry: Rc<Notify>,
 ) {
-    let mesh = loop {
-        match start_mesh(&settings, &*store, &sink).await {
-            Ok(mesh) => break mesh,
+    let mut membership = loop {
+        match Membership::start(&settings, &store, &sink).await {
+            Ok(membership) => break membership,
             Err(error) => log::warn!("can't join the other daemons, retrying: {error}"),
         }
         sleep(RETRY_INTERVAL).await;
     };
-    joined.replace(Some(Rc::clone(&mesh)));
+    joined.replace(Some(Rc::clone(&membership.mesh)));
     loop {
-        match store.members().await {
-            Ok(members) => {
-                mesh.update_members(members);
-                sleep(DISCOVERY_INTERVAL).await;
-            }
+        let pause = match membership.update().await {
+            Ok(()) if membership.is_registered => DISCOVERY_INTERVAL,
+            Ok(()) => RETRY_INTERVAL,
             Err(error) => {
-                log::warn!("can't read the list of daemons, retrying: {error}");
-                sleep(RETRY_INTERVAL).await;
+                log::warn!("can't update the list of daemons, retrying: {error}");
+                RETRY_INTERVAL
             }
+        };
+        if timeout(pause, lost_entry.notified()).await.is_ok() {
+            membership.is_registered = false;
         }
     }
 }
 
-async fn start_mesh(
-    settings: &GatewaySettings,
-    store: &dyn MetadataStore,
-    sink: &MeshSink,
-) -> Result<Rc<Mesh>, JoinError> {
-    let keys = create_keys(&settings.vm, store).await?;
-    let identity = Identity::for_mesh(&settings.vm, &keys)?;
-    store
-        .register_member(&Member {
+/// This daemon's membership in the mesh.
+struct Membership {
+    store: Rc<dyn MetadataStore>,
+    mesh: Rc<Mesh>,
+    member: Member,
+    /// The certificate authority in use, as stored.
+    ca: Vec<u8>,
+    /// Whether the store has the entry and the authority, as far as is known.
+    is_registered: bool,
+}
+
+impl Membership {
+    /// Registers this daemon and starts its mesh.
+    async fn start(
+        settings: &GatewaySettings,
+        store: &Rc<dyn MetadataStore>,
+        sink: &MeshSink,
+    ) -> Result<Self, JoinError> {
+        let KeyPairPem { certificate, key } = KeyPairPem::new_ca()?;
+        let proposed = serde_json::to_vec(&StoredCa { certificate, key })?;
+        let ca = store.shared_secret(CA_SECRET, &proposed).await?;
+        let identity = identity(&settings.vm, &ca)?;
+        let address = settings.listen.peers;
+        let member = Member {
             vm: settings.vm.clone(),
             incarnation: Incarnation::new(unix_ms()),
             domain: settings.domain.clone(),
-            peer_address: settings.listen.peers,
+            peer_address: address,
+        };
+        store.register_member(&member).await?;
+        let mesh = Mesh::start(settings.vm.clone(), address, &identity, Rc::clone(sink))?;
+        Ok(Self {
+            store: Rc::clone(store),
+            mesh,
+            member,
+            ca,
+            is_registered: true,
         })
-        .await?;
-    let address = settings.listen.peers;
-    Ok(Mesh::start(
-        settings.vm.clone(),
-        address,
-        &identity,
-        Rc::clone(sink),
-    )?)
+    }
+
+    /// Reads the list of daemons, after writing what the store lost: this daemon's entry and the
+    /// authority.
+    async fn update(&mut self) -> Result<(), JoinError> {
+        if !self.is_registered {
+            self.restore_ca().await?;
+            self.store.register_member(&self.member).await?;
+        }
+        let members = self.store.members().await?;
+        self.is_registered = members.contains(&self.member);
+        self.mesh.update_members(members);
+        Ok(())
+    }
+
+    /// Writes the authority in use to a store that has none. If a daemon that started since has
+    /// written another one, all use that: the one in the store counts. Connections stay.
+    async fn restore_ca(&mut self) -> Result<(), JoinError> {
+        let stored = self.store.shared_secret(CA_SECRET, &self.ca).await?;
+        if stored != self.ca {
+            let identity = identity(&self.member.vm, &stored)?;
+            self.mesh.set_identity(&identity);
+            self.ca = stored;
+            log::warn!("the store has another certificate authority; new connections use it");
+        }
+        Ok(())
+    }
 }
 
-/// Creates this daemon's keys, signed by the certificate authority that the first daemon stored.
-async fn create_keys(vm: &VmId, store: &dyn MetadataStore) -> Result<Keys, JoinError> {
-    let KeyPairPem { certificate, key } = KeyPairPem::new_ca()?;
-    let proposed = serde_json::to_vec(&StoredCa { certificate, key })?;
-    let stored = store.shared_secret(CA_SECRET, &proposed).await?;
-    let StoredCa { certificate, key } = serde_json::from_slice(&stored)?;
-    Ok(KeyPairPem { certificate, key }.new_vm(vm)?)
+/// This daemon's identity, signed by the stored certificate authority.
+fn identity(vm: &VmId, stored_ca: &[u8]) -> Result<Identity, JoinError> {
+    let StoredCa { certificate, key } = serde_json::from_slice(stored_ca)?;
+    let keys = KeyPairPem { certificate, key }.new_vm(vm)?;
+    Ok(Identity::for_mesh(vm, &keys)?)
 }
--- a/crates/persimmond/src/gateway/traffic.rs
+++ b/crates/persimmond/src/gateway/traffic.rs
@@ -9,6 +9,7 @@
 use persimmon_core::{
     dispatch::{DispatchEvent, DispatchMessage, ReserveOrder},
     ids::VmId,
+    units::Millis,
     watch::{StoreError, WatchCall},
 };
 use persimmon_io::{
@@ -31,7 +32,7 @@
 use tokio::{
     net::{TcpListener, TcpSocket},
     runtime::Builder,
-    sync::watch,
+    sync::{watch, Notify},
     task::{spawn_local, LocalSet},
     time::{interval, sleep, timeout},
 };
@@ -59,6 +60,11 @@
         /// The message.
         message: DispatchMessage,
     },
+    /// Write this daemon's entry to the store again.
+    Register {
+        /// Time to wait before.
+        after_ms: Millis,
+    },
     /// Set the drain state of callers' connections.
     Drain(DrainState),
     /// End the event loop.
@@ -102,7 +108,8 @@
         spawn_local(Rc::new(callers).accept(socket));
         self.serve_pages()?;
         spawn_local(evict_idle_connections(Rc::clone(&pool)));
-        let mesh = self.spawn_join(&store);
+        let lost_entry = Rc::new(Notify::new());
+        let mesh = self.spawn_join(&store, &lost_entry);
         while let Ok(job) = self.jobs.recv_async().await {
             match job {
                 Job::ReadStore(call) => {
@@ -117,6 +124,13 @@
                         mesh.send(to.as_ref(), &message);
                     }
                 }
+                Job::Register { after_ms } => {
+                    let lost_entry = Rc::clone(&lost_entry);
+                    spawn_local(async move {
+                        sleep(after_ms.duration()).await;
+                        lost_entry.notify_one();
+                    });
+                }
                 Job::Drain(state) => {
                     drain.send_replace(state);
                 }
@@ -130,7 +144,7 @@
         Ok(())
     }
 
-    fn spawn_join(&self, store: &Rc<dyn MetadataStore>) -> JoinedMesh {
+    fn spawn_join(&self, store: &Rc<dyn MetadataStore>, lost_entry: &Rc<Notify>) -> JoinedMesh {
         let mesh = JoinedMesh::default();
         let hub = Arc::clone(&self.hub);
         let sink = Rc::new(move |event| hub.send_event(event));
@@ -140,6 +154,7 @@
             store,
             sink,
             Rc::clone(&mesh),
+            Rc::clone(lost_entry),
         ));
         mesh
     }
