Soak: the store restored from an older copy, upstreams that leave and that shed by answer

The stand-in store has eras, copies and restores: versions are given out again, reads beyond them get 410, operators write again after 1.5 s, entries of upstreams that ended lapse. Upstreams say Server-Leaving in all answers while their entry says ready, or turn every third request away with the rest of 2.5 s. Shedding excuses nothing.

Three invariants, each with a planted defect in tests/invariants.rs: upstreams that said that they leave get no work (in touch with the store or not), changes once known hold, backoff of upstreams is kept.

--- a/crates/soak/src/fault/inject.rs
+++ b/crates/soak/src/fault/inject.rs
@@ -54,6 +54,9 @@
         Fault::StoreSlow => injector.disturb_store(StoreMode::Slow, span).await,
         Fault::StoreLosesAnswers => injector.disturb_store(StoreMode::LosesAnswers, span).await,
         Fault::StoreHistoryDropped => injector.drop_store_history(),
+        Fault::StoreRestored => injector.restore_store(span).await,
+        Fault::UpstreamLeaves(index) => injector.leave(index).await,
+        Fault::UpstreamSheds(index) => injector.shed(index, span).await,
         Fault::UpstreamCrash(index) => injector.crash(index, span).await,
         Fault::UpstreamDrain(index) => injector.drain(index).await,
         Fault::UpstreamStalled(index) => injector.upstream_link(index, Link::Stalled, span).await,
@@ -186,6 +189,28 @@
         self.record_fault(&Component::Store, false);
     }
 
+    async fn restore_store(&self, age: Duration) {
+        let copy = self.deployment.store.copy();
+        sleep(age).await;
+        self.record_fault(&Component::Store, true);
+        self.history.record(Observation::StoreRestored);
+        self.log_failure(self.deployment.restore_store(&copy).await);
+        self.record_fault(&Component::Store, false);
+    }
+
+    /// Shedding is no fault of the upstream: it excuses nothing.
+    async fn shed(&self, index: usize, span: Duration) {
+        let upstream = self.upstream(index);
+        upstream.set_grey_failure(GreyFailure::Sheds);
+        sleep(span).await;
+        upstream.set_grey_failure(GreyFailure::Off);
+    }
+
+    async fn leave(&self, index: usize) {
+        let upstream = self.upstream(index);
+        self.log_failure(upstream.leave(DRAIN_TIME).await);
+    }
+
     async fn crash(&self, index: usize, span: Duration) {
         let upstream = self.upstream(index);
         let component = Component::from(&upstream.id());
--- a/crates/soak/src/fault/schedule.rs
+++ b/crates/soak/src/fault/schedule.rs
@@ -51,6 +51,8 @@
     StoreLosesAnswers,
     /// The store drops its change history.
     StoreHistoryDropped,
+    /// The store is restored from a copy as old as the fault lasts.
+    StoreRestored,
     /// An upstream stops without notice.
     UpstreamCrash(usize),
     /// An upstream drains and stops.
@@ -67,6 +69,10 @@
     UpstreamErrors(usize),
     /// An upstream rejects some requests without running them.
     UpstreamRejects(usize),
+    /// An upstream says in its answers that it leaves, and stops.
+    UpstreamLeaves(usize),
+    /// An upstream turns some requests away and wants no more for a time.
+    UpstreamSheds(usize),
     /// An upstream truncates some answers.
     UpstreamTruncates(usize),
     /// An upstream becomes cold.
@@ -90,6 +96,13 @@
     pub fault: Fault,
 }
 
+/// Mean time between two of the faults that [`schedule`] draws apart from the others, so that seeds
+/// keep the faults that they had.
+const APART_PAUSE_MS: u64 = 6_000;
+
+/// Distinguishes the draws of the faults apart from those of the others.
+const APART_SEED_MASK: u64 = 0x5eed_a9a2;
+
 /// The faults of a run: overlapping series, the last of which starts more than [`SPAN_MAX_MS`]
 /// before `span` is over.
 pub fn schedule(seed: u64, span: Duration) -> Vec<ScheduledFault> {
@@ -109,6 +122,31 @@
         }
         at_ms += PAUSE_MS / 2 + rng.next_u64() % PAUSE_MS;
     }
+    scheduled_faults.extend(schedule_apart(seed, span));
+    scheduled_faults.sort_by_key(|scheduled| scheduled.at_ms);
+    scheduled_faults
+}
+
+/// Restores of the store, and upstreams that say that they leave or shed.
+fn schedule_apart(seed: u64, span: Duration) -> Vec<ScheduledFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ APART_SEED_MASK);
+    let mut at_ms = LEAD_MS;
+    let mut scheduled_faults = Vec::new();
+    while at_ms + SPAN_MAX_MS < span.as_millis() as u64 {
+        let index = rng.next_u64() as usize % 1_000;
+        let faults = [
+            Fault::StoreRestored,
+            Fault::UpstreamLeaves(index),
+            Fault::UpstreamSheds(index),
+        ];
+        let drawn_ms = rng.next_u64() % (SPAN_MAX_MS - SPAN_MIN_MS);
+        scheduled_faults.push(ScheduledFault {
+            at_ms: Millis::new(at_ms),
+            span_ms: Millis::new(SPAN_MIN_MS + drawn_ms),
+            fault: faults[rng.next_u64() as usize % faults.len()],
+        });
+        at_ms += APART_PAUSE_MS / 2 + rng.next_u64() % APART_PAUSE_MS;
+    }
     scheduled_faults
 }
 
--- a/crates/soak/src/history/indexed.rs
+++ b/crates/soak/src/history/indexed.rs
@@ -199,6 +199,19 @@
             .all(|component| self.fault_free(component, from, to))
     }
 
+    /// Whether a daemon's process ran without faults in a period.
+    pub fn process_fault_free(&self, daemon: DaemonIndex, from: Time, to: Time) -> bool {
+        let components = [Component::Daemon(daemon), Component::Restart(daemon)];
+        components
+            .iter()
+            .all(|component| self.fault_free(component, from, to))
+    }
+
+    /// The request with an id.
+    pub fn request(&self, request_id: &str) -> Option<&RequestRecord> {
+        self.requests.get(*self.by_request_id.get(request_id)?)
+    }
+
     /// End of the last fault; none while a fault lasts.
     pub fn fault_free_since(&self) -> Option<Time> {
         let ends = self.faults.iter().map(|(_, _, end)| *end);
--- a/crates/soak/src/history/observation.rs
+++ b/crates/soak/src/history/observation.rs
@@ -135,6 +135,24 @@
         /// Name of the route.
         route: Arc<str>,
     },
+    /// An upstream answered a request and said that it is about to stop.
+    LeavingAnswered {
+        /// Id of the request.
+        request_id: Arc<str>,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
+    /// An upstream turned a request away.
+    TurnedAway {
+        /// Id of the request.
+        request_id: Arc<str>,
+        /// The upstream.
+        upstream: UpstreamId,
+        /// For how long it wants no more requests from the daemon; zero if it does not say.
+        for_ms: Millis,
+    },
+    /// The store is about to be restored from an older copy.
+    StoreRestored,
     /// An upstream became cold.
     UpstreamCold {
         /// The upstream.
--- a/crates/soak/src/invariant/changes.rs
+++ b/crates/soak/src/invariant/changes.rs
@@ -34,6 +34,77 @@
     late_runs(history, DOMAIN_DRAIN_LIMIT_MS, out, back)
 }
 
+/// An upstream gets no new requests from a daemon that has passed on an answer in which it said that it
+/// leaves, whether that daemon reaches the store or not.
+pub(super) fn leaving_upstreams(history: &IndexedHistory) -> Vec<String> {
+    let mut found = Vec::new();
+    for (_, seen) in &history.events {
+        let Observation::LeavingAnswered {
+            request_id,
+            upstream,
+        } = seen
+        else {
+            continue;
+        };
+        let Some((passed_on_at, daemon)) = history.request(request_id).and_then(|request| {
+            let ended_at = request.ended_at.filter(|_| request.is_served())?;
+            Some((ended_at, request.daemon))
+        }) else {
+            continue;
+        };
+        let after = history.requests.iter().filter(|request| {
+            request.daemon == daemon
+                && request.at > passed_on_at + UPSTREAM_DRAIN_LIMIT_MS + SLACK_MS
+        });
+        for request in after {
+            let ran = request.runs.iter().find(|run| run.upstream == *upstream);
+            let excused =
+                |run: &UpstreamRun| !history.process_fault_free(daemon, passed_on_at, run.at);
+            if ran.is_some_and(|run| !excused(run)) {
+                let request_id = &request.request_id;
+                found.push(format!("{request_id} ran at {upstream}, which leaves"));
+            }
+        }
+    }
+    found.sort();
+    found.dedup();
+    found
+}
+
+/// What a daemon has certainly learned holds as long as its process runs, also if the store loses it or
+/// can't be reached, which the limits of the other invariants excuse.
+pub(super) fn known_changes(history: &IndexedHistory) -> Vec<String> {
+    let mut found = Vec::new();
+    for request in &history.requests {
+        for run in &request.runs {
+            let begins = |seen: &Observation| match seen {
+                Observation::UpstreamDraining { upstream } => *upstream == run.upstream,
+                Observation::DomainDrained { domain } => *domain == run.domain,
+                Observation::RouteRemoved { route } => *route == request.route,
+                _ => false,
+            };
+            let ends = |seen: &Observation| match seen {
+                Observation::DomainReturned { domain } => *domain == run.domain,
+                _ => false,
+            };
+            let Some(since) = in_force_since(history, request.at, begins, ends) else {
+                continue;
+            };
+            let known_at = since + DOMAIN_DRAIN_LIMIT_MS + SLACK_MS;
+            let daemon = request.daemon;
+            if request.at > known_at
+                && !history.daemon_fault_free(daemon, since, run.at)
+                && history.daemon_fault_free(daemon, since, known_at)
+                && history.process_fault_free(daemon, since, run.at)
+            {
+                let request_id = &request.request_id;
+                found.push(format!("{request_id} ran at {}", run.upstream));
+            }
+        }
+    }
+    found
+}
+
 /// Runs that started too long after a change, sent by daemons that were free of faults since.
 fn late_runs(
     history: &IndexedHistory,
--- a/crates/soak/src/invariant/limits.rs
+++ b/crates/soak/src/invariant/limits.rs
@@ -1,7 +1,7 @@
 //! Invariants of the load on upstreams.
 
 use crate::{
-    history::{IndexedHistory, Observation},
+    history::{Component, DaemonIndex, IndexedHistory, Observation},
     testbed::COLD_PER_S,
 };
 use persimmon_core::{
@@ -22,6 +22,11 @@
 /// sites).
 const RELEASE_LIMIT_MS: Millis = Millis::new(4_000);
 
+/// Time after an upstream turned a request away from which requests of the same daemon count, and how
+/// many it may get until the time that it asked for is over.
+const BACKOFF_LEAD_MS: Millis = Millis::new(500);
+const BACKOFF_REQUESTS_LEN: usize = 2;
+
 /// Allowance for orders in flight on a busy machine.
 const SLACK_MS: Millis = Millis::new(250);
 
@@ -32,6 +37,52 @@
     found
 }
 
+/// An upstream that turned a request away for a time gets at most two more from that daemon until then.
+pub(super) fn backoff(history: &IndexedHistory) -> Vec<String> {
+    let turned_away = |seen: &Observation| match seen {
+        Observation::TurnedAway {
+            request_id,
+            upstream,
+            for_ms,
+        } => Some((
+            history.request(request_id)?.daemon,
+            upstream.clone(),
+            *for_ms,
+        )),
+        _ => None,
+    };
+    let mut arrivals: HashMap<(DaemonIndex, UpstreamId), Vec<Time>> = HashMap::new();
+    for request in &history.requests {
+        for run in &request.runs {
+            let key = (request.daemon, run.upstream.clone());
+            arrivals.entry(key).or_default().push(run.at);
+        }
+    }
+    let refusals = history.events.iter();
+    let refusals: Vec<_> = refusals
+        .filter_map(|(at, seen)| Some((*at, turned_away(seen)?)))
+        .collect();
+    for (at, (daemon, upstream, _)) in &refusals {
+        let key = (*daemon, upstream.clone());
+        arrivals.entry(key).or_default().push(*at);
+    }
+    let mut found = Vec::new();
+    for (at, (daemon, upstream, for_ms)) in refusals {
+        let (from, until) = (at + BACKOFF_LEAD_MS, at + for_ms);
+        let times = arrivals.get(&(daemon, upstream.clone()));
+        let inside = |time: &&Time| **time >= from && **time <= until;
+        let len = times.map_or(0, |times| times.iter().filter(inside).count());
+        let fault_free = history.process_fault_free(daemon, at, until)
+            && history.fault_free(&Component::from(&upstream), at, until);
+        if len > BACKOFF_REQUESTS_LEN && fault_free {
+            found.push(format!("{upstream} got {len} requests of daemon {daemon}"));
+        }
+    }
+    found.sort();
+    found.dedup();
+    found
+}
+
 fn cold(history: &IndexedHistory) -> Vec<String> {
     let limit = COLD_PER_S * COLD_OVERAGE_RATIO + COLD_SLACK_REQUESTS;
     let mut starts: HashMap<&UpstreamId, Vec<Time>> = HashMap::new();
--- a/crates/soak/src/invariant/mod.rs
+++ b/crates/soak/src/invariant/mod.rs
@@ -27,7 +27,7 @@
 type Check = fn(&IndexedHistory) -> Vec<String>;
 
 /// All invariants with their names. Output shows the names.
-const INVARIANTS: [(&str, Check); 14] = [
+const INVARIANTS: [(&str, Check); 17] = [
     ("whole answers only", answers::complete),
     ("refusals are true", answers::refused_not_run),
     ("answered in time", answers::by_deadline),
@@ -41,6 +41,12 @@
         "failure domains out of service get no work",
         changes::drained_domains,
     ),
+    (
+        "upstreams that said that they leave get no work",
+        changes::leaving_upstreams,
+    ),
+    ("changes once known hold", changes::known_changes),
+    ("backoff of upstreams is kept", limits::backoff),
     ("revoked keys are refused", changes::revoked_keys),
     ("dropped routes are not served", changes::removed_routes),
     ("cold upstreams and memory", limits::cold_and_memory),
--- a/crates/soak/src/testbed/catalog.rs
+++ b/crates/soak/src/testbed/catalog.rs
@@ -137,8 +137,17 @@
         Ok(())
     }
 
+    /// Writes the catalog again, with the same version.
+    pub(crate) fn write_again(&self) -> Result<(), IdError> {
+        self.put_catalog(&self.lock())
+    }
+
     fn write(&self, state: &mut CatalogState) -> Result<(), IdError> {
         state.version += VERSION_STEP;
+        self.put_catalog(state)
+    }
+
+    fn put_catalog(&self, state: &CatalogState) -> Result<(), IdError> {
         let mut routes = Vec::new();
         for (name, kind) in ROUTES {
             routes.push(route(name, kind)?);
--- a/crates/soak/src/testbed/deployment.rs
+++ b/crates/soak/src/testbed/deployment.rs
@@ -2,14 +2,20 @@
 
 use super::{
     daemon::{DaemonSpec, Network},
-    store::Store,
-    upstream::RestartableUpstream,
+    store::{Store, StoreCopy, StoreMode},
+    upstream::{RestartableUpstream, ENTRY_TTL},
     CatalogWriter, Daemon,
 };
 use crate::{caller::is_ready, history::History, SoakError};
 use persimmon_core::ids::FailureDomain;
-use persimmon_platform::stub_formats::withdrawn_domain_row;
-use std::{fs, io, path::Path, sync::Arc, time::Duration};
+use persimmon_platform::stub_formats::{withdrawn_domain_row, UPSTREAMS_TABLE};
+use std::{
+    collections::BTreeSet,
+    fs, io,
+    path::Path,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 use tokio::time::{sleep, Instant};
 
 /// Time within which all daemons must be ready.
@@ -18,6 +24,12 @@
 /// Interval at which a daemon's readiness is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for which the store is down while it is restored.
+const RESTORE_TIME: Duration = Duration::from_millis(300);
+
+/// Time after a restore until operators write again what the store lost.
+const REWRITE_DELAY: Duration = Duration::from_millis(1_500);
+
 /// Failure domains, assigned to daemons and upstreams in turn.
 const DOMAINS: [&str; 3] = ["north", "middle", "south"];
 
@@ -28,6 +40,8 @@
     pub(crate) catalog: CatalogWriter,
     pub(crate) upstreams: Vec<Arc<RestartableUpstream>>,
     pub(crate) daemons: Vec<Arc<Daemon>>,
+    /// Failure domains that operators have taken out of service.
+    drained_domains: Mutex<BTreeSet<FailureDomain>>,
 }
 
 /// Numbers of daemons and upstreams.
@@ -79,6 +93,7 @@
             catalog,
             upstreams,
             daemons,
+            drained_domains: Mutex::default(),
         };
         deployment.wait_ready().await?;
         Ok(deployment)
@@ -99,8 +114,42 @@
         Ok(())
     }
 
+    /// Restores the store from a copy after a short outage. Operators then write again what they had
+    /// written, and entries of upstreams that don't live any more expire.
+    pub(crate) async fn restore_store(&self, copy: &StoreCopy) -> io::Result<()> {
+        self.store.set_mode(StoreMode::Down);
+        sleep(RESTORE_TIME).await;
+        self.store.restore(copy);
+        self.store.set_mode(StoreMode::Up);
+        sleep(REWRITE_DELAY).await;
+        self.catalog.write_again().map_err(io::Error::other)?;
+        let drained = self.drained_domains().clone();
+        for index in 0..DOMAINS.len() {
+            let domain = domain(index)?;
+            self.write_domain(&domain, drained.contains(&domain));
+        }
+        sleep(ENTRY_TTL.saturating_sub(REWRITE_DELAY)).await;
+        self.store.expire_copied(copy, UPSTREAMS_TABLE);
+        Ok(())
+    }
+
     /// Takes a failure domain out of service, or returns it.
     pub(crate) fn set_domain_drained(&self, domain: &FailureDomain, drained: bool) {
+        let mut domains = self.drained_domains();
+        if drained {
+            domains.insert(domain.clone());
+        } else {
+            domains.remove(domain);
+        }
+        self.write_domain(domain, drained);
+    }
+
+    fn drained_domains(&self) -> MutexGuard<'_, BTreeSet<FailureDomain>> {
+        let domains = self.drained_domains.lock();
+        domains.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write_domain(&self, domain: &FailureDomain, drained: bool) {
         let (table, key, value) = withdrawn_domain_row(domain);
         if drained {
             self.store.put((table, key, value));
--- a/crates/soak/src/testbed/store.rs
+++ b/crates/soak/src/testbed/store.rs
@@ -7,9 +7,12 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use persimmon_core::units::{Millis, Time};
+use persimmon_core::{
+    ids::StoreEra,
+    units::{Millis, Time},
+};
 use persimmon_platform::stub_formats::{
-    page_body, transaction_body, RowCondition, RowPut, StoreCall, StoredRow,
+    mark_era, page_body, transaction_body, RowCondition, RowPut, StoreCall, StoredRow,
 };
 use std::{
     collections::BTreeMap,
@@ -51,8 +54,16 @@
     LosesAnswers,
 }
 
+/// A copy of the store's rows.
+#[derive(Clone, Debug)]
+pub(crate) struct StoreCopy {
+    rows: BTreeMap<(String, String), StoredRow>,
+    version: u64,
+}
+
 #[derive(Debug, Default)]
 struct StoreState {
+    era: StoreEra,
     rows: BTreeMap<(String, String), StoredRow>,
     changes: Vec<StoredRow>,
     history_dropped_until: u64,
@@ -124,6 +135,37 @@
         self.change(table, key, None);
     }
 
+    /// Copies all rows.
+    pub(crate) fn copy(&self) -> StoreCopy {
+        let rows = self.lock().rows.clone();
+        let version = *self.version.borrow();
+        StoreCopy { rows, version }
+    }
+
+    /// Replaces all rows by a copy. Versions after that of the copy are given out again.
+    pub(crate) fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.lock();
+        state.era = state.era.next();
+        state.rows = copy.rows.clone();
+        state.changes.clear();
+        state.history_dropped_until = copy.version;
+        self.version.send_replace(copy.version);
+    }
+
+    /// Removes the rows of a table that were not written since a copy was restored.
+    pub(crate) fn expire_copied(&self, copy: &StoreCopy, table: &str) {
+        let state = self.lock();
+        let copied = state.rows.values().filter(|row| {
+            let in_copy = copy.rows.get(&(row.table.clone(), row.key.clone()));
+            row.table == table && in_copy.is_some_and(|copied| copied.value == row.value)
+        });
+        let keys: Vec<_> = copied.map(|row| row.key.clone()).collect();
+        drop(state);
+        for key in keys {
+            self.remove(table, key);
+        }
+    }
+
     fn change(&self, table: &str, key: String, value: Option<Vec<u8>>) {
         let mut state = self.lock();
         let version = *self.version.borrow() + 1;
@@ -143,6 +185,12 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Answer {
+        let mut answer = self.answer_call(request).await?;
+        mark_era(&mut answer, self.lock().era);
+        Ok(answer)
+    }
+
+    async fn answer_call(&self, request: Request<Incoming>) -> Answer {
         let (head, body) = request.into_parts();
         let body = body.collect().await.map_err(|_| NoAnswer)?.to_bytes();
         let Some(call) = StoreCall::parse(&head.method, &head.uri, &body) else {
@@ -210,7 +258,7 @@
         let first = async {
             loop {
                 let seen = *version.borrow_and_update();
-                if self.lock().history_dropped_until > after {
+                if self.lock().history_dropped_until > after || seen < after {
                     return None;
                 }
                 let selected = self.changes_after(table, after);
@@ -244,17 +292,24 @@
     }
 
     fn write(&self, expected: &[RowCondition], puts: Vec<RowPut>) -> Response<Full<Bytes>> {
-        let as_expected = {
+        let (as_expected, found) = {
             let state = self.lock();
-            expected.iter().all(|row| {
-                let current = state.rows.get(&(row.table.clone(), row.key.clone()));
-                current.map_or(0, |current| current.version) == row.version
-            })
+            let current = |row: &RowCondition| {
+                let key = (row.table.clone(), row.key.clone());
+                state.rows.get(&key).cloned()
+            };
+            let as_expected = expected.iter().all(|row| {
+                let version = current(row).map_or(0, |current| current.version);
+                version == row.version
+            });
+            let found: Vec<_> = expected.iter().filter_map(current).collect();
+            (as_expected, found)
         };
         if !as_expected {
+            let version = *self.version.borrow();
             return http_response(
                 StatusCode::PRECONDITION_FAILED,
-                page_body(&[], 0, self.uptime_ms()),
+                page_body(&found, version, self.uptime_ms()),
             );
         }
         for put in puts {
--- a/crates/soak/src/testbed/upstream/grey_failure.rs
+++ b/crates/soak/src/testbed/upstream/grey_failure.rs
@@ -13,6 +13,8 @@
     Errors,
     /// Rejects every third request without running it.
     Rejects,
+    /// Turns every third request away without running it, and wants no more for a time.
+    Sheds,
     /// Breaks every third stream off halfway. Plain servers close the connection without an answer
     /// instead.
     Truncates,
--- a/crates/soak/src/testbed/upstream/incarnation.rs
+++ b/crates/soak/src/testbed/upstream/incarnation.rs
@@ -26,8 +26,8 @@
     units::Millis,
 };
 use persimmon_platform::stub_formats::{
-    answer_head, is_order, not_run_head, parse_upstream_request, registration_row,
-    wrong_upstream_head, UpstreamRequest,
+    answer_head, backoff_head, is_order, mark_leaving, not_run_head, parse_upstream_request,
+    registration_row, wrong_upstream_head, UpstreamRequest,
 };
 use std::{
     collections::HashMap,
@@ -47,11 +47,18 @@
 /// Requests that an upstream accepts beyond its slots.
 const QUEUE_LEN: u32 = 6;
 
+/// Time for which an upstream that sheds wants no more requests.
+const SHED_TIME: Duration = Duration::from_millis(2_500);
+
 /// Mutable state of an incarnation.
 #[derive(Debug, Default)]
 pub(super) struct IncarnationState {
     pub(super) grey_failure: GreyFailure,
     pub(super) draining: bool,
+    /// Whether its answers say that it is about to stop.
+    pub(super) leaving: bool,
+    /// Until when it wants no more requests from the daemons that it turned away.
+    pub(super) sheds_until: Option<Instant>,
     pub(super) cold_until: Option<Instant>,
     pub(super) tickets: HashMap<String, (u64, Instant)>,
 }
@@ -150,6 +157,18 @@
     async fn answer(
         self: Arc<Self>,
         request: Request<Incoming>,
+    ) -> Result<Response<Body>, NoAnswer> {
+        let this = Arc::clone(&self);
+        let mut answer = self.answer_request(request).await?;
+        if this.lock().leaving {
+            mark_leaving(&mut answer);
+        }
+        Ok(answer)
+    }
+
+    async fn answer_request(
+        self: Arc<Self>,
+        request: Request<Incoming>,
     ) -> Result<Response<Body>, NoAnswer> {
         let (head, body) = request.into_parts();
         let body = body.collect().await.map_err(|_| NoAnswer)?.to_bytes();
@@ -168,6 +187,9 @@
         }
         let count = self.requests_count.fetch_add(1, Ordering::Relaxed);
         let grey_failure = self.lock().grey_failure.of_request(count);
+        if grey_failure == GreyFailure::Sheds {
+            return Ok(self.shed(&request));
+        }
         if grey_failure == GreyFailure::Rejects
             || self.in_flight_requests.load(Ordering::Relaxed) >= SLOTS_LEN + QUEUE_LEN
         {
@@ -176,6 +198,22 @@
         self.run(&head, request, grey_failure).await
     }
 
+    /// Turns a request away, and asks for no more until the time is over.
+    fn shed(&self, request: &UpstreamRequest) -> Response<Body> {
+        let now = Instant::now();
+        let until = *self.lock().sheds_until.get_or_insert(now + SHED_TIME);
+        let for_ms = Millis::new(until.saturating_duration_since(now).as_millis() as u64);
+        self.history.record(Observation::TurnedAway {
+            request_id: request.request_id.as_str().into(),
+            upstream: self.id.clone(),
+            for_ms,
+        });
+        if for_ms == Millis::ZERO {
+            return response_with_body(not_run_head(), Bytes::new());
+        }
+        response_with_body(backoff_head(for_ms), Bytes::new())
+    }
+
     async fn run(
         self: Arc<Self>,
         head: &request::Parts,
@@ -240,6 +278,12 @@
                 Bytes::from_static(b"failed"),
             ));
         }
+        if self.lock().leaving {
+            self.history.record(Observation::LeavingAnswered {
+                request_id: Arc::clone(&request_id),
+                upstream: self.id.clone(),
+            });
+        }
         let head_ok = answer_head(StatusCode::OK, &request_id, "signed");
         if self.service == PLAIN_SERVERS {
             if grey_failure == GreyFailure::Truncates {
--- a/crates/soak/src/testbed/upstream/mod.rs
+++ b/crates/soak/src/testbed/upstream/mod.rs
@@ -9,4 +9,4 @@
 mod stream;
 
 pub(crate) use grey_failure::GreyFailure;
-pub(crate) use restartable::RestartableUpstream;
+pub(crate) use restartable::{RestartableUpstream, ENTRY_TTL};
--- a/crates/soak/src/testbed/upstream/restartable.rs
+++ b/crates/soak/src/testbed/upstream/restartable.rs
@@ -34,7 +34,7 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
 /// Time after a crash until the upstream's entry is removed from the store.
-const ENTRY_TTL: Duration = Duration::from_millis(3_600);
+pub(crate) const ENTRY_TTL: Duration = Duration::from_millis(3_600);
 
 /// An upstream that restarts under a new id at the same address, behind a proxy.
 #[derive(Debug)]
@@ -82,7 +82,10 @@
     }
 
     pub(crate) fn set_grey_failure(&self, grey_failure: GreyFailure) {
-        self.current().lock().grey_failure = grey_failure;
+        let current = self.current();
+        let mut state = current.lock();
+        state.grey_failure = grey_failure;
+        state.sheds_until = None;
     }
 
     /// Makes the upstream cold for `span`, and registers that.
@@ -112,6 +115,18 @@
         self.start_next().await
     }
 
+    /// Says in all answers that the upstream is about to stop, but not in its entry. Keeps serving for
+    /// `serve_for`, stops it and starts the next incarnation.
+    pub(crate) async fn leave(self: Arc<Self>, serve_for: Duration) -> io::Result<()> {
+        let current = self.current();
+        current.lock().leaving = true;
+        sleep(serve_for).await;
+        let (table, key, _) = registration_row(&current.upstream_record(self.proxy.address()));
+        self.store.remove(table, key);
+        self.stop(&current);
+        self.start_next().await
+    }
+
     /// Stops the upstream without notice and starts the next incarnation after `down_for`. The old entry
     /// stays in the store for [`ENTRY_TTL`].
     pub(crate) async fn crash(self: Arc<Self>, down_for: Duration) -> io::Result<()> {
--- a/crates/soak/tests/invariants.rs
+++ b/crates/soak/tests/invariants.rs
@@ -263,6 +263,94 @@
     ");
 }
 
+#[test]
+fn changes_that_are_undone_by_a_restore_of_the_store() {
+    let changes = [
+        Observation::UpstreamDraining {
+            upstream: upstream(),
+        },
+        Observation::DomainDrained { domain: domain() },
+        Observation::RouteRemoved {
+            route: "extra".into(),
+        },
+    ];
+    let mut found = Vec::new();
+    for change in changes {
+        let mut observations = HandwrittenHistory::default();
+        observations.observe(4_000, change);
+        observations.observe(13_000, Observation::FaultStarted(Component::Store));
+        observations.observe(13_000, Observation::StoreRestored);
+        observations.serve(14_000, "r");
+        found.push(observations.check(20_000));
+    }
+    assert_snapshot!(found.join("\n"), @r"
+    changes once known hold: r ran at engines-1-0
+    changes once known hold: r ran at engines-1-0
+    changes once known hold: r ran at engines-1-0
+    ");
+    // Allowed where the daemon was restarted, or may not have learned of the change.
+    for component in [Component::Daemon(0), Component::StoreLink(0)] {
+        let mut observations = HandwrittenHistory::default();
+        observations.observe(4_000, Observation::DomainDrained { domain: domain() });
+        observations.observe(5_000, Observation::FaultStarted(component.clone()));
+        observations.observe(6_000, Observation::FaultEnded(component));
+        observations.observe(13_000, Observation::FaultStarted(Component::Store));
+        observations.serve(14_000, "r");
+        assert_eq!(observations.check(20_000), "");
+    }
+}
+
+fn leaving_answer(observations: &mut HandwrittenHistory) {
+    observations.serve(4_000, "first");
+    observations.observe(
+        4_040,
+        Observation::LeavingAnswered {
+            request_id: "first".into(),
+            upstream: upstream(),
+        },
+    );
+}
+
+#[test]
+fn upstreams_that_said_that_they_leave_and_get_work() {
+    let mut observations = HandwrittenHistory::default();
+    leaving_answer(&mut observations);
+    // The daemon has lost the store, which excuses nothing.
+    observations.observe(3_900, Observation::FaultStarted(Component::StoreLink(0)));
+    observations.serve(5_900, "in time").serve(6_400, "late");
+    assert_snapshot!(observations.check(20_000), @"upstreams that said that they leave get no work: late ran at engines-1-0, which leaves");
+    leaving_answer(&mut observations);
+    observations.observe(5_000, Observation::FaultStarted(Component::Daemon(0)));
+    observations.observe(5_100, Observation::FaultEnded(Component::Daemon(0)));
+    observations.serve(6_400, "after a restart");
+    assert_eq!(observations.check(20_000), "");
+}
+
+fn turned_away(observations: &mut HandwrittenHistory, later: &[u64]) {
+    observations.send(4_000, "r", STREAM);
+    observations.observe(
+        4_010,
+        Observation::TurnedAway {
+            request_id: "r".into(),
+            upstream: upstream(),
+            for_ms: Millis::new(2_000),
+        },
+    );
+    observations.answer(4_020, "r", 503, BodyCheck::Complete);
+    for at in later {
+        observations.serve(*at, &format!("r{at}"));
+    }
+}
+
+#[test]
+fn upstreams_that_turned_away_and_are_asked_again() {
+    let mut observations = HandwrittenHistory::default();
+    turned_away(&mut observations, &[4_300, 5_000, 5_500, 6_100]);
+    assert_eq!(observations.check(20_000), "");
+    turned_away(&mut observations, &[4_600, 5_000, 5_500]);
+    assert_snapshot!(observations.check(20_000), @"backoff of upstreams is kept: engines-1-0 got 3 requests of daemon 0");
+}
+
 #[test]
 fn only_revoked_keys_apply_at_a_daemon_without_the_store() {
     let mut observations = HandwrittenHistory::default();
