An upstream that was ejected is tried by one request at a time, a failure domain's together

When an ejection ended, all callers of all daemons went there until the first failure was known; where most of a service was ejected, every 300 ms.

Change: the first request after an ejection has the upstream to itself for up to a second, over all daemons (they know it from the report of the request), until the upstream answers; its first event is always reported. A failure prolongs the ejections of the other upstreams of the domain that have answered nobody.

--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -385,10 +385,12 @@
             }
             DispatchMessage::UpstreamEjected { upstream, for_ms } => {
                 self.health.on_peer_ejection(out.now, &upstream, for_ms);
+                self.prolong_domain_ejections(out.now, &upstream, for_ms);
             }
             DispatchMessage::UpstreamReplaced(upstream) => self.on_replaced(out, &upstream),
             DispatchMessage::Started(report) => {
                 self.slow_start.on_sent(out.now, &report.upstream);
+                self.health.on_sent(out.now, &report.upstream);
                 self.in_flight.on_report(out.now, index, &report);
             }
             DispatchMessage::FirstEvent(send) => {
--- a/crates/core/src/dispatch/health.rs
+++ b/crates/core/src/dispatch/health.rs
@@ -15,6 +15,10 @@
 /// Longest ejection: repeated failures double the duration up to this value.
 const EJECTION_MAX_MS: Millis = Millis::new(4_000);
 
+/// Time for which the first request after an ejection has the upstream to itself, unless the upstream
+/// answers or fails before. It covers the connection timeout and the report of an answer to peers.
+const TRIAL_MS: Millis = Millis::new(1_000);
+
 /// Recent failures of an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Health {
@@ -25,6 +29,7 @@
     ejection_ms: Millis,
     peer_ejected_until: Option<Time>,
     failed_at: Option<Time>,
+    trial_until: Option<Time>,
 }
 
 impl Health {
@@ -34,6 +39,17 @@
         until.is_some_and(|until| now < until)
     }
 
+    /// Whether the upstream has answered nobody since its last ejection.
+    pub fn is_suspect(&self) -> bool {
+        self.ejection_ms > Millis::ZERO
+    }
+
+    /// Whether a request is under way that tells if an upstream answers again after its ejection. Others
+    /// go elsewhere until then.
+    pub fn is_on_trial(&self, now: Time) -> bool {
+        self.is_suspect() && self.trial_until.is_some_and(|until| now < until)
+    }
+
     /// Whether the upstream is ejected and its last failure is within the shortest ejection.
     pub fn failed_recently(&self, now: Time) -> bool {
         self.is_ejected(now) && self.failed_at.is_some_and(|at| now < at + EJECTION_MIN_MS)
@@ -60,6 +76,20 @@
         }
     }
 
+    /// Records that an upstream answers, whether with success or not.
+    pub fn on_answer(&mut self, upstream: &UpstreamId) {
+        if let Some(health) = self.upstreams.get_mut(upstream) {
+            health.ejection_ms = Millis::ZERO;
+        }
+    }
+
+    /// Records a request to an upstream, of this daemon or of a peer.
+    pub fn on_sent(&mut self, now: Time, upstream: &UpstreamId) {
+        if let Some(health) = self.upstreams.get_mut(upstream) {
+            health.trial_until = health.is_suspect().then_some(now + TRIAL_MS);
+        }
+    }
+
     /// Records that the upstream answered a peer, which ends the ejection that peers reported.
     pub fn on_peer_success(&mut self, upstream: &UpstreamId) {
         if let Some(health) = self.upstreams.get_mut(upstream) {
@@ -84,15 +114,25 @@
         health.ejection_ms = ejection_ms;
         health.failed_at = Some(now);
         health.ejected_until = Some(now + ejection_ms);
+        health.trial_until = None;
         ejection_ms
     }
 
+    /// Prolongs the ejection of an upstream that has answered nobody since it was ejected.
+    pub fn prolong_ejection(&mut self, now: Time, upstream: &UpstreamId, for_ms: Millis) {
+        let health = self.upstreams.get_mut(upstream);
+        if let Some(health) = health.filter(|health| health.is_suspect()) {
+            health.ejected_until = health.ejected_until.max(Some(now + for_ms));
+        }
+    }
+
     /// Records that a peer ejected the upstream for `for_ms`.
     pub fn on_peer_ejection(&mut self, now: Time, upstream: &UpstreamId, for_ms: Millis) {
         let health = self.upstreams.entry(upstream.clone()).or_default();
         let for_ms = for_ms.min(EJECTION_MAX_MS);
         health.peer_ejected_until = health.peer_ejected_until.max(Some(now + for_ms));
         health.failed_at = Some(now);
+        health.trial_until = None;
         health.ejection_ms = health.ejection_ms.max(for_ms);
     }
 
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -299,6 +299,7 @@
         } else {
             usize::MAX
         };
+        let ejected = ejected || health.is_on_trial(now);
         if ejected || cold_left_len == 0 || open.excluded.contains(&record.id) {
             return false;
         }
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -56,6 +56,9 @@
         }
         open.may_have_run = true;
         open.first_at.get_or_insert(out.now);
+        if let Some(sending) = &open.sending {
+            self.health.on_answer(&sending.upstream);
+        }
         if self
             .in_flight
             .on_first_event(out.now, InFlightId::own(send))
@@ -234,6 +237,7 @@
     /// Ejects an upstream for a while, here and at the peers.
     fn eject_upstream(&mut self, out: &mut Out<'_>, upstream: &UpstreamId) {
         let for_ms = self.health.eject(out.now, upstream);
+        self.prolong_domain_ejections(out.now, upstream, for_ms);
         let upstream = upstream.clone();
         out.log(DispatchRecord::Upstream {
             upstream: upstream.clone(),
@@ -245,6 +249,26 @@
         );
     }
 
+    /// Prolongs the ejections of the other failed upstreams of the same failure domain: it may be cut off,
+    /// so that one of them is tried for all.
+    pub(super) fn prolong_domain_ejections(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        for_ms: Millis,
+    ) {
+        let Some(failed) = self.fleet.get(upstream) else {
+            return;
+        };
+        let service = &failed.record.service;
+        let others = self.fleet.usable(service).filter(|other| {
+            other.record.domain == failed.record.domain && other.record.id != *upstream
+        });
+        for other in others {
+            self.health.prolong_ejection(now, &other.record.id, for_ms);
+        }
+    }
+
     /// Updates the upstream's health and registration by the outcome of a transmission.
     fn record_outcome(
         &mut self,
@@ -269,10 +293,14 @@
             SendOutcome::Failed {
                 retry_after_ms: Some(for_ms),
                 ..
-            } => self.on_backoff_asked(out, self.request_id(call), sending, *for_ms),
+            } => {
+                self.health.on_answer(upstream);
+                self.on_backoff_asked(out, self.request_id(call), sending, *for_ms);
+            }
             SendOutcome::Failed {
                 status, not_run, ..
             } => {
+                self.health.on_answer(upstream);
                 if *status >= SERVER_FAILURE_STATUS && !*not_run {
                     self.health.on_failure(upstream);
                 }
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -63,13 +63,19 @@
                 .map(|h| h.upstream.clone())
                 .collect(),
         });
-        let entry = open.in_flight_entry(out.now, &placement);
+        // Peers need to know whether an upstream answers after its ejection.
+        let reports_first_event = self.health.get(&placement.upstream).is_suspect();
+        let mut entry = open.in_flight_entry(out.now, &placement);
+        if reports_first_event {
+            entry.first_due_at = None;
+        }
         self.log_sent(out, id, send, &placement);
         out.act(DispatchAction::Send(Box::new(plan)));
         let report = in_flight_report(out.now, send, &entry, placement.helpers.clone());
         self.notify_now(out.now, DispatchMessage::Started(report));
         self.slow_start.on_sent(out.now, &placement.upstream);
         self.backoff.on_sent(out.now, &placement.upstream);
+        self.health.on_sent(out.now, &placement.upstream);
         let id = InFlightId::own(send);
         self.in_flight.start(id, &entry, &placement.helpers);
     }
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -12,7 +12,7 @@
         Call, DispatchAction, DispatchEvent, DispatchMessage, DispatchSettings, Dispatcher,
         PromptSize, RawDispatchSettings, SendOutcome, SendPlan,
     },
-    ids::{CallId, VmId},
+    ids::{CallId, FailureDomain, VmId},
     units::{Millis, Time, Tokens},
     watch::{Change, Topic},
 };
@@ -20,7 +20,7 @@
     rand_core::{Rng, SeedableRng},
     ChaCha8Rng,
 };
-use std::{collections::BTreeMap, fmt};
+use std::{collections::BTreeMap, fmt, ops::Range};
 
 /// Kinds of requests on the first site.
 pub(crate) const KINDS: [Kind; 3] = [
@@ -62,6 +62,9 @@
 /// Peers that a daemon with 0.12 of a core notifies in a millisecond.
 const PEERS_NOTIFIED_PER_MS: u64 = 4;
 
+/// Time after which a connection to an engine that is cut off fails.
+const CONNECT_TIMEOUT_MS: u64 = 400;
+
 /// A kind of request: sizes in tokens, times in ms, `worth` and `late` in credit for an answer that is
 /// on time or late.
 #[derive(Clone, Copy, Debug)]
@@ -149,10 +152,17 @@
     engines: Vec<Engine>,
     requests: BTreeMap<u64, Request>,
     messages: Vec<(u64, usize, usize, DispatchMessage)>,
+    /// Pairs of daemons that are not connected yet, and when they will be.
+    connecting: Vec<(u64, usize, usize)>,
     held: Vec<(u64, usize, Topic)>,
     rng: ChaCha8Rng,
     rounds: usize,
     tally: [Tally; 3],
+    /// The failure domain that is cut off, and when.
+    cut: Option<(FailureDomain, Range<u64>)>,
+    /// Transmissions that fail, and when.
+    failing: Vec<(u64, usize, SendPlan)>,
+    failed_sends_count: usize,
 }
 
 impl Replay {
@@ -166,10 +176,14 @@
             engines: (0..engines_len).map(|_| Engine::default()).collect(),
             requests: BTreeMap::new(),
             messages: Vec::new(),
+            connecting: Vec::new(),
             held: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             rounds: 0,
             tally: Default::default(),
+            cut: None,
+            failing: Vec::new(),
+            failed_sends_count: 0,
         };
         for to in 0..daemons_len {
             replay.learn(0, to, engines_len);
@@ -180,8 +194,41 @@
         replay
     }
 
+    /// Daemons that have all restarted at once: they know the catalog and the upstreams, and connect to
+    /// each other between `connect_ms.0` and `connect_ms.1`.
+    pub(crate) fn restarted(
+        daemons_len: usize,
+        engines_len: u16,
+        seed: u64,
+        connect_ms: (u64, u64),
+    ) -> Self {
+        let mut replay = Self::new(Policy::Dispatcher, 0, engines_len, seed);
+        let settings = DispatchSettings::try_from(RawDispatchSettings::default()).unwrap();
+        for index in 0..daemons_len {
+            let daemon = Dispatcher::new(settings, vm(index), id("a"));
+            replay.daemons.push(daemon);
+            replay.learn(0, index, engines_len);
+            for other in 0..index {
+                let span_ms = (connect_ms.1 - connect_ms.0) as f64;
+                let at = connect_ms.0 + (replay.draw() * span_ms) as u64;
+                replay.connecting.push((at, index, other));
+            }
+        }
+        replay
+    }
+
+    /// Cuts a failure domain off for a time: connections to its engines fail.
+    pub(crate) fn cut_domain(&mut self, domain: &str, from: u64, until: u64) {
+        self.cut = Some((id(domain), from..until));
+    }
+
+    /// Number of transmissions to engines that were cut off.
+    pub(crate) fn failed_sends_count(&self) -> usize {
+        self.failed_sends_count
+    }
+
     /// Replays the phases, and then runs until all requests are done, for at most 20 s.
-    pub(crate) fn play(mut self, phases: &[Phase]) -> Outcome {
+    pub(crate) fn play(&mut self, phases: &[Phase]) -> Outcome {
         let mut now = 0;
         for phase in phases {
             let end = now + phase.span_ms;
@@ -199,7 +246,7 @@
         self.outcome()
     }
 
-    fn outcome(self) -> Outcome {
+    fn outcome(&self) -> Outcome {
         let (mut owed, mut earned) = (0.0, 0.0);
         for (kind, tally) in KINDS.iter().zip(self.tally) {
             owed += f64::from(tally.asked) * kind.worth;
@@ -301,7 +348,25 @@
         self.engines[engine].jobs.push(job);
     }
 
+    fn connect(&mut self, now: u64) {
+        let connecting = std::mem::take(&mut self.connecting);
+        let (due, later): (Vec<_>, Vec<_>) =
+            connecting.into_iter().partition(|(at, ..)| *at <= now);
+        self.connecting = later;
+        for (_, one, other) in due {
+            self.handle(now, one, DispatchEvent::PeerUp { vm: vm(other) });
+            self.handle(now, other, DispatchEvent::PeerUp { vm: vm(one) });
+        }
+    }
+
+    fn is_connected(&self, one: usize, other: usize) -> bool {
+        let pair = (one.max(other), one.min(other));
+        !self.connecting.iter().any(|(_, a, b)| (*a, *b) == pair)
+    }
+
     fn step(&mut self, now: u64) {
+        self.connect(now);
+        self.fail_sends(now);
         let messages = std::mem::take(&mut self.messages);
         let (due, later): (Vec<_>, Vec<_>) = messages.into_iter().partition(|(at, ..)| *at <= now);
         self.messages = later;
@@ -416,13 +481,17 @@
         self.daemons[daemon].handle(Time::from_ms(now), event, &mut actions);
         for action in actions {
             match action {
-                DispatchAction::Send(plan) => self.sent(*plan),
-                DispatchAction::Notify { to: None, message } => {
-                    let peers = (0..self.daemons.len()).filter(|peer| *peer != daemon);
+                DispatchAction::Send(plan) => self.sent(now, daemon, *plan),
+                DispatchAction::Notify { to, message } => {
+                    let peers = (0..self.daemons.len()).filter(|peer| {
+                        let addressed = to.as_ref().is_none_or(|to| *to == vm(*peer));
+                        addressed && *peer != daemon && self.is_connected(daemon, *peer)
+                    });
                     let messages = peers.enumerate().map(|(notified_len, peer)| {
                         let due = now + 1 + notified_len as u64 / PEERS_NOTIFIED_PER_MS;
                         (due, daemon, peer, message.clone())
                     });
+                    let messages: Vec<_> = messages.collect();
                     self.messages.extend(messages);
                 }
                 DispatchAction::Refuse { call, .. } => {
@@ -439,7 +508,18 @@
         }
     }
 
-    fn sent(&mut self, plan: SendPlan) {
+    fn fail_sends(&mut self, now: u64) {
+        let failing = std::mem::take(&mut self.failing);
+        let (due, later): (Vec<_>, Vec<_>) = failing.into_iter().partition(|(at, ..)| *at <= now);
+        self.failing = later;
+        for (_, daemon, SendPlan { call, send, .. }) in due {
+            let reason = "connecting timed out".to_owned();
+            let end = SendOutcome::NotSent { reason };
+            self.handle(now, daemon, DispatchEvent::Ended { call, send, end });
+        }
+    }
+
+    fn sent(&mut self, now: u64, daemon: usize, plan: SendPlan) {
         let tag = plan.call.get();
         let index = |address: std::net::SocketAddr| match address.ip() {
             std::net::IpAddr::V4(ip) => usize::from(ip.octets()[3]) - 1,
@@ -452,6 +532,14 @@
             .iter()
             .map(|helper| index(helper.address))
             .collect();
+        let cut = self.cut.as_ref().filter(|(_, time)| time.contains(&now));
+        let fleet = self.daemons[daemon].fleet();
+        let domain = fleet.get(&plan.upstream).map(|known| &known.record.domain);
+        if cut.is_some_and(|(cut, _)| domain == Some(cut)) {
+            self.failed_sends_count += 1;
+            self.failing.push((now + CONNECT_TIMEOUT_MS, daemon, plan));
+            return;
+        }
         self.run(tag, index(plan.address), &helpers);
     }
 
--- a/crates/core/tests/dispatch_follow.rs
+++ b/crates/core/tests/dispatch_follow.rs
@@ -115,7 +115,10 @@
     let mut relying = follower();
     let (reader_len, relying_len) = (calls_len(&mut reader), calls_len(&mut relying));
     assert!(reader_len >= 30, "{reader_len}");
-    assert!(2 * relying_len <= reader_len, "{relying_len} of {reader_len}");
+    assert!(
+        2 * relying_len <= reader_len,
+        "{relying_len} of {reader_len}"
+    );
     // A reader's report of the store's return is enough to serve again.
     let asked_at = relying.now;
     report_freshness(&mut relying, Some(asked_at), 1, 10);
--- a/crates/core/tests/dispatch_load.rs
+++ b/crates/core/tests/dispatch_load.rs
@@ -6,7 +6,7 @@
 use dispatch::{
     id,
     node::Node,
-    replay::{alternating_bursts, Phase, Policy, Replay},
+    replay::{alternating_bursts, Phase, Policy, Replay, Tally},
     upstream, ENGINES, KEY,
 };
 use insta::assert_snapshot;
@@ -56,7 +56,7 @@
             span_ms: 15_000,
             per_s: [30.0 * per_s, 1.6 * per_s, 1.5 * per_s],
         };
-        let replay = Replay::new(Policy::Dispatcher, 9, 16, 3);
+        let mut replay = Replay::new(Policy::Dispatcher, 9, 16, 3);
         let kinds = replay.play(&[phase]).kinds;
         kinds.iter().map(|tally| tally.on_time).sum::<u32>()
     };
@@ -64,6 +64,70 @@
     assert!(f64::from(over) >= 0.9 * f64::from(peak), "{over} of {peak}");
 }
 
+/// All daemons lost power and restart together (order desk, trouble-3, second 41): all callers return
+/// within a second, long prompts among them, while the daemons do not see each other yet.
+fn callers_who_return(connect_ms: (u64, u64)) -> String {
+    let returning = Phase {
+        span_ms: 900,
+        per_s: [55.0, 8.0, 6.0],
+    };
+    let usual = Phase {
+        span_ms: 8_000,
+        per_s: [14.0, 0.8, 0.5],
+    };
+    let replays = (1..=8).map(|seed| {
+        let mut replay = Replay::restarted(9, 7, seed, connect_ms);
+        replay.play(&[returning, usual])
+    });
+    let outcomes: Vec<_> = replays.collect();
+    let on_time: u32 = outcomes
+        .iter()
+        .map(|outcome| outcome.kinds[0].on_time)
+        .sum();
+    let asked: u32 = outcomes.iter().map(|outcome| outcome.kinds[0].asked).sum();
+    let credit: f64 = outcomes.iter().map(|outcome| outcome.credit).sum();
+    let credit = credit / outcomes.len() as f64;
+    format!("{on_time} of {asked} short ones on time, credit {credit:.2}")
+}
+
+#[test]
+fn callers_who_return_after_all_daemons_restarted() {
+    let outcomes = [(0, 1), (50, 350), (300, 1_500)].map(callers_who_return);
+    assert_snapshot!(outcomes.join("\n"), @r"
+    642 of 1332 short ones on time, credit 0.57
+    578 of 1332 short ones on time, credit 0.55
+    526 of 1332 short ones on time, credit 0.52
+    ");
+}
+
+/// A failure domain is cut off with a third of the engines for six seconds (order desk, trouble-3, second
+/// 33): connections to them fail after 400 ms, and each caller who has to wait for that is late.
+#[test]
+fn a_failure_domain_is_cut_off() {
+    let usual = Phase {
+        span_ms: 10_000,
+        per_s: [30.0, 0.8, 0.3],
+    };
+    let lines: Vec<_> = (1..=4)
+        .map(|seed| {
+            let mut replay = Replay::new(Policy::Dispatcher, 9, 12, seed);
+            replay.cut_domain("b", 2_000, 8_000);
+            let outcome = replay.play(&[usual]);
+            let failed = replay.failed_sends_count();
+            let short = outcome.kinds[0];
+            let credit = outcome.credit;
+            let Tally { asked, on_time, .. } = short;
+            format!("{failed} failed, {on_time} of {asked} short ones on time, credit {credit:.2}")
+        })
+        .collect();
+    assert_snapshot!(lines.join("\n"), @r"
+    26 failed, 233 of 279 short ones on time, credit 0.90
+    24 failed, 236 of 277 short ones on time, credit 0.91
+    17 failed, 259 of 290 short ones on time, credit 0.91
+    27 failed, 246 of 309 short ones on time, credit 0.85
+    ");
+}
+
 /// Daemons whose messages take `MESSAGE_DELAY_MS` to reach the others.
 struct DelayedMessages {
     nodes: Vec<Node>,
