The first reader of the store passes operators' changes on

Change: the first reader sends the changes themselves to its peers, ahead of the report that there are any; a daemon that knows all before them applies them and does not call the store. Catalogs of more than 400 routes and keys are still read by each. Other readers only report, in case the first fails; what is late, incomplete or of another era is ignored and read as before.

Tests: four in dispatch_follow.rs, a catalog over a real mesh.

--- a/crates/core/src/catalog/api_key.rs
+++ b/crates/core/src/catalog/api_key.rs
@@ -1,10 +1,11 @@
 //! API keys and the workspaces that hold them.
 
 use crate::ids::WorkspaceId;
+use serde::{Deserialize, Serialize};
 use std::{fmt, sync::Arc};
 
 /// A caller's API key. It is secret, so its `Debug` output does not contain the key.
-#[derive(Clone, Eq, Hash, PartialEq)]
+#[derive(Clone, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct ApiKey(Arc<str>);
 
 impl ApiKey {
@@ -27,7 +28,7 @@
 }
 
 /// The workspace that holds a key.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct KeyHolder {
     /// The workspace.
     pub workspace: WorkspaceId,
--- a/crates/core/src/catalog/engine_profile.rs
+++ b/crates/core/src/catalog/engine_profile.rs
@@ -1,6 +1,7 @@
 //! Performance model of the engines of a service.
 
 use crate::units::Tokens;
+use serde::{Deserialize, Serialize};
 
 /// Context tokens per unit of [`EngineProfile::per_k_context_ms`].
 const CONTEXT_UNIT_TOKENS: f64 = 1_000.0;
@@ -11,7 +12,7 @@
 /// Performance model of a service's engines, as declared in the catalog. An engine works in passes.
 /// Each pass runs `stride_len` decode steps for all decoding requests, and prefills waiting prompts
 /// in chunks between the steps.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EngineProfile {
     /// Requests that an engine processes concurrently.
     pub slots_len: u32,
--- a/crates/core/src/catalog/limits.rs
+++ b/crates/core/src/catalog/limits.rs
@@ -1,9 +1,10 @@
 //! Limits for callers.
 
 use crate::units::Millis;
+use serde::{Deserialize, Serialize};
 
 /// Limits on the size and duration of callers' requests.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CallerLimits {
     /// Maximum size of a request's head.
     pub head_max_bytes: usize,
--- a/crates/core/src/catalog/route.rs
+++ b/crates/core/src/catalog/route.rs
@@ -1,10 +1,11 @@
 //! Routes from a host and path to services.
 
 use crate::{ids::ServiceName, units::Millis};
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Whether a call can be repeated, and how it is answered.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum CallKind {
     /// The call may run more than once.
     Idempotent,
@@ -44,7 +45,7 @@
 }
 
 /// A service that receives a share of a route's calls.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Target {
     /// The service.
     pub service: ServiceName,
@@ -53,7 +54,7 @@
 }
 
 /// A route from a host and path prefix to services.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Route {
     /// Its name.
     pub name: String,
--- a/crates/core/src/catalog/service.rs
+++ b/crates/core/src/catalog/service.rs
@@ -2,9 +2,10 @@
 
 use super::EngineProfile;
 use crate::{ids::ServiceName, units::Millis};
+use serde::{Deserialize, Serialize};
 
 /// A service: a set of interchangeable upstreams.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Service {
     /// Its name.
     pub name: ServiceName,
--- a/crates/core/src/catalog/validated.rs
+++ b/crates/core/src/catalog/validated.rs
@@ -5,13 +5,14 @@
     ids::{CatalogVersion, ServiceName},
     units::Millis,
 };
+use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, HashMap},
     sync::Arc,
 };
 
 /// A catalog as written by operators, not validated.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RawCatalog {
     /// Its version.
     pub version: CatalogVersion,
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -378,6 +378,11 @@
                 position,
                 changes,
             } => self.on_upstream_changes(out, after, position, changes),
+            DispatchMessage::OperatorChanges {
+                after,
+                position,
+                changes,
+            } => self.on_operator_changes(out, after, position, changes),
             DispatchMessage::CatalogInUse(stamp) => self.on_peer_catalog(vm, stamp),
             DispatchMessage::UpstreamLeaving(leaving) => self.on_peer_leaving(out, vm, &leaving),
             DispatchMessage::UpstreamBackoff { upstream, for_ms } => {
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -1,6 +1,6 @@
 //! Messages between daemons: in-flight requests, ejections, and changes read from the store.
 
-use super::HelperAssignment;
+use super::{HelperAssignment, OperatorChange};
 use crate::{
     catalog::CatalogStamp,
     fleet::{UpstreamIncarnation, UpstreamRecord},
@@ -46,7 +46,7 @@
 }
 
 /// A message from a daemon to its peers. The peer link codes variants by position.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum DispatchMessage {
     /// All in-flight requests of the sender; replaces its earlier reports.
     #[serde(rename = "All")]
@@ -98,6 +98,16 @@
         /// Duration of the ejection.
         for_ms: Millis,
     },
+    /// Operators' changes that the sender read from the store.
+    #[serde(rename = "Operators")]
+    OperatorChanges {
+        /// Position that the receiver must have at least for the changes to complete what it knows.
+        after: StorePosition,
+        /// Position after the changes.
+        position: StorePosition,
+        /// The changes.
+        changes: Vec<OperatorChange>,
+    },
     /// The catalog that the sender uses, and the era of the store that it was read in.
     #[serde(rename = "Catalog")]
     CatalogInUse(CatalogStamp),
--- a/crates/core/src/dispatch/store_updates.rs
+++ b/crates/core/src/dispatch/store_updates.rs
@@ -62,7 +62,11 @@
                 self.on_position(out, topic, batch.position, reconnect.restored);
                 match topic {
                     Topic::Operators => {
+                        let message = self.operator_changes_message(after, &batch);
                         self.on_operators(out, *batch, reconnect.restored);
+                        if let Some(message) = message {
+                            self.pass_on(out, message);
+                        }
                         self.report_freshness(out);
                     }
                     Topic::Upstreams => self.on_upstreams(out, after, *batch, reconnect),
@@ -71,7 +75,7 @@
         }
     }
 
-    fn on_operators(&mut self, out: &mut Out<'_>, batch: Batch, restored: bool) {
+    pub(super) fn on_operators(&mut self, out: &mut Out<'_>, batch: Batch, restored: bool) {
         let mut listed_out = BTreeSet::new();
         for change in batch.changes {
             match change {
@@ -239,7 +243,7 @@
     }
 
     /// Number of peers that read the list of upstreams before this daemon: those of lower name.
-    fn reader_rank(&self) -> usize {
+    pub(super) fn reader_rank(&self) -> usize {
         self.peers.keys().filter(|peer| **peer < self.vm).count()
     }
 
--- a/crates/core/src/watch/topic_watch.rs
+++ b/crates/core/src/watch/topic_watch.rs
@@ -208,6 +208,30 @@
         contiguous
     }
 
+    /// Handles changes that a reader of the store passed on, from position `after` to `position`.
+    /// Returns true if they continue the known state; a call that was scheduled to read them is then
+    /// not needed. They say nothing about how current the state is.
+    pub fn on_passed_on(
+        &mut self,
+        now: Time,
+        after: StorePosition,
+        position: StorePosition,
+    ) -> bool {
+        self.on_era(position.era, now + CHANGE_BATCH_DELAY_MS);
+        let Some(known) = self.position else {
+            return false;
+        };
+        let continues = after.era == position.era && known.continues_at(after) && known <= position;
+        if continues {
+            self.position = Some(position);
+            self.changed_at = self.changed_at.max(position);
+            if let (true, Some(fresh_at)) = (self.is_follower, self.fresh_at) {
+                self.due_at = fresh_at + FOLLOWER_MAX_AGE_MS;
+            }
+        }
+        continues
+    }
+
     /// Sets whether this daemon relies on peers that read the store, and calls the store itself
     /// only if they send no confirmations.
     pub fn set_follower(&mut self, is_follower: bool) {
--- a/crates/core/tests/dispatch_follow.rs
+++ b/crates/core/tests/dispatch_follow.rs
@@ -10,9 +10,10 @@
     position, upstream_list,
 };
 use persimmon_core::{
+    catalog::RawCatalog,
     dispatch::{
-        DispatchAction, DispatchEvent, DispatchMessage, InFlightReport, RefusalReason, SendOutcome,
-        UpstreamChange,
+        DispatchAction, DispatchEvent, DispatchMessage, InFlightReport, OperatorChange,
+        RefusalReason, SendOutcome, UpstreamChange,
     },
     ids::{SendId, VmId},
     units::{Millis, Time, Tokens},
@@ -185,6 +186,81 @@
     assert!(is_served(&mut node));
 }
 
+fn passed_on(after: u64, at: u64, change: OperatorChange) -> DispatchMessage {
+    DispatchMessage::OperatorChanges {
+        after: position(after),
+        position: position(at),
+        changes: vec![change],
+    }
+}
+
+fn is_out(node: &Node) -> bool {
+    let out = node.dispatcher.fleet().withdrawn_domains();
+    out.contains(&id("a"))
+}
+
+/// Each change cost a call to the store by each daemon of the fleet.
+#[test]
+fn a_change_that_a_reader_passes_on_is_not_read_again() {
+    let mut node = follower();
+    let asked_at = node.now;
+    let next = OperatorChange::Catalog(Box::new(catalog(2)));
+    receive(&mut node, passed_on(1, 10, next));
+    assert_eq!(node.dispatcher.catalog_version().unwrap().get(), 2);
+    report_freshness(&mut node, Some(asked_at), 10, 10);
+    assert_eq!(pass(&mut node, 1_000), []);
+}
+
+#[test]
+fn a_change_that_overtakes_its_message_is_read() {
+    let mut node = follower();
+    let asked_at = node.now;
+    // The message with the changes from 1 to 9 was lost with its connection.
+    let next = OperatorChange::Catalog(Box::new(catalog(3)));
+    receive(&mut node, passed_on(9, 10, next));
+    assert_eq!(node.dispatcher.catalog_version().unwrap().get(), 1);
+    report_freshness(&mut node, Some(asked_at), 10, 10);
+    assert_eq!(pass(&mut node, 300).len(), 1);
+}
+
+#[test]
+fn a_delayed_message_of_another_reader_undoes_nothing() {
+    let mut node = follower();
+    let withdrawn = || OperatorChange::DomainWithdrawn(id("a"));
+    let returned = OperatorChange::DomainReturned(id("a"));
+    receive(&mut node, passed_on(1, 5, withdrawn()));
+    assert!(is_out(&node));
+    receive(&mut node, passed_on(5, 7, returned));
+    receive(&mut node, passed_on(1, 5, withdrawn()));
+    assert!(!is_out(&node));
+}
+
+#[test]
+fn the_first_reader_passes_changes_on_but_no_large_catalog() {
+    let changes = |vm: &str, peer: &str, raw: RawCatalog| {
+        let mut node = Node::named(vm);
+        node.step(DispatchEvent::PeerUp { vm: id(peer) });
+        node.learn(2, 2);
+        let change = Change::Catalog(Box::new(raw));
+        let answer = Ok(Box::new(dispatch::batch(9, false, vec![change])));
+        let topic = Topic::Operators;
+        let actions = act(&mut node, DispatchEvent::StoreAnswered { topic, answer });
+        let messages = sent_to_all(&actions).into_iter();
+        messages
+            .filter(|message| matches!(message, DispatchMessage::OperatorChanges { .. }))
+            .count()
+    };
+    assert_eq!(changes("vm-0", "vm-5", catalog(2)), 1);
+    assert_eq!(changes("vm-5", "vm-0", catalog(2)), 0);
+    let mut large = catalog(2);
+    for number in 0..400 {
+        let mut route = large.routes[0].clone();
+        route.prefix = format!("/route-{number}/");
+        large.routes.push(route);
+    }
+    assert_eq!(changes("vm-0", "vm-5", large), 0);
+}
+
 #[test]
 fn a_reader_reports_only_contacts_after_the_request() {
     let mut node = Node::named("vm-0");
--- a/crates/io/tests/mesh.rs
+++ b/crates/io/tests/mesh.rs
@@ -2,9 +2,11 @@
 
 use flume::Receiver;
 use persimmon_core::{
-    dispatch::{DispatchEvent, DispatchMessage},
-    ids::{Incarnation, SendId, VmId},
+    catalog::{ApiKey, CallKind, CallerLimits, KeyHolder, RawCatalog, Route, Service, Target},
+    dispatch::{DispatchEvent, DispatchMessage, OperatorChange},
+    ids::{CatalogVersion, Incarnation, SendId, VmId},
     message::Member,
+    units::Millis,
 };
 use persimmon_io::peer::{Identity, KeyPairPem, Mesh};
 use std::{net::UdpSocket, rc::Rc, time::Duration};
@@ -54,6 +56,50 @@
     }
 }
 
+fn catalog() -> RawCatalog {
+    RawCatalog {
+        version: CatalogVersion::new(41),
+        routes: vec![Route {
+            name: "alarm".into(),
+            host: "cells.example".into(),
+            prefix: "/alarm/".into(),
+            kind: CallKind::Streaming {
+                resumable: true,
+                pause_target_ms: Millis::new(250),
+            },
+            timeout_ms: Millis::new(10_000),
+            target_latency_ms: Millis::new(300),
+            priority: 1,
+            targets: vec![Target {
+                service: "advisor".parse().unwrap(),
+                weight_ratio: 90,
+            }],
+            max_attempts: 2,
+            is_public: false,
+        }],
+        services: vec![Service {
+            name: "advisor".parse().unwrap(),
+            connections_max_len: 200,
+            cold_start_ms: Millis::new(3_000),
+            cold_per_s: 12.5,
+            engine: None,
+        }],
+        limits: CallerLimits {
+            head_max_bytes: 16_384,
+            body_max_bytes: 1 << 20,
+            head_timeout_ms: Millis::new(3_000),
+            idle_timeout_ms: Millis::new(15_000),
+        },
+        keys: Some(vec![(
+            ApiKey::from("key-1"),
+            KeyHolder {
+                workspace: "line-1".parse().unwrap(),
+                priority: Some(1),
+            },
+        )]),
+    }
+}
+
 fn run(test: impl std::future::Future<Output = ()>) {
     let runtime = Builder::new_current_thread().enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, test);
@@ -89,6 +135,27 @@
     });
 }
 
+#[test]
+fn a_catalog_that_is_passed_on_arrives_unchanged() {
+    run(async {
+        let ca = KeyPairPem::new_ca().unwrap();
+        let (one, two) = (node(&ca, "vm-1"), node(&ca, "vm-2"));
+        one.mesh.update_members(vec![two.member.clone()]);
+        assert!(matches!(one.event().await, DispatchEvent::PeerUp { .. }));
+        assert!(matches!(two.event().await, DispatchEvent::PeerUp { .. }));
+        let sent = DispatchMessage::OperatorChanges {
+            after: "3.7".parse().unwrap(),
+            position: "3.9".parse().unwrap(),
+            changes: vec![OperatorChange::Catalog(Box::new(catalog()))],
+        };
+        one.mesh.send(None, &sent);
+        match two.event().await {
+            DispatchEvent::PeerMessage { message, .. } => assert_eq!(message, sent),
+            other => panic!("{other:?}"),
+        }
+    });
+}
+
 #[test]
 fn daemons_that_learn_of_each_other_at_once_connect_once_per_pair() {
     run(async {
