Log lines, metrics and explain cover restores of the store, leaving upstreams and backoff

explain shows what the daemon knew with a request: the last restore of the store and what was held, and notices of upstreams that the request was sent to. Positions of the store are written as era.version.

--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -7,9 +7,11 @@
     watch::StorePosition,
 };
 use serde::Serialize;
+use serde_with::{serde_as, DisplayFromStr};
 use std::sync::Arc;
 
 /// A decision, or a change in what the daemon knows.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "event")]
 pub enum DispatchRecord {
@@ -42,6 +44,7 @@
         /// Time since the daemon's knowledge of operators' writes was current.
         knowledge_ms: Millis,
         /// Position of the store up to which operators' writes are known.
+        #[serde_as(as = "Option<DisplayFromStr>")]
         store: Option<StorePosition>,
     },
     /// A request was queued because no upstream has room.
@@ -104,6 +107,7 @@
         /// Time since the daemon's knowledge of operators' writes was current.
         knowledge_ms: Option<Millis>,
         /// Position of the store up to which operators' writes are known.
+        #[serde_as(as = "Option<DisplayFromStr>")]
         store: Option<StorePosition>,
         /// Age of the request.
         age_ms: Millis,
@@ -157,6 +161,7 @@
         /// Version of the catalog in the store.
         stored_version: CatalogVersion,
         /// Position of the store.
+        #[serde_as(as = "DisplayFromStr")]
         store: StorePosition,
     },
     /// The restored store no longer lists a failure domain as out of service, and it stays out of
@@ -172,6 +177,7 @@
         /// What was read: the topic's name.
         dependency: &'static str,
         /// Position of the store.
+        #[serde_as(as = "DisplayFromStr")]
         store: StorePosition,
         /// Version of the catalog in use.
         catalog: Option<CatalogVersion>,
--- a/crates/io/src/telemetry/metric.rs
+++ b/crates/io/src/telemetry/metric.rs
@@ -130,6 +130,18 @@
         Unit::Count,
         "Calls of the platform, by service and result",
     );
+    /// Restores of the store from an older copy that were noticed, by topic.
+    pub const STORE_RESTORES: Self = counter(
+        "persimmon_store_restores_total",
+        Unit::Count,
+        "Restores of the store from an older copy that this daemon noticed, by topic",
+    );
+    /// What upstreams said about themselves in answers.
+    pub const UPSTREAM_NOTICES: Self = counter(
+        "persimmon_upstream_notices_total",
+        Unit::Count,
+        "Upstreams that said that they leave or want no requests, by notice and who was told",
+    );
     /// Delay by which a timer of the control thread fires late.
     pub const EVENT_LOOP_DELAY: Self = histogram(
         "persimmon_event_loop_delay_seconds",
@@ -149,7 +161,7 @@
 }
 
 /// All metrics of a daemon.
-pub const ALL_METRICS: [Metric; 16] = [
+pub const ALL_METRICS: [Metric; 18] = [
     Metric::REQUESTS,
     Metric::REFUSALS,
     Metric::FIRST_TOKEN,
@@ -163,6 +175,8 @@
     Metric::GENERATION,
     Metric::MEMBERS,
     Metric::STORE_CALLS,
+    Metric::STORE_RESTORES,
+    Metric::UPSTREAM_NOTICES,
     Metric::EVENT_LOOP_DELAY,
     Metric::EVENT_HANDLING,
     Metric::PEER_BYTES,
--- a/crates/persimmonctl/src/explain.rs
+++ b/crates/persimmonctl/src/explain.rs
@@ -15,6 +15,17 @@
 /// Prefix of all other lines, of the same width.
 const NO_MARK: &str = "   ";
 
+/// Prefix of lines that are not about the request, but about what the daemon knew at the time.
+const CONTEXT_MARK: &str = " ~ ";
+
+/// Changes of what a daemon knows that stay in force until the next one of their kind. The last ones
+/// before the request's outcome are shown with it.
+const CONTEXT_MESSAGES: [&str; 3] = ["store_restored", "catalog_held", "domain_held"];
+
+/// Changes of an upstream, shown if they concern an upstream that the request was sent to and happened
+/// while the request was open.
+const UPSTREAM_MESSAGES: [&str; 2] = ["upstream_leaving", "upstream_backoff"];
+
 /// Fields that identify the request and the daemon. The heading shows them, so the lines don't.
 const HEADING_FIELDS: [&str; 2] = ["request", "vm"];
 
@@ -24,6 +35,20 @@
     message: String,
     #[serde(default, rename = "kvs")]
     fields: Map<String, Value>,
+    #[serde(skip)]
+    is_context: bool,
+}
+
+impl LogLine {
+    fn text(&self, field: &str) -> Option<&str> {
+        self.fields.get(field).and_then(Value::as_str)
+    }
+
+    fn is_about(&self, request: &str) -> bool {
+        let ticket = self.text("ticket");
+        self.text("request") == Some(request)
+            || ticket.is_some_and(|ticket| ticket.starts_with(request))
+    }
 }
 
 /// Reports the log lines about one request, by daemon and in the order in which the daemon wrote them.
@@ -50,7 +75,9 @@
         ));
         let decisive = decisive_index(&lines);
         for (index, line) in lines.iter().enumerate() {
-            let mark = if Some(index) == decisive {
+            let mark = if line.is_context {
+                CONTEXT_MARK
+            } else if Some(index) == decisive {
                 DECISIVE_MARK
             } else {
                 NO_MARK
@@ -81,32 +108,49 @@
     }
 }
 
+/// The lines about a request, and those about what the daemon knew while it handled the request.
 fn request_lines(log: &Path, request: &str) -> Result<Vec<LogLine>, CtlError> {
     let unreadable = |source| CtlError::File {
         path: log.into(),
         source,
     };
-    let mut found = Vec::new();
+    let mut found: Vec<LogLine> = Vec::new();
+    let mut context: Vec<LogLine> = Vec::new();
     for line in BufReader::new(File::open(log).map_err(unreadable)?).lines() {
         let line = line.map_err(unreadable)?;
-        if !line.contains(request) {
+        let mut messages = CONTEXT_MESSAGES.iter().chain(&UPSTREAM_MESSAGES);
+        let may_matter = line.contains(request) || messages.any(|message| line.contains(message));
+        if !may_matter {
             continue;
         }
         // Other programs may write to the same file: skips lines that are not in the daemon's format.
-        let Ok(line) = serde_json::from_str::<LogLine>(&line) else {
+        let Ok(mut line) = serde_json::from_str::<LogLine>(&line) else {
             continue;
         };
-        if is_about_request(&line, request) {
+        if line.is_about(request) {
+            found.append(&mut context);
             found.push(line);
+            continue;
         }
+        line.is_context = true;
+        if CONTEXT_MESSAGES.contains(&line.message.as_str()) {
+            context.retain(|earlier| earlier.message != line.message);
+            context.push(line);
+        } else if concerns_upstream_of(&found, &line) {
+            context.push(line);
+        }
+    }
+    if found.iter().all(|line| line.is_context) {
+        found.clear();
     }
     Ok(found)
 }
 
-fn is_about_request(line: &LogLine, request: &str) -> bool {
-    let text = |name: &str| line.fields.get(name).and_then(Value::as_str);
-    text("request") == Some(request)
-        || text("ticket").is_some_and(|ticket| ticket.starts_with(request))
+/// Whether a line concerns an upstream that the request was sent to.
+fn concerns_upstream_of(found: &[LogLine], line: &LogLine) -> bool {
+    let mut sent = found.iter().filter(|line| line.message == "sent");
+    UPSTREAM_MESSAGES.contains(&line.message.as_str())
+        && sent.any(|sent| sent.text("upstream") == line.text("upstream"))
 }
 
 fn format_fields(line: &LogLine) -> String {
--- a/crates/persimmonctl/tests/explain.rs
+++ b/crates/persimmonctl/tests/explain.rs
@@ -11,6 +11,12 @@
 {"message":"sent","kvs":{"request":"7623","send":157,"try_count":2,"upstream":"i-c30a","vm":"vm-1"}}
 {"message":"send_failed","kvs":{"end":"lost","next":"give_up","reason":"reset","request":"7623","send":157,"vm":"vm-1"}}
 {"message":"refused","kvs":{"may_have_run":true,"reason":"upstream_failed","request":"7623","vm":"vm-1"}}
+{"message":"store_restored","kvs":{"catalog":7,"dependency":"operators","store":"1.40","vm":"vm-1"}}
+{"message":"catalog_held","kvs":{"store":"1.40","stored_version":5,"version":7,"vm":"vm-1"}}
+{"message":"sent","kvs":{"request":"8a11","send":170,"try_count":1,"upstream":"i-99aa","vm":"vm-1"}}
+{"message":"upstream_backoff","kvs":{"for_ms":2000,"upstream":"i-0000","vm":"vm-1"}}
+{"message":"upstream_leaving","kvs":{"upstream":"i-99aa","reported_by":"vm-2","vm":"vm-1"}}
+{"message":"refused","kvs":{"may_have_run":false,"reason":"no_capacity","request":"8a11","vm":"vm-1"}}
 "#;
 
 fn explain(request: &str, name: &str) -> String {
@@ -28,6 +34,19 @@
     format!("{shown}exit {}", output.status.code().unwrap())
 }
 
+#[test]
+fn what_the_daemon_knew_is_shown_with_the_request() {
+    assert_snapshot!(explain("8a11", "restored"), @r"
+    request 8a11 at vm-1 (LOG)
+     ~ store_restored catalog=7 dependency=operators store=1.40
+     ~ catalog_held store=1.40 stored_version=5 version=7
+       sent send=170 try_count=1 upstream=i-99aa
+     ~ upstream_leaving reported_by=vm-2 upstream=i-99aa
+    => refused may_have_run=false reason=no_capacity
+    exit 0
+    ");
+}
+
 #[test]
 fn a_failed_request_is_explained() {
     assert_snapshot!(explain("7623", "failed"), @"
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -69,10 +69,25 @@
                     &[("outcome", "caller_gone"), ("class", class)],
                 );
             }
+            DispatchRecord::StoreRestored { dependency, .. } => {
+                self.increment(Metric::STORE_RESTORES, &[("topic", dependency)]);
+            }
+            DispatchRecord::UpstreamLeaving { reported_by, .. } => {
+                self.count_notice("leaving", reported_by.is_some());
+            }
+            DispatchRecord::UpstreamBackoff { reported_by, .. } => {
+                self.count_notice("backoff", reported_by.is_some());
+            }
             _ => {}
         }
     }
 
+    fn count_notice(&self, notice: &str, is_reported: bool) {
+        let told = if is_reported { "peer" } else { "self" };
+        let labels = [("notice", notice), ("told", told)];
+        self.increment(Metric::UPSTREAM_NOTICES, &labels);
+    }
+
     /// Counts a call to the store by its result.
     pub(super) fn count_store_call<T>(&self, topic: Topic, answer: &Result<T, StoreError>) {
         let result = match answer {
