--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -141,7 +141,7 @@
     pub(super) waiting: VecDeque<CallId>,
     pub(super) peers: BTreeMap<VmId, u32>,
     pub(super) last_peer_index: u32,
-    max_members_len: usize,
+    pub(super) max_members_len: usize,
     pub(super) last_send: SendId,
     pub(super) ready: Option<bool>,
     pub(super) shutdown: Option<Shutdown>,
@@ -320,100 +320,6 @@
         out.log(DispatchRecord::Reloaded { changed });
     }
 
-    /// Index of a peer in the in-flight table.
-    pub(super) fn peer_index(&mut self, vm: VmId) -> u32 {
-        let last = &mut self.last_peer_index;
-        *self.peers.entry(vm).or_insert_with(|| {
-            *last += 1;
-            *last
-        })
-    }
-
-    fn on_peer_up(&mut self, out: &mut Out<'_>, vm: VmId) {
-        self.peer_index(vm.clone());
-        self.max_members_len = self.max_members_len.max(self.members_len());
-        let message = DispatchMessage::Snapshot(self.in_flight.own_reports(out.now));
-        out.log(DispatchRecord::Peer {
-            member: vm.clone(),
-            connected: true,
-        });
-        out.act(DispatchAction::Notify {
-            to: Some(vm.clone()),
-            message,
-        });
-        self.report_catalog(out, vm);
-    }
-
-    fn on_peer_down(&mut self, out: &mut Out<'_>, vm: &VmId) {
-        let Some(index) = self.peers.remove(vm) else {
-            return;
-        };
-        self.in_flight.forget_daemon(out.now, index);
-        self.forget_follower(vm);
-        self.restore.forget_peer(vm);
-        out.log(DispatchRecord::Peer {
-            member: vm.clone(),
-            connected: false,
-        });
-    }
-
-    fn on_peer_message(&mut self, out: &mut Out<'_>, vm: &VmId, message: DispatchMessage) {
-        let index = self.peer_index(vm.clone());
-        match message {
-            DispatchMessage::Batch(messages) => {
-                for message in messages {
-                    self.on_peer_message(out, vm, message);
-                }
-            }
-            DispatchMessage::FreshnessRequest { asked_at } => {
-                self.on_freshness_request(out.now, vm, asked_at)
-            }
-            DispatchMessage::FreshnessReport {
-                asked_at,
-                changed,
-                position,
-            } => self.on_freshness_report(out, vm.clone(), asked_at, changed, position),
-            DispatchMessage::UpstreamChanges {
-                after,
-                position,
-                changes,
-            } => self.on_upstream_changes(out, after, position, changes),
-            DispatchMessage::OperatorChanges {
-                after,
-                position,
-                changes,
-            } => self.on_operator_changes(out, after, position, changes),
-            DispatchMessage::CatalogInUse(stamp) => self.on_peer_catalog(vm, stamp),
-            DispatchMessage::UpstreamLeaving(leaving) => self.on_peer_leaving(out, vm, &leaving),
-            DispatchMessage::UpstreamBackoff { upstream, for_ms } => {
-                self.on_peer_backoff(out, vm, &upstream, for_ms);
-            }
-            DispatchMessage::UpstreamEjected { upstream, for_ms } => {
-                self.health.on_peer_ejection(out.now, &upstream, for_ms);
-                self.prolong_domain_ejections(out.now, &upstream, for_ms);
-            }
-            DispatchMessage::UpstreamReplaced(upstream) => self.on_replaced(out, &upstream),
-            DispatchMessage::Started(report) => {
-                self.slow_start.on_sent(out.now, &report.upstream);
-                self.health.on_sent(out.now, &report.upstream);
-                self.in_flight.on_report(out.now, index, &report);
-            }
-            DispatchMessage::FirstEvent(send) => {
-                if let Some(upstream) = self.in_flight.upstream(index, send) {
-                    self.health.on_peer_success(upstream);
-                }
-                self.in_flight
-                    .on_first_event(out.now, InFlightId::new(index, send));
-            }
-            DispatchMessage::Ended(send) => {
-                self.in_flight.end(out.now, InFlightId::new(index, send));
-            }
-            DispatchMessage::Snapshot(reports) => {
-                self.in_flight.replace_daemon(out.now, index, &reports)
-            }
-        }
-    }
-
     /// Removes a call's transmission, if any, from the in-flight tables of this daemon and its peers,
     /// and releases the call's reservations.
     pub(super) fn end_transmission(
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -19,6 +19,7 @@
 mod operator_changes;
 mod outbox;
 mod outcome;
+mod peers;
 mod placement;
 mod queue_order;
 mod queue_wait;
@@ -33,6 +34,7 @@
 mod shutdown;
 mod slow_start;
 mod store_updates;
+mod upstream_outcome;
 
 pub use action::DispatchAction;
 pub use backoff::BackoffTable;
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -2,11 +2,11 @@
 
 use super::{
     dispatcher::{Dispatcher, OpenCall, Out, Sending},
-    Culprit, DispatchAction, DispatchMessage, DispatchRecord, InFlightId, Refusal, RefusalReason,
+    DispatchAction, DispatchMessage, DispatchRecord, InFlightId, Refusal, RefusalReason,
     SendOutcome,
 };
 use crate::{
-    ids::{CallId, SendId, UpstreamId},
+    ids::{CallId, SendId},
     units::{Millis, Time},
 };
 use std::sync::Arc;
@@ -21,7 +21,7 @@
 const SILENCE_FACTOR: f64 = 2.0;
 
 /// Lowest HTTP status of a server error, for which a retry at another upstream may succeed.
-const SERVER_FAILURE_STATUS: u16 = 500;
+pub(super) const SERVER_FAILURE_STATUS: u16 = 500;
 
 /// Next step after a failed transmission.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -134,7 +134,7 @@
     }
 
     /// The request id that the caller chose.
-    fn request_id(&self, call: CallId) -> Arc<str> {
+    pub(super) fn request_id(&self, call: CallId) -> Arc<str> {
         let open = self.calls.get(&call);
         open.map_or_else(|| "".into(), |open| Arc::clone(&open.call.request_id))
     }
@@ -185,139 +185,6 @@
         }
     }
 
-    /// Prefers another failure domain for the next transmission: a lost connection may be the first
-    /// sign that the domain is cut off.
-    fn avoid_domain(&mut self, call: CallId, sending: &Sending, end: &SendOutcome) {
-        let upstream = self.fleet.get(&sending.upstream);
-        let lost = matches!(end, SendOutcome::NotSent { .. } | SendOutcome::Lost { .. });
-        if let (true, Some(open)) = (lost, self.calls.get_mut(&call)) {
-            open.lost_domain = upstream.map(|upstream| upstream.record.domain.clone());
-        }
-    }
-
-    /// Excludes helpers from the next transmission. An engine that refuses a prompt with helpers may do
-    /// so because of one of them: the one that it names is excluded, or all if it names none.
-    fn avoid_helpers(
-        &mut self,
-        out: &mut Out<'_>,
-        call: CallId,
-        sending: &Sending,
-        end: &SendOutcome,
-    ) {
-        let SendOutcome::Failed {
-            not_run: true,
-            culprit,
-            ..
-        } = end
-        else {
-            return;
-        };
-        let is_culprit = |helper: &&UpstreamId| match culprit {
-            Some(Culprit::Named(id)) => id == *helper,
-            Some(Culprit::At(address)) => {
-                let known = self.fleet.get(helper);
-                known.is_some_and(|known| known.record.address == *address)
-            }
-            None => false,
-        };
-        let named = sending.helpers.iter().find(is_culprit).cloned();
-        if let Some(helper) = &named {
-            self.eject_upstream(out, helper);
-        }
-        let Some(open) = self.calls.get_mut(&call) else {
-            return;
-        };
-        open.excluded.extend(named);
-        let usable_len = self.fleet.usable(&open.service.name).count();
-        if culprit.is_none() && sending.helpers.len() + open.excluded.len() < usable_len {
-            open.excluded.extend(sending.helpers.iter().cloned());
-        }
-    }
-
-    /// Ejects an upstream for a while, here and at the peers.
-    fn eject_upstream(&mut self, out: &mut Out<'_>, upstream: &UpstreamId) {
-        let for_ms = self.health.eject(out.now, upstream);
-        self.prolong_domain_ejections(out.now, upstream, for_ms);
-        let upstream = upstream.clone();
-        out.log(DispatchRecord::Upstream {
-            upstream: upstream.clone(),
-            state: "rests",
-        });
-        self.notify_now(
-            out.now,
-            DispatchMessage::UpstreamEjected { upstream, for_ms },
-        );
-    }
-
-    /// Prolongs the ejections of the other failed upstreams of the same failure domain: it may be cut off,
-    /// so that one of them is tried for all.
-    pub(super) fn prolong_domain_ejections(
-        &mut self,
-        now: Time,
-        upstream: &UpstreamId,
-        for_ms: Millis,
-    ) {
-        let Some(failed) = self.fleet.get(upstream) else {
-            return;
-        };
-        let service = &failed.record.service;
-        let others = self.fleet.usable(service).filter(|other| {
-            other.record.domain == failed.record.domain && other.record.id != *upstream
-        });
-        for other in others {
-            self.health.prolong_ejection(now, &other.record.id, for_ms);
-        }
-    }
-
-    /// Updates the upstream's health and registration by the outcome of a transmission.
-    fn record_outcome(
-        &mut self,
-        out: &mut Out<'_>,
-        call: CallId,
-        sending: &Sending,
-        end: &SendOutcome,
-    ) {
-        let upstream = &sending.upstream;
-        match end {
-            SendOutcome::Delivered | SendOutcome::Busy => {}
-            SendOutcome::Failed {
-                wrong_upstream: true,
-                ..
-            } => {
-                // With helpers, one of them may be the upstream that is gone.
-                if sending.helpers.is_empty() {
-                    self.on_replaced(out, upstream);
-                    self.notify_now(out.now, DispatchMessage::UpstreamReplaced(upstream.clone()));
-                }
-            }
-            SendOutcome::Failed {
-                retry_after_ms: Some(for_ms),
-                ..
-            } => {
-                self.health.on_answer(upstream);
-                self.on_backoff_asked(out, self.request_id(call), sending, *for_ms);
-            }
-            SendOutcome::Failed {
-                status, not_run, ..
-            } => {
-                self.health.on_answer(upstream);
-                if *status >= SERVER_FAILURE_STATUS && !*not_run {
-                    self.health.on_failure(upstream);
-                }
-            }
-            SendOutcome::NotSent { .. } | SendOutcome::Lost { .. } => {
-                self.eject_upstream(out, upstream)
-            }
-        }
-    }
-
-    /// Removes an upstream whose address now belongs to another one.
-    pub(super) fn on_replaced(&mut self, out: &mut Out<'_>, upstream: &UpstreamId) {
-        if self.fleet.on_removed(upstream) {
-            self.forget_upstream(out, upstream, "replaced");
-        }
-    }
-
     fn next_step(&mut self, now: Time, call: CallId, end: &SendOutcome) -> NextStep {
         let sharing_daemons_len = self.sharing_daemons_len(now);
         let Some(open) = self.calls.get(&call) else {
--- /dev/null
+++ b/crates/core/src/dispatch/upstream_outcome.rs
@@ -0,0 +1,148 @@
+//! What the end of a transmission says about upstreams: failures, ejections, replaced upstreams, and what
+//! the call's next transmission avoids.
+
+use super::{
+    dispatcher::{Dispatcher, Out, Sending},
+    retry::SERVER_FAILURE_STATUS,
+    Culprit, DispatchMessage, DispatchRecord, SendOutcome,
+};
+use crate::{
+    ids::{CallId, UpstreamId},
+    units::{Millis, Time},
+};
+
+impl Dispatcher {
+    /// Prefers another failure domain for the next transmission: a lost connection may be the first
+    /// sign that the domain is cut off.
+    pub(super) fn avoid_domain(&mut self, call: CallId, sending: &Sending, end: &SendOutcome) {
+        let upstream = self.fleet.get(&sending.upstream);
+        let lost = matches!(end, SendOutcome::NotSent { .. } | SendOutcome::Lost { .. });
+        if let (true, Some(open)) = (lost, self.calls.get_mut(&call)) {
+            open.lost_domain = upstream.map(|upstream| upstream.record.domain.clone());
+        }
+    }
+
+    /// Excludes helpers from the next transmission. An engine that refuses a prompt with helpers may do
+    /// so because of one of them: the one that it names is excluded, or all if it names none.
+    pub(super) fn avoid_helpers(
+        &mut self,
+        out: &mut Out<'_>,
+        call: CallId,
+        sending: &Sending,
+        end: &SendOutcome,
+    ) {
+        let SendOutcome::Failed {
+            not_run: true,
+            culprit,
+            ..
+        } = end
+        else {
+            return;
+        };
+        let is_culprit = |helper: &&UpstreamId| match culprit {
+            Some(Culprit::Named(id)) => id == *helper,
+            Some(Culprit::At(address)) => {
+                let known = self.fleet.get(helper);
+                known.is_some_and(|known| known.record.address == *address)
+            }
+            None => false,
+        };
+        let named = sending.helpers.iter().find(is_culprit).cloned();
+        if let Some(helper) = &named {
+            self.eject_upstream(out, helper);
+        }
+        let Some(open) = self.calls.get_mut(&call) else {
+            return;
+        };
+        open.excluded.extend(named);
+        let usable_len = self.fleet.usable(&open.service.name).count();
+        if culprit.is_none() && sending.helpers.len() + open.excluded.len() < usable_len {
+            open.excluded.extend(sending.helpers.iter().cloned());
+        }
+    }
+
+    /// Ejects an upstream for a while, here and at the peers.
+    fn eject_upstream(&mut self, out: &mut Out<'_>, upstream: &UpstreamId) {
+        let for_ms = self.health.eject(out.now, upstream);
+        self.prolong_domain_ejections(out.now, upstream, for_ms);
+        let upstream = upstream.clone();
+        out.log(DispatchRecord::Upstream {
+            upstream: upstream.clone(),
+            state: "rests",
+        });
+        self.notify_now(
+            out.now,
+            DispatchMessage::UpstreamEjected { upstream, for_ms },
+        );
+    }
+
+    /// Handles that a peer ejected an upstream.
+    pub(super) fn on_peer_ejection(&mut self, now: Time, upstream: &UpstreamId, for_ms: Millis) {
+        self.health.on_peer_ejection(now, upstream, for_ms);
+        self.prolong_domain_ejections(now, upstream, for_ms);
+    }
+
+    /// Prolongs the ejections of the other failed upstreams of the same failure domain: it may be cut off,
+    /// so that one of them is tried for all.
+    fn prolong_domain_ejections(&mut self, now: Time, upstream: &UpstreamId, for_ms: Millis) {
+        let Some(failed) = self.fleet.get(upstream) else {
+            return;
+        };
+        let service = &failed.record.service;
+        let others = self.fleet.usable(service).filter(|other| {
+            other.record.domain == failed.record.domain && other.record.id != *upstream
+        });
+        for other in others {
+            self.health.prolong_ejection(now, &other.record.id, for_ms);
+        }
+    }
+
+    /// Updates the upstream's health and registration by the outcome of a transmission.
+    pub(super) fn record_outcome(
+        &mut self,
+        out: &mut Out<'_>,
+        call: CallId,
+        sending: &Sending,
+        end: &SendOutcome,
+    ) {
+        let upstream = &sending.upstream;
+        match end {
+            SendOutcome::Delivered | SendOutcome::Busy => {}
+            SendOutcome::Failed {
+                wrong_upstream: true,
+                ..
+            } => {
+                // With helpers, one of them may be the upstream that is gone.
+                if sending.helpers.is_empty() {
+                    self.on_replaced(out, upstream);
+                    self.notify_now(out.now, DispatchMessage::UpstreamReplaced(upstream.clone()));
+                }
+            }
+            SendOutcome::Failed {
+                retry_after_ms: Some(for_ms),
+                ..
+            } => {
+                self.health.on_answer(upstream);
+                self.on_backoff_asked(out, self.request_id(call), sending, *for_ms);
+            }
+            SendOutcome::Failed {
+                status, not_run, ..
+            } => {
+                self.health.on_answer(upstream);
+                if *status >= SERVER_FAILURE_STATUS && !*not_run {
+                    self.health.on_failure(upstream);
+                }
+            }
+            SendOutcome::NotSent { .. } | SendOutcome::Lost { .. } => {
+                self.eject_upstream(out, upstream)
+            }
+        }
+    }
+
+    /// Removes an upstream whose address now belongs to another one.
+    pub(super) fn on_replaced(&mut self, out: &mut Out<'_>, upstream: &UpstreamId) {
+        if self.fleet.on_removed(upstream) {
+            self.forget_upstream(out, upstream, "replaced");
+        }
+    }
+}
--- a/crates/io/src/transport/call_task.rs
+++ b/crates/io/src/transport/call_task.rs
@@ -105,14 +105,7 @@
                     silent_ms,
                 });
             },
-            on_leaving: &|is_misdirected| {
-                self.event(DispatchEvent::UpstreamLeaving(LeavingNotice {
-                    upstream: plan.incarnation(),
-                    address: plan.address,
-                    is_misdirected,
-                    request: Some(Arc::clone(&self.request_id)),
-                }));
-            },
+            on_leaving: &|is_misdirected| self.report_leaving(plan, is_misdirected),
         };
         let outcome = tokio::select! {
             biased;
@@ -164,6 +157,15 @@
         let _ = reply.full(head, body.into());
     }
 
+    fn report_leaving(&self, plan: &SendPlan, is_misdirected: bool) {
+        self.event(DispatchEvent::UpstreamLeaving(LeavingNotice {
+            upstream: plan.incarnation(),
+            address: plan.address,
+            is_misdirected,
+            request: Some(Arc::clone(&self.request_id)),
+        }));
+    }
+
     fn event(&self, event: DispatchEvent) {
         self.shared.hub.send_event(event);
     }
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -69,6 +69,13 @@
                     &[("outcome", "caller_gone"), ("class", class)],
                 );
             }
+            other => self.on_change(other),
+        }
+    }
+
+    /// Records a change in what the daemon knows of the store and the upstreams.
+    fn on_change(&self, record: &DispatchRecord) {
+        match record {
             DispatchRecord::StoreRestored { dependency, .. } => {
                 self.increment(Metric::STORE_RESTORES, &[("topic", dependency)]);
             }
--- a/crates/persimmond/src/gateway/traffic.rs
+++ b/crates/persimmond/src/gateway/traffic.rs
@@ -125,11 +125,7 @@
                     }
                 }
                 Job::Register { after_ms } => {
-                    let lost_entry = Rc::clone(&lost_entry);
-                    spawn_local(async move {
-                        sleep(after_ms.duration()).await;
-                        lost_entry.notify_one();
-                    });
+                    spawn_local(notify_after(after_ms, Rc::clone(&lost_entry)));
                 }
                 Job::Drain(state) => {
                     drain.send_replace(state);
@@ -206,6 +202,11 @@
     });
 }
 
+async fn notify_after(after_ms: Millis, notify: Rc<Notify>) {
+    sleep(after_ms.duration()).await;
+    notify.notify_one();
+}
+
 async fn evict_idle_connections(pool: Rc<Pool>) {
     let mut ticks = interval(IDLE_EVICTION_INTERVAL);
     loop {
