A delayed report of upstream changes undoes nothing

Cause: two daemons may report the same changes of the list of upstreams. One that came late removed an upstream that had registered again since, until its next change of state.

Change: changes are applied only if nothing after them is known. The test fails without it.

--- a/crates/core/src/watch/topic_watch.rs
+++ b/crates/core/src/watch/topic_watch.rs
@@ -187,9 +187,9 @@
     }
 
     /// Handles changes that a peer read from the store, from position `after` to `position`. Returns
-    /// true if they follow the known position without a gap. This daemon's next call is then
-    /// postponed by `due_ms`. Changes of an older era are ignored; those of a newer one say that all
-    /// entries have to be read again.
+    /// true if they are to be applied: they follow the known position without a gap, and nothing after
+    /// them is known. Without a gap, this daemon's next call is postponed by `due_ms`. Changes of an
+    /// older era are ignored; those of a newer one say that all entries have to be read again.
     pub fn on_peer_changes(
         &mut self,
         now: Time,
@@ -198,14 +198,15 @@
         due_ms: Millis,
     ) -> bool {
         self.on_era(position.era, now + CHANGE_BATCH_DELAY_MS);
-        let contiguous = after.era == position.era
-            && self.position.is_some_and(|known| known.continues_at(after));
+        let known = self.position;
+        let contiguous =
+            after.era == position.era && known.is_some_and(|known| known.continues_at(after));
         if contiguous {
             self.position = self.position.max(Some(position));
             self.fresh_at = Some(now);
             self.due_at = self.due_at.max(now + due_ms);
         }
-        contiguous
+        contiguous && known <= Some(position)
     }
 
     /// Handles changes that a reader of the store passed on, from position `after` to `position`.
--- a/crates/core/tests/dispatch_follow.rs
+++ b/crates/core/tests/dispatch_follow.rs
@@ -235,6 +235,29 @@
     assert!(!is_out(&node));
 }
 
+/// Two readers report the same changes, one of them late: an upstream that has registered again since
+/// was removed.
+#[test]
+fn a_delayed_report_of_a_removed_upstream_is_ignored() {
+    let mut node = follower();
+    let changes = |after: u64, at: u64, change| DispatchMessage::UpstreamChanges {
+        after: position(after),
+        position: position(at),
+        changes: vec![change],
+    };
+    let removed = || UpstreamChange::Removed(id("orders-101"));
+    let mut again = dispatch::upstream(dispatch::PLAIN, 101);
+    again.writes_count = 2;
+    receive(&mut node, changes(1, 10, removed()));
+    receive(
+        &mut node,
+        changes(10, 12, UpstreamChange::Registered(again)),
+    );
+    receive(&mut node, changes(1, 10, removed()));
+    let known = node.dispatcher.fleet().get(&id("orders-101"));
+    assert!(known.is_some());
+}
+
 #[test]
 fn the_first_reader_passes_changes_on_but_no_large_catalog() {
     let changes = |vm: &str, peer: &str, raw: RawCatalog| {
