--- a/crates/core/src/dispatch/health.rs
+++ b/crates/core/src/dispatch/health.rs
@@ -83,10 +83,12 @@
         }
     }
 
-    /// Records a request to an upstream, of this daemon or of a peer.
+    /// Records a request to an upstream, of this daemon or of a peer. The first one after an ejection is
+    /// the trial; it ends in time whatever else is sent.
     pub fn on_sent(&mut self, now: Time, upstream: &UpstreamId) {
-        if let Some(health) = self.upstreams.get_mut(upstream) {
-            health.trial_until = health.is_suspect().then_some(now + TRIAL_MS);
+        let health = self.upstreams.get_mut(upstream);
+        if let Some(health) = health.filter(|health| health.is_suspect()) {
+            health.trial_until.get_or_insert(now + TRIAL_MS);
         }
     }
 
--- a/crates/core/tests/dispatch_follow.rs
+++ b/crates/core/tests/dispatch_follow.rs
@@ -418,6 +418,43 @@
     assert_eq!(goes_to(&mut node), 3);
 }
 
+/// A daemon that connected later does not know of the ejection, so it reports no first events. What it
+/// sends must not keep the others away.
+#[test]
+fn the_trial_of_an_upstream_ends_whatever_peers_send() {
+    let mut node = follower();
+    node.upstreams(true, upstream_list(2, 3));
+    let failed = DispatchMessage::UpstreamEjected {
+        upstream: id("orders-101"),
+        for_ms: ms(300),
+    };
+    receive(&mut node, failed);
+    node.now = node.now + ms(310);
+    let start = |number| {
+        DispatchMessage::Started(InFlightReport {
+            send: SendId::new(number),
+            upstream: id("orders-101"),
+            helpers: Vec::new(),
+            prompt_tokens: Tokens::ZERO,
+            output_tokens: Tokens::ZERO,
+            memory_tokens: Tokens::ZERO,
+            pause_target_ms: Millis::ZERO,
+            age_ms: Millis::ZERO,
+            first_due_ms: None,
+            writing_ms: None,
+        })
+    };
+    for number in 0..15 {
+        receive(&mut node, start(number));
+        receive(&mut node, DispatchMessage::Ended(SendId::new(number)));
+        node.now = node.now + ms(100);
+    }
+    node.operators(false, Vec::new());
+    let goes_to = (0..9).map(|_| sent(&node.call("status", 0).1).upstream.to_string());
+    let goes_to: BTreeSet<_> = goes_to.collect();
+    assert!(goes_to.contains("orders-101"), "{goes_to:?}");
+}
+
 #[test]
 fn upstreams_are_tried_again_soon_if_most_of_a_service_are_ejected() {
     let mut node = follower();
