Only upstreams that could not be reached are tried by one request at a time

Engines that were silent because they read long prompts were ejected for 300 ms as before, but then got one request at a time until its first event.

--- a/crates/core/src/dispatch/health.rs
+++ b/crates/core/src/dispatch/health.rs
@@ -30,6 +30,8 @@
     peer_ejected_until: Option<Time>,
     failed_at: Option<Time>,
     trial_until: Option<Time>,
+    /// Whether the last ejection was because the upstream could not be reached.
+    unreachable: bool,
 }
 
 impl Health {
@@ -39,9 +41,10 @@
         until.is_some_and(|until| now < until)
     }
 
-    /// Whether the upstream has answered nobody since its last ejection.
+    /// Whether the upstream could not be reached and has answered nobody since. One that was only silent
+    /// may be slow, and trying it with one request at a time would waste it.
     pub fn is_suspect(&self) -> bool {
-        self.ejection_ms > Millis::ZERO
+        self.unreachable && self.ejection_ms > Millis::ZERO
     }
 
     /// Whether a request is under way that tells if an upstream answers again after its ejection. Others
@@ -108,7 +111,7 @@
 
     /// Ejects an upstream that broke a connection, was silent or could not be reached, and returns
     /// the duration. It doubles with each consecutive failure, here or at a peer.
-    pub fn eject(&mut self, now: Time, upstream: &UpstreamId) -> Millis {
+    pub fn eject(&mut self, now: Time, upstream: &UpstreamId, unreachable: bool) -> Millis {
         self.on_failure(upstream);
         let health = self.upstreams.entry(upstream.clone()).or_default();
         let ejection_ms = Millis::new(health.ejection_ms.get() * 2);
@@ -116,6 +119,7 @@
         health.ejection_ms = ejection_ms;
         health.failed_at = Some(now);
         health.ejected_until = Some(now + ejection_ms);
+        health.unreachable = unreachable;
         health.trial_until = None;
         ejection_ms
     }
@@ -129,11 +133,18 @@
     }
 
     /// Records that a peer ejected the upstream for `for_ms`.
-    pub fn on_peer_ejection(&mut self, now: Time, upstream: &UpstreamId, for_ms: Millis) {
+    pub fn on_peer_ejection(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        for_ms: Millis,
+        unreachable: bool,
+    ) {
         let health = self.upstreams.entry(upstream.clone()).or_default();
         let for_ms = for_ms.min(EJECTION_MAX_MS);
         health.peer_ejected_until = health.peer_ejected_until.max(Some(now + for_ms));
         health.failed_at = Some(now);
+        health.unreachable = unreachable;
         health.trial_until = None;
         health.ejection_ms = health.ejection_ms.max(for_ms);
     }
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -97,6 +97,8 @@
         upstream: UpstreamId,
         /// Duration of the ejection.
         for_ms: Millis,
+        /// Whether the upstream could not be reached; otherwise it was silent or broke an answer off.
+        unreachable: bool,
     },
     /// Operators' changes that the sender read from the store.
     #[serde(rename = "Operators")]
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -86,9 +86,11 @@
             DispatchMessage::UpstreamBackoff { upstream, for_ms } => {
                 self.on_peer_backoff(out, vm, &upstream, for_ms);
             }
-            DispatchMessage::UpstreamEjected { upstream, for_ms } => {
-                self.on_peer_ejection(out.now, &upstream, for_ms);
-            }
+            DispatchMessage::UpstreamEjected {
+                upstream,
+                for_ms,
+                unreachable,
+            } => self.on_peer_ejection(out.now, &upstream, for_ms, unreachable),
             DispatchMessage::UpstreamReplaced(upstream) => self.on_replaced(out, &upstream),
             DispatchMessage::Started(report) => self.on_peer_started(out.now, index, &report),
             DispatchMessage::FirstEvent(send) => self.on_peer_first_event(out.now, index, send),
--- a/crates/core/src/dispatch/upstream_outcome.rs
+++ b/crates/core/src/dispatch/upstream_outcome.rs
@@ -49,7 +49,7 @@
         };
         let named = sending.helpers.iter().find(is_culprit).cloned();
         if let Some(helper) = &named {
-            self.eject_upstream(out, helper);
+            self.eject_upstream(out, helper, false);
         }
         let Some(open) = self.calls.get_mut(&call) else {
             return;
@@ -62,8 +62,8 @@
     }
 
     /// Ejects an upstream for a while, here and at the peers.
-    fn eject_upstream(&mut self, out: &mut Out<'_>, upstream: &UpstreamId) {
-        let for_ms = self.health.eject(out.now, upstream);
+    fn eject_upstream(&mut self, out: &mut Out<'_>, upstream: &UpstreamId, unreachable: bool) {
+        let for_ms = self.health.eject(out.now, upstream, unreachable);
         self.prolong_domain_ejections(out.now, upstream, for_ms);
         let upstream = upstream.clone();
         out.log(DispatchRecord::Upstream {
@@ -72,13 +72,24 @@
         });
         self.notify_now(
             out.now,
-            DispatchMessage::UpstreamEjected { upstream, for_ms },
+            DispatchMessage::UpstreamEjected {
+                upstream,
+                for_ms,
+                unreachable,
+            },
         );
     }
 
     /// Handles that a peer ejected an upstream.
-    pub(super) fn on_peer_ejection(&mut self, now: Time, upstream: &UpstreamId, for_ms: Millis) {
-        self.health.on_peer_ejection(now, upstream, for_ms);
+    pub(super) fn on_peer_ejection(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        for_ms: Millis,
+        unreachable: bool,
+    ) {
+        self.health
+            .on_peer_ejection(now, upstream, for_ms, unreachable);
         self.prolong_domain_ejections(now, upstream, for_ms);
     }
 
@@ -133,9 +144,8 @@
                     self.health.on_failure(upstream);
                 }
             }
-            SendOutcome::NotSent { .. } | SendOutcome::Lost { .. } => {
-                self.eject_upstream(out, upstream)
-            }
+            SendOutcome::NotSent { .. } => self.eject_upstream(out, upstream, true),
+            SendOutcome::Lost { .. } => self.eject_upstream(out, upstream, false),
         }
     }
 
--- a/crates/core/tests/dispatch_follow.rs
+++ b/crates/core/tests/dispatch_follow.rs
@@ -407,6 +407,7 @@
     let failed = DispatchMessage::UpstreamEjected {
         upstream: id("orders-101"),
         for_ms: ms(4_000),
+        unreachable: true,
     };
     receive(&mut node, failed);
     let goes_to = |node: &mut Node| {
@@ -418,6 +419,24 @@
     assert_eq!(goes_to(&mut node), 3);
 }
 
+/// On a quiet day of the grown order desk, engines that were silent because they read long prompts were
+/// tried by one request at a time, and stood idle (worth 0.789; 0.836 without).
+#[test]
+fn an_upstream_that_was_only_silent_gets_requests_from_all_after_its_ejection() {
+    let mut node = follower();
+    let failed = DispatchMessage::UpstreamEjected {
+        upstream: id("orders-101"),
+        for_ms: ms(300),
+        unreachable: false,
+    };
+    receive(&mut node, failed);
+    node.now = node.now + ms(310);
+    node.operators(false, Vec::new());
+    let goes_to = (0..8).map(|_| sent(&node.call("status", 0).1).upstream.to_string());
+    let there_len = goes_to.filter(|upstream| upstream == "orders-101").count();
+    assert_eq!(there_len, 4);
+}
+
 /// A daemon that connected later does not know of the ejection, so it reports no first events. What it
 /// sends must not keep the others away.
 #[test]
@@ -427,6 +446,7 @@
     let failed = DispatchMessage::UpstreamEjected {
         upstream: id("orders-101"),
         for_ms: ms(300),
+        unreachable: true,
     };
     receive(&mut node, failed);
     node.now = node.now + ms(310);
@@ -462,6 +482,7 @@
         let failed = DispatchMessage::UpstreamEjected {
             upstream: id(upstream),
             for_ms: ms(4_000),
+            unreachable: true,
         };
         receive(&mut node, failed);
     }
@@ -487,7 +508,11 @@
             let for_ms = ms(300);
             receive(
                 &mut node,
-                DispatchMessage::UpstreamEjected { upstream, for_ms },
+                DispatchMessage::UpstreamEjected {
+                    upstream,
+                    for_ms,
+                    unreachable: false,
+                },
             );
         }
         let (call, seen) = node.call("review", 45_000);
