One rule for an upstream in service, and no walk through all peers at each event

Placement repeated the registry's rule for upstreams that can receive new work: both call Fleet::is_in_service. Whether a peer has a newer catalog was looked up among all peers at each event: only catalogs newer than the own one are kept now, mostly none. A success counts as an answer by the same function, and the soak's check of a daemon without faults builds on that of its process.

--- a/crates/core/src/dispatch/health.rs
+++ b/crates/core/src/dispatch/health.rs
@@ -75,8 +75,8 @@
     pub fn on_success(&mut self, upstream: &UpstreamId) {
         if let Some(health) = self.upstreams.get_mut(upstream) {
             health.failure_ratio *= 1.0 - FAILURE_EWMA_WEIGHT;
-            health.ejection_ms = Millis::ZERO;
         }
+        self.on_answer(upstream);
     }
 
     /// Records that an upstream answers, whether with success or not.
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -270,11 +270,9 @@
 
     /// Whether an upstream that was chosen a moment ago may still get new work.
     pub(super) fn takes_work(&self, now: Time, upstream: &UpstreamId) -> bool {
-        let in_service = self.fleet.get(upstream).is_some_and(|known| {
-            let record = &known.record;
-            !record.draining && !self.fleet.withdrawn_domains().contains(&record.domain)
-        });
-        in_service && !self.backoff.is_active(now, upstream)
+        let known = self.fleet.get(upstream);
+        known.is_some_and(|known| self.fleet.is_in_service(known))
+            && !self.backoff.is_active(now, upstream)
     }
 
     /// Whether an upstream has room for a call now and this daemon may use it.
--- a/crates/core/src/dispatch/restore.rs
+++ b/crates/core/src/dispatch/restore.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     catalog::CatalogStamp,
-    ids::{FailureDomain, StoreEra, VmId},
+    ids::{CatalogVersion, FailureDomain, StoreEra, VmId},
     units::{Millis, Time},
     watch::{StorePosition, Topic},
 };
@@ -37,7 +37,8 @@
     /// Failure domains that the restored store does not list as out of service, and the time until
     /// which they stay out of service.
     held_domains: BTreeMap<FailureDomain, Time>,
-    /// The catalogs that connected peers use.
+    /// The catalogs of connected peers that are newer than the own one. Mostly empty, as it is looked
+    /// through at each event.
     peer_catalogs: BTreeMap<VmId, CatalogStamp>,
 }
 
@@ -47,6 +48,11 @@
         self.held_domains.values().copied().min()
     }
 
+    /// Removes the catalogs of peers that are not newer than the one put into use.
+    pub(super) fn on_catalog_used(&mut self, version: CatalogVersion) {
+        self.peer_catalogs.retain(|_, peer| peer.version > version);
+    }
+
     /// Removes the state of a peer that is gone.
     pub(super) fn forget_peer(&mut self, peer: &VmId) {
         self.peer_catalogs.remove(peer);
@@ -141,6 +147,9 @@
     pub(super) fn on_peer_catalog(&mut self, peer: &VmId, stamp: CatalogStamp) {
         let catalogs = &mut self.restore.peer_catalogs;
         catalogs.insert(peer.clone(), stamp);
+        if let Some(version) = self.catalog_version() {
+            self.restore.on_catalog_used(version);
+        }
     }
 
     /// Whether the catalog in use was read from a restored store, and a peer has a newer one from
--- a/crates/core/src/dispatch/store_updates.rs
+++ b/crates/core/src/dispatch/store_updates.rs
@@ -125,6 +125,7 @@
                 self.catalog_era = store.era;
                 out.act(DispatchAction::Limits(*catalog.limits()));
                 self.catalog = Some(Arc::new(catalog));
+                self.restore.on_catalog_used(version);
                 out.log(DispatchRecord::Catalog { version });
             }
             Err(error) => out.log(DispatchRecord::CatalogRefused {
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -53,12 +53,15 @@
 
     /// Upstreams of a service that can receive new work.
     pub fn usable<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Upstream> {
-        self.upstreams.values().filter(move |upstream| {
-            let record = &upstream.record;
-            record.service == *service
-                && !record.draining
-                && !self.withdrawn_domains.contains(&record.domain)
-        })
+        let of_service = move |upstream: &&Upstream| upstream.record.service == *service;
+        let upstreams = self.upstreams.values().filter(of_service);
+        upstreams.filter(|upstream| self.is_in_service(upstream))
+    }
+
+    /// Whether an upstream can receive new work.
+    pub fn is_in_service(&self, upstream: &Upstream) -> bool {
+        let record = &upstream.record;
+        !record.draining && !self.withdrawn_domains.contains(&record.domain)
     }
 
     /// Handles a registration or its renewal. Delayed writes that are older than the known record
--- a/crates/soak/src/history/indexed.rs
+++ b/crates/soak/src/history/indexed.rs
@@ -188,23 +188,15 @@
 
     /// Whether a daemon's process and its access to the store were free of faults in a period.
     pub fn daemon_fault_free(&self, daemon: DaemonIndex, from: Time, to: Time) -> bool {
-        let components = [
-            Component::Daemon(daemon),
-            Component::Restart(daemon),
-            Component::StoreLink(daemon),
-            Component::Store,
-        ];
-        components
-            .iter()
-            .all(|component| self.fault_free(component, from, to))
+        self.process_fault_free(daemon, from, to)
+            && self.fault_free(&Component::StoreLink(daemon), from, to)
+            && self.fault_free(&Component::Store, from, to)
     }
 
     /// Whether a daemon's process ran without faults in a period.
     pub fn process_fault_free(&self, daemon: DaemonIndex, from: Time, to: Time) -> bool {
-        let components = [Component::Daemon(daemon), Component::Restart(daemon)];
-        components
-            .iter()
-            .all(|component| self.fault_free(component, from, to))
+        self.fault_free(&Component::Daemon(daemon), from, to)
+            && self.fault_free(&Component::Restart(daemon), from, to)
     }
 
     /// The request with an id.
