--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -50,7 +50,7 @@
 pub use message::{DispatchMessage, InFlightReport, UpstreamChange};
 pub use operator_changes::OperatorChange;
 pub use outcome::{Culprit, SendOutcome};
-pub use record::DispatchRecord;
+pub use record::{DispatchRecord, UpstreamSource};
 pub use refusal::{Refusal, RefusalReason};
 pub use reservation::{OrderKind, OrderOutcome, ReserveOrder};
 pub use send_plan::{PrefillHelper, SendPlan};
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -75,7 +75,7 @@
                 after,
                 position,
                 changes,
-            } => self.on_upstream_changes(out, after, position, changes),
+            } => self.on_upstream_changes(out, vm, after, position, changes),
             DispatchMessage::OperatorChanges {
                 after,
                 position,
@@ -91,7 +91,9 @@
                 for_ms,
                 unreachable,
             } => self.on_peer_ejection(out.now, &upstream, for_ms, unreachable),
-            DispatchMessage::UpstreamReplaced(upstream) => self.on_replaced(out, &upstream),
+            DispatchMessage::UpstreamReplaced(upstream) => {
+                self.on_replaced(out, &upstream, Some(vm));
+            }
             DispatchMessage::Started(report) => self.on_peer_started(out.now, index, &report),
             DispatchMessage::FirstEvent(send) => self.on_peer_first_event(out.now, index, send),
             DispatchMessage::Ended(send) => {
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -10,6 +10,29 @@
 use serde_with::{serde_as, DisplayFromStr};
 use std::sync::Arc;
 
+/// What a change of an upstream's state is based on.
+#[serde_as]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct UpstreamSource {
+    /// Position of the store after the change, if it was read there.
+    #[serde_as(as = "Option<DisplayFromStr>")]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub store: Option<StorePosition>,
+    /// The peer that reported the change.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub reported_by: Option<VmId>,
+}
+
+impl UpstreamSource {
+    /// This daemon read the change from the store.
+    pub(super) const fn read(position: StorePosition) -> Self {
+        Self {
+            store: Some(position),
+            reported_by: None,
+        }
+    }
+}
+
 /// A decision, or a change in what the daemon knows.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -220,6 +243,9 @@
         upstream: UpstreamId,
         /// The new state: `ready`, `draining`, `rests`, `replaced`, `lapsed` or `gone`.
         state: &'static str,
+        /// What the change is based on.
+        #[serde(flatten)]
+        source: UpstreamSource,
     },
     /// A dependency became unreachable or reachable again.
     Dependency {
--- a/crates/core/src/dispatch/store_updates.rs
+++ b/crates/core/src/dispatch/store_updates.rs
@@ -2,12 +2,12 @@
 
 use super::{
     dispatcher::{Dispatcher, Out},
-    DispatchAction, DispatchMessage, DispatchRecord, UpstreamChange,
+    DispatchAction, DispatchMessage, DispatchRecord, UpstreamChange, UpstreamSource,
 };
 use crate::{
     catalog::{Catalog, RawCatalog},
     fleet::{SnapshotKind, UpstreamRecord},
-    ids::{FailureDomain, UpstreamId},
+    ids::{FailureDomain, UpstreamId, VmId},
     units::{Millis, Time},
     watch::{Batch, Change, ReconnectStatus, StoreError, StorePosition, Topic},
 };
@@ -165,18 +165,19 @@
         if batch.is_snapshot {
             return self.on_upstream_snapshot(out, batch, reconnect);
         }
+        let source = UpstreamSource::read(batch.position);
         let mut reported = Vec::new();
         for change in batch.changes {
             match change {
                 Change::Upstream(record) => {
-                    if self.on_record(out, (*record).clone()) {
+                    if self.on_record(out, (*record).clone(), &source) {
                         reported.push(UpstreamChange::Registered(*record));
                     }
                 }
                 Change::UpstreamRemoved(id) => {
                     let kept = reconnect.after_outage && self.fleet.keep_missing(out.now, &id);
                     if !kept && self.fleet.on_removed(&id) {
-                        self.forget_upstream(out, &id, "gone");
+                        self.forget_upstream(out, &id, "gone", &source);
                         reported.push(UpstreamChange::Removed(id));
                     }
                 }
@@ -198,7 +199,7 @@
     pub(super) fn expire_missing_upstreams(&mut self, out: &mut Out<'_>) {
         let expired = self.fleet.expire_missing(out.now);
         for id in &expired {
-            self.forget_upstream(out, id, "lapsed");
+            self.forget_upstream(out, id, "lapsed", &UpstreamSource::default());
         }
         if expired.is_empty() || self.follows_readers() {
             return;
@@ -217,6 +218,7 @@
     pub(super) fn on_upstream_changes(
         &mut self,
         out: &mut Out<'_>,
+        peer: &VmId,
         after: StorePosition,
         position: StorePosition,
         changes: Vec<UpstreamChange>,
@@ -229,14 +231,18 @@
         {
             return;
         }
+        let source = UpstreamSource {
+            store: Some(position),
+            reported_by: Some(peer.clone()),
+        };
         for change in changes {
             match change {
                 UpstreamChange::Registered(record) => {
-                    self.on_record(out, record);
+                    self.on_record(out, record, &source);
                 }
                 UpstreamChange::Removed(id) => {
                     if self.fleet.on_removed(&id) {
-                        self.forget_upstream(out, &id, "gone");
+                        self.forget_upstream(out, &id, "gone", &source);
                     }
                 }
             }
@@ -268,14 +274,20 @@
         } else {
             SnapshotKind::Current
         };
+        let source = UpstreamSource::read(batch.position);
         let gone = self.fleet.on_snapshot(out.now, records, kind);
         for id in gone {
-            self.forget_upstream(out, &id, "gone");
+            self.forget_upstream(out, &id, "gone", &source);
         }
     }
 
     /// Adds or updates an upstream. Returns whether anything but the entry's age changed.
-    fn on_record(&mut self, out: &mut Out<'_>, record: UpstreamRecord) -> bool {
+    fn on_record(
+        &mut self,
+        out: &mut Out<'_>,
+        record: UpstreamRecord,
+        source: &UpstreamSource,
+    ) -> bool {
         let upstream = record.id.clone();
         let state = if record.draining { "draining" } else { "ready" };
         let known = self.fleet.get(&upstream).map(|known| &known.record);
@@ -284,7 +296,11 @@
         }
         let changed = self.fleet.on_record(out.now, record);
         if changed {
-            out.log(DispatchRecord::Upstream { upstream, state });
+            out.log(DispatchRecord::Upstream {
+                upstream,
+                state,
+                source: source.clone(),
+            });
         }
         changed
     }
@@ -295,12 +311,16 @@
         out: &mut Out<'_>,
         upstream: &UpstreamId,
         state: &'static str,
+        source: &UpstreamSource,
     ) {
         self.health.forget(upstream);
         self.slow_start.forget(upstream);
         self.backoff.forget(upstream);
-        let upstream = upstream.clone();
-        out.log(DispatchRecord::Upstream { upstream, state });
+        out.log(DispatchRecord::Upstream {
+            upstream: upstream.clone(),
+            state,
+            source: source.clone(),
+        });
     }
 
     /// Whether a key or route that this daemon does not know may have been added meanwhile.
--- a/crates/core/src/dispatch/upstream_outcome.rs
+++ b/crates/core/src/dispatch/upstream_outcome.rs
@@ -4,10 +4,10 @@
 use super::{
     dispatcher::{Dispatcher, Out, Sending},
     retry::SERVER_FAILURE_STATUS,
-    Culprit, DispatchMessage, DispatchRecord, SendOutcome,
+    Culprit, DispatchMessage, DispatchRecord, SendOutcome, UpstreamSource,
 };
 use crate::{
-    ids::{CallId, UpstreamId},
+    ids::{CallId, UpstreamId, VmId},
     units::{Millis, Time},
 };
 
@@ -69,6 +69,7 @@
         out.log(DispatchRecord::Upstream {
             upstream: upstream.clone(),
             state: "rests",
+            source: UpstreamSource::default(),
         });
         self.notify_now(
             out.now,
@@ -125,7 +126,7 @@
             } => {
                 // With helpers, one of them may be the upstream that is gone.
                 if sending.helpers.is_empty() {
-                    self.on_replaced(out, upstream);
+                    self.on_replaced(out, upstream, None);
                     self.notify_now(out.now, DispatchMessage::UpstreamReplaced(upstream.clone()));
                 }
             }
@@ -150,9 +151,18 @@
     }
 
     /// Removes an upstream whose address now belongs to another one.
-    pub(super) fn on_replaced(&mut self, out: &mut Out<'_>, upstream: &UpstreamId) {
+    pub(super) fn on_replaced(
+        &mut self,
+        out: &mut Out<'_>,
+        upstream: &UpstreamId,
+        reported_by: Option<&VmId>,
+    ) {
         if self.fleet.on_removed(upstream) {
-            self.forget_upstream(out, upstream, "replaced");
+            let source = UpstreamSource {
+                store: None,
+                reported_by: reported_by.cloned(),
+            };
+            self.forget_upstream(out, upstream, "replaced", &source);
         }
     }
 }
