An answer of the store that a peer's later report overtook undoes nothing

A read can be answered after a peer's report of later changes. Its changes are older than what is known, and a removal among them dropped an upstream that had registered again; a failure domain that had been returned was out of service again. Both are skipped, as everything up to a later position is known. The answer still counts as a contact and is passed on.

Both tests failed before.

--- a/crates/core/src/dispatch/store_updates.rs
+++ b/crates/core/src/dispatch/store_updates.rs
@@ -63,7 +63,9 @@
                 match topic {
                     Topic::Operators => {
                         let message = self.operator_changes_message(after, &batch);
-                        self.on_operators(out, *batch, reconnect.restored);
+                        if !reconnect.overtaken {
+                            self.on_operators(out, *batch, reconnect.restored);
+                        }
                         if let Some(message) = message {
                             self.pass_on(out, message);
                         }
@@ -177,6 +179,9 @@
             };
             self.notify_now(out.now, message);
         }
+        if reconnect.overtaken {
+            return;
+        }
         let source = UpstreamSource::read(batch.position);
         for change in batch.changes {
             match change {
--- a/crates/core/src/watch/topic_watch.rs
+++ b/crates/core/src/watch/topic_watch.rs
@@ -79,6 +79,8 @@
     pub recovered: bool,
     /// The store was restored from a copy since the answer before: it may lack what it had.
     pub restored: bool,
+    /// Later changes were reported by a peer while the call was pending, so the answer has no news.
+    pub overtaken: bool,
 }
 
 impl TopicWatch {
@@ -155,6 +157,7 @@
         if batch.is_snapshot || !batch.changes.is_empty() {
             self.changed_at = batch.position;
         }
+        let overtaken = !batch.is_snapshot && self.position > Some(batch.position);
         self.position = self.position.max(Some(batch.position));
         let fresh_at = if unchanged && held_until <= now {
             held_until
@@ -172,6 +175,7 @@
             after_outage: may_miss_expiry(gap_ms),
             recovered,
             restored,
+            overtaken,
         })
     }
 
@@ -216,6 +220,7 @@
             after_outage: may_miss_expiry(gap_ms),
             recovered: false,
             restored: false,
+            overtaken: false,
         })
     }
 
--- a/crates/core/tests/upstream_reports.rs
+++ b/crates/core/tests/upstream_reports.rs
@@ -5,7 +5,7 @@
 
 use dispatch::{batch, id, ms, node::Node, position, upstream, PLAIN};
 use persimmon_core::{
-    dispatch::{DispatchAction, DispatchEvent, DispatchMessage, UpstreamChange},
+    dispatch::{DispatchAction, DispatchEvent, DispatchMessage, OperatorChange, UpstreamChange},
     watch::{Change, Topic},
 };
 
@@ -127,7 +127,6 @@
 
 /// A peer's report overtakes an answer of the store that is older. The answer undid what the report said.
 #[test]
-#[ignore = "known red: issue 26"]
 fn an_answer_that_a_report_overtook_undoes_nothing() {
     let mut node = daemon("vm-1", "vm-0");
     node.pass(ms(1_200));
@@ -142,3 +141,21 @@
     read(&mut node, 10, vec![removed()]);
     assert!(knows(&node));
 }
+
+/// The same for operators' changes: a failure domain that was returned to service was out again.
+#[test]
+fn an_answer_that_a_passed_on_change_overtook_undoes_nothing() {
+    let mut node = daemon("vm-1", "vm-0");
+    node.pass(ms(1_200));
+    let returned = DispatchMessage::OperatorChanges {
+        after: position(1),
+        position: position(12),
+        changes: vec![OperatorChange::DomainReturned(id("a"))],
+    };
+    receive(&mut node, "vm-0", vec![returned]);
+    let withdrawn = vec![Change::DomainWithdrawn(id("a"))];
+    let answer = Ok(Box::new(batch(10, false, withdrawn)));
+    let topic = Topic::Operators;
+    node.step(DispatchEvent::StoreAnswered { topic, answer });
+    assert!(node.dispatcher.fleet().withdrawn_domains().is_empty());
+}
