A delayed report of upstream changes postpones no read

Only a report that reaches at least the known position says that the list is current. The test failed before.

--- a/crates/core/src/watch/topic_watch.rs
+++ b/crates/core/src/watch/topic_watch.rs
@@ -195,9 +195,9 @@
 
     /// Handles changes that a peer read from the store, from position `after` to `position`. Returns
     /// the state of the connection before them if they are to be applied: they follow the known
-    /// position without a gap, and nothing after them is known. Without a gap, this daemon's next call
-    /// is postponed by `due_ms`. Changes of an older era are ignored; those of a newer one say that all
-    /// entries have to be read again.
+    /// position without a gap, and nothing after them is known. This daemon's next call is then postponed
+    /// by `due_ms`. Changes of an older era are ignored; those of a newer one say that all entries have to
+    /// be read again.
     pub fn on_peer_changes(
         &mut self,
         now: Time,
@@ -206,17 +206,16 @@
         due_ms: Millis,
     ) -> Option<ReconnectStatus> {
         self.on_era(position.era, now + CHANGE_BATCH_DELAY_MS);
-        let known = self.position;
-        let contiguous =
-            after.era == position.era && known.is_some_and(|known| known.continues_at(after));
-        if !contiguous {
+        let known = self.position?;
+        let continues = after.era == position.era && known.continues_at(after) && known <= position;
+        if !continues {
             return None;
         }
         let gap_ms = self.fresh_at.map(|fresh_at| now.since(fresh_at));
-        self.position = self.position.max(Some(position));
+        self.position = Some(position);
         self.fresh_at = Some(now);
         self.due_at = self.due_at.max(now + due_ms);
-        (known <= Some(position)).then_some(ReconnectStatus {
+        Some(ReconnectStatus {
             after_outage: may_miss_expiry(gap_ms),
             recovered: false,
             restored: false,
--- a/crates/core/tests/upstream_reports.rs
+++ b/crates/core/tests/upstream_reports.rs
@@ -159,3 +159,25 @@
     node.step(DispatchEvent::StoreAnswered { topic, answer });
     assert!(node.dispatcher.fleet().withdrawn_domains().is_empty());
 }
+
+/// A report that arrived late kept the daemon from reading the list, as if it told of the present.
+#[test]
+fn a_delayed_report_postpones_no_read() {
+    let mut node = daemon("vm-1", "vm-0");
+    let report = |at| DispatchMessage::UpstreamChanges {
+        after: position(2),
+        position: position(at),
+        changes: Vec::new(),
+    };
+    receive(&mut node, "vm-0", vec![report(12)]);
+    node.now = node.now + ms(900);
+    receive(&mut node, "vm-0", vec![report(5)]);
+    let mut actions = Vec::new();
+    node.now = node.now + ms(200);
+    let tick = DispatchEvent::Tick;
+    node.dispatcher.handle(node.now, tick, &mut actions);
+    let reads = actions.iter().filter(|action| {
+        matches!(action, DispatchAction::ReadStore(call) if call.topic == Topic::Upstreams)
+    });
+    assert_eq!(reads.count(), 1);
+}
