Bytes of an abandoned request to an upstream are discarded

Cause: closing a connection leaves the bytes that were not acknowledged to the kernel, which goes on sending them.

A new connection was needed after an abandoned request before as well. The test failed before (all of the body arrived).

--- a/crates/io/src/transport/pool.rs
+++ b/crates/io/src/transport/pool.rs
@@ -254,6 +254,7 @@
     };
     set_socket_options(&stream)
         .and_then(|()| enable_keepalive(&stream))
+        .and_then(|()| discard_unsent_on_close(&stream))
         .map_err(|error| not_sent(error.to_string()))?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
@@ -283,6 +284,12 @@
     SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
 
+/// Resets the connection when it is closed. Otherwise the kernel goes on delivering the bytes of a request
+/// that was abandoned, and its upstream may run it long after.
+fn discard_unsent_on_close(stream: &TcpStream) -> std::io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
 fn stated_timeout(head: &http::response::Parts) -> Option<Duration> {
     let stated = head.headers.get("keep-alive")?.to_str().ok()?;
     let seconds = stated
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -14,14 +14,14 @@
     CallCommand, CallerListener, Dialect, DrainState, ForwardContext, Hub, Pool, RequestHead,
     RequestHeadError, ResponseHead,
 };
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     runtime::Builder,
     sync::watch,
     task::{spawn_local, LocalSet},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 /// Time limit of each step of a test.
@@ -317,6 +317,43 @@
     });
 }
 
+/// A request that was given up during a cut reached its upstream six seconds later, when the cut had
+/// ended (rule DRAIN, kabin-router).
+#[test]
+fn bytes_of_an_abandoned_request_are_discarded() {
+    run(async {
+        let mut fixture = Fixture::start().await;
+        let mut caller = TcpStream::connect(fixture.address).await.unwrap();
+        let body = vec![b'x'; 4 << 20];
+        let head = format!(
+            "POST /x HTTP/1.1\r\nhost: a\r\nx-id: 7\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        caller.write_all(head.as_bytes()).await.unwrap();
+        caller.write_all(&body).await.unwrap();
+        let call = fixture.arrived().await;
+        // Most of the body stays in the sender's buffers.
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(16 << 10).unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let socket = socket.listen(1).unwrap();
+        fixture.send(call, socket.local_addr().unwrap(), false);
+        let (mut upstream, _) = socket.accept().await.unwrap();
+        sleep(Duration::from_millis(100)).await;
+        drop(caller);
+        assert!(matches!(
+            fixture.event().await,
+            DispatchEvent::CallerLeft { .. }
+        ));
+        sleep(Duration::from_millis(100)).await;
+        let mut received = Vec::new();
+        let end = timeout(STEP_TIMEOUT, upstream.read_to_end(&mut received)).await;
+        let reset = end.unwrap().map_err(|error| error.kind());
+        assert_eq!(reset, Err(ErrorKind::ConnectionReset));
+        assert!(received.len() < body.len());
+    });
+}
+
 #[test]
 fn a_callers_disconnect_is_reported_and_closes_the_upstream_connection() {
     run(async {
