--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -286,8 +286,8 @@
     run(async {
         let (mut fixture, caller, call) = Fixture::with_call().await;
         let responses: &[&[u8]] = &[
-            b"HTTP/1.1 503 No\r\nx-not-run: 1\r\nx-after: 250\r\nx-leaving: 1\r\ncontent-length: 0\r\n\r\n",
-            b"HTTP/1.1 421 Other\r\nx-leaving: 1\r\ncontent-length: 0\r\n\r\n",
+            b"HTTP/1.1 503 No\r\nx-not-run: 1\r\nx-after: 250\r\nx-leaving: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
+            b"HTTP/1.1 421 Other\r\nx-leaving: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
             b"HTTP/1.1 200 OK\r\nx-signed: 1\r\nx-leaving: 1\r\ncontent-length: 5\r\n\r\nwho",
             b"HTTP/1.1 200 OK\r\nx-id: 7\r\nx-signed: 1\r\nx-leaving: 1\r\ncontent-length: 5\r\n\r\nwhole",
         ];
@@ -482,10 +482,10 @@
 fn a_refused_connection_counts_as_not_sent() {
     run(async {
         let (mut fixture, _caller, call) = Fixture::with_call().await;
-        let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = socket.local_addr().unwrap();
-        drop(socket);
-        fixture.send(call, address, false);
+        // The port stays taken, so that no other test listens on it.
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        fixture.send(call, socket.local_addr().unwrap(), false);
         assert!(matches!(fixture.end().await, SendOutcome::NotSent { .. }));
     });
 }
