Log: whether an upstream ended when connections to it broke, and the prompt parts that it had

A connection that breaks looks the same whether one answer was cut off or the upstream's process ended. When it breaks under a prompt that has got no event, the daemon connects once more: only a refused connection says that the process ended. The line upstream_crashed names the shared parts of those prompts.

--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -3,10 +3,12 @@
 use super::{DispatchMessage, DispatchRecord, Refusal, ReserveOrder, SendPlan};
 use crate::{
     catalog::CallerLimits,
+    fleet::UpstreamIncarnation,
     ids::{CallId, VmId},
     units::Millis,
     watch::WatchCall,
 };
+use std::net::SocketAddr;
 
 /// One action for the runtime to carry out.
 #[derive(Clone, Debug, PartialEq)]
@@ -40,6 +42,14 @@
     },
     /// Send an engine an order about a memory reservation.
     Order(ReserveOrder),
+    /// Check whether the process of an upstream that closed a connection has ended: whether it refuses
+    /// connections.
+    CheckUpstream {
+        /// The upstream.
+        upstream: UpstreamIncarnation,
+        /// Its address.
+        address: SocketAddr,
+    },
     /// Read a topic from the store.
     ReadStore(WatchCall),
     /// Write this daemon's entry and the shared certificate authority to the store again, which may
--- a/crates/core/src/dispatch/call.rs
+++ b/crates/core/src/dispatch/call.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     catalog::ApiKey,
-    ids::CallId,
+    ids::{CallId, PromptPartId},
     units::{Millis, Tokens},
 };
 use std::sync::Arc;
@@ -33,6 +33,8 @@
     pub deadline_ms: Option<Millis>,
     /// Prompt and answer sizes, if the request is for a model.
     pub prompt: Option<PromptSize>,
+    /// The parts of the prompt that other requests may share, in order.
+    pub prompt_parts: Vec<PromptPartId>,
     /// Time since the request's head arrived.
     pub age_ms: Millis,
 }
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -8,8 +8,8 @@
 use crate::{
     catalog::{Catalog, KeyHolder, Route, Service},
     dispatch::{
-        backoff::BackoffTable, freshness::FreshnessState, outbox::Outbox, placement::Placement,
-        reservation::Reservations, restore::RestoreState, shutdown::Shutdown,
+        backoff::BackoffTable, crash_check::CrashChecks, freshness::FreshnessState, outbox::Outbox,
+        placement::Placement, reservation::Reservations, restore::RestoreState, shutdown::Shutdown,
     },
     fleet::Fleet,
     ids::{CallId, CatalogVersion, FailureDomain, SendId, StoreEra, UpstreamId, VmId},
@@ -136,6 +136,7 @@
     pub(super) reservations: Reservations,
     pub(super) freshness: FreshnessState,
     pub(super) restore: RestoreState,
+    pub(super) crash_checks: CrashChecks,
     pub(super) outbox: Outbox,
     pub(super) calls: BTreeMap<CallId, OpenCall>,
     pub(super) waiting: VecDeque<CallId>,
@@ -171,6 +172,7 @@
             reservations: Reservations::default(),
             freshness: FreshnessState::default(),
             restore: RestoreState::default(),
+            crash_checks: CrashChecks::default(),
             outbox: Outbox::default(),
             calls: BTreeMap::new(),
             waiting: VecDeque::new(),
@@ -202,6 +204,10 @@
             DispatchEvent::OrderEnded { ticket, kind, end } => {
                 self.on_order_ended(&mut out, &ticket, kind, end);
             }
+            DispatchEvent::UpstreamChecked {
+                upstream,
+                has_ended,
+            } => self.on_upstream_checked(&mut out, &upstream, has_ended),
             DispatchEvent::StoreAnswered { topic, answer } => {
                 self.on_store_answer(&mut out, topic, answer)
             }
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -4,6 +4,7 @@
     Call, DispatchMessage, DispatchSettings, LeavingNotice, OrderKind, OrderOutcome, SendOutcome,
 };
 use crate::{
+    fleet::UpstreamIncarnation,
     ids::{CallId, SendId, VmId},
     units::Millis,
     watch::{Batch, StoreError, Topic},
@@ -56,6 +57,13 @@
         /// The outcome.
         end: OrderOutcome,
     },
+    /// An upstream was checked after it closed a connection.
+    UpstreamChecked {
+        /// The upstream.
+        upstream: UpstreamIncarnation,
+        /// Whether it refuses connections: its process has ended.
+        has_ended: bool,
+    },
     /// The store answered a read of a topic, or the read failed.
     StoreAnswered {
         /// The topic.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod call;
 mod choose;
 mod contention;
+mod crash_check;
 mod dispatcher;
 mod event;
 mod freshness;
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -2,7 +2,7 @@
 
 use super::{OrderKind, OrderOutcome, RefusalReason, SendOutcome};
 use crate::{
-    ids::{CatalogVersion, FailureDomain, SendId, ServiceName, UpstreamId, VmId},
+    ids::{CatalogVersion, FailureDomain, PromptPartId, SendId, ServiceName, UpstreamId, VmId},
     units::Millis,
     watch::StorePosition,
 };
@@ -230,6 +230,13 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         reported_by: Option<VmId>,
     },
+    /// The process of an upstream ended while it had requests of this daemon.
+    UpstreamCrashed {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Parts of the prompts in flight there that had got no event, without duplicates.
+        parts: Vec<PromptPartId>,
+    },
     /// A failure domain was taken out of service or returned to it.
     Domain {
         /// The failure domain.
--- a/crates/core/src/dispatch/upstream_outcome.rs
+++ b/crates/core/src/dispatch/upstream_outcome.rs
@@ -146,7 +146,12 @@
                 }
             }
             SendOutcome::NotSent { .. } => self.eject_upstream(out, upstream, true),
-            SendOutcome::Lost { .. } => self.eject_upstream(out, upstream, false),
+            SendOutcome::Lost { stalled, .. } => {
+                if !stalled {
+                    self.check_upstream(out, call, sending);
+                }
+                self.eject_upstream(out, upstream, false);
+            }
         }
     }
 
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -12,6 +12,6 @@
 };
 pub use numbers::{
     AttemptNumber, BlockHash, BodyHash, CallId, CatalogVersion, FencingNumber, Generation,
-    Incarnation, SendId, StoreEra, StoreVersion,
+    Incarnation, PromptPartId, SendId, StoreEra, StoreVersion,
 };
 pub use request_id::{AttemptId, RequestId};
--- a/crates/core/src/ids/numbers.rs
+++ b/crates/core/src/ids/numbers.rs
@@ -3,6 +3,7 @@
 use super::IdError;
 use serde::{Deserialize, Serialize};
 use std::{fmt, str::FromStr};
+use xxhash_rust::xxh3::xxh3_64;
 
 macro_rules! number {
     ($(#[$doc:meta])* $name:ident, $inner:ty, $kind:literal) => {
@@ -111,6 +112,12 @@
     u64,
     "send id"
 );
+number!(
+    /// A part of a prompt that several requests may share, as a hash of the id that callers give it.
+    PromptPartId,
+    u64,
+    "prompt part"
+);
 number!(
     /// Version of the platform's store. Increases with each transaction.
     StoreVersion,
@@ -124,3 +131,10 @@
     u64,
     "store era"
 );
+
+impl PromptPartId {
+    /// The part to which callers give this id.
+    pub fn of(id: &str) -> Self {
+        Self::new(xxh3_64(id.as_bytes()))
+    }
+}
--- a/crates/io/src/transport/dialect.rs
+++ b/crates/io/src/transport/dialect.rs
@@ -5,6 +5,7 @@
 use persimmon_core::{
     catalog::ApiKey,
     dispatch::{Culprit, PromptSize, Refusal, ReserveOrder, SendPlan},
+    ids::PromptPartId,
     units::Millis,
 };
 use std::{fmt, sync::Arc};
@@ -23,6 +24,8 @@
     pub deadline_ms: Option<Millis>,
     /// Prompt and output sizes of a model request.
     pub prompt: Option<PromptSize>,
+    /// The parts of the prompt that other requests may share, in order.
+    pub prompt_parts: Vec<PromptPartId>,
 }
 
 /// Why a request head is rejected.
--- a/crates/io/src/transport/pool.rs
+++ b/crates/io/src/transport/pool.rs
@@ -13,6 +13,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    io::ErrorKind,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -180,6 +181,13 @@
             .unwrap_or_else(|_| Err(lost("timed out".to_owned())))
     }
 
+    /// Whether the server refuses connections. No answer within the time limit for connecting says
+    /// nothing.
+    pub async fn refuses_connections(&self, address: SocketAddr) -> bool {
+        let attempt = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        matches!(attempt, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// Returns a connection to the pool after its response has been read completely, unless the
     /// server closes the connection.
     pub fn release(&self, connection: PooledConnection, head: &http::response::Parts) {
--- a/crates/persimmond/src/gateway/control.rs
+++ b/crates/persimmond/src/gateway/control.rs
@@ -83,6 +83,9 @@
             DispatchAction::AbortAnswer { call } => self.hub.send_command(call, CallCommand::Abort),
             DispatchAction::Notify { to, message } => self.send_job(Job::Notify { to, message }),
             DispatchAction::ReadStore(call) => self.send_job(Job::ReadStore(call)),
+            DispatchAction::CheckUpstream { upstream, address } => {
+                self.send_job(Job::CheckUpstream { upstream, address });
+            }
             DispatchAction::Order(order) => self.send_job(Job::Order(order)),
             DispatchAction::Register { after_ms } => self.send_job(Job::Register { after_ms }),
             DispatchAction::Limits(limits) => {
@@ -121,6 +124,7 @@
 const fn level(record: &DispatchRecord) -> Level {
     match record {
         DispatchRecord::Refused { .. }
+        | DispatchRecord::UpstreamCrashed { .. }
         | DispatchRecord::SendFailed { .. }
         | DispatchRecord::CatalogHeld { .. }
         | DispatchRecord::CatalogRefused { .. }
--- a/crates/persimmond/src/gateway/traffic.rs
+++ b/crates/persimmond/src/gateway/traffic.rs
@@ -8,6 +8,7 @@
 use http::StatusCode;
 use persimmon_core::{
     dispatch::{DispatchEvent, DispatchMessage, ReserveOrder},
+    fleet::UpstreamIncarnation,
     ids::VmId,
     units::Millis,
     watch::{StoreError, WatchCall},
@@ -53,6 +54,13 @@
     ReadStore(WatchCall),
     /// Send an order to an engine.
     Order(ReserveOrder),
+    /// Check whether an upstream's process has ended.
+    CheckUpstream {
+        /// The upstream.
+        upstream: UpstreamIncarnation,
+        /// Its address.
+        address: SocketAddr,
+    },
     /// Send a message about dispatched work to peers.
     Notify {
         /// The receiver; none for all peers.
@@ -119,6 +127,10 @@
                     let (pool, dialect) = (Rc::clone(&pool), Rc::clone(&dialect));
                     spawn_local(send_order(pool, dialect, Arc::clone(&self.hub), order));
                 }
+                Job::CheckUpstream { upstream, address } => {
+                    let (pool, hub) = (Rc::clone(&pool), Arc::clone(&self.hub));
+                    spawn_local(check_upstream(pool, hub, upstream, address));
+                }
                 Job::Notify { to, message } => {
                     if let Some(mesh) = &*mesh.borrow() {
                         mesh.send(to.as_ref(), &message);
@@ -202,6 +214,19 @@
     });
 }
 
+async fn check_upstream(
+    pool: Rc<Pool>,
+    hub: Arc<Hub>,
+    upstream: UpstreamIncarnation,
+    address: SocketAddr,
+) {
+    let has_ended = pool.refuses_connections(address).await;
+    hub.send_event(DispatchEvent::UpstreamChecked {
+        upstream,
+        has_ended,
+    });
+}
+
 async fn notify_after(after_ms: Millis, notify: Rc<Notify>) {
     sleep(after_ms.duration()).await;
     notify.notify_one();
