Engines that all failed often get requests again

Callers saw: prompts refused for lack of capacity by idle engines.

Cause: the failure rate of an engine counted as a cost to callers. Above a rate of 0.6 that exceeds the weight of any prompt, so all engines were refused; the rate falls only by answers, and there were none. Class: a state that can only be left by what it prevents. Upstreams that are no engines are not concerned: the least loaded one is always used.

Change: the failure rate ranks engines and excludes none. Ejection, which ends by time, keeps requests away from engines that fail now.

--- a/crates/core/src/dispatch/choose.rs
+++ b/crates/core/src/dispatch/choose.rs
@@ -150,9 +150,10 @@
             candidate_index: index,
             helpers: Vec::new(),
             prediction,
-            cost_requests: prompt_cost(request, candidate.health, &prediction)
+            cost_requests: prompt_cost(request, &prediction)
                 + arrivals_cost(candidate, &prediction),
             preference_requests: order
+                + failure_cost(request, candidate.health)
                 + spare_slots_cost(candidate, request.profile)
                 + candidate.jitter_requests,
         }
@@ -224,8 +225,8 @@
         candidate_index: answering,
         helpers,
         prediction,
-        cost_requests: prompt_cost(request, health, &prediction) + arrivals,
-        preference_requests: helper_cost,
+        cost_requests: prompt_cost(request, &prediction) + arrivals,
+        preference_requests: helper_cost + failure_cost(request, health),
     })
 }
 
@@ -279,7 +280,13 @@
     request.profile.prefill_ms(request.prompt_tokens) + pass_ms > pause_target_ms.get() as f64
 }
 
-fn prompt_cost(request: &PlacementRequest<'_>, health: Health, prediction: &Prediction) -> f64 {
+/// Cost of an engine's recent failures. It ranks engines but excludes none: only answers lower the failure
+/// rate, so an engine that got no requests would keep it.
+fn failure_cost(request: &PlacementRequest<'_>, health: Health) -> f64 {
+    FAILURE_COST * prompt_weight_requests(request.prompt_tokens) * health.failure_ratio
+}
+
+fn prompt_cost(request: &PlacementRequest<'_>, prediction: &Prediction) -> f64 {
     let weight = prompt_weight_requests(request.prompt_tokens);
     let used_ratio = prediction.first_event_ms / request.target_ms.max(1.0);
     let used_ratio = used_ratio.min(LATE_FROM_RATIO);
@@ -289,7 +296,6 @@
     let late = LATE_COST_RATIO * late_ratio + (1.0 - LATE_COST_RATIO) * lost_ratio;
     let own = weight * (late + FIRST_EVENT_WAIT_COST * used_ratio);
     own + LATE_COST_RATIO * prediction.delayed_requests
-        + FAILURE_COST * weight * health.failure_ratio
 }
 
 /// Chooses an upstream of a service without engines: the least loaded one, where recent failures
--- a/crates/core/tests/common/crash_fleet.rs
+++ b/crates/core/tests/common/crash_fleet.rs
@@ -1,5 +1,7 @@
 //! Daemons and engines in virtual time. Engines end when they begin to write on certain prompt parts.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use super::dispatch::{id, ms, node::Node, ENGINES, KEY};
 use persimmon_core::{
     catalog::ApiKey,
