Prompts with a part that ends upstreams are refused

Cause: each request was judged alone. One that had ended an engine was sent to the next one, and the next request with the same part as well; nothing remembered what the crashes had in common. Class: work that fails the same way wherever it runs, and is retried as if the place were to blame.

Change: the shared parts of prompts that are in flight without an event when an upstream's process ends are suspect, at all daemons; the first event of any answer clears its parts. After three crashes without an event in between, requests with the part are refused, at all daemons, and those of them that are in flight are ended. One request tries the part again after a minute, then ever more rarely.

Ruled out as evidence: broken connections alone (living upstreams cut off answers), connection timeouts (a cut link), ends of upstreams that drain or have left the list, several crashes at one moment (a failure domain that ends).

Evidence: five of prompt_quarantine.rs failed before; the other four hold that what is sound goes on.

--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -55,6 +55,7 @@
                     waiting_since: None,
                     reserving: None,
                     groups_count: 0,
+                    is_trial: false,
                 };
                 self.calls.insert(id, open);
                 self.place_call(out, id);
@@ -142,6 +143,10 @@
                 Some(backoff_ms.map_or(DEFAULT_RETRY_AFTER_MS, |ms| ms.max(DEFAULT_RETRY_AFTER_MS)))
             }
             RefusalReason::NoUpstream => Some(DEFAULT_RETRY_AFTER_MS),
+            RefusalReason::PromptQuarantined => {
+                let parts = &open.call.prompt_parts;
+                self.quarantine.trial_wait_ms(now, parts)
+            }
             _ => None,
         }
     }
--- a/crates/core/src/dispatch/crash_check.rs
+++ b/crates/core/src/dispatch/crash_check.rs
@@ -3,7 +3,7 @@
 
 use super::{
     dispatcher::{Dispatcher, OpenCall, Out, Sending},
-    DispatchAction, DispatchRecord,
+    DispatchAction,
 };
 use crate::{
     fleet::UpstreamIncarnation,
@@ -66,10 +66,7 @@
             return;
         };
         if has_ended {
-            out.log(DispatchRecord::UpstreamCrashed {
-                upstream: upstream.id.clone(),
-                parts: parts.into_iter().collect(),
-            });
+            self.on_crash_with_parts(out, upstream, parts.into_iter().collect());
         }
     }
 }
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -2,8 +2,8 @@
 
 use super::{
     in_flight::OWN_DAEMON_INDEX, Call, DispatchAction, DispatchEvent, DispatchMessage,
-    DispatchRecord, DispatchSettings, HealthTable, InFlightId, InFlightTable, RetryBudget,
-    SlowStartLimiter,
+    DispatchRecord, DispatchSettings, HealthTable, InFlightId, InFlightTable, PromptQuarantine,
+    RetryBudget, SlowStartLimiter,
 };
 use crate::{
     catalog::{Catalog, KeyHolder, Route, Service},
@@ -72,6 +72,8 @@
     pub(super) reserving: Option<Placement>,
     /// Number of groups of engines at which memory was reserved.
     pub(super) groups_count: u32,
+    /// Whether the call tries a quarantined part of its prompt.
+    pub(super) is_trial: bool,
 }
 
 impl OpenCall {
@@ -137,6 +139,7 @@
     pub(super) freshness: FreshnessState,
     pub(super) restore: RestoreState,
     pub(super) crash_checks: CrashChecks,
+    pub(super) quarantine: PromptQuarantine,
     pub(super) outbox: Outbox,
     pub(super) calls: BTreeMap<CallId, OpenCall>,
     pub(super) waiting: VecDeque<CallId>,
@@ -173,6 +176,7 @@
             freshness: FreshnessState::default(),
             restore: RestoreState::default(),
             crash_checks: CrashChecks::default(),
+            quarantine: PromptQuarantine::default(),
             outbox: Outbox::default(),
             calls: BTreeMap::new(),
             waiting: VecDeque::new(),
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -4,7 +4,7 @@
 use crate::{
     catalog::CatalogStamp,
     fleet::{UpstreamIncarnation, UpstreamRecord},
-    ids::{SendId, UpstreamId},
+    ids::{PromptPartId, SendId, UpstreamId},
     units::{Millis, Time, Tokens},
     watch::{Change, StorePosition},
 };
@@ -139,4 +139,14 @@
         /// Time until it wants requests again.
         for_ms: Millis,
     },
+    /// The process of an upstream ended with these prompt parts in flight from the sender, without an
+    /// event of their answers.
+    #[serde(rename = "Crashed")]
+    UpstreamCrashed(Vec<PromptPartId>),
+    /// Requests with these prompt parts are refused: upstreams ended under them.
+    #[serde(rename = "Quarantined")]
+    PartsQuarantined(Vec<PromptPartId>),
+    /// An upstream wrote an answer on these prompt parts: they are not to blame for crashes.
+    #[serde(rename = "Cleared")]
+    PartsCleared(Vec<PromptPartId>),
 }
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -32,6 +32,7 @@
             to: Some(vm.clone()),
             message,
         });
+        self.report_quarantine(out, vm.clone());
         self.report_catalog(out, vm);
     }
 
@@ -94,6 +95,9 @@
             DispatchMessage::UpstreamReplaced(upstream) => {
                 self.on_replaced(out, &upstream, Some(vm));
             }
+            DispatchMessage::UpstreamCrashed(parts) => self.on_peer_crash(out, vm, &parts),
+            DispatchMessage::PartsQuarantined(parts) => self.on_peer_quarantine(out, vm, parts),
+            DispatchMessage::PartsCleared(parts) => self.on_peer_cleared(out, vm, &parts),
             DispatchMessage::Started(report) => self.on_peer_started(out.now, index, &report),
             DispatchMessage::FirstEvent(send) => self.on_peer_first_event(out.now, index, send),
             DispatchMessage::Ended(send) => {
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -66,6 +66,9 @@
 impl Dispatcher {
     /// Sends a call to an upstream, queues it, or refuses it.
     pub(super) fn place_call(&mut self, out: &mut Out<'_>, id: CallId) {
+        if self.is_quarantined(out.now, id) {
+            return self.give_up(out, id, RefusalReason::PromptQuarantined);
+        }
         let Some(open) = self.calls.get(&id) else {
             return;
         };
--- /dev/null
+++ b/crates/core/src/dispatch/quarantine_calls.rs
@@ -0,0 +1,132 @@
+//! Calls whose prompts have a quarantined part, and what daemons tell each other of such parts.
+
+use super::{
+    dispatcher::{Dispatcher, Out},
+    DispatchAction, DispatchMessage, DispatchRecord, RefusalReason,
+};
+use crate::{
+    fleet::UpstreamIncarnation,
+    ids::{CallId, PromptPartId, VmId},
+    units::Time,
+};
+
+impl Dispatcher {
+    /// Records that an upstream's process ended with these parts in flight at this daemon.
+    pub(super) fn on_crash_with_parts(
+        &mut self,
+        out: &mut Out<'_>,
+        upstream: &UpstreamIncarnation,
+        parts: Vec<PromptPartId>,
+    ) {
+        let quarantined = self.quarantine.on_crash(out.now, &parts);
+        out.log(DispatchRecord::UpstreamCrashed {
+            upstream: upstream.id.clone(),
+            parts: parts.clone(),
+        });
+        self.notify_now(out.now, DispatchMessage::UpstreamCrashed(parts));
+        if !quarantined.is_empty() {
+            let message = DispatchMessage::PartsQuarantined(quarantined.clone());
+            self.notify_now(out.now, message);
+            self.apply_quarantine(out, &quarantined, None);
+        }
+    }
+
+    /// Handles a peer's report of a crash.
+    pub(super) fn on_peer_crash(&mut self, out: &mut Out<'_>, peer: &VmId, parts: &[PromptPartId]) {
+        let quarantined = self.quarantine.on_crash(out.now, parts);
+        self.apply_quarantine(out, &quarantined, Some(peer));
+    }
+
+    /// Handles a peer's verdict on parts.
+    pub(super) fn on_peer_quarantine(
+        &mut self,
+        out: &mut Out<'_>,
+        peer: &VmId,
+        mut parts: Vec<PromptPartId>,
+    ) {
+        parts.retain(|part| self.quarantine.quarantine(out.now, *part));
+        self.apply_quarantine(out, &parts, Some(peer));
+    }
+
+    /// Ends the own calls with these parts before more upstreams begin to write on them.
+    fn apply_quarantine(
+        &mut self,
+        out: &mut Out<'_>,
+        parts: &[PromptPartId],
+        reported_by: Option<&VmId>,
+    ) {
+        for part in parts {
+            out.log(DispatchRecord::PartQuarantined {
+                part: *part,
+                reported_by: reported_by.cloned(),
+            });
+            let affected = self.calls.iter().filter(|(_, open)| {
+                open.first_at.is_none() && open.call.prompt_parts.contains(part)
+            });
+            let calls: Vec<_> = affected.map(|(call, _)| *call).collect();
+            for call in calls {
+                self.give_up(out, call, RefusalReason::PromptQuarantined);
+            }
+        }
+    }
+
+    /// Clears the parts of a call whose answer has begun.
+    pub(super) fn clear_parts(&mut self, out: &mut Out<'_>, call: CallId) {
+        let Some(open) = self.calls.get(&call) else {
+            return;
+        };
+        let cleared = self.quarantine.clear(&open.call.prompt_parts);
+        if !cleared.is_empty() {
+            let message = DispatchMessage::PartsCleared(cleared.clone());
+            self.notify_now(out.now, message);
+            log_cleared(out, cleared, None);
+        }
+    }
+
+    /// Handles that a peer's answer showed parts to be sound.
+    pub(super) fn on_peer_cleared(
+        &mut self,
+        out: &mut Out<'_>,
+        peer: &VmId,
+        parts: &[PromptPartId],
+    ) {
+        let cleared = self.quarantine.clear(parts);
+        log_cleared(out, cleared, Some(peer));
+    }
+
+    /// Whether a call must not be sent because of a part of its prompt. The first daemon by name lets a
+    /// request try the part from time to time.
+    pub(super) fn is_quarantined(&mut self, now: Time, call: CallId) -> bool {
+        let may_try = self.reader_rank() == 0;
+        let Some(open) = self.calls.get_mut(&call) else {
+            return false;
+        };
+        let Some(part) = self.quarantine.find(&open.call.prompt_parts) else {
+            return false;
+        };
+        if !open.is_trial && open.tries_count == 0 {
+            open.is_trial = self.quarantine.on_request(now, part, may_try);
+        }
+        !open.is_trial
+    }
+
+    /// Reports the quarantined parts to a peer that has just connected.
+    pub(super) fn report_quarantine(&self, out: &mut Out<'_>, peer: VmId) {
+        let parts = self.quarantine.quarantined();
+        if !parts.is_empty() {
+            out.act(DispatchAction::Notify {
+                to: Some(peer),
+                message: DispatchMessage::PartsQuarantined(parts),
+            });
+        }
+    }
+}
+
+fn log_cleared(out: &mut Out<'_>, parts: Vec<PromptPartId>, reported_by: Option<&VmId>) {
+    for part in parts {
+        out.log(DispatchRecord::PartCleared {
+            part,
+            reported_by: reported_by.cloned(),
+        });
+    }
+}
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -237,6 +237,22 @@
         /// Parts of the prompts in flight there that had got no event, without duplicates.
         parts: Vec<PromptPartId>,
     },
+    /// Requests with a prompt part are refused from now on: upstreams ended under it.
+    PartQuarantined {
+        /// The part.
+        part: PromptPartId,
+        /// The peer whose report led to it.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        reported_by: Option<VmId>,
+    },
+    /// An answer showed that a prompt part is not to blame for the crashes that it was in flight at.
+    PartCleared {
+        /// The part.
+        part: PromptPartId,
+        /// The peer that got the answer.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        reported_by: Option<VmId>,
+    },
     /// A failure domain was taken out of service or returned to it.
     Domain {
         /// The failure domain.
--- a/crates/core/src/dispatch/refusal.rs
+++ b/crates/core/src/dispatch/refusal.rs
@@ -29,6 +29,8 @@
     UpstreamFailed,
     /// The caller's or the route's timeout expired.
     TimedOut,
+    /// A part of the prompt ended the process of each upstream that wrote an answer on it.
+    PromptQuarantined,
 }
 
 impl RefusalReason {
@@ -46,6 +48,7 @@
             Self::UpstreamsRefused => "upstreams_refused",
             Self::UpstreamFailed => "upstream_failed",
             Self::TimedOut => "timed_out",
+            Self::PromptQuarantined => "prompt_quarantined",
         }
     }
 }
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -56,6 +56,10 @@
         }
         open.may_have_run = true;
         open.first_at.get_or_insert(out.now);
+        self.clear_parts(out, call);
+        let Some(open) = self.calls.get(&call) else {
+            return;
+        };
         if let Some(sending) = &open.sending {
             self.health.on_answer(&sending.upstream);
         }
@@ -154,6 +158,7 @@
         let Some(sending) = open.sending.take_if(|sending| sending.send == send) else {
             return;
         };
+        open.is_trial = false;
         open.may_have_run |= end.may_have_run();
         if end.may_have_run() {
             open.reached_count += 1;
--- a/crates/core/tests/prompt_quarantine.rs
+++ b/crates/core/tests/prompt_quarantine.rs
@@ -40,7 +40,6 @@
 
 /// Requests of one kind crashed 50 upstreams in 22 s, one after the other (rule BUDGET, jadeleaf-cells).
 #[test]
-#[ignore = "known red: issue 26"]
 fn a_part_that_crashes_upstreams_is_refused_by_all_daemons() {
     for deadly_per_s in [1, 2, 6] {
         let mut fleet = CrashFleet::new(3, 12);
@@ -58,7 +57,6 @@
 
 /// Sound requests share all but one part with those that crash upstreams.
 #[test]
-#[ignore = "known red: issue 26"]
 fn sound_requests_beside_a_refused_part_are_served() {
     let mut fleet = CrashFleet::new(3, 12);
     fleet.deadly.insert(part(DEADLY));
@@ -138,7 +136,6 @@
 
 /// A daemon that starts after the crashes has seen none of them.
 #[test]
-#[ignore = "known red: issue 26"]
 fn a_daemon_that_connects_later_refuses_the_part() {
     let mut fleet = CrashFleet::new(3, 12);
     fleet.deadly.insert(part(DEADLY));
@@ -155,7 +152,6 @@
 
 /// A part gets another chance by one request of one daemon at a time, and serves again once it is sound.
 #[test]
-#[ignore = "known red: issue 26"]
 fn a_refused_part_is_tried_again_by_one_request() {
     let mut fleet = CrashFleet::new(3, 12);
     fleet.deadly.insert(part(DEADLY));
@@ -182,7 +178,6 @@
 
 /// Crashes under prompts with many parts of their own don't push the part to blame out of the table.
 #[test]
-#[ignore = "known red: issue 26"]
 fn a_flood_of_other_parts_hides_nothing() {
     let mut fleet = CrashFleet::new(3, 12);
     fleet.deadly.insert(part(DEADLY));
--- a/crates/io/src/telemetry/metric.rs
+++ b/crates/io/src/telemetry/metric.rs
@@ -142,6 +142,18 @@
         Unit::Count,
         "Upstreams that said that they leave or want no requests, by notice and who was told",
     );
+    /// Upstreams whose process ended under requests of this daemon.
+    pub const UPSTREAM_CRASHES: Self = counter(
+        "persimmon_upstream_crashes_total",
+        Unit::Count,
+        "Upstreams whose process ended under requests of this daemon that had got no event",
+    );
+    /// Prompt parts that were quarantined or cleared.
+    pub const PROMPT_PARTS: Self = counter(
+        "persimmon_prompt_parts_total",
+        Unit::Count,
+        "Prompt parts suspected of ending upstreams, by verdict (quarantined, cleared)",
+    );
     /// Delay by which a timer of the control thread fires late.
     pub const EVENT_LOOP_DELAY: Self = histogram(
         "persimmon_event_loop_delay_seconds",
@@ -161,7 +173,7 @@
 }
 
 /// All metrics of a daemon.
-pub const ALL_METRICS: [Metric; 18] = [
+pub const ALL_METRICS: [Metric; 20] = [
     Metric::REQUESTS,
     Metric::REFUSALS,
     Metric::FIRST_TOKEN,
@@ -177,6 +189,8 @@
     Metric::STORE_CALLS,
     Metric::STORE_RESTORES,
     Metric::UPSTREAM_NOTICES,
+    Metric::UPSTREAM_CRASHES,
+    Metric::PROMPT_PARTS,
     Metric::EVENT_LOOP_DELAY,
     Metric::EVENT_HANDLING,
     Metric::PEER_BYTES,
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -318,6 +318,23 @@
     });
 }
 
+#[test]
+fn only_a_refused_connection_shows_that_a_server_has_ended() {
+    run(async {
+        let pool = Pool::default();
+        let listening = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let ended = TcpSocket::new_v4().unwrap();
+        ended.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let ended = ended.local_addr().unwrap();
+        assert!(
+            !pool
+                .refuses_connections(listening.local_addr().unwrap())
+                .await
+        );
+        assert!(pool.refuses_connections(ended).await);
+    });
+}
+
 /// A request that was given up during a cut reached its upstream six seconds later, when the cut had
 /// ended (rule DRAIN, kabin-router).
 #[test]
--- a/crates/persimmond/src/gateway/control.rs
+++ b/crates/persimmond/src/gateway/control.rs
@@ -125,6 +125,7 @@
     match record {
         DispatchRecord::Refused { .. }
         | DispatchRecord::UpstreamCrashed { .. }
+        | DispatchRecord::PartQuarantined { .. }
         | DispatchRecord::SendFailed { .. }
         | DispatchRecord::CatalogHeld { .. }
         | DispatchRecord::CatalogRefused { .. }
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -85,6 +85,15 @@
             DispatchRecord::UpstreamBackoff { reported_by, .. } => {
                 self.count_notice("backoff", reported_by.is_some());
             }
+            DispatchRecord::UpstreamCrashed { .. } => {
+                self.increment(Metric::UPSTREAM_CRASHES, &[]);
+            }
+            DispatchRecord::PartQuarantined { .. } => {
+                self.increment(Metric::PROMPT_PARTS, &[("verdict", "quarantined")]);
+            }
+            DispatchRecord::PartCleared { .. } => {
+                self.increment(Metric::PROMPT_PARTS, &[("verdict", "cleared")]);
+            }
             _ => {}
         }
     }
