Old connections to a failure domain that does not answer are closed

Second part of that fault: the kernel may end a connection by itself, before this daemon gives up the call, and the bytes then stay on their way until the cut ends.

Change: when an upstream is silent or can't be connected to in time, pooled connections to its failure domain that have been idle since before that transmission are closed. What was used since is known to work; a refused or broken connection comes from a VM that answers. The next request connects first, and a request that finds no connection was not sent.

--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -40,6 +40,14 @@
         /// The message.
         message: DispatchMessage,
     },
+    /// Close the pooled connections to these addresses that have been idle for longer than a time. The
+    /// network may have lost their upstreams since.
+    DiscardIdle {
+        /// The addresses.
+        addresses: Vec<SocketAddr>,
+        /// The time.
+        idle_for_ms: Millis,
+    },
     /// Send an engine an order about a memory reservation.
     Order(ReserveOrder),
     /// Check whether the process of an upstream that closed a connection has ended: whether it refuses
--- a/crates/core/src/dispatch/outcome.rs
+++ b/crates/core/src/dispatch/outcome.rs
@@ -54,6 +54,8 @@
     NotSent {
         /// Description of the error.
         reason: String,
+        /// Whether connecting took too long: the upstream was not reached at all.
+        timed_out: bool,
     },
     /// The request was sent, and no complete answer came.
     Lost {
--- a/crates/core/src/dispatch/upstream_outcome.rs
+++ b/crates/core/src/dispatch/upstream_outcome.rs
@@ -4,7 +4,7 @@
 use super::{
     dispatcher::{Dispatcher, Out, Sending},
     retry::SERVER_FAILURE_STATUS,
-    Culprit, DispatchMessage, DispatchRecord, SendOutcome, UpstreamSource,
+    Culprit, DispatchAction, DispatchMessage, DispatchRecord, SendOutcome, UpstreamSource,
 };
 use crate::{
     ids::{CallId, UpstreamId, VmId},
@@ -145,9 +145,16 @@
                     self.health.on_failure(upstream);
                 }
             }
-            SendOutcome::NotSent { .. } => self.eject_upstream(out, upstream, true),
+            SendOutcome::NotSent { timed_out, .. } => {
+                if *timed_out {
+                    self.discard_idle(out, sending);
+                }
+                self.eject_upstream(out, upstream, true);
+            }
             SendOutcome::Lost { stalled, .. } => {
-                if !stalled {
+                if *stalled {
+                    self.discard_idle(out, sending);
+                } else {
                     self.check_upstream(out, call, sending);
                 }
                 self.eject_upstream(out, upstream, false);
@@ -155,6 +162,22 @@
         }
     }
 
+    /// Closes pooled connections to the failure domain of an upstream that was silent, or not reached at all:
+    /// the domain may be cut off. A request on such a connection would wait for the cut to end. Connections
+    /// that were used after this transmission began are known to work.
+    fn discard_idle(&self, out: &mut Out<'_>, sending: &Sending) {
+        let Some(failed) = self.fleet.get(&sending.upstream) else {
+            return;
+        };
+        let domain = &failed.record.domain;
+        let of_domain = self.fleet.in_domain(domain);
+        let addresses = of_domain.map(|upstream| upstream.record.address).collect();
+        out.act(DispatchAction::DiscardIdle {
+            addresses,
+            idle_for_ms: out.now.since(sending.sent_at),
+        });
+    }
+
     /// Removes an upstream whose address now belongs to another one.
     pub(super) fn on_replaced(
         &mut self,
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -161,6 +161,15 @@
         upstreams.filter(move |upstream| upstream.record.address == address)
     }
 
+    /// The upstreams of a failure domain.
+    pub fn in_domain<'a>(
+        &'a self,
+        domain: &'a FailureDomain,
+    ) -> impl Iterator<Item = &'a Upstream> {
+        let upstreams = self.upstreams.values();
+        upstreams.filter(move |upstream| upstream.record.domain == *domain)
+    }
+
     /// Keeps an upstream whose entry expired during an outage for a grace period. Returns false if
     /// it is unknown or was draining.
     pub fn keep_missing(&mut self, now: Time, id: &UpstreamId) -> bool {
--- a/crates/core/tests/common/crash_fleet.rs
+++ b/crates/core/tests/common/crash_fleet.rs
@@ -267,7 +267,14 @@
     fn send(&mut self, daemon: usize, plan: SendPlan) {
         if self.is_down(&plan.upstream) {
             let reason = "refused".to_owned();
-            return self.end(daemon, &plan, SendOutcome::NotSent { reason });
+            return self.end(
+                daemon,
+                &plan,
+                SendOutcome::NotSent {
+                    reason,
+                    timed_out: false,
+                },
+            );
         }
         if let Some(asked) = self.calls.get_mut(&(daemon, plan.call)) {
             asked.sends.push(self.now);
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -515,7 +515,10 @@
         self.failing = later;
         for (_, daemon, SendPlan { call, send, .. }) in due {
             let reason = "connecting timed out".to_owned();
-            let end = SendOutcome::NotSent { reason };
+            let end = SendOutcome::NotSent {
+                reason,
+                timed_out: false,
+            };
             self.handle(now, daemon, DispatchEvent::Ended { call, send, end });
         }
     }
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -79,7 +79,9 @@
 impl From<PoolError> for Outcome {
     fn from(error: PoolError) -> Self {
         Self::Ended(match error {
-            PoolError::NotSent { reason, .. } => SendOutcome::NotSent { reason },
+            PoolError::NotSent {
+                reason, timed_out, ..
+            } => SendOutcome::NotSent { reason, timed_out },
             PoolError::Exhausted { .. } => SendOutcome::Busy,
             PoolError::Lost { reason, .. } => lost(reason),
         })
--- a/crates/io/src/transport/pool.rs
+++ b/crates/io/src/transport/pool.rs
@@ -58,6 +58,8 @@
         address: SocketAddr,
         /// Description of the failure.
         reason: String,
+        /// Whether connecting took too long.
+        timed_out: bool,
     },
     /// The limit of connections to the address is reached and none is idle.
     #[error("connection limit for {address} is reached: send elsewhere, or later")]
@@ -143,7 +145,11 @@
                     Some(unsent) if reused => request = unsent,
                     Some(_) => {
                         let reason = error.into_error().to_string();
-                        return Err(PoolError::NotSent { address, reason });
+                        return Err(PoolError::NotSent {
+                            address,
+                            reason,
+                            timed_out: false,
+                        });
                     }
                     None => {
                         let reason = error.into_error().to_string();
@@ -210,6 +216,16 @@
             });
     }
 
+    /// Drops the connections to these addresses that have been idle for this time.
+    pub fn discard_idle(&self, addresses: &[SocketAddr], idle_for: Duration) {
+        let mut hosts = self.hosts.borrow_mut();
+        for address in addresses {
+            if let Some(host) = hosts.get_mut(address) {
+                host.idle.retain(|idle| idle.since.elapsed() < idle_for);
+            }
+        }
+    }
+
     /// Drops connections that are closed or idle for too long, and addresses without connections.
     pub fn evict_idle(&self) {
         let mut hosts = self.hosts.borrow_mut();
@@ -254,18 +270,22 @@
     address: SocketAddr,
     open_len: Rc<Cell<u32>>,
 ) -> Result<SendRequest<Full<Bytes>>, PoolError> {
-    let not_sent = |reason: String| PoolError::NotSent { address, reason };
+    let not_sent = |reason: String, timed_out| PoolError::NotSent {
+        address,
+        reason,
+        timed_out,
+    };
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(not_sent(error.to_string())),
-        Err(_) => return Err(not_sent("connecting timed out".to_owned())),
+        Ok(Err(error)) => return Err(not_sent(error.to_string(), false)),
+        Err(_) => return Err(not_sent("connecting timed out".to_owned(), true)),
     };
     set_socket_options(&stream)
         .and_then(|()| enable_keepalive(&stream))
         .and_then(|()| discard_unsent_on_close(&stream))
-        .map_err(|error| not_sent(error.to_string()))?;
+        .map_err(|error| not_sent(error.to_string(), false))?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
+    let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string(), false))?;
     open_len.set(open_len.get() + 1);
     spawn_local(async move {
         if let Err(error) = connection.await {
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use flume::Receiver;
 use http::{request, response, HeaderMap, HeaderValue, Request, StatusCode};
+use http_body_util::Full;
 use insta::assert_snapshot;
 use persimmon_core::{
     dispatch::{DispatchEvent, Refusal, RefusalReason, ReserveOrder, SendOutcome, SendPlan},
@@ -14,7 +15,7 @@
     CallCommand, CallerListener, Dialect, DrainState, ForwardContext, Hub, Pool, RequestHead,
     RequestHeadError, ResponseHead,
 };
-use std::{io::ErrorKind, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, io::ErrorKind, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
@@ -335,6 +336,41 @@
     });
 }
 
+#[test]
+fn discarded_connections_are_not_used_again() {
+    run(async {
+        let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = socket.local_addr().unwrap();
+        let accepted = Rc::new(Cell::new(0));
+        let counter = Rc::clone(&accepted);
+        spawn_local(async move {
+            loop {
+                let (mut stream, _) = socket.accept().await.unwrap();
+                counter.set(counter.get() + 1);
+                spawn_local(async move {
+                    let mut head = [0; 4_096];
+                    while stream.read(&mut head).await.is_ok_and(|len| len > 0) {
+                        let response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                        stream.write_all(response).await.unwrap();
+                    }
+                });
+            }
+        });
+        let pool = Pool::default();
+        let call = || async {
+            let request = Request::new(Full::new(Bytes::new()));
+            pool.call(address, request, STEP_TIMEOUT).await.unwrap();
+        };
+        call().await;
+        pool.discard_idle(&[address], Duration::from_secs(60));
+        call().await;
+        assert_eq!(accepted.get(), 1);
+        pool.discard_idle(&[address], Duration::ZERO);
+        call().await;
+        assert_eq!(accepted.get(), 2);
+    });
+}
+
 /// A request that was given up during a cut reached its upstream six seconds later, when the cut had
 /// ended (rule DRAIN, kabin-router).
 #[test]
--- a/crates/persimmond/src/gateway/control.rs
+++ b/crates/persimmond/src/gateway/control.rs
@@ -86,6 +86,13 @@
             DispatchAction::CheckUpstream { upstream, address } => {
                 self.send_job(Job::CheckUpstream { upstream, address });
             }
+            DispatchAction::DiscardIdle {
+                addresses,
+                idle_for_ms,
+            } => self.send_job(Job::DiscardIdle {
+                addresses,
+                idle_for_ms,
+            }),
             DispatchAction::Order(order) => self.send_job(Job::Order(order)),
             DispatchAction::Register { after_ms } => self.send_job(Job::Register { after_ms }),
             DispatchAction::Limits(limits) => {
--- a/crates/persimmond/src/gateway/traffic.rs
+++ b/crates/persimmond/src/gateway/traffic.rs
@@ -54,6 +54,13 @@
     ReadStore(WatchCall),
     /// Send an order to an engine.
     Order(ReserveOrder),
+    /// Close idle connections to these addresses.
+    DiscardIdle {
+        /// The addresses.
+        addresses: Vec<SocketAddr>,
+        /// Time for which a connection must have been idle.
+        idle_for_ms: Millis,
+    },
     /// Check whether an upstream's process has ended.
     CheckUpstream {
         /// The upstream.
@@ -131,6 +138,10 @@
                     let (pool, hub) = (Rc::clone(&pool), Arc::clone(&self.hub));
                     spawn_local(check_upstream(pool, hub, upstream, address));
                 }
+                Job::DiscardIdle {
+                    addresses,
+                    idle_for_ms,
+                } => pool.discard_idle(&addresses, idle_for_ms.duration()),
                 Job::Notify { to, message } => {
                     if let Some(mesh) = &*mesh.borrow() {
                         mesh.send(to.as_ref(), &message);
