Tests: bytes without end from an upstream are cut off, in a head and in a body

No fault was found: heads, fields, bodies, failures and events without end count as lost within their limits, interim responses without end keep no other call.

--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -20,7 +20,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
     runtime::Builder,
-    sync::watch,
+    sync::{oneshot, watch},
     task::{spawn_local, LocalSet},
     time::{sleep, timeout},
 };
@@ -336,6 +336,108 @@
     });
 }
 
+/// Starts an upstream that answers with `head`, then with `filler` again and again until the connection is
+/// closed. The receiver then gets the number of bytes that it sent.
+async fn endless_upstream(
+    head: &'static [u8],
+    filler: &'static [u8],
+) -> (SocketAddr, oneshot::Receiver<usize>) {
+    let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = socket.local_addr().unwrap();
+    let (closed, sent) = oneshot::channel();
+    spawn_local(async move {
+        let (mut stream, _) = socket.accept().await.unwrap();
+        let mut request = [0; 4_096];
+        let _ = stream.read(&mut request).await.unwrap();
+        stream.write_all(head).await.unwrap();
+        let chunk = filler.repeat(4_096 / filler.len() + 1);
+        let mut sent_len = head.len();
+        while stream.write_all(&chunk).await.is_ok() {
+            sent_len += chunk.len();
+        }
+        // The test may have ended.
+        let _ = closed.send(sent_len);
+    });
+    (address, sent)
+}
+
+/// An upstream in trouble sends bytes without end, in a head or in a body.
+#[test]
+fn bytes_without_end_are_cut_off() {
+    let answers: [(&str, &[u8], &[u8], bool); 6] = [
+        (
+            "head",
+            b"HTTP/1.1 200 OK\r\nx-signed: 1\r\nx-a: ",
+            b"a",
+            false,
+        ),
+        ("status", b"HTTP/1.1 200 ", b"a", false),
+        ("fields", b"HTTP/1.1 200 OK\r\n", b"x-a: a\r\n", false),
+        (
+            "body",
+            b"HTTP/1.1 200 OK\r\nx-signed: 1\r\n\r\n",
+            b"a",
+            false,
+        ),
+        ("failure", b"HTTP/1.1 500 No\r\n\r\n", b"a", false),
+        (
+            "event",
+            b"HTTP/1.1 200 OK\r\nx-signed: 1\r\n\r\n",
+            b"a",
+            true,
+        ),
+    ];
+    let mut lines = Vec::new();
+    for (name, head, filler, streaming) in answers {
+        run(async {
+            let (mut fixture, caller, call) = Fixture::with_call().await;
+            let (upstream, sent) = endless_upstream(head, filler).await;
+            fixture.send(call, upstream, streaming);
+            let end = fixture.end().await;
+            assert!(
+                matches!(end, SendOutcome::Lost { stalled: false, .. }),
+                "{name}: {end:?}"
+            );
+            let sent_bytes = timeout(STEP_TIMEOUT, sent).await.unwrap().unwrap();
+            assert!(sent_bytes < 16 << 20, "{name}: {sent_bytes}");
+            fixture.refuse(call);
+            let status = received(caller).await.lines().next().map(str::to_owned);
+            lines.push(format!("{name}: {}", status.unwrap_or_default()));
+        });
+    }
+    assert_snapshot!(lines.join("\n"), @r"
+    head: HTTP/1.1 502 Bad Gateway
+    status: HTTP/1.1 502 Bad Gateway
+    fields: HTTP/1.1 502 Bad Gateway
+    body: HTTP/1.1 502 Bad Gateway
+    failure: HTTP/1.1 502 Bad Gateway
+    event: HTTP/1.1 502 Bad Gateway
+    ");
+}
+
+/// Interim responses without end are no answer. Other calls are served meanwhile, and the connection is
+/// closed when the call is given up.
+#[test]
+fn interim_responses_without_end_keep_no_other_call() {
+    run(async {
+        let (mut fixture, caller, call) = Fixture::with_call().await;
+        let interim = b"HTTP/1.1 102 Processing\r\n\r\n";
+        let (endless, sent) = endless_upstream(interim, interim).await;
+        fixture.send(call, endless, false);
+        let other_caller = fixture.caller().await;
+        let other_call = fixture.arrived().await;
+        let whole: &[&[u8]] =
+            &[b"HTTP/1.1 200 OK\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nwhole"];
+        let other = upstream(whole).await;
+        fixture.send(other_call, other, false);
+        assert_eq!(fixture.end().await, SendOutcome::Delivered);
+        assert!(received(other_caller).await.ends_with("whole"));
+        fixture.refuse(call);
+        assert!(received(caller).await.starts_with("HTTP/1.1 502"));
+        timeout(STEP_TIMEOUT, sent).await.unwrap().unwrap();
+    });
+}
+
 #[test]
 fn discarded_connections_are_not_used_again() {
     run(async {
