A framed event stream that ends within an event is resumed or broken off

The part of an event at the end of a stream was passed on as its end if length or chunks were complete, and the answer looked whole. It counts as lost now, as without framing; other bodies are as before.

--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -30,6 +30,9 @@
 /// it.
 const FAILURE_MAX_BYTES: usize = 256 << 10;
 
+/// Media type of event streams.
+const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
+
 /// What a transmission needs: the request, its plan and the connections.
 pub(super) struct Outgoing<'a> {
     pub(super) pool: &'a Pool,
@@ -188,7 +191,8 @@
     }
     let partial = events.take_partial();
     if !partial.is_empty() {
-        if !has_framing {
+        // An event stream that ends within an event was broken off, even if its framing is complete.
+        if !has_framing || reply.is_streaming() || is_event_stream(head) {
             return Err(lost("stream ended within an event").into());
         }
         forward(reply, head, partial).await?;
@@ -199,6 +203,11 @@
     Ok(reply.end().await?)
 }
 
+fn is_event_stream(head: &response::Parts) -> bool {
+    let content_type = head.headers.get(header::CONTENT_TYPE);
+    content_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM_TYPE))
+}
+
 /// Forwards a chunk, after the head if that is not sent yet.
 async fn forward(reply: &mut Reply, head: &response::Parts, chunk: Bytes) -> Result<(), Outcome> {
     if !reply.is_streaming() {
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -564,6 +564,27 @@
     });
 }
 
+/// The framing is complete, but the last event is not: the upstream broke the stream off.
+#[test]
+fn a_framed_stream_that_ends_within_an_event_is_resumed() {
+    run(async {
+        let (mut fixture, caller, call) = Fixture::with_call().await;
+        let first: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n1a\r\nid: 1\ndata: a\n\nid: 2\ndata:\r\n0\r\n\r\n"];
+        let second: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\nx-signed: 2\r\ncontent-length: 30\r\n\r\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"];
+        let none: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\nx-signed: 1\r\ncontent-type: text/event-stream\r\ncontent-length: 5\r\n\r\nid: 1"];
+        let (first, second) = (upstream(first).await, upstream(second).await);
+        for broken_off in [upstream(none).await, first] {
+            fixture.send(call, broken_off, true);
+            assert!(matches!(fixture.end().await, SendOutcome::Lost { .. }));
+        }
+        fixture.send(call, second, true);
+        assert_eq!(fixture.end().await, SendOutcome::Delivered);
+        let received = received(caller).await;
+        let events = received.lines().filter(|line| line.starts_with("id: "));
+        assert_eq!(events.collect::<Vec<_>>(), ["id: 1", "id: 2", "id: 3"]);
+    });
+}
+
 #[test]
 fn a_stream_that_can_not_be_resumed_is_truncated() {
     run(async {
