--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -139,14 +139,18 @@
         /// Time until it wants requests again.
         for_ms: Millis,
     },
-    /// The process of an upstream ended with these prompt parts in flight from the sender, without an
-    /// event of their answers.
-    #[serde(rename = "Crashed")]
-    UpstreamCrashed(Vec<PromptPartId>),
-    /// Requests with these prompt parts are refused: upstreams ended under them.
-    #[serde(rename = "Quarantined")]
-    PartsQuarantined(Vec<PromptPartId>),
-    /// An upstream wrote an answer on these prompt parts: they are not to blame for crashes.
-    #[serde(rename = "Cleared")]
-    PartsCleared(Vec<PromptPartId>),
+    /// What the sender knows of prompt parts that may end upstreams.
+    PromptParts(PartsMessage),
+}
+
+/// News of prompt parts that may end upstreams.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PartsMessage {
+    /// The process of an upstream ended with these parts in flight from the sender, without an event of
+    /// their answers.
+    Crashed(Vec<PromptPartId>),
+    /// Requests with these parts are refused.
+    Quarantined(Vec<PromptPartId>),
+    /// An upstream wrote an answer on these parts: they are not to blame for crashes.
+    Cleared(Vec<PromptPartId>),
 }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -50,7 +50,7 @@
 pub use in_flight::InFlightTable;
 pub use in_flight_entry::{HelperAssignment, InFlightEntry, InFlightId, Phase};
 pub use leaving::LeavingNotice;
-pub use message::{DispatchMessage, InFlightReport, UpstreamChange};
+pub use message::{DispatchMessage, InFlightReport, PartsMessage, UpstreamChange};
 pub use operator_changes::OperatorChange;
 pub use outcome::{Culprit, SendOutcome};
 pub use quarantine::PromptQuarantine;
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -92,17 +92,11 @@
                 for_ms,
                 unreachable,
             } => self.on_peer_ejection(out.now, &upstream, for_ms, unreachable),
-            DispatchMessage::UpstreamReplaced(upstream) => {
-                self.on_replaced(out, &upstream, Some(vm));
-            }
-            DispatchMessage::UpstreamCrashed(parts) => self.on_peer_crash(out, vm, &parts),
-            DispatchMessage::PartsQuarantined(parts) => self.on_peer_quarantine(out, vm, parts),
-            DispatchMessage::PartsCleared(parts) => self.on_peer_cleared(out, vm, &parts),
+            DispatchMessage::UpstreamReplaced(gone) => self.on_replaced(out, &gone, Some(vm)),
+            DispatchMessage::PromptParts(message) => self.on_parts_message(out, vm, message),
             DispatchMessage::Started(report) => self.on_peer_started(out.now, index, &report),
             DispatchMessage::FirstEvent(send) => self.on_peer_first_event(out.now, index, send),
-            DispatchMessage::Ended(send) => {
-                self.in_flight.end(out.now, InFlightId::new(index, send));
-            }
+            DispatchMessage::Ended(send) => self.on_peer_ended(out.now, index, send),
             DispatchMessage::Snapshot(reports) => {
                 self.in_flight.replace_daemon(out.now, index, &reports)
             }
@@ -115,6 +109,10 @@
         self.in_flight.on_report(now, index, report);
     }
 
+    fn on_peer_ended(&mut self, now: Time, index: u32, send: SendId) {
+        self.in_flight.end(now, InFlightId::new(index, send));
+    }
+
     fn on_peer_first_event(&mut self, now: Time, index: u32, send: SendId) {
         if let Some(upstream) = self.in_flight.upstream(index, send) {
             self.health.on_peer_success(upstream);
--- a/crates/core/src/dispatch/quarantine_calls.rs
+++ b/crates/core/src/dispatch/quarantine_calls.rs
@@ -2,7 +2,7 @@
 
 use super::{
     dispatcher::{Dispatcher, Out},
-    DispatchAction, DispatchMessage, DispatchRecord, RefusalReason,
+    DispatchAction, DispatchMessage, DispatchRecord, PartsMessage, RefusalReason,
 };
 use crate::{
     fleet::UpstreamIncarnation,
@@ -23,29 +23,38 @@
             upstream: upstream.id.clone(),
             parts: parts.clone(),
         });
-        self.notify_now(out.now, DispatchMessage::UpstreamCrashed(parts));
+        self.notify_parts(out, PartsMessage::Crashed(parts));
         if !quarantined.is_empty() {
-            let message = DispatchMessage::PartsQuarantined(quarantined.clone());
-            self.notify_now(out.now, message);
+            self.notify_parts(out, PartsMessage::Quarantined(quarantined.clone()));
             self.apply_quarantine(out, &quarantined, None);
         }
     }
 
-    /// Handles a peer's report of a crash.
-    pub(super) fn on_peer_crash(&mut self, out: &mut Out<'_>, peer: &VmId, parts: &[PromptPartId]) {
-        let quarantined = self.quarantine.on_crash(out.now, parts);
-        self.apply_quarantine(out, &quarantined, Some(peer));
+    fn notify_parts(&mut self, out: &Out<'_>, message: PartsMessage) {
+        self.notify_now(out.now, DispatchMessage::PromptParts(message));
     }
 
-    /// Handles a peer's verdict on parts.
-    pub(super) fn on_peer_quarantine(
+    /// Handles what a peer says of prompt parts.
+    pub(super) fn on_parts_message(
         &mut self,
         out: &mut Out<'_>,
         peer: &VmId,
-        mut parts: Vec<PromptPartId>,
+        message: PartsMessage,
     ) {
-        parts.retain(|part| self.quarantine.quarantine(out.now, *part));
-        self.apply_quarantine(out, &parts, Some(peer));
+        match message {
+            PartsMessage::Crashed(parts) => {
+                let quarantined = self.quarantine.on_crash(out.now, &parts);
+                self.apply_quarantine(out, &quarantined, Some(peer));
+            }
+            PartsMessage::Quarantined(mut parts) => {
+                parts.retain(|part| self.quarantine.quarantine(out.now, *part));
+                self.apply_quarantine(out, &parts, Some(peer));
+            }
+            PartsMessage::Cleared(parts) => {
+                let cleared = self.quarantine.clear(&parts);
+                log_cleared(out, cleared, Some(peer));
+            }
+        }
     }
 
     /// Ends the own calls with these parts before more upstreams begin to write on them.
@@ -77,23 +86,11 @@
         };
         let cleared = self.quarantine.clear(&open.call.prompt_parts);
         if !cleared.is_empty() {
-            let message = DispatchMessage::PartsCleared(cleared.clone());
-            self.notify_now(out.now, message);
+            self.notify_parts(out, PartsMessage::Cleared(cleared.clone()));
             log_cleared(out, cleared, None);
         }
     }
 
-    /// Handles that a peer's answer showed parts to be sound.
-    pub(super) fn on_peer_cleared(
-        &mut self,
-        out: &mut Out<'_>,
-        peer: &VmId,
-        parts: &[PromptPartId],
-    ) {
-        let cleared = self.quarantine.clear(parts);
-        log_cleared(out, cleared, Some(peer));
-    }
-
     /// Whether a call must not be sent because of a part of its prompt. The first daemon by name lets a
     /// request try the part from time to time.
     pub(super) fn is_quarantined(&mut self, now: Time, call: CallId) -> bool {
@@ -116,7 +113,7 @@
         if !parts.is_empty() {
             out.act(DispatchAction::Notify {
                 to: Some(peer),
-                message: DispatchMessage::PartsQuarantined(parts),
+                message: DispatchMessage::PromptParts(PartsMessage::Quarantined(parts)),
             });
         }
     }
--- a/crates/persimmond/src/gateway/traffic.rs
+++ b/crates/persimmond/src/gateway/traffic.rs
@@ -18,7 +18,8 @@
     settings::GatewaySettings,
     telemetry::Telemetry,
     transport::{
-        send_order, serve_pages, CallerListener, DrainState, Hub, MetadataStore, Pool, SharedLimits,
+        send_order, serve_pages, CallerListener, Dialect, DrainState, Hub, MetadataStore, Pool,
+        SharedLimits,
     },
 };
 use std::{
@@ -97,6 +98,53 @@
     pub(super) telemetry: Arc<Telemetry>,
 }
 
+/// What jobs work with.
+struct Links {
+    hub: Arc<Hub>,
+    pool: Rc<Pool>,
+    store: Rc<dyn MetadataStore>,
+    dialect: Rc<dyn Dialect>,
+    mesh: JoinedMesh,
+    /// Notified when the store may have lost this daemon's entry.
+    lost_entry: Rc<Notify>,
+    drain: watch::Sender<DrainState>,
+}
+
+impl Links {
+    /// Starts a job.
+    fn start(&self, job: Job) {
+        let (pool, hub) = (Rc::clone(&self.pool), Arc::clone(&self.hub));
+        match job {
+            Job::ReadStore(call) => {
+                spawn_local(read_store(Rc::clone(&self.store), hub, call));
+            }
+            Job::Order(order) => {
+                spawn_local(send_order(pool, Rc::clone(&self.dialect), hub, order));
+            }
+            Job::CheckUpstream { upstream, address } => {
+                spawn_local(check_upstream(pool, hub, upstream, address));
+            }
+            Job::DiscardIdle {
+                addresses,
+                idle_for_ms,
+            } => pool.discard_idle(&addresses, idle_for_ms.duration()),
+            Job::Notify { to, message } => {
+                if let Some(mesh) = &*self.mesh.borrow() {
+                    mesh.send(to.as_ref(), &message);
+                }
+            }
+            Job::Register { after_ms } => {
+                spawn_local(notify_after(after_ms, Rc::clone(&self.lost_entry)));
+            }
+            Job::Drain(state) => {
+                self.drain.send_replace(state);
+            }
+            // The loop that starts jobs ends instead.
+            Job::Exit => {}
+        }
+    }
+}
+
 impl Traffic {
     /// Runs until the control thread sends `Job::Exit`.
     pub(super) fn run(self) -> Result<(), GatewayError> {
@@ -125,38 +173,22 @@
         spawn_local(evict_idle_connections(Rc::clone(&pool)));
         let lost_entry = Rc::new(Notify::new());
         let mesh = self.spawn_join(&store, &lost_entry);
+        let links = Links {
+            hub: Arc::clone(&self.hub),
+            pool,
+            store,
+            dialect,
+            mesh,
+            lost_entry,
+            drain,
+        };
         while let Ok(job) = self.jobs.recv_async().await {
-            match job {
-                Job::ReadStore(call) => {
-                    spawn_local(read_store(Rc::clone(&store), Arc::clone(&self.hub), call));
-                }
-                Job::Order(order) => {
-                    let (pool, dialect) = (Rc::clone(&pool), Rc::clone(&dialect));
-                    spawn_local(send_order(pool, dialect, Arc::clone(&self.hub), order));
-                }
-                Job::CheckUpstream { upstream, address } => {
-                    let (pool, hub) = (Rc::clone(&pool), Arc::clone(&self.hub));
-                    spawn_local(check_upstream(pool, hub, upstream, address));
-                }
-                Job::DiscardIdle {
-                    addresses,
-                    idle_for_ms,
-                } => pool.discard_idle(&addresses, idle_for_ms.duration()),
-                Job::Notify { to, message } => {
-                    if let Some(mesh) = &*mesh.borrow() {
-                        mesh.send(to.as_ref(), &message);
-                    }
-                }
-                Job::Register { after_ms } => {
-                    spawn_local(notify_after(after_ms, Rc::clone(&lost_entry)));
-                }
-                Job::Drain(state) => {
-                    drain.send_replace(state);
-                }
-                Job::Exit => break,
+            if matches!(job, Job::Exit) {
+                break;
             }
+            links.start(job);
         }
-        if let Some(mesh) = mesh.take() {
+        if let Some(mesh) = links.mesh.take() {
             mesh.close();
             sleep(PEER_CLOSE_FLUSH_TIME).await;
         }
