Parts beside a quarantined one are refused only together with it

Cause: the verdict took three crashes for proof, though parts that stood beside each other at all three can't be told apart.

Change: a part keeps the parts that were beside it at each crash, and a prompt is refused only if it has all of them. The event or the crash of a prompt with some of them tells. The line refused names the part, and explain shows crashes and verdicts.

--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -112,6 +112,7 @@
             route: None,
             class: None,
             reason: refusal.reason,
+            part: None,
             may_have_run: false,
             retry_after_ms: refusal.retry_after_ms,
             tries_count: 0,
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -1,6 +1,6 @@
 //! Messages between daemons: in-flight requests, ejections, and changes read from the store.
 
-use super::{HelperAssignment, OperatorChange};
+use super::{HelperAssignment, OperatorChange, QuarantinedPart};
 use crate::{
     catalog::CatalogStamp,
     fleet::{UpstreamIncarnation, UpstreamRecord},
@@ -150,7 +150,7 @@
     /// their answers.
     Crashed(Vec<PromptPartId>),
     /// Requests with these parts are refused.
-    Quarantined(Vec<PromptPartId>),
+    Quarantined(Vec<QuarantinedPart>),
     /// An upstream wrote an answer on these parts: they are not to blame for crashes.
     Cleared(Vec<PromptPartId>),
 }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -53,7 +53,7 @@
 pub use message::{DispatchMessage, InFlightReport, PartsMessage, UpstreamChange};
 pub use operator_changes::OperatorChange;
 pub use outcome::{Culprit, SendOutcome};
-pub use quarantine::PromptQuarantine;
+pub use quarantine::{PromptQuarantine, QuarantinedPart};
 pub use record::{DispatchRecord, UpstreamSource};
 pub use refusal::{Refusal, RefusalReason};
 pub use reservation::{OrderKind, OrderOutcome, ReserveOrder};
--- a/crates/core/src/dispatch/quarantine.rs
+++ b/crates/core/src/dispatch/quarantine.rs
@@ -6,14 +6,17 @@
 //! first event of any answer on it, at any daemon; a part to blame never gets one. Crashes at the same
 //! moment have a cause of their own and count once.
 //!
-//! Verdict: after some crashes without an event in between, requests with the part are refused. Daemons
-//! share crashes, events and verdicts, so that a request is refused wherever it arrives.
+//! Verdict: after some crashes without an event in between, requests with the part are refused. Parts that
+//! stood beside it at each of the crashes are as suspect, so only requests with all of them are refused: one
+//! that has some of them clears these, or shows by a crash which are to blame. Daemons share crashes, events
+//! and verdicts, so that a request is refused wherever it arrives.
 
 use crate::{
     ids::PromptPartId,
     units::{Millis, Time},
 };
-use std::collections::HashMap;
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, HashSet};
 
 /// Number of crashes without an event in between after which a part is quarantined.
 const CRASHES_MAX_COUNT: u32 = 3;
@@ -36,11 +39,25 @@
 /// Maximum number of suspect and quarantined parts that are remembered.
 const PARTS_MAX_LEN: usize = 1_024;
 
+/// Maximum number of companions that are remembered for a part.
+const COMPANIONS_MAX_LEN: usize = 64;
+
+/// A quarantined part, as daemons tell each other.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuarantinedPart {
+    /// The part.
+    pub part: PromptPartId,
+    /// The parts that were in flight beside it at each crash.
+    pub companions: Vec<PromptPartId>,
+}
+
 /// What is known of a part.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Suspect {
     crashes_count: u32,
     crashed_at: Time,
+    /// The parts that were in flight beside it at each crash, and are suspect.
+    companions: Vec<PromptPartId>,
     quarantine: Option<Quarantine>,
 }
 
@@ -90,13 +107,18 @@
     /// Records a crash with these parts in flight. Returns those that are quarantined by it.
     pub fn on_crash(&mut self, now: Time, parts: &[PromptPartId]) -> Vec<PromptPartId> {
         self.parts.retain(|_, suspect| !suspect.is_expired(now));
+        let in_flight: HashSet<_> = parts.iter().copied().collect();
         let mut quarantined = Vec::new();
         for part in parts {
             self.make_room(*part);
-            let suspect = self.parts.entry(*part).or_insert(Suspect {
-                crashes_count: 0,
-                crashed_at: Time::START,
-                quarantine: None,
+            let suspect = self.parts.entry(*part).or_insert_with(|| {
+                let others = parts.iter().filter(|other| *other != part);
+                Suspect {
+                    crashes_count: 0,
+                    crashed_at: Time::START,
+                    companions: others.take(COMPANIONS_MAX_LEN).copied().collect(),
+                    quarantine: None,
+                }
             });
             let same_moment = now < suspect.crashed_at + SAME_MOMENT_MS;
             if suspect.crashes_count > 0 && same_moment {
@@ -104,6 +126,9 @@
             }
             suspect.crashes_count += 1;
             suspect.crashed_at = now;
+            suspect
+                .companions
+                .retain(|companion| in_flight.contains(companion));
             if suspect.crashes_count >= CRASHES_MAX_COUNT && suspect.quarantine.is_none() {
                 suspect.quarantine = Some(Quarantine::new(now));
                 quarantined.push(*part);
@@ -113,11 +138,12 @@
     }
 
     /// Quarantines a part on a peer's verdict. Returns whether it was not.
-    pub fn quarantine(&mut self, now: Time, part: PromptPartId) -> bool {
-        self.make_room(part);
-        let suspect = self.parts.entry(part).or_insert(Suspect {
+    pub fn quarantine(&mut self, now: Time, verdict: QuarantinedPart) -> bool {
+        self.make_room(verdict.part);
+        let suspect = self.parts.entry(verdict.part).or_insert(Suspect {
             crashes_count: CRASHES_MAX_COUNT,
             crashed_at: now,
+            companions: verdict.companions,
             quarantine: None,
         });
         let is_new = suspect.quarantine.is_none();
@@ -132,14 +158,24 @@
         let suspect = parts
             .iter()
             .filter(|part| self.parts.remove(*part).is_some());
-        suspect.copied().collect()
+        let cleared: Vec<_> = suspect.copied().collect();
+        if !cleared.is_empty() {
+            for suspect in self.parts.values_mut() {
+                suspect.companions.retain(|part| !cleared.contains(part));
+            }
+        }
+        cleared
     }
 
-    /// The first quarantined part among these.
+    /// The first of a prompt's parts for which it is refused: one that is quarantined, and all of whose
+    /// companions the prompt has as well.
     pub fn find(&self, parts: &[PromptPartId]) -> Option<PromptPartId> {
         let is_quarantined = |part: &&PromptPartId| {
             let suspect = self.parts.get(part);
-            suspect.is_some_and(|suspect| suspect.quarantine.is_some())
+            suspect.is_some_and(|suspect| {
+                let mut companions = suspect.companions.iter();
+                suspect.quarantine.is_some() && companions.all(|part| parts.contains(part))
+            })
         };
         parts.iter().find(is_quarantined).copied()
     }
@@ -164,16 +200,24 @@
     /// Time until a quarantined part among these may be tried again.
     pub fn trial_wait_ms(&self, now: Time, parts: &[PromptPartId]) -> Option<Millis> {
         let suspect = self.parts.get(&self.find(parts)?)?;
-        Some(suspect.quarantine?.trial_at.since(now))
+        let quarantine = suspect.quarantine.as_ref()?;
+        Some(quarantine.trial_at.since(now))
     }
 
     /// The quarantined parts.
-    pub fn quarantined(&self) -> Vec<PromptPartId> {
-        let quarantined = self
-            .parts
-            .iter()
-            .filter(|(_, suspect)| suspect.quarantine.is_some());
-        quarantined.map(|(part, _)| *part).collect()
+    pub fn quarantined(&self) -> Vec<QuarantinedPart> {
+        let parts = self.parts.keys();
+        parts.filter_map(|part| self.verdict(*part)).collect()
+    }
+
+    /// A quarantined part, to be reported to peers.
+    pub fn verdict(&self, part: PromptPartId) -> Option<QuarantinedPart> {
+        let suspect = self.parts.get(&part)?;
+        suspect.quarantine.as_ref()?;
+        Some(QuarantinedPart {
+            part,
+            companions: suspect.companions.clone(),
+        })
     }
 
     /// Forgets the part that is worth least, if another one has no room.
--- a/crates/core/src/dispatch/quarantine_calls.rs
+++ b/crates/core/src/dispatch/quarantine_calls.rs
@@ -25,7 +25,10 @@
         });
         self.notify_parts(out, PartsMessage::Crashed(parts));
         if !quarantined.is_empty() {
-            self.notify_parts(out, PartsMessage::Quarantined(quarantined.clone()));
+            let parts = quarantined.iter();
+            let verdicts = parts.filter_map(|part| self.quarantine.verdict(*part));
+            let message = PartsMessage::Quarantined(verdicts.collect());
+            self.notify_parts(out, message);
             self.apply_quarantine(out, &quarantined, None);
         }
     }
@@ -46,8 +49,14 @@
                 let quarantined = self.quarantine.on_crash(out.now, &parts);
                 self.apply_quarantine(out, &quarantined, Some(peer));
             }
-            PartsMessage::Quarantined(mut parts) => {
-                parts.retain(|part| self.quarantine.quarantine(out.now, *part));
+            PartsMessage::Quarantined(verdicts) => {
+                let mut parts = Vec::new();
+                for verdict in verdicts {
+                    let part = verdict.part;
+                    if self.quarantine.quarantine(out.now, verdict) {
+                        parts.push(part);
+                    }
+                }
                 self.apply_quarantine(out, &parts, Some(peer));
             }
             PartsMessage::Cleared(parts) => {
@@ -57,7 +66,7 @@
         }
     }
 
-    /// Ends the own calls with these parts before more upstreams begin to write on them.
+    /// Ends the own calls that are refused by new verdicts, before more upstreams begin to write on them.
     fn apply_quarantine(
         &mut self,
         out: &mut Out<'_>,
@@ -69,13 +78,17 @@
                 part: *part,
                 reported_by: reported_by.cloned(),
             });
-            let affected = self.calls.iter().filter(|(_, open)| {
-                open.first_at.is_none() && open.call.prompt_parts.contains(part)
-            });
-            let calls: Vec<_> = affected.map(|(call, _)| *call).collect();
-            for call in calls {
-                self.give_up(out, call, RefusalReason::PromptQuarantined);
-            }
+        }
+        if parts.is_empty() {
+            return;
+        }
+        let affected = self.calls.iter().filter(|(_, open)| {
+            let refused = self.quarantine.find(&open.call.prompt_parts).is_some();
+            refused && open.first_at.is_none() && !open.is_trial
+        });
+        let calls: Vec<_> = affected.map(|(call, _)| *call).collect();
+        for call in calls {
+            self.give_up(out, call, RefusalReason::PromptQuarantined);
         }
     }
 
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -117,6 +117,9 @@
         class: Option<&'static str>,
         /// The reason.
         reason: RefusalReason,
+        /// The part of the prompt for which it is refused, if that is the reason.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        part: Option<PromptPartId>,
         /// Whether an upstream may have run the request.
         may_have_run: bool,
         /// `Retry-After` for the caller.
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -284,6 +284,9 @@
             route: Some(open.route.name.clone()),
             class: Some(open.route.kind.name()),
             reason,
+            part: (reason == RefusalReason::PromptQuarantined)
+                .then(|| self.quarantine.find(&open.call.prompt_parts))
+                .flatten(),
             may_have_run,
             retry_after_ms: refusal.retry_after_ms,
             tries_count: open.tries_count,
--- a/crates/core/tests/prompt_quarantine.rs
+++ b/crates/core/tests/prompt_quarantine.rs
@@ -66,6 +66,35 @@
     assert!(served * 10 >= asked * 9, "{served} of {asked}");
 }
 
+/// One request that its caller repeats has the same parts at each crash. The other parts are sound, and
+/// no other request has them for a while (tainted days of rarer kinds of requests, jadeleaf-cells).
+#[test]
+fn what_only_stood_beside_a_refused_part_is_served() {
+    let mut fleet = CrashFleet::new(3, 12);
+    fleet.deadly.insert(part(DEADLY));
+    for daemon in [0, 1, 2, 0] {
+        fleet.call(daemon, &[part(8), part(DEADLY), part(9)]);
+        fleet.pass(ms(500));
+    }
+    let crashes_count = fleet.crashed_at.len();
+    fleet.call(1, &[part(8), part(DEADLY), part(9)]);
+    fleet.pass(ms(500));
+    assert_eq!(fleet.crashed_at.len(), crashes_count);
+    // The upstreams are back.
+    fleet.pass(ms(4_000));
+    let since = fleet.now;
+    fleet.call(0, &[part(8)]);
+    fleet.call(1, &[part(9), part(10)]);
+    fleet.pass(ms(1_500));
+    assert_eq!(fleet.sound_served(since), (2, 2));
+    // The part to blame is refused beside others as well, after one more crash at most.
+    for step in 0..10 {
+        fleet.call(step % 3, &[part(20 + step as u64), part(DEADLY)]);
+        fleet.pass(ms(300));
+    }
+    assert!(fleet.crashed_at.len() <= crashes_count + 1);
+}
+
 /// A refusal before the request was sent says that it did not run, one after that does not.
 #[test]
 fn a_refused_part_is_answered_truthfully() {
--- a/crates/persimmonctl/src/explain.rs
+++ b/crates/persimmonctl/src/explain.rs
@@ -20,11 +20,16 @@
 
 /// Changes of what a daemon knows that stay in force until the next one of their kind. The last ones
 /// before the request's outcome are shown with it.
-const CONTEXT_MESSAGES: [&str; 3] = ["store_restored", "catalog_held", "domain_held"];
+const CONTEXT_MESSAGES: [&str; 4] = [
+    "store_restored",
+    "catalog_held",
+    "domain_held",
+    "part_quarantined",
+];
 
 /// Changes of an upstream, shown if they concern an upstream that the request was sent to and happened
 /// while the request was open.
-const UPSTREAM_MESSAGES: [&str; 2] = ["upstream_leaving", "upstream_backoff"];
+const UPSTREAM_MESSAGES: [&str; 3] = ["upstream_leaving", "upstream_backoff", "upstream_crashed"];
 
 /// Fields that identify the request and the daemon. The heading shows them, so the lines don't.
 const HEADING_FIELDS: [&str; 2] = ["request", "vm"];
--- a/crates/persimmonctl/tests/explain.rs
+++ b/crates/persimmonctl/tests/explain.rs
@@ -17,6 +17,11 @@
 {"message":"upstream_backoff","kvs":{"for_ms":2000,"upstream":"i-0000","vm":"vm-1"}}
 {"message":"upstream_leaving","kvs":{"upstream":"i-99aa","reported_by":"vm-2","vm":"vm-1"}}
 {"message":"refused","kvs":{"may_have_run":false,"reason":"no_capacity","request":"8a11","vm":"vm-1"}}
+{"message":"sent","kvs":{"request":"b00c","send":180,"try_count":1,"upstream":"i-5347","vm":"vm-1"}}
+{"message":"send_failed","kvs":{"end":"lost","next":"send_again","reason":"closed","request":"b00c","send":180,"vm":"vm-1"}}
+{"message":"upstream_crashed","kvs":{"parts":[11,12],"upstream":"i-5347","vm":"vm-1"}}
+{"message":"part_quarantined","kvs":{"part":12,"vm":"vm-1"}}
+{"message":"refused","kvs":{"may_have_run":true,"part":12,"reason":"prompt_quarantined","request":"b00c","vm":"vm-1"}}
 "#;
 
 fn explain(request: &str, name: &str) -> String {
@@ -61,6 +66,21 @@
     ");
 }
 
+#[test]
+fn a_refused_prompt_part_is_explained_by_its_crashes() {
+    assert_snapshot!(explain("b00c", "quarantined"), @r"
+    request b00c at vm-1 (LOG)
+     ~ store_restored catalog=7 dependency=operators store=1.40
+     ~ catalog_held store=1.40 stored_version=5 version=7
+       sent send=180 try_count=1 upstream=i-5347
+    => send_failed end=lost next=send_again reason=closed send=180
+     ~ upstream_crashed parts=[11,12] upstream=i-5347
+     ~ part_quarantined part=12
+       refused may_have_run=true part=12 reason=prompt_quarantined
+    exit 0
+    ");
+}
+
 #[test]
 fn a_request_that_no_log_names() {
     assert_snapshot!(explain("0000", "none"), @"
