--- a/crates/core/src/dispatch/quarantine.rs
+++ b/crates/core/src/dispatch/quarantine.rs
@@ -140,12 +140,16 @@
     /// Quarantines a part on a peer's verdict. Returns whether it was not.
     pub fn quarantine(&mut self, now: Time, verdict: QuarantinedPart) -> bool {
         self.make_room(verdict.part);
-        let suspect = self.parts.entry(verdict.part).or_insert(Suspect {
+        let QuarantinedPart { part, companions } = verdict;
+        let suspect = self.parts.entry(part).or_insert_with(|| Suspect {
             crashes_count: CRASHES_MAX_COUNT,
             crashed_at: now,
-            companions: verdict.companions,
+            companions: companions.clone(),
             quarantine: None,
         });
+        suspect
+            .companions
+            .retain(|companion| companions.contains(companion));
         let is_new = suspect.quarantine.is_none();
         suspect
             .quarantine
--- a/crates/core/tests/prompt_quarantine.rs
+++ b/crates/core/tests/prompt_quarantine.rs
@@ -7,7 +7,11 @@
 
 use crash_fleet::{CrashFleet, Outcome};
 use dispatch::ms;
-use persimmon_core::ids::PromptPartId;
+use persimmon_core::{
+    dispatch::{PromptQuarantine, QuarantinedPart},
+    ids::PromptPartId,
+    units::Time,
+};
 
 /// Bound on requests with a part after five upstreams have ended under it and peers have had time to learn.
 const LATE_SENDS_MAX_COUNT: usize = 3;
@@ -179,6 +183,23 @@
     assert_eq!(fleet.deadly_sends_after(fleet.started_at), sends_count);
 }
 
+/// A daemon that was not connected at some of the crashes takes a part for one that is only refused beside
+/// others. A peer knows better.
+#[test]
+fn a_verdict_of_a_peer_that_saw_more_crashes_counts() {
+    let mut quarantine = PromptQuarantine::default();
+    let now = Time::START;
+    quarantine.on_crash(now, &[part(8), part(DEADLY)]);
+    let verdict = QuarantinedPart {
+        part: part(DEADLY),
+        companions: Vec::new(),
+    };
+    assert!(quarantine.quarantine(now, verdict.clone()));
+    assert!(!quarantine.quarantine(now, verdict));
+    assert_eq!(quarantine.find(&[part(DEADLY)]), Some(part(DEADLY)));
+    assert_eq!(quarantine.find(&[part(8)]), None);
+}
+
 /// A part gets another chance by one request of one daemon at a time, and serves again once it is sound.
 #[test]
 fn a_refused_part_is_tried_again_by_one_request() {
