A report with a gap before it has the list of upstreams read soon

Cause: a daemon whose calls to the store fail tries again less often while it relies on peers, up to 2 s apart. After a cut the peers were back first, and their reports could not be applied, as changes before them were missing here. The daemon waited for its next try all the same: back at 13.5 s, read the list at 15.6 s. Class: news that one is behind, ignored.

Evidence: the lines of front-seeb-1: operators' writes known at 13.50 s, upstreams at 15.62 s, none for the removal at 14.3 s. The connection to the store is ruled out, as the other topic used it.

Change: such a report shows that the store can be read and that there is something to read, so the list is read 150 ms later. Operators' writes had this already. The test failed before (no read within 200 ms).

--- a/crates/core/src/watch/topic_watch.rs
+++ b/crates/core/src/watch/topic_watch.rs
@@ -196,8 +196,9 @@
     /// Handles changes that a peer read from the store, from position `after` to `position`. Returns
     /// the state of the connection before them if they are to be applied: they follow the known
     /// position without a gap, and nothing after them is known. This daemon's next call is then postponed
-    /// by `due_ms`. Changes of an older era are ignored; those of a newer one say that all entries have to
-    /// be read again.
+    /// by `due_ms`. Changes after a gap show that the store can be read and that there is something to
+    /// read, so the call is due soon. Changes of an older era are ignored; those of a newer one say that all
+    /// entries have to be read again.
     pub fn on_peer_changes(
         &mut self,
         now: Time,
@@ -209,6 +210,9 @@
         let known = self.position?;
         let continues = after.era == position.era && known.continues_at(after) && known <= position;
         if !continues {
+            if known.era == position.era && known < position {
+                self.due_at = self.due_at.min(now + CHANGE_BATCH_DELAY_MS);
+            }
             return None;
         }
         let gap_ms = self.fresh_at.map(|fresh_at| now.since(fresh_at));
--- a/crates/core/tests/upstream_reports.rs
+++ b/crates/core/tests/upstream_reports.rs
@@ -160,6 +160,39 @@
     assert!(node.dispatcher.fleet().withdrawn_domains().is_empty());
 }
 
+/// After a cut, a daemon waited two seconds for its next try to read the list, while peers reported changes
+/// that it could not apply, and sent requests to an upstream that had left (rule DRAIN, cryogas-order-desk,
+/// cut-then-release varied by seed 939856469516).
+#[test]
+fn a_report_with_a_gap_before_it_has_the_list_read_soon() {
+    let mut node = Node::named("vm-5");
+    for reader in ["vm-0", "vm-1"] {
+        node.step(DispatchEvent::PeerUp { vm: id(reader) });
+    }
+    node.learn(0, 3);
+    node.pass(ms(1_200));
+    for _ in 0..6 {
+        node.store_fails(Topic::Upstreams);
+        node.now = node.now + ms(2_000);
+        node.step(DispatchEvent::Tick);
+    }
+    node.store_fails(Topic::Upstreams);
+    let report = DispatchMessage::UpstreamChanges {
+        after: position(9),
+        position: position(12),
+        changes: Vec::new(),
+    };
+    receive(&mut node, "vm-0", vec![report]);
+    let mut actions = Vec::new();
+    node.now = node.now + ms(200);
+    let tick = DispatchEvent::Tick;
+    node.dispatcher.handle(node.now, tick, &mut actions);
+    let reads = actions.iter().filter(|action| {
+        matches!(action, DispatchAction::ReadStore(call) if call.topic == Topic::Upstreams)
+    });
+    assert_eq!(reads.count(), 1);
+}
+
 /// A report that arrived late kept the daemon from reading the list, as if it told of the present.
 #[test]
 fn a_delayed_report_postpones_no_read() {
