A delayed write of an earlier start no longer ends an upstream's backoff

Callers would see: requests sent to an upstream that had asked for a pause, and turned away there (no run showed it; found by reading, while looking where knowledge of an upstream ends). Cause: an entry of another start than the known one dropped the backoff, also when the registry then ignored the entry as older. The store may carry out a write seconds late. Evidence: the new test of upstream_notices.rs failed before (a request was sent) and passes. Only a later start is a new process.

--- a/crates/core/src/dispatch/store_updates.rs
+++ b/crates/core/src/dispatch/store_updates.rs
@@ -269,7 +269,8 @@
         let upstream = record.id.clone();
         let state = if record.draining { "draining" } else { "ready" };
         let known = self.fleet.get(&upstream).map(|known| &known.record);
-        if known.is_some_and(|known| known.started_unix_ms != record.started_unix_ms) {
+        // A delayed write of an earlier start says nothing of the running process.
+        if known.is_some_and(|known| known.started_unix_ms < record.started_unix_ms) {
             self.backoff.forget(&upstream);
         }
         if self.fleet.on_record(out.now, record) {
--- a/crates/core/tests/upstream_notices.rs
+++ b/crates/core/tests/upstream_notices.rs
@@ -286,6 +286,17 @@
     assert_eq!(served_by(&mut node), ["orders-101"]);
 }
 
+/// The store may carry out a write of an earlier start seconds late.
+#[test]
+fn a_delayed_write_of_an_earlier_start_does_not_end_a_backoff() {
+    let mut node = Node::ready(0, 1);
+    renew(&mut node, 2, 1);
+    play(&mut node, &full(&["orders-101"], 3_000), 1, ms(1));
+    renew(&mut node, 1, 9);
+    let (_, seen) = node.call("status", 0);
+    assert!(matches!(seen[..], [Seen::Refuse(..)]), "{seen:?}");
+}
+
 /// Sixty daemons learn that an upstream sheds: few of them ask it again before its time.
 #[test]
 fn peers_of_a_daemon_that_was_turned_away_hold_back() {
