Log: the rate limit that an upstream states

An upstream may state in its answers how many requests a second it takes from all daemons together. No decision uses it yet.

Answers overtake each other: each is known by the span from the request's sending to its arrival; a limit is raised or lifted only by an answer that was certainly written later. Silence counts only in an answer that bears the request's own id. What is no plain decimal number is ignored and neither names nor lifts a limit.

The unit's error names the allowed numbers, as zero is a rate here and not elsewhere.

--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -3,7 +3,7 @@
 use super::{
     in_flight::OWN_DAEMON_INDEX, Call, DispatchAction, DispatchEvent, DispatchMessage,
     DispatchRecord, DispatchSettings, HealthTable, InFlightId, InFlightTable, PromptQuarantine,
-    RetryBudget, SlowStartLimiter,
+    RateLimitTable, RetryBudget, SlowStartLimiter,
 };
 use crate::{
     catalog::{Catalog, KeyHolder, Route, Service},
@@ -133,6 +133,7 @@
     pub(super) in_flight: InFlightTable,
     pub(super) health: HealthTable,
     pub(super) backoff: BackoffTable,
+    pub(super) rate_limits: RateLimitTable,
     pub(super) slow_start: SlowStartLimiter,
     pub(super) budget: RetryBudget,
     pub(super) reservations: Reservations,
@@ -166,6 +167,7 @@
             in_flight: InFlightTable::default(),
             health: HealthTable::default(),
             backoff: BackoffTable::default(),
+            rate_limits: RateLimitTable::default(),
             slow_start: SlowStartLimiter::default(),
             budget: RetryBudget::new(
                 settings.retry_percent,
@@ -204,6 +206,7 @@
                 silent_ms,
             } => self.on_stalled(&mut out, call, send, silent_ms),
             DispatchEvent::UpstreamLeaving(notice) => self.on_leaving_notice(&mut out, notice),
+            DispatchEvent::UpstreamRateLimit(notice) => self.on_rate_notice(&mut out, notice),
             DispatchEvent::CallerLeft { call } => self.on_caller_left(&mut out, call),
             DispatchEvent::OrderEnded { ticket, kind, end } => {
                 self.on_order_ended(&mut out, &ticket, kind, end);
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -1,7 +1,8 @@
 //! Events that the dispatcher handles.
 
 use super::{
-    Call, DispatchMessage, DispatchSettings, LeavingNotice, OrderKind, OrderOutcome, SendOutcome,
+    Call, DispatchMessage, DispatchSettings, LeavingNotice, OrderKind, OrderOutcome,
+    RateLimitNotice, SendOutcome,
 };
 use crate::{
     fleet::UpstreamIncarnation,
@@ -43,6 +44,8 @@
     },
     /// An upstream said in an answer that it is about to stop.
     UpstreamLeaving(LeavingNotice),
+    /// An upstream stated in an answer how many requests a second it takes, or no longer did.
+    UpstreamRateLimit(RateLimitNotice),
     /// A caller closed its connection before its answer was complete.
     CallerLeft {
         /// The call.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -26,6 +26,8 @@
 mod quarantine_calls;
 mod queue_order;
 mod queue_wait;
+mod rate_limit;
+mod rate_notice;
 mod record;
 mod refusal;
 mod reservation;
@@ -54,6 +56,8 @@
 pub use operator_changes::OperatorChange;
 pub use outcome::{Culprit, SendOutcome};
 pub use quarantine::{PromptQuarantine, QuarantinedPart};
+pub use rate_limit::{RateLimitTable, RateStatement};
+pub use rate_notice::RateLimitNotice;
 pub use record::{DispatchRecord, UpstreamSource};
 pub use refusal::{Refusal, RefusalReason};
 pub use reservation::{OrderKind, OrderOutcome, ReserveOrder};
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -3,7 +3,7 @@
 use super::{OrderKind, OrderOutcome, RefusalReason, SendOutcome};
 use crate::{
     ids::{CatalogVersion, FailureDomain, PromptPartId, SendId, ServiceName, UpstreamId, VmId},
-    units::Millis,
+    units::{Millis, RequestsPerSecond},
     watch::StorePosition,
 };
 use serde::Serialize;
@@ -56,6 +56,9 @@
         try_count: u32,
         /// Number of other requests known to be in flight at the upstream.
         load_requests: usize,
+        /// Requests a second that the upstream takes from all daemons, if it has a rate limit.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        limit_per_s: Option<RequestsPerSecond>,
         /// Predicted time to the first event.
         predicted_ms: Option<Millis>,
         /// Number of helper engines that prefill parts of the prompt.
@@ -233,6 +236,16 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         reported_by: Option<VmId>,
     },
+    /// An upstream stated a rate limit or another one, or no longer states one.
+    UpstreamRateLimit {
+        /// The request id that the caller chose, if it was an answer to a request.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        request: Option<Arc<str>>,
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Requests a second that it takes from all daemons together; none if it has no limit.
+        per_s: Option<RequestsPerSecond>,
+    },
     /// The process of an upstream ended while it had requests of this daemon.
     UpstreamCrashed {
         /// The upstream.
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -112,6 +112,7 @@
             ),
             pause_timeout_ms: pause_timeout_ms(&open.route),
             helpers: placement.helpers.iter().filter_map(helper).collect(),
+            is_rate_limited: self.rate_limits.per_s(&placement.upstream).is_some(),
         })
     }
 
@@ -131,6 +132,7 @@
             domain: upstream.record.domain.clone(),
             try_count: open.tries_count,
             load_requests: self.in_flight.requests_len(&placement.upstream),
+            limit_per_s: self.rate_limits.per_s(&placement.upstream),
             predicted_ms: placement.predicted_ms.map(|ms| Millis::new(ms as u64)),
             helpers_len: placement.helpers.len(),
             left_ms: open.left_ms(out.now),
--- a/crates/core/src/dispatch/send_plan.rs
+++ b/crates/core/src/dispatch/send_plan.rs
@@ -45,6 +45,8 @@
     pub pause_timeout_ms: Millis,
     /// Engines that prefill parts of the prompt.
     pub helpers: Vec<PrefillHelper>,
+    /// Whether the upstream has a rate limit, which an answer that states none lifts.
+    pub is_rate_limited: bool,
 }
 
 impl SendPlan {
--- a/crates/core/src/dispatch/store_updates.rs
+++ b/crates/core/src/dispatch/store_updates.rs
@@ -272,6 +272,7 @@
         // A delayed write of an earlier start says nothing of the running process.
         if known.is_some_and(|known| known.started_unix_ms < record.started_unix_ms) {
             self.backoff.forget(&upstream);
+            self.rate_limits.forget(&upstream);
         }
         if self.fleet.on_record(out.now, record) {
             out.log(DispatchRecord::Upstream {
@@ -308,6 +309,7 @@
         self.health.forget(upstream);
         self.slow_start.forget(upstream);
         self.backoff.forget(upstream);
+        self.rate_limits.forget(upstream);
         out.log(DispatchRecord::Upstream {
             upstream: upstream.clone(),
             state,
--- a/crates/core/src/units/errors.rs
+++ b/crates/core/src/units/errors.rs
@@ -14,11 +14,13 @@
         text: String,
     },
     /// The number is outside the allowed range.
-    #[error("{kind} {value} is out of range: give a finite number above zero")]
+    #[error("{kind} {value} is out of range: give a finite number {least}")]
     Range {
         /// The unit.
         kind: &'static str,
         /// The invalid number.
         value: f64,
+        /// The allowed numbers, as `above zero`.
+        least: &'static str,
     },
 }
--- a/crates/core/src/units/mod.rs
+++ b/crates/core/src/units/mod.rs
@@ -8,6 +8,6 @@
 
 pub use errors::UnitError;
 pub use range::{RangeCheck, RangeError};
-pub use rates::{BytesPerSecond, TokensPerSecond};
+pub use rates::{BytesPerSecond, RequestsPerSecond, TokensPerSecond};
 pub use sizes::{KvBytes, Tokens};
 pub use time::{Millis, Time};
--- a/crates/core/src/units/rates.rs
+++ b/crates/core/src/units/rates.rs
@@ -5,7 +5,7 @@
 use std::{fmt, str::FromStr};
 
 macro_rules! rate {
-    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+    ($(#[$doc:meta])* $name:ident, $kind:literal, $least:literal, $is_allowed:expr) => {
         $(#[$doc])*
         #[derive(Clone, Copy, Debug, Deserialize, PartialEq, PartialOrd, Serialize)]
         #[serde(into = "f64", try_from = "f64")]
@@ -28,10 +28,11 @@
             type Error = UnitError;
 
             fn try_from(value: f64) -> Result<Self, UnitError> {
-                if value.is_finite() && value > 0.0 {
+                let is_allowed: fn(f64) -> bool = $is_allowed;
+                if value.is_finite() && is_allowed(value) {
                     Ok(Self(value))
                 } else {
-                    Err(UnitError::Range { kind: $kind, value })
+                    Err(UnitError::Range { kind: $kind, value, least: $least })
                 }
             }
         }
@@ -58,12 +59,23 @@
 rate!(
     /// Bytes per second, greater than zero.
     BytesPerSecond,
-    "bytes per second"
+    "bytes per second",
+    "above zero",
+    |value| value > 0.0
+);
+rate!(
+    /// Requests per second, zero or more.
+    RequestsPerSecond,
+    "requests per second",
+    "of zero or more",
+    |value| value >= 0.0
 );
 rate!(
     /// Tokens per second, greater than zero.
     TokensPerSecond,
-    "tokens per second"
+    "tokens per second",
+    "above zero",
+    |value| value > 0.0
 );
 
 impl TokensPerSecond {
--- a/crates/io/src/transport/call_task.rs
+++ b/crates/io/src/transport/call_task.rs
@@ -9,8 +9,9 @@
 use flume::Receiver;
 use http::{header, request, HeaderValue, Response};
 use persimmon_core::{
-    dispatch::{DispatchEvent, LeavingNotice, Refusal, SendPlan},
+    dispatch::{DispatchEvent, LeavingNotice, RateLimitNotice, Refusal, SendPlan},
     ids::CallId,
+    units::{Millis, RequestsPerSecond},
 };
 use std::{rc::Rc, sync::Arc};
 use tokio::{sync::oneshot, time::Instant};
@@ -106,6 +107,9 @@
                 });
             },
             on_leaving: &|is_misdirected| self.report_leaving(plan, is_misdirected),
+            on_rate_limit: &|per_s, is_misdirected| {
+                self.report_rate_limit(&out, per_s, is_misdirected);
+            },
         };
         let outcome = tokio::select! {
             biased;
@@ -166,6 +170,22 @@
         }));
     }
 
+    fn report_rate_limit(
+        &self,
+        out: &Outgoing<'_>,
+        per_s: Option<RequestsPerSecond>,
+        is_misdirected: bool,
+    ) {
+        self.event(DispatchEvent::UpstreamRateLimit(RateLimitNotice {
+            upstream: out.plan.incarnation(),
+            address: out.plan.address,
+            is_misdirected,
+            request: Some(Arc::clone(&self.request_id)),
+            per_s,
+            answered_after_ms: Millis::new(out.sent_at.elapsed().as_millis() as u64),
+        }));
+    }
+
     fn event(&self, event: DispatchEvent) {
         self.shared.hub.send_event(event);
     }
--- a/crates/io/src/transport/dialect.rs
+++ b/crates/io/src/transport/dialect.rs
@@ -6,7 +6,7 @@
     catalog::ApiKey,
     dispatch::{Culprit, PromptSize, Refusal, ReserveOrder, SendPlan},
     ids::PromptPartId,
-    units::Millis,
+    units::{Millis, RequestsPerSecond, UnitError},
 };
 use std::{fmt, sync::Arc};
 use thiserror::Error;
@@ -56,11 +56,28 @@
     pub is_leaving: bool,
     /// Time for which the upstream wants no more requests from this daemon.
     pub retry_after_ms: Option<Millis>,
+    /// Requests a second that the upstream takes from all daemons together, or why the value that the
+    /// response states is no rate. None if it states no limit.
+    pub rate_limit: Option<Result<RequestsPerSecond, UnitError>>,
     /// Whether the body has a content encoding, so that it is not as the upstream's handler wrote
     /// it.
     pub encoded: bool,
 }
 
+impl ResponseHead {
+    /// The rate limit that the response states. A value that is no rate is logged and ignored.
+    pub(super) fn stated_rate_limit(&self) -> Option<RequestsPerSecond> {
+        let stated = self.rate_limit.as_ref()?;
+        match stated {
+            Ok(per_s) => Some(*per_s),
+            Err(error) => {
+                log::debug!("rate limit of an upstream ignored: {error}");
+                None
+            }
+        }
+    }
+}
+
 /// What the upstream is sent in addition to the caller's headers.
 #[derive(Clone, Copy, Debug)]
 pub struct ForwardContext<'a> {
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use persimmon_core::{
     dispatch::{SendOutcome, SendPlan},
-    units::Millis,
+    units::{Millis, RequestsPerSecond},
 };
 use std::{future::Future, pin::pin, time::Duration};
 use tokio::time::{sleep, Instant};
@@ -55,6 +55,9 @@
     /// Called when the upstream states that it is about to stop. The argument tells whether another
     /// upstream than the planned one may have answered.
     pub(super) on_leaving: &'a dyn Fn(bool),
+    /// Called with the rate limit that the upstream states, or with none if it no longer states one. The
+    /// second argument is as for `on_leaving`.
+    pub(super) on_rate_limit: &'a dyn Fn(Option<RequestsPerSecond>, bool),
 }
 
 /// How a transmission ended, from the view of the call's task.
@@ -129,7 +132,14 @@
     if parsed.is_leaving {
         (signals.on_leaving)(parsed.wrong_upstream);
     }
+    if let Some(stated) = parsed.stated_rate_limit() {
+        (signals.on_rate_limit)(Some(stated), parsed.wrong_upstream);
+    }
     check(out, &head, &parsed)?;
+    let is_own = parsed.request_id.as_deref() == Some(out.request_id) && !parsed.wrong_upstream;
+    if out.plan.is_rate_limited && is_own && parsed.rate_limit.is_none() {
+        (signals.on_rate_limit)(None, false);
+    }
     if !head.status.is_success() {
         let limit = time_left(out, first_byte_timeout);
         let body = read_body(reply, body, FAILURE_MAX_BYTES, limit, signals).await?;
--- a/crates/io/src/transport/orders.rs
+++ b/crates/io/src/transport/orders.rs
@@ -2,8 +2,12 @@
 
 use super::{Dialect, Hub, Pool, PoolError};
 use http_body_util::Full;
-use persimmon_core::dispatch::{DispatchEvent, LeavingNotice, OrderOutcome, ReserveOrder};
+use persimmon_core::{
+    dispatch::{DispatchEvent, LeavingNotice, OrderOutcome, RateLimitNotice, ReserveOrder},
+    units::Millis,
+};
 use std::{rc::Rc, sync::Arc, time::Duration};
+use tokio::time::Instant;
 
 /// Time limit for an engine's answer to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -15,6 +19,7 @@
     hub: Arc<Hub>,
     order: ReserveOrder,
 ) {
+    let sent_at = Instant::now();
     let request = dialect.order_request(&order).map(Full::new);
     let end = match pool.call(order.address, request, ORDER_TIMEOUT).await {
         Ok(answer) => {
@@ -28,6 +33,16 @@
                     request: None,
                 }));
             }
+            if let Some(per_s) = parsed.stated_rate_limit() {
+                hub.send_event(DispatchEvent::UpstreamRateLimit(RateLimitNotice {
+                    upstream: order.incarnation(),
+                    address: order.address,
+                    is_misdirected: parsed.wrong_upstream,
+                    request: None,
+                    per_s: Some(per_s),
+                    answered_after_ms: Millis::new(sent_at.elapsed().as_millis() as u64),
+                }));
+            }
             if head.status.is_success() {
                 OrderOutcome::Done
             } else {
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -9,7 +9,7 @@
 use persimmon_core::{
     dispatch::{DispatchEvent, Refusal, RefusalReason, ReserveOrder, SendOutcome, SendPlan},
     ids::{CallId, SendId},
-    units::Millis,
+    units::{Millis, RequestsPerSecond},
 };
 use persimmon_io::transport::{
     CallCommand, CallerListener, Dialect, DrainState, ForwardContext, Hub, Pool, RequestHead,
@@ -70,6 +70,10 @@
                 .headers
                 .get("x-after")
                 .map(|after_ms| Millis::new(after_ms.to_str().unwrap().parse().unwrap())),
+            rate_limit: head
+                .headers
+                .get("x-limit")
+                .map(|per_s| per_s.to_str().unwrap().parse()),
             ..ResponseHead::default()
         }
     }
@@ -90,6 +94,8 @@
     address: SocketAddr,
     last_send: SendId,
     drain: watch::Sender<DrainState>,
+    /// Whether requests are sent to an upstream that has a rate limit.
+    is_rate_limited: bool,
 }
 
 impl Fixture {
@@ -114,6 +120,7 @@
             address,
             last_send: SendId::default(),
             drain,
+            is_rate_limited: false,
         }
     }
 
@@ -167,6 +174,7 @@
             first_byte_timeout_ms: Millis::new(5_000),
             pause_timeout_ms: Millis::new(5_000),
             helpers: Vec::new(),
+            is_rate_limited: self.is_rate_limited,
         };
         self.hub
             .send_command(call, CallCommand::Send(Box::new(plan)));
@@ -319,6 +327,56 @@
     });
 }
 
+/// Only an answer that is certainly the upstream's own says by its silence that a limit has ended.
+#[test]
+fn a_rate_limit_in_any_response_is_reported() {
+    run(async {
+        let (mut fixture, caller, call) = Fixture::with_call().await;
+        fixture.is_rate_limited = true;
+        let responses: &[&[u8]] = &[
+            b"HTTP/1.1 503 No\r\nx-id: 7\r\nx-not-run: 1\r\nx-limit: 2.5\r\ncontent-length: 0\r\n\r\n",
+            b"HTTP/1.1 421 Other\r\nx-limit: 0\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nx-id: 6\r\nx-signed: 1\r\nx-limit: 3\r\ncontent-length: 2\r\n\r\nno",
+            b"HTTP/1.1 200 OK\r\nx-id: 6\r\nx-signed: 1\r\ncontent-length: 2\r\n\r\nno",
+            b"HTTP/1.1 421 Other\r\nx-id: 7\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
+            b"HTTP/1.1 500 No\r\nx-id: 7\r\nx-limit: many\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
+            b"HTTP/1.1 500 No\r\nx-id: 7\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nx-id: 7\r\nx-signed: 1\r\nx-limit: 1\r\ncontent-length: 5\r\n\r\nwhole",
+        ];
+        let upstream = upstream(responses).await;
+        let mut lines = Vec::new();
+        for _ in responses {
+            fixture.send(call, upstream, false);
+            let mut line = String::new();
+            loop {
+                match fixture.event().await {
+                    DispatchEvent::UpstreamRateLimit(notice) => {
+                        assert_eq!(notice.upstream.started_unix_ms, 7);
+                        let per_s = notice.per_s.map(RequestsPerSecond::get);
+                        line.push_str(&format!(
+                            "{per_s:?} misdirected: {}, ",
+                            notice.is_misdirected
+                        ));
+                    }
+                    DispatchEvent::Ended { .. } => break lines.push(format!("{line}ended")),
+                    _ => {}
+                }
+            }
+        }
+        assert_snapshot!(lines.join("\n"), @r"
+        Some(2.5) misdirected: false, ended
+        Some(0.0) misdirected: true, ended
+        Some(3.0) misdirected: false, ended
+        ended
+        ended
+        ended
+        None misdirected: false, ended
+        Some(1.0) misdirected: false, ended
+        ");
+        assert!(received(caller).await.ends_with("whole"));
+    });
+}
+
 #[test]
 fn only_a_refused_connection_shows_that_a_server_has_ended() {
     run(async {
--- a/crates/persimmonctl/src/explain.rs
+++ b/crates/persimmonctl/src/explain.rs
@@ -29,7 +29,12 @@
 
 /// Changes of an upstream, shown if they concern an upstream that the request was sent to and happened
 /// while the request was open.
-const UPSTREAM_MESSAGES: [&str; 3] = ["upstream_leaving", "upstream_backoff", "upstream_crashed"];
+const UPSTREAM_MESSAGES: [&str; 4] = [
+    "upstream_leaving",
+    "upstream_backoff",
+    "upstream_rate_limit",
+    "upstream_crashed",
+];
 
 /// Fields that identify the request and the daemon. The heading shows them, so the lines don't.
 const HEADING_FIELDS: [&str; 2] = ["request", "vm"];
--- a/crates/persimmonctl/tests/explain.rs
+++ b/crates/persimmonctl/tests/explain.rs
@@ -15,6 +15,7 @@
 {"message":"catalog_held","kvs":{"store":"1.40","stored_version":5,"version":7,"vm":"vm-1"}}
 {"message":"sent","kvs":{"request":"8a11","send":170,"try_count":1,"upstream":"i-99aa","vm":"vm-1"}}
 {"message":"upstream_backoff","kvs":{"for_ms":2000,"upstream":"i-0000","vm":"vm-1"}}
+{"message":"upstream_rate_limit","kvs":{"per_s":1.7,"upstream":"i-99aa","vm":"vm-1"}}
 {"message":"upstream_leaving","kvs":{"upstream":"i-99aa","reported_by":"vm-2","vm":"vm-1"}}
 {"message":"refused","kvs":{"may_have_run":false,"reason":"no_capacity","request":"8a11","vm":"vm-1"}}
 {"message":"sent","kvs":{"request":"b00c","send":180,"try_count":1,"upstream":"i-5347","vm":"vm-1"}}
@@ -46,6 +47,7 @@
      ~ store_restored catalog=7 dependency=operators store=1.40
      ~ catalog_held store=1.40 stored_version=5 version=7
        sent send=170 try_count=1 upstream=i-99aa
+     ~ upstream_rate_limit per_s=1.7 upstream=i-99aa
      ~ upstream_leaving reported_by=vm-2 upstream=i-99aa
     => refused may_have_run=false reason=no_capacity
     exit 0
