Upstreams get no more requests than the rate that they state, from all daemons together

Callers saw: nothing yet; the upstream did.

Cause: no daemon read the limit (hypothesis 1): arrivals were the same before and after it was stated, and nothing in platform/ or the core had its name. Ruled out: daemons that keep to it each by itself (2), sends that pass it by (3). Class: a bound that is meant for all daemons, and that no daemon or each by itself keeps.

Change: each daemon counts the requests of all against the limit, by the reports of started requests that it gets anyway; what fits is drawn for where several daemons compete, and a daemon without some of its peers keeps to the share of those it hears. Requests that can't fit go elsewhere, wait, or are refused at once with the time at which they fit. The upstream is full meanwhile, not at fault.

Peer messages have one more variant, so their protocol number rises.

--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -140,8 +140,8 @@
             RefusalReason::NoCatalog | RefusalReason::KnowledgeTooOld => Some(START_RETRY_MS),
             RefusalReason::Stopping => Some(Millis::ZERO),
             RefusalReason::UpstreamsRefused => {
-                let backoff_ms = self.backoff_left_ms(now, open);
-                Some(backoff_ms.map_or(DEFAULT_RETRY_AFTER_MS, |ms| ms.max(DEFAULT_RETRY_AFTER_MS)))
+                let hold_ms = self.hold_left_ms(now, open);
+                Some(hold_ms.map_or(DEFAULT_RETRY_AFTER_MS, |ms| ms.max(DEFAULT_RETRY_AFTER_MS)))
             }
             RefusalReason::NoUpstream => Some(DEFAULT_RETRY_AFTER_MS),
             RefusalReason::PromptQuarantined => {
--- a/crates/core/src/dispatch/backoff.rs
+++ b/crates/core/src/dispatch/backoff.rs
@@ -4,7 +4,7 @@
 
 use super::{
     contention::hash_ratio,
-    dispatcher::{Dispatcher, OpenCall, Out, Sending},
+    dispatcher::{Dispatcher, Out, Sending},
     DispatchMessage, DispatchRecord,
 };
 use crate::{
@@ -154,12 +154,4 @@
         let id = &upstream.record.id;
         !self.backoff.is_active(now, id) || (probing && self.backoff.may_probe(now, id))
     }
-
-    /// Time until the first upstream of a call's service takes requests again; none if one does.
-    pub(super) fn backoff_left_ms(&self, now: Time, open: &OpenCall) -> Option<Millis> {
-        let service = &open.service.name;
-        let usable = self.fleet.usable(service);
-        let left_ms = usable.map(|upstream| self.backoff.left_ms(now, &upstream.record.id));
-        left_ms.min().filter(|left_ms| *left_ms > Millis::ZERO)
-    }
 }
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -5,7 +5,7 @@
     catalog::CatalogStamp,
     fleet::{UpstreamIncarnation, UpstreamRecord},
     ids::{PromptPartId, SendId, UpstreamId},
-    units::{Millis, Time, Tokens},
+    units::{Millis, RequestsPerSecond, Time, Tokens},
     watch::{Change, StorePosition},
 };
 use serde::{Deserialize, Serialize};
@@ -141,6 +141,21 @@
     },
     /// What the sender knows of prompt parts that may end upstreams.
     PromptParts(PartsMessage),
+    /// Rate limits that upstreams have stated, or no longer state.
+    RateLimits(Vec<RateLimitReport>),
+}
+
+/// What an upstream last stated about its rate limit, as far as the sender knows.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RateLimitReport {
+    /// The upstream.
+    pub upstream: UpstreamIncarnation,
+    /// Requests a second that it takes from all daemons together; none if it has no limit.
+    pub per_s: Option<RequestsPerSecond>,
+    /// Time since the request was sent that was answered with it.
+    pub sent_ms: Millis,
+    /// Time since that answer came.
+    pub received_ms: Millis,
 }
 
 /// News of prompt parts that may end upstreams.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -39,6 +39,7 @@
 mod shutdown;
 mod slow_start;
 mod store_updates;
+mod token_bucket;
 mod upstream_outcome;
 
 pub use action::DispatchAction;
@@ -52,7 +53,7 @@
 pub use in_flight::InFlightTable;
 pub use in_flight_entry::{HelperAssignment, InFlightEntry, InFlightId, Phase};
 pub use leaving::LeavingNotice;
-pub use message::{DispatchMessage, InFlightReport, PartsMessage, UpstreamChange};
+pub use message::{DispatchMessage, InFlightReport, PartsMessage, RateLimitReport, UpstreamChange};
 pub use operator_changes::OperatorChange;
 pub use outcome::{Culprit, SendOutcome};
 pub use quarantine::{PromptQuarantine, QuarantinedPart};
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -32,6 +32,7 @@
             to: Some(vm.clone()),
             message,
         });
+        self.report_rate_limits(out, &vm);
         self.report_quarantine(out, vm.clone());
         self.report_catalog(out, vm);
     }
@@ -94,6 +95,7 @@
             } => self.on_peer_ejection(out.now, &upstream, for_ms, unreachable),
             DispatchMessage::UpstreamReplaced(gone) => self.on_replaced(out, &gone, Some(vm)),
             DispatchMessage::PromptParts(message) => self.on_parts_message(out, vm, message),
+            DispatchMessage::RateLimits(reports) => self.on_peer_rate_limits(out, vm, reports),
             DispatchMessage::Started(report) => self.on_peer_started(out.now, index, &report),
             DispatchMessage::FirstEvent(send) => self.on_peer_first_event(out.now, index, send),
             DispatchMessage::Ended(send) => self.on_peer_ended(out.now, index, send),
@@ -106,6 +108,9 @@
     fn on_peer_started(&mut self, now: Time, index: u32, report: &InFlightReport) {
         self.slow_start.on_sent(now, &report.upstream);
         self.health.on_sent(now, &report.upstream);
+        let helpers = report.helpers.iter().map(|helper| &helper.upstream);
+        let upstreams = std::iter::once(&report.upstream).chain(helpers);
+        self.count_against_rate_limits(now, upstreams);
         self.in_flight.on_report(now, index, report);
     }
 
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -248,8 +248,7 @@
     fn candidates(&self, now: Time, open: &OpenCall) -> Vec<Candidate> {
         let service = &open.service.name;
         let most_ejected = self.mostly_ejected(now, service);
-        let claims = open.service.engine.is_some() && open.first_at.is_none();
-        let contention = claims.then(|| self.contention(now, service));
+        let contention = self.claim_contention(now, open);
         let usable = self.fleet.usable(service);
         let probing = self.all_back_off(now, service);
         let free = usable.filter(|upstream| {
@@ -271,11 +270,21 @@
         candidates
     }
 
+    /// The competition for free slots and for what rate limits leave; none for a call that need not compete.
+    fn claim_contention(&self, now: Time, open: &OpenCall) -> Option<Contention> {
+        let service = &open.service.name;
+        let mut usable = self.fleet.usable(service);
+        let competes = open.service.engine.is_some()
+            || usable.any(|upstream| self.rate_limits.per_s(&upstream.record.id).is_some());
+        (competes && open.first_at.is_none()).then(|| self.contention(now, service))
+    }
+
     /// Whether an upstream that was chosen a moment ago may still get new work.
     pub(super) fn takes_work(&self, now: Time, upstream: &UpstreamId) -> bool {
         let known = self.fleet.get(upstream);
         known.is_some_and(|known| self.fleet.is_in_service(known))
             && !self.backoff.is_active(now, upstream)
+            && self.rate_credit_len(now, upstream) != Some(0)
     }
 
     /// Whether an upstream has room for a call now and this daemon may use it.
@@ -301,7 +310,9 @@
             usize::MAX
         };
         let ejected = ejected || health.is_on_trial(now);
-        if ejected || cold_left_len == 0 || open.excluded.contains(&record.id) {
+        let rate_credit_len = self.rate_credit_len(now, &record.id);
+        let left_len = cold_left_len.min(rate_credit_len.unwrap_or(usize::MAX));
+        if ejected || left_len == 0 || open.excluded.contains(&record.id) {
             return false;
         }
         let slots_len = record.slots_len as usize;
@@ -310,7 +321,9 @@
             return false;
         }
         let free_len = slots_len.saturating_sub(requests_len);
-        let free_len = free_len.max(1).min(cold_left_len);
+        let free_len = free_len.max(1).min(left_len);
+        let competes = open.service.engine.is_some() || rate_credit_len.is_some();
+        let contention = contention.filter(|_| competes);
         contention.is_none_or(|contention| self.may_claim(contention, &record.id, free_len))
     }
 
--- a/crates/core/src/dispatch/queue_order.rs
+++ b/crates/core/src/dispatch/queue_order.rs
@@ -53,7 +53,9 @@
                 return 0;
             }
             let taken_len = self.in_flight.requests_len(&upstream.record.id);
-            (upstream.record.slots_len as usize).saturating_sub(taken_len)
+            let free_len = (upstream.record.slots_len as usize).saturating_sub(taken_len);
+            let credit_len = self.rate_credit_len(now, &upstream.record.id);
+            free_len.min(credit_len.unwrap_or(usize::MAX))
         };
         let free_len: usize = self.fleet.usable(service).map(free_len).sum();
         free_len as f64 > self.expected_calls(now, service, ARRIVALS_SPAN_MS.get() as f64)
--- a/crates/core/src/dispatch/queue_wait.rs
+++ b/crates/core/src/dispatch/queue_wait.rs
@@ -1,7 +1,11 @@
 //! Predicts when a queued call finds a free slot, for admission to the queue and for `Retry-After`.
 
 use super::dispatcher::{Dispatcher, OpenCall};
-use crate::units::{Millis, Time};
+use crate::{
+    catalog::EngineProfile,
+    fleet::Upstream,
+    units::{Millis, Time},
+};
 
 /// `Retry-After` if no wait can be predicted, and if upstreams are missing or fail.
 pub(super) const DEFAULT_RETRY_AFTER_MS: Millis = Millis::new(500);
@@ -18,37 +22,81 @@
 
 impl Dispatcher {
     /// Predicted time in ms until a call at this queue position, from 0, finds a free slot. None if
-    /// fewer requests than that are in flight, and for a service without engines unless all of its
-    /// upstreams back off.
+    /// fewer requests than that are in flight, and for a service without engines unless none of its
+    /// upstreams takes requests.
     pub(super) fn predicted_wait_ms(
         &self,
         now: Time,
         open: &OpenCall,
         queue_position: usize,
     ) -> Option<f64> {
-        let Some(profile) = open.service.engine.as_ref() else {
-            return self
-                .backoff_left_ms(now, open)
-                .map(|left_ms| left_ms.get() as f64);
+        let mut slots_ms = match open.service.engine.as_ref() {
+            Some(profile) => self.engine_slots_ms(now, open, profile),
+            None => self.held_slots_ms(now, open)?,
         };
-        let mut ends: Vec<f64> = Vec::new();
+        slots_ms.sort_by(f64::total_cmp);
+        slots_ms.get(queue_position).copied()
+    }
+
+    /// Times in ms until slots of the service's engines become free.
+    fn engine_slots_ms(&self, now: Time, open: &OpenCall, profile: &EngineProfile) -> Vec<f64> {
+        let mut slots_ms: Vec<f64> = Vec::new();
         for upstream in self.fleet.usable(&open.service.name) {
-            let id = &upstream.record.id;
-            let load = self.in_flight.engine_load(now, id, profile);
-            let backoff_ms = self.backoff.left_ms(now, id).get() as f64;
-            let known_len = ends.len();
+            let load = self
+                .in_flight
+                .engine_load(now, &upstream.record.id, profile);
             let completions = load.completions_ms(profile);
-            ends.extend(completions.map(|end_ms| end_ms.max(backoff_ms)));
-            if backoff_ms > 0.0 {
-                let slots_len = upstream.record.slots_len as usize;
-                ends.resize(
-                    known_len + slots_len.max(ends.len() - known_len),
-                    backoff_ms,
-                );
+            if self.hold_ms(now, upstream, 0) > 0.0 {
+                let busy_ms: Vec<_> = completions.collect();
+                slots_ms.extend(self.slots_after_hold_ms(now, upstream, busy_ms));
+            } else {
+                slots_ms.extend(completions);
+            }
+        }
+        slots_ms
+    }
+
+    /// Times in ms until plain upstreams take requests again; none if one does now.
+    fn held_slots_ms(&self, now: Time, open: &OpenCall) -> Option<Vec<f64>> {
+        let mut slots_ms = Vec::new();
+        for upstream in self.fleet.usable(&open.service.name) {
+            if self.hold_ms(now, upstream, 0) <= 0.0 {
+                return None;
             }
+            slots_ms.extend(self.slots_after_hold_ms(now, upstream, Vec::new()));
         }
-        ends.sort_by(f64::total_cmp);
-        ends.get(queue_position).copied()
+        Some(slots_ms)
+    }
+
+    /// Times in ms until the slots of an upstream can be used that holds requests back for now. `busy_ms`
+    /// has the times until its busy slots become free.
+    fn slots_after_hold_ms(&self, now: Time, upstream: &Upstream, busy_ms: Vec<f64>) -> Vec<f64> {
+        let free_len = (upstream.record.slots_len as usize).saturating_sub(busy_ms.len());
+        let mut slots_ms = vec![0.0; free_len];
+        slots_ms.extend(busy_ms);
+        slots_ms.sort_by(f64::total_cmp);
+        for (queued_len, slot_ms) in slots_ms.iter_mut().enumerate() {
+            *slot_ms = slot_ms.max(self.hold_ms(now, upstream, queued_len));
+        }
+        slots_ms
+    }
+
+    /// Time in ms until an upstream takes one more request after `queued_len` others, by its backoff and
+    /// its rate limit.
+    fn hold_ms(&self, now: Time, upstream: &Upstream, queued_len: usize) -> f64 {
+        let id = &upstream.record.id;
+        let share_ratio = self.rate_share_ratio(now);
+        let backoff_ms = self.backoff.left_ms(now, id).get() as f64;
+        let rate_ms = self.rate_limits.wait_ms(now, id, share_ratio, queued_len);
+        backoff_ms.max(rate_ms)
+    }
+
+    /// Time until the first upstream of a call's service takes requests again; none if one does.
+    pub(super) fn hold_left_ms(&self, now: Time, open: &OpenCall) -> Option<Millis> {
+        let usable = self.fleet.usable(&open.service.name);
+        let left_ms = usable.map(|upstream| self.hold_ms(now, upstream, 0));
+        let left_ms = left_ms.min_by(f64::total_cmp)?;
+        (left_ms > 0.0).then(|| Millis::new(left_ms.ceil() as u64))
     }
 
     /// Whether a call may be queued: its predicted wait is within the limits.
@@ -68,7 +116,7 @@
         let queue_position = self.waiting.len() * self.members_len();
         let predicted = self.predicted_wait_ms(now, open, queue_position);
         predicted.map_or(DEFAULT_RETRY_AFTER_MS, |ms| {
-            Millis::new(ms as u64).max(RETRY_AFTER_MIN_MS)
+            Millis::new(ms.ceil() as u64).max(RETRY_AFTER_MIN_MS)
         })
     }
 }
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -245,6 +245,9 @@
         upstream: UpstreamId,
         /// Requests a second that it takes from all daemons together; none if it has no limit.
         per_s: Option<RequestsPerSecond>,
+        /// The peer that got the answer.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        reported_by: Option<VmId>,
     },
     /// The process of an upstream ended while it had requests of this daemon.
     UpstreamCrashed {
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -76,6 +76,7 @@
         self.slow_start.on_sent(out.now, &placement.upstream);
         self.backoff.on_sent(out.now, &placement.upstream);
         self.health.on_sent(out.now, &placement.upstream);
+        self.count_against_rate_limits(out.now, placement.upstreams());
         let id = InFlightId::own(send);
         self.in_flight.start(id, &entry, &placement.helpers);
     }
--- a/crates/io/src/peer/identity.rs
+++ b/crates/io/src/peer/identity.rs
@@ -36,7 +36,7 @@
 
 /// ALPN protocol name in the TLS handshake. Its number changes with the encoding of messages: daemons
 /// of builds with different encodings don't connect.
-const ALPN_PROTOCOL: &[u8] = b"persimmonfront/3";
+const ALPN_PROTOCOL: &[u8] = b"persimmonfront/4";
 
 /// A daemon's TLS configuration for connections to and from its peers.
 #[derive(Clone)]
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -85,8 +85,8 @@
             DispatchRecord::UpstreamBackoff { reported_by, .. } => {
                 self.count_notice("backoff", reported_by.is_some());
             }
-            DispatchRecord::UpstreamRateLimit { per_s: Some(_), .. } => {
-                self.count_notice("rate_limit", false);
+            DispatchRecord::UpstreamRateLimit { reported_by, .. } => {
+                self.count_notice("rate_limit", reported_by.is_some());
             }
             DispatchRecord::UpstreamCrashed { .. } => {
                 self.increment(Metric::UPSTREAM_CRASHES, &[]);
