Quarantine knows requests by fingerprints, no longer by prompt parts alone

A rename without another behaviour, ahead of fingerprints that are not prompt parts: PromptPartId is Fingerprint, the log names and fields follow (fingerprint_quarantined, fingerprint_cleared, fingerprints), and so do the reason (quarantined) and the metric (persimmon_fingerprints_total).

--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -112,7 +112,7 @@
             route: None,
             class: None,
             reason: refusal.reason,
-            part: None,
+            fingerprint: None,
             may_have_run: false,
             retry_after_ms: refusal.retry_after_ms,
             tries_count: 0,
@@ -144,9 +144,8 @@
                 Some(hold_ms.map_or(DEFAULT_RETRY_AFTER_MS, |ms| ms.max(DEFAULT_RETRY_AFTER_MS)))
             }
             RefusalReason::NoUpstream => Some(DEFAULT_RETRY_AFTER_MS),
-            RefusalReason::PromptQuarantined => {
-                let parts = &open.call.prompt_parts;
-                self.quarantine.trial_wait_ms(now, parts)
+            RefusalReason::Quarantined => {
+                self.quarantine.trial_wait_ms(now, &open.call.fingerprints)
             }
             _ => None,
         }
--- a/crates/core/src/dispatch/call.rs
+++ b/crates/core/src/dispatch/call.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     catalog::ApiKey,
-    ids::{CallId, PromptPartId},
+    ids::{CallId, Fingerprint},
     units::{Millis, Tokens},
 };
 use std::sync::Arc;
@@ -34,7 +34,7 @@
     /// Prompt and answer sizes, if the request is for a model.
     pub prompt: Option<PromptSize>,
     /// The parts of the prompt that other requests may share, in order.
-    pub prompt_parts: Vec<PromptPartId>,
+    pub fingerprints: Vec<Fingerprint>,
     /// Time since the request's head arrived.
     pub age_ms: Millis,
 }
--- a/crates/core/src/dispatch/crash_check.rs
+++ b/crates/core/src/dispatch/crash_check.rs
@@ -7,23 +7,22 @@
 };
 use crate::{
     fleet::UpstreamIncarnation,
-    ids::{CallId, PromptPartId},
+    ids::{CallId, Fingerprint},
 };
 use std::collections::{BTreeSet, HashMap};
 
-/// Upstreams that are being checked, each with the parts of the prompts that were lost there.
+/// Upstreams that are being checked, each with the fingerprints of the requests that were lost there.
 #[derive(Debug, Default)]
 pub(super) struct CrashChecks {
-    pending: HashMap<UpstreamIncarnation, BTreeSet<PromptPartId>>,
+    pending: HashMap<UpstreamIncarnation, BTreeSet<Fingerprint>>,
 }
 
 impl OpenCall {
-    /// The shared parts of the prompt, unless an event of the answer shows that an upstream can write
-    /// on them.
-    fn unproven_parts(&self) -> &[PromptPartId] {
+    /// The fingerprints of the request, unless an event of the answer shows that upstreams bear them.
+    fn unproven_fingerprints(&self) -> &[Fingerprint] {
         match self.first_at {
             Some(_) => &[],
-            None => &self.call.prompt_parts,
+            None => &self.call.fingerprints,
         }
     }
 }
@@ -39,14 +38,14 @@
         let Some(record) = known.filter(|record| !record.draining) else {
             return;
         };
-        let parts = open.unproven_parts();
-        if parts.is_empty() {
+        let fingerprints = open.unproven_fingerprints();
+        if fingerprints.is_empty() {
             return;
         }
         let pending = &mut self.crash_checks.pending;
         let is_new = !pending.contains_key(&record.incarnation());
         let lost = pending.entry(record.incarnation()).or_default();
-        lost.extend(parts);
+        lost.extend(fingerprints);
         if is_new {
             out.act(DispatchAction::CheckUpstream {
                 upstream: record.incarnation(),
@@ -62,11 +61,11 @@
         upstream: &UpstreamIncarnation,
         has_ended: bool,
     ) {
-        let Some(parts) = self.crash_checks.pending.remove(upstream) else {
+        let Some(fingerprints) = self.crash_checks.pending.remove(upstream) else {
             return;
         };
         if has_ended {
-            self.on_crash_with_parts(out, upstream, parts.into_iter().collect());
+            self.on_crash_with(out, upstream, fingerprints.into_iter().collect());
         }
     }
 }
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use super::{
     in_flight::OWN_DAEMON_INDEX, Call, DispatchAction, DispatchEvent, DispatchMessage,
-    DispatchRecord, DispatchSettings, HealthTable, InFlightId, InFlightTable, PromptQuarantine,
+    DispatchRecord, DispatchSettings, HealthTable, InFlightId, InFlightTable, Quarantine,
     RateLimitTable, RetryBudget, SlowStartLimiter,
 };
 use crate::{
@@ -140,7 +140,7 @@
     pub(super) freshness: FreshnessState,
     pub(super) restore: RestoreState,
     pub(super) crash_checks: CrashChecks,
-    pub(super) quarantine: PromptQuarantine,
+    pub(super) quarantine: Quarantine,
     pub(super) outbox: Outbox,
     pub(super) calls: BTreeMap<CallId, OpenCall>,
     pub(super) waiting: VecDeque<CallId>,
@@ -178,7 +178,7 @@
             freshness: FreshnessState::default(),
             restore: RestoreState::default(),
             crash_checks: CrashChecks::default(),
-            quarantine: PromptQuarantine::default(),
+            quarantine: Quarantine::default(),
             outbox: Outbox::default(),
             calls: BTreeMap::new(),
             waiting: VecDeque::new(),
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -1,10 +1,10 @@
 //! Messages between daemons: in-flight requests, ejections, and changes read from the store.
 
-use super::{HelperAssignment, OperatorChange, QuarantinedPart};
+use super::{HelperAssignment, OperatorChange, QuarantinedFingerprint};
 use crate::{
     catalog::CatalogStamp,
     fleet::{UpstreamIncarnation, UpstreamRecord},
-    ids::{PromptPartId, SendId, UpstreamId},
+    ids::{Fingerprint, SendId, UpstreamId},
     units::{Millis, RequestsPerSecond, Time, Tokens},
     watch::{Change, StorePosition},
 };
@@ -139,8 +139,8 @@
         /// Time until it wants requests again.
         for_ms: Millis,
     },
-    /// What the sender knows of prompt parts that may end upstreams.
-    PromptParts(PartsMessage),
+    /// What the sender knows of requests that may end upstreams.
+    Quarantine(QuarantineMessage),
     /// Rate limits that upstreams have stated, or no longer state.
     RateLimits(Vec<RateLimitReport>),
 }
@@ -158,14 +158,14 @@
     pub received_ms: Millis,
 }
 
-/// News of prompt parts that may end upstreams.
+/// News of the fingerprints of requests that may end upstreams.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum PartsMessage {
-    /// The process of an upstream ended with these parts in flight from the sender, without an event of
+pub enum QuarantineMessage {
+    /// The process of an upstream ended with these in flight from the sender, without an event of
     /// their answers.
-    Crashed(Vec<PromptPartId>),
-    /// Requests with these parts are refused.
-    Quarantined(Vec<QuarantinedPart>),
-    /// An upstream wrote an answer on these parts: they are not to blame for crashes.
-    Cleared(Vec<PromptPartId>),
+    Crashed(Vec<Fingerprint>),
+    /// Requests with these are refused.
+    Quarantined(Vec<QuarantinedFingerprint>),
+    /// An upstream answered requests with these: they are not to blame for crashes.
+    Cleared(Vec<Fingerprint>),
 }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -53,10 +53,12 @@
 pub use in_flight::InFlightTable;
 pub use in_flight_entry::{HelperAssignment, InFlightEntry, InFlightId, Phase};
 pub use leaving::LeavingNotice;
-pub use message::{DispatchMessage, InFlightReport, PartsMessage, RateLimitReport, UpstreamChange};
+pub use message::{
+    DispatchMessage, InFlightReport, QuarantineMessage, RateLimitReport, UpstreamChange,
+};
 pub use operator_changes::OperatorChange;
 pub use outcome::{Culprit, SendOutcome};
-pub use quarantine::{PromptQuarantine, QuarantinedPart};
+pub use quarantine::{Quarantine, QuarantinedFingerprint};
 pub use rate_limit::{RateLimitTable, RateStatement};
 pub use rate_notice::RateLimitNotice;
 pub use record::{DispatchRecord, UpstreamSource};
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -94,7 +94,7 @@
                 unreachable,
             } => self.on_peer_ejection(out.now, &upstream, for_ms, unreachable),
             DispatchMessage::UpstreamReplaced(gone) => self.on_replaced(out, &gone, Some(vm)),
-            DispatchMessage::PromptParts(message) => self.on_parts_message(out, vm, message),
+            DispatchMessage::Quarantine(message) => self.on_quarantine_message(out, vm, message),
             DispatchMessage::RateLimits(reports) => self.on_peer_rate_limits(out, vm, reports),
             DispatchMessage::Started(report) => self.on_peer_started(out.now, index, &report),
             DispatchMessage::FirstEvent(send) => self.on_peer_first_event(out.now, index, send),
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -67,7 +67,7 @@
     /// Sends a call to an upstream, queues it, or refuses it.
     pub(super) fn place_call(&mut self, out: &mut Out<'_>, id: CallId) {
         if self.is_quarantined(out.now, id) {
-            return self.give_up(out, id, RefusalReason::PromptQuarantined);
+            return self.give_up(out, id, RefusalReason::Quarantined);
         }
         let Some(open) = self.calls.get(&id) else {
             return;
--- a/crates/core/src/dispatch/quarantine.rs
+++ b/crates/core/src/dispatch/quarantine.rs
@@ -1,75 +1,75 @@
-//! Prompt parts that end the process of each upstream that begins to write an answer on them. One such
-//! request after the other would end all upstreams of a service.
+//! Quarantine of what ends the process of each upstream that begins to work on it. One such request after
+//! the other would end all upstreams of a service. Requests are known by their fingerprints.
 //!
-//! Evidence: a part was in flight, without an event of its answer, when the process of an upstream ended.
-//! That says little by itself, as bystanders' parts were in flight too. A bystander's part is cleared by the
-//! first event of any answer on it, at any daemon; a part to blame never gets one. Crashes at the same
-//! moment have a cause of their own and count once.
+//! Evidence: a fingerprint was in flight, without an event of an answer, when the process of an upstream ended.
+//! That says little by itself, as bystanders' fingerprints were in flight too. These are cleared by the first
+//! event of any answer, at any daemon; one that is to blame never gets one. Crashes at the same moment have a
+//! cause of their own and count once.
 //!
-//! Verdict: after some crashes without an event in between, requests with the part are refused. Parts that
-//! stood beside it at each of the crashes are as suspect, so only requests with all of them are refused: one
-//! that has some of them clears these, or shows by a crash which are to blame. Daemons share crashes, events
-//! and verdicts, so that a request is refused wherever it arrives.
+//! Verdict: after some crashes without an event in between, requests with the fingerprint are refused. Those
+//! that stood beside it at each of the crashes are as suspect, so only requests with all of them are refused:
+//! one that has some of them clears these, or shows by a crash which are to blame. Daemons share crashes,
+//! events and verdicts, so that a request is refused wherever it arrives.
 
 use crate::{
-    ids::PromptPartId,
+    ids::Fingerprint,
     units::{Millis, Time},
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
 
-/// Number of crashes without an event in between after which a part is quarantined.
+/// Number of crashes without an event in between after which a fingerprint is quarantined.
 const CRASHES_MAX_COUNT: u32 = 3;
 
 /// Crashes within this time of each other count as one: upstreams of a failure domain end together.
 const SAME_MOMENT_MS: Millis = Millis::new(250);
 
-/// Time without a crash after which a part is no longer suspect.
+/// Time without a crash after which a fingerprint is no longer suspect.
 const SUSPICION_MS: Millis = Millis::new(60_000);
 
-/// Time from a part's quarantine until one request may try it again. Doubles with each try.
+/// Time from a fingerprint's quarantine until one request may try it again. Doubles with each try.
 const TRIAL_MIN_MS: Millis = Millis::new(60_000);
 
 /// Longest time between two tries.
 const TRIAL_MAX_MS: Millis = Millis::new(900_000);
 
-/// Time without a request after which a quarantined part is forgotten.
+/// Time without a request after which a quarantined fingerprint is forgotten.
 const FORGET_MS: Millis = Millis::new(1_800_000);
 
-/// Maximum number of suspect and quarantined parts that are remembered.
-const PARTS_MAX_LEN: usize = 1_024;
+/// Maximum number of suspect and quarantined fingerprints that are remembered.
+const FINGERPRINTS_MAX_LEN: usize = 1_024;
 
-/// Maximum number of companions that are remembered for a part.
+/// Maximum number of companions that are remembered for a fingerprint.
 const COMPANIONS_MAX_LEN: usize = 64;
 
-/// A quarantined part, as daemons tell each other.
+/// A quarantined fingerprint, as daemons tell each other.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct QuarantinedPart {
-    /// The part.
-    pub part: PromptPartId,
-    /// The parts that were in flight beside it at each crash.
-    pub companions: Vec<PromptPartId>,
+pub struct QuarantinedFingerprint {
+    /// The fingerprint.
+    pub fingerprint: Fingerprint,
+    /// The fingerprints that were in flight beside it at each crash.
+    pub companions: Vec<Fingerprint>,
 }
 
-/// What is known of a part.
+/// What is known of a fingerprint.
 #[derive(Clone, Debug)]
 struct Suspect {
     crashes_count: u32,
     crashed_at: Time,
-    /// The parts that were in flight beside it at each crash, and are suspect.
-    companions: Vec<PromptPartId>,
-    quarantine: Option<Quarantine>,
+    /// The fingerprints that were in flight beside it at each crash, and are suspect.
+    companions: Vec<Fingerprint>,
+    quarantine: Option<Verdict>,
 }
 
-/// The quarantine of a part.
+/// The quarantine of a fingerprint.
 #[derive(Clone, Copy, Debug)]
-struct Quarantine {
+struct Verdict {
     trial_at: Time,
     trial_interval_ms: Millis,
     requested_at: Time,
 }
 
-impl Quarantine {
+impl Verdict {
     fn new(now: Time) -> Self {
         Self {
             trial_at: now + TRIAL_MIN_MS,
@@ -97,22 +97,22 @@
     }
 }
 
-/// The suspect and quarantined prompt parts.
+/// The suspect and quarantined fingerprints.
 #[derive(Debug, Default)]
-pub struct PromptQuarantine {
-    parts: HashMap<PromptPartId, Suspect>,
+pub struct Quarantine {
+    suspects: HashMap<Fingerprint, Suspect>,
 }
 
-impl PromptQuarantine {
-    /// Records a crash with these parts in flight. Returns those that are quarantined by it.
-    pub fn on_crash(&mut self, now: Time, parts: &[PromptPartId]) -> Vec<PromptPartId> {
-        self.parts.retain(|_, suspect| !suspect.is_expired(now));
-        let in_flight: HashSet<_> = parts.iter().copied().collect();
+impl Quarantine {
+    /// Records a crash with these fingerprints in flight. Returns those that are quarantined by it.
+    pub fn on_crash(&mut self, now: Time, fingerprints: &[Fingerprint]) -> Vec<Fingerprint> {
+        self.suspects.retain(|_, suspect| !suspect.is_expired(now));
+        let in_flight: HashSet<_> = fingerprints.iter().copied().collect();
         let mut quarantined = Vec::new();
-        for part in parts {
-            self.make_room(*part);
-            let suspect = self.parts.entry(*part).or_insert_with(|| {
-                let others = parts.iter().filter(|other| *other != part);
+        for fingerprint in fingerprints {
+            self.make_room(*fingerprint);
+            let suspect = self.suspects.entry(*fingerprint).or_insert_with(|| {
+                let others = fingerprints.iter().filter(|other| *other != fingerprint);
                 Suspect {
                     crashes_count: 0,
                     crashed_at: Time::START,
@@ -130,18 +130,21 @@
                 .companions
                 .retain(|companion| in_flight.contains(companion));
             if suspect.crashes_count >= CRASHES_MAX_COUNT && suspect.quarantine.is_none() {
-                suspect.quarantine = Some(Quarantine::new(now));
-                quarantined.push(*part);
+                suspect.quarantine = Some(Verdict::new(now));
+                quarantined.push(*fingerprint);
             }
         }
         quarantined
     }
 
-    /// Quarantines a part on a peer's verdict. Returns whether it was not.
-    pub fn quarantine(&mut self, now: Time, verdict: QuarantinedPart) -> bool {
-        self.make_room(verdict.part);
-        let QuarantinedPart { part, companions } = verdict;
-        let suspect = self.parts.entry(part).or_insert_with(|| Suspect {
+    /// Quarantines a fingerprint on a peer's verdict. Returns whether it was not.
+    pub fn quarantine(&mut self, now: Time, verdict: QuarantinedFingerprint) -> bool {
+        self.make_room(verdict.fingerprint);
+        let QuarantinedFingerprint {
+            fingerprint,
+            companions,
+        } = verdict;
+        let suspect = self.suspects.entry(fingerprint).or_insert_with(|| Suspect {
             crashes_count: CRASHES_MAX_COUNT,
             crashed_at: now,
             companions: companions.clone(),
@@ -151,43 +154,44 @@
             .companions
             .retain(|companion| companions.contains(companion));
         let is_new = suspect.quarantine.is_none();
-        suspect
-            .quarantine
-            .get_or_insert_with(|| Quarantine::new(now));
+        suspect.quarantine.get_or_insert_with(|| Verdict::new(now));
         is_new
     }
 
-    /// Clears parts on which an upstream wrote an event. Returns those that were suspect.
-    pub fn clear(&mut self, parts: &[PromptPartId]) -> Vec<PromptPartId> {
-        let suspect = parts
+    /// Clears fingerprints of a request that an upstream answers. Returns those that were suspect.
+    pub fn clear(&mut self, fingerprints: &[Fingerprint]) -> Vec<Fingerprint> {
+        let suspect = fingerprints
             .iter()
-            .filter(|part| self.parts.remove(*part).is_some());
+            .filter(|fingerprint| self.suspects.remove(*fingerprint).is_some());
         let cleared: Vec<_> = suspect.copied().collect();
         if !cleared.is_empty() {
-            for suspect in self.parts.values_mut() {
-                suspect.companions.retain(|part| !cleared.contains(part));
+            for suspect in self.suspects.values_mut() {
+                suspect
+                    .companions
+                    .retain(|fingerprint| !cleared.contains(fingerprint));
             }
         }
         cleared
     }
 
-    /// The first of a prompt's parts for which it is refused: one that is quarantined, and all of whose
-    /// companions the prompt has as well.
-    pub fn find(&self, parts: &[PromptPartId]) -> Option<PromptPartId> {
-        let is_quarantined = |part: &&PromptPartId| {
-            let suspect = self.parts.get(part);
+    /// The first of a request's fingerprints for which it is refused: one that is quarantined, and all of whose
+    /// companions the request has as well.
+    pub fn find(&self, fingerprints: &[Fingerprint]) -> Option<Fingerprint> {
+        let is_quarantined = |fingerprint: &&Fingerprint| {
+            let suspect = self.suspects.get(fingerprint);
             suspect.is_some_and(|suspect| {
                 let mut companions = suspect.companions.iter();
-                suspect.quarantine.is_some() && companions.all(|part| parts.contains(part))
+                suspect.quarantine.is_some()
+                    && companions.all(|fingerprint| fingerprints.contains(fingerprint))
             })
         };
-        parts.iter().find(is_quarantined).copied()
+        fingerprints.iter().find(is_quarantined).copied()
     }
 
-    /// Records a request with a quarantined part. Returns whether it tries the part: if this daemon may
+    /// Records a request with a quarantined fingerprint. Returns whether it tries the fingerprint: if this daemon may
     /// let one do so and a try is due, which postpones the next one.
-    pub fn on_request(&mut self, now: Time, part: PromptPartId, may_try: bool) -> bool {
-        let suspect = self.parts.get_mut(&part);
+    pub fn on_request(&mut self, now: Time, fingerprint: Fingerprint, may_try: bool) -> bool {
+        let suspect = self.suspects.get_mut(&fingerprint);
         let Some(quarantine) = suspect.and_then(|suspect| suspect.quarantine.as_mut()) else {
             return false;
         };
@@ -201,37 +205,42 @@
         true
     }
 
-    /// Time until a quarantined part among these may be tried again.
-    pub fn trial_wait_ms(&self, now: Time, parts: &[PromptPartId]) -> Option<Millis> {
-        let suspect = self.parts.get(&self.find(parts)?)?;
+    /// Time until a quarantined fingerprint among these may be tried again.
+    pub fn trial_wait_ms(&self, now: Time, fingerprints: &[Fingerprint]) -> Option<Millis> {
+        let suspect = self.suspects.get(&self.find(fingerprints)?)?;
         let quarantine = suspect.quarantine.as_ref()?;
         Some(quarantine.trial_at.since(now))
     }
 
-    /// The quarantined parts.
-    pub fn quarantined(&self) -> Vec<QuarantinedPart> {
-        let parts = self.parts.keys();
-        parts.filter_map(|part| self.verdict(*part)).collect()
+    /// The quarantined fingerprints.
+    pub fn quarantined(&self) -> Vec<QuarantinedFingerprint> {
+        let fingerprints = self.suspects.keys();
+        fingerprints
+            .filter_map(|fingerprint| self.verdict(*fingerprint))
+            .collect()
     }
 
-    /// A quarantined part, to be reported to peers.
-    pub fn verdict(&self, part: PromptPartId) -> Option<QuarantinedPart> {
-        let suspect = self.parts.get(&part)?;
+    /// A quarantined fingerprint, to be reported to peers.
+    pub fn verdict(&self, fingerprint: Fingerprint) -> Option<QuarantinedFingerprint> {
+        let suspect = self.suspects.get(&fingerprint)?;
         suspect.quarantine.as_ref()?;
-        Some(QuarantinedPart {
-            part,
+        Some(QuarantinedFingerprint {
+            fingerprint,
             companions: suspect.companions.clone(),
         })
     }
 
-    /// Forgets the part that is worth least, if another one has no room.
-    fn make_room(&mut self, part: PromptPartId) {
-        if self.parts.len() < PARTS_MAX_LEN || self.parts.contains_key(&part) {
+    /// Forgets the fingerprint that is worth least, if another one has no room.
+    fn make_room(&mut self, fingerprint: Fingerprint) {
+        if self.suspects.len() < FINGERPRINTS_MAX_LEN || self.suspects.contains_key(&fingerprint) {
             return;
         }
-        let least = self.parts.iter().min_by_key(|(_, suspect)| suspect.worth());
-        if let Some(least) = least.map(|(part, _)| *part) {
-            self.parts.remove(&least);
+        let least = self
+            .suspects
+            .iter()
+            .min_by_key(|(_, suspect)| suspect.worth());
+        if let Some(least) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.suspects.remove(&least);
         }
     }
 }
--- a/crates/core/src/dispatch/quarantine_calls.rs
+++ b/crates/core/src/dispatch/quarantine_calls.rs
@@ -1,66 +1,67 @@
-//! Calls whose prompts have a quarantined part, and what daemons tell each other of such parts.
+//! Calls with a quarantined fingerprint, and what daemons tell each other of such fingerprints.
 
 use super::{
     dispatcher::{Dispatcher, Out},
-    DispatchAction, DispatchMessage, DispatchRecord, PartsMessage, RefusalReason,
+    DispatchAction, DispatchMessage, DispatchRecord, QuarantineMessage, RefusalReason,
 };
 use crate::{
     fleet::UpstreamIncarnation,
-    ids::{CallId, PromptPartId, VmId},
+    ids::{CallId, Fingerprint, VmId},
     units::Time,
 };
 
 impl Dispatcher {
-    /// Records that an upstream's process ended with these parts in flight at this daemon.
-    pub(super) fn on_crash_with_parts(
+    /// Records that an upstream's process ended with these fingerprints in flight at this daemon.
+    pub(super) fn on_crash_with(
         &mut self,
         out: &mut Out<'_>,
         upstream: &UpstreamIncarnation,
-        parts: Vec<PromptPartId>,
+        fingerprints: Vec<Fingerprint>,
     ) {
-        let quarantined = self.quarantine.on_crash(out.now, &parts);
+        let quarantined = self.quarantine.on_crash(out.now, &fingerprints);
         out.log(DispatchRecord::UpstreamCrashed {
             upstream: upstream.id.clone(),
-            parts: parts.clone(),
+            fingerprints: fingerprints.clone(),
         });
-        self.notify_parts(out, PartsMessage::Crashed(parts));
+        self.notify_quarantine(out, QuarantineMessage::Crashed(fingerprints));
         if !quarantined.is_empty() {
-            let parts = quarantined.iter();
-            let verdicts = parts.filter_map(|part| self.quarantine.verdict(*part));
-            let message = PartsMessage::Quarantined(verdicts.collect());
-            self.notify_parts(out, message);
+            let fingerprints = quarantined.iter();
+            let verdicts =
+                fingerprints.filter_map(|fingerprint| self.quarantine.verdict(*fingerprint));
+            let message = QuarantineMessage::Quarantined(verdicts.collect());
+            self.notify_quarantine(out, message);
             self.apply_quarantine(out, &quarantined, None);
         }
     }
 
-    fn notify_parts(&mut self, out: &Out<'_>, message: PartsMessage) {
-        self.notify_now(out.now, DispatchMessage::PromptParts(message));
+    fn notify_quarantine(&mut self, out: &Out<'_>, message: QuarantineMessage) {
+        self.notify_now(out.now, DispatchMessage::Quarantine(message));
     }
 
-    /// Handles what a peer says of prompt parts.
-    pub(super) fn on_parts_message(
+    /// Handles what a peer says of fingerprints.
+    pub(super) fn on_quarantine_message(
         &mut self,
         out: &mut Out<'_>,
         peer: &VmId,
-        message: PartsMessage,
+        message: QuarantineMessage,
     ) {
         match message {
-            PartsMessage::Crashed(parts) => {
-                let quarantined = self.quarantine.on_crash(out.now, &parts);
+            QuarantineMessage::Crashed(fingerprints) => {
+                let quarantined = self.quarantine.on_crash(out.now, &fingerprints);
                 self.apply_quarantine(out, &quarantined, Some(peer));
             }
-            PartsMessage::Quarantined(verdicts) => {
-                let mut parts = Vec::new();
+            QuarantineMessage::Quarantined(verdicts) => {
+                let mut fingerprints = Vec::new();
                 for verdict in verdicts {
-                    let part = verdict.part;
+                    let fingerprint = verdict.fingerprint;
                     if self.quarantine.quarantine(out.now, verdict) {
-                        parts.push(part);
+                        fingerprints.push(fingerprint);
                     }
                 }
-                self.apply_quarantine(out, &parts, Some(peer));
+                self.apply_quarantine(out, &fingerprints, Some(peer));
             }
-            PartsMessage::Cleared(parts) => {
-                let cleared = self.quarantine.clear(&parts);
+            QuarantineMessage::Cleared(fingerprints) => {
+                let cleared = self.quarantine.clear(&fingerprints);
                 log_cleared(out, cleared, Some(peer));
             }
         }
@@ -70,72 +71,72 @@
     fn apply_quarantine(
         &mut self,
         out: &mut Out<'_>,
-        parts: &[PromptPartId],
+        fingerprints: &[Fingerprint],
         reported_by: Option<&VmId>,
     ) {
-        for part in parts {
-            out.log(DispatchRecord::PartQuarantined {
-                part: *part,
+        for fingerprint in fingerprints {
+            out.log(DispatchRecord::FingerprintQuarantined {
+                fingerprint: *fingerprint,
                 reported_by: reported_by.cloned(),
             });
         }
-        if parts.is_empty() {
+        if fingerprints.is_empty() {
             return;
         }
         let affected = self.calls.iter().filter(|(_, open)| {
-            let refused = self.quarantine.find(&open.call.prompt_parts).is_some();
+            let refused = self.quarantine.find(&open.call.fingerprints).is_some();
             refused && open.first_at.is_none() && !open.is_trial
         });
         let calls: Vec<_> = affected.map(|(call, _)| *call).collect();
         for call in calls {
-            self.give_up(out, call, RefusalReason::PromptQuarantined);
+            self.give_up(out, call, RefusalReason::Quarantined);
         }
     }
 
-    /// Clears the parts of a call whose answer has begun.
-    pub(super) fn clear_parts(&mut self, out: &mut Out<'_>, call: CallId) {
+    /// Clears the fingerprints of a call whose answer has begun.
+    pub(super) fn clear_fingerprints(&mut self, out: &mut Out<'_>, call: CallId) {
         let Some(open) = self.calls.get(&call) else {
             return;
         };
-        let cleared = self.quarantine.clear(&open.call.prompt_parts);
+        let cleared = self.quarantine.clear(&open.call.fingerprints);
         if !cleared.is_empty() {
-            self.notify_parts(out, PartsMessage::Cleared(cleared.clone()));
+            self.notify_quarantine(out, QuarantineMessage::Cleared(cleared.clone()));
             log_cleared(out, cleared, None);
         }
     }
 
-    /// Whether a call must not be sent because of a part of its prompt. The first daemon by name lets a
-    /// request try the part from time to time.
+    /// Whether a call must not be sent because of one of its fingerprints. The first daemon by name lets a
+    /// request try the fingerprint from time to time.
     pub(super) fn is_quarantined(&mut self, now: Time, call: CallId) -> bool {
         let may_try = self.reader_rank() == 0;
         let Some(open) = self.calls.get_mut(&call) else {
             return false;
         };
-        let Some(part) = self.quarantine.find(&open.call.prompt_parts) else {
+        let Some(fingerprint) = self.quarantine.find(&open.call.fingerprints) else {
             return false;
         };
         if !open.is_trial && open.tries_count == 0 {
-            open.is_trial = self.quarantine.on_request(now, part, may_try);
+            open.is_trial = self.quarantine.on_request(now, fingerprint, may_try);
         }
         !open.is_trial
     }
 
-    /// Reports the quarantined parts to a peer that has just connected.
+    /// Reports the quarantined fingerprints to a peer that has just connected.
     pub(super) fn report_quarantine(&self, out: &mut Out<'_>, peer: VmId) {
-        let parts = self.quarantine.quarantined();
-        if !parts.is_empty() {
+        let fingerprints = self.quarantine.quarantined();
+        if !fingerprints.is_empty() {
             out.act(DispatchAction::Notify {
                 to: Some(peer),
-                message: DispatchMessage::PromptParts(PartsMessage::Quarantined(parts)),
+                message: DispatchMessage::Quarantine(QuarantineMessage::Quarantined(fingerprints)),
             });
         }
     }
 }
 
-fn log_cleared(out: &mut Out<'_>, parts: Vec<PromptPartId>, reported_by: Option<&VmId>) {
-    for part in parts {
-        out.log(DispatchRecord::PartCleared {
-            part,
+fn log_cleared(out: &mut Out<'_>, fingerprints: Vec<Fingerprint>, reported_by: Option<&VmId>) {
+    for fingerprint in fingerprints {
+        out.log(DispatchRecord::FingerprintCleared {
+            fingerprint,
             reported_by: reported_by.cloned(),
         });
     }
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -2,7 +2,7 @@
 
 use super::{OrderKind, OrderOutcome, RefusalReason, SendOutcome};
 use crate::{
-    ids::{CatalogVersion, FailureDomain, PromptPartId, SendId, ServiceName, UpstreamId, VmId},
+    ids::{CatalogVersion, FailureDomain, Fingerprint, SendId, ServiceName, UpstreamId, VmId},
     units::{Millis, RequestsPerSecond},
     watch::StorePosition,
 };
@@ -120,9 +120,9 @@
         class: Option<&'static str>,
         /// The reason.
         reason: RefusalReason,
-        /// The part of the prompt for which it is refused, if that is the reason.
+        /// The fingerprint for which it is refused, if that is the reason.
         #[serde(skip_serializing_if = "Option::is_none")]
-        part: Option<PromptPartId>,
+        fingerprint: Option<Fingerprint>,
         /// Whether an upstream may have run the request.
         may_have_run: bool,
         /// `Retry-After` for the caller.
@@ -253,21 +253,21 @@
     UpstreamCrashed {
         /// The upstream.
         upstream: UpstreamId,
-        /// Parts of the prompts in flight there that had got no event, without duplicates.
-        parts: Vec<PromptPartId>,
+        /// Fingerprints of the requests in flight there that had got no event, without duplicates.
+        fingerprints: Vec<Fingerprint>,
     },
-    /// Requests with a prompt part are refused from now on: upstreams ended under it.
-    PartQuarantined {
-        /// The part.
-        part: PromptPartId,
+    /// Requests with a fingerprint are refused from now on: upstreams ended under it.
+    FingerprintQuarantined {
+        /// The fingerprint.
+        fingerprint: Fingerprint,
         /// The peer whose report led to it.
         #[serde(skip_serializing_if = "Option::is_none")]
         reported_by: Option<VmId>,
     },
-    /// An answer showed that a prompt part is not to blame for the crashes that it was in flight at.
-    PartCleared {
-        /// The part.
-        part: PromptPartId,
+    /// An answer showed that a fingerprint is not to blame for the crashes that it was in flight at.
+    FingerprintCleared {
+        /// The fingerprint.
+        fingerprint: Fingerprint,
         /// The peer that got the answer.
         #[serde(skip_serializing_if = "Option::is_none")]
         reported_by: Option<VmId>,
--- a/crates/core/src/dispatch/refusal.rs
+++ b/crates/core/src/dispatch/refusal.rs
@@ -29,8 +29,8 @@
     UpstreamFailed,
     /// The caller's or the route's timeout expired.
     TimedOut,
-    /// A part of the prompt ended the process of each upstream that wrote an answer on it.
-    PromptQuarantined,
+    /// A fingerprint of the request was in flight when several upstreams ended, and has got no answer since.
+    Quarantined,
 }
 
 impl RefusalReason {
@@ -48,7 +48,7 @@
             Self::UpstreamsRefused => "upstreams_refused",
             Self::UpstreamFailed => "upstream_failed",
             Self::TimedOut => "timed_out",
-            Self::PromptQuarantined => "prompt_quarantined",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -56,7 +56,7 @@
         }
         open.may_have_run = true;
         open.first_at.get_or_insert(out.now);
-        self.clear_parts(out, call);
+        self.clear_fingerprints(out, call);
         let Some(open) = self.calls.get(&call) else {
             return;
         };
@@ -284,8 +284,8 @@
             route: Some(open.route.name.clone()),
             class: Some(open.route.kind.name()),
             reason,
-            part: (reason == RefusalReason::PromptQuarantined)
-                .then(|| self.quarantine.find(&open.call.prompt_parts))
+            fingerprint: (reason == RefusalReason::Quarantined)
+                .then(|| self.quarantine.find(&open.call.fingerprints))
                 .flatten(),
             may_have_run,
             retry_after_ms: refusal.retry_after_ms,
--- a/crates/core/src/ids/numbers.rs
+++ b/crates/core/src/ids/numbers.rs
@@ -113,10 +113,10 @@
     "send id"
 );
 number!(
-    /// A part of a prompt that several requests may share, as a hash of the id that callers give it.
-    PromptPartId,
+    /// What several requests have in common, as a hash: a part of their prompts.
+    Fingerprint,
     u64,
-    "prompt part"
+    "fingerprint"
 );
 number!(
     /// Version of the platform's store. Increases with each transaction.
@@ -132,8 +132,8 @@
     "store era"
 );
 
-impl PromptPartId {
-    /// The part to which callers give this id.
+impl Fingerprint {
+    /// The fingerprint of a prompt part to which callers give this id.
     pub fn of(id: &str) -> Self {
         Self::new(xxh3_64(id.as_bytes()))
     }
--- a/crates/core/tests/common/crash_fleet.rs
+++ b/crates/core/tests/common/crash_fleet.rs
@@ -6,7 +6,7 @@
 use persimmon_core::{
     catalog::ApiKey,
     dispatch::{Call, DispatchAction, DispatchEvent, PromptSize, SendOutcome, SendPlan},
-    ids::{CallId, PromptPartId, UpstreamId},
+    ids::{CallId, Fingerprint, UpstreamId},
     units::{Millis, Time, Tokens},
 };
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -30,7 +30,7 @@
 }
 
 struct Asked {
-    parts: Vec<PromptPartId>,
+    parts: Vec<Fingerprint>,
     at: Time,
     sends: Vec<Time>,
     outcome: Option<Outcome>,
@@ -52,9 +52,9 @@
     pub(crate) started_at: Time,
     pub(crate) now: Time,
     /// Parts that end an engine which begins to write on them.
-    pub(crate) deadly: HashSet<PromptPartId>,
+    pub(crate) deadly: HashSet<Fingerprint>,
     /// Parts on which an engine closes the connection, and lives on.
-    pub(crate) cut_off: HashSet<PromptPartId>,
+    pub(crate) cut_off: HashSet<Fingerprint>,
     /// When engines ended under a deadly part.
     pub(crate) crashed_at: Vec<Time>,
 }
@@ -102,7 +102,7 @@
     }
 
     /// A call with a short prompt that has these shared parts.
-    pub(crate) fn call(&mut self, daemon: usize, parts: &[PromptPartId]) {
+    pub(crate) fn call(&mut self, daemon: usize, parts: &[Fingerprint]) {
         let call = CallId::new(self.calls.len() as u64 + 1);
         let asked = Asked {
             parts: parts.to_vec(),
@@ -122,7 +122,7 @@
                 prompt_tokens: Tokens::new(5_000),
                 output_tokens: Tokens::new(600),
             }),
-            prompt_parts: parts.to_vec(),
+            fingerprints: parts.to_vec(),
             age_ms: Millis::ZERO,
         }));
         self.handle(daemon, event);
--- a/crates/core/tests/common/dispatch/node.rs
+++ b/crates/core/tests/common/dispatch/node.rs
@@ -133,7 +133,7 @@
                 prompt_tokens: Tokens::new(prompt_tokens),
                 output_tokens: Tokens::new(1_600),
             }),
-            prompt_parts: Vec::new(),
+            fingerprints: Vec::new(),
             age_ms: Millis::ZERO,
         }));
         (call, self.step(event))
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -306,7 +306,7 @@
                 prompt_tokens: prompt,
                 output_tokens: Tokens::new(u64::from(events) * 51),
             }),
-            prompt_parts: Vec::new(),
+            fingerprints: Vec::new(),
             age_ms: Millis::ZERO,
         }));
         self.handle(now, daemon, event);
--- a/crates/core/tests/common/limited_fleet.rs
+++ b/crates/core/tests/common/limited_fleet.rs
@@ -155,7 +155,7 @@
                 prompt_tokens: Tokens::new(5_000),
                 output_tokens: Tokens::new(600),
             }),
-            prompt_parts: Vec::new(),
+            fingerprints: Vec::new(),
             age_ms: Millis::ZERO,
         }));
         self.handle(daemon, event);
--- a/crates/core/tests/dispatch_load.rs
+++ b/crates/core/tests/dispatch_load.rs
@@ -249,7 +249,7 @@
             prompt_tokens: Tokens::new(1_000),
             output_tokens: Tokens::new(100),
         }),
-        prompt_parts: Vec::new(),
+        fingerprints: Vec::new(),
         age_ms: Millis::ZERO,
     }
 }
--- a/crates/core/tests/failing_engines.rs
+++ b/crates/core/tests/failing_engines.rs
@@ -7,14 +7,14 @@
 
 use crash_fleet::CrashFleet;
 use dispatch::ms;
-use persimmon_core::ids::PromptPartId;
+use persimmon_core::ids::Fingerprint;
 
 /// All engines of a service cut off their answers for a while. Long after, when they are sound and idle,
 /// every prompt was refused for lack of capacity.
 #[test]
 fn engines_that_all_failed_often_get_requests_again() {
     let mut fleet = CrashFleet::new(2, 12);
-    let part = PromptPartId::new(77);
+    let part = Fingerprint::new(77);
     fleet.cut_off.insert(part);
     for _ in 0..40 {
         fleet.call(0, &[part]);
--- a/crates/core/tests/prompt_quarantine.rs
+++ b/crates/core/tests/prompt_quarantine.rs
@@ -8,8 +8,8 @@
 use crash_fleet::{CrashFleet, Outcome};
 use dispatch::ms;
 use persimmon_core::{
-    dispatch::{PromptQuarantine, QuarantinedPart},
-    ids::PromptPartId,
+    dispatch::{Quarantine, QuarantinedFingerprint},
+    ids::Fingerprint,
     units::Time,
 };
 
@@ -19,8 +19,8 @@
 /// Time after the fifth crash in which requests with the part may still be sent.
 const LEARN_MS: u64 = 3_000;
 
-fn part(number: u64) -> PromptPartId {
-    PromptPartId::new(number)
+fn part(number: u64) -> Fingerprint {
+    Fingerprint::new(number)
 }
 
 const SHARED: u64 = 1;
@@ -187,11 +187,11 @@
 /// others. A peer knows better.
 #[test]
 fn a_verdict_of_a_peer_that_saw_more_crashes_counts() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = Quarantine::default();
     let now = Time::START;
     quarantine.on_crash(now, &[part(8), part(DEADLY)]);
-    let verdict = QuarantinedPart {
-        part: part(DEADLY),
+    let verdict = QuarantinedFingerprint {
+        fingerprint: part(DEADLY),
         companions: Vec::new(),
     };
     assert!(quarantine.quarantine(now, verdict.clone()));
--- a/crates/io/src/telemetry/metric.rs
+++ b/crates/io/src/telemetry/metric.rs
@@ -148,11 +148,11 @@
         Unit::Count,
         "Upstreams whose process ended under requests of this daemon that had got no event",
     );
-    /// Prompt parts that were quarantined or cleared.
-    pub const PROMPT_PARTS: Self = counter(
-        "persimmon_prompt_parts_total",
+    /// Fingerprints of requests that were quarantined or cleared.
+    pub const FINGERPRINTS: Self = counter(
+        "persimmon_fingerprints_total",
         Unit::Count,
-        "Prompt parts suspected of ending upstreams, by verdict (quarantined, cleared)",
+        "Fingerprints of requests suspected of ending upstreams, by verdict (quarantined, cleared)",
     );
     /// Delay by which a timer of the control thread fires late.
     pub const EVENT_LOOP_DELAY: Self = histogram(
@@ -190,7 +190,7 @@
     Metric::STORE_RESTORES,
     Metric::UPSTREAM_NOTICES,
     Metric::UPSTREAM_CRASHES,
-    Metric::PROMPT_PARTS,
+    Metric::FINGERPRINTS,
     Metric::EVENT_LOOP_DELAY,
     Metric::EVENT_HANDLING,
     Metric::PEER_BYTES,
--- a/crates/io/src/transport/caller_listener.rs
+++ b/crates/io/src/transport/caller_listener.rs
@@ -183,7 +183,7 @@
             key: request.key,
             deadline_ms: request.deadline_ms,
             prompt: request.prompt,
-            prompt_parts: request.prompt_parts,
+            fingerprints: request.fingerprints,
             age_ms: Millis::new(received_at.elapsed().as_millis() as u64),
         }));
         let task = CallTask {
--- a/crates/io/src/transport/dialect.rs
+++ b/crates/io/src/transport/dialect.rs
@@ -5,7 +5,7 @@
 use persimmon_core::{
     catalog::ApiKey,
     dispatch::{Culprit, PromptSize, Refusal, ReserveOrder, SendPlan},
-    ids::PromptPartId,
+    ids::Fingerprint,
     units::{Millis, RequestsPerSecond, UnitError},
 };
 use std::{fmt, sync::Arc};
@@ -25,7 +25,7 @@
     /// Prompt and output sizes of a model request.
     pub prompt: Option<PromptSize>,
     /// The parts of the prompt that other requests may share, in order.
-    pub prompt_parts: Vec<PromptPartId>,
+    pub fingerprints: Vec<Fingerprint>,
 }
 
 /// Why a request head is rejected.
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -43,7 +43,7 @@
             key: None,
             deadline_ms: Some(Millis::new(5_000)),
             prompt: None,
-            prompt_parts: Vec::new(),
+            fingerprints: Vec::new(),
         })
     }
 
--- a/crates/persimmonctl/src/explain.rs
+++ b/crates/persimmonctl/src/explain.rs
@@ -24,7 +24,7 @@
     "store_restored",
     "catalog_held",
     "domain_held",
-    "part_quarantined",
+    "fingerprint_quarantined",
 ];
 
 /// Changes of an upstream, shown if they concern an upstream that the request was sent to and happened
--- a/crates/persimmonctl/tests/explain.rs
+++ b/crates/persimmonctl/tests/explain.rs
@@ -20,9 +20,9 @@
 {"message":"refused","kvs":{"may_have_run":false,"reason":"no_capacity","request":"8a11","vm":"vm-1"}}
 {"message":"sent","kvs":{"request":"b00c","send":180,"try_count":1,"upstream":"i-5347","vm":"vm-1"}}
 {"message":"send_failed","kvs":{"end":"lost","next":"send_again","reason":"closed","request":"b00c","send":180,"vm":"vm-1"}}
-{"message":"upstream_crashed","kvs":{"parts":[11,12],"upstream":"i-5347","vm":"vm-1"}}
-{"message":"part_quarantined","kvs":{"part":12,"vm":"vm-1"}}
-{"message":"refused","kvs":{"may_have_run":true,"part":12,"reason":"prompt_quarantined","request":"b00c","vm":"vm-1"}}
+{"message":"upstream_crashed","kvs":{"fingerprints":[11,12],"upstream":"i-5347","vm":"vm-1"}}
+{"message":"fingerprint_quarantined","kvs":{"fingerprint":12,"vm":"vm-1"}}
+{"message":"refused","kvs":{"may_have_run":true,"fingerprint":12,"reason":"quarantined","request":"b00c","vm":"vm-1"}}
 "#;
 
 fn explain(request: &str, name: &str) -> String {
@@ -76,9 +76,9 @@
      ~ catalog_held store=1.40 stored_version=5 version=7
        sent send=180 try_count=1 upstream=i-5347
     => send_failed end=lost next=send_again reason=closed send=180
-     ~ upstream_crashed parts=[11,12] upstream=i-5347
-     ~ part_quarantined part=12
-       refused may_have_run=true part=12 reason=prompt_quarantined
+     ~ upstream_crashed fingerprints=[11,12] upstream=i-5347
+     ~ fingerprint_quarantined fingerprint=12
+       refused fingerprint=12 may_have_run=true reason=quarantined
     exit 0
     ");
 }
--- a/crates/persimmond/src/gateway/control.rs
+++ b/crates/persimmond/src/gateway/control.rs
@@ -132,7 +132,7 @@
     match record {
         DispatchRecord::Refused { .. }
         | DispatchRecord::UpstreamCrashed { .. }
-        | DispatchRecord::PartQuarantined { .. }
+        | DispatchRecord::FingerprintQuarantined { .. }
         | DispatchRecord::SendFailed { .. }
         | DispatchRecord::CatalogHeld { .. }
         | DispatchRecord::CatalogRefused { .. }
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -91,11 +91,11 @@
             DispatchRecord::UpstreamCrashed { .. } => {
                 self.increment(Metric::UPSTREAM_CRASHES, &[]);
             }
-            DispatchRecord::PartQuarantined { .. } => {
-                self.increment(Metric::PROMPT_PARTS, &[("verdict", "quarantined")]);
+            DispatchRecord::FingerprintQuarantined { .. } => {
+                self.increment(Metric::FINGERPRINTS, &[("verdict", "quarantined")]);
             }
-            DispatchRecord::PartCleared { .. } => {
-                self.increment(Metric::PROMPT_PARTS, &[("verdict", "cleared")]);
+            DispatchRecord::FingerprintCleared { .. } => {
+                self.increment(Metric::FINGERPRINTS, &[("verdict", "cleared")]);
             }
             _ => {}
         }
