Log: which requests were in flight when an upstream ended, plain services included

A sent line has the request's fingerprint: method, host, path, query, body and what the head says of the prompt, by the workspace of the caller. It is the same for each repeat, whose id, deadline and trace differ. upstream_crashed names the fingerprints of all requests that were lost without an event, not only of those with prompts, so that one request at each crash can be told from bystanders. No decision uses it yet. A connection that broke under a plain request is now checked as well: one more connection for each upstream that broke one.

--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -7,6 +7,7 @@
 };
 use crate::{
     catalog::{Catalog, KeyHolder, Route, Service},
+    ids::Fingerprint,
     units::{Millis, Time},
 };
 use std::sync::Arc;
@@ -38,12 +39,14 @@
                     .deadline_ms
                     .map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
                 let arrived_at = out.now - age_ms;
+                let fingerprint = request_fingerprint(&call, holder.as_ref());
                 let open = OpenCall {
                     arrived_at,
                     deadline_at: arrived_at + limit_ms,
                     call,
                     route,
                     service,
+                    fingerprint,
                     holder,
                     excluded: Vec::new(),
                     lost_domain: None,
@@ -151,3 +154,10 @@
         }
     }
 }
+
+/// The fingerprint of a request: its content, by the workspace of its caller. Keys of one workspace are
+/// told apart by nothing else.
+fn request_fingerprint(call: &Call, holder: Option<&KeyHolder>) -> Fingerprint {
+    let workspace = holder.map_or("", |holder| holder.workspace.as_str());
+    Fingerprint::of_fields(&[workspace.as_bytes(), &call.content.get().to_le_bytes()])
+}
--- a/crates/core/src/dispatch/call.rs
+++ b/crates/core/src/dispatch/call.rs
@@ -35,6 +35,8 @@
     pub prompt: Option<PromptSize>,
     /// The parts of the prompt that other requests may share, in order.
     pub fingerprints: Vec<Fingerprint>,
+    /// Fingerprint of all that stays the same when the request is repeated, other than its caller.
+    pub content: Fingerprint,
     /// Time since the request's head arrived.
     pub age_ms: Millis,
 }
--- a/crates/core/src/dispatch/crash_check.rs
+++ b/crates/core/src/dispatch/crash_check.rs
@@ -2,7 +2,7 @@
 //! says nothing: the upstream may have cut off one answer, or the network may have.
 
 use super::{
-    dispatcher::{Dispatcher, OpenCall, Out, Sending},
+    dispatcher::{Dispatcher, Out, Sending},
     DispatchAction,
 };
 use crate::{
@@ -11,20 +11,19 @@
 };
 use std::collections::{BTreeSet, HashMap};
 
-/// Upstreams that are being checked, each with the fingerprints of the requests that were lost there.
+/// Fingerprints of the requests that were lost at an upstream before an event of their answers.
 #[derive(Debug, Default)]
-pub(super) struct CrashChecks {
-    pending: HashMap<UpstreamIncarnation, BTreeSet<Fingerprint>>,
+pub(super) struct LostFingerprints {
+    /// Those of the shared parts of prompts.
+    pub(super) parts: BTreeSet<Fingerprint>,
+    /// Those of whole requests.
+    pub(super) requests: BTreeSet<Fingerprint>,
 }
 
-impl OpenCall {
-    /// The fingerprints of the request, unless an event of the answer shows that upstreams bear them.
-    fn unproven_fingerprints(&self) -> &[Fingerprint] {
-        match self.first_at {
-            Some(_) => &[],
-            None => &self.call.fingerprints,
-        }
-    }
+/// Upstreams that are being checked.
+#[derive(Debug, Default)]
+pub(super) struct CrashChecks {
+    pending: HashMap<UpstreamIncarnation, LostFingerprints>,
 }
 
 impl Dispatcher {
@@ -38,14 +37,14 @@
         let Some(record) = known.filter(|record| !record.draining) else {
             return;
         };
-        let fingerprints = open.unproven_fingerprints();
-        if fingerprints.is_empty() {
+        if open.first_at.is_some() {
             return;
         }
         let pending = &mut self.crash_checks.pending;
         let is_new = !pending.contains_key(&record.incarnation());
         let lost = pending.entry(record.incarnation()).or_default();
-        lost.extend(fingerprints);
+        lost.parts.extend(&open.call.fingerprints);
+        lost.requests.insert(open.fingerprint);
         if is_new {
             out.act(DispatchAction::CheckUpstream {
                 upstream: record.incarnation(),
@@ -61,11 +60,11 @@
         upstream: &UpstreamIncarnation,
         has_ended: bool,
     ) {
-        let Some(fingerprints) = self.crash_checks.pending.remove(upstream) else {
+        let Some(lost) = self.crash_checks.pending.remove(upstream) else {
             return;
         };
         if has_ended {
-            self.on_crash_with(out, upstream, fingerprints.into_iter().collect());
+            self.on_crash_with(out, upstream, lost);
         }
     }
 }
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -12,7 +12,7 @@
         placement::Placement, reservation::Reservations, restore::RestoreState, shutdown::Shutdown,
     },
     fleet::Fleet,
-    ids::{CallId, CatalogVersion, FailureDomain, SendId, StoreEra, UpstreamId, VmId},
+    ids::{CallId, CatalogVersion, FailureDomain, Fingerprint, SendId, StoreEra, UpstreamId, VmId},
     units::{Millis, Time},
     watch::{Topic, TopicWatch},
 };
@@ -56,6 +56,8 @@
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<Service>,
     pub(super) holder: Option<KeyHolder>,
+    /// What the request has in common with its repeats by the same caller.
+    pub(super) fingerprint: Fingerprint,
     /// Upstreams that the next transmission must not use: those tried, and helpers at fault.
     pub(super) excluded: Vec<UpstreamId>,
     /// Failure domain in which the last transmission was lost.
--- a/crates/core/src/dispatch/quarantine_calls.rs
+++ b/crates/core/src/dispatch/quarantine_calls.rs
@@ -1,6 +1,7 @@
 //! Calls with a quarantined fingerprint, and what daemons tell each other of such fingerprints.
 
 use super::{
+    crash_check::LostFingerprints,
     dispatcher::{Dispatcher, Out},
     DispatchAction, DispatchMessage, DispatchRecord, QuarantineMessage, RefusalReason,
 };
@@ -16,13 +17,17 @@
         &mut self,
         out: &mut Out<'_>,
         upstream: &UpstreamIncarnation,
-        fingerprints: Vec<Fingerprint>,
+        lost: LostFingerprints,
     ) {
-        let quarantined = self.quarantine.on_crash(out.now, &fingerprints);
+        let fingerprints: Vec<_> = lost.parts.into_iter().collect();
         out.log(DispatchRecord::UpstreamCrashed {
             upstream: upstream.id.clone(),
-            fingerprints: fingerprints.clone(),
+            fingerprints: fingerprints.iter().copied().chain(lost.requests).collect(),
         });
+        if fingerprints.is_empty() {
+            return;
+        }
+        let quarantined = self.quarantine.on_crash(out.now, &fingerprints);
         self.notify_quarantine(out, QuarantineMessage::Crashed(fingerprints));
         if !quarantined.is_empty() {
             let fingerprints = quarantined.iter();
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -46,6 +46,8 @@
         class: &'static str,
         /// The route.
         route: String,
+        /// What the request has in common with its repeats.
+        fingerprint: Fingerprint,
         /// The transmission.
         send: SendId,
         /// The upstream.
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -128,6 +128,7 @@
             request: Arc::clone(&open.call.request_id),
             class: open.route.kind.name(),
             route: open.route.name.clone(),
+            fingerprint: open.fingerprint,
             send,
             upstream: placement.upstream.clone(),
             domain: upstream.record.domain.clone(),
--- a/crates/core/src/ids/numbers.rs
+++ b/crates/core/src/ids/numbers.rs
@@ -3,7 +3,7 @@
 use super::IdError;
 use serde::{Deserialize, Serialize};
 use std::{fmt, str::FromStr};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
 macro_rules! number {
     ($(#[$doc:meta])* $name:ident, $inner:ty, $kind:literal) => {
@@ -113,7 +113,8 @@
     "send id"
 );
 number!(
-    /// What several requests have in common, as a hash: a part of their prompts.
+    /// What several requests have in common, as a hash: a part of their prompts, or everything that a caller
+    /// repeats with a request.
     Fingerprint,
     u64,
     "fingerprint"
@@ -137,4 +138,14 @@
     pub fn of(id: &str) -> Self {
         Self::new(xxh3_64(id.as_bytes()))
     }
+
+    /// The fingerprint of a request with these fields, in this order. The same on all daemons.
+    pub fn of_fields(fields: &[&[u8]]) -> Self {
+        let mut hasher = Xxh3::new();
+        for field in fields {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field);
+        }
+        Self::new(hasher.digest())
+    }
 }
--- a/crates/core/tests/common/crash_fleet.rs
+++ b/crates/core/tests/common/crash_fleet.rs
@@ -123,6 +123,7 @@
                 output_tokens: Tokens::new(600),
             }),
             fingerprints: parts.to_vec(),
+            content: Fingerprint::new(call.get()),
             age_ms: Millis::ZERO,
         }));
         self.handle(daemon, event);
--- a/crates/core/tests/common/dispatch/node.rs
+++ b/crates/core/tests/common/dispatch/node.rs
@@ -7,7 +7,7 @@
         Call, DispatchAction, DispatchEvent, DispatchSettings, Dispatcher, OrderOutcome,
         PromptSize, RawDispatchSettings, RefusalReason, ReserveOrder, SendOutcome, SendPlan,
     },
-    ids::CallId,
+    ids::{CallId, Fingerprint},
     units::{Millis, Time, Tokens},
     watch::{Change, StoreError, Topic},
 };
@@ -134,6 +134,7 @@
                 output_tokens: Tokens::new(1_600),
             }),
             fingerprints: Vec::new(),
+            content: Fingerprint::new(call.get()),
             age_ms: Millis::ZERO,
         }));
         (call, self.step(event))
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -12,7 +12,7 @@
         Call, DispatchAction, DispatchEvent, DispatchMessage, DispatchSettings, Dispatcher,
         PromptSize, RawDispatchSettings, SendOutcome, SendPlan,
     },
-    ids::{CallId, FailureDomain, VmId},
+    ids::{CallId, FailureDomain, Fingerprint, VmId},
     units::{Millis, Time, Tokens},
     watch::{Change, Topic},
 };
@@ -307,6 +307,7 @@
                 output_tokens: Tokens::new(u64::from(events) * 51),
             }),
             fingerprints: Vec::new(),
+            content: Fingerprint::new(tag),
             age_ms: Millis::ZERO,
         }));
         self.handle(now, daemon, event);
--- a/crates/core/tests/common/limited_fleet.rs
+++ b/crates/core/tests/common/limited_fleet.rs
@@ -10,7 +10,7 @@
         Call, DispatchAction, DispatchEvent, DispatchMessage, PromptSize, RateLimitNotice,
         SendOutcome, SendPlan,
     },
-    ids::{CallId, UpstreamId, VmId},
+    ids::{CallId, Fingerprint, UpstreamId, VmId},
     units::{Millis, RequestsPerSecond, Time, Tokens},
 };
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -156,6 +156,7 @@
                 output_tokens: Tokens::new(600),
             }),
             fingerprints: Vec::new(),
+            content: Fingerprint::new(call.get()),
             age_ms: Millis::ZERO,
         }));
         self.handle(daemon, event);
--- a/crates/core/tests/dispatch_load.rs
+++ b/crates/core/tests/dispatch_load.rs
@@ -15,7 +15,7 @@
     dispatch::{
         Call, DispatchAction, DispatchEvent, DispatchMessage, PromptSize, SendOutcome, SendPlan,
     },
-    ids::{CallId, UpstreamId},
+    ids::{CallId, Fingerprint, UpstreamId},
     units::{Millis, Time, Tokens},
     watch::Change,
 };
@@ -250,6 +250,7 @@
             output_tokens: Tokens::new(100),
         }),
         fingerprints: Vec::new(),
+        content: Fingerprint::new(number),
         age_ms: Millis::ZERO,
     }
 }
--- a/crates/io/src/transport/caller_listener.rs
+++ b/crates/io/src/transport/caller_listener.rs
@@ -13,6 +13,7 @@
 use persimmon_core::{
     catalog::CallerLimits,
     dispatch::{Call, DispatchEvent},
+    ids::Fingerprint,
     units::Millis,
 };
 use std::{
@@ -174,6 +175,13 @@
             .map_err(|error| bad_request(&error))?;
         let time_limit = request.deadline_ms.map_or(BODY_TIMEOUT, Millis::duration);
         let body = self.read_body(body, time_limit).await?;
+        let content = Fingerprint::of_fields(&[
+            head.method.as_str().as_bytes(),
+            request.host.as_bytes(),
+            path_and_query(&head).as_bytes(),
+            &request.prompt_fingerprint.get().to_le_bytes(),
+            &body,
+        ]);
         let (id, commands) = self.shared.hub.open();
         let event = DispatchEvent::Arrived(Box::new(Call {
             id,
@@ -184,6 +192,7 @@
             deadline_ms: request.deadline_ms,
             prompt: request.prompt,
             fingerprints: request.fingerprints,
+            content,
             age_ms: Millis::new(received_at.elapsed().as_millis() as u64),
         }));
         let task = CallTask {
@@ -226,6 +235,11 @@
     }
 }
 
+fn path_and_query(head: &http::request::Parts) -> &str {
+    let target = head.uri.path_and_query();
+    target.map_or("", |target| target.as_str())
+}
+
 fn text_response(status: StatusCode, text: String) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::from(Bytes::from(text)));
     *response.status_mut() = status;
--- a/crates/io/src/transport/dialect.rs
+++ b/crates/io/src/transport/dialect.rs
@@ -26,6 +26,8 @@
     pub prompt: Option<PromptSize>,
     /// The parts of the prompt that other requests may share, in order.
     pub fingerprints: Vec<Fingerprint>,
+    /// What the head says of the prompt.
+    pub prompt_fingerprint: Fingerprint,
 }
 
 /// Why a request head is rejected.
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -8,7 +8,7 @@
 use insta::assert_snapshot;
 use persimmon_core::{
     dispatch::{DispatchEvent, Refusal, RefusalReason, ReserveOrder, SendOutcome, SendPlan},
-    ids::{CallId, SendId},
+    ids::{CallId, Fingerprint, SendId},
     units::{Millis, RequestsPerSecond},
 };
 use persimmon_io::transport::{
@@ -44,6 +44,7 @@
             deadline_ms: Some(Millis::new(5_000)),
             prompt: None,
             fingerprints: Vec::new(),
+            prompt_fingerprint: Fingerprint::default(),
         })
     }
 
