--- a/crates/core/tests/common/crash_fleet.rs
+++ b/crates/core/tests/common/crash_fleet.rs
@@ -1,8 +1,9 @@
-//! Daemons and engines in virtual time. Engines end when they begin to write on certain prompt parts.
+//! Daemons and upstreams in virtual time. Upstreams end when they begin to work on certain requests, or to
+//! write on certain prompt parts.
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use super::dispatch::{id, ms, node::Node, ENGINES, KEY};
+use super::dispatch::{id, ms, node::Node, KEY};
 use persimmon_core::{
     catalog::ApiKey,
     dispatch::{Call, DispatchAction, DispatchEvent, PromptSize, SendOutcome, SendPlan},
@@ -17,6 +18,10 @@
 /// Time from a request's arrival at an engine until its answer is complete.
 const ANSWER_MS: Millis = Millis::new(800);
 
+/// The same of a plain upstream.
+const PLAIN_BEGIN_MS: Millis = Millis::new(40);
+const PLAIN_ANSWER_MS: Millis = Millis::new(50);
+
 /// Time until an engine that ended listens again.
 const RESTART_MS: Millis = Millis::new(3_000);
 
@@ -31,6 +36,7 @@
 
 struct Asked {
     parts: Vec<Fingerprint>,
+    content: Fingerprint,
     at: Time,
     sends: Vec<Time>,
     outcome: Option<Outcome>,
@@ -46,6 +52,7 @@
 pub(crate) struct CrashFleet {
     nodes: Vec<Node>,
     engines_len: u16,
+    plain_len: u16,
     calls: BTreeMap<(usize, CallId), Asked>,
     at_engines: Vec<Transmission>,
     down_until: HashMap<UpstreamId, Time>,
@@ -53,6 +60,8 @@
     pub(crate) now: Time,
     /// Parts that end an engine which begins to write on them.
     pub(crate) deadly: HashSet<Fingerprint>,
+    /// Requests, by their content, that end an upstream which begins to work on them.
+    pub(crate) deadly_requests: HashSet<Fingerprint>,
     /// Parts on which an engine closes the connection, and lives on.
     pub(crate) cut_off: HashSet<Fingerprint>,
     /// When engines ended under a deadly part.
@@ -61,15 +70,22 @@
 
 impl CrashFleet {
     pub(crate) fn new(daemons_len: usize, engines_len: u16) -> Self {
+        Self::with_plain(daemons_len, engines_len, 0)
+    }
+
+    /// A fleet with engines and plain upstreams.
+    pub(crate) fn with_plain(daemons_len: usize, engines_len: u16, plain_len: u16) -> Self {
         let mut fleet = Self {
             nodes: Vec::new(),
             engines_len,
+            plain_len,
             calls: BTreeMap::new(),
             at_engines: Vec::new(),
             down_until: HashMap::new(),
             started_at: Time::START,
             now: Time::START,
             deadly: HashSet::new(),
+            deadly_requests: HashSet::new(),
             cut_off: HashSet::new(),
             crashed_at: Vec::new(),
         };
@@ -88,7 +104,7 @@
         let vm = |index: usize| id(&format!("vm-{index}"));
         let mut node = Node::named(&format!("vm-{index}"));
         node.now = self.now;
-        node.learn(self.engines_len, 0);
+        node.learn(self.engines_len, self.plain_len);
         self.nodes.push(node);
         for other in 0..index {
             self.handle(other, DispatchEvent::PeerUp { vm: vm(index) });
@@ -103,9 +119,20 @@
 
     /// A call with a short prompt that has these shared parts.
     pub(crate) fn call(&mut self, daemon: usize, parts: &[Fingerprint]) {
+        let content = Fingerprint::new(self.calls.len() as u64 + 1);
+        self.ask(daemon, "alarm", parts, content);
+    }
+
+    /// A call of a plain service, the same one for each call with this content.
+    pub(crate) fn call_plain(&mut self, daemon: usize, route: &str, content: Fingerprint) {
+        self.ask(daemon, route, &[], content);
+    }
+
+    fn ask(&mut self, daemon: usize, route: &str, parts: &[Fingerprint], content: Fingerprint) {
         let call = CallId::new(self.calls.len() as u64 + 1);
         let asked = Asked {
             parts: parts.to_vec(),
+            content,
             at: self.now,
             sends: Vec::new(),
             outcome: None,
@@ -115,15 +142,15 @@
             id: call,
             request_id: format!("request-{call}").into(),
             host: "cells.example".into(),
-            path: "/alarm/x".into(),
+            path: format!("/{route}/x"),
             key: Some(ApiKey::from(KEY)),
             deadline_ms: Some(ms(10_000)),
-            prompt: Some(PromptSize {
+            prompt: (!parts.is_empty()).then(|| PromptSize {
                 prompt_tokens: Tokens::new(5_000),
                 output_tokens: Tokens::new(600),
             }),
             fingerprints: parts.to_vec(),
-            content: Fingerprint::new(call.get()),
+            content,
             age_ms: Millis::ZERO,
         }));
         self.handle(daemon, event);
@@ -150,7 +177,7 @@
         let begins: Vec<_> = self
             .at_engines
             .iter()
-            .filter(|sent| !sent.is_writing && sent.sent_at + PREFILL_MS <= self.now)
+            .filter(|sent| !sent.is_writing && sent.sent_at + begin_ms(&sent.plan) <= self.now)
             .map(|sent| (sent.daemon, sent.plan.clone()))
             .collect();
         for (daemon, plan) in begins {
@@ -162,7 +189,7 @@
         while let Some(index) = self
             .at_engines
             .iter()
-            .position(|sent| sent.sent_at + ANSWER_MS <= self.now)
+            .position(|sent| sent.sent_at + answer_ms(&sent.plan) <= self.now)
         {
             let done = self.at_engines.swap_remove(index);
             self.set_outcome(done.daemon, done.plan.call, Outcome::Served);
@@ -171,8 +198,9 @@
     }
 
     fn begin_to_write(&mut self, daemon: usize, plan: &SendPlan) {
-        let parts = self.calls[&(daemon, plan.call)].parts.clone();
-        if parts.iter().any(|part| self.deadly.contains(part)) {
+        let asked = &self.calls[&(daemon, plan.call)];
+        let parts = asked.parts.clone();
+        if self.is_deadly(asked) {
             self.crashed_at.push(self.now);
             self.crash(&plan.upstream);
         } else if parts.iter().any(|part| self.cut_off.contains(part)) {
@@ -187,13 +215,11 @@
         }
     }
 
-    /// Ends the processes of all engines of a failure domain.
+    /// Ends the processes of all upstreams of a failure domain.
     pub(crate) fn crash_domain(&mut self, domain: &str) {
         let fleet = self.nodes[0].dispatcher.fleet();
-        let service = id(ENGINES);
-        let of_domain = fleet
-            .usable(&service)
-            .filter(|upstream| upstream.record.domain == id(domain));
+        let domain = id(domain);
+        let of_domain = fleet.in_domain(&domain);
         let engines: Vec<_> = of_domain
             .map(|upstream| upstream.record.id.clone())
             .collect();
@@ -205,7 +231,7 @@
     fn crash(&mut self, engine: &UpstreamId) {
         self.down_until
             .insert(engine.clone(), self.now + RESTART_MS);
-        let (lost, open) = std::mem::take(&mut self.at_engines)
+        let (lost, open): (Vec<_>, Vec<_>) = std::mem::take(&mut self.at_engines)
             .into_iter()
             .partition(|sent| sent.plan.upstream == *engine);
         self.at_engines = open;
@@ -295,7 +321,8 @@
     }
 
     fn is_deadly(&self, asked: &Asked) -> bool {
-        asked.parts.iter().any(|part| self.deadly.contains(part))
+        self.deadly_requests.contains(&asked.content)
+            || asked.parts.iter().any(|part| self.deadly.contains(part))
     }
 
     /// Number of requests with a deadly part that reached engines after a time.
@@ -323,6 +350,24 @@
     }
 }
 
+/// Time from a request's arrival until an upstream begins to answer it.
+fn begin_ms(plan: &SendPlan) -> Millis {
+    if plan.streaming {
+        PREFILL_MS
+    } else {
+        PLAIN_BEGIN_MS
+    }
+}
+
+/// Time from a request's arrival until the answer is complete.
+fn answer_ms(plan: &SendPlan) -> Millis {
+    if plan.streaming {
+        ANSWER_MS
+    } else {
+        PLAIN_ANSWER_MS
+    }
+}
+
 fn closed() -> SendOutcome {
     SendOutcome::Lost {
         reason: "connection closed".to_owned(),
