Requests that end each upstream which works on them are refused, of plain services too

Cause: what had ended an upstream was remembered by the shared parts of prompts only. Requests of plain services have none, so each repeat was judged alone and sent to the next upstream.

Change: a whole request has a fingerprint like a prompt part (method, host, path, query, body and what the head says of the prompt, by workspace), in the same table, with the same evidence, clearing, verdicts and messages to peers. A request that was sent again after a crash and had time to run counts for the next crash also within 250 ms, or a retry's crash would be missed. An error response below 500 of a plain upstream clears its request.

--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -24,7 +24,7 @@
 
 impl Dispatcher {
     /// Admits or refuses a new call.
-    pub(super) fn on_arrived(&mut self, out: &mut Out<'_>, call: Call) {
+    pub(super) fn on_arrived(&mut self, out: &mut Out<'_>, mut call: Call) {
         let id = call.id;
         match self.admit(out.now, &call) {
             Err(refusal) => self.refuse_new(out, &call, refusal),
@@ -40,6 +40,7 @@
                     .map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
                 let arrived_at = out.now - age_ms;
                 let fingerprint = request_fingerprint(&call, holder.as_ref());
+                call.fingerprints.push(fingerprint);
                 let open = OpenCall {
                     arrived_at,
                     deadline_at: arrived_at + limit_ms,
--- a/crates/core/src/dispatch/call.rs
+++ b/crates/core/src/dispatch/call.rs
@@ -33,7 +33,8 @@
     pub deadline_ms: Option<Millis>,
     /// Prompt and answer sizes, if the request is for a model.
     pub prompt: Option<PromptSize>,
-    /// The parts of the prompt that other requests may share, in order.
+    /// Fingerprints of the parts of the prompt that other requests may share, in order. Admission adds that of
+    /// the request as a whole.
     pub fingerprints: Vec<Fingerprint>,
     /// Fingerprint of all that stays the same when the request is repeated, other than its caller.
     pub content: Fingerprint,
--- a/crates/core/src/dispatch/crash_check.rs
+++ b/crates/core/src/dispatch/crash_check.rs
@@ -3,27 +3,15 @@
 
 use super::{
     dispatcher::{Dispatcher, Out, Sending},
-    DispatchAction,
+    Crash, DispatchAction,
 };
-use crate::{
-    fleet::UpstreamIncarnation,
-    ids::{CallId, Fingerprint},
-};
-use std::collections::{BTreeSet, HashMap};
-
-/// Fingerprints of the requests that were lost at an upstream before an event of their answers.
-#[derive(Debug, Default)]
-pub(super) struct LostFingerprints {
-    /// Those of the shared parts of prompts.
-    pub(super) parts: BTreeSet<Fingerprint>,
-    /// Those of whole requests.
-    pub(super) requests: BTreeSet<Fingerprint>,
-}
+use crate::{fleet::UpstreamIncarnation, ids::CallId};
+use std::collections::HashMap;
 
-/// Upstreams that are being checked.
+/// Upstreams that are being checked, each with what was in flight there when the first connection broke.
 #[derive(Debug, Default)]
 pub(super) struct CrashChecks {
-    pending: HashMap<UpstreamIncarnation, LostFingerprints>,
+    pending: HashMap<UpstreamIncarnation, Crash>,
 }
 
 impl Dispatcher {
@@ -42,9 +30,10 @@
         }
         let pending = &mut self.crash_checks.pending;
         let is_new = !pending.contains_key(&record.incarnation());
-        let lost = pending.entry(record.incarnation()).or_default();
-        lost.parts.extend(&open.call.fingerprints);
-        lost.requests.insert(open.fingerprint);
+        let crash = pending
+            .entry(record.incarnation())
+            .or_insert_with(|| Crash::new(out.now));
+        crash.add_lost(&open.call.fingerprints, sending.sent_at);
         if is_new {
             out.act(DispatchAction::CheckUpstream {
                 upstream: record.incarnation(),
@@ -60,11 +49,11 @@
         upstream: &UpstreamIncarnation,
         has_ended: bool,
     ) {
-        let Some(lost) = self.crash_checks.pending.remove(upstream) else {
+        let Some(crash) = self.crash_checks.pending.remove(upstream) else {
             return;
         };
         if has_ended {
-            self.on_crash_with(out, upstream, lost);
+            self.on_crash(out, upstream, &crash);
         }
     }
 }
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -1,6 +1,6 @@
 //! Messages between daemons: in-flight requests, ejections, and changes read from the store.
 
-use super::{HelperAssignment, OperatorChange, QuarantinedFingerprint};
+use super::{CrashReport, HelperAssignment, OperatorChange, QuarantinedFingerprint};
 use crate::{
     catalog::CatalogStamp,
     fleet::{UpstreamIncarnation, UpstreamRecord},
@@ -161,9 +161,8 @@
 /// News of the fingerprints of requests that may end upstreams.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum QuarantineMessage {
-    /// The process of an upstream ended with these in flight from the sender, without an event of
-    /// their answers.
-    Crashed(Vec<Fingerprint>),
+    /// The process of an upstream ended with requests of the sender in flight there.
+    Crashed(CrashReport),
     /// Requests with these are refused.
     Quarantined(Vec<QuarantinedFingerprint>),
     /// An upstream answered requests with these: they are not to blame for crashes.
--- a/crates/core/src/dispatch/quarantine.rs
+++ b/crates/core/src/dispatch/quarantine.rs
@@ -1,22 +1,24 @@
 //! Quarantine of what ends the process of each upstream that begins to work on it. One such request after
-//! the other would end all upstreams of a service. Requests are known by their fingerprints.
+//! the other would end all upstreams of a service. Requests are known by their fingerprints: those of the
+//! shared parts of a prompt, and that of the request as a whole, which its repeats have too.
 //!
 //! Evidence: a fingerprint was in flight, without an event of an answer, when the process of an upstream ended.
 //! That says little by itself, as bystanders' fingerprints were in flight too. These are cleared by the first
 //! event of any answer, at any daemon; one that is to blame never gets one. Crashes at the same moment have a
-//! cause of their own and count once.
+//! cause of their own and count once, unless the request was sent again in between.
 //!
 //! Verdict: after some crashes without an event in between, requests with the fingerprint are refused. Those
 //! that stood beside it at each of the crashes are as suspect, so only requests with all of them are refused:
 //! one that has some of them clears these, or shows by a crash which are to blame. Daemons share crashes,
 //! events and verdicts, so that a request is refused wherever it arrives.
 
+use super::Crash;
 use crate::{
     ids::Fingerprint,
     units::{Millis, Time},
 };
 use serde::{Deserialize, Serialize};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 /// Number of crashes without an event in between after which a fingerprint is quarantined.
 const CRASHES_MAX_COUNT: u32 = 3;
@@ -24,6 +26,9 @@
 /// Crashes within this time of each other count as one: upstreams of a failure domain end together.
 const SAME_MOMENT_MS: Millis = Millis::new(250);
 
+/// Shortest time from sending in which a request may have begun to run.
+const RUN_MIN_MS: Millis = Millis::new(10);
+
 /// Time without a crash after which a fingerprint is no longer suspect.
 const SUSPICION_MS: Millis = Millis::new(60_000);
 
@@ -89,6 +94,15 @@
         )
     }
 
+    /// Whether a crash at this time is counted already: it is one of several at the same moment, under
+    /// requests that were sent before. A request that was sent again after a crash, and had time to begin
+    /// to run when the next upstream ended, is evidence of its own.
+    fn is_counted(&self, lost_at: Time, sent_at: Time) -> bool {
+        let same_moment = lost_at < self.crashed_at + SAME_MOMENT_MS;
+        let ran_since = sent_at >= self.crashed_at && lost_at >= sent_at + RUN_MIN_MS;
+        self.crashes_count > 0 && same_moment && !ran_since
+    }
+
     fn is_expired(&self, now: Time) -> bool {
         match self.quarantine {
             Some(quarantine) => now >= quarantine.requested_at + FORGET_MS,
@@ -104,15 +118,14 @@
 }
 
 impl Quarantine {
-    /// Records a crash with these fingerprints in flight. Returns those that are quarantined by it.
-    pub fn on_crash(&mut self, now: Time, fingerprints: &[Fingerprint]) -> Vec<Fingerprint> {
+    /// Records a crash. Returns the fingerprints that are quarantined by it.
+    pub fn on_crash(&mut self, now: Time, crash: &Crash) -> Vec<Fingerprint> {
         self.suspects.retain(|_, suspect| !suspect.is_expired(now));
-        let in_flight: HashSet<_> = fingerprints.iter().copied().collect();
         let mut quarantined = Vec::new();
-        for fingerprint in fingerprints {
+        for (fingerprint, sent_at) in &crash.in_flight {
             self.make_room(*fingerprint);
             let suspect = self.suspects.entry(*fingerprint).or_insert_with(|| {
-                let others = fingerprints.iter().filter(|other| *other != fingerprint);
+                let others = crash.in_flight.keys().filter(|other| *other != fingerprint);
                 Suspect {
                     crashes_count: 0,
                     crashed_at: Time::START,
@@ -120,15 +133,14 @@
                     quarantine: None,
                 }
             });
-            let same_moment = now < suspect.crashed_at + SAME_MOMENT_MS;
-            if suspect.crashes_count > 0 && same_moment {
+            if suspect.is_counted(crash.lost_at, *sent_at) {
                 continue;
             }
             suspect.crashes_count += 1;
-            suspect.crashed_at = now;
+            suspect.crashed_at = crash.lost_at;
             suspect
                 .companions
-                .retain(|companion| in_flight.contains(companion));
+                .retain(|companion| crash.in_flight.contains_key(companion));
             if suspect.crashes_count >= CRASHES_MAX_COUNT && suspect.quarantine.is_none() {
                 suspect.quarantine = Some(Verdict::new(now));
                 quarantined.push(*fingerprint);
--- a/crates/core/src/dispatch/quarantine_calls.rs
+++ b/crates/core/src/dispatch/quarantine_calls.rs
@@ -1,9 +1,8 @@
 //! Calls with a quarantined fingerprint, and what daemons tell each other of such fingerprints.
 
 use super::{
-    crash_check::LostFingerprints,
     dispatcher::{Dispatcher, Out},
-    DispatchAction, DispatchMessage, DispatchRecord, QuarantineMessage, RefusalReason,
+    Crash, DispatchAction, DispatchMessage, DispatchRecord, QuarantineMessage, RefusalReason,
 };
 use crate::{
     fleet::UpstreamIncarnation,
@@ -12,23 +11,20 @@
 };
 
 impl Dispatcher {
-    /// Records that an upstream's process ended with these fingerprints in flight at this daemon.
-    pub(super) fn on_crash_with(
+    /// Records that an upstream's process ended with requests of this daemon in flight.
+    pub(super) fn on_crash(
         &mut self,
         out: &mut Out<'_>,
         upstream: &UpstreamIncarnation,
-        lost: LostFingerprints,
+        crash: &Crash,
     ) {
-        let fingerprints: Vec<_> = lost.parts.into_iter().collect();
+        let quarantined = self.quarantine.on_crash(out.now, crash);
         out.log(DispatchRecord::UpstreamCrashed {
             upstream: upstream.id.clone(),
-            fingerprints: fingerprints.iter().copied().chain(lost.requests).collect(),
+            fingerprints: crash.in_flight.keys().copied().collect(),
         });
-        if fingerprints.is_empty() {
-            return;
-        }
-        let quarantined = self.quarantine.on_crash(out.now, &fingerprints);
-        self.notify_quarantine(out, QuarantineMessage::Crashed(fingerprints));
+        let report = crash.report(out.now);
+        self.notify_quarantine(out, QuarantineMessage::Crashed(report));
         if !quarantined.is_empty() {
             let fingerprints = quarantined.iter();
             let verdicts =
@@ -51,8 +47,9 @@
         message: QuarantineMessage,
     ) {
         match message {
-            QuarantineMessage::Crashed(fingerprints) => {
-                let quarantined = self.quarantine.on_crash(out.now, &fingerprints);
+            QuarantineMessage::Crashed(report) => {
+                let crash = report.crash(out.now);
+                let quarantined = self.quarantine.on_crash(out.now, &crash);
                 self.apply_quarantine(out, &quarantined, Some(peer));
             }
             QuarantineMessage::Quarantined(verdicts) => {
@@ -72,7 +69,7 @@
         }
     }
 
-    /// Ends the own calls that are refused by new verdicts, before more upstreams begin to write on them.
+    /// Ends the own calls that are refused by new verdicts, before more upstreams begin to work on them.
     fn apply_quarantine(
         &mut self,
         out: &mut Out<'_>,
@@ -98,7 +95,7 @@
         }
     }
 
-    /// Clears the fingerprints of a call whose answer has begun.
+    /// Clears the fingerprints of a call that an upstream answers.
     pub(super) fn clear_fingerprints(&mut self, out: &mut Out<'_>, call: CallId) {
         let Some(open) = self.calls.get(&call) else {
             return;
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -167,6 +167,9 @@
             self.health.on_success(&sending.upstream);
             return self.finish(out, call, &sending, None);
         }
+        if self.shows_that_upstreams_bear(call, &end) {
+            self.clear_fingerprints(out, call);
+        }
         self.record_outcome(out, call, &sending, &end);
         self.avoid_domain(call, &sending, &end);
         self.avoid_helpers(out, call, &sending, &end);
@@ -190,6 +193,16 @@
         }
     }
 
+    /// Whether an error response is the answer of a plain upstream to the request itself. A server error may
+    /// have come before the upstream began to work on it.
+    fn shows_that_upstreams_bear(&self, call: CallId, end: &SendOutcome) -> bool {
+        let open = self.calls.get(&call);
+        let is_plain = open.is_some_and(|open| open.service.engine.is_none());
+        let is_own_answer = matches!(end, SendOutcome::Failed { status, not_run: false, .. }
+            if *status < SERVER_FAILURE_STATUS);
+        is_plain && is_own_answer
+    }
+
     fn next_step(&mut self, now: Time, call: CallId, end: &SendOutcome) -> NextStep {
         let sharing_daemons_len = self.sharing_daemons_len(now);
         let Some(open) = self.calls.get(&call) else {
--- a/crates/core/tests/common/crash_fleet.rs
+++ b/crates/core/tests/common/crash_fleet.rs
@@ -128,7 +128,14 @@
         self.ask(daemon, route, &[], content);
     }
 
-    fn ask(&mut self, daemon: usize, route: &str, parts: &[Fingerprint], content: Fingerprint) {
+    /// A call of a route, with a prompt if it has parts.
+    pub(crate) fn ask(
+        &mut self,
+        daemon: usize,
+        route: &str,
+        parts: &[Fingerprint],
+        content: Fingerprint,
+    ) {
         let call = CallId::new(self.calls.len() as u64 + 1);
         let asked = Asked {
             parts: parts.to_vec(),
--- a/crates/core/tests/prompt_quarantine.rs
+++ b/crates/core/tests/prompt_quarantine.rs
@@ -8,7 +8,7 @@
 use crash_fleet::{CrashFleet, Outcome};
 use dispatch::ms;
 use persimmon_core::{
-    dispatch::{Quarantine, QuarantinedFingerprint},
+    dispatch::{Crash, Quarantine, QuarantinedFingerprint},
     ids::Fingerprint,
     units::Time,
 };
@@ -189,7 +189,9 @@
 fn a_verdict_of_a_peer_that_saw_more_crashes_counts() {
     let mut quarantine = Quarantine::default();
     let now = Time::START;
-    quarantine.on_crash(now, &[part(8), part(DEADLY)]);
+    let mut crash = Crash::new(now);
+    crash.add_lost(&[part(8), part(DEADLY)], now);
+    quarantine.on_crash(now, &crash);
     let verdict = QuarantinedFingerprint {
         fingerprint: part(DEADLY),
         companions: Vec::new(),
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -191,8 +191,12 @@
     }
 
     async fn caller(&self) -> TcpStream {
-        let mut caller = TcpStream::connect(self.address).await.unwrap();
         let request = b"POST /x HTTP/1.1\r\nhost: a\r\nx-id: 7\r\ncontent-length: 2\r\n\r\nhi";
+        self.caller_with(request).await
+    }
+
+    async fn caller_with(&self, request: &[u8]) -> TcpStream {
+        let mut caller = TcpStream::connect(self.address).await.unwrap();
         caller.write_all(request).await.unwrap();
         caller
     }
@@ -378,6 +382,40 @@
     });
 }
 
+/// A request that is repeated has another id, and may have other headers.
+#[test]
+fn a_repeated_request_has_the_same_content() {
+    run(async {
+        let fixture = Fixture::start().await;
+        let content = async |request: &[u8]| {
+            let _caller = fixture.caller_with(request).await;
+            loop {
+                if let DispatchEvent::Arrived(call) = fixture.event().await {
+                    break call.content;
+                }
+            }
+        };
+        let first =
+            content(b"POST /x?a=1 HTTP/1.1\r\nx-id: 7\r\ncontent-length: 2\r\n\r\nhi").await;
+        let repeats: [&[u8]; 2] = [
+            b"POST /x?a=1 HTTP/1.1\r\nx-id: 8\r\ntrace: 1\r\ncontent-length: 2\r\n\r\nhi",
+            b"POST /x?a=1 HTTP/1.1\r\nx-id: 9\r\ntransfer-encoding: chunked\r\n\r\n1\r\nh\r\n1\r\ni\r\n0\r\n\r\n",
+        ];
+        for repeat in repeats {
+            assert_eq!(content(repeat).await, first);
+        }
+        let others: [&[u8]; 4] = [
+            b"PUT /x?a=1 HTTP/1.1\r\nx-id: 7\r\ncontent-length: 2\r\n\r\nhi",
+            b"POST /y?a=1 HTTP/1.1\r\nx-id: 7\r\ncontent-length: 2\r\n\r\nhi",
+            b"POST /x?a=2 HTTP/1.1\r\nx-id: 7\r\ncontent-length: 2\r\n\r\nhi",
+            b"POST /x?a=1 HTTP/1.1\r\nx-id: 7\r\ncontent-length: 2\r\n\r\nho",
+        ];
+        for other in others {
+            assert_ne!(content(other).await, first);
+        }
+    });
+}
+
 #[test]
 fn only_a_refused_connection_shows_that_a_server_has_ended() {
     run(async {
