Daemons that are cut off from each other spare a cold upstream together

Cause: the rate was compared with the requests of the connected daemons only. Class: a bound that is meant for all daemons and kept by each side of a cut for itself.

--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -290,6 +290,12 @@
         self.max_members_len.max(assumed_len)
     }
 
+    /// Share of the daemons that were connected at once that still are, this one included. Those that became
+    /// unreachable may still send.
+    pub(super) fn heard_share_ratio(&self) -> f64 {
+        (self.members_len() as f64 / self.max_members_len as f64).min(1.0)
+    }
+
     /// Time since the daemon's knowledge of operators' writes was current.
     pub(super) fn knowledge_ms(&self, now: Time) -> Option<Millis> {
         self.operators
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -305,7 +305,8 @@
         };
         let cold_per_s = open.service.cold_per_s;
         let cold_left_len = if now < upstream.cold_until && cold_per_s > 0.0 {
-            self.slow_start.remaining_len(now, &record.id, cold_per_s)
+            let share_per_s = (cold_per_s * self.heard_share_ratio()).max(1.0);
+            self.slow_start.remaining_len(now, &record.id, share_per_s)
         } else {
             usize::MAX
         };
--- a/crates/core/tests/common/limited_fleet.rs
+++ b/crates/core/tests/common/limited_fleet.rs
@@ -3,7 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use super::dispatch::{id, ms, node::Node, ENGINES, KEY};
+use super::dispatch::{catalog, id, ms, node::Node, upstream, ENGINES, KEY};
 use persimmon_core::{
     catalog::ApiKey,
     dispatch::{
@@ -12,6 +12,7 @@
     },
     ids::{CallId, Fingerprint, UpstreamId, VmId},
     units::{Millis, RequestsPerSecond, Time, Tokens},
+    watch::Change,
 };
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -29,6 +30,9 @@
 /// Time without a message after which a daemon considers a peer as disconnected.
 const PEER_SILENCE_MS: Millis = Millis::new(2_000);
 
+/// Time for which an engine stays cold.
+const COLD_MS: Millis = Millis::new(10_000);
+
 /// Time between two reads of operators' writes.
 const READ_INTERVAL_MS: u64 = 500;
 
@@ -102,6 +106,19 @@
         }
     }
 
+    /// An engine is cold for a while, and engines take this many requests a second while they are.
+    pub(crate) fn chill(&mut self, engine: u16, cold_per_s: f64) {
+        for node in &mut self.nodes {
+            let mut catalog = catalog(2);
+            catalog.services[0].cold_per_s = cold_per_s;
+            node.operators(false, vec![Change::Catalog(Box::new(catalog))]);
+            let mut record = upstream(ENGINES, engine);
+            record.cold_remaining_ms = COLD_MS;
+            record.writes_count = 2;
+            node.upstreams(false, vec![Change::Upstream(Box::new(record))]);
+        }
+    }
+
     /// Cuts some daemons off from the others.
     pub(crate) fn cut_off(&mut self, daemons: &[usize]) {
         self.cut = Some((daemons.iter().copied().collect(), self.now));
--- a/crates/core/tests/upstream_rate_limit.rs
+++ b/crates/core/tests/upstream_rate_limit.rs
@@ -85,6 +85,22 @@
     assert!(most <= allowed_len(3.0), "{most}");
 }
 
+/// The same for a cold upstream: it may get one and a half times its rate in a second, and five requests, from
+/// all daemons, whether they hear each other or not (rule FAILBACK).
+#[test]
+fn daemons_that_are_cut_off_from_each_other_spare_a_cold_upstream_together() {
+    const COLD_PER_S: f64 = 14.0;
+    let mut fleet = LimitedFleet::new(9, 1, 0);
+    fleet.cut_off(&[0, 1, 2]);
+    fleet.pass(ms(2_500));
+    fleet.chill(1, COLD_PER_S);
+    let since = fleet.now;
+    fleet.traffic("alarm", 200, ms(5_000));
+    let most = fleet.most_in("advisor-1", since, ms(1_000));
+    assert!(most as f64 <= COLD_PER_S * 1.5 + 5.0, "{most}");
+    assert!(most as f64 >= COLD_PER_S * 0.7, "{most}");
+}
+
 /// A limited upstream is slower, not at fault: callers are served by the others, and by it as far as it
 /// takes requests.
 #[test]
