--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -156,8 +156,8 @@
     }
 }
 
-/// The fingerprint of a request: its content, by the workspace of its caller. Keys of one workspace are
-/// told apart by nothing else.
+/// The fingerprint of a request: its content, by the workspace of its caller. Callers with keys of one
+/// workspace count as one.
 fn request_fingerprint(call: &Call, holder: Option<&KeyHolder>) -> Fingerprint {
     let workspace = holder.map_or("", |holder| holder.workspace.as_str());
     Fingerprint::of_fields(&[workspace.as_bytes(), &call.content.get().to_le_bytes()])
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -167,7 +167,7 @@
             self.health.on_success(&sending.upstream);
             return self.finish(out, call, &sending, None);
         }
-        if self.shows_that_upstreams_bear(call, &end) {
+        if self.is_answer_of_plain_upstream(call, &end) {
             self.clear_fingerprints(out, call);
         }
         self.record_outcome(out, call, &sending, &end);
@@ -193,9 +193,9 @@
         }
     }
 
-    /// Whether an error response is the answer of a plain upstream to the request itself. A server error may
-    /// have come before the upstream began to work on it.
-    fn shows_that_upstreams_bear(&self, call: CallId, end: &SendOutcome) -> bool {
+    /// Whether an error response shows that a plain upstream has worked on the request and lives. A server
+    /// error may have come before it began to.
+    fn is_answer_of_plain_upstream(&self, call: CallId, end: &SendOutcome) -> bool {
         let open = self.calls.get(&call);
         let is_plain = open.is_some_and(|open| open.service.engine.is_none());
         let is_own_answer = matches!(end, SendOutcome::Failed { status, not_run: false, .. }
--- a/crates/core/tests/upstream_rate_limit.rs
+++ b/crates/core/tests/upstream_rate_limit.rs
@@ -5,10 +5,14 @@
 #[path = "common/limited_fleet.rs"]
 mod limited_fleet;
 
-use dispatch::{id, ms, upstream, PLAIN};
+use dispatch::{
+    id, ms,
+    node::{sent, Node},
+    upstream, ENGINES, PLAIN,
+};
 use limited_fleet::LimitedFleet;
 use persimmon_core::{
-    dispatch::{RateLimitTable, RateStatement},
+    dispatch::{DispatchEvent, RateLimitNotice, RateLimitTable, RateStatement},
     units::{Millis, RequestsPerSecond, Time},
     watch::Change,
 };
@@ -214,6 +218,33 @@
     assert!(fleet.got_since("orders-101", since) >= 29);
 }
 
+/// An engine that reads a part of a prompt for another one gets a request by that, too.
+#[test]
+fn a_limited_engine_reads_no_part_of_a_prompt_beyond_its_limit() {
+    let limited = ["advisor-2", "advisor-4"];
+    let mut node = Node::ready(5, 0);
+    for name in limited {
+        let record = upstream(ENGINES, name[8..].parse().unwrap());
+        node.step(DispatchEvent::UpstreamRateLimit(RateLimitNotice {
+            upstream: record.incarnation(),
+            address: record.address,
+            is_misdirected: false,
+            request: None,
+            per_s: RequestsPerSecond::try_from(0.1).ok(),
+            answered_after_ms: ms(30),
+        }));
+    }
+    let (_, seen) = node.call("digest", 200_000);
+    let plan = sent(&seen);
+    let helpers = plan.helpers.iter().map(|helper| helper.address);
+    let used: Vec<_> = helpers.chain([plan.address]).collect();
+    assert!(used.len() > 1, "{plan:?}");
+    for name in limited {
+        let address = upstream(ENGINES, name[8..].parse().unwrap()).address;
+        assert!(!used.contains(&address), "{name}: {plan:?}");
+    }
+}
+
 fn statement(per_s: Option<f64>, sent_ms: u64, received_ms: u64) -> RateStatement {
     RateStatement {
         per_s: per_s.map(|per_s| RequestsPerSecond::try_from(per_s).unwrap()),
