Soak: upstreams that state how many requests a second they take

An upstream states 0.5 requests a second for nine seconds; the invariant counts what it gets in four, from daemons that knew.

--- a/crates/soak/src/fault/inject.rs
+++ b/crates/soak/src/fault/inject.rs
@@ -8,6 +8,7 @@
         Signal, StoreMode,
     },
 };
+use persimmon_core::units::RequestsPerSecond;
 use std::{sync::Arc, time::Duration};
 use tokio::time::sleep;
 
@@ -23,6 +24,10 @@
 /// Time for which an upstream stays cold.
 const COLD_TIME: Duration = Duration::from_millis(3_000);
 
+/// Rate that an upstream states, in requests a second, and for how long.
+const RATE_PER_S: f64 = 0.5;
+const RATE_TIME: Duration = Duration::from_millis(9_000);
+
 /// Longest time from the stop signal to the exit of the process.
 const STOP_TIMEOUT: Duration = Duration::from_millis(8_500);
 
@@ -56,6 +61,7 @@
         Fault::StoreHistoryDropped => injector.drop_store_history(),
         Fault::StoreRestored => injector.restore_store(span).await,
         Fault::UpstreamLeaves(index) => injector.leave(index).await,
+        Fault::UpstreamStatesRate(index) => injector.state_rate(index).await,
         Fault::UpstreamSheds(index) => injector.shed(index, span).await,
         Fault::UpstreamCrash(index) => injector.crash(index, span).await,
         Fault::UpstreamDrain(index) => injector.drain(index).await,
@@ -198,6 +204,15 @@
         self.record_fault(&Component::Store, false);
     }
 
+    /// Stating a rate is no fault of the upstream: it excuses nothing.
+    async fn state_rate(&self, index: usize) {
+        let upstream = self.upstream(index);
+        let per_s = RequestsPerSecond::try_from(RATE_PER_S);
+        upstream.set_rate_limit(per_s.ok());
+        sleep(RATE_TIME).await;
+        upstream.set_rate_limit(None);
+    }
+
     /// Shedding is no fault of the upstream: it excuses nothing.
     async fn shed(&self, index: usize, span: Duration) {
         let upstream = self.upstream(index);
--- a/crates/soak/src/fault/schedule.rs
+++ b/crates/soak/src/fault/schedule.rs
@@ -71,6 +71,8 @@
     UpstreamRejects(usize),
     /// An upstream says in its answers that it leaves, and stops.
     UpstreamLeaves(usize),
+    /// An upstream states in its answers how many requests a second it takes.
+    UpstreamStatesRate(usize),
     /// An upstream turns some requests away and wants no more for a time.
     UpstreamSheds(usize),
     /// An upstream truncates some answers.
@@ -103,6 +105,9 @@
 /// Distinguishes the draws of the faults apart from those of the others.
 const APART_SEED_MASK: u64 = 0x5eed_a9a2;
 
+/// The same for upstreams that state a rate.
+const RATE_SEED_MASK: u64 = 0x5eed_4a7e;
+
 /// The faults of a run: overlapping series, the last of which starts more than [`SPAN_MAX_MS`]
 /// before `span` is over.
 pub fn schedule(seed: u64, span: Duration) -> Vec<ScheduledFault> {
@@ -122,23 +127,32 @@
         }
         at_ms += PAUSE_MS / 2 + rng.next_u64() % PAUSE_MS;
     }
-    scheduled_faults.extend(schedule_apart(seed, span));
+    scheduled_faults.extend(schedule_apart(seed ^ APART_SEED_MASK, span, |index| {
+        vec![
+            Fault::StoreRestored,
+            Fault::UpstreamLeaves(index),
+            Fault::UpstreamSheds(index),
+        ]
+    }));
+    scheduled_faults.extend(schedule_apart(seed ^ RATE_SEED_MASK, span, |index| {
+        vec![Fault::UpstreamStatesRate(index)]
+    }));
     scheduled_faults.sort_by_key(|scheduled| scheduled.at_ms);
     scheduled_faults
 }
 
-/// Restores of the store, and upstreams that say that they leave or shed.
-fn schedule_apart(seed: u64, span: Duration) -> Vec<ScheduledFault> {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ APART_SEED_MASK);
+/// Faults of one of several kinds that are drawn apart from the others.
+fn schedule_apart(
+    seed: u64,
+    span: Duration,
+    kinds: fn(usize) -> Vec<Fault>,
+) -> Vec<ScheduledFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut at_ms = LEAD_MS;
     let mut scheduled_faults = Vec::new();
     while at_ms + SPAN_MAX_MS < span.as_millis() as u64 {
         let index = rng.next_u64() as usize % 1_000;
-        let faults = [
-            Fault::StoreRestored,
-            Fault::UpstreamLeaves(index),
-            Fault::UpstreamSheds(index),
-        ];
+        let faults = kinds(index);
         let drawn_ms = rng.next_u64() % (SPAN_MAX_MS - SPAN_MIN_MS);
         scheduled_faults.push(ScheduledFault {
             at_ms: Millis::new(at_ms),
--- a/crates/soak/src/history/observation.rs
+++ b/crates/soak/src/history/observation.rs
@@ -3,7 +3,7 @@
 use persimmon_core::{
     catalog::CallKind,
     ids::{FailureDomain, UpstreamId},
-    units::Millis,
+    units::{Millis, RequestsPerSecond},
 };
 use std::sync::Arc;
 
@@ -151,6 +151,20 @@
         /// For how long it wants no more requests from the daemon; zero if it does not say.
         for_ms: Millis,
     },
+    /// An upstream states another rate in its answers from now on, or none.
+    RateLimitChanged {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Requests a second that it takes from all daemons together.
+        per_s: Option<RequestsPerSecond>,
+    },
+    /// An upstream stated its rate in the answer to a request.
+    RateLimitStated {
+        /// Id of the request.
+        request_id: Arc<str>,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// The store is about to be restored from an older copy.
     StoreRestored,
     /// An upstream became cold.
--- a/crates/soak/src/invariant/mod.rs
+++ b/crates/soak/src/invariant/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod changes;
 mod limits;
+mod rates;
 mod runs;
 mod stops;
 
@@ -27,7 +28,7 @@
 type Check = fn(&IndexedHistory) -> Vec<String>;
 
 /// All invariants with their names. Output shows the names.
-const INVARIANTS: [(&str, Check); 17] = [
+const INVARIANTS: [(&str, Check); 18] = [
     ("whole answers only", answers::complete),
     ("refusals are true", answers::refused_not_run),
     ("answered in time", answers::by_deadline),
@@ -47,6 +48,7 @@
     ),
     ("changes once known hold", changes::known_changes),
     ("backoff of upstreams is kept", limits::backoff),
+    ("rates that upstreams state are kept", rates::stated_rates),
     ("revoked keys are refused", changes::revoked_keys),
     ("dropped routes are not served", changes::removed_routes),
     ("cold upstreams and memory", limits::cold_and_memory),
--- a/crates/soak/src/testbed/upstream/incarnation.rs
+++ b/crates/soak/src/testbed/upstream/incarnation.rs
@@ -23,11 +23,11 @@
 use persimmon_core::{
     fleet::UpstreamRecord,
     ids::{FailureDomain, IdError, UpstreamId},
-    units::Millis,
+    units::{Millis, RequestsPerSecond},
 };
 use persimmon_platform::stub_formats::{
-    answer_head, backoff_head, is_order, mark_leaving, not_run_head, parse_upstream_request,
-    registration_row, wrong_upstream_head, UpstreamRequest,
+    answer_head, backoff_head, is_order, mark_leaving, mark_rate_limit, not_run_head,
+    parse_upstream_request, registration_row, wrong_upstream_head, UpstreamRequest,
 };
 use std::{
     collections::HashMap,
@@ -59,6 +59,8 @@
     pub(super) leaving: bool,
     /// Until when it wants no more requests from the daemons that it turned away.
     pub(super) sheds_until: Option<Instant>,
+    /// The rate that its answers state.
+    pub(super) rate_limit: Option<RequestsPerSecond>,
     pub(super) cold_until: Option<Instant>,
     pub(super) tickets: HashMap<String, (u64, Instant)>,
 }
@@ -160,9 +162,16 @@
     ) -> Result<Response<Body>, NoAnswer> {
         let this = Arc::clone(&self);
         let mut answer = self.answer_request(request).await?;
-        if this.lock().leaving {
+        let (is_leaving, rate_limit) = {
+            let state = this.lock();
+            (state.leaving, state.rate_limit)
+        };
+        if is_leaving {
             mark_leaving(&mut answer);
         }
+        if let Some(per_s) = rate_limit {
+            mark_rate_limit(&mut answer, per_s);
+        }
         Ok(answer)
     }
 
@@ -278,6 +287,12 @@
                 Bytes::from_static(b"failed"),
             ));
         }
+        if self.lock().rate_limit.is_some() {
+            self.history.record(Observation::RateLimitStated {
+                request_id: Arc::clone(&request_id),
+                upstream: self.id.clone(),
+            });
+        }
         if self.lock().leaving {
             self.history.record(Observation::LeavingAnswered {
                 request_id: Arc::clone(&request_id),
--- a/crates/soak/src/testbed/upstream/restartable.rs
+++ b/crates/soak/src/testbed/upstream/restartable.rs
@@ -14,7 +14,7 @@
 };
 use persimmon_core::{
     ids::{FailureDomain, UpstreamId},
-    units::Millis,
+    units::{Millis, RequestsPerSecond},
 };
 use persimmon_platform::stub_formats::registration_row;
 use std::{
@@ -88,6 +88,16 @@
         state.sheds_until = None;
     }
 
+    /// Sets the rate that the upstream states in its answers.
+    pub(crate) fn set_rate_limit(&self, per_s: Option<RequestsPerSecond>) {
+        let current = self.current();
+        current.lock().rate_limit = per_s;
+        self.history.record(Observation::RateLimitChanged {
+            upstream: current.id.clone(),
+            per_s,
+        });
+    }
+
     /// Makes the upstream cold for `span`, and registers that.
     pub(crate) fn set_cold(&self, span: Duration) {
         let current = self.current();
--- a/crates/soak/tests/invariants.rs
+++ b/crates/soak/tests/invariants.rs
@@ -5,7 +5,7 @@
 use persimmon_core::{
     catalog::CallKind,
     ids::{FailureDomain, UpstreamId},
-    units::{Millis, Time},
+    units::{Millis, RequestsPerSecond, Time},
 };
 use persimmon_soak::{
     history::{BodyCheck, Component, IndexedHistory, Observation},
@@ -351,6 +351,37 @@
     assert_snapshot!(observations.check(20_000), @"backoff of upstreams is kept: engines-1-0 got 3 requests of daemon 0");
 }
 
+/// A rate of 1.5 a second: 14 requests in four seconds are allowed, from daemons that knew for half a second.
+fn rated_runs(observations: &mut HandwrittenHistory, from: u64, len: u64) {
+    let per_s = RequestsPerSecond::try_from(1.5).ok();
+    let upstream = upstream();
+    observations.observe(4_000, Observation::RateLimitChanged { upstream, per_s });
+    observations.serve(4_100, "told");
+    observations.observe(
+        4_110,
+        Observation::RateLimitStated {
+            request_id: "told".into(),
+            upstream: self::upstream(),
+        },
+    );
+    for index in 0..len {
+        observations.serve(from + index * 100, &format!("r{from}-{index}"));
+    }
+}
+
+#[test]
+fn upstreams_that_state_a_rate_and_get_more() {
+    let mut observations = HandwrittenHistory::default();
+    rated_runs(&mut observations, 4_200, 28);
+    assert_eq!(observations.check(20_000), "");
+    let mut observations = HandwrittenHistory::default();
+    rated_runs(&mut observations, 7_200, 14);
+    assert_eq!(observations.check(20_000), "");
+    let mut observations = HandwrittenHistory::default();
+    rated_runs(&mut observations, 7_200, 15);
+    assert_snapshot!(observations.check(20_000), @"rates that upstreams state are kept: engines-1-0 stated 1.5 requests a second and got 15 in 4 s");
+}
+
 #[test]
 fn only_revoked_keys_apply_at_a_daemon_without_the_store() {
     let mut observations = HandwrittenHistory::default();
