A daemon that starts keeps to the rate limits that peers report before it has read the list of upstreams

Upstreams would see: a daemon that was just restarted sends without regard to a limit, until it has passed on an answer that states it. Cause: reports about upstreams that are not in the list were dropped, and peers report limits once, when they connect. Evidence: the new test failed before and passes. Until the list is read, reports are kept; if the upstream has started again since, the first answer that states no limit ends it.

--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -99,12 +99,14 @@
             DispatchMessage::Started(report) => self.on_peer_started(out.now, index, &report),
             DispatchMessage::FirstEvent(send) => self.on_peer_first_event(out.now, index, send),
             DispatchMessage::Ended(send) => self.on_peer_ended(out.now, index, send),
-            DispatchMessage::Snapshot(reports) => {
-                self.in_flight.replace_daemon(out.now, index, &reports)
-            }
+            DispatchMessage::Snapshot(reports) => self.on_peer_snapshot(out.now, index, &reports),
         }
     }
 
+    fn on_peer_snapshot(&mut self, now: Time, index: u32, reports: &[InFlightReport]) {
+        self.in_flight.replace_daemon(now, index, reports);
+    }
+
     fn on_peer_started(&mut self, now: Time, index: u32, report: &InFlightReport) {
         self.slow_start.on_sent(now, &report.upstream);
         self.health.on_sent(now, &report.upstream);
--- a/crates/core/src/dispatch/rate_notice.rs
+++ b/crates/core/src/dispatch/rate_notice.rs
@@ -45,7 +45,7 @@
             received_at: out.now,
         };
         for incarnation in concerned {
-            if !self.is_known(&incarnation)
+            if !self.may_be_running(&incarnation)
                 || !self.rate_limits.on_answer(&incarnation.id, statement)
             {
                 continue;
@@ -70,7 +70,7 @@
     ) {
         let mut newer = Vec::new();
         for report in reports {
-            if !self.is_known(&report.upstream) {
+            if !self.may_be_running(&report.upstream) {
                 continue;
             }
             let reported = RateStatement {
@@ -107,9 +107,12 @@
         notify_rate_limits(out, peer, reports);
     }
 
-    fn is_known(&self, incarnation: &UpstreamIncarnation) -> bool {
+    /// Whether this is the known incarnation of an upstream. Until the list of upstreams is read, none is
+    /// known, and peers report limits only once.
+    fn may_be_running(&self, incarnation: &UpstreamIncarnation) -> bool {
         let known = self.fleet.get(&incarnation.id);
-        known.is_some_and(|known| known.record.incarnation() == *incarnation)
+        let is_current = known.is_some_and(|known| known.record.incarnation() == *incarnation);
+        is_current || !self.fleet.loaded()
     }
 
     /// Share of upstreams' rate limits that this daemon and its connected peers may use together. What is
--- a/crates/core/tests/upstream_rate_limit.rs
+++ b/crates/core/tests/upstream_rate_limit.rs
@@ -12,7 +12,10 @@
 };
 use limited_fleet::LimitedFleet;
 use persimmon_core::{
-    dispatch::{DispatchEvent, RateLimitNotice, RateLimitTable, RateStatement},
+    dispatch::{
+        DispatchEvent, DispatchMessage, RateLimitNotice, RateLimitReport, RateLimitTable,
+        RateStatement,
+    },
     units::{Millis, RequestsPerSecond, Time},
     watch::Change,
 };
@@ -201,6 +204,27 @@
     assert!(most <= allowed_len(1.0), "{most}");
 }
 
+/// A daemon may hear from its peers before it has read the list of upstreams.
+#[test]
+fn a_daemon_that_hears_of_a_limit_while_it_starts_keeps_to_it() {
+    let mut node = Node::empty();
+    let report = RateLimitReport {
+        upstream: upstream(PLAIN, 101).incarnation(),
+        per_s: RequestsPerSecond::try_from(0.1).ok(),
+        sent_ms: ms(80),
+        received_ms: ms(50),
+    };
+    node.step(DispatchEvent::PeerMessage {
+        vm: id("vm-1"),
+        message: DispatchMessage::RateLimits(vec![report]),
+    });
+    node.learn(0, 2);
+    for _ in 0..6 {
+        let (_, seen) = node.call("status", 0);
+        assert_eq!(sent(&seen).upstream, id("orders-102"));
+    }
+}
+
 /// The process that stated the limit has ended.
 #[test]
 fn a_limit_ends_with_the_incarnation_of_its_upstream() {
