The registry tells which upstream an answer is from, and which incarnation is current

No behaviour changes. Notices of rate limits resolved misdirected answers as notices of leaving did, line for line, and the comparison with the known incarnation stood in the rate notices and in the backoff: both stand once, in the registry.

--- a/crates/core/src/dispatch/backoff.rs
+++ b/crates/core/src/dispatch/backoff.rs
@@ -124,8 +124,7 @@
         upstream: &UpstreamIncarnation,
         for_ms: Millis,
     ) {
-        let known = self.fleet.get(&upstream.id);
-        if known.is_none_or(|known| known.record.incarnation() != *upstream) {
+        if !self.fleet.is_current(upstream) {
             return;
         }
         let drawn = hash_ratio(&format!("{}\n{}", self.vm, upstream.id));
--- a/crates/core/src/dispatch/leaving.rs
+++ b/crates/core/src/dispatch/leaving.rs
@@ -26,12 +26,10 @@
     /// Where another upstream than the one meant may have answered, the notice applies to all that
     /// are known at the address.
     pub(super) fn on_leaving_notice(&mut self, out: &mut Out<'_>, notice: LeavingNotice) {
-        let leaving: Vec<_> = if notice.is_misdirected {
-            let known = self.fleet.at_address(notice.address);
-            known.map(|known| known.record.incarnation()).collect()
-        } else {
-            vec![notice.upstream]
-        };
+        let is_misdirected = notice.is_misdirected;
+        let leaving = self
+            .fleet
+            .answering(notice.upstream, notice.address, is_misdirected);
         for incarnation in leaving {
             if self.fleet.on_leaving(&incarnation) {
                 out.log(DispatchRecord::UpstreamLeaving {
--- a/crates/core/src/dispatch/rate_notice.rs
+++ b/crates/core/src/dispatch/rate_notice.rs
@@ -33,12 +33,10 @@
     /// Handles what an answer says about a rate limit. Where another upstream than the one meant may
     /// have answered, it applies to all that are known at the address. Peers are notified of a change.
     pub(super) fn on_rate_notice(&mut self, out: &mut Out<'_>, notice: RateLimitNotice) {
-        let concerned: Vec<_> = if notice.is_misdirected {
-            let known = self.fleet.at_address(notice.address);
-            known.map(|known| known.record.incarnation()).collect()
-        } else {
-            vec![notice.upstream]
-        };
+        let is_misdirected = notice.is_misdirected;
+        let concerned = self
+            .fleet
+            .answering(notice.upstream, notice.address, is_misdirected);
         let statement = RateStatement {
             per_s: notice.per_s,
             sent_at: out.now - notice.answered_after_ms,
@@ -110,9 +108,7 @@
     /// Whether this is the known incarnation of an upstream. Until the list of upstreams is read, none is
     /// known, and peers report limits only once.
     fn may_be_running(&self, incarnation: &UpstreamIncarnation) -> bool {
-        let known = self.fleet.get(&incarnation.id);
-        let is_current = known.is_some_and(|known| known.record.incarnation() == *incarnation);
-        is_current || !self.fleet.loaded()
+        self.fleet.is_current(incarnation) || !self.fleet.loaded()
     }
 
     /// Share of upstreams' rate limits that this daemon and its connected peers may use together. What is
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -155,8 +155,31 @@
         is_new
     }
 
+    /// Whether this is the known incarnation of a registered upstream.
+    pub fn is_current(&self, incarnation: &UpstreamIncarnation) -> bool {
+        let known = self.upstreams.get(&incarnation.id);
+        known.is_some_and(|known| known.record.incarnation() == *incarnation)
+    }
+
+    /// The upstreams that an answer from an address is from: the one that was meant or, where another one
+    /// may have answered, all that listen there.
+    pub fn answering(
+        &self,
+        meant: UpstreamIncarnation,
+        address: SocketAddr,
+        is_misdirected: bool,
+    ) -> Vec<UpstreamIncarnation> {
+        if !is_misdirected {
+            return vec![meant];
+        }
+        let upstreams = self.at_address(address);
+        upstreams
+            .map(|upstream| upstream.record.incarnation())
+            .collect()
+    }
+
     /// The upstreams that listen at an address.
-    pub fn at_address(&self, address: SocketAddr) -> impl Iterator<Item = &Upstream> {
+    fn at_address(&self, address: SocketAddr) -> impl Iterator<Item = &Upstream> {
         let upstreams = self.upstreams.values();
         upstreams.filter(move |upstream| upstream.record.address == address)
     }
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -129,17 +129,9 @@
         wait_reporting_stalls(reply, first_byte_timeout, signals, sent).await??;
     let (head, body) = response.into_parts();
     let parsed = out.dialect.parse_response(&head);
-    if parsed.is_leaving {
-        (signals.on_leaving)(parsed.wrong_upstream);
-    }
-    if let Some(stated) = parsed.stated_rate_limit() {
-        (signals.on_rate_limit)(Some(stated), parsed.wrong_upstream);
-    }
+    report_notices(&parsed, signals);
     check(out, &head, &parsed)?;
-    let is_own = parsed.request_id.as_deref() == Some(out.request_id) && !parsed.wrong_upstream;
-    if out.plan.is_rate_limited && is_own && parsed.rate_limit.is_none() {
-        (signals.on_rate_limit)(None, false);
-    }
+    report_lifted_limit(out, &parsed, signals);
     if !head.status.is_success() {
         let limit = time_left(out, first_byte_timeout);
         let body = read_body(reply, body, FAILURE_MAX_BYTES, limit, signals).await?;
@@ -166,6 +158,25 @@
     Ok(())
 }
 
+/// Reports what the upstream states about itself, in whatever response.
+fn report_notices(parsed: &ResponseHead, signals: Signals<'_>) {
+    if parsed.is_leaving {
+        (signals.on_leaving)(parsed.wrong_upstream);
+    }
+    if let Some(stated) = parsed.stated_rate_limit() {
+        (signals.on_rate_limit)(Some(stated), parsed.wrong_upstream);
+    }
+}
+
+/// Reports that the upstream states no rate limit any more. Only a response that is certainly its own
+/// says so.
+fn report_lifted_limit(out: &Outgoing<'_>, parsed: &ResponseHead, signals: Signals<'_>) {
+    let is_own = parsed.request_id.as_deref() == Some(out.request_id) && !parsed.wrong_upstream;
+    if out.plan.is_rate_limited && is_own && parsed.rate_limit.is_none() {
+        (signals.on_rate_limit)(None, false);
+    }
+}
+
 /// Forwards an event stream, complete events only.
 async fn forward_stream(
     out: &Outgoing<'_>,
