--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -92,7 +92,7 @@
                 upstream,
                 for_ms,
                 unreachable,
-            } => self.on_peer_ejection(out.now, &upstream, for_ms, unreachable),
+            } => self.on_peer_ejection(out, vm, &upstream, for_ms, unreachable),
             DispatchMessage::UpstreamReplaced(gone) => self.on_replaced(out, &gone, Some(vm)),
             DispatchMessage::Quarantine(message) => self.on_quarantine_message(out, vm, message),
             DispatchMessage::RateLimits(reports) => self.on_peer_rate_limits(out, vm, reports),
--- a/crates/core/src/dispatch/upstream_outcome.rs
+++ b/crates/core/src/dispatch/upstream_outcome.rs
@@ -84,14 +84,25 @@
     /// Handles that a peer ejected an upstream.
     pub(super) fn on_peer_ejection(
         &mut self,
-        now: Time,
+        out: &mut Out<'_>,
+        peer: &VmId,
         upstream: &UpstreamId,
         for_ms: Millis,
         unreachable: bool,
     ) {
+        if !self.health.get(upstream).is_ejected(out.now) {
+            out.log(DispatchRecord::Upstream {
+                upstream: upstream.clone(),
+                state: "rests",
+                source: UpstreamSource {
+                    store: None,
+                    reported_by: Some(peer.clone()),
+                },
+            });
+        }
         self.health
-            .on_peer_ejection(now, upstream, for_ms, unreachable);
-        self.prolong_domain_ejections(now, upstream, for_ms);
+            .on_peer_ejection(out.now, upstream, for_ms, unreachable);
+        self.prolong_domain_ejections(out.now, upstream, for_ms);
     }
 
     /// Prolongs the ejections of the other failed upstreams of the same failure domain: it may be cut off,
