--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -4,7 +4,8 @@
 use crate::{
     catalog::CallerLimits,
     fleet::UpstreamIncarnation,
-    ids::{CallId, VmId},
+    ids::{CallId, RelayId, VmId},
+    path::PathPlan,
     units::Millis,
     watch::WatchCall,
 };
@@ -50,13 +51,26 @@
     },
     /// Send an engine an order about a memory reservation.
     Order(ReserveOrder),
-    /// Check whether the process of an upstream that closed a connection has ended: whether it refuses
-    /// connections.
+    /// Check whether an upstream accepts connections, and on which paths.
     CheckUpstream {
         /// The upstream.
         upstream: UpstreamIncarnation,
         /// Its address.
         address: SocketAddr,
+        /// The paths.
+        paths: PathPlan,
+    },
+    /// Answer a peer's request for a connection to an upstream.
+    AnswerRelay {
+        /// The connection.
+        relay: RelayId,
+        /// The upstream's address; none if the request is refused.
+        address: Option<SocketAddr>,
+    },
+    /// Close the pooled connections by way of a peer, now or when their responses are complete.
+    DiscardRelayed {
+        /// The peer.
+        peer: VmId,
     },
     /// Read a topic from the store.
     ReadStore(WatchCall),
--- a/crates/core/src/dispatch/crash_check.rs
+++ b/crates/core/src/dispatch/crash_check.rs
@@ -5,7 +5,11 @@
     dispatcher::{Dispatcher, Out, Sending},
     Crash, DispatchAction,
 };
-use crate::{fleet::UpstreamIncarnation, ids::CallId};
+use crate::{
+    fleet::UpstreamIncarnation,
+    ids::CallId,
+    path::{PathAttempts, PathEnd, PathPlan},
+};
 use std::collections::HashMap;
 
 /// Upstreams that are being checked, each with what was in flight there when the first connection broke.
@@ -38,6 +42,7 @@
             out.act(DispatchAction::CheckUpstream {
                 upstream: record.incarnation(),
                 address: record.address,
+                paths: PathPlan::direct(),
             });
         }
     }
@@ -47,12 +52,13 @@
         &mut self,
         out: &mut Out<'_>,
         upstream: &UpstreamIncarnation,
-        has_ended: bool,
+        attempts: &PathAttempts,
     ) {
+        self.learn_from_attempts(out, upstream, attempts);
         let Some(crash) = self.crash_checks.pending.remove(upstream) else {
             return;
         };
-        if has_ended {
+        if attempts.direct() == Some(PathEnd::Refused) {
             self.on_crash(out, upstream, &crash);
         }
     }
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -13,6 +13,7 @@
     },
     fleet::Fleet,
     ids::{CallId, CatalogVersion, FailureDomain, Fingerprint, SendId, StoreEra, UpstreamId, VmId},
+    path::{LinkTable, RelayTable},
     units::{Millis, Time},
     watch::{Topic, TopicWatch},
 };
@@ -45,6 +46,8 @@
     pub(super) predicted_ms: Option<f64>,
     /// Helper engines that prefill parts of the prompt.
     pub(super) helpers: Vec<UpstreamId>,
+    /// The peer by way of which it goes.
+    pub(super) relay: Option<VmId>,
 }
 
 /// A call that is not finished.
@@ -137,6 +140,8 @@
     pub(super) backoff: BackoffTable,
     pub(super) rate_limits: RateLimitTable,
     pub(super) slow_start: SlowStartLimiter,
+    pub(super) links: LinkTable,
+    pub(super) relays: RelayTable,
     pub(super) budget: RetryBudget,
     pub(super) reservations: Reservations,
     pub(super) freshness: FreshnessState,
@@ -171,6 +176,8 @@
             backoff: BackoffTable::default(),
             rate_limits: RateLimitTable::default(),
             slow_start: SlowStartLimiter::default(),
+            links: LinkTable::default(),
+            relays: RelayTable::default(),
             budget: RetryBudget::new(
                 settings.retry_percent,
                 settings.retry_allowance_requests,
@@ -213,10 +220,19 @@
             DispatchEvent::OrderEnded { ticket, kind, end } => {
                 self.on_order_ended(&mut out, &ticket, kind, end);
             }
-            DispatchEvent::UpstreamChecked {
+            DispatchEvent::UpstreamChecked { upstream, attempts } => {
+                self.on_upstream_checked(&mut out, &upstream, &attempts)
+            }
+            DispatchEvent::PathsTried(report) => self.on_paths_tried(&mut out, report),
+            DispatchEvent::Relayed { call, send, relay } => {
+                self.on_relayed(&mut out, call, send, relay)
+            }
+            DispatchEvent::RelayRequested {
+                relay,
+                peer,
                 upstream,
-                has_ended,
-            } => self.on_upstream_checked(&mut out, &upstream, has_ended),
+            } => self.on_relay_requested(&mut out, relay, peer, &upstream),
+            DispatchEvent::RelayEnded { relay } => self.on_relay_ended(relay),
             DispatchEvent::StoreAnswered { topic, answer } => {
                 self.on_store_answer(&mut out, topic, answer)
             }
@@ -241,6 +257,7 @@
         let times = watches.into_iter().chain([
             self.fleet.next_expiry(),
             self.reservations.next_wakeup(),
+            self.links.next_wakeup(),
             self.restore.next_wakeup(),
             self.outbox.due_at(),
             due,
@@ -322,6 +339,7 @@
         }
         self.end_overdue(out);
         self.progress_reservations(out);
+        self.progress_links(out);
         self.place_waiting(out);
         self.progress_outbox(out);
         self.progress_shutdown(out);
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -6,7 +6,8 @@
 };
 use crate::{
     fleet::UpstreamIncarnation,
-    ids::{CallId, SendId, VmId},
+    ids::{CallId, RelayId, SendId, VmId},
+    path::{PathAttempts, PathReport},
     units::Millis,
     watch::{Batch, StoreError, Topic},
 };
@@ -60,12 +61,37 @@
         /// The outcome.
         end: OrderOutcome,
     },
-    /// An upstream was checked after it closed a connection.
+    /// An upstream was checked.
     UpstreamChecked {
         /// The upstream.
         upstream: UpstreamIncarnation,
-        /// Whether it refuses connections: its process has ended.
-        has_ended: bool,
+        /// The attempts to connect to it.
+        attempts: PathAttempts,
+    },
+    /// A connection was opened, but not on the preferred path.
+    PathsTried(PathReport),
+    /// A transmission goes by way of a peer.
+    Relayed {
+        /// The call.
+        call: CallId,
+        /// The transmission.
+        send: SendId,
+        /// The peer's VM.
+        relay: VmId,
+    },
+    /// A peer asks for a connection to an upstream.
+    RelayRequested {
+        /// The connection.
+        relay: RelayId,
+        /// The peer's VM.
+        peer: VmId,
+        /// The upstream.
+        upstream: UpstreamIncarnation,
+    },
+    /// A connection that was opened for a peer ended.
+    RelayEnded {
+        /// The connection.
+        relay: RelayId,
     },
     /// The store answered a read of a topic, or the read failed.
     StoreAnswered {
--- a/crates/core/src/dispatch/health.rs
+++ b/crates/core/src/dispatch/health.rs
@@ -124,6 +124,19 @@
         ejection_ms
     }
 
+    /// Undoes this daemon's last ejection of an upstream that turned out to be sound.
+    pub fn lift_ejection(&mut self, upstream: &UpstreamId) {
+        let health = self.upstreams.get_mut(upstream);
+        if let Some(health) = health.filter(|health| health.ejected_until.is_some()) {
+            health.ejected_until = None;
+            let before_ratio =
+                (health.failure_ratio - FAILURE_EWMA_WEIGHT) / (1.0 - FAILURE_EWMA_WEIGHT);
+            health.failure_ratio = before_ratio.max(0.0);
+            health.ejection_ms = Millis::ZERO;
+            health.trial_until = None;
+        }
+    }
+
     /// Prolongs the ejection of an upstream that has answered nobody since it was ejected.
     pub fn prolong_ejection(&mut self, now: Time, upstream: &UpstreamId, for_ms: Millis) {
         let health = self.upstreams.get_mut(upstream);
--- /dev/null
+++ b/crates/core/src/dispatch/links.rs
@@ -0,0 +1,178 @@
+//! Paths to upstreams: which of them a connection tries, and what the attempts say about this daemon's own
+//! links. A daemon that has lost its links goes on serving by way of its peers.
+
+use super::{
+    dispatcher::{Dispatcher, Out, Sending},
+    DispatchAction, DispatchMessage, DispatchRecord,
+};
+use crate::{
+    fleet::{UpstreamIncarnation, UpstreamRecord},
+    ids::{CallId, FailureDomain, SendId, VmId},
+    path::{LinkChange, PathAttempts, PathEnd, PathPlan, PathReport, RelayOffer, UpstreamPath},
+    units::{Millis, Time},
+};
+
+/// Time after which a second path is tried beside one that does not connect: a multiple of the round trip in a
+/// region, and a fraction of the shortest latency target.
+const PATH_STAGGER_MS: Millis = Millis::new(50);
+
+/// Number of peers that one connection may try.
+const RELAYS_PER_CONNECTION_LEN: usize = 2;
+
+impl Dispatcher {
+    /// The paths on which to open a connection to an upstream.
+    pub(super) fn path_plan(&self, now: Time, record: &UpstreamRecord) -> PathPlan {
+        let relays = self.relays.choose(
+            now,
+            (&self.vm, &self.domain),
+            (&record.id, &record.domain),
+            RELAYS_PER_CONNECTION_LEN,
+        );
+        let mut paths: Vec<_> = relays.into_iter().map(UpstreamPath::Relay).collect();
+        if self.links.is_lost(now, &record.id, &record.domain) {
+            paths.push(UpstreamPath::Direct);
+        } else {
+            paths.insert(0, UpstreamPath::Direct);
+        }
+        PathPlan {
+            paths,
+            stagger_ms: PATH_STAGGER_MS,
+        }
+    }
+
+    /// Whether a transmission is on a link of this daemon that is lost, so that its failure says nothing of
+    /// the upstream.
+    pub(super) fn is_on_lost_link(&self, now: Time, sending: &Sending) -> bool {
+        let known = self.fleet.get(&sending.upstream);
+        sending.relay.is_none()
+            && known.is_some_and(|known| {
+                let record = &known.record;
+                self.links.is_lost(now, &record.id, &record.domain)
+            })
+    }
+
+    /// Handles a connection that was not opened on the preferred path.
+    pub(super) fn on_paths_tried(&mut self, out: &mut Out<'_>, report: PathReport) {
+        self.learn_from_attempts(out, &report.upstream, &report.attempts);
+        out.log(DispatchRecord::PathsTried {
+            request: report.request,
+            upstream: report.upstream.id,
+            attempts: report.attempts,
+        });
+    }
+
+    /// Handles a transmission that goes by way of a peer.
+    pub(super) fn on_relayed(
+        &mut self,
+        out: &mut Out<'_>,
+        call: CallId,
+        send: SendId,
+        relay: VmId,
+    ) {
+        let request = self.request_id(call);
+        let open = self.calls.get_mut(&call);
+        let Some(sending) = open.and_then(|open| open.sending.as_mut()) else {
+            return;
+        };
+        if sending.send == send {
+            sending.relay = Some(relay.clone());
+            let upstream = sending.upstream.clone();
+            out.log(DispatchRecord::Relayed {
+                request,
+                send,
+                upstream,
+                relay,
+            });
+        }
+    }
+
+    /// Learns from attempts to connect which links and which relays work.
+    pub(super) fn learn_from_attempts(
+        &mut self,
+        out: &mut Out<'_>,
+        upstream: &UpstreamIncarnation,
+        attempts: &PathAttempts,
+    ) {
+        for attempt in &attempts.0 {
+            if let (UpstreamPath::Relay(vm), PathEnd::Unavailable) = (&attempt.path, attempt.end) {
+                self.relays.on_unavailable(out.now, vm);
+            }
+        }
+        let Some(known) = self.fleet.get(&upstream.id) else {
+            return;
+        };
+        let domain = known.record.domain.clone();
+        let change = match attempts.direct() {
+            Some(PathEnd::Connected) => self.links.on_connected(&upstream.id, &domain),
+            Some(_) if attempts.show_lost_link() => {
+                let upstreams_len = self.fleet.in_domain(&domain).count();
+                self.health.lift_ejection(&upstream.id);
+                let links = &mut self.links;
+                links.on_lost(out.now, &upstream.id, &domain, upstreams_len)
+            }
+            Some(_) => {
+                self.links.on_probe_failed(&domain);
+                None
+            }
+            None => None,
+        };
+        if let Some(change) = change {
+            self.apply_link_change(out, domain, &change);
+        }
+    }
+
+    /// Peers learn that this daemon can't relay to a domain, or can again. Idle connections there that were not
+    /// used since the first loss would hang.
+    fn apply_link_change(&mut self, out: &mut Out<'_>, domain: FailureDomain, change: &LinkChange) {
+        if let LinkChange::Lost { since_ms } = change {
+            let of_domain = self.fleet.in_domain(&domain);
+            let records: Vec<_> = of_domain.map(|upstream| upstream.record.clone()).collect();
+            for record in &records {
+                self.health.lift_ejection(&record.id);
+            }
+            out.act(DispatchAction::DiscardIdle {
+                addresses: records.iter().map(|record| record.address).collect(),
+                idle_for_ms: *since_ms,
+            });
+        }
+        out.log(DispatchRecord::Links {
+            domain,
+            lost: matches!(change, LinkChange::Lost { .. }),
+        });
+        self.notify_now(out.now, DispatchMessage::Relay(self.relay_offer()));
+    }
+
+    /// Tests the links that are lost.
+    pub(super) fn progress_links(&mut self, out: &mut Out<'_>) {
+        for (domain, probes_count) in self.links.take_probes(out.now) {
+            let upstreams: Vec<_> = self.fleet.in_domain(&domain).collect();
+            if upstreams.is_empty() {
+                self.links.forget_domain(&domain);
+                continue;
+            }
+            let record = &upstreams[probes_count % upstreams.len()].record;
+            out.act(DispatchAction::CheckUpstream {
+                upstream: record.incarnation(),
+                address: record.address,
+                paths: PathPlan::direct(),
+            });
+        }
+    }
+
+    /// What peers need to know to choose this daemon as a relay.
+    pub(super) fn relay_offer(&self) -> RelayOffer {
+        RelayOffer {
+            domain: self.domain.clone(),
+            lost_domains: self.links.lost_domains().cloned().collect(),
+            is_stopping: self.shutdown.is_some(),
+        }
+    }
+
+    /// Handles a peer's offer. Idle connections by way of a peer that stops are closed, so that it is not kept
+    /// from stopping.
+    pub(super) fn on_relay_offer(&mut self, out: &mut Out<'_>, vm: &VmId, offer: RelayOffer) {
+        if self.relays.on_offer(vm, offer) {
+            out.act(DispatchAction::DiscardRelayed { peer: vm.clone() });
+        }
+    }
+}
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -5,6 +5,7 @@
     catalog::CatalogStamp,
     fleet::{UpstreamIncarnation, UpstreamRecord},
     ids::{Fingerprint, SendId, UpstreamId},
+    path::RelayOffer,
     units::{Millis, RequestsPerSecond, Time, Tokens},
     watch::{Change, StorePosition},
 };
@@ -143,6 +144,8 @@
     Quarantine(QuarantineMessage),
     /// Rate limits that upstreams have stated, or no longer state.
     RateLimits(Vec<RateLimitReport>),
+    /// Whether, and to where, the sender passes connections on for its peers.
+    Relay(RelayOffer),
 }
 
 /// What an upstream last stated about its rate limit, as far as the sender knows.
--- a/crates/core/src/dispatch/outcome.rs
+++ b/crates/core/src/dispatch/outcome.rs
@@ -1,6 +1,6 @@
 //! Outcomes of transmissions to upstreams.
 
-use crate::{ids::UpstreamId, units::Millis};
+use crate::{ids::UpstreamId, path::PathAttempts, units::Millis};
 use serde::Serialize;
 use std::{net::SocketAddr, str::FromStr};
 
@@ -56,6 +56,8 @@
         reason: String,
         /// Whether connecting took too long: the upstream was not reached at all.
         timed_out: bool,
+        /// The paths that were tried; none if the request was not sent on an open connection.
+        attempts: PathAttempts,
     },
     /// The request was sent, and no complete answer came.
     Lost {
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -32,6 +32,10 @@
             to: Some(vm.clone()),
             message,
         });
+        out.act(DispatchAction::Notify {
+            to: Some(vm.clone()),
+            message: DispatchMessage::Relay(self.relay_offer()),
+        });
         self.report_rate_limits(out, &vm);
         self.report_quarantine(out, vm.clone());
         self.report_catalog(out, vm);
@@ -44,6 +48,7 @@
         };
         self.in_flight.forget_daemon(out.now, index);
         self.forget_follower(vm);
+        self.relays.forget_peer(vm);
         self.restore.forget_peer(vm);
         out.log(DispatchRecord::Peer {
             member: vm.clone(),
@@ -96,6 +101,7 @@
             DispatchMessage::UpstreamReplaced(gone) => self.on_replaced(out, &gone, Some(vm)),
             DispatchMessage::Quarantine(message) => self.on_quarantine_message(out, vm, message),
             DispatchMessage::RateLimits(reports) => self.on_peer_rate_limits(out, vm, reports),
+            DispatchMessage::Relay(offer) => self.on_relay_offer(out, vm, offer),
             DispatchMessage::Started(report) => self.on_peer_started(out.now, index, &report),
             DispatchMessage::FirstEvent(send) => self.on_peer_first_event(out.now, index, send),
             DispatchMessage::Ended(send) => self.on_peer_ended(out.now, index, send),
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -1,8 +1,9 @@
 //! Log records of the dispatcher's decisions. Variant and field names are the names in the log.
 
-use super::{OrderKind, OrderOutcome, RefusalReason, SendOutcome};
+use super::{OrderKind, OrderOutcome, RefusalReason, RelayRefusal, SendOutcome};
 use crate::{
     ids::{CatalogVersion, FailureDomain, Fingerprint, SendId, ServiceName, UpstreamId, VmId},
+    path::PathAttempts,
     units::{Millis, RequestsPerSecond},
     watch::StorePosition,
 };
@@ -291,6 +292,46 @@
         #[serde(flatten)]
         source: UpstreamSource,
     },
+    /// A connection to an upstream was not opened on the preferred path.
+    PathsTried {
+        /// The request that it was opened for, if it was a caller's.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        request: Option<Arc<str>>,
+        /// The upstream.
+        upstream: UpstreamId,
+        /// The attempts.
+        attempts: PathAttempts,
+    },
+    /// A transmission goes by way of a peer.
+    Relayed {
+        /// The request id that the caller chose.
+        request: Arc<str>,
+        /// The transmission.
+        send: SendId,
+        /// The upstream.
+        upstream: UpstreamId,
+        /// The peer's VM.
+        relay: VmId,
+    },
+    /// The own links to a failure domain are lost, or back.
+    Links {
+        /// The failure domain.
+        domain: FailureDomain,
+        /// Whether they are lost.
+        lost: bool,
+    },
+    /// A peer asked for a connection to an upstream.
+    RelayRequested {
+        /// The peer's VM.
+        peer: VmId,
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Why the request was refused, if it was.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        refusal: Option<RelayRefusal>,
+        /// Connections that are passed on now, this one included.
+        relayed_len: usize,
+    },
     /// A dependency became unreachable or reachable again.
     Dependency {
         /// The dependency's name.
--- a/crates/core/src/dispatch/reservation.rs
+++ b/crates/core/src/dispatch/reservation.rs
@@ -8,6 +8,7 @@
 use crate::{
     fleet::UpstreamIncarnation,
     ids::{CallId, UpstreamId},
+    path::PathPlan,
     units::{Millis, Time, Tokens},
 };
 use serde::Serialize;
@@ -52,6 +53,8 @@
     pub started_unix_ms: u64,
     /// The address that the engine listens at.
     pub address: SocketAddr,
+    /// The paths to the engine.
+    pub paths: PathPlan,
     /// The kind of the order.
     pub kind: OrderKind,
 }
@@ -139,6 +142,8 @@
         };
         open.groups_count += 1;
         let name = format!("{}-{}", open.call.request_id, open.groups_count);
+        let ttl_ms = self.settings.reservation_ttl_ms;
+        let mut orders = Vec::new();
         let holders = placement
             .helpers
             .iter()
@@ -154,14 +159,15 @@
                 address: known.record.address,
                 tokens: holder.memory_tokens,
                 state: State::Requested,
-                next_at: out.now + renewal_interval_ms(self.settings.reservation_ttl_ms),
+                next_at: out.now + renewal_interval_ms(ttl_ms),
                 may_execute_until: Time::START,
             };
             let ticket: Arc<str> = format!("{name}-{index}").into();
-            send_order(out, &ticket, &reservation, self.settings.reservation_ttl_ms);
+            orders.push(order(&ticket, &reservation, ttl_ms));
             self.reservations.tickets.insert(ticket, reservation);
         }
         open.reserving = Some(placement);
+        self.send_orders(out, orders);
     }
 
     /// Handles the outcome of an order.
@@ -244,13 +250,15 @@
     /// Releases the reservations of a call.
     pub(super) fn release(&mut self, out: &mut Out<'_>, call: CallId) {
         let ttl_ms = self.settings.reservation_ttl_ms;
+        let mut orders = Vec::new();
         for (ticket, reservation) in &mut self.reservations.tickets {
             if reservation.call == call && reservation.state != State::Releasing {
                 reservation.state = State::Releasing;
                 reservation.next_at = out.now + RELEASE_RETRY_MS;
-                send_order(out, ticket, reservation, ttl_ms);
+                orders.push(order(ticket, reservation, ttl_ms));
             }
         }
+        self.send_orders(out, orders);
     }
 
     /// Sends the renewals and releases that are due. An engine that is gone needs no release.
@@ -261,6 +269,7 @@
         self.reservations
             .tickets
             .retain(|_, reservation| known(reservation));
+        let mut orders = Vec::new();
         for (ticket, reservation) in &mut self.reservations.tickets {
             if reservation.next_at > out.now {
                 continue;
@@ -270,7 +279,17 @@
                     State::Requested | State::Held => renewal_interval_ms(ttl_ms),
                     State::Releasing => RELEASE_RETRY_MS,
                 };
-            send_order(out, ticket, reservation, ttl_ms);
+            orders.push(order(ticket, reservation, ttl_ms));
+        }
+        self.send_orders(out, orders);
+    }
+
+    fn send_orders(&self, out: &mut Out<'_>, orders: Vec<ReserveOrder>) {
+        for mut order in orders {
+            if let Some(known) = self.fleet.get(&order.upstream) {
+                order.paths = self.path_plan(out.now, &known.record);
+            }
+            out.act(DispatchAction::Order(order));
         }
     }
 }
@@ -280,7 +299,8 @@
     Millis::new(ttl_ms.get() / (RENEWALS_PER_TTL_COUNT + 1))
 }
 
-fn send_order(out: &mut Out<'_>, ticket: &Arc<str>, reservation: &Reservation, ttl_ms: Millis) {
+/// The order that a reservation needs in its state.
+fn order(ticket: &Arc<str>, reservation: &Reservation, ttl_ms: Millis) -> ReserveOrder {
     let kind = match reservation.state {
         State::Requested | State::Held => OrderKind::Reserve {
             tokens: reservation.tokens,
@@ -288,11 +308,12 @@
         },
         State::Releasing => OrderKind::Release,
     };
-    out.act(DispatchAction::Order(ReserveOrder {
+    ReserveOrder {
         ticket: Arc::clone(ticket),
         upstream: reservation.upstream.clone(),
         started_unix_ms: reservation.started_unix_ms,
         address: reservation.address,
+        paths: PathPlan::direct(),
         kind,
-    }));
+    }
 }
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -86,7 +86,12 @@
         let Some(sending) = open.sending.clone().filter(|sending| sending.send == send) else {
             return;
         };
-        if (silent_ms.get() as f64) < self.tolerated_silence_ms(out.now, open, &sending) {
+        let tolerated_ms = if self.is_on_lost_link(out.now, &sending) {
+            0.0
+        } else {
+            self.tolerated_silence_ms(out.now, open, &sending)
+        };
+        if (silent_ms.get() as f64) < tolerated_ms {
             return;
         }
         let may_move =
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -62,6 +62,7 @@
                 .iter()
                 .map(|h| h.upstream.clone())
                 .collect(),
+            relay: None,
         });
         // Peers need to know whether an upstream answers after its ejection.
         let reports_first_event = self.health.get(&placement.upstream).is_suspect();
@@ -100,6 +101,7 @@
             upstream: placement.upstream.clone(),
             started_unix_ms: upstream.record.started_unix_ms,
             address: upstream.record.address,
+            paths: self.path_plan(now, &upstream.record),
             connections_max_len: (connections / self.sharing_daemons_len(now) as f64).max(1.0)
                 as u32,
             workspace: open.holder.as_ref().map(|holder| holder.workspace.clone()),
--- a/crates/core/src/dispatch/send_plan.rs
+++ b/crates/core/src/dispatch/send_plan.rs
@@ -3,6 +3,7 @@
 use crate::{
     fleet::UpstreamIncarnation,
     ids::{CallId, SendId, UpstreamId, WorkspaceId},
+    path::PathPlan,
     units::Millis,
 };
 use std::net::SocketAddr;
@@ -29,6 +30,8 @@
     pub started_unix_ms: u64,
     /// The address that the upstream listens at.
     pub address: SocketAddr,
+    /// The paths to the upstream.
+    pub paths: PathPlan,
     /// Maximum number of connections from this daemon to the upstream.
     pub connections_max_len: u32,
     /// The workspace of the caller's key.
--- a/crates/core/src/dispatch/shutdown.rs
+++ b/crates/core/src/dispatch/shutdown.rs
@@ -2,7 +2,7 @@
 
 use super::{
     dispatcher::{Dispatcher, Out},
-    DispatchAction, DispatchRecord, RefusalReason,
+    DispatchAction, DispatchMessage, DispatchRecord, RefusalReason,
 };
 use crate::units::{Millis, Time};
 
@@ -39,6 +39,7 @@
             exited: false,
         });
         out.act(DispatchAction::DisableKeepAlive);
+        self.notify_now(out.now, DispatchMessage::Relay(self.relay_offer()));
         out.log(DispatchRecord::Stopping {
             open_requests: self.calls.len(),
             grace_ms: self.settings.grace_ms,
@@ -64,7 +65,8 @@
         let grace_ms = self.settings.grace_ms;
         let abort_after_ms =
             grace_ms.saturating_sub(Millis::new(grace_ms.get() / ABORT_GRACE_DIVISOR));
-        let done = age_ms >= ACCEPT_AFTER_STOP_MS && self.calls.is_empty();
+        let is_idle = self.calls.is_empty() && self.relays.relayed_len() == 0;
+        let done = age_ms >= ACCEPT_AFTER_STOP_MS && is_idle;
         if shutdown.aborted_at.is_none() && (done || age_ms >= abort_after_ms) {
             shutdown.aborted_at = Some(out.now);
             let open: Vec<_> = self.calls.keys().copied().collect();
--- a/crates/core/src/dispatch/store_updates.rs
+++ b/crates/core/src/dispatch/store_updates.rs
@@ -310,6 +310,7 @@
         self.slow_start.forget(upstream);
         self.backoff.forget(upstream);
         self.rate_limits.forget(upstream);
+        self.links.forget(upstream);
         out.log(DispatchRecord::Upstream {
             upstream: upstream.clone(),
             state,
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -12,6 +12,6 @@
 };
 pub use numbers::{
     AttemptNumber, BlockHash, BodyHash, CallId, CatalogVersion, FencingNumber, Fingerprint,
-    Generation, Incarnation, SendId, StoreEra, StoreVersion,
+    Generation, Incarnation, RelayId, SendId, StoreEra, StoreVersion,
 };
 pub use request_id::{AttemptId, RequestId};
--- a/crates/core/src/ids/numbers.rs
+++ b/crates/core/src/ids/numbers.rs
@@ -112,6 +112,12 @@
     u64,
     "send id"
 );
+number!(
+    /// A connection that a daemon passes on for a peer, unique within the daemon.
+    RelayId,
+    u64,
+    "relay id"
+);
 number!(
     /// What several requests have in common, as a hash: a part of their prompts, or everything that a caller
     /// repeats with a request.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod message;
 pub mod operator;
 pub mod ownership;
+pub mod path;
 pub mod placement;
 pub mod plan;
 pub mod platform;
--- a/crates/core/tests/common/crash_fleet.rs
+++ b/crates/core/tests/common/crash_fleet.rs
@@ -3,11 +3,12 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use super::dispatch::{id, ms, node::Node, KEY};
+use super::dispatch::{attempts, id, ms, node::Node, KEY};
 use persimmon_core::{
     catalog::ApiKey,
     dispatch::{Call, DispatchAction, DispatchEvent, PromptSize, SendOutcome, SendPlan},
     ids::{CallId, Fingerprint, UpstreamId},
+    path::{PathEnd, PathPlan},
     units::{Millis, Time, Tokens},
 };
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -276,12 +277,15 @@
                 let may_have_run = refusal.may_have_run;
                 self.set_outcome(daemon, call, Outcome::Refused { may_have_run });
             }
-            DispatchAction::CheckUpstream { upstream, .. } => {
-                let has_ended = self.is_down(&upstream.id);
-                let event = DispatchEvent::UpstreamChecked {
-                    upstream,
-                    has_ended,
+            DispatchAction::CheckUpstream {
+                upstream, paths, ..
+            } => {
+                let attempts = if self.is_down(&upstream.id) {
+                    attempts(&paths, PathEnd::Refused)
+                } else {
+                    attempts(&PathPlan::direct(), PathEnd::Connected)
                 };
+                let event = DispatchEvent::UpstreamChecked { upstream, attempts };
                 self.handle(daemon, event);
             }
             DispatchAction::Notify { to, message } => {
@@ -307,6 +311,7 @@
                 SendOutcome::NotSent {
                     reason,
                     timed_out: false,
+                    attempts: attempts(&plan.paths, PathEnd::Refused),
                 },
             );
         }
--- a/crates/core/tests/common/dispatch/mod.rs
+++ b/crates/core/tests/common/dispatch/mod.rs
@@ -13,6 +13,7 @@
     },
     fleet::UpstreamRecord,
     ids::{CatalogVersion, StoreEra, StoreVersion},
+    path::{PathAttempt, PathAttempts, PathEnd, PathPlan},
     units::{Millis, Tokens},
     watch::{Batch, Change, StorePosition},
 };
@@ -126,6 +127,12 @@
     }
 }
 
+/// Attempts to connect that all ended in the same way.
+pub(crate) fn attempts(plan: &PathPlan, end: PathEnd) -> PathAttempts {
+    let paths = plan.paths.iter().cloned();
+    PathAttempts(paths.map(|path| PathAttempt { path, end }).collect())
+}
+
 /// A position of the store in its first era.
 pub(crate) fn position(version: u64) -> StorePosition {
     position_in(0, version)
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -2,7 +2,7 @@
 //! policies. It runs in virtual time and is deterministic for a seed.
 
 use super::{
-    batch, catalog,
+    attempts, batch, catalog,
     engine::{Engine, Job, Progress},
     id, profile, upstream_list, KEY,
 };
@@ -13,6 +13,7 @@
         PromptSize, RawDispatchSettings, SendOutcome, SendPlan,
     },
     ids::{CallId, FailureDomain, Fingerprint, VmId},
+    path::PathEnd,
     units::{Millis, Time, Tokens},
     watch::{Change, Topic},
 };
@@ -514,11 +515,13 @@
         let failing = std::mem::take(&mut self.failing);
         let (due, later): (Vec<_>, Vec<_>) = failing.into_iter().partition(|(at, ..)| *at <= now);
         self.failing = later;
-        for (_, daemon, SendPlan { call, send, .. }) in due {
+        for (_, daemon, plan) in due {
+            let (call, send) = (plan.call, plan.send);
             let reason = "connecting timed out".to_owned();
             let end = SendOutcome::NotSent {
                 reason,
                 timed_out: false,
+                attempts: attempts(&plan.paths, PathEnd::Silent),
             };
             self.handle(now, daemon, DispatchEvent::Ended { call, send, end });
         }
--- a/crates/core/tests/common/linked_fleet.rs
+++ b/crates/core/tests/common/linked_fleet.rs
@@ -10,7 +10,9 @@
         Call, DispatchAction, DispatchEvent, DispatchMessage, PromptSize, QuarantineMessage,
         SendOutcome, SendPlan,
     },
-    ids::{CallId, Fingerprint, VmId},
+    fleet::UpstreamIncarnation,
+    ids::{CallId, Fingerprint, RelayId, VmId},
+    path::{PathAttempt, PathAttempts, PathEnd, PathPlan, PathReport, UpstreamPath},
     units::{Millis, Time, Tokens},
 };
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,8 +26,9 @@
 /// Time from a request's arrival at a plain upstream to its answer.
 const PLAIN_ANSWER_MS: Millis = Millis::new(30);
 
-/// Time until a refused connection is known.
-const REFUSED_MS: Millis = Millis::new(2);
+/// Time until a connection is open or refused, also by way of a peer.
+const CONNECT_MS: Millis = Millis::new(2);
+const RELAY_CONNECT_MS: Millis = Millis::new(4);
 
 /// Time limit of the transport for connecting.
 const CONNECT_TIMEOUT_MS: Millis = Millis::new(400);
@@ -48,6 +51,17 @@
     plan: SendPlan,
     state: State,
     since: Time,
+    connection: Connection,
+}
+
+/// How the attempts to connect on a plan's paths end.
+struct Connection {
+    /// The path that connects; none if all fail.
+    path: Option<UpstreamPath>,
+    attempts: PathAttempts,
+    after_ms: Millis,
+    /// The peer that passes the connection on.
+    relay: Option<(usize, RelayId)>,
 }
 
 #[derive(Clone, Copy, Eq, PartialEq)]
@@ -59,6 +73,9 @@
     Silent,
 }
 
+/// A connection, when it was open and by way of whom.
+type Opened = (Millis, UpstreamPath, Option<(usize, RelayId)>);
+
 /// How a caller's first attempt ended.
 #[derive(Clone, Copy, Debug)]
 struct Attempt {
@@ -73,6 +90,11 @@
     cut: Option<(Lost, BTreeSet<usize>)>,
     transmissions: Vec<Transmission>,
     attempts: BTreeMap<(usize, CallId), Attempt>,
+    last_relay: RelayId,
+    /// What daemons answered to requests for connections.
+    relay_answers: BTreeMap<RelayId, bool>,
+    /// Requests that daemons passed on for their peers.
+    relayed_lens: BTreeMap<usize, usize>,
     /// Ejections and crashes of upstreams that daemons have reported to their peers.
     pub(crate) ejections_len: usize,
     pub(crate) crashes_len: usize,
@@ -86,6 +108,9 @@
             cut: None,
             transmissions: Vec::new(),
             attempts: BTreeMap::new(),
+            last_relay: RelayId::new(0),
+            relay_answers: BTreeMap::new(),
+            relayed_lens: BTreeMap::new(),
             ejections_len: 0,
             crashes_len: 0,
         };
@@ -224,24 +249,130 @@
 
     /// The request is sent once a connection is there.
     fn connect(&mut self, mut sent: Transmission) {
-        match self.lost_link(sent.daemon) {
-            Some(lost) => self.end(
-                &sent,
-                SendOutcome::NotSent {
-                    reason: "not reached".to_owned(),
-                    timed_out: lost == Lost::Hangs,
-                },
-            ),
-            None => {
-                sent.state = State::Working;
-                sent.since = self.now;
-                self.transmissions.push(sent);
+        let Connection { path, attempts, .. } = &sent.connection;
+        let Some(path) = path.clone() else {
+            let is_silent = |attempt: &PathAttempt| attempt.end == PathEnd::Silent;
+            let end = SendOutcome::NotSent {
+                reason: "not reached".to_owned(),
+                timed_out: attempts.0.iter().any(is_silent),
+                attempts: attempts.clone(),
+            };
+            return self.end(&sent, end);
+        };
+        let (daemon, call, send) = (sent.daemon, sent.plan.call, sent.plan.send);
+        if attempts.0.len() > 1 {
+            let report = PathReport {
+                upstream: sent.plan.incarnation(),
+                request: None,
+                attempts: attempts.clone(),
+            };
+            self.handle(daemon, DispatchEvent::PathsTried(report));
+        }
+        sent.state = State::Working;
+        sent.since = self.now;
+        self.transmissions.push(sent);
+        if let UpstreamPath::Relay(relay) = path {
+            self.handle(daemon, DispatchEvent::Relayed { call, send, relay });
+        }
+    }
+
+    /// Tries the paths of a plan, each a little after the one before, or when that failed.
+    fn try_paths(
+        &mut self,
+        daemon: usize,
+        upstream: &UpstreamIncarnation,
+        plan: &PathPlan,
+    ) -> Connection {
+        let mut starts_ms = Millis::ZERO;
+        let mut connected: Option<Opened> = None;
+        let mut tried: Vec<(Millis, PathAttempt)> = Vec::new();
+        for path in &plan.paths {
+            if connected.as_ref().is_some_and(|(at, ..)| *at <= starts_ms) {
+                break;
+            }
+            let (end, takes_ms, relay) = self.try_path(daemon, upstream, path);
+            let ends_ms = starts_ms + takes_ms;
+            if end == PathEnd::Connected && connected.as_ref().is_none_or(|(at, ..)| ends_ms < *at)
+            {
+                connected = Some((ends_ms, path.clone(), relay));
+            }
+            let path = path.clone();
+            tried.push((ends_ms, PathAttempt { path, end }));
+            let next_ms = starts_ms + plan.stagger_ms;
+            starts_ms = if end == PathEnd::Connected {
+                next_ms
+            } else {
+                next_ms.min(ends_ms)
+            };
+        }
+        let last_ms = tried.iter().map(|(at, _)| *at).max().unwrap_or_default();
+        let after_ms = connected.as_ref().map_or(last_ms, |(at, ..)| *at);
+        let overtaken = |attempt: &PathAttempt| match attempt.path {
+            UpstreamPath::Direct => PathEnd::Silent,
+            UpstreamPath::Relay(_) => PathEnd::Unavailable,
+        };
+        let attempts = tried.into_iter().map(|(at, attempt)| PathAttempt {
+            end: if at > after_ms {
+                overtaken(&attempt)
+            } else {
+                attempt.end
+            },
+            path: attempt.path,
+        });
+        let attempts = PathAttempts(attempts.collect());
+        let (path, relay) = connected.map_or((None, None), |(_, path, relay)| (Some(path), relay));
+        Connection {
+            path,
+            attempts,
+            after_ms,
+            relay,
+        }
+    }
+
+    fn try_path(
+        &mut self,
+        daemon: usize,
+        upstream: &UpstreamIncarnation,
+        path: &UpstreamPath,
+    ) -> (PathEnd, Millis, Option<(usize, RelayId)>) {
+        let helper = match path {
+            UpstreamPath::Direct => daemon,
+            UpstreamPath::Relay(peer) => {
+                let helper = (0..self.nodes.len()).find(|index| vm(*index) == *peer);
+                helper.unwrap()
             }
+        };
+        let mut relay = None;
+        if *path != UpstreamPath::Direct {
+            self.last_relay = self.last_relay.next();
+            let event = DispatchEvent::RelayRequested {
+                relay: self.last_relay,
+                peer: vm(daemon),
+                upstream: upstream.clone(),
+            };
+            self.handle(helper, event);
+            if !self.relay_answers[&self.last_relay] {
+                return (PathEnd::Unavailable, CONNECT_MS, None);
+            }
+            relay = Some((helper, self.last_relay));
+        }
+        let connect_ms = relay.map_or(CONNECT_MS, |_| RELAY_CONNECT_MS);
+        let (end, takes_ms) = match self.lost_link(helper) {
+            Some(Lost::Refuses) => (PathEnd::Refused, connect_ms),
+            Some(Lost::Hangs) => (PathEnd::Silent, CONNECT_TIMEOUT_MS),
+            None => (PathEnd::Connected, connect_ms),
+        };
+        if let (Some((helper, relay)), true) = (relay, end != PathEnd::Connected) {
+            self.handle(helper, DispatchEvent::RelayEnded { relay });
         }
+        (end, takes_ms, relay)
     }
 
     fn end(&mut self, sent: &Transmission, end: SendOutcome) {
         let (call, send) = (sent.plan.call, sent.plan.send);
+        if let Some((helper, relay)) = sent.connection.relay {
+            self.handle(helper, DispatchEvent::RelayEnded { relay });
+        }
         self.handle(sent.daemon, DispatchEvent::Ended { call, send, end });
     }
 
@@ -257,15 +388,16 @@
     fn execute(&mut self, daemon: usize, action: DispatchAction) {
         match action {
             DispatchAction::Send(plan) => {
-                let connecting_ms = match self.lost_link(daemon) {
-                    Some(Lost::Hangs) => CONNECT_TIMEOUT_MS,
-                    Some(Lost::Refuses) | None => REFUSED_MS,
-                };
+                let connection = self.try_paths(daemon, &plan.incarnation(), &plan.paths);
+                if let Some((helper, _)) = connection.relay {
+                    *self.relayed_lens.entry(helper).or_default() += 1;
+                }
                 self.transmissions.push(Transmission {
                     daemon,
                     plan: *plan,
                     state: State::Connecting,
-                    since: self.now + connecting_ms,
+                    since: self.now + connection.after_ms,
+                    connection,
                 });
             }
             DispatchAction::Refuse { call, .. } => {
@@ -273,14 +405,20 @@
                     .retain(|sent| (sent.daemon, sent.plan.call) != (daemon, call));
                 self.set_served(daemon, call, false);
             }
-            DispatchAction::CheckUpstream { upstream, .. } => {
-                let has_ended = self.lost_link(daemon) == Some(Lost::Refuses);
-                let event = DispatchEvent::UpstreamChecked {
-                    upstream,
-                    has_ended,
-                };
+            DispatchAction::CheckUpstream {
+                upstream, paths, ..
+            } => {
+                let checked = self.try_paths(daemon, &upstream, &paths);
+                if let Some((helper, relay)) = checked.relay {
+                    self.handle(helper, DispatchEvent::RelayEnded { relay });
+                }
+                let attempts = checked.attempts;
+                let event = DispatchEvent::UpstreamChecked { upstream, attempts };
                 self.handle(daemon, event);
             }
+            DispatchAction::AnswerRelay { relay, address } => {
+                self.relay_answers.insert(relay, address.is_some());
+            }
             DispatchAction::Notify { to, message } => {
                 self.count_reports(&message);
                 for other in (0..self.nodes.len()).filter(|other| *other != daemon) {
--- a/crates/core/tests/cut_off_domain.rs
+++ b/crates/core/tests/cut_off_domain.rs
@@ -7,7 +7,10 @@
     ms,
     node::{sent, Node},
 };
-use persimmon_core::dispatch::{DispatchAction, DispatchEvent, SendOutcome, SendPlan};
+use persimmon_core::{
+    dispatch::{DispatchAction, DispatchEvent, SendOutcome, SendPlan},
+    path::PathAttempts,
+};
 
 /// What a daemon does when a transmission fails after 400 ms: the number of addresses whose idle
 /// connections are closed, and how long those must have been idle.
@@ -47,6 +50,7 @@
         ended(SendOutcome::NotSent {
             reason: reason(),
             timed_out,
+            attempts: PathAttempts::default(),
         })
     };
     assert_eq!(discarded(not_sent(true)), Some((3 + 1, 400)));
--- a/crates/core/tests/lost_links.rs
+++ b/crates/core/tests/lost_links.rs
@@ -36,14 +36,12 @@
 
 /// Incident RECOVER of 4 December: 0 of 70 first attempts were served where connections were refused.
 #[test]
-#[ignore = "known red, issue 32"]
 fn callers_are_served_where_links_to_upstreams_refuse() {
     let served = served_without_links(Lost::Refuses);
     assert!(are_served_alike(served), "{served:?}");
 }
 
 #[test]
-#[ignore = "known red, issue 32"]
 fn callers_are_served_where_links_to_upstreams_hang() {
     let served = served_without_links(Lost::Hangs);
     assert!(are_served_alike(served), "{served:?}");
--- a/crates/io/src/peer/identity.rs
+++ b/crates/io/src/peer/identity.rs
@@ -34,9 +34,16 @@
 /// Number of received packets after which an acknowledgement is sent without delay.
 const MESH_ACK_THRESHOLD: VarInt = VarInt::from_u32(16);
 
+/// Most connections to upstreams that one peer may have passed on at the same time.
+const MESH_RELAYS_MAX_LEN: VarInt = VarInt::from_u32(256);
+
+/// Bytes of one stream that may be under way in a mesh. It bounds what is buffered for a reader that is slower
+/// than its writer.
+const MESH_STREAM_WINDOW_BYTES: VarInt = VarInt::from_u32(256 << 10);
+
 /// ALPN protocol name in the TLS handshake. Its number changes with the encoding of messages: daemons
 /// of builds with different encodings don't connect.
-const ALPN_PROTOCOL: &[u8] = b"persimmonfront/4";
+const ALPN_PROTOCOL: &[u8] = b"persimmonfront/5";
 
 /// A daemon's TLS configuration for connections to and from its peers.
 #[derive(Clone)]
@@ -68,6 +75,8 @@
         acks.ack_eliciting_threshold(MESH_ACK_THRESHOLD);
         acks.max_ack_delay(Some(MESH_ACK_DELAY));
         transport.ack_frequency_config(Some(acks));
+        transport.max_concurrent_bidi_streams(MESH_RELAYS_MAX_LEN);
+        transport.stream_receive_window(MESH_STREAM_WINDOW_BYTES);
         let transport = Arc::new(transport);
         Self::with_transport(vm, keys, &transport)
     }
--- a/crates/io/src/peer/mesh.rs
+++ b/crates/io/src/peer/mesh.rs
@@ -4,14 +4,17 @@
     connection,
     identity::{self, Identity},
     keys::SERVER_NAME,
+    relay_stream::{RelayRequest, RelaySink, RelayStream},
     PeerError,
 };
 use bytes::Bytes;
 use flume::{Receiver, Sender};
 use persimmon_core::{
     dispatch::{DispatchEvent, DispatchMessage},
+    fleet::UpstreamIncarnation,
     ids::VmId,
     message::Member,
+    path::PathEnd,
 };
 use quinn::{ClientConfig, Connection, Endpoint, RecvStream};
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
@@ -46,6 +49,7 @@
     endpoint: Endpoint,
     client: RefCell<ClientConfig>,
     sink: MeshSink,
+    relays: RelaySink,
     peers: RefCell<BTreeMap<VmId, Peer>>,
     members_updated: Notify,
 }
@@ -75,7 +79,8 @@
 }
 
 impl Mesh {
-    /// Listens for peers on `address` and passes their messages and connection changes to `sink`.
+    /// Listens for peers on `address`. Passes their messages and connection changes to `sink`, and the
+    /// connections to upstreams that they ask for to `relays`.
     ///
     /// # Errors
     ///
@@ -85,6 +90,7 @@
         address: SocketAddr,
         identity: &Identity,
         sink: MeshSink,
+        relays: RelaySink,
     ) -> Result<Rc<Self>, PeerError> {
         let listen = |source| PeerError::Listen { address, source };
         let endpoint = Endpoint::server(identity.server.clone(), address).map_err(listen)?;
@@ -93,6 +99,7 @@
             endpoint,
             client: RefCell::new(identity.client.clone()),
             sink,
+            relays,
             peers: RefCell::default(),
             members_updated: Notify::new(),
         });
@@ -139,6 +146,25 @@
         }
     }
 
+    /// Asks a peer to connect to an upstream.
+    ///
+    /// # Errors
+    ///
+    /// The peer is not connected or does not pass the connection on, or it does not reach the upstream.
+    pub async fn open_relay(
+        &self,
+        vm: &VmId,
+        upstream: &UpstreamIncarnation,
+    ) -> Result<RelayStream, PathEnd> {
+        let connection = {
+            let peers = self.peers.borrow();
+            let link = peers.get(vm).and_then(|peer| peer.links.first());
+            link.map(|link| link.connection.clone())
+        };
+        let connection = connection.ok_or(PathEnd::Unavailable)?;
+        RelayStream::open(&connection, upstream).await
+    }
+
     /// Number of connections to peers. A peer counts twice if both sides dialled.
     pub fn connections_len(&self) -> usize {
         let peers = self.peers.borrow();
@@ -244,6 +270,8 @@
             (self.sink)(DispatchEvent::PeerUp { vm: vm.clone() });
         }
         spawn_local(write(connection.clone(), queue));
+        let relays = Rc::clone(&self.relays);
+        spawn_local(accept_relays(connection.clone(), vm.clone(), relays));
         while let Ok(stream) = connection.accept_uni().await {
             spawn_local(read(stream, vm.clone(), Rc::clone(&self.sink)));
         }
@@ -293,6 +321,19 @@
     }
 }
 
+/// Accepts the connections to upstreams that a peer asks for.
+async fn accept_relays(connection: Connection, vm: VmId, relays: RelaySink) {
+    while let Ok((writer, reader)) = connection.accept_bi().await {
+        let (vm, relays) = (vm.clone(), Rc::clone(&relays));
+        spawn_local(async move {
+            match RelayRequest::read(vm, writer, reader).await {
+                Ok(request) => relays(request),
+                Err(error) => log::debug!("a peer's request for a connection was lost: {error}"),
+            }
+        });
+    }
+}
+
 async fn read(mut stream: RecvStream, vm: VmId, sink: MeshSink) {
     while let Ok(encoded) = connection::read_frame(&mut stream).await {
         match postcard::from_bytes(&encoded) {
--- a/crates/io/src/peer/mod.rs
+++ b/crates/io/src/peer/mod.rs
@@ -7,9 +7,11 @@
 mod keys;
 mod mesh;
 mod quic_link;
+mod relay_stream;
 
 pub use errors::PeerError;
 pub use identity::Identity;
 pub use keys::{KeyPairPem, Keys};
 pub use mesh::{Mesh, MeshSink};
 pub use quic_link::{EventSink, QuicLink};
+pub use relay_stream::{RelayRequest, RelaySink, RelayStream, RelayWriter};
--- a/crates/io/src/transport/call_task.rs
+++ b/crates/io/src/transport/call_task.rs
@@ -11,6 +11,7 @@
 use persimmon_core::{
     dispatch::{DispatchEvent, LeavingNotice, RateLimitNotice, Refusal, SendPlan},
     ids::CallId,
+    path::UpstreamPath,
     units::{Millis, RequestsPerSecond},
 };
 use std::{rc::Rc, sync::Arc};
@@ -98,6 +99,12 @@
         let (call, send) = (self.id, plan.send);
         let out = self.outgoing(plan);
         let signals = Signals {
+            on_path: &|path| {
+                if let UpstreamPath::Relay(relay) = path {
+                    let relay = relay.clone();
+                    self.event(DispatchEvent::Relayed { call, send, relay });
+                }
+            },
             on_first: &|| self.event(DispatchEvent::FirstByte { call, send }),
             on_stall: &|silent_ms| {
                 self.event(DispatchEvent::Stalled {
--- a/crates/io/src/transport/caller_listener.rs
+++ b/crates/io/src/transport/caller_listener.rs
@@ -3,7 +3,7 @@
 use super::{
     accept::accept,
     call_task::{CallTask, Shared},
-    pool, Dialect, Hub, Pool, ResponseBody,
+    socket, Dialect, Hub, Pool, ResponseBody,
 };
 use bytes::Bytes;
 use http::{header, HeaderValue, Request, Response, StatusCode};
@@ -115,7 +115,7 @@
     }
 
     async fn connection(self: Rc<Self>, stream: TcpStream) {
-        if let Err(error) = pool::set_socket_options(&stream) {
+        if let Err(error) = socket::set_socket_options(&stream) {
             log::debug!("connection closed: its socket options can't be set: {error}");
             return;
         }
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -3,7 +3,7 @@
 use super::{
     pool::ConnectionLimits,
     reply::{CallerLeft, Reply},
-    Dialect, EventStream, ForwardContext, Pool, PoolError, ResponseHead,
+    Dialect, EventStream, ForwardContext, Pool, PoolError, ResponseHead, Target,
 };
 use bytes::Bytes;
 use http::{header, request, response, Request, Response, Uri};
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use persimmon_core::{
     dispatch::{SendOutcome, SendPlan},
+    path::UpstreamPath,
     units::{Millis, RequestsPerSecond},
 };
 use std::{future::Future, pin::pin, time::Duration};
@@ -47,6 +48,8 @@
 /// Callbacks that report the progress of a transmission to the control thread.
 #[derive(Clone, Copy)]
 pub(super) struct Signals<'a> {
+    /// Called when the path is known on which the request is sent.
+    pub(super) on_path: &'a dyn Fn(&UpstreamPath),
     /// Called when the first event or the complete response has arrived.
     pub(super) on_first: &'a dyn Fn(),
     /// Called with the duration of the silence each time the upstream has sent nothing for another
@@ -86,8 +89,15 @@
     fn from(error: PoolError) -> Self {
         Self::Ended(match error {
             PoolError::NotSent {
-                reason, timed_out, ..
-            } => SendOutcome::NotSent { reason, timed_out },
+                reason,
+                timed_out,
+                attempts,
+                ..
+            } => SendOutcome::NotSent {
+                reason,
+                timed_out,
+                attempts,
+            },
             PoolError::Exhausted { .. } => SendOutcome::Busy,
             PoolError::Lost { reason, .. } => lost(reason),
         })
@@ -122,9 +132,15 @@
         connections_max_len: out.plan.connections_max_len,
     };
     let first_byte_timeout = out.plan.first_byte_timeout_ms.duration();
+    let target = Target {
+        address: out.plan.address,
+        upstream: Some(out.plan.incarnation()),
+        request: Some(out.request_id.into()),
+        paths: out.plan.paths.clone(),
+    };
     let sent = out
         .pool
-        .send(out.plan.address, request(out, events), limits);
+        .send(&target, request(out, events), limits, signals.on_path);
     let (response, connection) =
         wait_reporting_stalls(reply, first_byte_timeout, signals, sent).await??;
     let (head, body) = response.into_parts();
--- a/crates/io/src/transport/hub.rs
+++ b/crates/io/src/transport/hub.rs
@@ -3,10 +3,11 @@
 use flume::{Receiver, Sender};
 use persimmon_core::{
     dispatch::{DispatchEvent, Refusal, SendPlan},
-    ids::CallId,
+    ids::{CallId, RelayId},
 };
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{Mutex, PoisonError},
 };
 
@@ -28,6 +29,7 @@
 pub struct Hub {
     events: Sender<DispatchEvent>,
     calls: Mutex<Calls>,
+    relays: Mutex<Relays>,
 }
 
 #[derive(Debug, Default)]
@@ -36,12 +38,19 @@
     open: HashMap<CallId, Sender<CallCommand>>,
 }
 
+#[derive(Debug, Default)]
+struct Relays {
+    last_id: RelayId,
+    asked: HashMap<RelayId, Sender<Option<SocketAddr>>>,
+}
+
 impl Hub {
     /// Creates a hub that sends events to `events`.
     pub fn new(events: Sender<DispatchEvent>) -> Self {
         Self {
             events,
             calls: Mutex::default(),
+            relays: Mutex::default(),
         }
     }
 
@@ -73,6 +82,29 @@
         let _ = self.events.send(event);
     }
 
+    /// Registers a peer's request for a connection. Returns its id and the channel on which the upstream's
+    /// address arrives, or none if the request is refused.
+    pub fn open_relay(&self) -> (RelayId, Receiver<Option<SocketAddr>>) {
+        let (answer, inbox) = flume::bounded(1);
+        let mut relays = self.lock_relays();
+        relays.last_id = relays.last_id.next();
+        let id = relays.last_id;
+        relays.asked.insert(id, answer);
+        (id, inbox)
+    }
+
+    /// Answers a peer's request for a connection.
+    pub fn answer_relay(&self, relay: RelayId, address: Option<SocketAddr>) {
+        if let Some(answer) = self.lock_relays().asked.remove(&relay) {
+            // An error means that the peer has given up.
+            let _ = answer.send(address);
+        }
+    }
+
+    fn lock_relays(&self) -> std::sync::MutexGuard<'_, Relays> {
+        self.relays.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Calls> {
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/io/src/transport/mod.rs
+++ b/crates/io/src/transport/mod.rs
@@ -4,6 +4,7 @@
 mod accept;
 mod call_task;
 mod caller_listener;
+mod connector;
 mod dialect;
 mod event_stream;
 mod exchange;
@@ -11,11 +12,14 @@
 mod orders;
 mod page_listener;
 mod pool;
+mod relay;
 mod reply;
 mod response_body;
+mod socket;
 mod store;
 
 pub use caller_listener::{CallerListener, DrainState, SharedLimits};
+pub use connector::{ByteStream, Connector, RelayDialer, Target};
 pub use dialect::{
     remove_hop_headers, Dialect, ForwardContext, RequestHead, RequestHeadError, ResponseHead,
 };
@@ -24,5 +28,6 @@
 pub use orders::send_order;
 pub use page_listener::{serve_pages, Page};
 pub use pool::{Pool, PoolError};
+pub use relay::serve_relay;
 pub use response_body::{ResponseBody, TruncatedResponse};
 pub use store::{LocalFuture, MetadataStore};
--- a/crates/io/src/transport/orders.rs
+++ b/crates/io/src/transport/orders.rs
@@ -1,6 +1,6 @@
 //! Sends reservation orders to engines.
 
-use super::{Dialect, Hub, Pool, PoolError};
+use super::{Dialect, Hub, Pool, PoolError, Target};
 use http_body_util::Full;
 use persimmon_core::{
     dispatch::{DispatchEvent, LeavingNotice, OrderOutcome, RateLimitNotice, ReserveOrder},
@@ -21,7 +21,8 @@
 ) {
     let sent_at = Instant::now();
     let request = dialect.order_request(&order).map(Full::new);
-    let end = match pool.call(order.address, request, ORDER_TIMEOUT).await {
+    let target = Target::upstream(order.address, order.incarnation(), order.paths.clone());
+    let end = match pool.call(&target, request, ORDER_TIMEOUT).await {
         Ok(answer) => {
             let (head, _) = answer.into_parts();
             let parsed = dialect.parse_response(&head);
--- a/crates/io/src/transport/pool.rs
+++ b/crates/io/src/transport/pool.rs
@@ -1,5 +1,6 @@
 //! HTTP connection pool for upstreams and the store.
 
+use super::{connector::NotConnected, Connector, Target};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -8,37 +9,24 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use persimmon_core::units::Millis;
-use socket2::{SockRef, TcpKeepalive};
+use persimmon_core::{
+    ids::VmId,
+    path::{PathAttempt, PathAttempts, PathEnd, PathPlan, UpstreamPath},
+    units::Millis,
+};
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
-    io::ErrorKind,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 use thiserror::Error;
 use tokio::{
-    net::TcpStream,
     task::spawn_local,
     time::{timeout, Instant},
 };
 
-/// Time limit for connecting. It is shorter than the second after which TCP resends a lost packet.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// TCP user timeout: a connection fails when sent data stays unacknowledged for this time.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_000);
-
-/// TCP keep-alive on connections to upstreams: the idle time before the first probe, the time
-/// between two probes, and the number of unanswered probes after which the connection fails. An
-/// upstream that disappears without closing is detected within three seconds, also while its
-/// response is awaited.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-const KEEPALIVE_RETRIES_COUNT: u32 = 2;
-
 /// Longest idle time of a pooled connection whose server states none.
 const IDLE_MAX_MS: Millis = Millis::from_secs(4);
 
@@ -60,6 +48,8 @@
         reason: String,
         /// Whether connecting took too long.
         timed_out: bool,
+        /// The paths that were tried.
+        attempts: PathAttempts,
     },
     /// The limit of connections to the address is reached and none is idle.
     #[error("connection limit for {address} is reached: send elsewhere, or later")]
@@ -77,8 +67,13 @@
     },
 }
 
-struct IdleConnection {
+struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    path: UpstreamPath,
+}
+
+struct IdleConnection {
+    connection: Connection,
     since: Instant,
     idle_timeout: Duration,
 }
@@ -92,7 +87,10 @@
 /// Idle connections and the count of open ones, by address.
 #[derive(Default)]
 pub struct Pool {
+    connector: Connector,
     hosts: RefCell<HashMap<SocketAddr, Host>>,
+    /// Peers that are about to stop. Connections by way of them are not kept.
+    stopping_relays: RefCell<HashSet<VmId>>,
 }
 
 impl std::fmt::Debug for Pool {
@@ -121,26 +119,44 @@
 
 /// A connection in use by one request.
 pub struct PooledConnection {
-    sender: SendRequest<Full<Bytes>>,
+    connection: Connection,
     address: SocketAddr,
 }
 
 impl Pool {
-    /// Sends a request and waits for the head of its response.
+    /// A pool whose connections are opened by `connector`.
+    pub fn new(connector: Connector) -> Self {
+        Self {
+            connector,
+            ..Self::default()
+        }
+    }
+
+    /// Sends a request and waits for the head of its response. Calls `on_path` when the path of the connection
+    /// is known.
     ///
     /// # Errors
     ///
     /// No connection is available, or no response arrives.
     pub async fn send(
         &self,
-        address: SocketAddr,
+        target: &Target,
         mut request: Request<Full<Bytes>>,
         limits: ConnectionLimits,
+        on_path: &dyn Fn(&UpstreamPath),
     ) -> Result<(Response<Incoming>, PooledConnection), PoolError> {
+        let address = target.address;
         loop {
-            let (mut sender, reused) = self.connection(address, limits).await?;
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, PooledConnection { sender, address })),
+            let (mut connection, reused) = self.connection(target, limits).await?;
+            on_path(&connection.path);
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => {
+                    let connection = PooledConnection {
+                        connection,
+                        address,
+                    };
+                    return Ok((response, connection));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if reused => request = unsent,
                     Some(_) => {
@@ -149,6 +165,7 @@
                             address,
                             reason,
                             timed_out: false,
+                            attempts: PathAttempts::default(),
                         });
                     }
                     None => {
@@ -167,14 +184,15 @@
     /// No complete response arrives in time.
     pub async fn call(
         &self,
-        address: SocketAddr,
+        target: &Target,
         request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<Response<Bytes>, PoolError> {
+        let address = target.address;
         let lost = |reason: String| PoolError::Lost { address, reason };
         let exchange = async {
             let (response, connection) = self
-                .send(address, request, ConnectionLimits::default())
+                .send(target, request, ConnectionLimits::default(), &|_| {})
                 .await?;
             let (head, body) = response.into_parts();
             let body = Limited::new(body, BODY_MAX_BYTES).collect().await;
@@ -187,11 +205,12 @@
             .unwrap_or_else(|_| Err(lost("timed out".to_owned())))
     }
 
-    /// Whether the server refuses connections. No answer within the time limit for connecting says
-    /// nothing.
-    pub async fn refuses_connections(&self, address: SocketAddr) -> bool {
-        let attempt = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        matches!(attempt, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    /// Tries to connect to an upstream, and closes the connection again.
+    pub async fn check(&self, target: &Target) -> PathAttempts {
+        match self.connector.race(target).await {
+            Ok(connected) => connected.attempts,
+            Err(error) => error.attempts,
+        }
     }
 
     /// Returns a connection to the pool after its response has been read completely, unless the
@@ -204,24 +223,41 @@
         let idle_timeout = stated_timeout(head).map_or(IDLE_MAX_MS.duration(), |timeout| {
             timeout.saturating_sub(IDLE_MARGIN)
         });
+        let PooledConnection {
+            connection,
+            address,
+        } = connection;
+        if let UpstreamPath::Relay(peer) = &connection.path {
+            if self.stopping_relays.borrow().contains(peer) {
+                return;
+            }
+        }
         let mut hosts = self.hosts.borrow_mut();
-        hosts
-            .entry(connection.address)
-            .or_default()
-            .idle
-            .push(IdleConnection {
-                sender: connection.sender,
-                since: Instant::now(),
-                idle_timeout,
-            });
+        hosts.entry(address).or_default().idle.push(IdleConnection {
+            connection,
+            since: Instant::now(),
+            idle_timeout,
+        });
     }
 
-    /// Drops the connections to these addresses that have been idle for this time.
+    /// Drops idle connections by way of a peer that is about to stop, and does not keep others after their
+    /// responses.
+    pub fn discard_relayed(&self, peer: &VmId) {
+        self.stopping_relays.borrow_mut().insert(peer.clone());
+        let path = UpstreamPath::Relay(peer.clone());
+        for host in self.hosts.borrow_mut().values_mut() {
+            host.idle.retain(|idle| idle.connection.path != path);
+        }
+    }
+
+    /// Drops the connections on the own links to these addresses that have been idle for this time.
     pub fn discard_idle(&self, addresses: &[SocketAddr], idle_for: Duration) {
         let mut hosts = self.hosts.borrow_mut();
         for address in addresses {
             if let Some(host) = hosts.get_mut(address) {
-                host.idle.retain(|idle| idle.since.elapsed() < idle_for);
+                host.idle.retain(|idle| {
+                    idle.connection.path != UpstreamPath::Direct || idle.since.elapsed() < idle_for
+                });
             }
         }
     }
@@ -231,7 +267,7 @@
         let mut hosts = self.hosts.borrow_mut();
         hosts.retain(|_, host| {
             host.idle.retain(|idle| {
-                !idle.sender.is_closed() && idle.since.elapsed() < idle.idle_timeout
+                !idle.connection.sender.is_closed() && idle.since.elapsed() < idle.idle_timeout
             });
             !host.idle.is_empty() || host.open_len.get() > 0
         });
@@ -239,83 +275,85 @@
 
     async fn connection(
         &self,
-        address: SocketAddr,
+        target: &Target,
         limits: ConnectionLimits,
-    ) -> Result<(SendRequest<Full<Bytes>>, bool), PoolError> {
+    ) -> Result<(Connection, bool), PoolError> {
+        let address = target.address;
         let open_len = {
             let mut hosts = self.hosts.borrow_mut();
             let host = hosts.entry(address).or_default();
-            let usable = |idle: &IdleConnection| {
-                let age = idle.since.elapsed();
-                age < idle.idle_timeout
-                    && age < limits.idle_max_ms.duration()
-                    && idle.sender.is_ready()
-            };
-            host.idle.retain(|idle| {
-                !idle.sender.is_closed() && idle.since.elapsed() < idle.idle_timeout
-            });
-            if let Some(index) = host.idle.iter().rposition(usable) {
-                return Ok((host.idle.swap_remove(index).sender, true));
+            if let Some(connection) = host.take_idle(&target.paths, limits) {
+                return Ok((connection, true));
             }
             Rc::clone(&host.open_len)
         };
         if open_len.get() >= limits.connections_max_len {
             return Err(PoolError::Exhausted { address });
         }
-        Ok((open(address, open_len).await?, false))
+        Ok((self.open(target, open_len).await?, false))
     }
-}
 
-async fn open(
-    address: SocketAddr,
-    open_len: Rc<Cell<u32>>,
-) -> Result<SendRequest<Full<Bytes>>, PoolError> {
-    let not_sent = |reason: String, timed_out| PoolError::NotSent {
-        address,
-        reason,
-        timed_out,
-    };
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(not_sent(error.to_string(), false)),
-        Err(_) => return Err(not_sent("connecting timed out".to_owned(), true)),
-    };
-    set_socket_options(&stream)
-        .and_then(|()| enable_keepalive(&stream))
-        .and_then(|()| discard_unsent_on_close(&stream))
-        .map_err(|error| not_sent(error.to_string(), false))?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string(), false))?;
-    open_len.set(open_len.get() + 1);
-    spawn_local(async move {
-        if let Err(error) = connection.await {
-            log::debug!(address:% = address; "connection failed: {error}");
+    async fn open(
+        &self,
+        target: &Target,
+        open_len: Rc<Cell<u32>>,
+    ) -> Result<Connection, PoolError> {
+        let address = target.address;
+        let connected = self.connector.open(target).await;
+        let connected = connected.map_err(|NotConnected { reason, attempts }| {
+            let is_silent = |attempt: &PathAttempt| attempt.end == PathEnd::Silent;
+            PoolError::NotSent {
+                address,
+                reason,
+                timed_out: attempts.0.iter().any(is_silent),
+                attempts,
+            }
+        })?;
+        if let UpstreamPath::Relay(peer) = &connected.path {
+            self.stopping_relays.borrow_mut().remove(peer);
         }
-        open_len.set(open_len.get().saturating_sub(1));
-    });
-    Ok(sender)
-}
-
-/// Sets `TCP_NODELAY`, and the timeout for data that the peer does not acknowledge.
-pub(super) fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
-}
-
-/// Enables TCP keep-alive probes, which detect a peer that disappeared while a connection is
-/// silent.
-fn enable_keepalive(stream: &TcpStream) -> std::io::Result<()> {
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES_COUNT);
-    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+        let handshake = http1::handshake(TokioIo::new(connected.stream)).await;
+        let (sender, connection) = handshake.map_err(|error| PoolError::NotSent {
+            address,
+            reason: error.to_string(),
+            timed_out: false,
+            attempts: PathAttempts::default(),
+        })?;
+        open_len.set(open_len.get() + 1);
+        spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!(address:% = address; "connection failed: {error}");
+            }
+            open_len.set(open_len.get().saturating_sub(1));
+        });
+        Ok(Connection {
+            sender,
+            path: connected.path,
+        })
+    }
 }
 
-/// Resets the connection when it is closed. Otherwise the kernel goes on delivering the bytes of a request
-/// that was abandoned, and its upstream may run it long after.
-fn discard_unsent_on_close(stream: &TcpStream) -> std::io::Result<()> {
-    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+impl Host {
+    /// Takes an idle connection, on the preferred path if there is one. A connection on the own link is not
+    /// used if that is not preferred: it may hang.
+    fn take_idle(&mut self, plan: &PathPlan, limits: ConnectionLimits) -> Option<Connection> {
+        self.idle.retain(|idle| {
+            !idle.connection.sender.is_closed() && idle.since.elapsed() < idle.idle_timeout
+        });
+        let is_usable = |idle: &IdleConnection| {
+            idle.since.elapsed() < limits.idle_max_ms.duration()
+                && idle.connection.sender.is_ready()
+        };
+        let is_direct_lost = plan.paths.first() != Some(&UpstreamPath::Direct);
+        let paths = plan.paths.iter();
+        let mut paths = paths.filter(|path| !(is_direct_lost && **path == UpstreamPath::Direct));
+        let index = paths.find_map(|path| {
+            let is_on_path = |idle: &IdleConnection| idle.connection.path == *path;
+            let mut idle = self.idle.iter();
+            idle.rposition(|idle| is_on_path(idle) && is_usable(idle))
+        })?;
+        Some(self.idle.swap_remove(index).connection)
+    }
 }
 
 fn stated_timeout(head: &http::response::Parts) -> Option<Duration> {
--- /dev/null
+++ b/crates/io/src/transport/socket.rs
@@ -0,0 +1,71 @@
+//! TCP connections to upstreams and the store, and the options of all sockets.
+
+use persimmon_core::path::PathEnd;
+use socket2::{SockRef, TcpKeepalive};
+use std::{io, net::SocketAddr, time::Duration};
+use tokio::{net::TcpStream, time::timeout};
+
+/// Time limit for connecting. It is shorter than the second after which TCP resends a lost packet.
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// TCP user timeout: a connection fails when sent data or keep-alive probes stay unacknowledged for this time.
+/// A sound upstream may be silent for a second.
+const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// TCP keep-alive on connections to upstreams: the idle time before the first probe, and the time between two
+/// probes. The user timeout decides when probes give up, so that an upstream that disappears without closing is
+/// detected within three seconds, also while its response is awaited.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A connection that was not opened.
+#[derive(Debug)]
+pub(super) struct ConnectError {
+    pub(super) end: PathEnd,
+    pub(super) reason: String,
+}
+
+/// Opens a connection with the options for upstreams.
+pub(super) async fn connect(address: SocketAddr) -> Result<TcpStream, ConnectError> {
+    let failed = |end, reason: String| ConnectError { end, reason };
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(failed(end_of(&error), error.to_string())),
+        Err(_) => return Err(failed(PathEnd::Silent, "connecting timed out".to_owned())),
+    };
+    set_socket_options(&stream)
+        .and_then(|()| enable_keepalive(&stream))
+        .and_then(|()| discard_unsent_on_close(&stream))
+        .map_err(|error| failed(PathEnd::Refused, error.to_string()))?;
+    Ok(stream)
+}
+
+/// Only the other side's word counts as a refusal. Errors of this VM, such as a lack of descriptors, say nothing
+/// of the upstream.
+fn end_of(error: &io::Error) -> PathEnd {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => PathEnd::Refused,
+        _ => PathEnd::Silent,
+    }
+}
+
+/// Sets `TCP_NODELAY`, and the timeout for data that the peer does not acknowledge.
+pub(super) fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+}
+
+/// Enables TCP keep-alive probes, which detect a peer that disappeared while a connection is
+/// silent.
+fn enable_keepalive(stream: &TcpStream) -> io::Result<()> {
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL);
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+}
+
+/// Resets the connection when it is closed. Otherwise the kernel goes on delivering the bytes of a request
+/// that was abandoned, and its upstream may run it long after.
+fn discard_unsent_on_close(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
--- a/crates/io/tests/mesh.rs
+++ b/crates/io/tests/mesh.rs
@@ -1,60 +1,17 @@
 //! The mesh of daemons over loopback: connections, message order, and rejection of foreign daemons.
 
-use flume::Receiver;
+mod common;
+
+use common::{node, run};
 use persimmon_core::{
     catalog::{ApiKey, CallKind, CallerLimits, KeyHolder, RawCatalog, Route, Service, Target},
     dispatch::{DispatchEvent, DispatchMessage, OperatorChange},
-    ids::{CatalogVersion, Incarnation, SendId, VmId},
-    message::Member,
+    ids::{CatalogVersion, SendId},
     units::Millis,
 };
-use persimmon_io::peer::{Identity, KeyPairPem, Mesh};
-use std::{net::UdpSocket, rc::Rc, time::Duration};
-use tokio::{
-    runtime::Builder,
-    task::LocalSet,
-    time::{sleep, timeout},
-};
-
-/// Time limit of each step of a test.
-const STEP_TIMEOUT: Duration = Duration::from_secs(10);
-
-struct Node {
-    member: Member,
-    mesh: Rc<Mesh>,
-    events: Receiver<DispatchEvent>,
-}
-
-fn node(ca: &KeyPairPem, name: &str) -> Node {
-    let vm: VmId = name.parse().unwrap();
-    let identity = Identity::for_mesh(&vm, &ca.new_vm(&vm).unwrap()).unwrap();
-    let free_address = UdpSocket::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap();
-    let (sender, events) = flume::unbounded();
-    let sink = Rc::new(move |event| sender.send(event).unwrap());
-    let member = Member {
-        vm: vm.clone(),
-        incarnation: Incarnation::new(1),
-        domain: "a".parse().unwrap(),
-        peer_address: free_address,
-    };
-    Node {
-        member,
-        mesh: Mesh::start(vm, free_address, &identity, sink).unwrap(),
-        events,
-    }
-}
-
-impl Node {
-    async fn event(&self) -> DispatchEvent {
-        timeout(STEP_TIMEOUT, self.events.recv_async())
-            .await
-            .unwrap()
-            .unwrap()
-    }
-}
+use persimmon_io::peer::{Identity, KeyPairPem};
+use std::time::Duration;
+use tokio::time::sleep;
 
 fn catalog() -> RawCatalog {
     RawCatalog {
@@ -100,11 +57,6 @@
     }
 }
 
-fn run(test: impl std::future::Future<Output = ()>) {
-    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
-    LocalSet::new().block_on(&runtime, test);
-}
-
 #[test]
 fn messages_arrive_in_order_and_connection_changes_are_reported() {
     run(async {
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -9,11 +9,12 @@
 use persimmon_core::{
     dispatch::{DispatchEvent, Refusal, RefusalReason, ReserveOrder, SendOutcome, SendPlan},
     ids::{CallId, Fingerprint, SendId},
+    path::PathPlan,
     units::{Millis, RequestsPerSecond},
 };
 use persimmon_io::transport::{
     CallCommand, CallerListener, Dialect, DrainState, ForwardContext, Hub, Pool, RequestHead,
-    RequestHeadError, ResponseHead,
+    RequestHeadError, ResponseHead, Target,
 };
 use std::{cell::Cell, io::ErrorKind, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
@@ -167,6 +168,7 @@
             upstream: "upstream-1".parse().unwrap(),
             started_unix_ms: 7,
             address: upstream,
+            paths: PathPlan::direct(),
             connections_max_len: 10,
             workspace: None,
             deadline_ms: Millis::new(5_000),
@@ -424,12 +426,9 @@
         let ended = TcpSocket::new_v4().unwrap();
         ended.bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let ended = ended.local_addr().unwrap();
-        assert!(
-            !pool
-                .refuses_connections(listening.local_addr().unwrap())
-                .await
-        );
-        assert!(pool.refuses_connections(ended).await);
+        let has_ended = async |address| pool.check(&Target::direct(address)).await.show_ended();
+        assert!(!has_ended(listening.local_addr().unwrap()).await);
+        assert!(has_ended(ended).await);
     });
 }
 
@@ -558,7 +557,8 @@
         let pool = Pool::default();
         let call = || async {
             let request = Request::new(Full::new(Bytes::new()));
-            pool.call(address, request, STEP_TIMEOUT).await.unwrap();
+            let target = Target::direct(address);
+            pool.call(&target, request, STEP_TIMEOUT).await.unwrap();
         };
         call().await;
         pool.discard_idle(&[address], Duration::from_secs(60));
--- a/crates/persimmond/src/gateway/control.rs
+++ b/crates/persimmond/src/gateway/control.rs
@@ -10,7 +10,7 @@
 };
 use persimmon_io::{
     logs::LogLine,
-    transport::{CallCommand, DrainState, Hub, SharedLimits},
+    transport::{CallCommand, DrainState, Hub, SharedLimits, Target},
     BootClock,
 };
 use std::{
@@ -83,9 +83,17 @@
             DispatchAction::AbortAnswer { call } => self.hub.send_command(call, CallCommand::Abort),
             DispatchAction::Notify { to, message } => self.send_job(Job::Notify { to, message }),
             DispatchAction::ReadStore(call) => self.send_job(Job::ReadStore(call)),
-            DispatchAction::CheckUpstream { upstream, address } => {
-                self.send_job(Job::CheckUpstream { upstream, address });
+            DispatchAction::CheckUpstream {
+                upstream,
+                address,
+                paths,
+            } => self.send_job(Job::CheckUpstream(Target::upstream(
+                address, upstream, paths,
+            ))),
+            DispatchAction::AnswerRelay { relay, address } => {
+                self.hub.answer_relay(relay, address);
             }
+            DispatchAction::DiscardRelayed { peer } => self.send_job(Job::DiscardRelayed { peer }),
             DispatchAction::DiscardIdle {
                 addresses,
                 idle_for_ms,
--- a/crates/persimmond/src/gateway/peers.rs
+++ b/crates/persimmond/src/gateway/peers.rs
@@ -2,14 +2,16 @@
 
 use crate::daemon::unix_ms;
 use persimmon_core::{
+    fleet::UpstreamIncarnation,
     ids::{Incarnation, VmId},
     message::Member,
+    path::PathEnd,
     watch::StoreError,
 };
 use persimmon_io::{
-    peer::{Identity, KeyPairPem, Mesh, MeshSink, PeerError},
+    peer::{Identity, KeyPairPem, Mesh, MeshSink, PeerError, RelaySink},
     settings::GatewaySettings,
-    transport::MetadataStore,
+    transport::{ByteStream, LocalFuture, MetadataStore, RelayDialer},
 };
 use serde::{Deserialize, Serialize};
 use std::{cell::RefCell, rc::Rc, time::Duration};
@@ -54,18 +56,42 @@
 /// The mesh; none until this daemon has joined it.
 pub(super) type JoinedMesh = Rc<RefCell<Option<Rc<Mesh>>>>;
 
+/// Receivers of what a mesh gets from peers.
+pub(super) struct MeshSinks {
+    pub(super) events: MeshSink,
+    pub(super) relays: RelaySink,
+}
+
+/// Opens connections to upstreams by way of the peers of a mesh.
+#[derive(Debug)]
+pub(super) struct MeshRelays(pub(super) JoinedMesh);
+
+impl RelayDialer for MeshRelays {
+    fn open<'a>(
+        &'a self,
+        peer: &'a VmId,
+        upstream: &'a UpstreamIncarnation,
+    ) -> LocalFuture<'a, Result<Box<dyn ByteStream>, PathEnd>> {
+        Box::pin(async move {
+            let mesh = self.0.borrow().clone().ok_or(PathEnd::Unavailable)?;
+            let stream = mesh.open_relay(peer, upstream).await?;
+            Ok(Box::new(stream) as Box<dyn ByteStream>)
+        })
+    }
+}
+
 /// Joins the mesh of daemons, then updates its members from the store. Does not return. `lost_entry`
 /// is notified when the store may have lost this daemon's entry.
 pub(super) async fn join(
     settings: GatewaySettings,
     store: Rc<dyn MetadataStore>,
-    sink: MeshSink,
+    sinks: MeshSinks,
     joined: JoinedMesh,
     lost_entry: Rc<Notify>,
 ) {
     let mut retry = RETRY_MIN_INTERVAL;
     let mut membership = loop {
-        match Membership::start(&settings, &store, &sink).await {
+        match Membership::start(&settings, &store, &sinks).await {
             Ok(membership) => break membership,
             Err(error) => log::warn!("can't join the other daemons, retrying: {error}"),
         }
@@ -109,7 +135,7 @@
     async fn start(
         settings: &GatewaySettings,
         store: &Rc<dyn MetadataStore>,
-        sink: &MeshSink,
+        sinks: &MeshSinks,
     ) -> Result<Self, JoinError> {
         let KeyPairPem { certificate, key } = KeyPairPem::new_ca()?;
         let proposed = serde_json::to_vec(&StoredCa { certificate, key })?;
@@ -123,7 +149,13 @@
             peer_address: address,
         };
         store.register_member(&member).await?;
-        let mesh = Mesh::start(settings.vm.clone(), address, &identity, Rc::clone(sink))?;
+        let mesh = Mesh::start(
+            settings.vm.clone(),
+            address,
+            &identity,
+            Rc::clone(&sinks.events),
+            Rc::clone(&sinks.relays),
+        )?;
         Ok(Self {
             store: Rc::clone(store),
             mesh,
--- a/crates/persimmond/src/gateway/traffic.rs
+++ b/crates/persimmond/src/gateway/traffic.rs
@@ -1,14 +1,13 @@
 //! The traffic thread: one event loop for connections of callers, upstreams, the store and peers.
 
 use super::{
-    peers::{self, JoinedMesh},
+    peers::{self, JoinedMesh, MeshRelays, MeshSinks},
     Adapter, GatewayError,
 };
 use flume::Receiver;
 use http::StatusCode;
 use persimmon_core::{
     dispatch::{DispatchEvent, DispatchMessage, ReserveOrder},
-    fleet::UpstreamIncarnation,
     ids::VmId,
     units::Millis,
     watch::{StoreError, WatchCall},
@@ -18,8 +17,8 @@
     settings::GatewaySettings,
     telemetry::Telemetry,
     transport::{
-        send_order, serve_pages, CallerListener, Dialect, DrainState, Hub, MetadataStore, Pool,
-        SharedLimits,
+        send_order, serve_pages, serve_relay, CallerListener, Connector, Dialect, DrainState, Hub,
+        MetadataStore, Pool, SharedLimits, Target,
     },
 };
 use std::{
@@ -62,12 +61,12 @@
         /// Time for which a connection must have been idle.
         idle_for_ms: Millis,
     },
-    /// Check whether an upstream's process has ended.
-    CheckUpstream {
-        /// The upstream.
-        upstream: UpstreamIncarnation,
-        /// Its address.
-        address: SocketAddr,
+    /// Check whether an upstream accepts connections.
+    CheckUpstream(Target),
+    /// Close the connections by way of a peer that is about to stop.
+    DiscardRelayed {
+        /// The peer.
+        peer: VmId,
     },
     /// Send a message about dispatched work to peers.
     Notify {
@@ -121,9 +120,10 @@
             Job::Order(order) => {
                 spawn_local(send_order(pool, Rc::clone(&self.dialect), hub, order));
             }
-            Job::CheckUpstream { upstream, address } => {
-                spawn_local(check_upstream(pool, hub, upstream, address));
+            Job::CheckUpstream(target) => {
+                spawn_local(check_upstream(pool, hub, target));
             }
+            Job::DiscardRelayed { peer } => pool.discard_relayed(&peer),
             Job::DiscardIdle {
                 addresses,
                 idle_for_ms,
@@ -155,7 +155,11 @@
 
     async fn serve(self) -> Result<(), GatewayError> {
         let (drain, drain_state) = watch::channel(DrainState::default());
-        let pool = Rc::new(Pool::default());
+        let mesh = JoinedMesh::default();
+        let hub = Arc::clone(&self.hub);
+        let on_report = move |report| hub.send_event(DispatchEvent::PathsTried(report));
+        let relays = Rc::new(MeshRelays(Rc::clone(&mesh)));
+        let pool = Rc::new(Pool::new(Connector::new(relays, Rc::new(on_report))));
         let store = (self.adapter.store)(Rc::clone(&pool), self.settings.store);
         let dialect = (self.adapter.dialect)();
         let callers = CallerListener::new(
@@ -172,7 +176,7 @@
         self.serve_pages()?;
         spawn_local(evict_idle_connections(Rc::clone(&pool)));
         let lost_entry = Rc::new(Notify::new());
-        let mesh = self.spawn_join(&store, &lost_entry);
+        self.spawn_join(&store, &lost_entry, &mesh);
         let links = Links {
             hub: Arc::clone(&self.hub),
             pool,
@@ -195,19 +199,29 @@
         Ok(())
     }
 
-    fn spawn_join(&self, store: &Rc<dyn MetadataStore>, lost_entry: &Rc<Notify>) -> JoinedMesh {
-        let mesh = JoinedMesh::default();
+    fn spawn_join(
+        &self,
+        store: &Rc<dyn MetadataStore>,
+        lost_entry: &Rc<Notify>,
+        mesh: &JoinedMesh,
+    ) {
         let hub = Arc::clone(&self.hub);
-        let sink = Rc::new(move |event| hub.send_event(event));
-        let store = Rc::clone(store);
+        let on_event = move |event| hub.send_event(event);
+        let hub = Arc::clone(&self.hub);
+        let on_relay = move |request| {
+            spawn_local(serve_relay(Arc::clone(&hub), request));
+        };
+        let sinks = MeshSinks {
+            events: Rc::new(on_event),
+            relays: Rc::new(on_relay),
+        };
         spawn_local(peers::join(
             self.settings.clone(),
-            store,
-            sink,
-            Rc::clone(&mesh),
+            Rc::clone(store),
+            sinks,
+            Rc::clone(mesh),
             Rc::clone(lost_entry),
         ));
-        mesh
     }
 
     fn serve_pages(&self) -> Result<(), GatewayError> {
@@ -257,17 +271,11 @@
     });
 }
 
-async fn check_upstream(
-    pool: Rc<Pool>,
-    hub: Arc<Hub>,
-    upstream: UpstreamIncarnation,
-    address: SocketAddr,
-) {
-    let has_ended = pool.refuses_connections(address).await;
-    hub.send_event(DispatchEvent::UpstreamChecked {
-        upstream,
-        has_ended,
-    });
+async fn check_upstream(pool: Rc<Pool>, hub: Arc<Hub>, target: Target) {
+    let attempts = pool.check(&target).await;
+    if let Some(upstream) = target.upstream {
+        hub.send_event(DispatchEvent::UpstreamChecked { upstream, attempts });
+    }
 }
 
 async fn notify_after(after_ms: Millis, notify: Rc<Notify>) {
