Soak: daemons that lose their links to upstreams

One to three daemons at once lose their links to all upstreams for 7.5 s: connections hang, are reset and refused, or go on while new ones are refused. Invariant: callers there are served nearly as often as the others. Gateways connect from an address of their own (new setting upstream_source, for VMs with several), so that each has its own link to an upstream.

--- a/crates/io/src/settings/gateway.rs
+++ b/crates/io/src/settings/gateway.rs
@@ -12,7 +12,7 @@
     ids::{FailureDomain, VmId},
 };
 use serde::Deserialize;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 /// File descriptors reserved for files, peers and the store.
 const DESCRIPTORS_RESERVED_LEN: usize = 400;
@@ -28,6 +28,7 @@
     domain: String,
     listen: Object<RawGatewayListen>,
     store: SocketAddr,
+    upstream_source: Option<IpAddr>,
     descriptors_max_len: usize,
     #[serde(default)]
     dispatch: Object<RawDispatchSettings>,
@@ -68,6 +69,8 @@
     pub listen: GatewayListenAddresses,
     /// Address of the store that the platform runs.
     pub store: SocketAddr,
+    /// The VM's address that connections to upstreams come from, if it has several; none for the system's choice.
+    pub upstream_source: Option<IpAddr>,
     /// Most open connections of callers: half of the descriptors that are not reserved.
     pub connections_max_len: usize,
     /// Settings of request dispatch.
@@ -99,6 +102,7 @@
                 peers: listen.peers,
             },
             store: reachable("store", raw.store)?,
+            upstream_source: raw.upstream_source,
             connections_max_len: (raw.descriptors_max_len - DESCRIPTORS_RESERVED_LEN) / 2,
             dispatch: validated(raw.dispatch.0)?,
             log: raw.log.0.try_into()?,
--- a/crates/io/src/transport/connector.rs
+++ b/crates/io/src/transport/connector.rs
@@ -12,7 +12,7 @@
 use std::{
     fmt,
     future::poll_fn,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     sync::Arc,
     task::{Context, Poll},
@@ -99,15 +99,21 @@
 /// Opens connections.
 #[derive(Default)]
 pub struct Connector {
+    source: Option<IpAddr>,
     relays: Option<Rc<dyn RelayDialer>>,
     on_report: Option<Rc<dyn Fn(PathReport)>>,
 }
 
 impl Connector {
-    /// A connector that asks peers through `relays`, and reports connections that were not opened on the
-    /// preferred path.
-    pub fn new(relays: Rc<dyn RelayDialer>, on_report: Rc<dyn Fn(PathReport)>) -> Self {
+    /// A connector that connects from this VM's address `source`, asks peers through `relays`, and reports
+    /// connections that were not opened on the preferred path.
+    pub fn new(
+        source: Option<IpAddr>,
+        relays: Rc<dyn RelayDialer>,
+        on_report: Rc<dyn Fn(PathReport)>,
+    ) -> Self {
         Self {
+            source,
             relays: Some(relays),
             on_report: Some(on_report),
         }
@@ -167,7 +173,7 @@
         Box::pin(async move {
             match path {
                 UpstreamPath::Direct => {
-                    let stream = socket::connect(target.address).await?;
+                    let stream = socket::connect(target.address, self.source).await?;
                     Ok(Box::new(stream) as Box<dyn ByteStream>)
                 }
                 UpstreamPath::Relay(peer) => self.try_relay(target, peer).await,
--- a/crates/io/src/transport/relay.rs
+++ b/crates/io/src/transport/relay.rs
@@ -2,12 +2,13 @@
 
 use super::{socket, Hub};
 use crate::peer::RelayRequest;
-use persimmon_core::{dispatch::DispatchEvent, ids::RelayId, path::PathEnd};
-use std::sync::Arc;
+use persimmon_core::{dispatch::DispatchEvent, path::PathEnd};
+use std::{net::IpAddr, sync::Arc};
 use tokio::{io::copy, net::TcpStream};
 
-/// Opens a connection for a peer if the control thread admits it, and passes bytes on until either side ends it.
-pub async fn serve_relay(hub: Arc<Hub>, request: RelayRequest) {
+/// Opens a connection for a peer, from this VM's address `source`, if the control thread admits it. Passes bytes on
+/// until either side ends it.
+pub async fn serve_relay(hub: Arc<Hub>, source: Option<IpAddr>, request: RelayRequest) {
     let (relay, answer) = hub.open_relay();
     hub.send_event(DispatchEvent::RelayRequested {
         relay,
@@ -19,17 +20,13 @@
         request.refuse(PathEnd::Unavailable).await;
         return;
     };
-    match socket::connect(address).await {
+    match socket::connect(address, source).await {
         Ok(upstream) => pass_on(upstream, request).await,
         Err(error) => {
             log::debug!(relay:% = relay, upstream:% = request.upstream.id; "{}", error.reason);
             request.refuse(error.end).await;
         }
     }
-    end(&hub, relay);
-}
-
-fn end(hub: &Hub, relay: RelayId) {
     hub.send_event(DispatchEvent::RelayEnded { relay });
 }
 
--- a/crates/io/src/transport/socket.rs
+++ b/crates/io/src/transport/socket.rs
@@ -2,8 +2,15 @@
 
 use persimmon_core::path::PathEnd;
 use socket2::{SockRef, TcpKeepalive};
-use std::{io, net::SocketAddr, time::Duration};
-use tokio::{net::TcpStream, time::timeout};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time::timeout,
+};
 
 /// Time limit for connecting. It is shorter than the second after which TCP resends a lost packet.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -25,10 +32,13 @@
     pub(super) reason: String,
 }
 
-/// Opens a connection with the options for upstreams.
-pub(super) async fn connect(address: SocketAddr) -> Result<TcpStream, ConnectError> {
+/// Opens a connection with the options for upstreams, from this VM's address `source` if given.
+pub(super) async fn connect(
+    address: SocketAddr,
+    source: Option<IpAddr>,
+) -> Result<TcpStream, ConnectError> {
     let failed = |end, reason: String| ConnectError { end, reason };
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+    let stream = match timeout(CONNECT_TIMEOUT, open(address, source)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(failed(end_of(&error), error.to_string())),
         Err(_) => return Err(failed(PathEnd::Silent, "connecting timed out".to_owned())),
@@ -40,6 +50,19 @@
     Ok(stream)
 }
 
+async fn open(address: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Only the other side's word counts as a refusal. Errors of this VM, such as a lack of descriptors, say nothing
 /// of the upstream.
 fn end_of(error: &io::Error) -> PathEnd {
--- a/crates/io/tests/relay.rs
+++ b/crates/io/tests/relay.rs
@@ -67,7 +67,7 @@
     let hub = Arc::new(Hub::new(sender));
     let relays_hub = Arc::clone(&hub);
     let relays = Rc::new(move |request| {
-        spawn_local(serve_relay(Arc::clone(&relays_hub), request));
+        spawn_local(serve_relay(Arc::clone(&relays_hub), None, request));
     });
     let peer = relaying_node(&ca, "vm-2", relays);
     spawn_local(async move {
@@ -84,7 +84,7 @@
     let on_report = Rc::new(move |report| seen.borrow_mut().push(report));
     let dialer = Rc::new(MeshRelays(Rc::clone(&own.mesh)));
     Fixture {
-        pool: Pool::new(Connector::new(dialer, on_report)),
+        pool: Pool::new(Connector::new(None, dialer, on_report)),
         reports,
         peer,
         _own: own,
--- a/crates/persimmond/src/gateway/traffic.rs
+++ b/crates/persimmond/src/gateway/traffic.rs
@@ -159,7 +159,9 @@
         let hub = Arc::clone(&self.hub);
         let on_report = move |report| hub.send_event(DispatchEvent::PathsTried(report));
         let relays = Rc::new(MeshRelays(Rc::clone(&mesh)));
-        let pool = Rc::new(Pool::new(Connector::new(relays, Rc::new(on_report))));
+        let source = self.settings.upstream_source;
+        let connector = Connector::new(source, relays, Rc::new(on_report));
+        let pool = Rc::new(Pool::new(connector));
         let store = (self.adapter.store)(Rc::clone(&pool), self.settings.store);
         let dialect = (self.adapter.dialect)();
         let callers = CallerListener::new(
@@ -208,8 +210,9 @@
         let hub = Arc::clone(&self.hub);
         let on_event = move |event| hub.send_event(event);
         let hub = Arc::clone(&self.hub);
+        let source = self.settings.upstream_source;
         let on_relay = move |request| {
-            spawn_local(serve_relay(Arc::clone(&hub), request));
+            spawn_local(serve_relay(Arc::clone(&hub), source, request));
         };
         let sinks = MeshSinks {
             events: Rc::new(on_event),
--- a/crates/soak/src/fault/inject.rs
+++ b/crates/soak/src/fault/inject.rs
@@ -1,6 +1,6 @@
 //! Injects faults and ends them.
 
-use super::{Fault, ScheduledFault};
+use super::{Fault, LinkLoss, ScheduledFault};
 use crate::{
     history::{Component, History, Observation},
     testbed::{
@@ -28,6 +28,9 @@
 const RATE_PER_S: f64 = 0.5;
 const RATE_TIME: Duration = Duration::from_millis(9_000);
 
+/// Time for which a daemon has no links to upstreams.
+const LINKS_TIME: Duration = Duration::from_millis(7_500);
+
 /// Longest time from the stop signal to the exit of the process.
 const STOP_TIMEOUT: Duration = Duration::from_millis(8_500);
 
@@ -55,47 +58,8 @@
         }
         Fault::StoreStalled(index) => injector.store_link(index, Link::Stalled, span).await,
         Fault::StoreReset(index) => injector.store_link(index, Link::Reset, span).await,
-        Fault::StoreDown => injector.disturb_store(StoreMode::Down, span).await,
-        Fault::StoreSlow => injector.disturb_store(StoreMode::Slow, span).await,
-        Fault::StoreLosesAnswers => injector.disturb_store(StoreMode::LosesAnswers, span).await,
-        Fault::StoreHistoryDropped => injector.drop_store_history(),
-        Fault::StoreRestored => injector.restore_store(span).await,
-        Fault::UpstreamLeaves(index) => injector.leave(index).await,
-        Fault::UpstreamStatesRate(index) => injector.state_rate(index).await,
-        Fault::UpstreamSheds(index) => injector.shed(index, span).await,
-        Fault::UpstreamCrash(index) => injector.crash(index, span).await,
-        Fault::UpstreamDrain(index) => injector.drain(index).await,
-        Fault::UpstreamStalled(index) => injector.upstream_link(index, Link::Stalled, span).await,
-        Fault::UpstreamResponsesStalled(index) => {
-            injector
-                .upstream_link(index, Link::ResponsesStalled, span)
-                .await
-        }
-        Fault::UpstreamReset(index) => injector.upstream_link(index, Link::Reset, span).await,
-        Fault::UpstreamSlow(index) => {
-            injector
-                .upstream_link(index, Link::Slow(SLOW_DELAY), span)
-                .await
-        }
-        Fault::UpstreamErrors(index) => {
-            injector
-                .grey_failure(index, GreyFailure::Errors, span)
-                .await
-        }
-        Fault::UpstreamRejects(index) => {
-            injector
-                .grey_failure(index, GreyFailure::Rejects, span)
-                .await
-        }
-        Fault::UpstreamTruncates(index) => {
-            injector
-                .grey_failure(index, GreyFailure::Truncates, span)
-                .await
-        }
-        Fault::UpstreamCold(index) => injector.upstream(index).set_cold(COLD_TIME),
-        Fault::DomainDrain(index) => injector.drain_domain(index, span).await,
-        Fault::KeyRotation => injector.change_catalog(CatalogWriter::rotate_key),
-        Fault::RouteChange => injector.change_catalog(CatalogWriter::toggle_route),
+        Fault::LinksLost(loss, index) => injector.lose_links(index, loss).await,
+        fault => injector.disturb_platform(fault, span).await,
     }
 }
 
@@ -105,6 +69,55 @@
 }
 
 impl Injector {
+    /// Injects a fault of the store, of upstreams or of the catalog.
+    async fn disturb_platform(&self, fault: Fault, span: Duration) {
+        match fault {
+            Fault::StoreDown => self.disturb_store(StoreMode::Down, span).await,
+            Fault::StoreSlow => self.disturb_store(StoreMode::Slow, span).await,
+            Fault::StoreLosesAnswers => self.disturb_store(StoreMode::LosesAnswers, span).await,
+            Fault::StoreHistoryDropped => self.drop_store_history(),
+            Fault::StoreRestored => self.restore_store(span).await,
+            Fault::UpstreamLeaves(index) => self.leave(index).await,
+            Fault::UpstreamStatesRate(index) => self.state_rate(index).await,
+            Fault::UpstreamSheds(index) => self.shed(index, span).await,
+            Fault::UpstreamCrash(index) => self.crash(index, span).await,
+            Fault::UpstreamDrain(index) => self.drain(index).await,
+            Fault::UpstreamStalled(index) => self.upstream_link(index, Link::Stalled, span).await,
+            Fault::UpstreamResponsesStalled(index) => {
+                self.upstream_link(index, Link::ResponsesStalled, span)
+                    .await
+            }
+            Fault::UpstreamReset(index) => self.upstream_link(index, Link::Reset, span).await,
+            Fault::UpstreamSlow(index) => {
+                self.upstream_link(index, Link::Slow(SLOW_DELAY), span)
+                    .await
+            }
+            Fault::UpstreamErrors(index) => {
+                self.grey_failure(index, GreyFailure::Errors, span).await
+            }
+            Fault::UpstreamRejects(index) => {
+                self.grey_failure(index, GreyFailure::Rejects, span).await
+            }
+            Fault::UpstreamTruncates(index) => {
+                self.grey_failure(index, GreyFailure::Truncates, span).await
+            }
+            Fault::UpstreamCold(index) => self.upstream(index).set_cold(COLD_TIME),
+            Fault::DomainDrain(index) => self.drain_domain(index, span).await,
+            Fault::KeyRotation => self.change_catalog(CatalogWriter::rotate_key),
+            Fault::RouteChange => self.change_catalog(CatalogWriter::toggle_route),
+            // `inject` handles those of daemons.
+            Fault::DaemonKill(_)
+            | Fault::DaemonTerminate(_)
+            | Fault::DaemonPause(_)
+            | Fault::DaemonReload(_)
+            | Fault::CallersReset(_)
+            | Fault::CallersSlow(_)
+            | Fault::StoreStalled(_)
+            | Fault::StoreReset(_)
+            | Fault::LinksLost(..) => {}
+        }
+    }
+
     fn daemon(&self, index: usize) -> Arc<Daemon> {
         Arc::clone(&self.deployment.daemons[index % self.deployment.daemons.len()])
     }
@@ -181,6 +194,21 @@
             .await;
     }
 
+    async fn lose_links(&self, index: usize, loss: LinkLoss) {
+        let link = match loss {
+            LinkLoss::Hang => Link::Hanging,
+            LinkLoss::Refuse => Link::Refused,
+            LinkLoss::RefuseNew => Link::NewRefused,
+        };
+        let daemon = self.daemon(index);
+        let component = Component::UpstreamLinks(daemon.index);
+        self.record_fault(&component, true);
+        daemon.set_upstream_links(link);
+        sleep(LINKS_TIME).await;
+        daemon.set_upstream_links(Link::Open);
+        self.record_fault(&component, false);
+    }
+
     async fn disturb_store(&self, mode: StoreMode, span: Duration) {
         self.record_fault(&Component::Store, true);
         self.deployment.store.set_mode(mode);
--- a/crates/soak/src/fault/mod.rs
+++ b/crates/soak/src/fault/mod.rs
@@ -4,4 +4,4 @@
 mod schedule;
 
 pub(crate) use inject::inject;
-pub use schedule::{schedule, Fault, ScheduledFault};
+pub use schedule::{schedule, Fault, LinkLoss, ScheduledFault};
--- a/crates/soak/src/fault/schedule.rs
+++ b/crates/soak/src/fault/schedule.rs
@@ -23,6 +23,17 @@
 const SPAN_MIN_MS: u64 = 400;
 const SPAN_MAX_MS: u64 = 4_500;
 
+/// What happens to connections over links that are lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkLoss {
+    /// They hang, new ones too.
+    Hang,
+    /// They are reset, and new ones refused.
+    Refuse,
+    /// They go on, and new ones are refused.
+    RefuseNew,
+}
+
 /// A fault to inject. The number selects a daemon, an upstream or a failure domain, modulo how many
 /// there are.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -53,6 +64,8 @@
     StoreHistoryDropped,
     /// The store is restored from a copy as old as the fault lasts.
     StoreRestored,
+    /// A daemon loses its links to all upstreams.
+    LinksLost(LinkLoss, usize),
     /// An upstream stops without notice.
     UpstreamCrash(usize),
     /// An upstream drains and stops.
@@ -108,6 +121,13 @@
 /// The same for upstreams that state a rate.
 const RATE_SEED_MASK: u64 = 0x5eed_4a7e;
 
+/// The same for daemons that lose their links to upstreams.
+const LINKS_SEED_MASK: u64 = 0x5eed_11c5;
+
+/// Mean time between two losses of links, and most daemons that lose them at once.
+const LINKS_PAUSE_MS: u64 = 14_000;
+const LINKS_MAX_LEN: u64 = 3;
+
 /// The faults of a run: overlapping series, the last of which starts more than [`SPAN_MAX_MS`]
 /// before `span` is over.
 pub fn schedule(seed: u64, span: Duration) -> Vec<ScheduledFault> {
@@ -137,6 +157,7 @@
     scheduled_faults.extend(schedule_apart(seed ^ RATE_SEED_MASK, span, |index| {
         vec![Fault::UpstreamStatesRate(index)]
     }));
+    scheduled_faults.extend(schedule_links(seed ^ LINKS_SEED_MASK, span));
     scheduled_faults.sort_by_key(|scheduled| scheduled.at_ms);
     scheduled_faults
 }
@@ -164,6 +185,28 @@
     scheduled_faults
 }
 
+/// Losses of the links of several daemons at once.
+fn schedule_links(seed: u64, span: Duration) -> Vec<ScheduledFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut at_ms = LEAD_MS + rng.next_u64() % LEAD_MS;
+    let mut scheduled_faults = Vec::new();
+    while at_ms + SPAN_MAX_MS < span.as_millis() as u64 {
+        let losses = [LinkLoss::Hang, LinkLoss::Refuse, LinkLoss::RefuseNew];
+        let loss = losses[rng.next_u64() as usize % losses.len()];
+        let first = rng.next_u64() as usize % 1_000;
+        let daemons_len = 1 + rng.next_u64() % LINKS_MAX_LEN;
+        for index in first..first + daemons_len as usize {
+            scheduled_faults.push(ScheduledFault {
+                at_ms: Millis::new(at_ms),
+                span_ms: Millis::new(SPAN_MAX_MS),
+                fault: Fault::LinksLost(loss, index),
+            });
+        }
+        at_ms += LINKS_PAUSE_MS / 2 + rng.next_u64() % LINKS_PAUSE_MS;
+    }
+    scheduled_faults
+}
+
 fn fault(kind: u64, index: usize) -> Fault {
     let faults = [
         Fault::DaemonKill(index),
--- a/crates/soak/src/history/indexed.rs
+++ b/crates/soak/src/history/indexed.rs
@@ -199,6 +199,24 @@
             && self.fault_free(&Component::Restart(daemon), from, to)
     }
 
+    /// Whether a daemon's links to upstreams were neither lost nor restored in a period and `STABILITY_MS` before.
+    pub fn links_steady(&self, daemon: DaemonIndex, from: Time, to: Time) -> bool {
+        let from = from - STABILITY_MS;
+        let is_within = |at: Time| at >= from && at <= to;
+        let component = Component::UpstreamLinks(daemon);
+        let mut faults = self.faults.iter().filter(|(of, _, _)| *of == component);
+        faults.all(|(_, start, end)| !is_within(*start) && !end.is_some_and(is_within))
+    }
+
+    /// Whether a daemon had no links to upstreams in a period and `STABILITY_MS` before it.
+    pub fn links_lost(&self, daemon: DaemonIndex, from: Time, to: Time) -> bool {
+        let component = Component::UpstreamLinks(daemon);
+        let covers = |(of, start, end): &(Component, Time, Option<Time>)| {
+            *of == component && *start + STABILITY_MS <= from && end.is_none_or(|end| end >= to)
+        };
+        self.faults.iter().any(covers)
+    }
+
     /// The request with an id.
     pub fn request(&self, request_id: &str) -> Option<&RequestRecord> {
         self.requests.get(*self.by_request_id.get(request_id)?)
--- a/crates/soak/src/history/observation.rs
+++ b/crates/soak/src/history/observation.rs
@@ -17,6 +17,8 @@
     Store,
     /// The link from one daemon to the store.
     StoreLink(DaemonIndex),
+    /// A daemon's own links to all upstreams.
+    UpstreamLinks(DaemonIndex),
     /// A daemon's process, or its link to callers.
     Daemon(DaemonIndex),
     /// A daemon's planned stop or its start.
--- a/crates/soak/src/invariant/mod.rs
+++ b/crates/soak/src/invariant/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod changes;
 mod limits;
+mod links;
 mod rates;
 mod runs;
 mod stops;
@@ -28,12 +29,13 @@
 type Check = fn(&IndexedHistory) -> Vec<String>;
 
 /// All invariants with their names. Output shows the names.
-const INVARIANTS: [(&str, Check); 18] = [
+const INVARIANTS: [(&str, Check); 19] = [
     ("whole answers only", answers::complete),
     ("refusals are true", answers::refused_not_run),
     ("answered in time", answers::by_deadline),
     ("proper requests are not denied", answers::not_denied),
     ("served again after the faults", answers::recovered),
+    ("served without links to upstreams", links::served_alike),
     ("not run twice", runs::at_most_once),
     ("deadlines handed down", runs::deadlines),
     ("departures followed", runs::callers_left),
--- a/crates/soak/src/invariant/runs.rs
+++ b/crates/soak/src/invariant/runs.rs
@@ -39,8 +39,11 @@
         let link_faulty = |run: &UpstreamRun| {
             !history.fault_free(&Component::from(&run.upstream), request.at, run.at)
         };
-        let wrong = wrong
-            .filter(|run| history.fault_free(&of_daemon, request.at, run.at) && !link_faulty(run));
+        let wrong = wrong.filter(|run| {
+            history.fault_free(&of_daemon, request.at, run.at)
+                && history.links_steady(request.daemon, request.at, run.at)
+                && !link_faulty(run)
+        });
         found.extend(
             wrong.map(|run| format!("{} was given {:?}", request.request_id, run.deadline_ms)),
         );
@@ -59,6 +62,7 @@
         for run in &request.runs {
             let upstream = Component::from(&run.upstream);
             let fault_free = history.fault_free(&Component::Daemon(request.daemon), left_at, due)
+                && history.links_steady(request.daemon, request.at, due)
                 && history.fault_free(&upstream, left_at, due);
             let was_open = run.ended_at.is_none_or(|at| at > left_at);
             if !fault_free || !was_open || history.now < due {
--- a/crates/soak/src/test_deployment.rs
+++ b/crates/soak/src/test_deployment.rs
@@ -51,7 +51,7 @@
 }
 
 impl TestDeployment {
-    /// Starts a deployment whose logs are in `folder`.
+    /// Starts a deployment whose logs are in `folder`, and waits until its daemons are connected with each other.
     ///
     /// # Errors
     ///
@@ -59,7 +59,11 @@
     pub fn start(program: &Path, folder: &Path) -> Result<Self, SoakError> {
         let runtime = Builder::new_multi_thread().enable_all().build()?;
         let history = History::new(Clock::start());
-        let deployment = runtime.block_on(Deployment::start(SIZE, program, folder, &history))?;
+        let deployment = runtime.block_on(async {
+            let deployment = Deployment::start(SIZE, program, folder, &history).await?;
+            deployment.wait_connected().await?;
+            Ok::<_, SoakError>(deployment)
+        })?;
         Ok(Self {
             runtime,
             deployment: Arc::new(deployment),
--- a/crates/soak/src/testbed/daemon.rs
+++ b/crates/soak/src/testbed/daemon.rs
@@ -1,6 +1,9 @@
 //! A gateway under test, as a separate process.
 
-use super::proxy::Proxy;
+use super::{
+    proxy::{Link, Proxy},
+    upstream::RestartableUpstream,
+};
 use crate::{
     history::{Component, DaemonIndex, History, Observation},
     SoakError,
@@ -9,6 +12,7 @@
 use serde_json::json;
 use std::{
     fs::{self, File, OpenOptions},
+    io,
     net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::{self, Child, Command, Stdio},
@@ -32,12 +36,18 @@
 /// Ports of a daemon for callers, readiness, metrics and peers.
 const PORTS: [u16; 4] = [7_001, 7_002, 7_003, 7_004];
 
+/// Port of the first upstream, on the address of each daemon.
+const UPSTREAMS_PORT: u16 = 7_100;
+
 /// Difference between the network numbers of successive deployments.
 const NETWORK_STEP: u16 = 9_973;
 
 /// Lowest second octet of a network; lower loopback networks are left to other programs.
 const NETWORK_HIGH_MIN: u8 = 0x80;
 
+/// Part of the log line for a new connection to a peer.
+const PEER_CONNECTED: &str = r#""message":"peer","kvs":{"connected":true"#;
+
 /// A signal to a process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Signal {
@@ -80,6 +90,8 @@
     pub(crate) readiness: SocketAddr,
     pub(crate) callers: Proxy,
     pub(crate) store: Proxy,
+    /// The daemon's own links to upstreams.
+    upstreams: Vec<Proxy>,
     pub(crate) log: PathBuf,
     program: PathBuf,
     settings: PathBuf,
@@ -95,6 +107,7 @@
         program: &Path,
         folder: &Path,
         store: SocketAddr,
+        upstreams: &[Arc<RestartableUpstream>],
         history: &History,
     ) -> Result<Arc<Self>, SoakError> {
         let DaemonSpec {
@@ -112,14 +125,21 @@
                 "callers": callers, "readiness": readiness, "metrics": metrics, "peers": peers
             },
             "store": store.address(),
+            "upstream_source": callers.ip(),
             "descriptors_max_len": 1_000,
         });
         fs::write(&settings, text.to_string())?;
+        let mut links = Vec::new();
+        for upstream in upstreams {
+            let address = SocketAddr::new(callers.ip(), upstream.address.port());
+            links.push(Proxy::start_at(address, Some(upstream.proxy.address())).await?);
+        }
         let daemon = Arc::new(Self {
             index,
             readiness,
             callers: Proxy::start(Some(callers)).await?,
             store,
+            upstreams: links,
             program: program.to_owned(),
             settings,
             log: folder.join(format!("daemon-{index}.log")),
@@ -156,6 +176,20 @@
         pid.is_some_and(|pid| kill_process(pid, signal.number()).is_ok())
     }
 
+    /// Number of connections to peers that the log reports.
+    pub(crate) fn peers_len(&self) -> io::Result<usize> {
+        let log = fs::read_to_string(&self.log)?;
+        let connected = log.lines().filter(|line| line.contains(PEER_CONNECTED));
+        Ok(connected.count())
+    }
+
+    /// Changes the state of the daemon's own links to all upstreams.
+    pub(crate) fn set_upstream_links(&self, link: Link) {
+        for upstream in &self.upstreams {
+            upstream.set_link(link);
+        }
+    }
+
     /// Restarts the process whenever it exits, until the daemon is shut down.
     async fn supervise(self: Arc<Self>) {
         loop {
@@ -229,6 +263,12 @@
         Self([NETWORK_HIGH_MIN | high >> 1, low])
     }
 
+    /// The address under which an upstream is registered: on whichever address a connection comes from, so that
+    /// each daemon has a link of its own.
+    pub(crate) fn upstream_address(index: usize) -> SocketAddr {
+        SocketAddr::from((Ipv4Addr::UNSPECIFIED, UPSTREAMS_PORT + index as u16))
+    }
+
     fn address(self, index: DaemonIndex, port: u16) -> SocketAddr {
         let Self([high, low]) = self;
         SocketAddr::from((Ipv4Addr::new(127, high, low, index as u8 + 1), port))
--- a/crates/soak/src/testbed/deployment.rs
+++ b/crates/soak/src/testbed/deployment.rs
@@ -85,7 +85,7 @@
                 index,
                 domain,
             };
-            let daemon = Daemon::start(spec, program, folder, address, history).await?;
+            let daemon = Daemon::start(spec, program, folder, address, &upstreams, history).await?;
             daemons.push(daemon);
         }
         let deployment = Self {
@@ -114,6 +114,22 @@
         Ok(())
     }
 
+    /// Waits until all daemons are connected with each other, as their logs say.
+    pub(crate) async fn wait_connected(&self) -> Result<(), SoakError> {
+        let until = Instant::now() + READY_TIMEOUT;
+        for daemon in &self.daemons {
+            while daemon.peers_len()? < self.daemons.len() - 1 {
+                if Instant::now() > until {
+                    return Err(SoakError::NotReady {
+                        waited_s: READY_TIMEOUT.as_secs(),
+                    });
+                }
+                sleep(POLL_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
     /// Restores the store from a copy after a short outage. Operators then write again what they had
     /// written, and entries of upstreams that don't live any more expire.
     pub(crate) async fn restore_store(&self, copy: &StoreCopy) -> io::Result<()> {
--- a/crates/soak/src/testbed/proxy.rs
+++ b/crates/soak/src/testbed/proxy.rs
@@ -1,9 +1,9 @@
 //! A TCP proxy on loopback that injects link faults.
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use std::{
     io,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -20,6 +20,9 @@
 /// Size of the buffer for forwarded bytes.
 const CHUNK_BYTES: usize = 16 << 10;
 
+/// Time after which a connection that is not accepted shows that a listener's queue is full.
+const QUEUE_FULL_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// State of a link.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) enum Link {
@@ -34,6 +37,19 @@
     Stalled,
     /// Resets all connections.
     Reset,
+    /// Resets all connections and refuses new ones.
+    Refused,
+    /// Refuses new connections; open ones go on.
+    NewRefused,
+    /// Open connections get no more bytes, and are reset at the end; new ones hang.
+    Hanging,
+}
+
+impl Link {
+    /// Whether the proxy accepts connections.
+    const fn accepts(self) -> bool {
+        !matches!(self, Self::Refused | Self::NewRefused | Self::Hanging)
+    }
 }
 
 /// A proxy for the link to a target address.
@@ -47,7 +63,15 @@
 impl Proxy {
     /// Starts a proxy to `target`. Without a target, connections are reset until [`Proxy::set_target`].
     pub(crate) async fn start(target: Option<SocketAddr>) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::start_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), target).await
+    }
+
+    /// Starts a proxy that listens on `address`.
+    pub(crate) async fn start_at(
+        address: SocketAddr,
+        target: Option<SocketAddr>,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         let proxy = Self {
             address: listener.local_addr()?,
             target: Arc::new(Mutex::new(target)),
@@ -72,16 +96,53 @@
         self.link.send_replace(link);
     }
 
-    async fn accept(self, listener: TcpListener) {
-        while let Ok((caller, _)) = listener.accept().await {
-            let (target, link) = (Arc::clone(&self.target), self.link.subscribe());
-            tokio::spawn(async move {
-                let target = *target.lock().unwrap_or_else(PoisonError::into_inner);
-                // An error closes both sides, like a normal end; nothing else to do.
-                let _ = relay(caller, target, link).await;
-            });
+    async fn accept(self, mut listener: TcpListener) {
+        let mut link = self.link.subscribe();
+        loop {
+            let state = *link.borrow_and_update();
+            if state.accepts() {
+                tokio::select! {
+                    accepted = listener.accept() => match accepted {
+                        Ok((caller, _)) => self.forward(caller),
+                        Err(_) => return,
+                    },
+                    _ = link.changed() => {}
+                }
+                continue;
+            }
+            drop(listener);
+            let full = (state == Link::Hanging).then(|| full_listener(self.address));
+            // The sender lives as long as the proxy.
+            let _ = link.wait_for(|link| link.accepts()).await;
+            drop(full);
+            listener = match TcpListener::bind(self.address).await {
+                Ok(listener) => listener,
+                Err(error) => return eprintln!("{}: {error}", self.address),
+            };
         }
     }
+
+    fn forward(&self, caller: TcpStream) {
+        let (target, link) = (Arc::clone(&self.target), self.link.subscribe());
+        tokio::spawn(async move {
+            let target = *target.lock().unwrap_or_else(PoisonError::into_inner);
+            // An error closes both sides, like a normal end; nothing else to do.
+            let _ = relay(caller, target, link).await;
+        });
+    }
+}
+
+/// A listener whose queue is full, so that connecting to it hangs, and the connections that fill the queue.
+fn full_listener(address: SocketAddr) -> io::Result<(Socket, Vec<std::net::TcpStream>)> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(0)?;
+    let mut waiting = Vec::new();
+    while let Ok(stream) = std::net::TcpStream::connect_timeout(&address, QUEUE_FULL_TIMEOUT) {
+        waiting.push(stream);
+    }
+    Ok((socket, waiting))
 }
 
 async fn relay(
@@ -98,17 +159,27 @@
     let (from_caller, to_caller) = caller.into_split();
     let (from_target, to_target) = target_stream.into_split();
     let requests = forward(from_caller, to_target, link.clone(), |link| {
-        link == Link::Stalled
+        matches!(link, Link::Stalled | Link::Hanging)
     });
     let responses = forward(from_target, to_caller, link.clone(), |link| {
-        matches!(link, Link::Stalled | Link::ResponsesStalled)
+        matches!(link, Link::Stalled | Link::ResponsesStalled | Link::Hanging)
     });
     tokio::select! {
-        _ = link.wait_for(|link| *link == Link::Reset) => Ok(()),
+        () = wait_broken(&mut link) => Ok(()),
         ended = async { tokio::try_join!(requests, responses) } => ended.map(drop),
     }
 }
 
+/// Waits until the link resets its connections.
+async fn wait_broken(link: &mut watch::Receiver<Link>) {
+    let is_cut = |link: &Link| matches!(link, Link::Reset | Link::Refused | Link::Hanging);
+    // The sender lives as long as the proxy.
+    let state = link.wait_for(is_cut).await.map(|link| *link);
+    if state.is_ok_and(|state| state == Link::Hanging) {
+        let _ = link.wait_for(|link| *link != Link::Hanging).await;
+    }
+}
+
 /// Forwards bytes until the end of the stream, then shuts the other side down. Blocks while `stalls`
 /// holds for the link.
 async fn forward(
--- a/crates/soak/src/testbed/upstream/restartable.rs
+++ b/crates/soak/src/testbed/upstream/restartable.rs
@@ -8,6 +8,7 @@
     history::{History, Observation},
     testbed::{
         catalog::{ENGINES, PLAIN_SERVERS},
+        daemon::Network,
         proxy::Proxy,
         store::Store,
     },
@@ -19,6 +20,7 @@
 use persimmon_platform::stub_formats::registration_row;
 use std::{
     io,
+    net::SocketAddr,
     sync::{
         atomic::{AtomicU64, Ordering},
         Arc, Mutex, PoisonError,
@@ -39,7 +41,10 @@
 /// An upstream that restarts under a new id at the same address, behind a proxy.
 #[derive(Debug)]
 pub(crate) struct RestartableUpstream {
+    /// The link to the upstream that all daemons share, behind their own ones.
     pub(crate) proxy: Proxy,
+    /// The address that is registered.
+    pub(crate) address: SocketAddr,
     domain: FailureDomain,
     service: &'static str,
     name: String,
@@ -65,6 +70,7 @@
             new_incarnation(&name, 0, service, &domain, history).map_err(io::Error::other)?;
         let upstream = Arc::new(Self {
             proxy,
+            address: Network::upstream_address(index),
             domain,
             service,
             name,
@@ -102,7 +108,7 @@
     pub(crate) fn set_cold(&self, span: Duration) {
         let current = self.current();
         current.lock().cold_until = Some(Instant::now() + span);
-        current.register(&self.store, self.proxy.address());
+        current.register(&self.store, self.address);
         self.history.record(Observation::UpstreamCold {
             upstream: current.id.clone(),
             for_ms: Millis::new(span.as_millis() as u64),
@@ -114,12 +120,12 @@
     pub(crate) async fn drain(self: Arc<Self>, serve_for: Duration) -> io::Result<()> {
         let current = self.current();
         current.lock().draining = true;
-        current.register(&self.store, self.proxy.address());
+        current.register(&self.store, self.address);
         self.history.record(Observation::UpstreamDraining {
             upstream: current.id.clone(),
         });
         sleep(serve_for).await;
-        let (table, key, _) = registration_row(&current.upstream_record(self.proxy.address()));
+        let (table, key, _) = registration_row(&current.upstream_record(self.address));
         self.store.remove(table, key);
         self.stop(&current);
         self.start_next().await
@@ -131,7 +137,7 @@
         let current = self.current();
         current.lock().leaving = true;
         sleep(serve_for).await;
-        let (table, key, _) = registration_row(&current.upstream_record(self.proxy.address()));
+        let (table, key, _) = registration_row(&current.upstream_record(self.address));
         self.store.remove(table, key);
         self.stop(&current);
         self.start_next().await
@@ -142,7 +148,7 @@
     pub(crate) async fn crash(self: Arc<Self>, down_for: Duration) -> io::Result<()> {
         let current = self.current();
         self.stop(&current);
-        let (table, key, _) = registration_row(&current.upstream_record(self.proxy.address()));
+        let (table, key, _) = registration_row(&current.upstream_record(self.address));
         let store = self.store.clone();
         tokio::spawn(async move {
             sleep(ENTRY_TTL).await;
@@ -172,7 +178,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         self.proxy.set_target(Some(listener.local_addr()?));
         tokio::spawn(Arc::clone(&incarnation).accept(listener));
-        let (store, address) = (self.store.clone(), self.proxy.address());
+        let (store, address) = (self.store.clone(), self.address);
         tokio::spawn(async move {
             let mut ended = incarnation.ended.subscribe();
             while !*ended.borrow() {
--- a/crates/soak/tests/invariants.rs
+++ b/crates/soak/tests/invariants.rs
@@ -40,11 +40,15 @@
     }
 
     fn send(&mut self, ms: u64, request_id: &str, kind: CallKind) -> &mut Self {
+        self.send_to(0, ms, request_id, kind)
+    }
+
+    fn send_to(&mut self, daemon: usize, ms: u64, request_id: &str, kind: CallKind) -> &mut Self {
         self.observe(
             ms,
             Observation::RequestSent {
                 request_id: request_id.into(),
-                daemon: 0,
+                daemon,
                 kind,
                 route: "extra".into(),
                 key: "key".into(),
@@ -170,6 +174,29 @@
     assert_snapshot!(observations.check(30_000), @"served again after the faults: 0 of 30 requests after the last fault were served");
 }
 
+#[test]
+fn callers_that_are_refused_where_links_to_upstreams_are_lost() {
+    let refusals = |refused_every: u64| {
+        let mut observations = HandwrittenHistory::default();
+        let links = Component::UpstreamLinks(0);
+        observations.observe(1_000, Observation::FaultStarted(links.clone()));
+        for index in 0..60 {
+            let (lost, kept) = (format!("lost{index}"), format!("kept{index}"));
+            let sent_ms = 5_000 + index * 30;
+            observations.send_to(1, sent_ms, &kept, STREAM);
+            observations.answer(sent_ms + 10, &kept, 200, BodyCheck::Complete);
+            observations.send(sent_ms, &lost, STREAM);
+            let status = if index % refused_every == 0 { 503 } else { 200 };
+            observations.answer(sent_ms + 10, &lost, status, BodyCheck::Complete);
+        }
+        observations.observe(7_500, Observation::FaultEnded(links));
+        observations.check(10_000)
+    };
+    assert_snapshot!(refusals(2), @"served without links to upstreams: 30 of 60 requests were served without links, 60 of 60 elsewhere");
+    // Allowed where it is less than a third.
+    assert_eq!(refusals(4), "");
+}
+
 #[test]
 fn requests_that_run_twice() {
     let mut observations = HandwrittenHistory::default();
