Requests on links that hang move as soon as the link is known to be lost

What callers saw: in the first seconds after a VM's links began to hang, requests on open connections waited for the upstream's timeout (1.5 s and more), moved to the next connection that hung, and were late or failed.

Cause: silence alone decided, and an upstream that reads a long prompt is silent too, so the timeout is long.

Why this works: when an answer is later than predicted, the daemon checks whether it can still connect, beside a few peers. If only they can, the link hangs: what waits on it moves at once, by way of peers, and idle connections that were not used a moment ago are closed. A living link costs one connection. A daemon that has lost a link lately relays for nobody, tries more peers, and those that failed last.

Evidence: lost_links.rs, six streams under way when links begin to hang: all served within 2 s (no run of the test on the code before).

Also metrics for what is relayed and lost, and the own links' state in persimmonctl explain.

--- a/crates/core/src/dispatch/crash_check.rs
+++ b/crates/core/src/dispatch/crash_check.rs
@@ -76,6 +76,7 @@
         attempts: &PathAttempts,
     ) {
         self.learn_from_attempts(out, upstream, attempts);
+        self.move_silent(out, &upstream.id);
         let Some(check) = self.crash_checks.pending.remove(upstream) else {
             return;
         };
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -47,6 +47,8 @@
     pub(super) predicted_ms: Option<f64>,
     /// Helper engines that prefill parts of the prompt.
     pub(super) helpers: Vec<UpstreamId>,
+    /// Whether the upstream has been silent for long enough that the link is checked.
+    pub(super) is_silent: bool,
     /// The peer by way of which it goes.
     pub(super) relay: Option<VmId>,
 }
@@ -217,6 +219,7 @@
                 send,
                 silent_ms,
             } => self.on_stalled(&mut out, call, send, silent_ms),
+            DispatchEvent::Silent { call, send } => self.on_silent(&mut out, call, send),
             DispatchEvent::UpstreamLeaving(notice) => self.on_leaving_notice(&mut out, notice),
             DispatchEvent::UpstreamRateLimit(notice) => self.on_rate_notice(&mut out, notice),
             DispatchEvent::CallerLeft { call } => self.on_caller_left(&mut out, call),
@@ -284,6 +287,16 @@
         self.peers.len() + 1
     }
 
+    /// Number of failure domains to which the own links are lost.
+    pub fn lost_domains_len(&self) -> usize {
+        self.links.lost_domains().count()
+    }
+
+    /// Number of connections that are passed on for peers.
+    pub fn relayed_len(&self) -> usize {
+        self.relays.relayed_len()
+    }
+
     /// Version of the catalog in use.
     pub fn catalog_version(&self) -> Option<CatalogVersion> {
         self.catalog.as_ref().map(|catalog| catalog.version())
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -25,6 +25,13 @@
         /// The transmission.
         send: SendId,
     },
+    /// An upstream has sent nothing for a time after which the link to it is worth a check.
+    Silent {
+        /// The call.
+        call: CallId,
+        /// The transmission.
+        send: SendId,
+    },
     /// An upstream has sent nothing for the timeout in its plan, or a multiple of it.
     Stalled {
         /// The call.
--- a/crates/core/src/dispatch/links.rs
+++ b/crates/core/src/dispatch/links.rs
@@ -7,7 +7,7 @@
 };
 use crate::{
     fleet::{UpstreamIncarnation, UpstreamRecord},
-    ids::{CallId, FailureDomain, SendId, VmId},
+    ids::{CallId, FailureDomain, SendId, UpstreamId, VmId},
     path::{LinkChange, PathAttempts, PathEnd, PathPlan, PathReport, RelayOffer, UpstreamPath},
     units::{Millis, Time},
 };
@@ -16,21 +16,27 @@
 /// region, and a fraction of the shortest latency target.
 const PATH_STAGGER_MS: Millis = Millis::new(50);
 
-/// Number of peers that one connection may try.
-const RELAYS_PER_CONNECTION_LEN: usize = 2;
+/// Number of peers that one connection may try while this daemon's links are sound.
+const RELAYS_SPARE_LEN: usize = 2;
 
-/// Number of peers that may be asked whether they reach an upstream. Several VMs can lose their links at once.
-const RELAYS_PER_CHECK_LEN: usize = 5;
+/// Number of peers that one connection or check may try otherwise. Several VMs can lose their links at once, and
+/// those that have not noticed yet don't refuse to relay.
+const RELAYS_NEEDED_LEN: usize = 5;
 
 impl Dispatcher {
     /// The paths on which to open a connection to an upstream.
     pub(super) fn path_plan(&self, now: Time, record: &UpstreamRecord) -> PathPlan {
-        self.path_plan_over(now, record, RELAYS_PER_CONNECTION_LEN)
+        let relays_len = if self.links.are_sound(now) {
+            RELAYS_SPARE_LEN
+        } else {
+            RELAYS_NEEDED_LEN
+        };
+        self.path_plan_over(now, record, relays_len)
     }
 
     /// The paths on which to check whether an upstream can be reached.
     pub(super) fn check_plan(&self, now: Time, record: &UpstreamRecord) -> PathPlan {
-        self.path_plan_over(now, record, RELAYS_PER_CHECK_LEN)
+        self.path_plan_over(now, record, RELAYS_NEEDED_LEN)
     }
 
     fn path_plan_over(&self, now: Time, record: &UpstreamRecord, relays_len: usize) -> PathPlan {
@@ -55,12 +61,19 @@
     /// Whether a transmission is on a link of this daemon that is lost, so that its failure says nothing of
     /// the upstream.
     pub(super) fn is_on_lost_link(&self, now: Time, sending: &Sending) -> bool {
-        let known = self.fleet.get(&sending.upstream);
-        sending.relay.is_none()
-            && known.is_some_and(|known| {
-                let record = &known.record;
-                self.links.is_lost(now, &record.id, &record.domain)
-            })
+        let record = self.record_on_own_link(sending);
+        record.is_some_and(|record| self.links.is_lost(now, &record.id, &record.domain))
+    }
+
+    /// Whether a transmission hangs, as its link is lost.
+    pub(super) fn is_on_hanging_link(&self, now: Time, sending: &Sending) -> bool {
+        let record = self.record_on_own_link(sending);
+        record.is_some_and(|record| self.links.hangs(now, &record.id, &record.domain))
+    }
+
+    fn record_on_own_link(&self, sending: &Sending) -> Option<&UpstreamRecord> {
+        let known = self.fleet.get(&sending.upstream)?;
+        sending.relay.is_none().then_some(&known.record)
     }
 
     /// Handles a connection that was not opened on the preferred path.
@@ -73,6 +86,22 @@
         });
     }
 
+    /// Checks the own link of a transmission whose upstream is silent, though not for long enough to count as
+    /// stalled: the link may have been lost, so that the connection hangs.
+    pub(super) fn check_link(&mut self, out: &mut Out<'_>, sending: &Sending) {
+        let Some(record) = self.record_on_own_link(sending).cloned() else {
+            return;
+        };
+        let is_known = self.links.is_lost(out.now, &record.id, &record.domain);
+        if !is_known && !self.peers.is_empty() && self.links.take_check(out.now, &record.id) {
+            out.act(DispatchAction::CheckUpstream {
+                upstream: record.incarnation(),
+                address: record.address,
+                paths: self.check_plan(out.now, &record),
+            });
+        }
+    }
+
     /// Handles a transmission that goes by way of a peer.
     pub(super) fn on_relayed(
         &mut self,
@@ -105,10 +134,8 @@
         upstream: &UpstreamIncarnation,
         attempts: &PathAttempts,
     ) {
-        for attempt in &attempts.0 {
-            if let (UpstreamPath::Relay(vm), PathEnd::Unavailable) = (&attempt.path, attempt.end) {
-                self.relays.on_unavailable(out.now, vm);
-            }
+        for vm in attempts.useless_relays() {
+            self.relays.on_useless(out.now, vm);
         }
         let Some(known) = self.fleet.get(&upstream.id) else {
             return;
@@ -116,11 +143,8 @@
         let domain = known.record.domain.clone();
         let change = match attempts.direct() {
             Some(PathEnd::Connected) => self.links.on_connected(&upstream.id, &domain),
-            Some(_) if attempts.show_lost_link() => {
-                let upstreams_len = self.fleet.in_domain(&domain).count();
-                self.health.lift_ejection(&upstream.id);
-                let links = &mut self.links;
-                links.on_lost(out.now, &upstream.id, &domain, upstreams_len)
+            Some(end) if attempts.show_lost_link() => {
+                self.on_lost_link(out, &upstream.id, &domain, end == PathEnd::Silent)
             }
             Some(_) => {
                 self.links.on_probe_failed(&domain);
@@ -133,23 +157,38 @@
         }
     }
 
-    /// Peers learn that this daemon can't relay to a domain, or can again. Idle connections there that were not
-    /// used since the first loss would hang.
-    fn apply_link_change(&mut self, out: &mut Out<'_>, domain: FailureDomain, change: &LinkChange) {
-        if let LinkChange::Lost { since_ms } = change {
-            let of_domain = self.fleet.in_domain(&domain);
-            let records: Vec<_> = of_domain.map(|upstream| upstream.record.clone()).collect();
-            for record in &records {
-                self.health.lift_ejection(&record.id);
-            }
+    /// Records that the own link to a sound upstream is lost. If it hangs, idle connections to other upstreams may
+    /// hang too, and a request on one of them would be lost time: those that were not used a moment ago are closed.
+    fn on_lost_link(
+        &mut self,
+        out: &mut Out<'_>,
+        upstream: &UpstreamId,
+        domain: &FailureDomain,
+        hangs: bool,
+    ) -> Option<LinkChange> {
+        if hangs && self.links.are_sound(out.now) {
+            let upstreams = self.fleet.iter();
             out.act(DispatchAction::DiscardIdle {
-                addresses: records.iter().map(|record| record.address).collect(),
-                idle_for_ms: *since_ms,
+                addresses: upstreams.map(|known| known.record.address).collect(),
+                idle_for_ms: PATH_STAGGER_MS,
             });
         }
+        self.health.lift_ejection(upstream);
+        let upstreams_len = self.fleet.in_domain(domain).count();
+        let links = &mut self.links;
+        links.on_lost(out.now, upstream, domain, hangs, upstreams_len)
+    }
+
+    /// Peers learn that this daemon can't relay to a domain, or can again. Its own ejections there were mistakes.
+    fn apply_link_change(&mut self, out: &mut Out<'_>, domain: FailureDomain, change: &LinkChange) {
+        if *change == LinkChange::Lost {
+            for known in self.fleet.in_domain(&domain) {
+                self.health.lift_ejection(&known.record.id);
+            }
+        }
         out.log(DispatchRecord::Links {
             domain,
-            lost: matches!(change, LinkChange::Lost { .. }),
+            lost: *change == LinkChange::Lost,
         });
         self.notify_now(out.now, DispatchMessage::Relay(self.relay_offer()));
     }
--- a/crates/core/src/dispatch/relay.rs
+++ b/crates/core/src/dispatch/relay.rs
@@ -21,7 +21,7 @@
     Stopping,
     /// This daemon does not know the upstream.
     UnknownUpstream,
-    /// This daemon's own link to the upstream is lost too.
+    /// This daemon has lost links too, and would be no help.
     LinkLost,
     /// It passes on as many connections as it can.
     TooMany,
@@ -62,7 +62,7 @@
         let record = known
             .filter(|record| record.incarnation() == *upstream)
             .ok_or(RelayRefusal::UnknownUpstream)?;
-        if self.links.is_lost(now, &record.id, &record.domain) {
+        if !self.links.are_sound(now) {
             return Err(RelayRefusal::LinkLost);
         }
         let address = record.address;
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -6,7 +6,7 @@
     SendOutcome,
 };
 use crate::{
-    ids::{CallId, SendId},
+    ids::{CallId, SendId, UpstreamId},
     units::{Millis, Time},
 };
 use std::sync::Arc;
@@ -56,6 +56,9 @@
         }
         open.may_have_run = true;
         open.first_at.get_or_insert(out.now);
+        if let Some(sending) = &mut open.sending {
+            sending.is_silent = false;
+        }
         self.clear_fingerprints(out, call);
         let Some(open) = self.calls.get(&call) else {
             return;
@@ -86,14 +89,49 @@
         let Some(sending) = open.sending.clone().filter(|sending| sending.send == send) else {
             return;
         };
-        let tolerated_ms = if self.is_on_lost_link(out.now, &sending) {
-            0.0
-        } else {
-            self.tolerated_silence_ms(out.now, open, &sending)
-        };
-        if (silent_ms.get() as f64) < tolerated_ms {
+        let tolerated_ms = self.tolerated_silence_ms(out.now, open, &sending);
+        let hangs = self.is_on_hanging_link(out.now, &sending);
+        if !hangs && (silent_ms.get() as f64) < tolerated_ms {
+            return;
+        }
+        self.move_stalled(out, call, &sending);
+    }
+
+    /// Handles an upstream that is silent, though not for long enough to count as stalled: the link may hang.
+    pub(super) fn on_silent(&mut self, out: &mut Out<'_>, call: CallId, send: SendId) {
+        let open = self.calls.get_mut(&call);
+        let sending = open.and_then(|open| open.sending.as_mut());
+        let Some(sending) = sending.filter(|sending| sending.send == send) else {
             return;
+        };
+        sending.is_silent = true;
+        let sending = sending.clone();
+        if self.is_on_hanging_link(out.now, &sending) {
+            self.move_stalled(out, call, &sending);
+        } else {
+            self.check_link(out, &sending);
+        }
+    }
+
+    /// Moves the calls that wait for an upstream over a link that has turned out to hang.
+    pub(super) fn move_silent(&mut self, out: &mut Out<'_>, upstream: &UpstreamId) {
+        let silent = self.calls.iter().filter_map(|(call, open)| {
+            let sending = open.sending.as_ref()?;
+            let hangs = sending.is_silent && self.is_on_hanging_link(out.now, sending);
+            (hangs && sending.upstream == *upstream).then(|| (*call, sending.clone()))
+        });
+        let silent: Vec<_> = silent.collect();
+        for (call, sending) in silent {
+            self.move_stalled(out, call, &sending);
         }
+    }
+
+    /// Moves a call whose transmission gets no answer to another upstream, if one can take it now.
+    fn move_stalled(&mut self, out: &mut Out<'_>, call: CallId, sending: &Sending) {
+        let Some(open) = self.calls.get(&call) else {
+            return;
+        };
+        let send = sending.send;
         let may_move =
             open.route.kind.repeatable() && open.reached_count + 1 < open.route.max_attempts;
         let other = may_move
@@ -103,7 +141,7 @@
             reason: "silent".to_owned(),
             stalled: true,
         };
-        self.record_outcome(out, call, &sending, &end);
+        self.record_outcome(out, call, sending, &end);
         let other = other.filter(|_| self.next_step(out.now, call, &end) == NextStep::SendAgain);
         out.log(DispatchRecord::SendFailed {
             request: self.request_id(call),
@@ -119,7 +157,7 @@
         });
         let Some(placement) = other else { return };
         self.end_transmission(out, call, Some(send));
-        self.avoid_domain(call, &sending, &end);
+        self.avoid_domain(call, sending, &end);
         if let Some(open) = self.calls.get_mut(&call) {
             open.sending = None;
             open.may_have_run = true;
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -29,6 +29,12 @@
 /// Minimum timeout between events: healthy servers stall that long when one beside them dies.
 const PAUSE_TIMEOUT_MIN_MS: Millis = Millis::new(1_600);
 
+/// Time beyond the expected first byte after which a silent upstream's link is checked.
+const LINK_CHECK_MARGIN_MS: Millis = Millis::new(100);
+
+/// Silence between events after which the link is checked, as a multiple of the pause target.
+const PAUSE_CHECK_FACTOR: u64 = 2;
+
 /// Time without an event after which callers of a stream leave: the longest of this minimum, a
 /// multiple of the latency target and a multiple of the pause target, as the platform documents for
 /// streams.
@@ -62,6 +68,7 @@
                 .iter()
                 .map(|h| h.upstream.clone())
                 .collect(),
+            is_silent: false,
             relay: None,
         });
         // Peers need to know whether an upstream answers after its ejection.
@@ -114,6 +121,8 @@
                 placement.predicted_ms,
             ),
             pause_timeout_ms: pause_timeout_ms(&open.route),
+            first_check_ms: first_check_ms(&open.route, placement.predicted_ms),
+            pause_check_ms: pause_check_ms(&open.route),
             helpers: placement.helpers.iter().filter_map(helper).collect(),
             is_rate_limited: self.rate_limits.per_s(&placement.upstream).is_some(),
         })
@@ -210,6 +219,22 @@
     limit_ms.min(left_ms)
 }
 
+/// Silence before the first byte after which the link is checked.
+fn first_check_ms(route: &Route, predicted_ms: Option<f64>) -> Millis {
+    let expected_ms = predicted_ms.map(|ms| Millis::new(ms as u64));
+    expected_ms.unwrap_or(route.target_latency_ms) + LINK_CHECK_MARGIN_MS
+}
+
+/// Silence between two events after which the link is checked.
+fn pause_check_ms(route: &Route) -> Millis {
+    match route.kind {
+        CallKind::Streaming {
+            pause_target_ms, ..
+        } => Millis::new(pause_target_ms.get() * PAUSE_CHECK_FACTOR),
+        CallKind::Idempotent | CallKind::NonIdempotent => route.timeout_ms,
+    }
+}
+
 fn pause_timeout_ms(route: &Route) -> Millis {
     match route.kind {
         CallKind::Streaming {
--- a/crates/core/src/dispatch/send_plan.rs
+++ b/crates/core/src/dispatch/send_plan.rs
@@ -46,6 +46,10 @@
     pub first_byte_timeout_ms: Millis,
     /// Time between two events after which the upstream counts as stalled.
     pub pause_timeout_ms: Millis,
+    /// Time to the answer's first byte after which the daemon checks its link to the upstream.
+    pub first_check_ms: Millis,
+    /// Time between two events after which the daemon checks its link to the upstream.
+    pub pause_check_ms: Millis,
     /// Engines that prefill parts of the prompt.
     pub helpers: Vec<PrefillHelper>,
     /// Whether the upstream has a rate limit, which an answer that states none lifts.
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -184,6 +184,11 @@
         upstreams.filter(move |upstream| upstream.record.address == address)
     }
 
+    /// All upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.values()
+    }
+
     /// The upstreams of a failure domain.
     pub fn in_domain<'a>(
         &'a self,
--- a/crates/core/src/path/link_table.rs
+++ b/crates/core/src/path/link_table.rs
@@ -22,6 +22,9 @@
 /// Number of such links, if the domain has as many upstreams.
 const LOSSES_MIN_LEN: usize = 2;
 
+/// Least time between two checks of the link to an upstream that is silent.
+const CHECK_INTERVAL_MS: Millis = Millis::new(150);
+
 /// Time between two connections that test a lost domain.
 const PROBE_INTERVAL_MS: Millis = Millis::new(500);
 
@@ -32,6 +35,7 @@
 #[derive(Clone, Debug)]
 struct Loss {
     domain: FailureDomain,
+    hangs: bool,
     at: Time,
     avoid_until: Time,
     avoid_ms: Millis,
@@ -40,6 +44,7 @@
 /// A failure domain to which all links are lost.
 #[derive(Clone, Debug)]
 struct LostDomain {
+    hangs: bool,
     probe_at: Time,
     probes_count: usize,
     connected_len: usize,
@@ -48,11 +53,8 @@
 /// A change in what is known of the links to a failure domain.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LinkChange {
-    /// All links are lost. The first loss was so long ago.
-    Lost {
-        /// Time since the first of the losses that show it.
-        since_ms: Millis,
-    },
+    /// All links are lost.
+    Lost,
     /// The links are back.
     Restored,
 }
@@ -62,9 +64,20 @@
 pub struct LinkTable {
     losses: HashMap<UpstreamId, Loss>,
     lost_domains: BTreeMap<FailureDomain, LostDomain>,
+    checked_at: HashMap<UpstreamId, Time>,
 }
 
 impl LinkTable {
+    /// Whether the own link to a silent upstream is to be checked. The check counts as done.
+    pub fn take_check(&mut self, now: Time, upstream: &UpstreamId) -> bool {
+        let last = self.checked_at.get(upstream);
+        let is_due = last.is_none_or(|at| now >= *at + CHECK_INTERVAL_MS);
+        if is_due {
+            self.checked_at.insert(upstream.clone(), now);
+        }
+        is_due
+    }
+
     /// Whether relays are preferred to the own link to an upstream.
     pub fn is_lost(&self, now: Time, upstream: &UpstreamId, domain: &FailureDomain) -> bool {
         let loss = self.losses.get(upstream);
@@ -76,19 +89,27 @@
         self.lost_domains.keys()
     }
 
+    /// Whether the own link to an upstream is lost so that open connections hang too, as far as is known.
+    pub fn hangs(&self, now: Time, upstream: &UpstreamId, domain: &FailureDomain) -> bool {
+        let loss = self.losses.get(upstream).filter(|loss| loss.hangs);
+        let lost = self.lost_domains.get(domain);
+        lost.is_some_and(|lost| lost.hangs) || is_before(now, loss.map(|loss| loss.avoid_until))
+    }
+
     /// Whether failures to connect are evidence against upstreams: no link was lost lately.
     pub fn are_sound(&self, now: Time) -> bool {
         let mut losses = self.losses.values();
         self.lost_domains.is_empty() && losses.all(|loss| now >= loss.at + LOSSES_SPAN_MS)
     }
 
-    /// Records that a peer connected to an upstream while this daemon could not. `upstreams_len` is the
-    /// number of upstreams in the failure domain.
+    /// Records that a peer connected to an upstream while this daemon could not: its connection hung or was
+    /// refused. `upstreams_len` is the number of upstreams in the failure domain.
     pub fn on_lost(
         &mut self,
         now: Time,
         upstream: &UpstreamId,
         domain: &FailureDomain,
+        hangs: bool,
         upstreams_len: usize,
     ) -> Option<LinkChange> {
         let last_ms = self.losses.get(upstream).map(|loss| loss.avoid_ms);
@@ -97,6 +118,7 @@
         });
         let loss = Loss {
             domain: domain.clone(),
+            hangs,
             at: now,
             avoid_until: now + avoid_ms,
             avoid_ms,
@@ -104,26 +126,24 @@
         self.losses.insert(upstream.clone(), loss);
         if let Some(lost) = self.lost_domains.get_mut(domain) {
             lost.connected_len = 0;
+            lost.hangs |= hangs;
             return None;
         }
         let of_domain = self.losses.values().filter(|loss| loss.domain == *domain);
-        let recent: Vec<_> = of_domain
-            .map(|loss| loss.at)
-            .filter(|at| now < *at + LOSSES_SPAN_MS)
-            .collect();
-        if recent.len() < LOSSES_MIN_LEN.min(upstreams_len) {
+        let recent_len = of_domain
+            .filter(|loss| now < loss.at + LOSSES_SPAN_MS)
+            .count();
+        if recent_len < LOSSES_MIN_LEN.min(upstreams_len) {
             return None;
         }
         let lost = LostDomain {
+            hangs,
             probe_at: now + PROBE_INTERVAL_MS,
             probes_count: 0,
             connected_len: 0,
         };
         self.lost_domains.insert(domain.clone(), lost);
-        let first_at = recent.into_iter().min().unwrap_or(now);
-        Some(LinkChange::Lost {
-            since_ms: now.since(first_at),
-        })
+        Some(LinkChange::Lost)
     }
 
     /// Records a connection on the own link.
@@ -179,5 +199,6 @@
     /// Removes an upstream that is gone.
     pub fn forget(&mut self, upstream: &UpstreamId) {
         self.losses.remove(upstream);
+        self.checked_at.remove(upstream);
     }
 }
--- a/crates/core/src/path/relay_table.rs
+++ b/crates/core/src/path/relay_table.rs
@@ -13,8 +13,8 @@
 /// reserved beside those of callers.
 const RELAYED_MAX_LEN: usize = 256;
 
-/// Time for which a peer that did not pass a connection on is not asked again.
-const UNAVAILABLE_MS: Millis = Millis::new(1_000);
+/// Time for which a peer by way of which no connection was opened is asked after the others.
+const USELESS_MS: Millis = Millis::new(1_000);
 
 /// Weight of a peer in the own failure domain against one in another domain.
 const OWN_DOMAIN_WEIGHT: f64 = 3.0;
@@ -30,11 +30,11 @@
     pub is_stopping: bool,
 }
 
-/// A peer's offer, and until when it is not used.
+/// A peer's offer, and until when it is the last choice.
 #[derive(Debug)]
 struct Peer {
     offer: RelayOffer,
-    unavailable_until: Option<Time>,
+    useless_until: Option<Time>,
 }
 
 /// The peers' offers and the connections that are passed on for them.
@@ -52,16 +52,16 @@
         let is_stopping = offer.is_stopping;
         let peer = Peer {
             offer,
-            unavailable_until: None,
+            useless_until: None,
         };
         self.peers.insert(vm.clone(), peer);
         is_stopping && !was_stopping
     }
 
-    /// Records that a peer did not pass a connection on.
-    pub fn on_unavailable(&mut self, now: Time, vm: &VmId) {
+    /// Records that no connection was opened by way of a peer.
+    pub fn on_useless(&mut self, now: Time, vm: &VmId) {
         if let Some(peer) = self.peers.get_mut(vm) {
-            peer.unavailable_until = Some(now + UNAVAILABLE_MS);
+            peer.useless_until = Some(now + USELESS_MS);
         }
     }
 
@@ -80,9 +80,7 @@
         relays_len: usize,
     ) -> Vec<VmId> {
         let may_relay = |(_, peer): &(&VmId, &Peer)| {
-            !peer.offer.is_stopping
-                && !peer.offer.lost_domains.contains(upstream.1)
-                && !is_before(now, peer.unavailable_until)
+            !peer.offer.is_stopping && !peer.offer.lost_domains.contains(upstream.1)
         };
         let order = |(vm, peer): (&VmId, &Peer)| {
             let weight = if peer.offer.domain == *own.1 {
@@ -92,15 +90,13 @@
             };
             let hash = xxh3_64(format!("{}\n{}\n{vm}", own.0, upstream.0).as_bytes());
             let drawn = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-            (-drawn.ln() / weight, vm.clone())
+            let is_useless = is_before(now, peer.useless_until);
+            (is_useless, -drawn.ln() / weight, vm.clone())
         };
         let mut ordered: Vec<_> = self.peers.iter().filter(may_relay).map(order).collect();
-        ordered.sort_by(|one, other| one.0.total_cmp(&other.0));
-        ordered
-            .into_iter()
-            .take(relays_len)
-            .map(|(_, vm)| vm)
-            .collect()
+        ordered.sort_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
+        let chosen = ordered.into_iter().take(relays_len);
+        chosen.map(|(_, _, vm)| vm).collect()
     }
 
     /// Adds a connection that is passed on for a peer, unless there are too many.
--- a/crates/core/src/path/upstream_path.rs
+++ b/crates/core/src/path/upstream_path.rs
@@ -62,6 +62,16 @@
         relays.map(|attempt| attempt.end)
     }
 
+    /// Peers by way of which no connection was opened.
+    pub fn useless_relays(&self) -> impl Iterator<Item = &VmId> {
+        let attempts = self.0.iter();
+        let failed = attempts.filter(|attempt| attempt.end != PathEnd::Connected);
+        failed.filter_map(|attempt| match &attempt.path {
+            UpstreamPath::Relay(vm) => Some(vm),
+            UpstreamPath::Direct => None,
+        })
+    }
+
     /// Whether the upstream accepts connections of a peer, but not of this daemon: its own link is lost.
     pub fn show_lost_link(&self) -> bool {
         let is_failed = self
--- a/crates/core/tests/common/linked_fleet.rs
+++ b/crates/core/tests/common/linked_fleet.rs
@@ -33,6 +33,9 @@
 /// Time limit of the transport for connecting.
 const CONNECT_TIMEOUT_MS: Millis = Millis::new(400);
 
+/// Time between the first two reports of a silence.
+const REPORT_INTERVAL_MS: Millis = Millis::new(200);
+
 /// Time between two reads of operators' writes.
 const READ_INTERVAL_MS: u64 = 500;
 
@@ -69,8 +72,8 @@
     Connecting,
     Working,
     Answering,
-    /// The link is lost, and no byte arrives any more.
-    Silent,
+    /// The link is lost, and no byte arrives any more. So many silences have been reported.
+    Silent(usize),
 }
 
 /// A connection, when it was open and by way of whom.
@@ -146,7 +149,8 @@
             if lost == Lost::Refuses {
                 self.end(&sent, lost_answer());
             } else {
-                sent.state = State::Silent;
+                sent.state = State::Silent(0);
+                sent.since = self.now;
                 self.transmissions.push(sent);
             }
         }
@@ -242,7 +246,13 @@
                     self.set_served(sent.daemon, sent.plan.call, true);
                     self.end(&sent, SendOutcome::Delivered);
                 }
-                State::Silent => self.end(&sent, lost_answer()),
+                State::Silent(reports_len) => {
+                    let (call, send) = (sent.plan.call, sent.plan.send);
+                    sent.state = State::Silent(reports_len + 1);
+                    let daemon = sent.daemon;
+                    self.transmissions.push(sent);
+                    self.handle(daemon, DispatchEvent::Silent { call, send });
+                }
             }
         }
     }
@@ -470,7 +480,9 @@
             State::Working => PLAIN_ANSWER_MS,
             State::Answering if is_engine => ENGINE_ANSWER_MS.saturating_sub(ENGINE_FIRST_MS),
             State::Answering => Millis::ZERO,
-            State::Silent => return None,
+            State::Silent(0) => self.plan.first_check_ms,
+            State::Silent(1) => self.plan.first_check_ms + REPORT_INTERVAL_MS,
+            State::Silent(_) => return None,
         };
         Some(self.since + after_ms)
     }
--- a/crates/core/tests/lost_links.rs
+++ b/crates/core/tests/lost_links.rs
@@ -7,6 +7,7 @@
 
 use dispatch::ms;
 use linked_fleet::{LinkedFleet, Lost};
+use persimmon_core::units::Time;
 
 /// The daemons that lose their links: two thirds, as in the incident.
 const CUT: [usize; 6] = [0, 2, 3, 5, 6, 8];
@@ -47,6 +48,21 @@
     assert!(are_served_alike(served), "{served:?}");
 }
 
+/// Streams that are under way when their links begin to hang go on elsewhere. Before, they waited for the timeout of
+/// the upstream, 1.5 s and more, and then on the next link that hung.
+#[test]
+fn streams_on_links_that_hang_move_in_time() {
+    let mut fleet = LinkedFleet::new(9, 16, 3);
+    for daemon in CUT {
+        fleet.call(daemon, "alarm");
+    }
+    fleet.pass(ms(50));
+    fleet.lose_links(Lost::Hangs, &CUT);
+    fleet.pass(ms(2_000));
+    let served = fleet.served_since(Time::START, |_| true);
+    assert_eq!(served, (CUT.len(), CUT.len()));
+}
+
 /// In the incident, the daemons without links ejected upstreams 530 times in eight seconds, also at their peers.
 #[test]
 fn a_lost_link_does_not_take_upstreams_from_peers() {
--- a/crates/io/src/telemetry/metric.rs
+++ b/crates/io/src/telemetry/metric.rs
@@ -154,6 +154,24 @@
         Unit::Count,
         "Fingerprints of requests suspected of ending upstreams, by verdict (quarantined, cleared)",
     );
+    /// Transmissions and connections by way of peers.
+    pub const RELAYED: Self = counter(
+        "persimmon_relayed_total",
+        Unit::Count,
+        "Requests sent by way of a peer (sent), and connections for peers (passed_on, refused), by role",
+    );
+    /// Failure domains to which this daemon has lost its own links.
+    pub const LOST_DOMAINS: Self = gauge(
+        "persimmon_lost_domains",
+        Unit::Count,
+        "Failure domains to which this daemon has lost its own links",
+    );
+    /// Connections that this daemon passes on for peers.
+    pub const RELAYED_CONNECTIONS: Self = gauge(
+        "persimmon_relayed_connections",
+        Unit::Count,
+        "Connections to upstreams that this daemon passes on for its peers now",
+    );
     /// Delay by which a timer of the control thread fires late.
     pub const EVENT_LOOP_DELAY: Self = histogram(
         "persimmon_event_loop_delay_seconds",
@@ -173,7 +191,7 @@
 }
 
 /// All metrics of a daemon.
-pub const ALL_METRICS: [Metric; 20] = [
+pub const ALL_METRICS: [Metric; 23] = [
     Metric::REQUESTS,
     Metric::REFUSALS,
     Metric::FIRST_TOKEN,
@@ -191,6 +209,9 @@
     Metric::UPSTREAM_NOTICES,
     Metric::UPSTREAM_CRASHES,
     Metric::FINGERPRINTS,
+    Metric::RELAYED,
+    Metric::LOST_DOMAINS,
+    Metric::RELAYED_CONNECTIONS,
     Metric::EVENT_LOOP_DELAY,
     Metric::EVENT_HANDLING,
     Metric::PEER_BYTES,
--- a/crates/io/src/transport/call_task.rs
+++ b/crates/io/src/transport/call_task.rs
@@ -106,6 +106,7 @@
                 }
             },
             on_first: &|| self.event(DispatchEvent::FirstByte { call, send }),
+            on_silent: &|| self.event(DispatchEvent::Silent { call, send }),
             on_stall: &|silent_ms| {
                 self.event(DispatchEvent::Stalled {
                     call,
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -15,7 +15,7 @@
     units::{Millis, RequestsPerSecond},
 };
 use std::{future::Future, pin::pin, time::Duration};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep_until, Instant};
 
 /// Longest idle time of a connection that carries a non-repeatable request. If the upstream closes
 /// an idle connection while the request is sent, it is unknown whether the request ran.
@@ -52,6 +52,8 @@
     pub(super) on_path: &'a dyn Fn(&UpstreamPath),
     /// Called when the first event or the complete response has arrived.
     pub(super) on_first: &'a dyn Fn(),
+    /// Called when the upstream has sent nothing for a time after which the link is worth a check.
+    pub(super) on_silent: &'a dyn Fn(),
     /// Called with the duration of the silence each time the upstream has sent nothing for another
     /// time limit of the plan.
     pub(super) on_stall: &'a dyn Fn(Millis),
@@ -132,6 +134,10 @@
         connections_max_len: out.plan.connections_max_len,
     };
     let first_byte_timeout = out.plan.first_byte_timeout_ms.duration();
+    let patience = Patience {
+        check: Some(out.plan.first_check_ms.duration()),
+        limit: first_byte_timeout,
+    };
     let target = Target {
         address: out.plan.address,
         upstream: Some(out.plan.incarnation()),
@@ -141,8 +147,7 @@
     let sent = out
         .pool
         .send(&target, request(out, events), limits, signals.on_path);
-    let (response, connection) =
-        wait_reporting_stalls(reply, first_byte_timeout, signals, sent).await??;
+    let (response, connection) = wait_reporting_stalls(reply, patience, signals, sent).await??;
     let (head, body) = response.into_parts();
     let parsed = out.dialect.parse_response(&head);
     report_notices(&parsed, signals);
@@ -204,10 +209,14 @@
 ) -> Result<(), Outcome> {
     let has_framing = head.headers.contains_key(header::CONTENT_LENGTH)
         || head.headers.contains_key(header::TRANSFER_ENCODING);
-    let mut limit = time_left(out, out.plan.first_byte_timeout_ms.duration());
+    let mut patience = Patience {
+        check: Some(time_left(out, out.plan.first_check_ms.duration())),
+        limit: time_left(out, out.plan.first_byte_timeout_ms.duration()),
+    };
     let mut first = true;
     loop {
-        let Some(frame) = wait_reporting_stalls(reply, limit, signals, body.frame()).await? else {
+        let Some(frame) = wait_reporting_stalls(reply, patience, signals, body.frame()).await?
+        else {
             break;
         };
         let Ok(data) = frame.map_err(|error| lost(error.to_string()))?.into_data() else {
@@ -222,7 +231,10 @@
         if first {
             first = false;
             (signals.on_first)();
-            limit = out.plan.pause_timeout_ms.duration();
+            patience = Patience {
+                check: Some(out.plan.pause_check_ms.duration()),
+                limit: out.plan.pause_timeout_ms.duration(),
+            };
         }
         forward(reply, head, complete).await?;
     }
@@ -283,28 +295,52 @@
     signals: Signals<'_>,
 ) -> Result<Bytes, Outcome> {
     let collected = Limited::new(body, max_bytes).collect();
-    let collected = wait_reporting_stalls(reply, limit, signals, collected).await?;
+    let patience = Patience { check: None, limit };
+    let collected = wait_reporting_stalls(reply, patience, signals, collected).await?;
     let collected = collected.map_err(|error| lost(error.to_string()))?;
     Ok(collected.to_bytes())
 }
 
-/// Waits for `future` or until the caller disconnects. Reports a stall each time another `limit`
-/// has passed.
+/// For how long an upstream may be silent until that is reported.
+#[derive(Clone, Copy)]
+struct Patience {
+    /// Silence that may mean that the link is lost; none if that needs no check.
+    check: Option<Duration>,
+    /// Silence after which the upstream counts as stalled.
+    limit: Duration,
+}
+
+/// Waits for `future` or until the caller disconnects. Reports a silence that may mean that the link is lost, and
+/// again a moment later, when the link has been checked. Reports a stall each time another limit has passed.
 async fn wait_reporting_stalls<F: Future>(
     reply: &mut Reply,
-    limit: Duration,
+    patience: Patience,
     signals: Signals<'_>,
     future: F,
 ) -> Result<F::Output, CallerLeft> {
     let waiting_since = Instant::now();
+    let limit = patience.limit.max(STALL_REPORT_INTERVAL_MIN);
+    let check = patience.check.filter(|check| *check < limit);
+    let silences = check.map(|check| [check, check + STALL_REPORT_INTERVAL_MIN]);
+    let silences = silences.into_iter().flatten();
+    let mut silences = silences.map(|after| waiting_since + after);
+    let mut silent_at = silences.next();
+    let mut stalled_at = waiting_since + limit;
     let mut future = pin!(future);
     loop {
+        let reports_silence = silent_at.filter(|at| *at < stalled_at);
         tokio::select! {
             biased;
             () = reply.closed() => return Err(CallerLeft),
             output = future.as_mut() => return Ok(output),
-            () = sleep(limit.max(STALL_REPORT_INTERVAL_MIN)) => {
-                (signals.on_stall)(Millis::new(waiting_since.elapsed().as_millis() as u64));
+            () = sleep_until(reports_silence.unwrap_or(stalled_at)) => {
+                if reports_silence.is_some() {
+                    silent_at = silences.next();
+                    (signals.on_silent)();
+                } else {
+                    stalled_at += limit;
+                    (signals.on_stall)(Millis::new(waiting_since.elapsed().as_millis() as u64));
+                }
             }
         }
     }
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -176,6 +176,8 @@
             streaming,
             first_byte_timeout_ms: Millis::new(5_000),
             pause_timeout_ms: Millis::new(5_000),
+            first_check_ms: Millis::new(5_000),
+            pause_check_ms: Millis::new(5_000),
             helpers: Vec::new(),
             is_rate_limited: self.is_rate_limited,
         };
--- a/crates/persimmonctl/src/explain.rs
+++ b/crates/persimmonctl/src/explain.rs
@@ -20,7 +20,8 @@
 
 /// Changes of what a daemon knows that stay in force until the next one of their kind. The last ones
 /// before the request's outcome are shown with it.
-const CONTEXT_MESSAGES: [&str; 4] = [
+const CONTEXT_MESSAGES: [&str; 5] = [
+    "links",
     "store_restored",
     "catalog_held",
     "domain_held",
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -91,6 +91,13 @@
             DispatchRecord::UpstreamCrashed { .. } => {
                 self.increment(Metric::UPSTREAM_CRASHES, &[]);
             }
+            DispatchRecord::Relayed { .. } => {
+                self.increment(Metric::RELAYED, &[("role", "sent")]);
+            }
+            DispatchRecord::RelayRequested { refusal, .. } => {
+                let role = refusal.map_or("passed_on", |_| "refused");
+                self.increment(Metric::RELAYED, &[("role", role)]);
+            }
             DispatchRecord::FingerprintQuarantined { .. } => {
                 self.increment(Metric::FINGERPRINTS, &[("verdict", "quarantined")]);
             }
@@ -126,6 +133,8 @@
         set(Metric::OPEN_REQUESTS, dispatcher.open_len());
         set(Metric::WAITING_REQUESTS, dispatcher.waiting_len());
         set(Metric::MEMBERS, dispatcher.members_len());
+        set(Metric::LOST_DOMAINS, dispatcher.lost_domains_len());
+        set(Metric::RELAYED_CONNECTIONS, dispatcher.relayed_len());
         self.telemetry.run_upkeep();
     }
 
--- a/crates/soak/tests/explain.rs
+++ b/crates/soak/tests/explain.rs
@@ -5,7 +5,11 @@
 
 use common::gateway;
 use insta::assert_snapshot;
-use persimmon_soak::{fault::Fault, history::BodyCheck, TestDeployment};
+use persimmon_soak::{
+    fault::{Fault, LinkLoss},
+    history::BodyCheck,
+    TestDeployment,
+};
 use persimmonctl::{args::ExplainArgs, explain};
 use std::{env, fs, time::Duration};
 
@@ -98,3 +102,18 @@
        refused may_have_run=true reason=upstream_failed tries_count=1
     ");
 }
+
+#[test]
+fn served_by_way_of_a_peer() {
+    let deployment = start_deployment("relayed");
+    deployment.inject(Fault::LinksLost(LinkLoss::Refuse, 0), WHOLE_TEST);
+    deployment.wait(Duration::from_millis(500));
+    let outcome = deployment.send(0, "order", "relayed-1", 1);
+    assert_eq!(outcome.answer, Some((200, BodyCheck::Complete)));
+    assert_snapshot!(explained_lines(&deployment, "relayed-1"), @r"
+       sent
+       paths_tried
+       relayed
+    => answered
+    ");
+}
