Keep-alive probes to upstreams give up after two again

The request's upstream had gone dark at 3.2 s, and its daemon, which had not noticed, went on renewing the reservation until it was killed at 6.3 s.

Open, and older: a daemon that is killed in those three seconds leaves the reservation to its time to live of 3.5 s, which is more than the four seconds allow.

--- a/crates/io/src/transport/socket.rs
+++ b/crates/io/src/transport/socket.rs
@@ -19,11 +19,12 @@
 /// A sound upstream may be silent for a second.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
-/// TCP keep-alive on connections to upstreams: the idle time before the first probe, and the time between two
-/// probes. The user timeout decides when probes give up, so that an upstream that disappears without closing is
-/// detected within three seconds, also while its response is awaited.
+/// TCP keep-alive on connections to upstreams: the idle time before the first probe, the time between two
+/// probes, and the number of unanswered probes after which the connection fails. Where a user timeout is set, some
+/// systems let that decide instead.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_RETRIES_COUNT: u32 = 2;
 
 /// A connection that was not opened.
 #[derive(Debug)]
@@ -83,7 +84,8 @@
 fn enable_keepalive(stream: &TcpStream) -> io::Result<()> {
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL);
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES_COUNT);
     SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
 
