--- a/crates/core/src/dispatch/upstream_outcome.rs
+++ b/crates/core/src/dispatch/upstream_outcome.rs
@@ -8,6 +8,7 @@
 };
 use crate::{
     ids::{CallId, UpstreamId, VmId},
+    path::PathAttempts,
     units::{Millis, Time},
 };
 
@@ -159,28 +160,46 @@
                 attempts,
                 ..
             } => {
-                if *timed_out {
-                    self.discard_idle(out, sending);
-                }
-                if attempts.show_unreachable() {
-                    let for_ms = self.eject_upstream(out, upstream, true);
-                    self.report_ejection_if_sound(out.now, upstream, for_ms, true, attempts);
-                } else if !self.is_on_lost_link(out.now, sending) {
-                    self.eject_upstream(out, upstream, true);
-                }
+                self.record_not_sent(out, sending, *timed_out, attempts);
             }
             SendOutcome::Lost { stalled, .. } => {
-                if *stalled {
-                    self.discard_idle(out, sending);
-                }
-                if !self.is_on_lost_link(out.now, sending) {
-                    let for_ms = self.eject_upstream(out, upstream, false);
-                    self.check_upstream(out, call, sending, *stalled, for_ms);
-                }
+                self.record_lost(out, call, sending, *stalled);
             }
         }
     }
 
+    /// Ejects and checks an upstream that broke an answer off or was silent, unless the own link is known to be at
+    /// fault.
+    fn record_lost(&mut self, out: &mut Out<'_>, call: CallId, sending: &Sending, stalled: bool) {
+        if stalled {
+            self.discard_idle(out, sending);
+        }
+        if !self.is_on_lost_link(out.now, sending) {
+            let for_ms = self.eject_upstream(out, &sending.upstream, false);
+            self.check_upstream(out, call, sending, stalled, for_ms);
+        }
+    }
+
+    /// Ejects an upstream to which no connection could be opened, unless the own link is known to be at fault.
+    fn record_not_sent(
+        &mut self,
+        out: &mut Out<'_>,
+        sending: &Sending,
+        timed_out: bool,
+        attempts: &PathAttempts,
+    ) {
+        if timed_out {
+            self.discard_idle(out, sending);
+        }
+        let upstream = &sending.upstream;
+        if attempts.show_unreachable() {
+            let for_ms = self.eject_upstream(out, upstream, true);
+            self.report_ejection_if_sound(out.now, upstream, for_ms, true, attempts);
+        } else if !self.is_on_lost_link(out.now, sending) {
+            self.eject_upstream(out, upstream, true);
+        }
+    }
+
     /// Closes pooled connections to the failure domain of an upstream that was silent, or not reached at all:
     /// the domain may be cut off. A request on such a connection would wait for the cut to end. Connections
     /// that were used after this transmission began are known to work.
--- a/crates/io/src/transport/call_task.rs
+++ b/crates/io/src/transport/call_task.rs
@@ -1,15 +1,16 @@
 //! The task of one call, which carries out the dispatcher's commands.
 
 use super::{
-    exchange::{self, Outcome, Outgoing, Signals},
+    exchange::{self, Outcome, Outgoing},
     reply::Reply,
+    signals::Signals,
     CallCommand, Dialect, EventStream, Hub, Pool, ResponseBody,
 };
 use bytes::Bytes;
 use flume::Receiver;
 use http::{header, request, HeaderValue, Response};
 use persimmon_core::{
-    dispatch::{DispatchEvent, LeavingNotice, RateLimitNotice, Refusal, SendPlan},
+    dispatch::{DispatchEvent, LeavingNotice, RateLimitNotice, Refusal, SendOutcome, SendPlan},
     ids::CallId,
     path::UpstreamPath,
     units::{Millis, RequestsPerSecond},
@@ -126,16 +127,9 @@
             }
             outcome = exchange::run(&out, reply, events, signals) => outcome,
         };
-        let end = match outcome {
-            Outcome::CallerLeft => {
-                self.event(DispatchEvent::CallerLeft { call });
-                return Step::Stop;
-            }
-            Outcome::Ended(end) => end,
-            Outcome::Failure(end, response) => {
-                *failure = Some(*response);
-                end
-            }
+        let Some(end) = take_failure(outcome, failure) else {
+            self.event(DispatchEvent::CallerLeft { call });
+            return Step::Stop;
         };
         let delivered = matches!(reply, Reply::Done);
         self.event(DispatchEvent::Ended { call, send, end });
@@ -198,3 +192,15 @@
         self.shared.hub.send_event(event);
     }
 }
+
+/// The end of a transmission, whose failed response is kept; none if the caller left.
+fn take_failure(outcome: Outcome, failure: &mut Option<Response<Bytes>>) -> Option<SendOutcome> {
+    match outcome {
+        Outcome::CallerLeft => None,
+        Outcome::Ended(end) => Some(end),
+        Outcome::Failure(end, response) => {
+            *failure = Some(*response);
+            Some(end)
+        }
+    }
+}
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -1,8 +1,10 @@
 //! One transmission of a call to an upstream, and the forwarding of its response to the caller.
 
 use super::{
-    pool::ConnectionLimits,
+    pool::{ConnectionLimits, PooledConnection},
     reply::{CallerLeft, Reply},
+    signals::Signals,
+    silence::{wait_reporting_stalls, Patience},
     Dialect, EventStream, ForwardContext, Pool, PoolError, ResponseHead, Target,
 };
 use bytes::Bytes;
@@ -11,19 +13,15 @@
 use hyper::body::Incoming;
 use persimmon_core::{
     dispatch::{SendOutcome, SendPlan},
-    path::UpstreamPath,
-    units::{Millis, RequestsPerSecond},
+    units::Millis,
 };
-use std::{future::Future, pin::pin, time::Duration};
-use tokio::time::{sleep_until, Instant};
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Longest idle time of a connection that carries a non-repeatable request. If the upstream closes
 /// an idle connection while the request is sent, it is unknown whether the request ran.
 const NON_REPEATABLE_IDLE_MAX_MS: Millis = Millis::new(400);
 
-/// Least time between two reports of the same stall.
-const STALL_REPORT_INTERVAL_MIN: Duration = Duration::from_millis(200);
-
 /// Longest non-streamed response, which is read completely before it is forwarded.
 const RESPONSE_MAX_BYTES: usize = 1 << 20;
 
@@ -45,26 +43,6 @@
     pub(super) sent_at: Instant,
 }
 
-/// Callbacks that report the progress of a transmission to the control thread.
-#[derive(Clone, Copy)]
-pub(super) struct Signals<'a> {
-    /// Called when the path is known on which the request is sent.
-    pub(super) on_path: &'a dyn Fn(&UpstreamPath),
-    /// Called when the first event or the complete response has arrived.
-    pub(super) on_first: &'a dyn Fn(),
-    /// Called when the upstream has sent nothing for a time after which the link is worth a check.
-    pub(super) on_silent: &'a dyn Fn(),
-    /// Called with the duration of the silence each time the upstream has sent nothing for another
-    /// time limit of the plan.
-    pub(super) on_stall: &'a dyn Fn(Millis),
-    /// Called when the upstream states that it is about to stop. The argument tells whether another
-    /// upstream than the planned one may have answered.
-    pub(super) on_leaving: &'a dyn Fn(bool),
-    /// Called with the rate limit that the upstream states, or with none if it no longer states one. The
-    /// second argument is as for `on_leaving`.
-    pub(super) on_rate_limit: &'a dyn Fn(Option<RequestsPerSecond>, bool),
-}
-
 /// How a transmission ended, from the view of the call's task.
 pub(super) enum Outcome {
     /// The transmission ended.
@@ -125,29 +103,8 @@
     events: &mut EventStream,
     signals: Signals<'_>,
 ) -> Result<(), Outcome> {
-    let limits = ConnectionLimits {
-        idle_max_ms: if out.plan.repeatable {
-            Millis::new(u64::MAX)
-        } else {
-            NON_REPEATABLE_IDLE_MAX_MS
-        },
-        connections_max_len: out.plan.connections_max_len,
-    };
     let first_byte_timeout = out.plan.first_byte_timeout_ms.duration();
-    let patience = Patience {
-        check: Some(out.plan.first_check_ms.duration()),
-        limit: first_byte_timeout,
-    };
-    let target = Target {
-        address: out.plan.address,
-        upstream: Some(out.plan.incarnation()),
-        request: Some(out.request_id.into()),
-        paths: out.plan.paths.clone(),
-    };
-    let sent = out
-        .pool
-        .send(&target, request(out, events), limits, signals.on_path);
-    let (response, connection) = wait_reporting_stalls(reply, patience, signals, sent).await??;
+    let (response, connection) = send_request(out, reply, events, signals).await?;
     let (head, body) = response.into_parts();
     let parsed = out.dialect.parse_response(&head);
     report_notices(&parsed, signals);
@@ -179,6 +136,34 @@
     Ok(())
 }
 
+/// Sends the request and waits for the head of its response.
+async fn send_request(
+    out: &Outgoing<'_>,
+    reply: &mut Reply,
+    events: &EventStream,
+    signals: Signals<'_>,
+) -> Result<(Response<Incoming>, PooledConnection), Outcome> {
+    let limits = ConnectionLimits {
+        idle_max_ms: if out.plan.repeatable {
+            Millis::new(u64::MAX)
+        } else {
+            NON_REPEATABLE_IDLE_MAX_MS
+        },
+        connections_max_len: out.plan.connections_max_len,
+    };
+    let patience = Patience::first_byte(out.plan);
+    let target = Target {
+        address: out.plan.address,
+        upstream: Some(out.plan.incarnation()),
+        request: Some(out.request_id.into()),
+        paths: out.plan.paths.clone(),
+    };
+    let sent = out
+        .pool
+        .send(&target, request(out, events), limits, signals.on_path);
+    Ok(wait_reporting_stalls(reply, patience, signals, sent).await??)
+}
+
 /// Reports what the upstream states about itself, in whatever response.
 fn report_notices(parsed: &ResponseHead, signals: Signals<'_>) {
     if parsed.is_leaving {
@@ -209,10 +194,7 @@
 ) -> Result<(), Outcome> {
     let has_framing = head.headers.contains_key(header::CONTENT_LENGTH)
         || head.headers.contains_key(header::TRANSFER_ENCODING);
-    let mut patience = Patience {
-        check: Some(time_left(out, out.plan.first_check_ms.duration())),
-        limit: time_left(out, out.plan.first_byte_timeout_ms.duration()),
-    };
+    let mut patience = Patience::first_byte(out.plan).less(out.sent_at.elapsed());
     let mut first = true;
     loop {
         let Some(frame) = wait_reporting_stalls(reply, patience, signals, body.frame()).await?
@@ -231,10 +213,7 @@
         if first {
             first = false;
             (signals.on_first)();
-            patience = Patience {
-                check: Some(out.plan.pause_check_ms.duration()),
-                limit: out.plan.pause_timeout_ms.duration(),
-            };
+            patience = Patience::between_events(out.plan);
         }
         forward(reply, head, complete).await?;
     }
@@ -295,57 +274,12 @@
     signals: Signals<'_>,
 ) -> Result<Bytes, Outcome> {
     let collected = Limited::new(body, max_bytes).collect();
-    let patience = Patience { check: None, limit };
+    let patience = Patience::unchecked(limit);
     let collected = wait_reporting_stalls(reply, patience, signals, collected).await?;
     let collected = collected.map_err(|error| lost(error.to_string()))?;
     Ok(collected.to_bytes())
 }
 
-/// For how long an upstream may be silent until that is reported.
-#[derive(Clone, Copy)]
-struct Patience {
-    /// Silence that may mean that the link is lost; none if that needs no check.
-    check: Option<Duration>,
-    /// Silence after which the upstream counts as stalled.
-    limit: Duration,
-}
-
-/// Waits for `future` or until the caller disconnects. Reports a silence that may mean that the link is lost, and
-/// again a moment later, when the link has been checked. Reports a stall each time another limit has passed.
-async fn wait_reporting_stalls<F: Future>(
-    reply: &mut Reply,
-    patience: Patience,
-    signals: Signals<'_>,
-    future: F,
-) -> Result<F::Output, CallerLeft> {
-    let waiting_since = Instant::now();
-    let limit = patience.limit.max(STALL_REPORT_INTERVAL_MIN);
-    let check = patience.check.filter(|check| *check < limit);
-    let silences = check.map(|check| [check, check + STALL_REPORT_INTERVAL_MIN]);
-    let silences = silences.into_iter().flatten();
-    let mut silences = silences.map(|after| waiting_since + after);
-    let mut silent_at = silences.next();
-    let mut stalled_at = waiting_since + limit;
-    let mut future = pin!(future);
-    loop {
-        let reports_silence = silent_at.filter(|at| *at < stalled_at);
-        tokio::select! {
-            biased;
-            () = reply.closed() => return Err(CallerLeft),
-            output = future.as_mut() => return Ok(output),
-            () = sleep_until(reports_silence.unwrap_or(stalled_at)) => {
-                if reports_silence.is_some() {
-                    silent_at = silences.next();
-                    (signals.on_silent)();
-                } else {
-                    stalled_at += limit;
-                    (signals.on_stall)(Millis::new(waiting_since.elapsed().as_millis() as u64));
-                }
-            }
-        }
-    }
-}
-
 fn request(out: &Outgoing<'_>, events: &EventStream) -> Request<Full<Bytes>> {
     let elapsed_ms = Millis::new(out.sent_at.elapsed().as_millis() as u64);
     let headers = out.dialect.upstream_headers(
--- a/crates/io/src/transport/mod.rs
+++ b/crates/io/src/transport/mod.rs
@@ -15,6 +15,8 @@
 mod relay;
 mod reply;
 mod response_body;
+mod signals;
+mod silence;
 mod socket;
 mod store;
 
--- a/crates/persimmond/src/gateway/control.rs
+++ b/crates/persimmond/src/gateway/control.rs
@@ -87,9 +87,10 @@
                 upstream,
                 address,
                 paths,
-            } => self.send_job(Job::CheckUpstream(Target::upstream(
-                address, upstream, paths,
-            ))),
+            } => {
+                let target = Target::upstream(address, upstream, paths);
+                self.send_job(Job::CheckUpstream(target));
+            }
             DispatchAction::AnswerRelay { relay, address } => {
                 self.hub.answer_relay(relay, address);
             }
@@ -107,12 +108,8 @@
                 *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = limits;
             }
             DispatchAction::Ready(ready) => self.ready.store(ready, Ordering::Relaxed),
-            DispatchAction::DisableKeepAlive => {
-                self.send_job(Job::Drain(DrainState::CloseAfterResponse))
-            }
-            DispatchAction::CloseIdleConnections => {
-                self.send_job(Job::Drain(DrainState::CloseIdle))
-            }
+            DispatchAction::DisableKeepAlive => self.drain(DrainState::CloseAfterResponse),
+            DispatchAction::CloseIdleConnections => self.drain(DrainState::CloseIdle),
             DispatchAction::Log(record) => self.log(&record),
             DispatchAction::Exit => {
                 self.send_job(Job::Exit);
@@ -122,6 +119,10 @@
         false
     }
 
+    fn drain(&self, state: DrainState) {
+        self.send_job(Job::Drain(state));
+    }
+
     /// Sends a job to the traffic thread. Sending fails only when the process ends.
     fn send_job(&self, job: Job) {
         let _ = self.jobs.send(job);
