A silence is reported only once the request is sent

By reading the diff: while a connection was still being tried on several paths, its silence counted as the upstream's. On a link known to hang the request was moved as if it had been sent, which used up its attempts. Also by reading: a link that is lost now and then was avoided for twice as long each time, however long ago the last time was; and lines paths_tried were exempt from the limit on log lines.

Test: silences_are_reported_once_the_request_is_sent.

--- a/crates/core/src/path/link_table.rs
+++ b/crates/core/src/path/link_table.rs
@@ -10,7 +10,7 @@
 };
 use std::collections::{BTreeMap, HashMap};
 
-/// Time for which a link that was lost once is not tried before relays. Doubles with each further loss.
+/// Time for which a link that was lost once is not tried before relays. Doubles with each further loss soon after.
 const AVOID_MIN_MS: Millis = Millis::new(1_000);
 
 /// Longest time for which a link is avoided.
@@ -112,9 +112,10 @@
         hangs: bool,
         upstreams_len: usize,
     ) -> Option<LinkChange> {
-        let last_ms = self.losses.get(upstream).map(|loss| loss.avoid_ms);
-        let avoid_ms = last_ms.map_or(AVOID_MIN_MS, |ms| {
-            Millis::new(ms.get() * 2).min(AVOID_MAX_MS)
+        let last = self.losses.get(upstream);
+        let last = last.filter(|loss| now < loss.avoid_until + LOSSES_SPAN_MS);
+        let avoid_ms = last.map_or(AVOID_MIN_MS, |loss| {
+            Millis::new(loss.avoid_ms.get() * 2).min(AVOID_MAX_MS)
         });
         let loss = Loss {
             domain: domain.clone(),
--- a/crates/io/src/transport/call_task.rs
+++ b/crates/io/src/transport/call_task.rs
@@ -15,7 +15,7 @@
     path::UpstreamPath,
     units::{Millis, RequestsPerSecond},
 };
-use std::{rc::Rc, sync::Arc};
+use std::{cell::Cell, rc::Rc, sync::Arc};
 use tokio::{sync::oneshot, time::Instant};
 
 /// State that the tasks of all calls share.
@@ -99,15 +99,22 @@
         events.resume();
         let (call, send) = (self.id, plan.send);
         let out = self.outgoing(plan);
+        let is_sent = Cell::new(false);
         let signals = Signals {
             on_path: &|path| {
+                is_sent.set(true);
                 if let UpstreamPath::Relay(relay) = path {
                     let relay = relay.clone();
                     self.event(DispatchEvent::Relayed { call, send, relay });
                 }
             },
             on_first: &|| self.event(DispatchEvent::FirstByte { call, send }),
-            on_silent: &|| self.event(DispatchEvent::Silent { call, send }),
+            // A connection that is not open yet has other time limits.
+            on_silent: &|| {
+                if is_sent.get() {
+                    self.event(DispatchEvent::Silent { call, send });
+                }
+            },
             on_stall: &|silent_ms| {
                 self.event(DispatchEvent::Stalled {
                     call,
--- a/crates/io/tests/common/mod.rs
+++ b/crates/io/tests/common/mod.rs
@@ -9,7 +9,12 @@
     message::Member,
 };
 use persimmon_io::peer::{Identity, KeyPairPem, Mesh, RelaySink};
-use std::{net::UdpSocket, rc::Rc, time::Duration};
+use socket2::{Domain, Socket, Type};
+use std::{
+    net::{SocketAddr, TcpStream, UdpSocket},
+    rc::Rc,
+    time::Duration,
+};
 use tokio::{runtime::Builder, task::LocalSet, time::timeout};
 
 /// Time limit of each step of a test.
@@ -62,3 +67,18 @@
     let runtime = Builder::new_current_thread().enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, test);
 }
+
+/// A listener whose queue is full, so that connections to it hang.
+pub(crate) fn hanging() -> (Socket, Vec<TcpStream>, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    socket.bind(&any.into()).unwrap();
+    socket.listen(0).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    let limit = Duration::from_millis(50);
+    let mut waiting = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, limit) {
+        waiting.push(stream);
+    }
+    (socket, waiting, address)
+}
--- a/crates/io/tests/relay.rs
+++ b/crates/io/tests/relay.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use bytes::Bytes;
-use common::{node, relaying_node, run, Node, STEP_TIMEOUT};
+use common::{hanging, node, relaying_node, run, Node, STEP_TIMEOUT};
 use http::{Request, Response};
 use http_body_util::Full;
 use insta::assert_debug_snapshot;
@@ -20,14 +20,7 @@
         serve_relay, ByteStream, Connector, Hub, LocalFuture, Pool, PoolError, RelayDialer, Target,
     },
 };
-use socket2::{Domain, Socket, Type};
-use std::{
-    cell::RefCell,
-    net::{SocketAddr, TcpStream as StdStream},
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
@@ -112,21 +105,6 @@
     socket.local_addr().unwrap()
 }
 
-/// A listener whose queue is full, so that connections to it hang.
-fn hanging() -> (Socket, Vec<StdStream>, SocketAddr) {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-    socket.bind(&any.into()).unwrap();
-    socket.listen(0).unwrap();
-    let address = socket.local_addr().unwrap().as_socket().unwrap();
-    let limit = Duration::from_millis(50);
-    let mut waiting = Vec::new();
-    while let Ok(stream) = StdStream::connect_timeout(&address, limit) {
-        waiting.push(stream);
-    }
-    (socket, waiting, address)
-}
-
 /// An upstream that reads a request head, writes `response` and then calls `after`.
 async fn upstream<F>(response: &'static [u8], after: F) -> SocketAddr
 where
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -1,7 +1,10 @@
 //! Transport between callers and upstreams over loopback: the responses that callers get when
 //! either side fails.
 
+mod common;
+
 use bytes::Bytes;
+use common::hanging;
 use flume::Receiver;
 use http::{request, response, HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::Full;
@@ -98,6 +101,8 @@
     drain: watch::Sender<DrainState>,
     /// Whether requests are sent to an upstream that has a rate limit.
     is_rate_limited: bool,
+    /// Time to the first byte after which the link is checked.
+    first_check_ms: Millis,
 }
 
 impl Fixture {
@@ -123,6 +128,7 @@
             last_send: SendId::default(),
             drain,
             is_rate_limited: false,
+            first_check_ms: Millis::new(5_000),
         }
     }
 
@@ -176,7 +182,7 @@
             streaming,
             first_byte_timeout_ms: Millis::new(5_000),
             pause_timeout_ms: Millis::new(5_000),
-            first_check_ms: Millis::new(5_000),
+            first_check_ms: self.first_check_ms,
             pause_check_ms: Millis::new(5_000),
             helpers: Vec::new(),
             is_rate_limited: self.is_rate_limited,
@@ -765,3 +771,27 @@
         assert!(matches!(fixture.end().await, SendOutcome::NotSent { .. }));
     });
 }
+
+/// A silence is reported while an answer is awaited, twice, and not while the connection is being opened, which has
+/// a time limit of its own.
+#[test]
+fn silences_are_reported_once_the_request_is_sent() {
+    run(async {
+        let (mut fixture, _caller, call) = Fixture::with_call().await;
+        fixture.first_check_ms = Millis::new(50);
+        let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        fixture.send(call, silent.local_addr().unwrap(), false);
+        for _ in 0..2 {
+            let event = fixture.event().await;
+            assert!(matches!(event, DispatchEvent::Silent { .. }), "{event:?}");
+        }
+    });
+    run(async {
+        let (mut fixture, _caller, call) = Fixture::with_call().await;
+        fixture.first_check_ms = Millis::new(50);
+        let (_socket, _waiting, hanging) = hanging();
+        fixture.send(call, hanging, false);
+        let event = fixture.event().await;
+        assert!(matches!(event, DispatchEvent::Ended { .. }), "{event:?}");
+    });
+}
--- a/crates/persimmond/src/gateway/control.rs
+++ b/crates/persimmond/src/gateway/control.rs
@@ -141,7 +141,6 @@
     match record {
         DispatchRecord::Refused { .. }
         | DispatchRecord::UpstreamCrashed { .. }
-        | DispatchRecord::PathsTried { .. }
         | DispatchRecord::Links { lost: true, .. }
         | DispatchRecord::FingerprintQuarantined { .. }
         | DispatchRecord::SendFailed { .. }
