Peer messages of new kinds that the landed build skips; its own keep their bytes

Cause: messages are coded by position, so an added field or a kind inside a batch made the whole frame unreadable to a daemon of the landed build, and a fleet divides while VMs are replaced. Change: new kinds travel as extension frames (a number and an encoded body). A daemon announces the kinds that it reads; others get no frame, and a batch has one only if all peers read it. The link's protocol name stays.

--- /dev/null
+++ b/crates/core/src/dispatch/extension.rs
@@ -0,0 +1,104 @@
+//! Messages of kinds that builds before them do not know. A frame has the number of its kind and an encoded
+//! body, so that a daemon can skip a kind that it lacks without losing the messages beside it.
+
+use bytes::Bytes;
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+use std::fmt;
+use thiserror::Error;
+
+/// Maximum number of kinds that are believed of a peer.
+const KINDS_MAX_LEN: usize = 64;
+
+/// Number of a kind of extension message. Numbers are never used again for another body.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ExtensionKind(u16);
+
+impl ExtensionKind {
+    /// [`ExtensionMessage::Capabilities`].
+    pub const CAPABILITIES: Self = Self(0);
+
+    /// The kinds that this build reads.
+    pub const READ: [Self; 1] = [Self::CAPABILITIES];
+}
+
+impl fmt::Display for ExtensionKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// An extension message as it is sent.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ExtensionFrame {
+    /// The kind of the body.
+    pub kind: ExtensionKind,
+    /// The encoded body.
+    pub body: Bytes,
+}
+
+/// A message of a kind that not all builds know.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ExtensionMessage {
+    /// The kinds that the sender reads. Sent at the start of a link.
+    Capabilities(Vec<ExtensionKind>),
+}
+
+/// An extension message that can't be encoded or decoded.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum ExtensionError {
+    /// This build does not know the kind.
+    #[error("extension kind {0} is unknown to this build: upgrade it to use that feature")]
+    UnknownKind(ExtensionKind),
+    /// The body is not of its kind.
+    #[error("the body of extension kind {kind} is malformed ({reason}): check the sender's build")]
+    Malformed {
+        /// The kind.
+        kind: ExtensionKind,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+impl TryFrom<&ExtensionMessage> for ExtensionFrame {
+    type Error = ExtensionError;
+
+    fn try_from(message: &ExtensionMessage) -> Result<Self, ExtensionError> {
+        match message {
+            ExtensionMessage::Capabilities(kinds) => encode(ExtensionKind::CAPABILITIES, kinds),
+        }
+    }
+}
+
+impl TryFrom<&ExtensionFrame> for ExtensionMessage {
+    type Error = ExtensionError;
+
+    fn try_from(frame: &ExtensionFrame) -> Result<Self, ExtensionError> {
+        match frame.kind {
+            ExtensionKind::CAPABILITIES => {
+                let mut kinds: Vec<_> = decode(frame)?;
+                kinds.truncate(KINDS_MAX_LEN);
+                Ok(Self::Capabilities(kinds))
+            }
+            kind => Err(ExtensionError::UnknownKind(kind)),
+        }
+    }
+}
+
+fn encode<T: Serialize>(kind: ExtensionKind, body: &T) -> Result<ExtensionFrame, ExtensionError> {
+    let encoded = postcard::to_stdvec(body).map_err(|error| malformed(kind, &error))?;
+    Ok(ExtensionFrame {
+        kind,
+        body: encoded.into(),
+    })
+}
+
+fn decode<T: DeserializeOwned>(frame: &ExtensionFrame) -> Result<T, ExtensionError> {
+    postcard::from_bytes(&frame.body).map_err(|error| malformed(frame.kind, &error))
+}
+
+fn malformed(kind: ExtensionKind, error: &postcard::Error) -> ExtensionError {
+    ExtensionError::Malformed {
+        kind,
+        reason: error.to_string(),
+    }
+}
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -1,6 +1,8 @@
 //! Messages between daemons: in-flight requests, ejections, and changes read from the store.
 
-use super::{CrashReport, HelperAssignment, OperatorChange, QuarantinedFingerprint};
+use super::{
+    CrashReport, ExtensionFrame, HelperAssignment, OperatorChange, QuarantinedFingerprint,
+};
 use crate::{
     catalog::CatalogStamp,
     fleet::{UpstreamIncarnation, UpstreamRecord},
@@ -61,7 +63,10 @@
     }
 }
 
-/// A message from a daemon to its peers. The peer link codes variants by position.
+/// A message from a daemon to its peers. The peer link codes variants by position, and daemons of two builds
+/// serve side by side during an upgrade: no variant may change, and new kinds are [`ExtensionMessage`]s.
+///
+/// [`ExtensionMessage`]: super::ExtensionMessage
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum DispatchMessage {
     /// All in-flight requests of the sender; replaces its earlier reports.
@@ -146,6 +151,9 @@
     RateLimits(Vec<RateLimitReport>),
     /// Whether, and to where, the sender passes connections on for its peers.
     Relay(RelayOffer),
+    /// A message of a kind that some builds may not know. Builds that lack this variant drop the whole frame
+    /// that holds it, so it goes into a batch only if all peers know its kind. Must stay the last variant.
+    Extension(ExtensionFrame),
 }
 
 /// What an upstream last stated about its rate limit, as far as the sender knows.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -13,6 +13,8 @@
 mod dispatcher;
 mod ejection_report;
 mod event;
+mod extension;
+mod extension_peers;
 mod freshness;
 mod health;
 mod in_flight;
@@ -54,6 +56,7 @@
 pub use crash::{Crash, CrashReport};
 pub use dispatcher::Dispatcher;
 pub use event::DispatchEvent;
+pub use extension::{ExtensionError, ExtensionFrame, ExtensionKind, ExtensionMessage};
 pub use health::{Health, HealthTable};
 pub use in_flight::InFlightTable;
 pub use in_flight_entry::{HelperAssignment, InFlightEntry, InFlightId, Phase};
--- a/crates/core/src/dispatch/outbox.rs
+++ b/crates/core/src/dispatch/outbox.rs
@@ -3,7 +3,7 @@
 
 use super::{
     dispatcher::{Dispatcher, Out},
-    DispatchAction, DispatchMessage,
+    DispatchAction, DispatchMessage, DispatchRecord, ExtensionFrame, ExtensionMessage,
 };
 use crate::units::{Millis, Time};
 
@@ -19,6 +19,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Outbox {
     messages: Vec<DispatchMessage>,
+    extensions: Vec<ExtensionFrame>,
     due_at: Option<Time>,
 }
 
@@ -43,10 +44,29 @@
 
     fn push_message(&mut self, at: Time, message: DispatchMessage) {
         self.outbox.messages.push(message);
+        self.set_outbox_due(at);
+    }
+
+    fn set_outbox_due(&mut self, at: Time) {
         let due_at = self.outbox.due_at.map_or(at, |due_at| due_at.min(at));
         self.outbox.due_at = Some(due_at);
     }
 
+    /// Queues a message of a kind that not all builds know for the next batch.
+    #[expect(dead_code, reason = "no component reports to peers yet")]
+    pub(super) fn notify_extension(&mut self, out: &mut Out<'_>, message: &ExtensionMessage) {
+        match ExtensionFrame::try_from(message) {
+            Ok(frame) => {
+                self.outbox.extensions.push(frame);
+                self.set_outbox_due(out.now + BATCH_DELAY_MS);
+            }
+            Err(error) => out.log(DispatchRecord::ExtensionDropped {
+                member: None,
+                error: error.to_string(),
+            }),
+        }
+    }
+
     /// Sends the batch if it is due.
     pub(super) fn progress_outbox(&mut self, out: &mut Out<'_>) {
         if self.outbox.due_at.is_some_and(|due_at| due_at <= out.now) {
@@ -57,9 +77,17 @@
     fn flush_outbox(&mut self, out: &mut Out<'_>) {
         self.outbox.due_at = None;
         let mut messages = std::mem::take(&mut self.outbox.messages);
+        let extensions = std::mem::take(&mut self.outbox.extensions);
         if self.peers.is_empty() {
             return;
         }
+        for frame in extensions {
+            if self.extension_peers.all_read(self.peers.keys(), frame.kind) {
+                messages.push(DispatchMessage::Extension(frame));
+            } else {
+                self.notify_readers(out, &frame);
+            }
+        }
         let message = match messages.len() {
             0 => return,
             1 => messages.swap_remove(0),
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -32,6 +32,7 @@
             to: Some(vm.clone()),
             message,
         });
+        self.announce_extensions(out, &vm);
         out.act(DispatchAction::Notify {
             to: Some(vm.clone()),
             message: DispatchMessage::Relay(self.relay_offer()),
@@ -50,6 +51,7 @@
         self.forget_follower(vm);
         self.relays.forget_peer(vm);
         self.restore.forget_peer(vm);
+        self.extension_peers.forget(vm);
         out.log(DispatchRecord::Peer {
             member: vm.clone(),
             connected: false,
@@ -102,6 +104,7 @@
             DispatchMessage::Quarantine(message) => self.on_quarantine_message(out, vm, message),
             DispatchMessage::RateLimits(reports) => self.on_peer_rate_limits(out, vm, reports),
             DispatchMessage::Relay(offer) => self.on_relay_offer(out, vm, offer),
+            DispatchMessage::Extension(frame) => self.on_extension_frame(out, vm, &frame),
             DispatchMessage::Started(report) => self.on_peer_started(out.now, index, &report),
             DispatchMessage::FirstEvent(send) => self.on_peer_first_event(out.now, index, send),
             DispatchMessage::Ended(send) => self.on_peer_ended(out.now, index, send),
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -39,6 +39,14 @@
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "event")]
 pub enum DispatchRecord {
+    /// An extension message was dropped: it could not be decoded, or not be encoded.
+    ExtensionDropped {
+        /// The peer that sent it; none for an own message.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        member: Option<VmId>,
+        /// The reason.
+        error: String,
+    },
     /// A request was sent to an upstream.
     Sent {
         /// The request id that the caller chose.
