Memory is not kept reserved for a request that can't use it

Ruled out: killed daemons, late orders, ended calls. Change: a lease ends 8.5 s after its first order unless the answer has begun; a second before, the request moves or ends; prompts predicted to begin later get no reservation. New setting memory_idle_max_ms.

--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -209,6 +209,14 @@
                 RefusalReason::NoCapacity
             });
         }
+        let reserves = choice
+            .helpers
+            .iter()
+            .any(|(_, memory_tokens)| *memory_tokens > Tokens::ZERO);
+        let unused_limit_ms = self.unused_limit_ms().get() as f64;
+        if reserves && choice.prediction.first_event_ms > unused_limit_ms {
+            return Err(RefusalReason::NoCapacity);
+        }
         let upstream = |index: usize| candidates[index].upstream.clone();
         let helper = |(index, memory_tokens): &(usize, Tokens)| HelperAssignment {
             upstream: upstream(*index),
--- a/crates/core/src/dispatch/reservation.rs
+++ b/crates/core/src/dispatch/reservation.rs
@@ -3,7 +3,7 @@
 use super::{
     dispatcher::{Dispatcher, Out},
     placement::Placement,
-    DispatchAction, DispatchRecord, RefusalReason,
+    DispatchAction, DispatchRecord, DispatchSettings, RefusalReason, SendOutcome,
 };
 use crate::{
     fleet::UpstreamIncarnation,
@@ -12,7 +12,11 @@
     units::{Millis, Time, Tokens},
 };
 use serde::Serialize;
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 /// Renewals within the time to live of a reservation, so that one may be lost.
 const RENEWALS_PER_TTL_COUNT: u64 = 2;
@@ -24,6 +28,10 @@
 /// orders up to 12 s late.
 const LATE_ORDER_MAX_MS: Millis = Millis::new(12_500);
 
+/// Time before the end of an unused reservation at which its request is given up, so that a lost release can be
+/// repeated.
+const UNUSED_END_LEAD_MS: Millis = Millis::new(1_000);
+
 /// Maximum number of groups of engines that are tried for one call.
 const GROUPS_MAX_COUNT: u32 = 3;
 
@@ -99,10 +107,24 @@
     address: SocketAddr,
     tokens: Tokens,
     state: State,
+    reserved_at: Time,
     next_at: Time,
     may_execute_until: Time,
 }
 
+impl Reservation {
+    /// Time to live for a reserve order that is sent now. Until the call's first event, the memory counts as
+    /// unused, so no lease goes beyond `unused_max_ms` after the first order.
+    fn hold_ms(&self, now: Time, has_begun: bool, settings: &DispatchSettings) -> Millis {
+        let ttl_ms = settings.reservation_ttl_ms;
+        if has_begun {
+            return ttl_ms;
+        }
+        let unused_until = self.reserved_at + settings.reservation_unused_max_ms;
+        ttl_ms.min(unused_until.since(now))
+    }
+}
+
 /// The reservations of one daemon.
 #[derive(Debug, Default)]
 pub(super) struct Reservations {
@@ -159,11 +181,13 @@
                 address: known.record.address,
                 tokens: holder.memory_tokens,
                 state: State::Requested,
+                reserved_at: out.now,
                 next_at: out.now + renewal_interval_ms(ttl_ms),
                 may_execute_until: Time::START,
             };
             let ticket: Arc<str> = format!("{name}-{index}").into();
-            orders.push(order(&ticket, &reservation, ttl_ms));
+            let hold_ms = reservation.hold_ms(out.now, false, &self.settings);
+            orders.push(order(&ticket, &reservation, hold_ms));
             self.reservations.tickets.insert(ticket, reservation);
         }
         open.reserving = Some(placement);
@@ -249,20 +273,66 @@
 
     /// Releases the reservations of a call.
     pub(super) fn release(&mut self, out: &mut Out<'_>, call: CallId) {
-        let ttl_ms = self.settings.reservation_ttl_ms;
         let mut orders = Vec::new();
         for (ticket, reservation) in &mut self.reservations.tickets {
             if reservation.call == call && reservation.state != State::Releasing {
                 reservation.state = State::Releasing;
                 reservation.next_at = out.now + RELEASE_RETRY_MS;
-                orders.push(order(ticket, reservation, ttl_ms));
+                orders.push(order(ticket, reservation, Millis::ZERO));
             }
         }
         self.send_orders(out, orders);
     }
 
+    /// Ends the calls whose memory has been reserved for too long while they have not begun.
+    fn end_unused(&mut self, out: &mut Out<'_>) {
+        let limit_ms = self.unused_limit_ms();
+        let has_begun = |call| self.has_begun(call);
+        let due = self.reservations.tickets.values().filter(|reservation| {
+            reservation.state != State::Releasing
+                && reservation.reserved_at + limit_ms <= out.now
+                && !has_begun(reservation.call)
+        });
+        let calls: BTreeSet<_> = due.map(|reservation| reservation.call).collect();
+        for call in calls {
+            self.end_unused_call(out, call);
+        }
+    }
+
+    /// Moves a call whose reserved memory is unused to other engines, or ends it if none can take it now: it may
+    /// have run, and an answer that comes later must not be mixed with that of another engine.
+    fn end_unused_call(&mut self, out: &mut Out<'_>, call: CallId) {
+        let Some(open) = self.calls.get(&call) else {
+            return self.release(out, call);
+        };
+        let Some(sending) = open.sending.clone() else {
+            return self.give_up(out, call, RefusalReason::NoCapacity);
+        };
+        let end = SendOutcome::Lost {
+            reason: "reserved memory is not used".to_owned(),
+            stalled: true,
+        };
+        if !self.move_sending(out, call, &sending, &end) {
+            self.give_up(out, call, RefusalReason::UpstreamFailed);
+        }
+    }
+
+    /// Whether the first event of a call's answer has come.
+    fn has_begun(&self, call: CallId) -> bool {
+        self.calls
+            .get(&call)
+            .is_some_and(|open| open.first_at.is_some())
+    }
+
+    /// Time from a reservation within which its request must begin.
+    pub(super) fn unused_limit_ms(&self) -> Millis {
+        let unused_max_ms = self.settings.reservation_unused_max_ms;
+        unused_max_ms.saturating_sub(UNUSED_END_LEAD_MS)
+    }
+
     /// Sends the renewals and releases that are due. An engine that is gone needs no release.
     pub(super) fn progress_reservations(&mut self, out: &mut Out<'_>) {
+        self.end_unused(out);
         let ttl_ms = self.settings.reservation_ttl_ms;
         let fleet = &self.fleet;
         let known = |reservation: &Reservation| fleet.get(&reservation.upstream).is_some();
@@ -279,7 +349,10 @@
                     State::Requested | State::Held => renewal_interval_ms(ttl_ms),
                     State::Releasing => RELEASE_RETRY_MS,
                 };
-            orders.push(order(ticket, reservation, ttl_ms));
+            let open = self.calls.get(&reservation.call);
+            let has_begun = open.is_some_and(|open| open.first_at.is_some());
+            let hold_ms = reservation.hold_ms(out.now, has_begun, &self.settings);
+            orders.push(order(ticket, reservation, hold_ms));
         }
         self.send_orders(out, orders);
     }
@@ -300,11 +373,11 @@
 }
 
 /// The order that a reservation needs in its state.
-fn order(ticket: &Arc<str>, reservation: &Reservation, ttl_ms: Millis) -> ReserveOrder {
+fn order(ticket: &Arc<str>, reservation: &Reservation, hold_ms: Millis) -> ReserveOrder {
     let kind = match reservation.state {
         State::Requested | State::Held => OrderKind::Reserve {
             tokens: reservation.tokens,
-            hold_ms: ttl_ms,
+            hold_ms,
         },
         State::Releasing => OrderKind::Release,
     };
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -128,8 +128,24 @@
 
     /// Moves a call whose transmission gets no answer to another upstream, if one can take it now.
     fn move_stalled(&mut self, out: &mut Out<'_>, call: CallId, sending: &Sending) {
+        let end = SendOutcome::Lost {
+            reason: "silent".to_owned(),
+            stalled: true,
+        };
+        self.move_sending(out, call, sending, &end);
+    }
+
+    /// Moves a call to another upstream that can take it now, after its transmission failed with `end`. Returns
+    /// false if there is none: the transmission then goes on.
+    pub(super) fn move_sending(
+        &mut self,
+        out: &mut Out<'_>,
+        call: CallId,
+        sending: &Sending,
+        end: &SendOutcome,
+    ) -> bool {
         let Some(open) = self.calls.get(&call) else {
-            return;
+            return false;
         };
         let send = sending.send;
         let may_move =
@@ -137,12 +153,8 @@
         let other = may_move
             .then(|| self.find_placement(out.now, open).ok())
             .flatten();
-        let end = SendOutcome::Lost {
-            reason: "silent".to_owned(),
-            stalled: true,
-        };
-        self.record_outcome(out, call, sending, &end);
-        let other = other.filter(|_| self.next_step(out.now, call, &end) == NextStep::SendAgain);
+        self.record_outcome(out, call, sending, end);
+        let other = other.filter(|_| self.next_step(out.now, call, end) == NextStep::SendAgain);
         out.log(DispatchRecord::SendFailed {
             request: self.request_id(call),
             send,
@@ -155,15 +167,18 @@
             },
             after_ms: out.now.since(sending.sent_at),
         });
-        let Some(placement) = other else { return };
+        let Some(placement) = other else {
+            return false;
+        };
         self.end_transmission(out, call, Some(send));
-        self.avoid_domain(call, sending, &end);
+        self.avoid_domain(call, sending, end);
         if let Some(open) = self.calls.get_mut(&call) {
             open.sending = None;
             open.may_have_run = true;
             open.reached_count += 1;
         }
         self.start(out, call, placement);
+        true
     }
 
     /// Time in ms for which an upstream may be silent given its load. Moving a call whose upstream is
--- a/crates/core/src/dispatch/settings.rs
+++ b/crates/core/src/dispatch/settings.rs
@@ -25,6 +25,9 @@
 /// Shortest `memory_free_ms` that the daemon can meet.
 const MEMORY_FREE_MIN_MS: u64 = 1_500;
 
+/// Shortest `memory_idle_max_ms` that the daemon can meet.
+const MEMORY_IDLE_MIN_MS: u64 = 3_000;
+
 /// Settings as written in the settings file.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
@@ -33,6 +36,8 @@
     pub revoke_ms: u64,
     /// Longest time from a request's end until engines have freed its memory.
     pub memory_free_ms: u64,
+    /// Longest time for which engines may have memory reserved that no request uses.
+    pub memory_idle_max_ms: u64,
     /// Retries per call, over all daemons, in each budget window.
     pub retry_ratio: f64,
     /// Retries beyond that ratio, of all daemons together, in each budget window.
@@ -54,6 +59,7 @@
         Self {
             revoke_ms: 5_000,
             memory_free_ms: 4_000,
+            memory_idle_max_ms: 9_000,
             retry_ratio: 0.2,
             retry_allowance_requests: 100.0,
             retry_window_s: 10.0,
@@ -72,6 +78,8 @@
     pub key_lease_ms: Millis,
     /// Time after which an engine drops a reservation that is not renewed.
     pub reservation_ttl_ms: Millis,
+    /// Time after which an engine drops a reservation whose request has not begun.
+    pub reservation_unused_max_ms: Millis,
     /// Retries per 100 calls, over all daemons, in each budget window.
     pub retry_percent: u32,
     /// Retries beyond that ratio, of all daemons together, in each budget window.
@@ -101,11 +109,18 @@
             MEMORY_FREE_MIN_MS,
             SPAN_MAX_MS,
         )?;
+        let memory_idle_max_ms = check.span(
+            "memory_idle_max_ms",
+            raw.memory_idle_max_ms,
+            MEMORY_IDLE_MIN_MS,
+            SPAN_MAX_MS,
+        )?;
         // If a change comes at the end of a long poll, the daemon's knowledge is up to two polls old.
         let poll_max_ms = key_lease_ms.get() / 3;
         Ok(Self {
             key_lease_ms,
             reservation_ttl_ms: memory_release_ms.saturating_sub(RESERVATION_MARGIN_MS),
+            reservation_unused_max_ms: memory_idle_max_ms.saturating_sub(RESERVATION_MARGIN_MS),
             retry_percent: check.number("retry_ratio", (raw.retry_ratio * 100.0) as u32, 0, 100)?,
             retry_allowance_requests: raw.retry_allowance_requests as u32,
             retry_window_ms: span("retry_window_s", (raw.retry_window_s * 1e3) as u64)?,
