Speed of upstreams is learned from answers and shared among daemons

Cause: speeds came from the service's profile alone, so an upstream that ran several times as slowly got as much work as the others (uneven servers; a third of all places of a plain service with three upstreams). Change: module speed: decayed samples of observed to expected durations for each incarnation, reported to peers as an extension message; used in predictions, choice, waits and tolerated silence. Off without dispatch.speeds.

--- a/crates/core/src/dispatch/choose.rs
+++ b/crates/core/src/dispatch/choose.rs
@@ -5,8 +5,10 @@
     catalog::EngineProfile,
     engine::{EngineLoad, Prediction},
     ids::UpstreamId,
+    speed::SlowdownRatio,
     units::{Millis, Tokens},
 };
+use std::borrow::Cow;
 
 /// Cost of a late answer, as a share of the call's weight.
 const LATE_COST_RATIO: f64 = 0.75;
@@ -68,6 +70,19 @@
     /// Pseudo-random cost for this call, so that daemons that choose at the same time choose different
     /// upstreams.
     pub jitter_requests: f64,
+    /// How much slower the upstream is than expected.
+    pub slowdown: SlowdownRatio,
+}
+
+impl Candidate {
+    /// The profile of the engine at its learned speed.
+    fn profile<'a>(&self, profile: &'a EngineProfile) -> Cow<'a, EngineProfile> {
+        if self.slowdown.is_slow() {
+            Cow::Owned(self.slowdown.apply(profile))
+        } else {
+            Cow::Borrowed(profile)
+        }
+    }
 }
 
 /// A call with a prompt, as the choice of an engine needs it.
@@ -140,7 +155,7 @@
     let choices = candidates.iter().enumerate().map(|(index, candidate)| {
         let load = &candidate.load;
         let prediction = load.predict(
-            request.profile,
+            &candidate.profile(request.profile),
             request.prompt_tokens,
             request.output_tokens,
             1,
@@ -192,7 +207,9 @@
     let predictions: Vec<_> = members
         .iter()
         .map(|index| {
-            let load = &candidates[*index].load;
+            let candidate = &candidates[*index];
+            let load = &candidate.load;
+            let profile = &candidate.profile(profile);
             let parts_len = members.len();
             (
                 *index,
@@ -299,10 +316,20 @@
 }
 
 /// Chooses an upstream of a service without engines: the least loaded one, where recent failures
-/// count as load, and in the daemon's own failure domain if equal.
+/// count as load, and in the daemon's own failure domain if equal. A slow upstream gets the share of work that it
+/// does in the same time as the others.
 pub fn choose_plain(candidates: &[Candidate]) -> Option<usize> {
+    let any_slow = candidates
+        .iter()
+        .any(|candidate| candidate.slowdown.is_slow());
     let key = |candidate: &Candidate| {
-        let load = candidate.requests_len as f64 / f64::from(candidate.slots_len.max(1));
+        let slots_len = f64::from(candidate.slots_len.max(1));
+        let load = if any_slow {
+            // The time to wait and to be served, in rounds of an upstream at the expected speed.
+            (candidate.requests_len + 1) as f64 / slots_len * candidate.slowdown.get()
+        } else {
+            candidate.requests_len as f64 / slots_len
+        };
         load + FAILURE_COST * candidate.health.failure_ratio
     };
     let best = candidates.iter().enumerate().min_by(|(_, a), (_, b)| {
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -15,6 +15,7 @@
     fleet::Fleet,
     ids::{CallId, CatalogVersion, FailureDomain, Fingerprint, SendId, StoreEra, UpstreamId, VmId},
     path::{LinkTable, RelayTable},
+    speed::SpeedTable,
     units::{Millis, Time},
     watch::{Topic, TopicWatch},
 };
@@ -45,6 +46,8 @@
     pub(super) upstream: UpstreamId,
     pub(super) sent_at: Time,
     pub(super) predicted_ms: Option<f64>,
+    /// The prediction for an engine at the speed of its profile.
+    pub(super) expected_ms: Option<f64>,
     /// Helper engines that prefill parts of the prompt.
     pub(super) helpers: Vec<UpstreamId>,
     /// Whether the upstream has been silent for long enough that the link is checked.
@@ -143,6 +146,7 @@
     pub(super) backoff: BackoffTable,
     pub(super) rate_limits: RateLimitTable,
     pub(super) slow_start: SlowStartLimiter,
+    pub(super) speeds: SpeedTable,
     pub(super) links: LinkTable,
     pub(super) relays: RelayTable,
     pub(super) budget: RetryBudget,
@@ -181,6 +185,7 @@
             backoff: BackoffTable::default(),
             rate_limits: RateLimitTable::default(),
             slow_start: SlowStartLimiter::default(),
+            speeds: SpeedTable::new(settings.speeds),
             links: LinkTable::default(),
             relays: RelayTable::default(),
             budget: RetryBudget::new(
@@ -361,6 +366,7 @@
         self.progress_links(out);
         self.progress_ejection_reports(out);
         self.place_waiting(out);
+        self.report_speeds(out);
         self.progress_outbox(out);
         self.progress_shutdown(out);
         self.update_ready(out);
@@ -372,6 +378,7 @@
             settings.retry_allowance_requests,
             settings.retry_window_ms,
         );
+        self.speeds.set_settings(settings.speeds);
         self.operators.update_settings(settings.operators);
         self.upstreams.update_settings(settings.upstreams);
         let changed = self.settings != settings;
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -44,6 +44,7 @@
 mod settings;
 mod shutdown;
 mod slow_start;
+mod speeds;
 mod store_updates;
 mod token_bucket;
 mod upstream_outcome;
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -338,7 +338,11 @@
 
     fn candidate(&self, now: Time, open: &OpenCall, upstream: &Upstream) -> Candidate {
         let record = &upstream.record;
-        let load_of = |profile| self.in_flight.engine_load(now, &record.id, profile);
+        let slowdown = self.slowdown(now, open, upstream);
+        let load_of = |profile| {
+            let profile = self.profile_at_speed(now, &record.id, profile);
+            self.in_flight.engine_load(now, &record.id, &profile)
+        };
         let engine = open.service.engine.as_ref();
         Candidate {
             upstream: record.id.clone(),
@@ -349,6 +353,7 @@
             health: self.health.get(&record.id),
             same_domain: record.domain == self.domain,
             jitter_requests: self.jitter_cost(open, &record.id),
+            slowdown,
         }
     }
 }
--- a/crates/core/src/dispatch/queue_wait.rs
+++ b/crates/core/src/dispatch/queue_wait.rs
@@ -42,6 +42,7 @@
     fn engine_slots_ms(&self, now: Time, open: &OpenCall, profile: &EngineProfile) -> Vec<f64> {
         let mut slots_ms: Vec<f64> = Vec::new();
         for upstream in self.fleet.usable(&open.service.name) {
+            let profile = &self.profile_at_speed(now, &upstream.record.id, profile);
             let load = self
                 .in_flight
                 .engine_load(now, &upstream.record.id, profile);
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -4,6 +4,7 @@
 use crate::{
     ids::{CatalogVersion, FailureDomain, Fingerprint, SendId, ServiceName, UpstreamId, VmId},
     path::PathAttempts,
+    speed::SlowdownRatio,
     units::{Millis, RequestsPerSecond},
     watch::StorePosition,
 };
@@ -39,6 +40,18 @@
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "event")]
 pub enum DispatchRecord {
+    /// An upstream has begun or ceased to count as slow.
+    UpstreamSpeed {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// How much slower it is than expected.
+        #[serde_as(as = "DisplayFromStr")]
+        slowdown: SlowdownRatio,
+        /// Observed duration of the last answer, in ms.
+        observed_ms: u64,
+        /// Its expected duration, in ms.
+        expected_ms: u64,
+    },
     /// An extension message was dropped: it could not be decoded, or not be encoded.
     ExtensionDropped {
         /// The peer that sent it; none for an own message.
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -55,10 +55,14 @@
             return;
         }
         open.may_have_run = true;
+        let is_first = open.first_at.is_none();
         open.first_at.get_or_insert(out.now);
         if let Some(sending) = &mut open.sending {
             sending.is_silent = false;
         }
+        if is_first {
+            self.sample_engine(out, call);
+        }
         self.clear_fingerprints(out, call);
         let Some(open) = self.calls.get(&call) else {
             return;
@@ -191,6 +195,7 @@
             let rounds = requests_len / f64::from(slots_len);
             return open.route.target_latency_ms.get() as f64 * rounds * SILENCE_FACTOR;
         };
+        let profile = &self.profile_at_speed(now, &sending.upstream, profile);
         let load = self.in_flight.engine_load(now, &sending.upstream, profile);
         (load.backlog_ms() + load.pass_ms(profile)) * SILENCE_FACTOR
     }
@@ -223,6 +228,7 @@
         }
         if end == SendOutcome::Delivered {
             self.health.on_success(&sending.upstream);
+            self.sample_plain(out, call, &sending);
             return self.finish(out, call, &sending, None);
         }
         if self.is_answer_of_plain_upstream(call, &end) {
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -56,6 +56,7 @@
         let Some(open) = self.calls.get_mut(&id) else {
             return;
         };
+        let slowdown = self.speeds.engine_slowdown(out.now, &placement.upstream);
         open.tries_count += 1;
         open.excluded.push(placement.upstream.clone());
         open.sending = Some(Sending {
@@ -63,6 +64,7 @@
             upstream: placement.upstream.clone(),
             sent_at: out.now,
             predicted_ms: placement.predicted_ms,
+            expected_ms: placement.predicted_ms.map(|ms| ms / slowdown.get()),
             helpers: placement
                 .helpers
                 .iter()
--- a/crates/core/src/dispatch/settings.rs
+++ b/crates/core/src/dispatch/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the dispatcher.
 
 use crate::{
+    speed::{RawSpeedSettings, SpeedSettings},
     units::{Millis, RangeCheck, RangeError},
     watch::WatchSettings,
 };
@@ -52,6 +53,8 @@
     pub upstreams_pause_ms: u64,
     /// Timeout of a call to the store.
     pub store_timeout_ms: u64,
+    /// Learned speeds of upstreams; none to expect each at the speed of its profile.
+    pub speeds: Option<RawSpeedSettings>,
 }
 
 impl Default for RawDispatchSettings {
@@ -67,6 +70,7 @@
             operators_wait_ms: 800,
             upstreams_pause_ms: 1_000,
             store_timeout_ms: 1_000,
+            speeds: None,
         }
     }
 }
@@ -88,6 +92,8 @@
     pub retry_window_ms: Millis,
     /// Time from the request to stop until the process exits.
     pub grace_ms: Millis,
+    /// Learned speeds of upstreams.
+    pub speeds: Option<SpeedSettings>,
     /// How the daemon watches operators' writes.
     pub operators: WatchSettings,
     /// How the daemon watches the list of upstreams.
@@ -124,6 +130,7 @@
             retry_percent: check.number("retry_ratio", (raw.retry_ratio * 100.0) as u32, 0, 100)?,
             retry_allowance_requests: raw.retry_allowance_requests as u32,
             retry_window_ms: span("retry_window_s", (raw.retry_window_s * 1e3) as u64)?,
+            speeds: raw.speeds.map(SpeedSettings::try_from).transpose()?,
             grace_ms: span("grace_s", (raw.grace_s * 1e3) as u64)?,
             operators: WatchSettings {
                 wait_ms: check.span("operators_wait_ms", raw.operators_wait_ms, 1, poll_max_ms)?,
--- a/crates/core/src/dispatch/store_updates.rs
+++ b/crates/core/src/dispatch/store_updates.rs
@@ -308,6 +308,7 @@
     ) {
         self.health.forget(upstream);
         self.slow_start.forget(upstream);
+        self.speeds.forget(upstream);
         self.backoff.forget(upstream);
         self.rate_limits.forget(upstream);
         self.links.forget(upstream);
--- a/crates/core/tests/common/dispatch/mod.rs
+++ b/crates/core/tests/common/dispatch/mod.rs
@@ -11,8 +11,9 @@
         ApiKey, CallKind, CallerLimits, EngineProfile, KeyHolder, RawCatalog, Route, Service,
         Target,
     },
+    dispatch::Call,
     fleet::UpstreamRecord,
-    ids::{CatalogVersion, StoreEra, StoreVersion},
+    ids::{CallId, CatalogVersion, Fingerprint, StoreEra, StoreVersion},
     path::{PathAttempt, PathAttempts, PathEnd, PathPlan},
     units::{Millis, Tokens},
     watch::{Batch, Change, StorePosition},
@@ -154,6 +155,22 @@
     }
 }
 
+/// A call to a plain service.
+pub(crate) fn plain_call(route: &str, number: u64) -> Call {
+    Call {
+        id: CallId::new(number),
+        request_id: format!("request-{number}").into(),
+        host: "cells.example".into(),
+        path: format!("/{route}/x"),
+        key: Some(ApiKey::from(KEY)),
+        deadline_ms: Some(ms(1_500)),
+        prompt: None,
+        fingerprints: Vec::new(),
+        content: Fingerprint::new(number),
+        age_ms: Millis::ZERO,
+    }
+}
+
 pub(crate) fn upstream_list(engines_len: u16, plain_len: u16) -> Vec<Change> {
     let engines = (1..=engines_len).map(|number| upstream(ENGINES, number));
     let plain = (1..=plain_len).map(|number| upstream(PLAIN, 100 + number));
--- a/crates/core/tests/common/dispatch/node.rs
+++ b/crates/core/tests/common/dispatch/node.rs
@@ -40,7 +40,16 @@
 
     /// A daemon on this VM without a catalog or upstreams.
     pub(crate) fn named(vm: &str) -> Self {
-        let settings = DispatchSettings::try_from(RawDispatchSettings::default()).unwrap();
+        Self::on(vm, RawDispatchSettings::default())
+    }
+
+    /// A daemon with these settings, without a catalog or upstreams.
+    pub(crate) fn with_settings(raw: RawDispatchSettings) -> Self {
+        Self::on("vm-0", raw)
+    }
+
+    fn on(vm: &str, raw: RawDispatchSettings) -> Self {
+        let settings = DispatchSettings::try_from(raw).unwrap();
         Self {
             dispatcher: Dispatcher::new(settings, id(vm), id("a")),
             now: Time::START,
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -88,6 +88,7 @@
             DispatchRecord::UpstreamRateLimit { reported_by, .. } => {
                 self.count_notice("rate_limit", reported_by.is_some());
             }
+            DispatchRecord::UpstreamSpeed { .. } => self.count_notice("speed", false),
             DispatchRecord::UpstreamCrashed { .. } => {
                 self.increment(Metric::UPSTREAM_CRASHES, &[]);
             }
