Shares of capacity by workspace: tables, decisions and hooks in dispatch

Each daemon keeps decayed work by service and workspace, adds what peers report every 200 ms, and holds back calls of a workspace over its max-min fair share while others have unserved calls that are at least as urgent. Off without the settings section.

--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -140,7 +140,10 @@
         reason: RefusalReason,
     ) -> Option<Millis> {
         match reason {
-            RefusalReason::NoCapacity => Some(self.capacity_retry_after_ms(now, open)),
+            RefusalReason::NoCapacity => Some(
+                self.capacity_retry_after_ms(now, open)
+                    .max(self.share_wait_ms(now, open)),
+            ),
             RefusalReason::NoCatalog | RefusalReason::KnowledgeTooOld => Some(START_RETRY_MS),
             RefusalReason::Stopping => Some(Millis::ZERO),
             RefusalReason::UpstreamsRefused => {
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -15,6 +15,7 @@
     fleet::Fleet,
     ids::{CallId, CatalogVersion, FailureDomain, Fingerprint, SendId, StoreEra, UpstreamId, VmId},
     path::{LinkTable, RelayTable},
+    sharing::{SentWorkTable, ShareTable},
     units::{Millis, Time},
     watch::{Topic, TopicWatch},
 };
@@ -153,6 +154,9 @@
     pub(super) ejection_reports: EjectionReports,
     pub(super) quarantine: Quarantine,
     pub(super) outbox: Outbox,
+    /// Work of workspaces, if their shares are used.
+    pub(super) sharing: Option<ShareTable>,
+    pub(super) sent_work: SentWorkTable,
     pub(super) calls: BTreeMap<CallId, OpenCall>,
     pub(super) waiting: VecDeque<CallId>,
     pub(super) peers: BTreeMap<VmId, u32>,
@@ -195,6 +199,8 @@
             ejection_reports: EjectionReports::default(),
             quarantine: Quarantine::default(),
             outbox: Outbox::default(),
+            sharing: settings.sharing.clone().map(ShareTable::new),
+            sent_work: SentWorkTable::default(),
             calls: BTreeMap::new(),
             waiting: VecDeque::new(),
             peers: BTreeMap::new(),
@@ -374,6 +380,7 @@
         );
         self.operators.update_settings(settings.operators);
         self.upstreams.update_settings(settings.upstreams);
+        self.update_sharing(settings.sharing.clone());
         let changed = self.settings != settings;
         self.settings = settings;
         out.log(DispatchRecord::Reloaded { changed });
@@ -389,6 +396,7 @@
     ) {
         self.release(out, call);
         let Some(send) = send else { return };
+        self.settle_sent_work(out.now, send);
         if self.in_flight.end(out.now, InFlightId::own(send)) {
             self.notify_batched(out.now, DispatchMessage::Ended(send));
         }
--- a/crates/core/src/dispatch/extension_peers.rs
+++ b/crates/core/src/dispatch/extension_peers.rs
@@ -79,6 +79,9 @@
                 let kinds = kinds.into_iter().collect();
                 self.extension_peers.kinds.insert(vm.clone(), kinds);
             }
+            Ok(ExtensionMessage::WorkspaceWork(reports)) => {
+                self.on_workspace_work(out.now, reports);
+            }
             Err(error) => out.log(DispatchRecord::ExtensionDropped {
                 member: Some(vm.clone()),
                 error: error.to_string(),
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -47,6 +47,7 @@
 mod store_updates;
 mod token_bucket;
 mod upstream_outcome;
+mod workspace_shares;
 
 pub use action::DispatchAction;
 pub use backoff::BackoffTable;
--- a/crates/core/src/dispatch/outbox.rs
+++ b/crates/core/src/dispatch/outbox.rs
@@ -28,6 +28,11 @@
     pub(super) const fn due_at(&self) -> Option<Time> {
         self.due_at
     }
+
+    /// Sends the batch at this time at the latest.
+    pub(super) fn set_due(&mut self, at: Time) {
+        self.due_at = Some(self.due_at.map_or(at, |due_at| due_at.min(at)));
+    }
 }
 
 impl Dispatcher {
@@ -44,21 +49,15 @@
 
     fn push_message(&mut self, at: Time, message: DispatchMessage) {
         self.outbox.messages.push(message);
-        self.set_outbox_due(at);
-    }
-
-    fn set_outbox_due(&mut self, at: Time) {
-        let due_at = self.outbox.due_at.map_or(at, |due_at| due_at.min(at));
-        self.outbox.due_at = Some(due_at);
+        self.outbox.set_due(at);
     }
 
     /// Queues a message of a kind that not all builds know for the next batch.
-    #[expect(dead_code, reason = "no component reports to peers yet")]
     pub(super) fn notify_extension(&mut self, out: &mut Out<'_>, message: &ExtensionMessage) {
         match ExtensionFrame::try_from(message) {
             Ok(frame) => {
                 self.outbox.extensions.push(frame);
-                self.set_outbox_due(out.now + BATCH_DELAY_MS);
+                self.outbox.set_due(out.now + BATCH_DELAY_MS);
             }
             Err(error) => out.log(DispatchRecord::ExtensionDropped {
                 member: None,
@@ -70,7 +69,9 @@
     /// Sends the batch if it is due.
     pub(super) fn progress_outbox(&mut self, out: &mut Out<'_>) {
         if self.outbox.due_at.is_some_and(|due_at| due_at <= out.now) {
+            self.report_workspace_work(out);
             self.flush_outbox(out);
+            self.schedule_work_report(out.now);
         }
     }
 
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -78,6 +78,13 @@
         if self.yields_slots(out.now, open) {
             return self.give_up(out, id, RefusalReason::NoCapacity);
         }
+        if let Some(over) = self.over_share(out.now, open) {
+            return if self.may_wait_for_share(out, open, over) {
+                self.enqueue(out, id)
+            } else {
+                self.give_up(out, id, RefusalReason::NoCapacity)
+            };
+        }
         match self.find_placement(out.now, open) {
             Ok(placement) => self.start(out, id, placement),
             Err(RefusalReason::NoCapacity)
@@ -109,6 +116,7 @@
     }
 
     fn enqueue(&mut self, out: &mut Out<'_>, id: CallId) {
+        self.count_unserved(out.now, id);
         if !self.waiting.contains(&id) {
             self.waiting.push_back(id);
         }
@@ -134,7 +142,7 @@
                 .get(id)
                 .is_some_and(|open| open.sending.is_none() && open.reserving.is_none())
         });
-        waiting.sort_by_key(|id| {
+        waiting.sort_by_cached_key(|id| {
             self.calls
                 .get(id)
                 .map(|open| self.queue_order(out.now, open))
--- a/crates/core/src/dispatch/queue_order.rs
+++ b/crates/core/src/dispatch/queue_order.rs
@@ -22,11 +22,12 @@
 const FIRST_EVENT_PASSES: f64 = 2.0;
 
 /// Sort key of a queued call; the lowest goes first.
-pub(super) type QueueOrder = (u8, bool, Time, Reverse<Time>);
+pub(super) type QueueOrder = (u8, bool, bool, Time, Reverse<Time>);
 
 impl Dispatcher {
-    /// Sort key of a queued call: by priority, then calls that can still be on time by their deadline for
-    /// that, then late calls with the newest first, as it has the most time left.
+    /// Sort key of a queued call: by priority, then those of workspaces within their share, then calls that
+    /// can still be on time by their deadline for that, then late calls with the newest first, as it has the
+    /// most time left.
     pub(super) fn queue_order(&self, now: Time, open: &OpenCall) -> QueueOrder {
         let late = !can_be_on_time(now, open);
         let deadline = if late {
@@ -34,7 +35,9 @@
         } else {
             open.on_time_deadline()
         };
-        (open.priority(), late, deadline, Reverse(open.arrived_at))
+        let is_over_share = self.over_share(now, open).is_some();
+        let arrived_at = Reverse(open.arrived_at);
+        (open.priority(), is_over_share, late, deadline, arrived_at)
     }
 
     /// Whether a call leaves the free slots to others, because it is already late and the arrivals to
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -4,6 +4,7 @@
 use crate::{
     ids::{CatalogVersion, FailureDomain, Fingerprint, SendId, ServiceName, UpstreamId, VmId},
     path::PathAttempts,
+    sharing::ShareHolder,
     units::{Millis, RequestsPerSecond},
     watch::StorePosition,
 };
@@ -93,6 +94,24 @@
         /// Number of queued requests, including this one.
         waiting_len: usize,
     },
+    /// A request's workspace is over its share of a service while others lack capacity.
+    OverShare {
+        /// The request id that the caller chose.
+        request: Arc<str>,
+        /// The service.
+        service: ServiceName,
+        /// The workspace.
+        #[serde_as(as = "DisplayFromStr")]
+        holder: ShareHolder,
+        /// Decayed work that the workspace was served, over all daemons.
+        work_ms: Millis,
+        /// Decayed work that its share allows.
+        share_ms: Millis,
+        /// Time until its share allows the request.
+        wait_ms: Millis,
+        /// The next step: `wait` or `refuse`.
+        next: &'static str,
+    },
     /// A transmission ended without a complete answer.
     SendFailed {
         /// The request id that the caller chose.
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -194,6 +194,9 @@
         send: SendId,
         end: SendOutcome,
     ) {
+        if !end.may_have_run() {
+            self.refund_sent_work(out.now, send);
+        }
         self.end_transmission(out, call, Some(send));
         let Some(open) = self.calls.get_mut(&call) else {
             return;
@@ -321,6 +324,9 @@
 
     /// Ends a call without an upstream's answer.
     pub(super) fn give_up(&mut self, out: &mut Out<'_>, call: CallId, reason: RefusalReason) {
+        if reason == RefusalReason::NoCapacity {
+            self.count_unserved(out.now, call);
+        }
         let Some(open) = self.calls.remove(&call) else {
             return;
         };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod platform;
 pub mod request;
 pub mod routing;
+pub mod sharing;
 pub mod stream;
 pub mod units;
 pub mod upstream;
--- a/crates/core/tests/common/dispatch/mod.rs
+++ b/crates/core/tests/common/dispatch/mod.rs
@@ -102,16 +102,20 @@
             head_timeout_ms: ms(3_000),
             idle_timeout_ms: ms(15_000),
         },
-        keys: Some(vec![(
-            ApiKey::from(KEY),
-            KeyHolder {
-                workspace: id("line-1"),
-                priority: None,
-            },
-        )]),
+        keys: Some(vec![key(KEY, "line-1")]),
     }
 }
 
+/// A key of a workspace.
+pub(crate) fn key(key: &str, workspace: &str) -> (ApiKey, KeyHolder) {
+    let workspace = id(workspace);
+    let holder = KeyHolder {
+        workspace,
+        priority: None,
+    };
+    (ApiKey::from(key), holder)
+}
+
 pub(crate) fn upstream(service: &str, number: u16) -> UpstreamRecord {
     let slots_len = if service == PLAIN { 6 } else { 16 };
     UpstreamRecord {
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -7,7 +7,7 @@
     id, profile, upstream_list, KEY,
 };
 use persimmon_core::{
-    catalog::{ApiKey, EngineProfile},
+    catalog::{ApiKey, EngineProfile, RawCatalog},
     dispatch::{
         Call, DispatchAction, DispatchEvent, DispatchMessage, DispatchSettings, Dispatcher,
         PromptSize, RawDispatchSettings, SendOutcome, SendPlan,
@@ -88,6 +88,13 @@
     pub(crate) per_s: [f64; 3],
 }
 
+/// A workspace's key, and its arrival rates as a multiple of those of the phase.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Caller {
+    pub(crate) key: &'static str,
+    pub(crate) rate_ratio: f64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Policy {
     Dispatcher,
@@ -105,6 +112,18 @@
     pub(crate) left: u32,
 }
 
+impl Tally {
+    fn add(self, other: Self) -> Self {
+        Self {
+            asked: self.asked + other.asked,
+            on_time: self.on_time + other.on_time,
+            late: self.late + other.late,
+            refused: self.refused + other.refused,
+            left: self.left + other.left,
+        }
+    }
+}
+
 /// The results for callers.
 #[derive(Debug, PartialEq)]
 pub(crate) struct Outcome {
@@ -135,6 +154,7 @@
 
 struct Request {
     kind: usize,
+    caller: usize,
     arrived: f64,
     first: Option<f64>,
     pause: f64,
@@ -158,7 +178,9 @@
     held: Vec<(u64, usize, Topic)>,
     rng: ChaCha8Rng,
     rounds: usize,
-    tally: [Tally; 3],
+    catalog: RawCatalog,
+    callers: Vec<Caller>,
+    tallies: Vec<[Tally; 3]>,
     /// The failure domain that is cut off, and when.
     cut: Option<(FailureDomain, Range<u64>)>,
     /// Transmissions that fail, and when.
@@ -168,12 +190,39 @@
 
 impl Replay {
     pub(crate) fn new(policy: Policy, daemons_len: usize, engines_len: u16, seed: u64) -> Self {
-        let settings = DispatchSettings::try_from(RawDispatchSettings::default()).unwrap();
-        let daemon = |index| Dispatcher::new(settings, vm(index), id("a"));
-        let mut replay = Self {
+        let caller = Caller {
+            key: KEY,
+            rate_ratio: 1.0,
+        };
+        let settings = RawDispatchSettings::default();
+        let mut replay = Self::empty(policy, engines_len, seed, catalog(1), vec![caller]);
+        replay.connect_all(&settings, daemons_len, engines_len);
+        replay
+    }
+
+    /// Connected daemons with these settings, for several workspaces.
+    pub(crate) fn shared(
+        settings: &RawDispatchSettings,
+        (daemons_len, engines_len, seed): (usize, u16, u64),
+        catalog: RawCatalog,
+        callers: Vec<Caller>,
+    ) -> Self {
+        let mut replay = Self::empty(Policy::Dispatcher, engines_len, seed, catalog, callers);
+        replay.connect_all(settings, daemons_len, engines_len);
+        replay
+    }
+
+    fn empty(
+        policy: Policy,
+        engines_len: u16,
+        seed: u64,
+        catalog: RawCatalog,
+        callers: Vec<Caller>,
+    ) -> Self {
+        Self {
             policy,
             profile: profile(),
-            daemons: (0..daemons_len).map(daemon).collect(),
+            daemons: Vec::new(),
             engines: (0..engines_len).map(|_| Engine::default()).collect(),
             requests: BTreeMap::new(),
             messages: Vec::new(),
@@ -181,18 +230,30 @@
             held: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             rounds: 0,
-            tally: Default::default(),
+            tallies: vec![Default::default(); callers.len()],
+            catalog,
+            callers,
             cut: None,
             failing: Vec::new(),
             failed_sends_count: 0,
-        };
+        }
+    }
+
+    fn connect_all(&mut self, raw: &RawDispatchSettings, daemons_len: usize, engines_len: u16) {
+        let settings = DispatchSettings::try_from(raw.clone()).unwrap();
+        let daemon = |index| Dispatcher::new(settings.clone(), vm(index), id("a"));
+        self.daemons = (0..daemons_len).map(daemon).collect();
         for to in 0..daemons_len {
-            replay.learn(0, to, engines_len);
+            self.learn(0, to, engines_len);
             for from in (0..daemons_len).filter(|from| *from != to) {
-                replay.handle(0, to, DispatchEvent::PeerUp { vm: vm(from) });
+                self.handle(0, to, DispatchEvent::PeerUp { vm: vm(from) });
             }
         }
-        replay
+    }
+
+    /// What callers of a workspace got, by kind.
+    pub(crate) fn tally(&self, caller: usize) -> [Tally; 3] {
+        self.tallies[caller]
     }
 
     /// Daemons that have all restarted at once: they know the catalog and the upstreams, and connect to
@@ -206,7 +267,7 @@
         let mut replay = Self::new(Policy::Dispatcher, 0, engines_len, seed);
         let settings = DispatchSettings::try_from(RawDispatchSettings::default()).unwrap();
         for index in 0..daemons_len {
-            let daemon = Dispatcher::new(settings, vm(index), id("a"));
+            let daemon = Dispatcher::new(settings.clone(), vm(index), id("a"));
             replay.daemons.push(daemon);
             replay.learn(0, index, engines_len);
             for other in 0..index {
@@ -249,25 +310,32 @@
 
     fn outcome(&self) -> Outcome {
         let (mut owed, mut earned) = (0.0, 0.0);
-        for (kind, tally) in KINDS.iter().zip(self.tally) {
+        let kinds = [0, 1, 2].map(|kind| {
+            let tallies = self.tallies.iter().map(|kinds| kinds[kind]);
+            tallies.fold(Tally::default(), Tally::add)
+        });
+        for (kind, tally) in KINDS.iter().zip(kinds) {
             owed += f64::from(tally.asked) * kind.worth;
             earned += f64::from(tally.on_time) * kind.worth + f64::from(tally.late) * kind.late;
         }
         Outcome {
-            kinds: self.tally,
+            kinds,
             credit: earned / owed,
         }
     }
 
     fn arrivals(&mut self, now: u64, phase: &Phase) {
-        for (kind, per_s) in phase.per_s.into_iter().enumerate() {
-            if self.draw() < per_s / 1_000.0 {
-                self.arrive(now, kind);
+        for caller in 0..self.callers.len() {
+            let rate_ratio = self.callers[caller].rate_ratio;
+            for (kind, per_s) in phase.per_s.into_iter().enumerate() {
+                if self.draw() < per_s * rate_ratio / 1_000.0 {
+                    self.arrive(now, caller, kind);
+                }
             }
         }
     }
 
-    fn arrive(&mut self, now: u64, kind: usize) {
+    fn arrive(&mut self, now: u64, caller: usize, kind: usize) {
         let figures = KINDS[kind];
         let prompt = self.size(figures.mean, figures.spread).min(figures.max);
         let events = self
@@ -276,11 +344,12 @@
         let prompt = Tokens::new(prompt as u64);
         let tag = self.requests.len() as u64 + 1;
         let daemon = (self.draw() * self.daemons.len() as f64) as usize;
-        self.tally[kind].asked += 1;
+        self.tallies[caller][kind].asked += 1;
         self.requests.insert(
             tag,
             Request {
                 kind,
+                caller,
                 arrived: now as f64,
                 first: None,
                 pause: 0.0,
@@ -301,7 +370,7 @@
             request_id: format!("request-{tag}").into(),
             host: "cells.example".into(),
             path: format!("/{}/x", figures.name),
-            key: Some(ApiKey::from(KEY)),
+            key: Some(ApiKey::from(self.callers[caller].key)),
             deadline_ms: None,
             prompt: Some(PromptSize {
                 prompt_tokens: prompt,
@@ -421,7 +490,7 @@
                 continue;
             };
             request.done = true;
-            self.tally[request.kind].left += 1;
+            self.tallies[request.caller][request.kind].left += 1;
             if self.policy == Policy::Dispatcher {
                 let (daemon, call) = (request.daemon, CallId::new(tag));
                 self.handle(now, daemon, DispatchEvent::CallerLeft { call });
@@ -471,7 +540,7 @@
         request.done = true;
         let kind = KINDS[request.kind];
         let in_time = request.first.is_some_and(|first| first <= kind.target);
-        let tally = &mut self.tally[request.kind];
+        let tally = &mut self.tallies[request.caller][request.kind];
         if in_time && request.pause <= kind.pause {
             tally.on_time += 1;
         } else {
@@ -500,7 +569,7 @@
                 DispatchAction::Refuse { call, .. } => {
                     let request = self.requests.get_mut(&call.get()).unwrap();
                     request.done = true;
-                    self.tally[request.kind].refused += 1;
+                    self.tallies[request.caller][request.kind].refused += 1;
                 }
                 DispatchAction::ReadStore(call) if call.after.is_some() => {
                     self.held
@@ -553,7 +622,7 @@
 
     fn learn(&mut self, now: u64, daemon: usize, engines_len: u16) {
         self.handle(now, daemon, DispatchEvent::Tick);
-        let operators = vec![Change::Catalog(Box::new(catalog(1)))];
+        let operators = vec![Change::Catalog(Box::new(self.catalog.clone()))];
         for (topic, changes) in [
             (Topic::Operators, operators),
             (Topic::Upstreams, upstream_list(engines_len, 0)),
