--- a/crates/core/src/dispatch/workspace_shares.rs
+++ b/crates/core/src/dispatch/workspace_shares.rs
@@ -19,6 +19,10 @@
 /// peers within this time and the pause between reports.
 const WORK_REPORT_DELAY_MS: Millis = Millis::new(50);
 
+/// Longest wait in the queue for a share. It is the same for all kinds of requests: with waits in proportion
+/// to the latency target, less urgent kinds of a workspace would be served more often.
+const SHARE_WAIT_MAX_MS: Millis = Millis::new(250);
+
 impl OpenCall {
     fn share_holder(&self) -> ShareHolder {
         let workspace = self.holder.as_ref().map(|holder| holder.workspace.clone());
@@ -72,15 +76,16 @@
         sharing.over_share(now, service, &holder, open.priority(), nominal_ms_per_s)
     }
 
-    /// Whether a call over its share is queued, because its share allows it before it is late. Otherwise it is
-    /// refused at once.
+    /// Whether a call over its share is queued, because its share allows it soon. Otherwise it is refused at
+    /// once.
     pub(super) fn may_wait_for_share(
         &self,
         out: &mut Out<'_>,
         open: &OpenCall,
         over: OverShare,
     ) -> bool {
-        let queued = out.now + over.wait_ms <= open.on_time_deadline();
+        let queue_until = (open.arrived_at + SHARE_WAIT_MAX_MS).min(open.on_time_deadline());
+        let queued = out.now + over.wait_ms <= queue_until;
         if open.waiting_since.is_none() || !queued {
             out.log(DispatchRecord::OverShare {
                 request: Arc::clone(&open.call.request_id),
--- a/crates/core/src/sharing/table.rs
+++ b/crates/core/src/sharing/table.rs
@@ -21,16 +21,16 @@
 /// A holder with less work than this is forgotten when another needs its place.
 const FORGOTTEN_WORK_MS: f64 = 1.0;
 
-/// Unserved work below this is ignored: less than a plain request.
-const UNSERVED_MIN_MS: f64 = 10.0;
+/// Unserved work below this is ignored: it is what remains of a call long ago.
+const UNSERVED_MIN_MS: f64 = 1.0;
 
-/// The capacity estimate follows a rise of the work that is served within a decay time and a fall within this
-/// many, so that holding a large workspace back doesn't lower the estimate before others use what it leaves.
-const CAPACITY_FALL_FACTOR: u64 = 5;
+/// Decay time of the slow sums, as a multiple of the settings' decay time. A long prompt is counted as a whole
+/// when it is sent; without a slow sum, it would put a small workspace over its share for a second.
+const SLOW_FACTOR: u64 = 4;
 
-/// Part of the nominal capacity of a service that is always assumed. It bounds what is held back when the
-/// calls of others can't be served for another reason than a lack of capacity.
-const CAPACITY_MIN_RATIO: f64 = 0.25;
+/// Capacity that a large workspace leaves, as a multiple of the work that others have unserved. In the replay
+/// of a flood, 1 left 10 % of the small workspaces' work unserved and 3 left 7 %.
+const UNSERVED_FACTOR: f64 = 3.0;
 
 /// Shortest time that a call over its share is told to wait.
 const WAIT_MIN_MS: f64 = 50.0;
@@ -46,25 +46,46 @@
     pub wait_ms: Millis,
 }
 
-/// Work of one holder at one service.
+/// Work of one holder at one service. Slow sums are divided by [`SLOW_FACTOR`], so that a steady rate has the
+/// same value in all sums.
 #[derive(Clone, Debug, Default)]
 struct HolderWork {
     sent: DecayedWork,
-    unserved: [DecayedWork; PRIORITIES_LEN],
+    slow_sent: DecayedWork,
+    slow_unserved: [DecayedWork; PRIORITIES_LEN],
 }
 
 impl HolderWork {
+    fn add_sent(&mut self, now: Time, decay: Millis, work_ms: f64) {
+        self.sent.add_ms(now, decay, work_ms);
+        let part_ms = work_ms / SLOW_FACTOR as f64;
+        self.slow_sent.add_ms(now, slow(decay), part_ms);
+    }
+
+    fn add_unserved(&mut self, now: Time, decay: Millis, level: usize, work_ms: f64) {
+        let part_ms = work_ms / SLOW_FACTOR as f64;
+        self.slow_unserved[level].add_ms(now, slow(decay), part_ms);
+    }
+
+    /// Work that the holder was served. A burst counts when the slow sum shows it too, and no longer counts
+    /// when the fast one has decayed.
+    fn served_ms(&self, now: Time, decay: Millis) -> f64 {
+        let slow_ms = self.slow_sent.get_ms(now, slow(decay));
+        self.sent.get_ms(now, decay).min(slow_ms)
+    }
+
     /// Recent unserved work of calls that are at least as urgent as `level`. Work that found no capacity
-    /// longer ago than the decay time no longer counts: its callers have left or were served.
+    /// longer ago than the slow decay time no longer counts: its callers have left or were served.
     fn unserved_ms(&self, now: Time, decay: Millis, level: usize) -> f64 {
-        let recent = self.unserved[..=level]
+        let recent = self.slow_unserved[..=level]
             .iter()
-            .filter(|work| now.since(work.last_at()) <= decay);
-        recent.map(|work| work.get_ms(now, decay)).sum()
+            .filter(|work| now.since(work.last_at()) <= slow(decay));
+        recent.map(|work| work.get_ms(now, slow(decay))).sum()
     }
 
     fn all_ms(&self, now: Time, decay: Millis) -> f64 {
-        self.sent.get_ms(now, decay) + self.unserved_ms(now, decay, PRIORITIES_LEN - 1)
+        let unserved_ms = self.unserved_ms(now, decay, PRIORITIES_LEN - 1);
+        self.slow_sent.get_ms(now, slow(decay)) + unserved_ms
     }
 }
 
@@ -85,12 +106,7 @@
 
     fn update_capacity(&mut self, now: Time, decay: Millis) {
         let served_ms = self.sent_ms(now, decay);
-        let span = if served_ms > self.capacity_ms {
-            decay
-        } else {
-            Millis::new(decay.get() * CAPACITY_FALL_FACTOR)
-        };
-        let kept_ratio = decay_ratio(now.since(self.capacity_at), span);
+        let kept_ratio = decay_ratio(now.since(self.capacity_at), slow(decay));
         self.capacity_ms = served_ms + (self.capacity_ms - served_ms) * kept_ratio;
         self.capacity_at = now;
     }
@@ -198,10 +214,8 @@
         let decay = self.settings.decay_ms;
         if let Some(known) = self.service(service) {
             known.update_capacity(now, decay);
-            known
-                .holder(now, decay, holder)
-                .sent
-                .add_ms(now, decay, work_ms);
+            let entry = known.holder(now, decay, holder);
+            entry.add_sent(now, decay, work_ms);
         }
     }
 
@@ -216,7 +230,8 @@
         let decay = self.settings.decay_ms;
         if let Some(known) = self.service(service) {
             known.update_capacity(now, decay);
-            known.holder(now, decay, holder).unserved[level].add_ms(now, decay, work_ms);
+            let entry = known.holder(now, decay, holder);
+            entry.add_unserved(now, decay, level, work_ms);
         }
     }
 
@@ -238,8 +253,9 @@
     }
 
     /// Whether a call gives way: its holder is over its share, and other holders have unserved calls that
-    /// are at least as urgent. `nominal_ms_per_s` is the work that the service can do in a second by its
-    /// settings.
+    /// are at least as urgent. `nominal_ms_per_s` is the work that the service does in a second at least. It
+    /// bounds what is held back when calls of others can't be served for another reason than a lack of
+    /// capacity.
     pub fn over_share(
         &self,
         now: Time,
@@ -250,7 +266,7 @@
     ) -> Option<OverShare> {
         let decay = self.settings.decay_ms;
         let known = self.services.get(service)?;
-        let work_ms = known.holders.get(holder)?.sent.get_ms(now, decay);
+        let work_ms = known.holders.get(holder)?.served_ms(now, decay);
         let level = level(priority);
         let mut unserved_ms = 0.0;
         let others = known.holders.iter().filter(|(other, _)| *other != holder);
@@ -259,7 +275,7 @@
             unserved_ms += asked_ms;
             Demand {
                 weight: self.settings.weight(other),
-                demand_ms: work.sent.get_ms(now, decay) + asked_ms,
+                demand_ms: work.sent.get_ms(now, decay) + asked_ms * UNSERVED_FACTOR,
             }
         };
         let mut others: Vec<_> = others.map(demand).collect();
@@ -267,7 +283,7 @@
             return None;
         }
         let nominal_ms = nominal_ms_per_s * decay.get() as f64 / 1e3;
-        let capacity_ms = known.capacity_ms.max(nominal_ms * CAPACITY_MIN_RATIO);
+        let capacity_ms = known.capacity_ms.max(nominal_ms);
         let weight = self.settings.weight(holder);
         let share_ms = fair_allocation_ms(capacity_ms, weight, &mut others);
         (work_ms > share_ms).then(|| OverShare {
@@ -282,10 +298,13 @@
 fn wait_ms(work_ms: f64, share_ms: f64, decay: Millis) -> Millis {
     let decay_ms = decay.get() as f64;
     let wait_ms = decay_ms * (work_ms / share_ms.max(1.0)).ln();
-    // Unserved work counts for the decay time: later, the call gives way only if others ask again.
     Millis::new(wait_ms.clamp(WAIT_MIN_MS, decay_ms).ceil() as u64)
 }
 
+fn slow(decay: Millis) -> Millis {
+    Millis::new(decay.get() * SLOW_FACTOR)
+}
+
 fn level(priority: u8) -> usize {
     usize::from(priority).min(PRIORITIES_LEN - 1)
 }
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -113,7 +113,7 @@
 }
 
 impl Tally {
-    fn add(self, other: Self) -> Self {
+    pub(crate) fn add(self, other: Self) -> Self {
         Self {
             asked: self.asked + other.asked,
             on_time: self.on_time + other.on_time,
@@ -180,6 +180,8 @@
     rounds: usize,
     catalog: RawCatalog,
     callers: Vec<Caller>,
+    /// Time until the first peer has a message.
+    pub(crate) message_delay_ms: u64,
     tallies: Vec<[Tally; 3]>,
     /// The failure domain that is cut off, and when.
     cut: Option<(FailureDomain, Range<u64>)>,
@@ -233,6 +235,7 @@
             tallies: vec![Default::default(); callers.len()],
             catalog,
             callers,
+            message_delay_ms: 1,
             cut: None,
             failing: Vec::new(),
             failed_sends_count: 0,
@@ -560,7 +563,9 @@
                         addressed && *peer != daemon && self.is_connected(daemon, *peer)
                     });
                     let messages = peers.enumerate().map(|(notified_len, peer)| {
-                        let due = now + 1 + notified_len as u64 / PEERS_NOTIFIED_PER_MS;
+                        let due = now
+                            + self.message_delay_ms
+                            + notified_len as u64 / PEERS_NOTIFIED_PER_MS;
                         (due, daemon, peer, message.clone())
                     });
                     let messages: Vec<_> = messages.collect();
--- a/crates/io/src/telemetry/metric.rs
+++ b/crates/io/src/telemetry/metric.rs
@@ -172,6 +172,18 @@
         Unit::Count,
         "Connections to upstreams that this daemon passes on for its peers now",
     );
+    /// Requests of workspaces over their share.
+    pub const OVER_SHARE: Self = counter(
+        "persimmon_over_share_total",
+        Unit::Count,
+        "Requests held back because their workspace is over its share, by next step (wait, refuse)",
+    );
+    /// Workspaces whose work is counted.
+    pub const SHARE_HOLDERS: Self = gauge(
+        "persimmon_share_holders",
+        Unit::Count,
+        "Workspaces whose work is counted, over all services",
+    );
     /// Delay by which a timer of the control thread fires late.
     pub const EVENT_LOOP_DELAY: Self = histogram(
         "persimmon_event_loop_delay_seconds",
@@ -212,6 +224,8 @@
     Metric::RELAYED,
     Metric::LOST_DOMAINS,
     Metric::RELAYED_CONNECTIONS,
+    Metric::OVER_SHARE,
+    Metric::SHARE_HOLDERS,
     Metric::EVENT_LOOP_DELAY,
     Metric::EVENT_HANDLING,
     Metric::PEER_BYTES,
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -91,6 +91,9 @@
             DispatchRecord::UpstreamCrashed { .. } => {
                 self.increment(Metric::UPSTREAM_CRASHES, &[]);
             }
+            DispatchRecord::OverShare { next, .. } => {
+                self.increment(Metric::OVER_SHARE, &[("next", next)]);
+            }
             DispatchRecord::Relayed { .. } => {
                 self.increment(Metric::RELAYED, &[("role", "sent")]);
             }
@@ -135,6 +138,7 @@
         set(Metric::MEMBERS, dispatcher.members_len());
         set(Metric::LOST_DOMAINS, dispatcher.lost_domains_len());
         set(Metric::RELAYED_CONNECTIONS, dispatcher.relayed_len());
+        set(Metric::SHARE_HOLDERS, dispatcher.share_holders_len());
         self.telemetry.run_upkeep();
     }
 
