--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -15,6 +15,7 @@
     fleet::Fleet,
     ids::{CallId, CatalogVersion, FailureDomain, Fingerprint, SendId, StoreEra, UpstreamId, VmId},
     path::{LinkTable, RelayTable},
+    sharing::{SentWorkTable, ShareTable},
     speed::SpeedTable,
     units::{Millis, Time},
     watch::{Topic, TopicWatch},
@@ -157,6 +158,9 @@
     pub(super) ejection_reports: EjectionReports,
     pub(super) quarantine: Quarantine,
     pub(super) outbox: Outbox,
+    /// Work of workspaces, if their shares are used.
+    pub(super) sharing: Option<ShareTable>,
+    pub(super) sent_work: SentWorkTable,
     pub(super) calls: BTreeMap<CallId, OpenCall>,
     pub(super) waiting: VecDeque<CallId>,
     pub(super) peers: BTreeMap<VmId, u32>,
@@ -200,6 +204,8 @@
             ejection_reports: EjectionReports::default(),
             quarantine: Quarantine::default(),
             outbox: Outbox::default(),
+            sharing: settings.sharing.clone().map(ShareTable::new),
+            sent_work: SentWorkTable::default(),
             calls: BTreeMap::new(),
             waiting: VecDeque::new(),
             peers: BTreeMap::new(),
@@ -381,6 +387,7 @@
         self.speeds.set_settings(settings.speeds);
         self.operators.update_settings(settings.operators);
         self.upstreams.update_settings(settings.upstreams);
+        self.update_sharing(settings.sharing.clone());
         let changed = self.settings != settings;
         self.settings = settings;
         out.log(DispatchRecord::Reloaded { changed });
@@ -396,6 +403,7 @@
     ) {
         self.release(out, call);
         let Some(send) = send else { return };
+        self.settle_sent_work(out.now, send);
         if self.in_flight.end(out.now, InFlightId::own(send)) {
             self.notify_batched(out.now, DispatchMessage::Ended(send));
         }
--- a/crates/core/src/dispatch/extension.rs
+++ b/crates/core/src/dispatch/extension.rs
@@ -1,7 +1,7 @@
 //! Messages of kinds that builds before them do not know. A frame has the number of its kind and an encoded
 //! body, so that a daemon can skip a kind that it lacks without losing the messages beside it.
 
-use crate::speed::SpeedReport;
+use crate::{sharing::WorkReport, speed::SpeedReport};
 use bytes::Bytes;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use std::fmt;
@@ -18,11 +18,18 @@
     /// [`ExtensionMessage::Capabilities`].
     pub const CAPABILITIES: Self = Self(0);
 
+    /// [`ExtensionMessage::WorkspaceWork`].
+    pub const WORKSPACE_WORK: Self = Self(1);
+
     /// [`ExtensionMessage::UpstreamSpeeds`].
     pub const UPSTREAM_SPEEDS: Self = Self(3);
 
     /// The kinds that this build reads.
-    pub const READ: [Self; 2] = [Self::CAPABILITIES, Self::UPSTREAM_SPEEDS];
+    pub const READ: [Self; 3] = [
+        Self::CAPABILITIES,
+        Self::WORKSPACE_WORK,
+        Self::UPSTREAM_SPEEDS,
+    ];
 }
 
 impl fmt::Display for ExtensionKind {
@@ -47,6 +54,8 @@
     Capabilities(Vec<ExtensionKind>),
     /// What the sender learned of the speed of upstreams since its last report.
     UpstreamSpeeds(Vec<SpeedReport>),
+    /// Work of workspaces at services since the sender's last report.
+    WorkspaceWork(Vec<WorkReport>),
 }
 
 /// An extension message that can't be encoded or decoded.
@@ -74,6 +83,9 @@
             ExtensionMessage::UpstreamSpeeds(reports) => {
                 encode(ExtensionKind::UPSTREAM_SPEEDS, reports)
             }
+            ExtensionMessage::WorkspaceWork(reports) => {
+                encode(ExtensionKind::WORKSPACE_WORK, reports)
+            }
         }
     }
 }
@@ -89,6 +101,7 @@
                 Ok(Self::Capabilities(kinds))
             }
             ExtensionKind::UPSTREAM_SPEEDS => decode(frame).map(Self::UpstreamSpeeds),
+            ExtensionKind::WORKSPACE_WORK => Ok(Self::WorkspaceWork(decode(frame)?)),
             kind => Err(ExtensionError::UnknownKind(kind)),
         }
     }
--- a/crates/core/src/dispatch/extension_peers.rs
+++ b/crates/core/src/dispatch/extension_peers.rs
@@ -82,6 +82,9 @@
             Ok(ExtensionMessage::UpstreamSpeeds(reports)) => {
                 self.on_peer_speeds(out, vm, &reports);
             }
+            Ok(ExtensionMessage::WorkspaceWork(reports)) => {
+                self.on_workspace_work(out.now, reports);
+            }
             Err(error) => out.log(DispatchRecord::ExtensionDropped {
                 member: Some(vm.clone()),
                 error: error.to_string(),
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -48,6 +48,7 @@
 mod store_updates;
 mod token_bucket;
 mod upstream_outcome;
+mod workspace_shares;
 
 pub use action::DispatchAction;
 pub use backoff::BackoffTable;
--- a/crates/core/src/dispatch/settings.rs
+++ b/crates/core/src/dispatch/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the dispatcher.
 
 use crate::{
+    sharing::{RawSharingSettings, SharingSettings},
     speed::{RawSpeedSettings, SpeedSettings},
     units::{Millis, RangeCheck, RangeError},
     watch::WatchSettings,
@@ -30,7 +31,7 @@
 const MEMORY_IDLE_MIN_MS: u64 = 3_000;
 
 /// Settings as written in the settings file.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 pub struct RawDispatchSettings {
     /// Longest time from a key's revocation until no daemon accepts it.
@@ -55,6 +56,8 @@
     pub store_timeout_ms: u64,
     /// Learned speeds of upstreams; none to expect each at the speed of its profile.
     pub speeds: Option<RawSpeedSettings>,
+    /// Shares of workspaces; none to not use them.
+    pub sharing: Option<RawSharingSettings>,
 }
 
 impl Default for RawDispatchSettings {
@@ -71,12 +74,13 @@
             upstreams_pause_ms: 1_000,
             store_timeout_ms: 1_000,
             speeds: None,
+            sharing: None,
         }
     }
 }
 
 /// Validated settings of the dispatcher.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DispatchSettings {
     /// Longest time since the last contact with the store for which keys are accepted.
     pub key_lease_ms: Millis,
@@ -98,6 +102,8 @@
     pub operators: WatchSettings,
     /// How the daemon watches the list of upstreams.
     pub upstreams: WatchSettings,
+    /// Shares of workspaces, if they are used.
+    pub sharing: Option<SharingSettings>,
 }
 
 impl TryFrom<RawDispatchSettings> for DispatchSettings {
@@ -142,6 +148,7 @@
                 pause_ms: span("upstreams_pause_ms", raw.upstreams_pause_ms)?,
                 timeout_ms,
             },
+            sharing: raw.sharing.map(SharingSettings::try_from).transpose()?,
         })
     }
 }
--- a/crates/core/tests/upstream_speeds.rs
+++ b/crates/core/tests/upstream_speeds.rs
@@ -155,7 +155,7 @@
             ..RawDispatchSettings::default()
         };
         let settings = DispatchSettings::try_from(raw).unwrap();
-        let daemon = |index| Dispatcher::new(settings, id(&format!("vm-{index}")), id("a"));
+        let daemon = |index| Dispatcher::new(settings.clone(), id(&format!("vm-{index}")), id("a"));
         let mut fleet = Self {
             daemons: (0..daemons_len).map(daemon).collect(),
             messages: Vec::new(),
