--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -27,19 +27,23 @@
     pub(super) fn on_arrived(&mut self, out: &mut Out<'_>, mut call: Call) {
         let id = call.id;
         match self.admit(out.now, &call) {
-            Err(refusal) => self.refuse_new(out, &call, refusal),
+            Err(refusal) => self.refuse_new(out, &call, None, refusal),
             Ok(Admitted {
                 route,
                 service,
                 holder,
             }) => {
+                let fingerprint = request_fingerprint(&call, holder.as_ref());
+                if self.refuse_early_repeat(out, &call, (&route, &service), fingerprint) {
+                    return;
+                }
+                let is_returning = self.is_returning(out, &call, &service, fingerprint);
                 self.budget.on_call(out.now, &service.name);
                 let age_ms = call.age_ms;
                 let limit_ms = call
                     .deadline_ms
                     .map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
                 let arrived_at = out.now - age_ms;
-                let fingerprint = request_fingerprint(&call, holder.as_ref());
                 call.fingerprints.push(fingerprint);
                 let open = OpenCall {
                     arrived_at,
@@ -60,6 +64,7 @@
                     reserving: None,
                     groups_count: 0,
                     is_trial: false,
+                    is_returning,
                 };
                 self.calls.insert(id, open);
                 self.place_call(out, id);
@@ -110,11 +115,18 @@
         })
     }
 
-    fn refuse_new(&mut self, out: &mut Out<'_>, call: &Call, refusal: Refusal) {
+    /// Refuses a call that is not admitted.
+    pub(super) fn refuse_new(
+        &self,
+        out: &mut Out<'_>,
+        call: &Call,
+        route: Option<&Route>,
+        refusal: Refusal,
+    ) {
         out.log(DispatchRecord::Refused {
             request: Arc::clone(&call.request_id),
-            route: None,
-            class: None,
+            route: route.map(|route| route.name.clone()),
+            class: route.map(|route| route.kind.name()),
             reason: refusal.reason,
             fingerprint: None,
             may_have_run: false,
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -15,6 +15,7 @@
     fleet::Fleet,
     ids::{CallId, CatalogVersion, FailureDomain, Fingerprint, SendId, StoreEra, UpstreamId, VmId},
     path::{LinkTable, RelayTable},
+    returns::PromiseTable,
     units::{Millis, Time},
     watch::{Topic, TopicWatch},
 };
@@ -82,6 +83,8 @@
     pub(super) groups_count: u32,
     /// Whether the call tries a quarantined part of its prompt.
     pub(super) is_trial: bool,
+    /// Whether the caller returned at the time that it was promised.
+    pub(super) is_returning: bool,
 }
 
 impl OpenCall {
@@ -153,6 +156,7 @@
     pub(super) ejection_reports: EjectionReports,
     pub(super) quarantine: Quarantine,
     pub(super) outbox: Outbox,
+    pub(super) promises: PromiseTable,
     pub(super) calls: BTreeMap<CallId, OpenCall>,
     pub(super) waiting: VecDeque<CallId>,
     pub(super) peers: BTreeMap<VmId, u32>,
@@ -195,6 +199,7 @@
             ejection_reports: EjectionReports::default(),
             quarantine: Quarantine::default(),
             outbox: Outbox::default(),
+            promises: PromiseTable::default(),
             calls: BTreeMap::new(),
             waiting: VecDeque::new(),
             peers: BTreeMap::new(),
--- a/crates/core/src/dispatch/extension_peers.rs
+++ b/crates/core/src/dispatch/extension_peers.rs
@@ -78,6 +78,15 @@
             Ok(ExtensionMessage::Capabilities(kinds)) => {
                 let kinds = kinds.into_iter().collect();
                 self.extension_peers.kinds.insert(vm.clone(), kinds);
+                if self
+                    .extension_peers
+                    .reads(vm, ExtensionKind::RETRY_PROMISES)
+                {
+                    self.report_promises(out, vm);
+                }
+            }
+            Ok(ExtensionMessage::RetryPromises(reports)) => {
+                self.on_retry_promises(out.now, reports);
             }
             Err(error) => out.log(DispatchRecord::ExtensionDropped {
                 member: Some(vm.clone()),
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -39,6 +39,7 @@
 mod reservation;
 mod restore;
 mod retry;
+mod return_calls;
 mod send;
 mod send_plan;
 mod settings;
--- a/crates/core/src/dispatch/outbox.rs
+++ b/crates/core/src/dispatch/outbox.rs
@@ -15,12 +15,17 @@
 /// the request itself leave first.
 const PEERS_NOTIFIED_PER_MS: u64 = 20;
 
+/// Shortest time between two batches that are due for promised retry times. It bounds the messages of a daemon
+/// that refuses many calls.
+const PROMISES_PAUSE_MS: Millis = Millis::new(20);
+
 /// Messages to all peers that wait to be sent as one batch.
 #[derive(Debug, Default)]
 pub(super) struct Outbox {
     messages: Vec<DispatchMessage>,
     extensions: Vec<ExtensionFrame>,
     due_at: Option<Time>,
+    promises_sent_at: Time,
 }
 
 impl Outbox {
@@ -52,8 +57,14 @@
         self.outbox.due_at = Some(due_at);
     }
 
+    /// Makes the batch due early for a promised retry time: some callers repeat at once, and reach another daemon.
+    pub(super) fn flush_outbox_soon(&mut self, now: Time) {
+        let pause_ms = Millis::new(self.peers.len() as u64 / PEERS_NOTIFIED_PER_MS);
+        let next_at = self.outbox.promises_sent_at + PROMISES_PAUSE_MS;
+        self.set_outbox_due((now + pause_ms).max(next_at));
+    }
+
     /// Queues a message of a kind that not all builds know for the next batch.
-    #[expect(dead_code, reason = "no component reports to peers yet")]
     pub(super) fn notify_extension(&mut self, out: &mut Out<'_>, message: &ExtensionMessage) {
         match ExtensionFrame::try_from(message) {
             Ok(frame) => {
@@ -75,7 +86,12 @@
     }
 
     fn flush_outbox(&mut self, out: &mut Out<'_>) {
+        self.queue_promise_reports(out);
         self.outbox.due_at = None;
+        self.outbox.promises_sent_at = out.now;
+        if self.promises.has_unreported() {
+            self.flush_outbox_soon(out.now);
+        }
         let mut messages = std::mem::take(&mut self.outbox.messages);
         let extensions = std::mem::take(&mut self.outbox.extensions);
         if self.peers.is_empty() {
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -75,10 +75,10 @@
         if self.fleet.usable(&open.service.name).next().is_none() {
             return self.give_up(out, id, RefusalReason::NoUpstream);
         }
-        if self.yields_slots(out.now, open) {
+        if !open.is_returning && self.yields_slots(out.now, open) {
             return self.give_up(out, id, RefusalReason::NoCapacity);
         }
-        match self.find_placement(out.now, open) {
+        match self.find_unkept_placement(out.now, open) {
             Ok(placement) => self.start(out, id, placement),
             Err(RefusalReason::NoCapacity)
                 if self.may_queue(out.now, open, self.queue_position(id)) =>
--- a/crates/core/src/dispatch/queue_wait.rs
+++ b/crates/core/src/dispatch/queue_wait.rs
@@ -11,7 +11,7 @@
 pub(super) const DEFAULT_RETRY_AFTER_MS: Millis = Millis::new(500);
 
 /// Shortest `Retry-After` for lack of capacity: queued calls take the slots that become free next.
-const RETRY_AFTER_MIN_MS: Millis = Millis::new(100);
+pub(super) const RETRY_AFTER_MIN_MS: Millis = Millis::new(100);
 
 /// Longest wait as a share of the call's remaining time, so that another daemon's upstreams can
 /// still serve the caller afterwards.
@@ -39,7 +39,12 @@
     }
 
     /// Times in ms until slots of the service's engines become free.
-    fn engine_slots_ms(&self, now: Time, open: &OpenCall, profile: &EngineProfile) -> Vec<f64> {
+    pub(super) fn engine_slots_ms(
+        &self,
+        now: Time,
+        open: &OpenCall,
+        profile: &EngineProfile,
+    ) -> Vec<f64> {
         let mut slots_ms: Vec<f64> = Vec::new();
         for upstream in self.fleet.usable(&open.service.name) {
             let load = self
@@ -57,7 +62,7 @@
     }
 
     /// Times in ms until plain upstreams take requests again; none if one does now.
-    fn held_slots_ms(&self, now: Time, open: &OpenCall) -> Option<Vec<f64>> {
+    pub(super) fn held_slots_ms(&self, now: Time, open: &OpenCall) -> Option<Vec<f64>> {
         let mut slots_ms = Vec::new();
         for upstream in self.fleet.usable(&open.service.name) {
             if self.hold_ms(now, upstream, 0) <= 0.0 {
@@ -106,8 +111,12 @@
         let limit_ms = (left_ms * WAIT_MAX_RATIO).min(target_ms * WAIT_MAX_TARGET_FACTOR);
         let waited_ms = open.waiting_since.map_or(0, |since| now.since(since).get()) as f64;
         let predicted_wait_ms = self
-            .predicted_wait_ms(now, open, queue_position)
+            .wait_beside_returns_ms(now, open, queue_position)
+            .or_else(|| self.predicted_wait_ms(now, open, queue_position))
             .unwrap_or_default();
+        if let Some(may_queue) = self.may_queue_with_returns(now, open, predicted_wait_ms) {
+            return may_queue;
+        }
         waited_ms + predicted_wait_ms < limit_ms
     }
 
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -152,6 +152,31 @@
         /// Age of the request.
         age_ms: Millis,
     },
+    /// A caller that is refused for lack of capacity is told when to return.
+    ReturnPromised {
+        /// The request id that the caller chose.
+        request: Arc<str>,
+        /// What the request has in common with its repeats.
+        fingerprint: Fingerprint,
+        /// The service.
+        service: ServiceName,
+        /// `Retry-After` for the caller.
+        retry_after_ms: Millis,
+        /// Whether a slot is kept for it. Otherwise it would not honour the time, or could not be served then.
+        keeps_slot: bool,
+        /// Whether it had returned at a promised time before.
+        is_again: bool,
+    },
+    /// A caller that was refused for lack of capacity has returned.
+    Returned {
+        /// The request id that the caller chose.
+        request: Arc<str>,
+        /// What the request has in common with the refused one.
+        fingerprint: Fingerprint,
+        /// Time until it may return, if it is early and refused for that.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        early_ms: Option<Millis>,
+    },
     /// A request ended with the answer of an upstream.
     Answered {
         /// The request id that the caller chose.
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -332,7 +332,7 @@
             retry_after_ms: if may_have_run {
                 None
             } else {
-                self.retry_after_ms(out.now, &open, reason)
+                self.refusal_retry_ms(out, &open, reason)
             },
         };
         out.log(DispatchRecord::Refused {
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -57,6 +57,7 @@
             return;
         };
         open.tries_count += 1;
+        let fingerprint = open.fingerprint;
         open.excluded.push(placement.upstream.clone());
         open.sending = Some(Sending {
             send,
@@ -77,6 +78,7 @@
         if reports_first_event {
             entry.first_due_at = None;
         }
+        self.end_promise(out.now, fingerprint);
         self.log_sent(out, id, send, &placement);
         out.act(DispatchAction::Send(Box::new(plan)));
         let report = in_flight_report(out.now, send, &entry, placement.helpers.clone());
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod plan;
 pub mod platform;
 pub mod request;
+pub mod returns;
 pub mod routing;
 pub mod stream;
 pub mod units;
--- a/crates/core/tests/common/dispatch/mod.rs
+++ b/crates/core/tests/common/dispatch/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod callers;
 pub(crate) mod engine;
 pub(crate) mod node;
 pub(crate) mod replay;
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -2,9 +2,11 @@
 //! policies. It runs in virtual time and is deterministic for a seed.
 
 use super::{
-    attempts, batch, catalog,
+    attempts, batch,
+    callers::{Attempt, Callers, Refused, ReturnTally},
+    catalog,
     engine::{Engine, Job, Progress},
-    id, profile, upstream_list, KEY,
+    id, profile, upstream_list, ENGINES, KEY,
 };
 use persimmon_core::{
     catalog::{ApiKey, EngineProfile},
@@ -30,6 +32,7 @@
         mean: 4_960.0,
         spread: 0.9,
         max: 23_800.0,
+        timeout_ms: 10_000,
         events: 33.0,
         target: 300.0,
         pause: 250.0,
@@ -41,6 +44,7 @@
         mean: 45_000.0,
         spread: 0.5,
         max: 110_000.0,
+        timeout_ms: 10_000,
         events: 20.0,
         target: 1_500.0,
         pause: 600.0,
@@ -52,6 +56,7 @@
         mean: 154_000.0,
         spread: 0.55,
         max: 280_000.0,
+        timeout_ms: 15_000,
         events: 16.0,
         target: 3_000.0,
         pause: 1_000.0,
@@ -74,6 +79,7 @@
     pub(crate) mean: f64,
     pub(crate) spread: f64,
     pub(crate) max: f64,
+    pub(crate) timeout_ms: u64,
     pub(crate) events: f64,
     pub(crate) target: f64,
     pub(crate) pause: f64,
@@ -144,6 +150,8 @@
     engine: usize,
     prompt: Tokens,
     events: u32,
+    attempt: Attempt,
+    deadline_at: u64,
 }
 
 pub(crate) struct Replay {
@@ -164,11 +172,25 @@
     /// Transmissions that fail, and when.
     failing: Vec<(u64, usize, SendPlan)>,
     failed_sends_count: usize,
+    /// What refused callers do.
+    callers: Callers,
 }
 
 impl Replay {
     pub(crate) fn new(policy: Policy, daemons_len: usize, engines_len: u16, seed: u64) -> Self {
-        let settings = DispatchSettings::try_from(RawDispatchSettings::default()).unwrap();
+        let raw = RawDispatchSettings::default();
+        Self::with_settings(policy, daemons_len, engines_len, seed, raw)
+    }
+
+    /// Daemons with these settings.
+    pub(crate) fn with_settings(
+        policy: Policy,
+        daemons_len: usize,
+        engines_len: u16,
+        seed: u64,
+        raw: RawDispatchSettings,
+    ) -> Self {
+        let settings = DispatchSettings::try_from(raw).unwrap();
         let daemon = |index| Dispatcher::new(settings, vm(index), id("a"));
         let mut replay = Self {
             policy,
@@ -185,6 +207,7 @@
             cut: None,
             failing: Vec::new(),
             failed_sends_count: 0,
+            callers: Callers::default(),
         };
         for to in 0..daemons_len {
             replay.learn(0, to, engines_len);
@@ -218,6 +241,16 @@
         replay
     }
 
+    /// Lets refused callers return when told to. Some of them also repeat at once, three times as often.
+    pub(crate) fn let_callers_return(&mut self, impatient_ratio: f64) {
+        self.callers.impatient_ratio = Some(impatient_ratio);
+    }
+
+    /// What refused callers met with.
+    pub(crate) fn return_tally(&self) -> ReturnTally {
+        self.callers.tally
+    }
+
     /// Cuts a failure domain off for a time: connections to its engines fail.
     pub(crate) fn cut_domain(&mut self, domain: &str, from: u64, until: u64) {
         self.cut = Some((id(domain), from..until));
@@ -240,7 +273,9 @@
             }
         }
         let end = now + 20_000;
-        while now < end && self.requests.values().any(|request| !request.done) {
+        while now < end
+            && (self.callers.has_due() || self.requests.values().any(|request| !request.done))
+        {
             self.step(now);
             now += 1;
         }
@@ -277,21 +312,28 @@
         let tag = self.requests.len() as u64 + 1;
         let daemon = (self.draw() * self.daemons.len() as f64) as usize;
         self.tally[kind].asked += 1;
-        self.requests.insert(
-            tag,
-            Request {
-                kind,
-                arrived: now as f64,
-                first: None,
-                pause: 0.0,
-                done: false,
-                sent: None,
-                daemon,
-                engine: 0,
-                prompt,
-                events,
-            },
-        );
+        let request = Request {
+            kind,
+            arrived: now as f64,
+            first: None,
+            pause: 0.0,
+            done: false,
+            sent: None,
+            daemon,
+            engine: 0,
+            prompt,
+            events,
+            attempt: Attempt::first(tag),
+            deadline_at: now + figures.timeout_ms,
+        };
+        self.ask(now, tag, request);
+    }
+
+    fn ask(&mut self, now: u64, tag: u64, request: Request) {
+        let (daemon, prompt, events) = (request.daemon, request.prompt, request.events);
+        let (figures, content) = (KINDS[request.kind], request.attempt.content);
+        let deadline_ms = Millis::new(request.deadline_at - now);
+        self.requests.insert(tag, request);
         if self.policy != Policy::Dispatcher {
             let engine = self.simple_policy();
             return self.run(tag, engine, &[]);
@@ -302,18 +344,75 @@
             host: "cells.example".into(),
             path: format!("/{}/x", figures.name),
             key: Some(ApiKey::from(KEY)),
-            deadline_ms: None,
+            deadline_ms: Some(deadline_ms),
             prompt: Some(PromptSize {
                 prompt_tokens: prompt,
                 output_tokens: Tokens::new(u64::from(events) * 51),
             }),
             fingerprints: Vec::new(),
-            content: Fingerprint::new(tag),
+            content: Fingerprint::new(content),
             age_ms: Millis::ZERO,
         }));
         self.handle(now, daemon, event);
     }
 
+    /// Sends the requests of refused callers that repeat them now.
+    fn repeats(&mut self, now: u64) {
+        for repeat in self.callers.take_due(now) {
+            let request = &self.requests[&repeat.last];
+            if request.deadline_at <= now || !self.callers.is_refused(repeat.attempt.content) {
+                continue;
+            }
+            let request = Request {
+                arrived: now as f64,
+                first: None,
+                pause: 0.0,
+                done: false,
+                sent: None,
+                daemon: 0,
+                engine: 0,
+                attempt: repeat.attempt,
+                ..*request
+            };
+            let daemon = (self.draw() * self.daemons.len() as f64) as usize;
+            let tag = self.requests.len() as u64 + 1;
+            self.callers.on_asked(repeat.attempt.content);
+            self.ask(now, tag, Request { daemon, ..request });
+        }
+    }
+
+    fn on_refused(&mut self, now: u64, daemon: usize, tag: u64, retry_ms: Option<Millis>) {
+        let request = self.requests.get_mut(&tag).unwrap();
+        request.done = true;
+        let (kind, attempt) = (request.kind, request.attempt);
+        let refused = Refused {
+            tag,
+            attempt,
+            left_ms: request.deadline_at.saturating_sub(now),
+            retry_ms: retry_ms.map(Millis::get),
+            spare_slots_len: self.spare_slots_len(now, daemon),
+        };
+        let drawn = if self.callers.impatient_ratio.is_some() {
+            self.draw()
+        } else {
+            0.0
+        };
+        let gives_up = self.callers.on_refused(now, drawn, refused);
+        self.tally[kind].refused += u32::from(gives_up);
+    }
+
+    /// Free slots that are kept for nobody, as a daemon knows them.
+    fn spare_slots_len(&self, now: u64, daemon: usize) -> usize {
+        let daemon = &self.daemons[daemon];
+        let free_len = |number: u16| {
+            let upstream = id(&format!("{ENGINES}-{number}"));
+            let slots_len = self.profile.slots_len as usize;
+            slots_len.saturating_sub(daemon.in_flight().requests_len(&upstream))
+        };
+        let free_len: usize = (1..=self.engines.len() as u16).map(free_len).sum();
+        free_len.saturating_sub(daemon.kept_slots_total_len(Time::from_ms(now)))
+    }
+
     fn simple_policy(&mut self) -> usize {
         self.rounds += 1;
         let rounds = self.rounds;
@@ -370,6 +469,7 @@
     fn step(&mut self, now: u64) {
         self.connect(now);
         self.fail_sends(now);
+        self.repeats(now);
         let messages = std::mem::take(&mut self.messages);
         let (due, later): (Vec<_>, Vec<_>) = messages.into_iter().partition(|(at, ..)| *at <= now);
         self.messages = later;
@@ -497,10 +597,8 @@
                     let messages: Vec<_> = messages.collect();
                     self.messages.extend(messages);
                 }
-                DispatchAction::Refuse { call, .. } => {
-                    let request = self.requests.get_mut(&call.get()).unwrap();
-                    request.done = true;
-                    self.tally[request.kind].refused += 1;
+                DispatchAction::Refuse { call, refusal } => {
+                    self.on_refused(now, daemon, call.get(), refusal.retry_after_ms);
                 }
                 DispatchAction::ReadStore(call) if call.after.is_some() => {
                     self.held
