--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -75,7 +75,7 @@
         if self.fleet.usable(&open.service.name).next().is_none() {
             return self.give_up(out, id, RefusalReason::NoUpstream);
         }
-        if !open.is_returning && self.yields_slots(out.now, open) {
+        if !self.has_promise_due(out.now, open) && self.yields_slots(out.now, open) {
             return self.give_up(out, id, RefusalReason::NoCapacity);
         }
         match self.find_unkept_placement(out.now, open) {
--- a/crates/core/src/dispatch/return_calls.rs
+++ b/crates/core/src/dispatch/return_calls.rs
@@ -103,11 +103,24 @@
         self.find_placement(now, open)
     }
 
+    /// Whether a call has a slot kept for it: its caller returned when told to, or came earlier and has waited until
+    /// then.
+    pub(super) fn has_promise_due(&self, now: Time, open: &OpenCall) -> bool {
+        let is_due = |settings| {
+            let service = &open.service.name;
+            let judged = self
+                .promises
+                .judge(now, &settings, open.fingerprint, service);
+            judged == Arrival::Returned
+        };
+        open.is_returning || self.settings.returns.is_some_and(is_due)
+    }
+
     fn leaves_kept_slots(&self, now: Time, open: &OpenCall) -> bool {
         let Some(settings) = self.settings.returns else {
             return false;
         };
-        if open.is_returning || open.tries_count > 0 {
+        if open.tries_count > 0 || self.has_promise_due(now, open) {
             return false;
         }
         let service = &open.service.name;
@@ -181,7 +194,7 @@
         if ready_ms > open.first_event_deadline().since(now).get() as f64 {
             return Some(false);
         }
-        if open.is_returning {
+        if self.has_promise_due(now, open) {
             return Some(true);
         }
         let is_in_time = ready_ms <= open.on_time_deadline().since(now).get() as f64;
@@ -201,7 +214,7 @@
         queue_position: usize,
     ) -> Option<f64> {
         let settings = self.settings.returns?;
-        let kept_len = if open.is_returning {
+        let kept_len = if self.has_promise_due(now, open) {
             0
         } else {
             self.kept_slots_len(now, &settings, &open.service.name, open.priority())
@@ -282,6 +295,7 @@
         if let Arrival::Early(early_ms) = self.promises.judge(now, settings, fingerprint, service) {
             return early_ms;
         }
+        let is_again = self.has_promise_due(now, open);
         let choice = self.retry_choice(now, open, settings);
         let (retry_ms, keeps_slot) = match choice {
             Some(RetryChoice::Promise(ms)) => (ms, true),
@@ -303,7 +317,7 @@
             service: service.clone(),
             retry_after_ms: retry_ms,
             keeps_slot: keeps_slot && is_recorded,
-            is_again: open.is_returning,
+            is_again,
         });
         retry_ms
     }
--- a/crates/core/src/returns/schedule.rs
+++ b/crates/core/src/returns/schedule.rs
@@ -57,7 +57,8 @@
 pub enum RetryChoice {
     /// It returns at this time, and a slot is kept for it.
     Promise(Millis),
-    /// It can't be served by a return: this is when a slot is likely to be free, and none is kept.
+    /// It can't be served by a return: this is when a slot is likely to be free, and none is kept. The time is longer
+    /// than the caller honours, so that it does not return for a slot that others get.
     Hint(Millis),
 }
 
@@ -91,10 +92,10 @@
     let retry_ms = (earliest_ms + spread_ms).min(honoured_ms.max(earliest_ms));
     let is_useful =
         earliest_ms <= honoured_ms && retry_ms + request.service_ms <= request.left_ms.get() as f64;
-    let rounded = Millis::new(retry_ms as u64);
+    let retry_ms = Millis::new(retry_ms as u64);
     Some(if is_useful {
-        RetryChoice::Promise(rounded)
+        RetryChoice::Promise(retry_ms)
     } else {
-        RetryChoice::Hint(rounded)
+        RetryChoice::Hint(retry_ms.max(settings.unhonoured_ms(request.left_ms)))
     })
 }
--- a/crates/core/src/returns/settings.rs
+++ b/crates/core/src/returns/settings.rs
@@ -39,7 +39,7 @@
 impl Default for RawReturnsSettings {
     fn default() -> Self {
         Self {
-            honoured_ratio: 0.32,
+            honoured_ratio: 0.33,
             promised_ratio: 0.5,
             least_ms: 250,
             spread_ms: 250,
@@ -74,6 +74,11 @@
     pub fn honoured_ms(&self, left_ms: Millis) -> Millis {
         Millis::new(left_ms.get() * u64::from(self.honoured_percent) / 100)
     }
+
+    /// The shortest retry time that a caller with this time left certainly does not honour.
+    pub fn unhonoured_ms(&self, left_ms: Millis) -> Millis {
+        Millis::new(left_ms.get() * u64::from(self.honoured_percent + 1) / 100 + 1)
+    }
 }
 
 impl TryFrom<RawReturnsSettings> for ReturnsSettings {
