--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -328,7 +328,7 @@
         contention.is_none_or(|contention| self.may_claim(contention, &record.id, free_len))
     }
 
-    fn candidate(&self, now: Time, open: &OpenCall, upstream: &Upstream) -> Candidate {
+    pub(super) fn candidate(&self, now: Time, open: &OpenCall, upstream: &Upstream) -> Candidate {
         let record = &upstream.record;
         let load_of = |profile| self.in_flight.engine_load(now, &record.id, profile);
         let engine = open.service.engine.as_ref();
--- a/crates/core/src/dispatch/return_calls.rs
+++ b/crates/core/src/dispatch/return_calls.rs
@@ -3,12 +3,13 @@
 
 use super::{
     choose::ENGINES_PER_PROMPT_MAX_LEN,
+    choose_engine,
     contention::hash_ratio,
     dispatcher::{Dispatcher, OpenCall, Out},
     placement::Placement,
     queue_wait::{DEFAULT_RETRY_AFTER_MS, RETRY_AFTER_MIN_MS},
     Call, DispatchAction, DispatchMessage, DispatchRecord, ExtensionFrame, ExtensionMessage,
-    Refusal, RefusalReason,
+    PlacementRequest, Refusal, RefusalReason,
 };
 use crate::{
     catalog::{Route, Service},
@@ -25,6 +26,10 @@
 /// Passes of an engine from the end of a prompt's prefill to its first event.
 const FIRST_EVENT_PASSES: f64 = 1.0;
 
+/// Longest wait of a caller who returned when told to, as a share of its remaining time. One that no slot serves
+/// must not be held until its deadline.
+const RETURNED_WAIT_MAX_RATIO: f64 = 0.5;
+
 /// Requests that a plain upstream holds at most, as a multiple of its slots (see `Dispatcher::has_room`).
 const PLAIN_SLOTS_FACTOR: usize = 2;
 
@@ -56,7 +61,7 @@
 
     /// Refuses a call that repeats a refused one before the time given to that, with the same time. It is refused
     /// before placement and counts as no call, so it adds nothing to the retry budget. Returns false if it is
-    /// not such a repeat, or if a slot is free that is kept for nobody.
+    /// not such a repeat, or if a slot is free that is kept for nobody and that no queued call gets.
     pub(super) fn refuse_early_repeat(
         &self,
         out: &mut Out<'_>,
@@ -74,7 +79,7 @@
             return false;
         };
         let kept_len = self.kept_slots_len(out.now, &settings, &service.name, u8::MAX);
-        if self.waiting.is_empty() && self.free_slots_len(out.now, service) > kept_len {
+        if self.free_slots_len(out.now, service) > kept_len + self.waiting.len() {
             return false;
         }
         out.log(DispatchRecord::Returned {
@@ -180,8 +185,8 @@
     /// Whether a call that can't be placed may be queued with this predicted wait, beyond the usual limits; none if
     /// those apply.
     ///
-    /// A call that no wait can serve is refused at once. A caller who returned when told to waits as long as it
-    /// can still be served, so that it is not refused twice. A call whose retry time its caller would not honour
+    /// A call that no wait can serve is refused at once. A caller who returned when told to waits up to
+    /// half of its time, so that it is not refused twice. A call whose retry time its caller would not honour
     /// waits as long as it can be on time.
     pub(super) fn may_queue_with_returns(
         &self,
@@ -195,7 +200,9 @@
             return Some(false);
         }
         if self.has_promise_due(now, open) {
-            return Some(true);
+            let waited_ms = open.waiting_since.map_or(0, |since| now.since(since).get()) as f64;
+            let left_ms = open.left_ms(now).get() as f64;
+            return Some(waited_ms + wait_ms < (waited_ms + left_ms) * RETURNED_WAIT_MAX_RATIO);
         }
         let is_in_time = ready_ms <= open.on_time_deadline().since(now).get() as f64;
         let is_promised = || {
@@ -214,13 +221,14 @@
         queue_position: usize,
     ) -> Option<f64> {
         let settings = self.settings.returns?;
-        let kept_len = if self.has_promise_due(now, open) {
+        let before_len = if self.has_promise_due(now, open) {
             0
         } else {
-            self.kept_slots_len(now, &settings, &open.service.name, open.priority())
+            let service = &open.service.name;
+            queue_position + self.kept_slots_len(now, &settings, service, open.priority())
         };
         let forecast = SlotForecast::new(self.slots_ms(now, open));
-        forecast.time_ms((queue_position + kept_len + 1) as f64)
+        forecast.time_ms((before_len + 1) as f64)
     }
 
     /// Times in ms until slots of a call's service become free. Those of a plain service are estimated from the requests
@@ -254,7 +262,49 @@
             queued_len: self.waiting.len() * self.members_len(),
             drawn_ratio: self.drawn_ratio(open),
         };
-        choose_retry(settings, &forecast, &promised_ms, &request)
+        let choice = choose_retry(settings, &forecast, &promised_ms, &request)?;
+        Some(match choice {
+            RetryChoice::Promise(ms) if !self.a_slot_serves(now, open) => {
+                RetryChoice::Hint(ms.max(settings.unhonoured_ms(request.left_ms)))
+            }
+            choice => choice,
+        })
+    }
+
+    /// Whether a slot that becomes free would serve a call that returns. A long prompt may be refused with slots free:
+    /// for lack of memory, or because its prefill would delay too many answers.
+    fn a_slot_serves(&self, now: Time, open: &OpenCall) -> bool {
+        let (Some(profile), Some(prompt)) = (&open.service.engine, open.call.prompt) else {
+            return true;
+        };
+        let freed = |upstream: &Upstream| {
+            let mut candidate = self.candidate(now, open, upstream);
+            let load = &mut candidate.load;
+            load.prefills.clear();
+            if load.requests_len() >= profile.slots_len as usize {
+                let longest = load
+                    .decoding
+                    .iter()
+                    .enumerate()
+                    .max_by(|(_, one), (_, other)| one.decoding_ms.total_cmp(&other.decoding_ms));
+                if let Some(index) = longest.map(|(index, _)| index) {
+                    load.decoding.swap_remove(index);
+                }
+            }
+            candidate
+        };
+        let usable = self.fleet.usable(&open.service.name);
+        let candidates: Vec<_> = usable.map(freed).collect();
+        let catalog = self.catalog.as_ref();
+        let request = PlacementRequest {
+            profile,
+            prompt_tokens: prompt.prompt_tokens,
+            output_tokens: prompt.output_tokens,
+            target_ms: open.route.target_latency_ms.get() as f64,
+            left_ms: open.left_ms(now).get() as f64,
+            min_pause_target_ms: catalog.and_then(|c| c.min_pause_target_ms(&open.service.name)),
+        };
+        choose_engine(&candidates, &request).is_some()
     }
 
     /// Number from 0 to 1 that differs by daemon and call.
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -382,9 +382,14 @@
     }
 
     fn on_refused(&mut self, now: u64, daemon: usize, tag: u64, retry_ms: Option<Millis>) {
-        let spare_slots_len = self.spare_slots_len(now, daemon);
+        let mut spare_slots_len = self.spare_slots_len(now, daemon);
         let request = self.requests.get_mut(&tag).unwrap();
         request.done = true;
+        let ready_ms = self.profile.prefill_ms(request.prompt) + 2.0 * self.profile.pass_ms(0.0);
+        if now as f64 + ready_ms > request.arrived + KINDS[request.kind].target {
+            // A late call leaves free slots to the arrivals that can be on time.
+            spare_slots_len = 0;
+        }
         let (kind, attempt) = (request.kind, request.attempt);
         let refused = Refused {
             tag,
