--- a/crates/core/src/dispatch/outbox.rs
+++ b/crates/core/src/dispatch/outbox.rs
@@ -17,7 +17,7 @@
 
 /// Shortest time between two batches that are due for promised retry times. It bounds the messages of a daemon
 /// that refuses many calls.
-const PROMISES_PAUSE_MS: Millis = Millis::new(20);
+const PROMISES_PAUSE_MS: Millis = Millis::new(2);
 
 /// Messages to all peers that wait to be sent as one batch.
 #[derive(Debug, Default)]
--- a/crates/core/src/dispatch/return_calls.rs
+++ b/crates/core/src/dispatch/return_calls.rs
@@ -12,14 +12,15 @@
     PlacementRequest, Refusal, RefusalReason,
 };
 use crate::{
-    catalog::{Route, Service},
+    catalog::{EngineProfile, Route, Service},
+    engine::EngineLoad,
     fleet::Upstream,
     ids::{Fingerprint, ServiceName, VmId},
     returns::{
         choose_retry, Arrival, Promise, PromiseReports, RetryChoice, RetryRequest, ReturnsSettings,
         SlotForecast,
     },
-    units::{Millis, Time},
+    units::{Millis, Time, Tokens},
 };
 use std::sync::Arc;
 
@@ -209,7 +210,8 @@
             let choice = self.retry_choice(now, open, &settings);
             matches!(choice, Some(RetryChoice::Promise(_)))
         };
-        (is_in_time && !is_promised()).then_some(true)
+        let waits = || open.waiting_since.is_some() || !is_promised();
+        (is_in_time && waits()).then_some(true)
     }
 
     /// Predicted time in ms until a call at this queue position finds a free slot, if the component is on. Slots that
@@ -263,48 +265,43 @@
             drawn_ratio: self.drawn_ratio(open),
         };
         let choice = choose_retry(settings, &forecast, &promised_ms, &request)?;
-        Some(match choice {
-            RetryChoice::Promise(ms) if !self.a_slot_serves(now, open) => {
-                RetryChoice::Hint(ms.max(settings.unhonoured_ms(request.left_ms)))
-            }
-            choice => choice,
-        })
+        let RetryChoice::Promise(earliest_ms) = choice else {
+            return Some(choice);
+        };
+        // Any later time leaves the other promises as much room.
+        let latest_ms = settings.honoured_ms(request.left_ms).max(earliest_ms);
+        let middle_ms = Millis::new((earliest_ms.get() + latest_ms.get()) / 2);
+        let serves = |after_ms: &Millis| self.a_slot_serves(now, open, *after_ms);
+        let served_ms = [earliest_ms, middle_ms, latest_ms].into_iter().find(serves);
+        let hint_ms = settings.unhonoured_ms(request.left_ms);
+        Some(served_ms.map_or(RetryChoice::Hint(hint_ms), RetryChoice::Promise))
     }
 
-    /// Whether a slot that becomes free would serve a call that returns. A long prompt may be refused with slots free:
-    /// for lack of memory, or because its prefill would delay too many answers.
-    fn a_slot_serves(&self, now: Time, open: &OpenCall) -> bool {
+    /// Whether a slot that becomes free would serve a call that returns after this time. A long prompt may be refused
+    /// with slots free: for lack of memory, or because its prefill would delay too many answers.
+    fn a_slot_serves(&self, now: Time, open: &OpenCall, after_ms: Millis) -> bool {
         let (Some(profile), Some(prompt)) = (&open.service.engine, open.call.prompt) else {
             return true;
         };
-        let freed = |upstream: &Upstream| {
+        let after = |upstream: &Upstream| {
             let mut candidate = self.candidate(now, open, upstream);
-            let load = &mut candidate.load;
-            load.prefills.clear();
-            if load.requests_len() >= profile.slots_len as usize {
-                let longest = load
-                    .decoding
-                    .iter()
-                    .enumerate()
-                    .max_by(|(_, one), (_, other)| one.decoding_ms.total_cmp(&other.decoding_ms));
-                if let Some(index) = longest.map(|(index, _)| index) {
-                    load.decoding.swap_remove(index);
-                }
-            }
+            candidate.load = load_after(candidate.load, profile, after_ms);
             candidate
         };
         let usable = self.fleet.usable(&open.service.name);
-        let candidates: Vec<_> = usable.map(freed).collect();
+        let candidates: Vec<_> = usable.map(after).collect();
         let catalog = self.catalog.as_ref();
+        let left_ms = open.left_ms(now).saturating_sub(after_ms).get() as f64;
         let request = PlacementRequest {
             profile,
             prompt_tokens: prompt.prompt_tokens,
             output_tokens: prompt.output_tokens,
             target_ms: open.route.target_latency_ms.get() as f64,
-            left_ms: open.left_ms(now).get() as f64,
+            left_ms,
             min_pause_target_ms: catalog.and_then(|c| c.min_pause_target_ms(&open.service.name)),
         };
-        choose_engine(&candidates, &request).is_some()
+        let choice = choose_engine(&candidates, &request);
+        choice.is_some_and(|choice| choice.prediction.first_event_ms <= left_ms)
     }
 
     /// Number from 0 to 1 that differs by daemon and call.
@@ -409,6 +406,27 @@
     }
 }
 
+/// The load of an engine after a time, if its slots are filled again and one of them is free.
+fn load_after(mut load: EngineLoad, profile: &EngineProfile, after_ms: Millis) -> EngineLoad {
+    let mut spent_ms = after_ms.get() as f64;
+    for prefill in &mut load.prefills {
+        let done_ms = prefill.remaining_ms.min(spent_ms);
+        spent_ms -= done_ms;
+        let left_ratio = 1.0 - done_ms / prefill.remaining_ms.max(1.0);
+        prefill.remaining_ms -= done_ms;
+        let left_tokens = prefill.remaining_tokens.get() as f64 * left_ratio;
+        prefill.remaining_tokens = Tokens::new(left_tokens as u64);
+    }
+    if load.requests_len() >= profile.slots_len as usize {
+        let decoding = load.decoding.iter().enumerate();
+        let oldest = decoding.max_by(|(_, a), (_, b)| a.decoding_ms.total_cmp(&b.decoding_ms));
+        if let Some(index) = oldest.map(|(index, _)| index) {
+            load.decoding.swap_remove(index);
+        }
+    }
+    load
+}
+
 /// Time in ms that an idle service takes until the first event of a call, with as many engines as may prefill its
 /// prompt; zero for a plain service.
 fn least_service_ms(open: &OpenCall) -> f64 {
