--- a/crates/io/src/telemetry/metric.rs
+++ b/crates/io/src/telemetry/metric.rs
@@ -160,6 +160,18 @@
         Unit::Count,
         "Requests sent by way of a peer (sent), and connections for peers (passed_on, refused), by role",
     );
+    /// Retry times of refused callers, and callers who return, by step.
+    pub const RETURNS: Self = counter(
+        "persimmon_returns_total",
+        Unit::Count,
+        "Refused callers by step (promised, hinted, early, on_time, refused_again)",
+    );
+    /// Slots that are kept for callers who return.
+    pub const KEPT_SLOTS: Self = gauge(
+        "persimmon_kept_slots",
+        Unit::Count,
+        "Slots that are kept now for callers who were promised to be served when they return",
+    );
     /// Failure domains to which this daemon has lost its own links.
     pub const LOST_DOMAINS: Self = gauge(
         "persimmon_lost_domains",
@@ -191,7 +203,7 @@
 }
 
 /// All metrics of a daemon.
-pub const ALL_METRICS: [Metric; 23] = [
+pub const ALL_METRICS: [Metric; 25] = [
     Metric::REQUESTS,
     Metric::REFUSALS,
     Metric::FIRST_TOKEN,
@@ -210,6 +222,8 @@
     Metric::UPSTREAM_CRASHES,
     Metric::FINGERPRINTS,
     Metric::RELAYED,
+    Metric::RETURNS,
+    Metric::KEPT_SLOTS,
     Metric::LOST_DOMAINS,
     Metric::RELAYED_CONNECTIONS,
     Metric::EVENT_LOOP_DELAY,
--- a/crates/persimmond/src/gateway/control.rs
+++ b/crates/persimmond/src/gateway/control.rs
@@ -46,7 +46,7 @@
             let now = self.clock.now();
             if now.since(gauges_updated_at) >= GAUGE_INTERVAL_MS {
                 gauges_updated_at = now;
-                self.meter.update_gauges(&self.dispatcher);
+                self.meter.update_gauges(now, &self.dispatcher);
             }
             let wait_ms = self.dispatcher.next_wakeup().since(now);
             let wait = wait_ms.duration() + Duration::from_millis(1);
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -2,7 +2,7 @@
 
 use persimmon_core::{
     dispatch::{DispatchRecord, Dispatcher, SendOutcome},
-    units::Millis,
+    units::{Millis, Time},
     watch::{StoreError, Topic},
 };
 use persimmon_io::telemetry::{Metric, Telemetry};
@@ -104,6 +104,21 @@
             DispatchRecord::FingerprintCleared { .. } => {
                 self.increment(Metric::FINGERPRINTS, &[("verdict", "cleared")]);
             }
+            DispatchRecord::ReturnPromised {
+                keeps_slot,
+                is_again,
+                ..
+            } => {
+                let step = if *keeps_slot { "promised" } else { "hinted" };
+                self.increment(Metric::RETURNS, &[("step", step)]);
+                if *is_again {
+                    self.increment(Metric::RETURNS, &[("step", "refused_again")]);
+                }
+            }
+            DispatchRecord::Returned { early_ms, .. } => {
+                let step = early_ms.map_or("on_time", |_| "early");
+                self.increment(Metric::RETURNS, &[("step", step)]);
+            }
             _ => {}
         }
     }
@@ -128,13 +143,14 @@
     }
 
     /// Updates the gauges.
-    pub(super) fn update_gauges(&self, dispatcher: &Dispatcher) {
+    pub(super) fn update_gauges(&self, now: Time, dispatcher: &Dispatcher) {
         let set = |metric, value: usize| self.telemetry.gauge(metric, &[]).set(value as f64);
         set(Metric::OPEN_REQUESTS, dispatcher.open_len());
         set(Metric::WAITING_REQUESTS, dispatcher.waiting_len());
         set(Metric::MEMBERS, dispatcher.members_len());
         set(Metric::LOST_DOMAINS, dispatcher.lost_domains_len());
         set(Metric::RELAYED_CONNECTIONS, dispatcher.relayed_len());
+        set(Metric::KEPT_SLOTS, dispatcher.kept_slots_total_len(now));
         self.telemetry.run_upkeep();
     }
 
