--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -15,6 +15,7 @@
     fleet::Fleet,
     ids::{CallId, CatalogVersion, FailureDomain, Fingerprint, SendId, StoreEra, UpstreamId, VmId},
     path::{LinkTable, RelayTable},
+    returns::PromiseTable,
     sharing::{SentWorkTable, ShareTable},
     speed::SpeedTable,
     units::{Millis, Time},
@@ -86,6 +87,8 @@
     pub(super) groups_count: u32,
     /// Whether the call tries a quarantined part of its prompt.
     pub(super) is_trial: bool,
+    /// Whether the caller returned at the time that it was promised.
+    pub(super) is_returning: bool,
 }
 
 impl OpenCall {
@@ -161,6 +164,7 @@
     /// Work of workspaces, if their shares are used.
     pub(super) sharing: Option<ShareTable>,
     pub(super) sent_work: SentWorkTable,
+    pub(super) promises: PromiseTable,
     pub(super) calls: BTreeMap<CallId, OpenCall>,
     pub(super) waiting: VecDeque<CallId>,
     pub(super) peers: BTreeMap<VmId, u32>,
@@ -206,6 +210,7 @@
             outbox: Outbox::default(),
             sharing: settings.sharing.clone().map(ShareTable::new),
             sent_work: SentWorkTable::default(),
+            promises: PromiseTable::default(),
             calls: BTreeMap::new(),
             waiting: VecDeque::new(),
             peers: BTreeMap::new(),
@@ -372,7 +377,7 @@
         self.progress_links(out);
         self.progress_ejection_reports(out);
         self.place_waiting(out);
-        self.report_speeds(out);
+        self.schedule_speed_report(out.now);
         self.progress_outbox(out);
         self.progress_shutdown(out);
         self.update_ready(out);
--- a/crates/core/src/dispatch/extension.rs
+++ b/crates/core/src/dispatch/extension.rs
@@ -1,7 +1,7 @@
 //! Messages of kinds that builds before them do not know. A frame has the number of its kind and an encoded
 //! body, so that a daemon can skip a kind that it lacks without losing the messages beside it.
 
-use crate::{sharing::WorkReport, speed::SpeedReport};
+use crate::{returns::PromiseReports, sharing::WorkReport, speed::SpeedReport};
 use bytes::Bytes;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use std::fmt;
@@ -21,13 +21,17 @@
     /// [`ExtensionMessage::WorkspaceWork`].
     pub const WORKSPACE_WORK: Self = Self(1);
 
+    /// [`ExtensionMessage::RetryPromises`].
+    pub const RETRY_PROMISES: Self = Self(2);
+
     /// [`ExtensionMessage::UpstreamSpeeds`].
     pub const UPSTREAM_SPEEDS: Self = Self(3);
 
     /// The kinds that this build reads.
-    pub const READ: [Self; 3] = [
+    pub const READ: [Self; 4] = [
         Self::CAPABILITIES,
         Self::WORKSPACE_WORK,
+        Self::RETRY_PROMISES,
         Self::UPSTREAM_SPEEDS,
     ];
 }
@@ -56,6 +60,8 @@
     UpstreamSpeeds(Vec<SpeedReport>),
     /// Work of workspaces at services since the sender's last report.
     WorkspaceWork(Vec<WorkReport>),
+    /// Retry times that refused callers were given, and those whose callers have got their slots.
+    RetryPromises(PromiseReports),
 }
 
 /// An extension message that can't be encoded or decoded.
@@ -86,6 +92,9 @@
             ExtensionMessage::WorkspaceWork(reports) => {
                 encode(ExtensionKind::WORKSPACE_WORK, reports)
             }
+            ExtensionMessage::RetryPromises(reports) => {
+                encode(ExtensionKind::RETRY_PROMISES, reports)
+            }
         }
     }
 }
@@ -102,6 +111,7 @@
             }
             ExtensionKind::UPSTREAM_SPEEDS => decode(frame).map(Self::UpstreamSpeeds),
             ExtensionKind::WORKSPACE_WORK => Ok(Self::WorkspaceWork(decode(frame)?)),
+            ExtensionKind::RETRY_PROMISES => decode(frame).map(Self::RetryPromises),
             kind => Err(ExtensionError::UnknownKind(kind)),
         }
     }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -39,6 +39,8 @@
 mod reservation;
 mod restore;
 mod retry;
+mod return_calls;
+mod return_time;
 mod send;
 mod send_plan;
 mod settings;
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -75,7 +75,7 @@
         if self.fleet.usable(&open.service.name).next().is_none() {
             return self.give_up(out, id, RefusalReason::NoUpstream);
         }
-        if self.yields_slots(out.now, open) {
+        if !self.has_promise_due(out.now, open) && self.yields_slots(out.now, open) {
             return self.give_up(out, id, RefusalReason::NoCapacity);
         }
         if let Some(over) = self.over_share(out.now, open) {
@@ -85,7 +85,7 @@
                 self.give_up(out, id, RefusalReason::NoCapacity)
             };
         }
-        match self.find_placement(out.now, open) {
+        match self.find_unkept_placement(out.now, open) {
             Ok(placement) => self.start(out, id, placement),
             Err(RefusalReason::NoCapacity)
                 if self.may_queue(out.now, open, self.queue_position(id)) =>
@@ -344,7 +344,7 @@
         contention.is_none_or(|contention| self.may_claim(contention, &record.id, free_len))
     }
 
-    fn candidate(&self, now: Time, open: &OpenCall, upstream: &Upstream) -> Candidate {
+    pub(super) fn candidate(&self, now: Time, open: &OpenCall, upstream: &Upstream) -> Candidate {
         let record = &upstream.record;
         let slowdown = self.slowdown(now, open, upstream);
         let load_of = |profile| {
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -58,6 +58,7 @@
         };
         let slowdown = self.speeds.engine_slowdown(out.now, &placement.upstream);
         open.tries_count += 1;
+        let fingerprint = open.fingerprint;
         open.excluded.push(placement.upstream.clone());
         open.sending = Some(Sending {
             send,
@@ -79,6 +80,7 @@
         if reports_first_event {
             entry.first_due_at = None;
         }
+        self.end_promise(out.now, fingerprint);
         self.log_sent(out, id, send, &placement);
         self.count_sent_work(out.now, id, send);
         out.act(DispatchAction::Send(Box::new(plan)));
--- a/crates/core/src/dispatch/settings.rs
+++ b/crates/core/src/dispatch/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the dispatcher.
 
 use crate::{
+    returns::{RawReturnsSettings, ReturnsSettings},
     sharing::{RawSharingSettings, SharingSettings},
     speed::{RawSpeedSettings, SpeedSettings},
     units::{Millis, RangeCheck, RangeError},
@@ -58,6 +59,8 @@
     pub speeds: Option<RawSpeedSettings>,
     /// Shares of workspaces; none to not use them.
     pub sharing: Option<RawSharingSettings>,
+    /// Promised retry times; none if callers are refused without.
+    pub returns: Option<RawReturnsSettings>,
 }
 
 impl Default for RawDispatchSettings {
@@ -75,6 +78,7 @@
             store_timeout_ms: 1_000,
             speeds: None,
             sharing: None,
+            returns: None,
         }
     }
 }
@@ -104,6 +108,8 @@
     pub upstreams: WatchSettings,
     /// Shares of workspaces, if they are used.
     pub sharing: Option<SharingSettings>,
+    /// Promised retry times; none if the component is off.
+    pub returns: Option<ReturnsSettings>,
 }
 
 impl TryFrom<RawDispatchSettings> for DispatchSettings {
@@ -149,6 +155,7 @@
                 timeout_ms,
             },
             sharing: raw.sharing.map(SharingSettings::try_from).transpose()?,
+            returns: raw.returns.map(ReturnsSettings::try_from).transpose()?,
         })
     }
 }
--- a/crates/core/src/speed/speed_table.rs
+++ b/crates/core/src/speed/speed_table.rs
@@ -109,6 +109,11 @@
         taken_len == reports.len()
     }
 
+    /// Whether there are samples that peers have not been told.
+    pub fn has_unreported(&self) -> bool {
+        !self.unreported.is_empty()
+    }
+
     /// The samples to report to peers since the last call.
     pub fn take_reports(&mut self) -> Vec<SpeedReport> {
         let reports = std::mem::take(&mut self.unreported);
