--- a/crates/core/src/dispatch/workspace_shares.rs
+++ b/crates/core/src/dispatch/workspace_shares.rs
@@ -71,7 +71,8 @@
         } else {
             usable.map(|known| u64::from(known.record.slots_len)).sum()
         };
-        let nominal_ms_per_s = units as f64 * 1e3;
+        // Daemons that aren't heard use their part of the capacity, and their work isn't counted.
+        let nominal_ms_per_s = units as f64 * 1e3 * self.heard_share_ratio();
         let holder = open.share_holder();
         sharing.over_share(now, service, &holder, open.priority(), nominal_ms_per_s)
     }
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -254,6 +254,16 @@
         }
     }
 
+    /// Cuts all links between daemons for good.
+    pub(crate) fn cut_links(&mut self) {
+        self.message_delay_ms = u64::from(u32::MAX);
+        for to in 0..self.daemons.len() {
+            for from in (0..self.daemons.len()).filter(|from| *from != to) {
+                self.handle(0, to, DispatchEvent::PeerDown { vm: vm(from) });
+            }
+        }
+    }
+
     /// What callers of a workspace got, by kind.
     pub(crate) fn tally(&self, caller: usize) -> [Tally; 3] {
         self.tallies[caller]
--- a/crates/core/tests/workspace_floods.rs
+++ b/crates/core/tests/workspace_floods.rs
@@ -31,12 +31,14 @@
 const SMALL_RATIO: f64 = 0.2;
 const LARGE_RATIO: f64 = 2.5;
 
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Case {
     is_shared: bool,
     priorities: Option<[u8; 3]>,
     /// Time until peers have a message.
     message_delay_ms: u64,
+    /// Whether daemons hear nothing of each other.
+    is_cut_off: bool,
 }
 
 fn replay(case: Case, seed: u64) -> Replay {
@@ -57,6 +59,9 @@
     };
     let mut replay = Replay::shared(&settings, (6, ENGINES_LEN, seed), catalog, callers);
     replay.message_delay_ms = case.message_delay_ms.max(1);
+    if case.is_cut_off {
+        replay.cut_links();
+    }
     replay.play(&[FLOOD]);
     replay
 }
@@ -165,22 +170,26 @@
     );
 }
 
-/// Guards against shares that do harm when the views of daemons differ by a second.
+/// Guards against shares that do harm when the views of daemons differ by a second, or when they hear nothing
+/// of each other.
 #[test]
-fn late_reports_leave_others_no_worse_than_without_shares() {
-    let case = Case {
+fn late_or_missing_reports_leave_others_no_worse_than_without_shares() {
+    let late = Case {
         message_delay_ms: 1_000,
         ..Case::default()
     };
-    let off = Flood::run(case);
-    let on = Flood::run(Case {
-        is_shared: true,
-        ..case
-    });
-    println!("late, off: {}\nlate, on: {}", off.summary(), on.summary());
-    assert!(
-        on.small_served_ratio() >= off.small_served_ratio(),
-        "{}",
-        on.summary()
-    );
+    let cut_off = Case {
+        is_cut_off: true,
+        ..Case::default()
+    };
+    for case in [late, cut_off] {
+        let off = Flood::run(case);
+        let on = Flood::run(Case {
+            is_shared: true,
+            ..case
+        });
+        println!("{case:?}\noff: {}\non: {}", off.summary(), on.summary());
+        let (off, on) = (off.small_served_ratio(), on.small_served_ratio());
+        assert!(on >= off, "{case:?}: {on} of {off}");
+    }
 }
--- a/crates/core/tests/workspace_shares.rs
+++ b/crates/core/tests/workspace_shares.rs
@@ -133,7 +133,7 @@
         refused(|raw| raw.decay_ms = 100),
         refused(|raw| raw.default_weight = 0),
         refused(|raw| raw.unknown_weight = 11),
-        refused(|raw| drop(raw.weights.insert(id("large"), 0))),
+        refused(|raw| raw.weights = [(id("large"), 0)].into()),
     ];
     assert_snapshot!(errors.join("\n"), @r"
     dispatch.sharing.decay_ms is 100: give 400 to 10000
