Count what a daemon holds against a memory budget, and bytes in flight at upstreams

Bodies, responses, connections and relays are counted where they are held. The bytes of requests in flight at an upstream are reported to peers with extension message 5, and their limit is learned from upstreams that terminate. Without the section dispatch.memory nothing is counted.

--- a/crates/core/src/dispatch/call.rs
+++ b/crates/core/src/dispatch/call.rs
@@ -3,7 +3,7 @@
 use crate::{
     catalog::ApiKey,
     ids::{CallId, Fingerprint},
-    units::{Millis, Tokens},
+    units::{ByteCount, Millis, Tokens},
 };
 use std::sync::Arc;
 
@@ -38,6 +38,8 @@
     pub fingerprints: Vec<Fingerprint>,
     /// Fingerprint of all that stays the same when the request is repeated, other than its caller.
     pub content: Fingerprint,
+    /// Size of the request's body.
+    pub body_bytes: ByteCount,
     /// Time since the request's head arrived.
     pub age_ms: Millis,
 }
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -11,6 +11,7 @@
         backoff::BackoffTable, crash_check::CrashChecks, ejection_report::EjectionReports,
         extension_peers::ExtensionPeers, freshness::FreshnessState, outbox::Outbox,
         placement::Placement, reservation::Reservations, restore::RestoreState, shutdown::Shutdown,
+        upstream_bytes::UpstreamBytes,
     },
     fleet::Fleet,
     ids::{CallId, CatalogVersion, FailureDomain, Fingerprint, SendId, StoreEra, UpstreamId, VmId},
@@ -153,6 +154,7 @@
     pub(super) ejection_reports: EjectionReports,
     pub(super) quarantine: Quarantine,
     pub(super) outbox: Outbox,
+    pub(super) upstream_bytes: UpstreamBytes,
     pub(super) calls: BTreeMap<CallId, OpenCall>,
     pub(super) waiting: VecDeque<CallId>,
     pub(super) peers: BTreeMap<VmId, u32>,
@@ -195,6 +197,7 @@
             ejection_reports: EjectionReports::default(),
             quarantine: Quarantine::default(),
             outbox: Outbox::default(),
+            upstream_bytes: UpstreamBytes::default(),
             calls: BTreeMap::new(),
             waiting: VecDeque::new(),
             peers: BTreeMap::new(),
@@ -214,6 +217,7 @@
         let mut out = Out { now, actions };
         match event {
             DispatchEvent::Arrived(call) => self.on_arrived(&mut out, *call),
+            DispatchEvent::MemoryRefused(refusal) => self.on_memory_refused(&mut out, refusal),
             DispatchEvent::FirstByte { call, send } => self.on_first_byte(&mut out, call, send),
             DispatchEvent::Ended { call, send, end } => self.on_ended(&mut out, call, send, end),
             DispatchEvent::Stalled {
@@ -361,6 +365,7 @@
         self.progress_links(out);
         self.progress_ejection_reports(out);
         self.place_waiting(out);
+        self.report_upstream_bytes(out);
         self.progress_outbox(out);
         self.progress_shutdown(out);
         self.update_ready(out);
@@ -389,6 +394,7 @@
     ) {
         self.release(out, call);
         let Some(send) = send else { return };
+        self.upstream_bytes.table.on_ended(out.now, send);
         if self.in_flight.end(out.now, InFlightId::own(send)) {
             self.notify_batched(out.now, DispatchMessage::Ended(send));
         }
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -1,7 +1,7 @@
 //! Events that the dispatcher handles.
 
 use super::{
-    Call, DispatchMessage, DispatchSettings, LeavingNotice, OrderKind, OrderOutcome,
+    Call, DispatchMessage, DispatchSettings, LeavingNotice, MemoryRefusal, OrderKind, OrderOutcome,
     RateLimitNotice, SendOutcome,
 };
 use crate::{
@@ -18,6 +18,8 @@
 pub enum DispatchEvent {
     /// A caller's request was received completely.
     Arrived(Box<Call>),
+    /// A caller's request was refused before it was complete, because the memory budget has no room for it.
+    MemoryRefused(MemoryRefusal),
     /// The first byte of a streamed answer, or a complete answer, was sent to the caller.
     FirstByte {
         /// The call.
--- a/crates/core/src/dispatch/extension.rs
+++ b/crates/core/src/dispatch/extension.rs
@@ -1,6 +1,7 @@
 //! Messages of kinds that builds before them do not know. A frame has the number of its kind and an encoded
 //! body, so that a daemon can skip a kind that it lacks without losing the messages beside it.
 
+use crate::memory_budget::UpstreamBytesReport;
 use bytes::Bytes;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use std::fmt;
@@ -17,8 +18,11 @@
     /// [`ExtensionMessage::Capabilities`].
     pub const CAPABILITIES: Self = Self(0);
 
+    /// [`ExtensionMessage::UpstreamBytes`].
+    pub const UPSTREAM_BYTES: Self = Self(5);
+
     /// The kinds that this build reads.
-    pub const READ: [Self; 1] = [Self::CAPABILITIES];
+    pub const READ: [Self; 2] = [Self::CAPABILITIES, Self::UPSTREAM_BYTES];
 }
 
 impl fmt::Display for ExtensionKind {
@@ -41,6 +45,8 @@
 pub enum ExtensionMessage {
     /// The kinds that the sender reads. Sent at the start of a link.
     Capabilities(Vec<ExtensionKind>),
+    /// Bytes of the sender's requests in flight at upstreams.
+    UpstreamBytes(UpstreamBytesReport),
 }
 
 /// An extension message that can't be encoded or decoded.
@@ -65,6 +71,9 @@
     fn try_from(message: &ExtensionMessage) -> Result<Self, ExtensionError> {
         match message {
             ExtensionMessage::Capabilities(kinds) => encode(ExtensionKind::CAPABILITIES, kinds),
+            ExtensionMessage::UpstreamBytes(report) => {
+                encode(ExtensionKind::UPSTREAM_BYTES, report)
+            }
         }
     }
 }
@@ -79,6 +88,7 @@
                 kinds.truncate(KINDS_MAX_LEN);
                 Ok(Self::Capabilities(kinds))
             }
+            ExtensionKind::UPSTREAM_BYTES => decode(frame).map(Self::UpstreamBytes),
             kind => Err(ExtensionError::UnknownKind(kind)),
         }
     }
--- a/crates/core/src/dispatch/extension_peers.rs
+++ b/crates/core/src/dispatch/extension_peers.rs
@@ -78,6 +78,10 @@
             Ok(ExtensionMessage::Capabilities(kinds)) => {
                 let kinds = kinds.into_iter().collect();
                 self.extension_peers.kinds.insert(vm.clone(), kinds);
+                self.report_all_upstream_bytes(out, vm);
+            }
+            Ok(ExtensionMessage::UpstreamBytes(report)) => {
+                self.on_peer_upstream_bytes(out, vm, report);
             }
             Err(error) => out.log(DispatchRecord::ExtensionDropped {
                 member: Some(vm.clone()),
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -46,6 +46,7 @@
 mod slow_start;
 mod store_updates;
 mod token_bucket;
+mod upstream_bytes;
 mod upstream_outcome;
 
 pub use action::DispatchAction;
@@ -76,3 +77,4 @@
 pub use send_plan::{PrefillHelper, SendPlan};
 pub use settings::{DispatchSettings, RawDispatchSettings};
 pub use slow_start::SlowStartLimiter;
+pub use upstream_bytes::MemoryRefusal;
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -52,6 +52,7 @@
         self.relays.forget_peer(vm);
         self.restore.forget_peer(vm);
         self.extension_peers.forget(vm);
+        self.upstream_bytes.table.forget_peer(vm);
         out.log(DispatchRecord::Peer {
             member: vm.clone(),
             connected: false,
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -253,6 +253,7 @@
         let probing = self.all_back_off(now, service);
         let free = usable.filter(|upstream| {
             self.backoff_allows(now, upstream, probing)
+                && self.bears_body(now, open, &upstream.record.id)
                 && self.has_room(now, open, upstream, most_ejected, contention)
         });
         let is_lost =
--- a/crates/core/src/dispatch/quarantine_calls.rs
+++ b/crates/core/src/dispatch/quarantine_calls.rs
@@ -23,6 +23,7 @@
             upstream: upstream.id.clone(),
             fingerprints: crash.in_flight.keys().copied().collect(),
         });
+        self.learn_upstream_bytes(out, &upstream.id);
         let report = crash.report(out.now);
         self.notify_quarantine(out, QuarantineMessage::Crashed(report));
         if !quarantined.is_empty() {
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -4,7 +4,7 @@
 use crate::{
     ids::{CatalogVersion, FailureDomain, Fingerprint, SendId, ServiceName, UpstreamId, VmId},
     path::PathAttempts,
-    units::{Millis, RequestsPerSecond},
+    units::{ByteCount, Millis, RequestsPerSecond},
     watch::StorePosition,
 };
 use serde::Serialize;
@@ -47,6 +47,32 @@
         /// The reason.
         error: String,
     },
+    /// A request was refused before it was complete: the memory budget has no room for it.
+    MemoryRefused {
+        /// The request id that the caller chose.
+        request: Arc<str>,
+        /// Size of the body that the caller states, or what arrived of it if that is more.
+        body_bytes: ByteCount,
+        /// What the daemon held.
+        held_bytes: ByteCount,
+        /// What the daemon may hold.
+        budget_bytes: ByteCount,
+        /// `Retry-After` for the caller.
+        retry_after_ms: Millis,
+    },
+    /// The limit of bytes of requests in flight at each upstream of a service was learned from one that terminated.
+    UpstreamBytesLimit {
+        /// The service.
+        service: ServiceName,
+        /// The limit over all daemons.
+        limit_bytes: ByteCount,
+        /// The upstream that terminated, if its termination was noticed here.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        upstream: Option<UpstreamId>,
+        /// The peer that reported the limit.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        reported_by: Option<VmId>,
+    },
     /// A request was sent to an upstream.
     Sent {
         /// The request id that the caller chose.
--- a/crates/core/src/dispatch/refusal.rs
+++ b/crates/core/src/dispatch/refusal.rs
@@ -31,6 +31,8 @@
     TimedOut,
     /// A fingerprint of the request was in flight when several upstreams ended, and has got no answer since.
     Quarantined,
+    /// The daemon's memory budget has no room for the request.
+    MemoryFull,
 }
 
 impl RefusalReason {
@@ -49,6 +51,7 @@
             Self::UpstreamFailed => "upstream_failed",
             Self::TimedOut => "timed_out",
             Self::Quarantined => "quarantined",
+            Self::MemoryFull => "memory_full",
         }
     }
 }
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -60,6 +60,7 @@
             sending.is_silent = false;
         }
         self.clear_fingerprints(out, call);
+        self.note_borne_bytes(call);
         let Some(open) = self.calls.get(&call) else {
             return;
         };
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -78,6 +78,7 @@
             entry.first_due_at = None;
         }
         self.log_sent(out, id, send, &placement);
+        self.count_upstream_bytes(out.now, id, send, &placement.upstream);
         out.act(DispatchAction::Send(Box::new(plan)));
         let report = in_flight_report(out.now, send, &entry, placement.helpers.clone());
         self.notify_now(out.now, DispatchMessage::Started(report));
--- a/crates/core/src/dispatch/settings.rs
+++ b/crates/core/src/dispatch/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the dispatcher.
 
 use crate::{
+    memory_budget::{MemorySettings, RawMemorySettings},
     units::{Millis, RangeCheck, RangeError},
     watch::WatchSettings,
 };
@@ -47,6 +48,8 @@
     pub upstreams_pause_ms: u64,
     /// Timeout of a call to the store.
     pub store_timeout_ms: u64,
+    /// Memory budget; none if bytes are not counted.
+    pub memory: Option<RawMemorySettings>,
 }
 
 impl Default for RawDispatchSettings {
@@ -61,6 +64,7 @@
             operators_wait_ms: 800,
             upstreams_pause_ms: 1_000,
             store_timeout_ms: 1_000,
+            memory: None,
         }
     }
 }
@@ -84,6 +88,8 @@
     pub operators: WatchSettings,
     /// How the daemon watches the list of upstreams.
     pub upstreams: WatchSettings,
+    /// Memory budget; none if bytes are not counted.
+    pub memory: Option<MemorySettings>,
 }
 
 impl TryFrom<RawDispatchSettings> for DispatchSettings {
@@ -120,6 +126,7 @@
                 pause_ms: span("upstreams_pause_ms", raw.upstreams_pause_ms)?,
                 timeout_ms,
             },
+            memory: raw.memory.map(MemorySettings::try_from).transpose()?,
         })
     }
 }
--- a/crates/core/src/dispatch/store_updates.rs
+++ b/crates/core/src/dispatch/store_updates.rs
@@ -311,6 +311,7 @@
         self.backoff.forget(upstream);
         self.rate_limits.forget(upstream);
         self.links.forget(upstream);
+        self.upstream_bytes.table.forget_upstream(upstream);
         out.log(DispatchRecord::Upstream {
             upstream: upstream.clone(),
             state,
--- a/crates/core/src/ids/numbers.rs
+++ b/crates/core/src/ids/numbers.rs
@@ -112,6 +112,12 @@
     u64,
     "send id"
 );
+number!(
+    /// A request whose body a daemon receives, unique within the daemon.
+    BodyId,
+    u64,
+    "body id"
+);
 number!(
     /// A connection that a daemon passes on for a peer, unique within the daemon.
     RelayId,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod grant;
 pub mod ids;
 pub mod membership;
+pub mod memory_budget;
 pub mod message;
 pub mod operator;
 pub mod ownership;
--- /dev/null
+++ b/crates/core/src/memory_budget/settings.rs
@@ -0,0 +1,104 @@
+//! Settings of the memory budget.
+
+use crate::units::{ByteCount, Millis, RangeCheck, RangeError};
+use serde::Deserialize;
+
+/// Name of the settings section, used in errors.
+const SECTION: &str = "dispatch.memory";
+
+/// Memory of a daemon that holds nothing for callers: 60 MB resident on a quiet day, and a margin for the
+/// allocator.
+const PROCESS_MB: u64 = 64;
+
+/// Smallest budget: 200 connections and a few bodies.
+const BUDGET_MIN_MB: u64 = 8;
+
+/// Largest memory limit of a VM that is believed.
+const VM_LIMIT_MAX_MB: u64 = 1 << 20;
+
+/// Share of what the process leaves of the VM's memory that is the budget, if the settings give none. The rest is
+/// for what is not counted: the allocator's fragments, tables and the buffers of peers' links.
+const BUDGET_PERCENT: u64 = 75;
+
+/// Range of the time after which a caller that takes no bytes is disconnected.
+const UNREAD_TIMEOUT_MIN_MS: u64 = 500;
+const UNREAD_TIMEOUT_MAX_MS: u64 = 600_000;
+
+/// Largest `upstream_min_kb`.
+const UPSTREAM_MIN_MAX_KB: u64 = 1 << 20;
+
+const fn megabytes(mb: u64) -> ByteCount {
+    ByteCount::new(mb << 20)
+}
+
+/// Settings as written in the settings file.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, expecting = "an object")]
+pub struct RawMemorySettings {
+    /// Memory limit of the VM.
+    pub vm_limit_mb: u64,
+    /// What the daemon may hold for callers, upstreams and peers; none for three quarters of what the process
+    /// itself leaves of the VM's memory.
+    #[serde(default)]
+    pub budget_mb: Option<u64>,
+    /// Time after which a caller that takes no bytes of its response is disconnected.
+    #[serde(default = "default_unread_timeout_ms")]
+    pub unread_timeout_ms: u64,
+    /// ByteCount of requests in flight that every upstream is assumed to bear.
+    #[serde(default = "default_upstream_min_kb")]
+    pub upstream_min_kb: u64,
+}
+
+const fn default_unread_timeout_ms() -> u64 {
+    20_000
+}
+
+const fn default_upstream_min_kb() -> u64 {
+    1_024
+}
+
+/// Validated settings of the memory budget.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MemorySettings {
+    /// What the daemon may hold for callers, upstreams and peers.
+    pub budget_bytes: ByteCount,
+    /// Time after which a caller that takes no bytes of its response is disconnected.
+    pub unread_timeout_ms: Millis,
+    /// ByteCount of requests in flight that every upstream is assumed to bear.
+    pub upstream_min_bytes: ByteCount,
+}
+
+impl TryFrom<RawMemorySettings> for MemorySettings {
+    type Error = RangeError;
+
+    fn try_from(raw: RawMemorySettings) -> Result<Self, RangeError> {
+        let check = RangeCheck::new(SECTION);
+        let vm_limit_mb = check.number(
+            "vm_limit_mb",
+            raw.vm_limit_mb,
+            PROCESS_MB + BUDGET_MIN_MB * 2,
+            VM_LIMIT_MAX_MB,
+        )?;
+        let left_mb = vm_limit_mb - PROCESS_MB;
+        let budget_mb = raw.budget_mb.unwrap_or(left_mb * BUDGET_PERCENT / 100);
+        let unread_timeout_ms = check.span(
+            "unread_timeout_ms",
+            raw.unread_timeout_ms,
+            UNREAD_TIMEOUT_MIN_MS,
+            UNREAD_TIMEOUT_MAX_MS,
+        )?;
+        let min_kb = check.number(
+            "upstream_min_kb",
+            raw.upstream_min_kb,
+            1,
+            UPSTREAM_MIN_MAX_KB,
+        )?;
+        Ok(Self {
+            budget_bytes: check
+                .number("budget_mb", budget_mb, BUDGET_MIN_MB, left_mb)
+                .map(megabytes)?,
+            unread_timeout_ms,
+            upstream_min_bytes: ByteCount::new(min_kb << 10),
+        })
+    }
+}
--- a/crates/core/src/units/mod.rs
+++ b/crates/core/src/units/mod.rs
@@ -9,5 +9,5 @@
 pub use errors::UnitError;
 pub use range::{RangeCheck, RangeError};
 pub use rates::{BytesPerSecond, RequestsPerSecond, TokensPerSecond};
-pub use sizes::{KvBytes, Tokens};
+pub use sizes::{ByteCount, KvBytes, Tokens};
 pub use time::{Millis, Time};
--- a/crates/core/src/units/sizes.rs
+++ b/crates/core/src/units/sizes.rs
@@ -100,6 +100,11 @@
     };
 }
 
+size!(
+    /// A count of bytes.
+    ByteCount,
+    "bytes"
+);
 size!(
     /// Memory of an engine's key-value (KV) cache, in bytes.
     KvBytes,
--- a/crates/core/tests/common/linked_fleet.rs
+++ b/crates/core/tests/common/linked_fleet.rs
@@ -13,7 +13,7 @@
     fleet::UpstreamIncarnation,
     ids::{CallId, Fingerprint, RelayId, VmId},
     path::{PathAttempt, PathAttempts, PathEnd, PathPlan, PathReport, UpstreamPath},
-    units::{Millis, Time, Tokens},
+    units::{ByteCount, Millis, Time, Tokens},
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -202,6 +202,7 @@
             }),
             fingerprints: Vec::new(),
             content: Fingerprint::new(call.get()),
+            body_bytes: ByteCount::ZERO,
             age_ms: Millis::ZERO,
         }));
         self.handle(daemon, event);
--- a/crates/core/tests/dispatch_load.rs
+++ b/crates/core/tests/dispatch_load.rs
@@ -16,7 +16,7 @@
         Call, DispatchAction, DispatchEvent, DispatchMessage, PromptSize, SendOutcome, SendPlan,
     },
     ids::{CallId, Fingerprint, UpstreamId},
-    units::{Millis, Time, Tokens},
+    units::{ByteCount, Millis, Time, Tokens},
     watch::Change,
 };
 use std::collections::BTreeMap;
@@ -251,6 +251,7 @@
         }),
         fingerprints: Vec::new(),
         content: Fingerprint::new(number),
+        body_bytes: ByteCount::ZERO,
         age_ms: Millis::ZERO,
     }
 }
--- a/crates/io/src/telemetry/metric.rs
+++ b/crates/io/src/telemetry/metric.rs
@@ -172,6 +172,30 @@
         Unit::Count,
         "Connections to upstreams that this daemon passes on for its peers now",
     );
+    /// Bytes that are held for callers, upstreams and peers.
+    pub const MEMORY_HELD: Self = gauge(
+        "persimmon_memory_held_bytes",
+        Unit::Bytes,
+        "Bytes held against the memory budget, by use (connections, relays, requests, responses)",
+    );
+    /// The most bytes that were held at once.
+    pub const MEMORY_PEAK: Self = gauge(
+        "persimmon_memory_peak_bytes",
+        Unit::Bytes,
+        "Most bytes that were held at once against the memory budget since the start",
+    );
+    /// The memory budget.
+    pub const MEMORY_BUDGET: Self = gauge(
+        "persimmon_memory_budget_bytes",
+        Unit::Bytes,
+        "The memory budget",
+    );
+    /// Limits of bytes in flight at upstreams that were learned.
+    pub const UPSTREAM_BYTES_LIMITS: Self = counter(
+        "persimmon_upstream_bytes_limits_total",
+        Unit::Count,
+        "Limits of bytes of requests in flight learned from upstreams that terminated, by who was told",
+    );
     /// Delay by which a timer of the control thread fires late.
     pub const EVENT_LOOP_DELAY: Self = histogram(
         "persimmon_event_loop_delay_seconds",
@@ -191,7 +215,7 @@
 }
 
 /// All metrics of a daemon.
-pub const ALL_METRICS: [Metric; 23] = [
+pub const ALL_METRICS: [Metric; 27] = [
     Metric::REQUESTS,
     Metric::REFUSALS,
     Metric::FIRST_TOKEN,
@@ -212,6 +236,10 @@
     Metric::RELAYED,
     Metric::LOST_DOMAINS,
     Metric::RELAYED_CONNECTIONS,
+    Metric::MEMORY_HELD,
+    Metric::MEMORY_PEAK,
+    Metric::MEMORY_BUDGET,
+    Metric::UPSTREAM_BYTES_LIMITS,
     Metric::EVENT_LOOP_DELAY,
     Metric::EVENT_HANDLING,
     Metric::PEER_BYTES,
--- a/crates/io/src/transport/call_task.rs
+++ b/crates/io/src/transport/call_task.rs
@@ -4,7 +4,7 @@
     exchange::{self, Outcome, Outgoing},
     reply::Reply,
     signals::Signals,
-    CallCommand, Dialect, EventStream, Hub, Pool, ResponseBody,
+    CallCommand, Dialect, EventStream, Hub, Memory, Pool, ResponseBody,
 };
 use bytes::Bytes;
 use flume::Receiver;
@@ -23,6 +23,8 @@
     pub(super) hub: Arc<Hub>,
     pub(super) pool: Rc<Pool>,
     pub(super) dialect: Rc<dyn Dialect>,
+    /// The memory budget; none if bytes are not counted.
+    pub(super) memory: Option<Arc<Memory>>,
 }
 
 /// A caller's request and the commands for it.
@@ -150,6 +152,7 @@
         Outgoing {
             pool: &self.shared.pool,
             dialect: &*self.shared.dialect,
+            memory: self.shared.memory.as_ref(),
             head: &self.head,
             body: &self.body,
             request_id: &self.request_id,
@@ -159,15 +162,9 @@
     }
 
     fn refuse(&self, reply: &mut Reply, refusal: &Refusal) {
-        let (status, headers) = self.shared.dialect.refusal_head(refusal);
-        let (mut head, ()) = Response::new(()).into_parts();
-        head.status = status;
-        head.headers = headers;
-        let content_type = HeaderValue::from_static("text/plain");
-        head.headers.insert(header::CONTENT_TYPE, content_type);
-        let body = format!("{}\n", refusal.reason.name());
+        let (head, body) = refusal_response(&*self.shared.dialect, refusal).into_parts();
         // An error means that the caller has disconnected in the meantime.
-        let _ = reply.full(head, body.into());
+        let _ = reply.full(head, body);
     }
 
     fn report_leaving(&self, plan: &SendPlan, is_misdirected: bool) {
@@ -200,6 +197,19 @@
     }
 }
 
+/// The answer to a caller whose request is refused.
+pub(super) fn refusal_response(dialect: &dyn Dialect, refusal: &Refusal) -> Response<Bytes> {
+    let (status, headers) = dialect.refusal_head(refusal);
+    let mut response = Response::new(Bytes::from(format!("{}\n", refusal.reason.name())));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    let content_type = HeaderValue::from_static("text/plain");
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, content_type);
+    response
+}
+
 /// The end of a transmission, whose failed response is kept; none if the caller left.
 fn take_failure(outcome: Outcome, failure: &mut Option<Response<Bytes>>) -> Option<SendOutcome> {
     match outcome {
--- a/crates/io/src/transport/caller_listener.rs
+++ b/crates/io/src/transport/caller_listener.rs
@@ -2,19 +2,20 @@
 
 use super::{
     accept::accept,
-    call_task::{CallTask, Shared},
-    socket, Dialect, Hub, Pool, ResponseBody,
+    call_task::{refusal_response, CallTask, Shared},
+    memory::{self, Held},
+    request_body::{self, BodyError},
+    socket, Dialect, Hub, Memory, Pool, RequestHead, ResponseBody,
 };
 use bytes::Bytes;
 use http::{header, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use persimmon_core::{
     catalog::CallerLimits,
-    dispatch::{Call, DispatchEvent},
+    dispatch::{Call, DispatchEvent, MemoryRefusal, Refusal, RefusalReason},
     ids::Fingerprint,
-    units::Millis,
+    units::{ByteCount, Millis},
 };
 use std::{
     cell::Cell,
@@ -86,7 +87,12 @@
         drain: watch::Receiver<DrainState>,
     ) -> Self {
         Self {
-            shared: Rc::new(Shared { hub, pool, dialect }),
+            shared: Rc::new(Shared {
+                hub,
+                pool,
+                dialect,
+                memory: None,
+            }),
             limits,
             connections_len: Cell::new(0),
             connections_max_len,
@@ -94,6 +100,17 @@
         }
     }
 
+    /// Counts what is held for callers against a memory budget.
+    pub fn with_memory(mut self, memory: Option<Arc<Memory>>) -> Self {
+        self.shared = Rc::new(Shared {
+            hub: Arc::clone(&self.shared.hub),
+            pool: Rc::clone(&self.shared.pool),
+            dialect: Rc::clone(&self.shared.dialect),
+            memory,
+        });
+        self
+    }
+
     /// The limits that apply until a catalog is loaded.
     pub fn default_limits() -> SharedLimits {
         Arc::new(Mutex::new(DEFAULT_LIMITS))
@@ -115,10 +132,9 @@
     }
 
     async fn connection(self: Rc<Self>, stream: TcpStream) {
-        if let Err(error) = socket::set_socket_options(&stream) {
-            log::debug!("connection closed: its socket options can't be set: {error}");
+        let Some(_held) = self.admit_connection(&stream) else {
             return;
-        }
+        };
         self.connections_len.set(self.connections_len.get() + 1);
         let limits = self.limits();
         let service = service_fn(|request| self.request(request));
@@ -143,6 +159,27 @@
         self.connections_len.set(self.connections_len.get() - 1);
     }
 
+    /// Sets the options of a caller's socket and holds the buffers of the connection; none if it is to be closed.
+    fn admit_connection(&self, stream: &TcpStream) -> Option<Option<Held>> {
+        let memory = self.shared.memory.as_ref();
+        let options = match memory {
+            Some(memory) => socket::set_held_caller_options(stream, memory.unread_timeout()),
+            None => socket::set_socket_options(stream),
+        };
+        if let Err(error) = options {
+            log::debug!("connection closed: its socket options can't be set: {error}");
+            return None;
+        }
+        let Some(memory) = memory else {
+            return Some(None);
+        };
+        let held = memory.connection();
+        if held.is_none() {
+            log::warn!("connection closed: the memory budget has no room for it");
+        }
+        held.map(Some)
+    }
+
     async fn request(
         &self,
         request: Request<Incoming>,
@@ -174,7 +211,11 @@
             .parse_request(&head)
             .map_err(|error| bad_request(&error))?;
         let time_limit = request.deadline_ms.map_or(BODY_TIMEOUT, Millis::duration);
-        let body = self.read_body(body, time_limit).await?;
+        let body = match self.read_body(body, time_limit).await {
+            Ok(body) => body,
+            Err(BodyEnd::Status(status, text)) => return Err((status, text)),
+            Err(BodyEnd::NoRoom(body_bytes)) => return Ok(self.refuse(&request, body_bytes)),
+        };
         let content = Fingerprint::of_fields(&[
             head.method.as_str().as_bytes(),
             request.host.as_bytes(),
@@ -193,6 +234,7 @@
             prompt: request.prompt,
             fingerprints: request.fingerprints,
             content,
+            body_bytes: ByteCount::new(body.len() as u64),
             age_ms: Millis::new(received_at.elapsed().as_millis() as u64),
         }));
         let task = CallTask {
@@ -210,24 +252,44 @@
         response.await.map_err(stopping)
     }
 
-    async fn read_body(
-        &self,
-        body: Incoming,
-        time_limit: Duration,
-    ) -> Result<Bytes, (StatusCode, String)> {
-        let limited = Limited::new(body, self.limits().body_max_bytes);
-        match timeout(time_limit, limited.collect()).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err((
+    async fn read_body(&self, body: Incoming, time_limit: Duration) -> Result<Bytes, BodyEnd> {
+        let memory = self.shared.memory.as_ref();
+        let received = request_body::receive(memory, body, self.limits().body_max_bytes);
+        let (status, text) = match timeout(time_limit, received).await {
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(BodyError::NoRoom(body_bytes))) => return Err(BodyEnd::NoRoom(body_bytes)),
+            Ok(Err(BodyError::TooLong)) => (
                 StatusCode::PAYLOAD_TOO_LARGE,
                 "the body is too long".to_owned(),
-            )),
-            Ok(Err(error)) => Err((StatusCode::BAD_REQUEST, error.to_string())),
-            Err(_) => Err((
+            ),
+            Ok(Err(BodyError::Failed(error))) => (StatusCode::BAD_REQUEST, error),
+            Err(_) => (
                 StatusCode::REQUEST_TIMEOUT,
                 "the body did not arrive".to_owned(),
-            )),
+            ),
+        };
+        Err(BodyEnd::Status(status, text))
+    }
+
+    /// Refuses a request for which the memory budget has no room.
+    fn refuse(&self, request: &RequestHead, body_bytes: u64) -> Response<ResponseBody> {
+        let refusal = Refusal {
+            reason: RefusalReason::MemoryFull,
+            may_have_run: false,
+            retry_after_ms: Some(memory::RETRY_AFTER_MS),
+        };
+        if let Some(memory) = &self.shared.memory {
+            let usage = memory.usage();
+            let event = DispatchEvent::MemoryRefused(MemoryRefusal {
+                request_id: Arc::clone(&request.request_id),
+                body_bytes: ByteCount::new(body_bytes),
+                held_bytes: usage.held,
+                budget_bytes: usage.budget,
+                retry_after_ms: memory::RETRY_AFTER_MS,
+            });
+            self.shared.hub.send_event(event);
         }
+        refusal_response(&*self.shared.dialect, &refusal).map(ResponseBody::from)
     }
 
     fn limits(&self) -> CallerLimits {
@@ -235,6 +297,14 @@
     }
 }
 
+/// How a body ended that was not received.
+enum BodyEnd {
+    /// With this answer.
+    Status(StatusCode, String),
+    /// The memory budget has no room for a body of this size.
+    NoRoom(u64),
+}
+
 fn path_and_query(head: &http::request::Parts) -> &str {
     let target = head.uri.path_and_query();
     target.map_or("", |target| target.as_str())
--- a/crates/io/src/transport/event_stream.rs
+++ b/crates/io/src/transport/event_stream.rs
@@ -69,6 +69,11 @@
         Ok(complete.freeze())
     }
 
+    /// Bytes of the incomplete event.
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Takes the incomplete event that is left at the end of a stream.
     pub fn take_partial(&mut self) -> Bytes {
         self.partial.split().freeze()
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -1,6 +1,8 @@
 //! One transmission of a call to an upstream, and the forwarding of its response to the caller.
 
 use super::{
+    held_response::{self, HeldResponse},
+    memory::Memory,
     pool::{ConnectionLimits, PooledConnection},
     reply::{CallerLeft, Reply},
     signals::Signals,
@@ -9,13 +11,13 @@
 };
 use bytes::Bytes;
 use http::{header, request, response, Request, Response, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use persimmon_core::{
     dispatch::{SendOutcome, SendPlan},
     units::Millis,
 };
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
 
 /// Longest idle time of a connection that carries a non-repeatable request. If the upstream closes
@@ -36,6 +38,7 @@
 pub(super) struct Outgoing<'a> {
     pub(super) pool: &'a Pool,
     pub(super) dialect: &'a dyn Dialect,
+    pub(super) memory: Option<&'a Arc<Memory>>,
     pub(super) head: &'a request::Parts,
     pub(super) body: &'a Bytes,
     pub(super) request_id: &'a str,
@@ -112,7 +115,7 @@
     report_lifted_limit(out, &parsed, signals);
     if !head.status.is_success() {
         let limit = time_left(out, first_byte_timeout);
-        let body = read_body(reply, body, FAILURE_MAX_BYTES, limit, signals).await?;
+        let body = read_body(out, reply, body, FAILURE_MAX_BYTES, limit, signals).await?;
         out.pool.release(connection, &head);
         let end = SendOutcome::Failed {
             status: head.status.as_u16(),
@@ -128,7 +131,7 @@
         forward_stream(out, reply, events, signals, &head, body).await?;
     } else {
         let limit = out.plan.deadline_ms.duration();
-        let body = read_body(reply, body, RESPONSE_MAX_BYTES, limit, signals).await?;
+        let body = read_body(out, reply, body, RESPONSE_MAX_BYTES, limit, signals).await?;
         (signals.on_first)();
         reply.full(end_to_end(&head), body)?;
     }
@@ -196,6 +199,7 @@
         || head.headers.contains_key(header::TRANSFER_ENCODING);
     let mut patience = Patience::first_byte(out.plan).less(out.sent_at.elapsed());
     let mut first = true;
+    let mut held = HeldResponse::begin(out.memory, reply).await?;
     loop {
         let Some(frame) = wait_reporting_stalls(reply, patience, signals, body.frame()).await?
         else {
@@ -204,9 +208,11 @@
         let Ok(data) = frame.map_err(|error| lost(error.to_string()))?.into_data() else {
             continue;
         };
+        held.receive(reply, &data).await?;
         let complete = events
             .push(&data)
             .map_err(|error| lost(error.to_string()))?;
+        let complete = held.send(complete, events.partial_len());
         if complete.is_empty() {
             continue;
         }
@@ -215,7 +221,7 @@
             (signals.on_first)();
             patience = Patience::between_events(out.plan);
         }
-        forward(reply, head, complete).await?;
+        forward(out, reply, head, complete).await?;
     }
     let partial = events.take_partial();
     if !partial.is_empty() {
@@ -223,7 +229,8 @@
         if !has_framing || reply.is_streaming() || is_event_stream(head) {
             return Err(lost("stream ended within an event").into());
         }
-        forward(reply, head, partial).await?;
+        let partial = held.send(partial, 0);
+        forward(out, reply, head, partial).await?;
     }
     if !reply.is_streaming() {
         reply.full(end_to_end(head), Bytes::new())?;
@@ -237,9 +244,14 @@
 }
 
 /// Forwards a chunk, after the head if that is not sent yet.
-async fn forward(reply: &mut Reply, head: &response::Parts, chunk: Bytes) -> Result<(), Outcome> {
+async fn forward(
+    out: &Outgoing<'_>,
+    reply: &mut Reply,
+    head: &response::Parts,
+    chunk: Bytes,
+) -> Result<(), Outcome> {
     if !reply.is_streaming() {
-        reply.begin(end_to_end(head))?;
+        reply.begin(end_to_end(head), out.memory.is_some())?;
     }
     Ok(reply.chunk(chunk).await?)
 }
@@ -267,17 +279,17 @@
 }
 
 async fn read_body(
+    out: &Outgoing<'_>,
     reply: &mut Reply,
     body: Incoming,
     max_bytes: usize,
     limit: Duration,
     signals: Signals<'_>,
 ) -> Result<Bytes, Outcome> {
-    let collected = Limited::new(body, max_bytes).collect();
+    let collected = held_response::collect(out.memory, body, max_bytes);
     let patience = Patience::unchecked(limit);
     let collected = wait_reporting_stalls(reply, patience, signals, collected).await?;
-    let collected = collected.map_err(|error| lost(error.to_string()))?;
-    Ok(collected.to_bytes())
+    Ok(collected.map_err(lost)?)
 }
 
 fn request(out: &Outgoing<'_>, events: &EventStream) -> Request<Full<Bytes>> {
--- a/crates/io/src/transport/pool.rs
+++ b/crates/io/src/transport/pool.rs
@@ -91,6 +91,8 @@
     hosts: RefCell<HashMap<SocketAddr, Host>>,
     /// Peers that are about to stop. Connections by way of them are not kept.
     stopping_relays: RefCell<HashSet<VmId>>,
+    /// Longest read buffer of a connection; none for the HTTP library's.
+    buffer_max_bytes: Option<usize>,
 }
 
 impl std::fmt::Debug for Pool {
@@ -132,6 +134,13 @@
         }
     }
 
+    /// Bounds the read buffer of each connection. The HTTP library lets it grow to 400 KB, which a response that waits
+    /// for its caller keeps.
+    pub const fn with_buffer_max(mut self, bytes: usize) -> Self {
+        self.buffer_max_bytes = Some(bytes);
+        self
+    }
+
     /// Sends a request and waits for the head of its response. Calls `on_path` when the path of the connection
     /// is known.
     ///
@@ -293,6 +302,14 @@
         Ok((self.open(target, open_len).await?, false))
     }
 
+    fn builder(&self) -> http1::Builder {
+        let mut builder = http1::Builder::new();
+        if let Some(bytes) = self.buffer_max_bytes {
+            builder.max_buf_size(bytes);
+        }
+        builder
+    }
+
     async fn open(
         &self,
         target: &Target,
@@ -312,7 +329,10 @@
         if let UpstreamPath::Relay(peer) = &connected.path {
             self.stopping_relays.borrow_mut().remove(peer);
         }
-        let handshake = http1::handshake(TokioIo::new(connected.stream)).await;
+        let handshake = self
+            .builder()
+            .handshake(TokioIo::new(connected.stream))
+            .await;
         let (sender, connection) = handshake.map_err(|error| PoolError::NotSent {
             address,
             reason: error.to_string(),
--- a/crates/io/src/transport/relay.rs
+++ b/crates/io/src/transport/relay.rs
@@ -1,14 +1,25 @@
 //! Connections to upstreams that are passed on for peers.
 
-use super::{socket, Hub};
+use super::{socket, Hub, Memory};
 use crate::peer::RelayRequest;
 use persimmon_core::{dispatch::DispatchEvent, path::PathEnd};
 use std::{net::IpAddr, sync::Arc};
 use tokio::{io::copy, net::TcpStream};
 
-/// Opens a connection for a peer, from this VM's address `source`, if the control thread admits it. Passes bytes on
-/// until either side ends it.
-pub async fn serve_relay(hub: Arc<Hub>, source: Option<IpAddr>, request: RelayRequest) {
+/// Opens a connection for a peer, from this VM's address `source`, if the control thread admits it and its buffers
+/// fit in the memory budget, if there is one. Passes bytes on until either side ends it.
+pub async fn serve_relay(
+    hub: Arc<Hub>,
+    source: Option<IpAddr>,
+    memory: Option<Arc<Memory>>,
+    request: RelayRequest,
+) {
+    let held = memory.as_ref().map(Memory::relay);
+    if matches!(held, Some(None)) {
+        log::warn!(upstream:% = request.upstream.id; "connection for a peer refused: the memory budget has no room");
+        request.refuse(PathEnd::Unavailable).await;
+        return;
+    }
     let (relay, answer) = hub.open_relay();
     hub.send_event(DispatchEvent::RelayRequested {
         relay,
--- a/crates/io/src/transport/reply.rs
+++ b/crates/io/src/transport/reply.rs
@@ -8,6 +8,10 @@
 /// Capacity of the queue of body chunks for a caller that reads slowly.
 const CHUNKS_LEN: usize = 16;
 
+/// The same where the memory budget bounds the bytes in the queue. The upstream's response is read to its end while
+/// the budget has room: upstreams cut off responses that stay unread.
+const HELD_CHUNKS_LEN: usize = 1 << 16;
+
 /// The response to one caller, by what has been sent of it.
 pub(super) enum Reply {
     /// Nothing has been sent yet.
@@ -49,8 +53,10 @@
     }
 
     /// Sends the head of a response whose body follows in chunks.
-    pub(super) fn begin(&mut self, head: response::Parts) -> Result<(), CallerLeft> {
-        let (chunks, receiver) = mpsc::channel(CHUNKS_LEN);
+    /// `is_held` tells whether the memory budget bounds the bytes of the chunks.
+    pub(super) fn begin(&mut self, head: response::Parts, is_held: bool) -> Result<(), CallerLeft> {
+        let chunks_len = if is_held { HELD_CHUNKS_LEN } else { CHUNKS_LEN };
+        let (chunks, receiver) = mpsc::channel(chunks_len);
         match std::mem::replace(self, Self::Streaming(chunks)) {
             Self::Open(open) => {
                 let response = Response::from_parts(head, ResponseBody::Chunks(receiver));
--- a/crates/io/src/transport/socket.rs
+++ b/crates/io/src/transport/socket.rs
@@ -19,6 +19,10 @@
 /// A sound upstream may be silent for a second.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Send buffer of a caller's socket, which the kernel doubles. It is enough for 200 Mbit/s at 8 ms; buffers that
+/// grow by themselves hold up to 4 MB for each slow caller.
+const SEND_BUFFER_BYTES: usize = 128 << 10;
+
 /// TCP keep-alive on connections to upstreams: the idle time before the first probe, the time between two
 /// probes, and the number of unanswered probes after which the connection fails. Where a user timeout is set, some
 /// systems let that decide instead.
@@ -79,6 +83,19 @@
     SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
 
+/// Sets the options of a caller's socket where what is held for callers is counted. A caller that reads nothing for
+/// `unread_timeout` is disconnected: the kernel applies the user timeout to a closed window, too. The send buffer is
+/// bounded, because the kernel's memory is the VM's.
+pub(super) fn set_held_caller_options(
+    stream: &TcpStream,
+    unread_timeout: Duration,
+) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(unread_timeout))?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)
+}
+
 /// Enables TCP keep-alive probes, which detect a peer that disappeared while a connection is
 /// silent.
 fn enable_keepalive(stream: &TcpStream) -> io::Result<()> {
--- a/crates/io/tests/relay.rs
+++ b/crates/io/tests/relay.rs
@@ -60,7 +60,7 @@
     let hub = Arc::new(Hub::new(sender));
     let relays_hub = Arc::clone(&hub);
     let relays = Rc::new(move |request| {
-        spawn_local(serve_relay(Arc::clone(&relays_hub), None, request));
+        spawn_local(serve_relay(Arc::clone(&relays_hub), None, None, request));
     });
     let peer = relaying_node(&ca, "vm-2", relays);
     spawn_local(async move {
--- a/crates/persimmond/src/gateway/control.rs
+++ b/crates/persimmond/src/gateway/control.rs
@@ -140,6 +140,8 @@
 const fn level(record: &DispatchRecord) -> Level {
     match record {
         DispatchRecord::Refused { .. }
+        | DispatchRecord::MemoryRefused { .. }
+        | DispatchRecord::UpstreamBytesLimit { .. }
         | DispatchRecord::UpstreamCrashed { .. }
         | DispatchRecord::Links { lost: true, .. }
         | DispatchRecord::FingerprintQuarantined { .. }
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -1,7 +1,7 @@
 //! Metrics of the gateway.
 
 use persimmon_core::{
-    dispatch::{DispatchRecord, Dispatcher, SendOutcome},
+    dispatch::{DispatchRecord, Dispatcher, RefusalReason, SendOutcome},
     units::Millis,
     watch::{StoreError, Topic},
 };
@@ -48,6 +48,12 @@
                 self.increment(Metric::REQUESTS, &[("outcome", outcome), ("class", class)]);
                 self.increment(Metric::REFUSALS, &[("code", reason.name())]);
             }
+            DispatchRecord::MemoryRefused { .. } => {
+                let labels = [("outcome", "refused_not_run"), ("class", NO_CLASS)];
+                self.increment(Metric::REQUESTS, &labels);
+                let code = RefusalReason::MemoryFull.name();
+                self.increment(Metric::REFUSALS, &[("code", code)]);
+            }
             DispatchRecord::Answered {
                 class,
                 status,
@@ -91,6 +97,14 @@
             DispatchRecord::UpstreamCrashed { .. } => {
                 self.increment(Metric::UPSTREAM_CRASHES, &[]);
             }
+            DispatchRecord::UpstreamBytesLimit { reported_by, .. } => {
+                let told = if reported_by.is_some() {
+                    "peer"
+                } else {
+                    "self"
+                };
+                self.increment(Metric::UPSTREAM_BYTES_LIMITS, &[("told", told)]);
+            }
             DispatchRecord::Relayed { .. } => {
                 self.increment(Metric::RELAYED, &[("role", "sent")]);
             }
--- a/crates/persimmond/src/gateway/traffic.rs
+++ b/crates/persimmond/src/gateway/traffic.rs
@@ -9,16 +9,16 @@
 use persimmon_core::{
     dispatch::{DispatchEvent, DispatchMessage, ReserveOrder},
     ids::VmId,
-    units::Millis,
+    units::{ByteCount, Millis},
     watch::{StoreError, WatchCall},
 };
 use persimmon_io::{
     http::MetricsPage,
     settings::GatewaySettings,
-    telemetry::Telemetry,
+    telemetry::{Metric, Telemetry},
     transport::{
         send_order, serve_pages, serve_relay, CallerListener, Connector, Dialect, DrainState, Hub,
-        MetadataStore, Pool, SharedLimits, Target,
+        Memory, MetadataStore, Pool, SharedLimits, Target,
     },
 };
 use std::{
@@ -44,6 +44,12 @@
 /// Interval at which idle connections are evicted from the pool.
 const IDLE_EVICTION_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Longest read buffer of a connection to an upstream while what is held is counted.
+const UPSTREAM_BUFFER_MAX_BYTES: usize = 32 << 10;
+
+/// Interval at which the gauges of the memory budget are updated.
+const MEMORY_GAUGE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time for the close messages to peers to leave the process before the event loop ends.
 const PEER_CLOSE_FLUSH_TIME: Duration = Duration::from_millis(30);
 
@@ -161,7 +167,12 @@
         let relays = Rc::new(MeshRelays(Rc::clone(&mesh)));
         let source = self.settings.upstream_source;
         let connector = Connector::new(source, relays, Rc::new(on_report));
-        let pool = Rc::new(Pool::new(connector));
+        let memory = self.settings.dispatch.memory.map(Memory::new);
+        let mut pool = Pool::new(connector);
+        if memory.is_some() {
+            pool = pool.with_buffer_max(UPSTREAM_BUFFER_MAX_BYTES);
+        }
+        let pool = Rc::new(pool);
         let store = (self.adapter.store)(Rc::clone(&pool), self.settings.store);
         let dialect = (self.adapter.dialect)();
         let callers = CallerListener::new(
@@ -172,13 +183,17 @@
             self.settings.connections_max_len,
             drain_state,
         );
+        let callers = callers.with_memory(memory.clone());
         let listen = self.settings.listen;
         let socket = bind("listen.callers", listen.callers)?;
         spawn_local(Rc::new(callers).accept(socket));
         self.serve_pages()?;
         spawn_local(evict_idle_connections(Rc::clone(&pool)));
         let lost_entry = Rc::new(Notify::new());
-        self.spawn_join(&store, &lost_entry, &mesh);
+        self.spawn_join(&store, &lost_entry, &mesh, memory.clone());
+        if let Some(memory) = memory {
+            spawn_local(update_memory_gauges(Arc::clone(&self.telemetry), memory));
+        }
         let links = Links {
             hub: Arc::clone(&self.hub),
             pool,
@@ -206,13 +221,19 @@
         store: &Rc<dyn MetadataStore>,
         lost_entry: &Rc<Notify>,
         mesh: &JoinedMesh,
+        memory: Option<Arc<Memory>>,
     ) {
         let hub = Arc::clone(&self.hub);
         let on_event = move |event| hub.send_event(event);
         let hub = Arc::clone(&self.hub);
         let source = self.settings.upstream_source;
         let on_relay = move |request| {
-            spawn_local(serve_relay(Arc::clone(&hub), source, request));
+            spawn_local(serve_relay(
+                Arc::clone(&hub),
+                source,
+                memory.clone(),
+                request,
+            ));
         };
         let sinks = MeshSinks {
             events: Rc::new(on_event),
@@ -293,3 +314,19 @@
         pool.evict_idle();
     }
 }
+
+async fn update_memory_gauges(telemetry: Arc<Telemetry>, memory: Arc<Memory>) {
+    let mut ticks = interval(MEMORY_GAUGE_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let usage = memory.usage();
+        let set = |metric, labels: &[(&'static str, &str)], bytes: ByteCount| {
+            telemetry.gauge(metric, labels).set(bytes.get() as f64);
+        };
+        for (memory_use, bytes) in usage.by_use {
+            set(Metric::MEMORY_HELD, &[("use", memory_use.name())], bytes);
+        }
+        set(Metric::MEMORY_PEAK, &[], usage.peak);
+        set(Metric::MEMORY_BUDGET, &[], usage.budget);
+    }
+}
