--- a/crates/core/tests/common/crash_fleet.rs
+++ b/crates/core/tests/common/crash_fleet.rs
@@ -9,7 +9,7 @@
     dispatch::{Call, DispatchAction, DispatchEvent, PromptSize, SendOutcome, SendPlan},
     ids::{CallId, Fingerprint, UpstreamId},
     path::{PathEnd, PathPlan},
-    units::{Millis, Time, Tokens},
+    units::{ByteCount, Millis, Time, Tokens},
 };
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -159,6 +159,7 @@
             }),
             fingerprints: parts.to_vec(),
             content,
+            body_bytes: ByteCount::ZERO,
             age_ms: Millis::ZERO,
         }));
         self.handle(daemon, event);
--- a/crates/core/tests/common/dispatch/node.rs
+++ b/crates/core/tests/common/dispatch/node.rs
@@ -8,13 +8,15 @@
         PromptSize, RawDispatchSettings, RefusalReason, ReserveOrder, SendOutcome, SendPlan,
     },
     ids::{CallId, Fingerprint},
-    units::{Millis, Time, Tokens},
+    units::{ByteCount, Millis, Time, Tokens},
     watch::{Change, StoreError, Topic},
 };
 
 pub(crate) struct Node {
     pub(crate) dispatcher: Dispatcher,
     pub(crate) now: Time,
+    /// Size of the bodies of the calls.
+    pub(crate) body_bytes: ByteCount,
     last_call: CallId,
     era: u64,
     version: u64,
@@ -44,6 +46,7 @@
         Self {
             dispatcher: Dispatcher::new(settings, id(vm), id("a")),
             now: Time::START,
+            body_bytes: ByteCount::ZERO,
             last_call: CallId::default(),
             era: 0,
             version: 0,
@@ -135,6 +138,7 @@
             }),
             fingerprints: Vec::new(),
             content: Fingerprint::new(call.get()),
+            body_bytes: self.body_bytes,
             age_ms: Millis::ZERO,
         }));
         (call, self.step(event))
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -14,7 +14,7 @@
     },
     ids::{CallId, FailureDomain, Fingerprint, VmId},
     path::PathEnd,
-    units::{Millis, Time, Tokens},
+    units::{ByteCount, Millis, Time, Tokens},
     watch::{Change, Topic},
 };
 use rand_chacha::{
@@ -309,6 +309,7 @@
             }),
             fingerprints: Vec::new(),
             content: Fingerprint::new(tag),
+            body_bytes: ByteCount::ZERO,
             age_ms: Millis::ZERO,
         }));
         self.handle(now, daemon, event);
--- a/crates/core/tests/common/limited_fleet.rs
+++ b/crates/core/tests/common/limited_fleet.rs
@@ -11,7 +11,7 @@
         SendOutcome, SendPlan,
     },
     ids::{CallId, Fingerprint, UpstreamId, VmId},
-    units::{Millis, RequestsPerSecond, Time, Tokens},
+    units::{ByteCount, Millis, RequestsPerSecond, Time, Tokens},
     watch::Change,
 };
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -174,6 +174,7 @@
             }),
             fingerprints: Vec::new(),
             content: Fingerprint::new(call.get()),
+            body_bytes: ByteCount::ZERO,
             age_ms: Millis::ZERO,
         }));
         self.handle(daemon, event);
--- a/crates/io/src/transport/memory.rs
+++ b/crates/io/src/transport/memory.rs
@@ -85,6 +85,18 @@
         }
     }
 
+    /// Waits until no response is held any more: all have been written to their callers' sockets.
+    pub async fn responses_sent(&self) {
+        loop {
+            let mut released = std::pin::pin!(self.released.notified());
+            released.as_mut().enable();
+            if self.lock().ledger.held_for(MemoryUse::Responses) == ByteCount::ZERO {
+                return;
+            }
+            released.await;
+        }
+    }
+
     /// Time after which a caller that takes no bytes is disconnected.
     pub(super) const fn unread_timeout(&self) -> Duration {
         self.unread_timeout_ms.duration()
--- a/crates/persimmond/src/gateway/traffic.rs
+++ b/crates/persimmond/src/gateway/traffic.rs
@@ -35,7 +35,7 @@
     runtime::Builder,
     sync::{watch, Notify},
     task::{spawn_local, LocalSet},
-    time::{interval, sleep, timeout},
+    time::{interval, sleep, timeout, timeout_at, Instant},
 };
 
 /// Maximum number of connections that wait to be accepted.
@@ -50,6 +50,9 @@
 /// Interval at which the gauges of the memory budget are updated.
 const MEMORY_GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Part of the grace period that is left for the process to exit: a VM with little CPU time needs most of a second.
+const EXIT_TIME: Duration = Duration::from_millis(1_200);
+
 /// Time for the close messages to peers to leave the process before the event loop ends.
 const PEER_CLOSE_FLUSH_TIME: Duration = Duration::from_millis(30);
 
@@ -191,7 +194,7 @@
         spawn_local(evict_idle_connections(Rc::clone(&pool)));
         let lost_entry = Rc::new(Notify::new());
         self.spawn_join(&store, &lost_entry, &mesh, memory.clone());
-        if let Some(memory) = memory {
+        if let Some(memory) = memory.clone() {
             spawn_local(update_memory_gauges(Arc::clone(&self.telemetry), memory));
         }
         let links = Links {
@@ -203,12 +206,21 @@
             lost_entry,
             drain,
         };
+        let mut draining_since = None;
         while let Ok(job) = self.jobs.recv_async().await {
-            if matches!(job, Job::Exit) {
-                break;
+            match job {
+                Job::Exit => break,
+                Job::Drain(_) => draining_since = draining_since.or_else(|| Some(Instant::now())),
+                _ => {}
             }
             links.start(job);
         }
+        if let (Some(memory), Some(since)) = (memory, draining_since) {
+            // Responses that are complete but not read yet are held here, and no call is open for them.
+            let grace = self.settings.dispatch.grace_ms.duration();
+            let until = since + grace.saturating_sub(EXIT_TIME);
+            let _ = timeout_at(until, memory.responses_sent()).await;
+        }
         if let Some(mesh) = links.mesh.take() {
             mesh.close();
             sleep(PEER_CLOSE_FLUSH_TIME).await;
