--- a/crates/core/src/memory_budget/upstream_bytes.rs
+++ b/crates/core/src/memory_budget/upstream_bytes.rs
@@ -6,7 +6,7 @@
     ids::{SendId, ServiceName, UpstreamId, VmId},
     units::{ByteCount, Millis, Time},
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Share of the bytes at which an upstream terminated that is its limit. Reports of peers come 200 ms late, in
 /// which several daemons may send at once.
@@ -15,6 +15,10 @@
 /// Growth of a limit in a minute, so that an upstream that terminated for another reason is not held back for long.
 const GROWTH_PERCENT_PER_MIN: u64 = 10;
 
+/// Share of a known limit below which another one replaces it. Peers whose clocks differ repeat limits to each other
+/// when links come back, which must not restart their growth.
+const LOWER_PERCENT: u64 = 90;
+
 /// Age at which a limit is forgotten.
 const LIMIT_AGE_MAX_MS: Millis = Millis::from_secs(30 * 60);
 
@@ -63,6 +67,8 @@
     own: BTreeMap<UpstreamId, ByteCount>,
     reported: BTreeMap<UpstreamId, ByteCount>,
     peers: BTreeMap<VmId, BTreeMap<UpstreamId, ByteCount>>,
+    /// The sums of what peers have reported. A decision looks at many upstreams.
+    peer_sums: HashMap<UpstreamId, ByteCount>,
     peaks: BTreeMap<UpstreamId, Peak>,
     limits: BTreeMap<ServiceName, Limit>,
     /// The most at one upstream that responded to a request.
@@ -110,12 +116,7 @@
     ) -> Vec<(ServiceName, ByteCount)> {
         for (upstream, bytes) in report.held.into_iter().take(REPORT_MAX_LEN) {
             self.update_peak(now, &upstream);
-            let held = self.peers.entry(vm.clone()).or_default();
-            if bytes == ByteCount::ZERO {
-                held.remove(&upstream);
-            } else if held.contains_key(&upstream) || held.len() < PEER_UPSTREAMS_MAX_LEN {
-                held.insert(upstream.clone(), bytes);
-            }
+            self.set_reported(vm, &upstream, bytes);
             self.update_peak(now, &upstream);
         }
         let limits = report.limits.into_iter().take(SERVICES_MAX_LEN);
@@ -128,7 +129,28 @@
 
     /// Removes what a peer reported whose connection was lost.
     pub fn forget_peer(&mut self, vm: &VmId) {
-        self.peers.remove(vm);
+        for (upstream, bytes) in self.peers.remove(vm).into_iter().flatten() {
+            self.replace_in_sum(&upstream, bytes, ByteCount::ZERO);
+        }
+    }
+
+    fn set_reported(&mut self, vm: &VmId, upstream: &UpstreamId, bytes: ByteCount) {
+        let held = self.peers.entry(vm.clone()).or_default();
+        let before = held.remove(upstream).unwrap_or_default();
+        let has_place = held.len() < PEER_UPSTREAMS_MAX_LEN;
+        let after = if has_place { bytes } else { ByteCount::ZERO };
+        if after > ByteCount::ZERO {
+            held.insert(upstream.clone(), after);
+        }
+        self.replace_in_sum(upstream, before, after);
+    }
+
+    fn replace_in_sum(&mut self, upstream: &UpstreamId, before: ByteCount, after: ByteCount) {
+        let sum = self.peer_sums.entry(upstream.clone()).or_default();
+        *sum = sum.saturating_sub(before) + after;
+        if *sum == ByteCount::ZERO {
+            self.peer_sums.remove(upstream);
+        }
     }
 
     /// Learns from an upstream's process that ended. The bytes in flight there are the reason only if they are more
@@ -184,8 +206,7 @@
 
     /// ByteCount of requests in flight at an upstream, over all daemons.
     pub fn in_flight(&self, upstream: &UpstreamId) -> ByteCount {
-        let peers = self.peers.values();
-        let reported: ByteCount = peers.filter_map(|held| held.get(upstream)).copied().sum();
+        let reported = self.peer_sums.get(upstream).copied().unwrap_or_default();
         reported + self.own.get(upstream).copied().unwrap_or_default()
     }
 
@@ -236,6 +257,7 @@
     /// Forgets an upstream that is gone.
     pub fn forget_upstream(&mut self, upstream: &UpstreamId) {
         self.peaks.remove(upstream);
+        self.peer_sums.remove(upstream);
         for held in self.peers.values_mut() {
             held.remove(upstream);
         }
@@ -270,7 +292,7 @@
         let is_same = known.is_some_and(|known| now.since(known.learned_at) < SAME_CRASH_MS);
         let is_lower = known
             .and_then(|known| known.at(now))
-            .is_none_or(|known| bytes < known);
+            .is_none_or(|known| bytes.get() < known.get() / 100 * LOWER_PERCENT);
         let has_place = known.is_some() || self.limits.len() < SERVICES_MAX_LEN;
         if is_same || !is_lower || !has_place || bytes == ByteCount::ZERO {
             return false;
