--- a/crates/io/src/transport/memory.rs
+++ b/crates/io/src/transport/memory.rs
@@ -292,16 +292,7 @@
                 memory.lock().ledger.on_received(self.id, received);
                 return Ok(());
             }
-            let state = memory.lock();
-            match state.ledger.largest_receiving() {
-                Some(largest) if largest != self.id => {
-                    if let Some(refused) = state.receiving.get(&largest) {
-                        refused.notify_one();
-                    }
-                }
-                _ => return Err(NoRoom),
-            }
-            drop(state);
+            self.refuse_largest()?;
             tokio::select! {
                 () = released => {}
                 () = self.refused.notified() => return Err(NoRoom),
@@ -309,6 +300,19 @@
         }
     }
 
+    /// Refuses the largest request that is being received.
+    fn refuse_largest(&self) -> Result<(), NoRoom> {
+        let state = self.held.memory.lock();
+        let largest = state.ledger.largest_receiving();
+        let other = largest
+            .filter(|largest| *largest != self.id)
+            .ok_or(NoRoom)?;
+        if let Some(refused) = state.receiving.get(&other) {
+            refused.notify_one();
+        }
+        Ok(())
+    }
+
     /// Ties what is held to the complete body.
     pub(super) fn complete(mut self, body: Bytes) -> Bytes {
         let memory = Arc::clone(&self.held.memory);
