--- a/crates/io/tests/settings.rs
+++ b/crates/io/tests/settings.rs
@@ -1,9 +1,9 @@
 //! Invalid settings: each error names the file, the key, its value and how to correct it.
 
 use insta::assert_snapshot;
-use persimmon_io::settings::{load, parse};
+use persimmon_io::settings::{load, load_gateway, parse};
 use serde_json::{json, Value};
-use std::path::Path;
+use std::{fs, path::Path};
 
 fn valid() -> Value {
     json!({
@@ -136,3 +136,46 @@
     ];
     assert_snapshot!(errors.join("\n"));
 }
+
+/// Guards against a memory section that is accepted with values which contradict the VM's limit, or misread.
+#[test]
+fn an_invalid_memory_section_is_named() {
+    let file = std::env::temp_dir().join(format!("persimmon-gateway-{}.json", std::process::id()));
+    let sections = [
+        json!({"vm_limit_mb": 160}),
+        json!({"vm_limit_mb": 160, "budget_mb": 160}),
+        json!({"vm_limit_mb": -160}),
+        json!({"budget_mb": 72}),
+        json!({"vm_limit_mb": 160, "limit": 1}),
+    ];
+    let lines = sections.map(|memory| {
+        let settings = json!({
+            "vm": "vm-1",
+            "domain": "taichung-a",
+            "listen": {
+                "callers": "127.0.0.1:8000",
+                "readiness": "127.0.0.1:8001",
+                "metrics": "127.0.0.1:8002",
+                "peers": "127.0.0.1:8003",
+            },
+            "store": "127.0.0.1:8004",
+            "descriptors_max_len": 4_100,
+            "dispatch": {"memory": memory},
+        });
+        fs::write(&file, settings.to_string()).unwrap();
+        match load_gateway(&file) {
+            Ok(settings) => settings.dispatch.memory.unwrap().budget_bytes.to_string(),
+            Err(error) => error
+                .to_string()
+                .replace(&file.display().to_string(), "gateway.json"),
+        }
+    });
+    fs::remove_file(&file).unwrap();
+    assert_snapshot!(lines.join("\n"), @"
+    75497472
+    gateway.json: dispatch.memory.budget_mb = `160`: give 8 to 96
+    gateway.json: dispatch.memory.vm_limit_mb = `-160`: invalid value: integer `-160`, expected u64 at line 1 column 68
+    gateway.json: dispatch.memory = `{...}`: missing field `vm_limit_mb` at line 1 column 65
+    gateway.json: dispatch.memory.limit = `1`: unknown field `limit`, expected one of `vm_limit_mb`, `budget_mb`, `unread_timeout_ms`, `upstream_min_kb` at line 1 column 57
+    ");
+}
--- a/crates/persimmonctl/src/explain.rs
+++ b/crates/persimmonctl/src/explain.rs
@@ -110,7 +110,7 @@
     let outcome = lines.iter().rposition(|line| {
         matches!(
             line.message.as_str(),
-            "refused" | "answered" | "caller_left"
+            "refused" | "memory_refused" | "answered" | "caller_left"
         )
     });
     match (failure, outcome) {
