--- a/crates/core/src/memory_budget/ledger.rs
+++ b/crates/core/src/memory_budget/ledger.rs
@@ -3,13 +3,20 @@
 use crate::{ids::BodyId, units::ByteCount};
 use std::collections::BTreeMap;
 
-/// Eighths of the budget that a response above [`SMALL_RESPONSE_BYTES`] may fill. Slow callers of large responses
+/// Sixteenths of the budget that a response above [`SMALL_RESPONSE_BYTES`] may fill. Slow callers of large responses
 /// leave the rest to others.
-const LARGE_RESPONSES_EIGHTHS: u64 = 6;
+const LARGE_RESPONSES_PARTS: u64 = 12;
 
-/// Eighths of the budget that new work may fill: requests, connections and relays. The rest is for the responses of
-/// requests that have been admitted.
-const NEW_WORK_EIGHTHS: u64 = 7;
+/// Sixteenths of the budget that new work may fill: requests and relays. The rest is for the responses of requests
+/// that have been admitted.
+const NEW_WORK_PARTS: u64 = 14;
+
+/// Sixteenths of the budget that connections may fill beside the rest. A caller whose connection is closed gets no
+/// refusal, so there is room for connections on which requests are refused.
+const CONNECTIONS_PARTS: u64 = 15;
+
+/// Number of parts of the whole budget.
+const ALL_PARTS: u64 = 16;
 
 /// A request is admitted if so many of its size fit in what is left for new work. The largest are thus refused first.
 const ADMITTED_MULTIPLE: u64 = 4;
@@ -94,7 +101,7 @@
 
     /// Whether a request with a body of this size is admitted: several such bodies fit in what is left for new work.
     pub fn admits_request(&self, body: ByteCount) -> bool {
-        let left = self.part(NEW_WORK_EIGHTHS).saturating_sub(self.held());
+        let left = self.part(NEW_WORK_PARTS).saturating_sub(self.held());
         left > ByteCount::ZERO && body.get() <= left.get() / ADMITTED_MULTIPLE
     }
 
@@ -103,10 +110,9 @@
     pub fn hold(&mut self, memory_use: MemoryUse, own: ByteCount, more: ByteCount) -> bool {
         let limit = match memory_use {
             MemoryUse::Responses if own + more <= SMALL_RESPONSE_BYTES => self.budget,
-            MemoryUse::Responses => self.part(LARGE_RESPONSES_EIGHTHS),
-            MemoryUse::Connections | MemoryUse::Relays | MemoryUse::Requests => {
-                self.part(NEW_WORK_EIGHTHS)
-            }
+            MemoryUse::Responses => self.part(LARGE_RESPONSES_PARTS),
+            MemoryUse::Connections => self.part(CONNECTIONS_PARTS),
+            MemoryUse::Relays | MemoryUse::Requests => self.part(NEW_WORK_PARTS),
         };
         let held = self.held() + more;
         if held > limit {
@@ -141,7 +147,7 @@
         largest.map(|(body, _)| *body)
     }
 
-    fn part(&self, eighths: u64) -> ByteCount {
-        ByteCount::new(self.budget.get() / 8 * eighths)
+    fn part(&self, parts: u64) -> ByteCount {
+        ByteCount::new(self.budget.get() / ALL_PARTS * parts)
     }
 }
