--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -11,6 +11,7 @@
         backoff::BackoffTable, crash_check::CrashChecks, ejection_report::EjectionReports,
         extension_peers::ExtensionPeers, freshness::FreshnessState, outbox::Outbox,
         placement::Placement, reservation::Reservations, restore::RestoreState, shutdown::Shutdown,
+        upstream_bytes::UpstreamBytes,
     },
     fleet::Fleet,
     ids::{CallId, CatalogVersion, FailureDomain, Fingerprint, SendId, StoreEra, UpstreamId, VmId},
@@ -165,6 +166,7 @@
     pub(super) sharing: Option<ShareTable>,
     pub(super) sent_work: SentWorkTable,
     pub(super) promises: PromiseTable,
+    pub(super) upstream_bytes: UpstreamBytes,
     pub(super) calls: BTreeMap<CallId, OpenCall>,
     pub(super) waiting: VecDeque<CallId>,
     pub(super) peers: BTreeMap<VmId, u32>,
@@ -211,6 +213,7 @@
             sharing: settings.sharing.clone().map(ShareTable::new),
             sent_work: SentWorkTable::default(),
             promises: PromiseTable::default(),
+            upstream_bytes: UpstreamBytes::default(),
             calls: BTreeMap::new(),
             waiting: VecDeque::new(),
             peers: BTreeMap::new(),
@@ -230,6 +233,7 @@
         let mut out = Out { now, actions };
         match event {
             DispatchEvent::Arrived(call) => self.on_arrived(&mut out, *call),
+            DispatchEvent::MemoryRefused(refusal) => self.on_memory_refused(&mut out, refusal),
             DispatchEvent::FirstByte { call, send } => self.on_first_byte(&mut out, call, send),
             DispatchEvent::Ended { call, send, end } => self.on_ended(&mut out, call, send, end),
             DispatchEvent::Stalled {
@@ -378,6 +382,7 @@
         self.progress_ejection_reports(out);
         self.place_waiting(out);
         self.schedule_speed_report(out.now);
+        self.report_upstream_bytes(out);
         self.progress_outbox(out);
         self.progress_shutdown(out);
         self.update_ready(out);
@@ -409,6 +414,7 @@
         self.release(out, call);
         let Some(send) = send else { return };
         self.settle_sent_work(out.now, send);
+        self.upstream_bytes.table.on_ended(out.now, send);
         if self.in_flight.end(out.now, InFlightId::own(send)) {
             self.notify_batched(out.now, DispatchMessage::Ended(send));
         }
--- a/crates/core/src/dispatch/extension.rs
+++ b/crates/core/src/dispatch/extension.rs
@@ -1,7 +1,10 @@
 //! Messages of kinds that builds before them do not know. A frame has the number of its kind and an encoded
 //! body, so that a daemon can skip a kind that it lacks without losing the messages beside it.
 
-use crate::{returns::PromiseReports, sharing::WorkReport, speed::SpeedReport};
+use crate::{
+    memory_budget::UpstreamBytesReport, prefix::PrefixReport, returns::PromiseReports,
+    sharing::WorkReport, speed::SpeedReport,
+};
 use bytes::Bytes;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use std::fmt;
@@ -27,12 +30,20 @@
     /// [`ExtensionMessage::UpstreamSpeeds`].
     pub const UPSTREAM_SPEEDS: Self = Self(3);
 
+    /// [`ExtensionMessage::CachedPrefixes`].
+    pub const CACHED_PREFIXES: Self = Self(4);
+
+    /// [`ExtensionMessage::UpstreamBytes`].
+    pub const UPSTREAM_BYTES: Self = Self(5);
+
     /// The kinds that this build reads.
-    pub const READ: [Self; 4] = [
+    pub const READ: [Self; 6] = [
         Self::CAPABILITIES,
         Self::WORKSPACE_WORK,
         Self::RETRY_PROMISES,
         Self::UPSTREAM_SPEEDS,
+        Self::CACHED_PREFIXES,
+        Self::UPSTREAM_BYTES,
     ];
 }
 
@@ -58,6 +69,10 @@
     Capabilities(Vec<ExtensionKind>),
     /// What the sender learned of the speed of upstreams since its last report.
     UpstreamSpeeds(Vec<SpeedReport>),
+    /// Prompt prefixes that upstreams got or keep.
+    CachedPrefixes(Vec<PrefixReport>),
+    /// Bytes of the sender's requests in flight at upstreams.
+    UpstreamBytes(UpstreamBytesReport),
     /// Work of workspaces at services since the sender's last report.
     WorkspaceWork(Vec<WorkReport>),
     /// Retry times that refused callers were given, and those whose callers have got their slots.
@@ -86,6 +101,12 @@
     fn try_from(message: &ExtensionMessage) -> Result<Self, ExtensionError> {
         match message {
             ExtensionMessage::Capabilities(kinds) => encode(ExtensionKind::CAPABILITIES, kinds),
+            ExtensionMessage::CachedPrefixes(reports) => {
+                encode(ExtensionKind::CACHED_PREFIXES, reports)
+            }
+            ExtensionMessage::UpstreamBytes(report) => {
+                encode(ExtensionKind::UPSTREAM_BYTES, report)
+            }
             ExtensionMessage::UpstreamSpeeds(reports) => {
                 encode(ExtensionKind::UPSTREAM_SPEEDS, reports)
             }
@@ -112,6 +133,8 @@
             ExtensionKind::UPSTREAM_SPEEDS => decode(frame).map(Self::UpstreamSpeeds),
             ExtensionKind::WORKSPACE_WORK => Ok(Self::WorkspaceWork(decode(frame)?)),
             ExtensionKind::RETRY_PROMISES => decode(frame).map(Self::RetryPromises),
+            ExtensionKind::CACHED_PREFIXES => decode(frame).map(Self::CachedPrefixes),
+            ExtensionKind::UPSTREAM_BYTES => decode(frame).map(Self::UpstreamBytes),
             kind => Err(ExtensionError::UnknownKind(kind)),
         }
     }
--- a/crates/core/src/dispatch/extension_peers.rs
+++ b/crates/core/src/dispatch/extension_peers.rs
@@ -84,6 +84,13 @@
                 {
                     self.report_promises(out, vm);
                 }
+                if self
+                    .extension_peers
+                    .reads(vm, ExtensionKind::CACHED_PREFIXES)
+                {
+                    self.report_prefixes_to(out, vm);
+                }
+                self.report_all_upstream_bytes(out, vm);
             }
             Ok(ExtensionMessage::RetryPromises(reports)) => {
                 self.on_retry_promises(out.now, reports);
@@ -91,6 +98,12 @@
             Ok(ExtensionMessage::UpstreamSpeeds(reports)) => {
                 self.on_peer_speeds(out, vm, &reports);
             }
+            Ok(ExtensionMessage::CachedPrefixes(reports)) => {
+                self.on_peer_prefixes(out.now, vm, reports);
+            }
+            Ok(ExtensionMessage::UpstreamBytes(report)) => {
+                self.on_peer_upstream_bytes(out, vm, report);
+            }
             Ok(ExtensionMessage::WorkspaceWork(reports)) => {
                 self.on_workspace_work(out.now, reports);
             }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -49,6 +49,7 @@
 mod speeds;
 mod store_updates;
 mod token_bucket;
+mod upstream_bytes;
 mod upstream_outcome;
 mod workspace_shares;
 
@@ -80,3 +81,4 @@
 pub use send_plan::{PrefillHelper, SendPlan};
 pub use settings::{DispatchSettings, RawDispatchSettings};
 pub use slow_start::SlowStartLimiter;
+pub use upstream_bytes::MemoryRefusal;
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -64,6 +64,7 @@
             self.sample_engine(out, call);
         }
         self.clear_fingerprints(out, call);
+        self.note_borne_bytes(call);
         let Some(open) = self.calls.get(&call) else {
             return;
         };
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -83,6 +83,7 @@
         self.end_promise(out.now, fingerprint);
         self.log_sent(out, id, send, &placement);
         self.count_sent_work(out.now, id, send);
+        self.count_upstream_bytes(out.now, id, send, &placement.upstream);
         out.act(DispatchAction::Send(Box::new(plan)));
         let report = in_flight_report(out.now, send, &entry, placement.helpers.clone());
         self.notify_now(out.now, DispatchMessage::Started(report));
--- a/crates/core/src/dispatch/settings.rs
+++ b/crates/core/src/dispatch/settings.rs
@@ -4,6 +4,7 @@
     returns::{RawReturnsSettings, ReturnsSettings},
     sharing::{RawSharingSettings, SharingSettings},
     speed::{RawSpeedSettings, SpeedSettings},
+    memory_budget::{MemorySettings, RawMemorySettings},
     units::{Millis, RangeCheck, RangeError},
     watch::WatchSettings,
 };
@@ -61,6 +62,8 @@
     pub sharing: Option<RawSharingSettings>,
     /// Promised retry times; none if callers are refused without.
     pub returns: Option<RawReturnsSettings>,
+    /// Memory budget; none if bytes are not counted.
+    pub memory: Option<RawMemorySettings>,
 }
 
 impl Default for RawDispatchSettings {
@@ -79,6 +82,7 @@
             speeds: None,
             sharing: None,
             returns: None,
+            memory: None,
         }
     }
 }
@@ -110,6 +114,8 @@
     pub sharing: Option<SharingSettings>,
     /// Promised retry times; none if the component is off.
     pub returns: Option<ReturnsSettings>,
+    /// Memory budget; none if bytes are not counted.
+    pub memory: Option<MemorySettings>,
 }
 
 impl TryFrom<RawDispatchSettings> for DispatchSettings {
@@ -156,6 +162,7 @@
             },
             sharing: raw.sharing.map(SharingSettings::try_from).transpose()?,
             returns: raw.returns.map(ReturnsSettings::try_from).transpose()?,
+            memory: raw.memory.map(MemorySettings::try_from).transpose()?,
         })
     }
 }
--- a/crates/core/tests/common/dispatch/mod.rs
+++ b/crates/core/tests/common/dispatch/mod.rs
@@ -16,7 +16,7 @@
     fleet::UpstreamRecord,
     ids::{CallId, CatalogVersion, Fingerprint, StoreEra, StoreVersion},
     path::{PathAttempt, PathAttempts, PathEnd, PathPlan},
-    units::{Millis, Tokens},
+    units::{ByteCount, Millis, Tokens},
     watch::{Batch, Change, StorePosition},
 };
 use std::{fmt::Debug, str::FromStr};
@@ -172,6 +172,7 @@
         prompt: None,
         fingerprints: Vec::new(),
         content: Fingerprint::new(number),
+        body_bytes: ByteCount::ZERO,
         age_ms: Millis::ZERO,
     }
 }
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -16,7 +16,7 @@
     },
     ids::{CallId, FailureDomain, Fingerprint, VmId},
     path::PathEnd,
-    units::{Millis, Time, Tokens},
+    units::{ByteCount, Millis, Time, Tokens},
     watch::{Change, Topic},
 };
 use rand_chacha::{
@@ -433,6 +433,7 @@
             }),
             fingerprints: Vec::new(),
             content: Fingerprint::new(content),
+            body_bytes: ByteCount::ZERO,
             age_ms: Millis::ZERO,
         }));
         self.handle(now, daemon, event);
