--- a/crates/core/src/dispatch/call.rs
+++ b/crates/core/src/dispatch/call.rs
@@ -3,6 +3,7 @@
 use crate::{
     catalog::ApiKey,
     ids::{CallId, Fingerprint},
+    prefix::PromptPrefix,
     units::{Millis, Tokens},
 };
 use std::sync::Arc;
@@ -36,6 +37,8 @@
     /// Fingerprints of the parts of the prompt that other requests may share, in order. Admission adds that of
     /// the request as a whole.
     pub fingerprints: Vec<Fingerprint>,
+    /// The leading parts of the prompt with their tokens, in order, as far as the caller states them.
+    pub prefix: PromptPrefix,
     /// Fingerprint of all that stays the same when the request is repeated, other than its caller.
     pub content: Fingerprint,
     /// Time since the request's head arrived.
--- a/crates/core/src/dispatch/choose.rs
+++ b/crates/core/src/dispatch/choose.rs
@@ -5,6 +5,7 @@
     catalog::EngineProfile,
     engine::{EngineLoad, Prediction},
     ids::UpstreamId,
+    prefix::CachedPrefix,
     units::{Millis, Tokens},
 };
 
@@ -55,6 +56,8 @@
     pub upstream: UpstreamId,
     /// The load of the upstream if it is an engine, else empty.
     pub load: EngineLoad,
+    /// The part of the call's prompt that the upstream is believed to hold.
+    pub prefix: CachedPrefix,
     /// Number of requests in flight at the upstream.
     pub requests_len: usize,
     /// Number of requests that the upstream processes concurrently.
@@ -137,14 +140,27 @@
     request: &PlacementRequest<'_>,
     long: bool,
 ) -> Option<EngineChoice> {
-    let choices = candidates.iter().enumerate().map(|(index, candidate)| {
+    let (profile, prompt_tokens) = (request.profile, request.prompt_tokens);
+    let predict = |candidate: &Candidate| {
         let load = &candidate.load;
-        let prediction = load.predict(
-            request.profile,
-            request.prompt_tokens,
-            request.output_tokens,
-            1,
-        );
+        load.predict(profile, prompt_tokens, request.output_tokens, 1)
+    };
+    let soonest_ms = candidates
+        .iter()
+        .any(|candidate| candidate.prefix.is_held())
+        .then(|| {
+            let waits_ms = candidates
+                .iter()
+                .map(|candidate| predict(candidate).first_event_ms);
+            waits_ms.fold(f64::INFINITY, f64::min)
+        });
+    let choices = candidates.iter().enumerate().map(|(index, candidate)| {
+        let whole = predict(candidate);
+        let prediction = candidate.prefix.shorten(whole);
+        let prefix =
+            candidate
+                .prefix
+                .preference(whole.first_event_ms, soonest_ms, request.target_ms);
         let order = position_cost(index, candidates.len(), long);
         EngineChoice {
             candidate_index: index,
@@ -155,7 +171,8 @@
             preference_requests: order
                 + failure_cost(request, candidate.health)
                 + spare_slots_cost(candidate, request.profile)
-                + candidate.jitter_requests,
+                + candidate.jitter_requests
+                + prefix,
         }
     });
     let fitting = choices.filter(|choice| {
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -15,6 +15,7 @@
     fleet::Fleet,
     ids::{CallId, CatalogVersion, FailureDomain, Fingerprint, SendId, StoreEra, UpstreamId, VmId},
     path::{LinkTable, RelayTable},
+    prefix::PrefixTable,
     units::{Millis, Time},
     watch::{Topic, TopicWatch},
 };
@@ -152,6 +153,7 @@
     pub(super) crash_checks: CrashChecks,
     pub(super) ejection_reports: EjectionReports,
     pub(super) quarantine: Quarantine,
+    pub(super) prefixes: PrefixTable,
     pub(super) outbox: Outbox,
     pub(super) calls: BTreeMap<CallId, OpenCall>,
     pub(super) waiting: VecDeque<CallId>,
@@ -194,6 +196,7 @@
             crash_checks: CrashChecks::default(),
             ejection_reports: EjectionReports::default(),
             quarantine: Quarantine::default(),
+            prefixes: PrefixTable::new(settings.prefix.clone()),
             outbox: Outbox::default(),
             calls: BTreeMap::new(),
             waiting: VecDeque::new(),
@@ -269,6 +272,7 @@
             self.ejection_reports.next_wakeup(),
             self.restore.next_wakeup(),
             self.outbox.due_at(),
+            self.prefixes.due_at(),
             due,
         ]);
         times.flatten().fold(self.last_tick + tick_ms, Time::min)
@@ -361,6 +365,7 @@
         self.progress_links(out);
         self.progress_ejection_reports(out);
         self.place_waiting(out);
+        self.report_prefixes(out);
         self.progress_outbox(out);
         self.progress_shutdown(out);
         self.update_ready(out);
@@ -374,6 +379,7 @@
         );
         self.operators.update_settings(settings.operators);
         self.upstreams.update_settings(settings.upstreams);
+        self.prefixes.set_settings(settings.prefix.clone());
         let changed = self.settings != settings;
         self.settings = settings;
         out.log(DispatchRecord::Reloaded { changed });
@@ -389,6 +395,7 @@
     ) {
         self.release(out, call);
         let Some(send) = send else { return };
+        self.record_prefix_end(out.now, send);
         if self.in_flight.end(out.now, InFlightId::own(send)) {
             self.notify_batched(out.now, DispatchMessage::Ended(send));
         }
--- a/crates/core/src/dispatch/extension.rs
+++ b/crates/core/src/dispatch/extension.rs
@@ -1,6 +1,7 @@
 //! Messages of kinds that builds before them do not know. A frame has the number of its kind and an encoded
 //! body, so that a daemon can skip a kind that it lacks without losing the messages beside it.
 
+use crate::prefix::PrefixReport;
 use bytes::Bytes;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use std::fmt;
@@ -16,9 +17,11 @@
 impl ExtensionKind {
     /// [`ExtensionMessage::Capabilities`].
     pub const CAPABILITIES: Self = Self(0);
+    /// [`ExtensionMessage::CachedPrefixes`].
+    pub const CACHED_PREFIXES: Self = Self(4);
 
     /// The kinds that this build reads.
-    pub const READ: [Self; 1] = [Self::CAPABILITIES];
+    pub const READ: [Self; 2] = [Self::CAPABILITIES, Self::CACHED_PREFIXES];
 }
 
 impl fmt::Display for ExtensionKind {
@@ -41,6 +44,8 @@
 pub enum ExtensionMessage {
     /// The kinds that the sender reads. Sent at the start of a link.
     Capabilities(Vec<ExtensionKind>),
+    /// Prompt prefixes that upstreams got or keep.
+    CachedPrefixes(Vec<PrefixReport>),
 }
 
 /// An extension message that can't be encoded or decoded.
@@ -65,6 +70,9 @@
     fn try_from(message: &ExtensionMessage) -> Result<Self, ExtensionError> {
         match message {
             ExtensionMessage::Capabilities(kinds) => encode(ExtensionKind::CAPABILITIES, kinds),
+            ExtensionMessage::CachedPrefixes(reports) => {
+                encode(ExtensionKind::CACHED_PREFIXES, reports)
+            }
         }
     }
 }
@@ -79,6 +87,7 @@
                 kinds.truncate(KINDS_MAX_LEN);
                 Ok(Self::Capabilities(kinds))
             }
+            ExtensionKind::CACHED_PREFIXES => decode(frame).map(Self::CachedPrefixes),
             kind => Err(ExtensionError::UnknownKind(kind)),
         }
     }
--- a/crates/core/src/dispatch/extension_peers.rs
+++ b/crates/core/src/dispatch/extension_peers.rs
@@ -78,6 +78,15 @@
             Ok(ExtensionMessage::Capabilities(kinds)) => {
                 let kinds = kinds.into_iter().collect();
                 self.extension_peers.kinds.insert(vm.clone(), kinds);
+                if self
+                    .extension_peers
+                    .reads(vm, ExtensionKind::CACHED_PREFIXES)
+                {
+                    self.report_prefixes_to(out, vm);
+                }
+            }
+            Ok(ExtensionMessage::CachedPrefixes(reports)) => {
+                self.on_peer_prefixes(out.now, vm, reports);
             }
             Err(error) => out.log(DispatchRecord::ExtensionDropped {
                 member: Some(vm.clone()),
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod admit;
 mod backoff;
 mod budget;
+mod cached_prefixes;
 mod call;
 mod choose;
 mod contention;
--- a/crates/core/src/dispatch/outbox.rs
+++ b/crates/core/src/dispatch/outbox.rs
@@ -53,7 +53,6 @@
     }
 
     /// Queues a message of a kind that not all builds know for the next batch.
-    #[expect(dead_code, reason = "no component reports to peers yet")]
     pub(super) fn notify_extension(&mut self, out: &mut Out<'_>, message: &ExtensionMessage) {
         match ExtensionFrame::try_from(message) {
             Ok(frame) => {
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -6,6 +6,7 @@
 };
 use crate::{
     ids::{SendId, VmId},
+    prefix::DaemonSend,
     units::Time,
 };
 
@@ -48,6 +49,7 @@
             return;
         };
         self.in_flight.forget_daemon(out.now, index);
+        self.prefixes.end_daemon(out.now, index);
         self.forget_follower(vm);
         self.relays.forget_peer(vm);
         self.restore.forget_peer(vm);
@@ -114,6 +116,7 @@
 
     fn on_peer_snapshot(&mut self, now: Time, index: u32, reports: &[InFlightReport]) {
         self.in_flight.replace_daemon(now, index, reports);
+        self.prefixes.end_daemon(now, index);
     }
 
     fn on_peer_started(&mut self, now: Time, index: u32, report: &InFlightReport) {
@@ -127,6 +130,11 @@
 
     fn on_peer_ended(&mut self, now: Time, index: u32, send: SendId) {
         self.in_flight.end(now, InFlightId::new(index, send));
+        let id = DaemonSend {
+            daemon_index: index,
+            send,
+        };
+        self.prefixes.on_end(now, id);
     }
 
     fn on_peer_first_event(&mut self, now: Time, index: u32, send: SendId) {
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -332,9 +332,11 @@
         let record = &upstream.record;
         let load_of = |profile| self.in_flight.engine_load(now, &record.id, profile);
         let engine = open.service.engine.as_ref();
+        let load = engine.map_or_else(EngineLoad::default, load_of);
         Candidate {
             upstream: record.id.clone(),
-            load: engine.map_or_else(EngineLoad::default, load_of),
+            prefix: self.cached_prefix(now, open, upstream, &load),
+            load,
             requests_len: self.in_flight.requests_len(&record.id),
             recent_requests: self.slow_start.recent_len(now, &record.id),
             slots_len: record.slots_len,
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -4,7 +4,7 @@
 use crate::{
     ids::{CatalogVersion, FailureDomain, Fingerprint, SendId, ServiceName, UpstreamId, VmId},
     path::PathAttempts,
-    units::{Millis, RequestsPerSecond},
+    units::{Millis, RequestsPerSecond, Tokens},
     watch::StorePosition,
 };
 use serde::Serialize;
@@ -84,6 +84,45 @@
         #[serde_as(as = "Option<DisplayFromStr>")]
         store: Option<StorePosition>,
     },
+    /// A request with a stated prefix was sent. Only if choices regard prefixes.
+    PrefixUsed {
+        /// The request id that the caller chose.
+        request: Arc<str>,
+        /// The transmission.
+        send: SendId,
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Tokens in the stated parts of the prompt.
+        prefix_tokens: Tokens,
+        /// Tokens of the leading parts that the upstream is believed to hold.
+        held_tokens: Tokens,
+        /// Probability that it holds them, in percent.
+        probability_percent: u32,
+        /// Prefill time that is expected to be saved.
+        saved_ms: Millis,
+    },
+    /// The first event of a response showed whether the upstream held a prefix.
+    PrefixChecked {
+        /// The request id that the caller chose.
+        request: Arc<str>,
+        /// The transmission.
+        send: SendId,
+        /// Whether the upstream held it.
+        is_hit: bool,
+        /// Tokens that it was believed to hold.
+        held_tokens: Tokens,
+        /// Tokens of other prefixes that it is no longer believed to hold.
+        dropped_tokens: Tokens,
+    },
+    /// An upstream is no longer believed to hold prefixes.
+    PrefixesDropped {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// The reason: `gone` or `broken_off`.
+        reason: &'static str,
+        /// Tokens of the prefixes that no request used.
+        dropped_tokens: Tokens,
+    },
     /// A request was queued because no upstream has room.
     Waits {
         /// The request id that the caller chose.
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -1,6 +1,7 @@
 //! Ends of transmissions and calls: retries, relayed failures, callers who leave, and timeouts.
 
 use super::{
+    cached_prefixes::PrefixLoss,
     dispatcher::{Dispatcher, OpenCall, Out, Sending},
     DispatchAction, DispatchMessage, DispatchRecord, InFlightId, Refusal, RefusalReason,
     SendOutcome,
@@ -60,6 +61,7 @@
             sending.is_silent = false;
         }
         self.clear_fingerprints(out, call);
+        self.check_prefix(out, call, send);
         let Some(open) = self.calls.get(&call) else {
             return;
         };
@@ -214,6 +216,9 @@
             self.clear_fingerprints(out, call);
         }
         self.record_outcome(out, call, &sending, &end);
+        if end.may_have_run() {
+            self.forget_prefixes(out, &sending.upstream, PrefixLoss::BrokenOff);
+        }
         self.avoid_domain(call, &sending, &end);
         self.avoid_helpers(out, call, &sending, &end);
         let next = self.next_step(out.now, call, &end);
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -78,6 +78,8 @@
             entry.first_due_at = None;
         }
         self.log_sent(out, id, send, &placement);
+        let upstream = &placement.upstream;
+        self.record_prefix_sent(out, id, send, upstream, placement.predicted_ms);
         out.act(DispatchAction::Send(Box::new(plan)));
         let report = in_flight_report(out.now, send, &entry, placement.helpers.clone());
         self.notify_now(out.now, DispatchMessage::Started(report));
--- a/crates/core/src/dispatch/settings.rs
+++ b/crates/core/src/dispatch/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the dispatcher.
 
 use crate::{
+    prefix::{PrefixSettings, RawPrefixSettings},
     units::{Millis, RangeCheck, RangeError},
     watch::WatchSettings,
 };
@@ -26,7 +27,7 @@
 const MEMORY_FREE_MIN_MS: u64 = 1_500;
 
 /// Settings as written in the settings file.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 pub struct RawDispatchSettings {
     /// Longest time from a key's revocation until no daemon accepts it.
@@ -47,6 +48,8 @@
     pub upstreams_pause_ms: u64,
     /// Timeout of a call to the store.
     pub store_timeout_ms: u64,
+    /// Prompt prefixes that upstreams still cache; without it, choices disregard them.
+    pub prefix: Option<RawPrefixSettings>,
 }
 
 impl Default for RawDispatchSettings {
@@ -61,12 +64,13 @@
             operators_wait_ms: 800,
             upstreams_pause_ms: 1_000,
             store_timeout_ms: 1_000,
+            prefix: None,
         }
     }
 }
 
 /// Validated settings of the dispatcher.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DispatchSettings {
     /// Longest time since the last contact with the store for which keys are accepted.
     pub key_lease_ms: Millis,
@@ -84,6 +88,8 @@
     pub operators: WatchSettings,
     /// How the daemon watches the list of upstreams.
     pub upstreams: WatchSettings,
+    /// Prompt prefixes that upstreams still cache, if choices regard them.
+    pub prefix: Option<PrefixSettings>,
 }
 
 impl TryFrom<RawDispatchSettings> for DispatchSettings {
@@ -120,6 +126,7 @@
                 pause_ms: span("upstreams_pause_ms", raw.upstreams_pause_ms)?,
                 timeout_ms,
             },
+            prefix: raw.prefix.map(PrefixSettings::try_from).transpose()?,
         })
     }
 }
--- a/crates/core/src/dispatch/store_updates.rs
+++ b/crates/core/src/dispatch/store_updates.rs
@@ -1,6 +1,7 @@
 //! Updates from the store: catalogs, failure domains out of service, and upstreams.
 
 use super::{
+    cached_prefixes::PrefixLoss,
     dispatcher::{Dispatcher, Out},
     DispatchAction, DispatchMessage, DispatchRecord, UpstreamChange, UpstreamSource,
 };
@@ -273,6 +274,7 @@
         if known.is_some_and(|known| known.started_unix_ms < record.started_unix_ms) {
             self.backoff.forget(&upstream);
             self.rate_limits.forget(&upstream);
+            self.forget_prefixes(out, &upstream, PrefixLoss::Gone);
         }
         if self.fleet.on_record(out.now, record) {
             out.log(DispatchRecord::Upstream {
@@ -311,6 +313,7 @@
         self.backoff.forget(upstream);
         self.rate_limits.forget(upstream);
         self.links.forget(upstream);
+        self.forget_prefixes(out, upstream, PrefixLoss::Gone);
         out.log(DispatchRecord::Upstream {
             upstream: upstream.clone(),
             state,
--- a/crates/core/src/grant/prefix_cache.rs
+++ b/crates/core/src/grant/prefix_cache.rs
@@ -5,11 +5,11 @@
     action::Action,
     context::Context,
     ids::{BlockHash, Incarnation, UpstreamId},
+    prefix::RecentKeys,
     request::ModelCall,
     units::Tokens,
     upstream::{CacheBatch, CacheChange},
 };
-use std::collections::BTreeMap;
 
 /// Maximum number of blocks that are tracked for one engine.
 const MAX_BLOCKS: usize = 4_096;
@@ -20,9 +20,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct PrefixCache {
     incarnation: Option<Incarnation>,
-    last_used: BTreeMap<BlockHash, u64>,
-    by_last_used: BTreeMap<u64, BlockHash>,
-    uses_count: u64,
+    blocks: RecentKeys<BlockHash, ()>,
     next_seq_index: Option<u64>,
     confidence_ratio: f64,
 }
@@ -31,9 +29,7 @@
     fn default() -> Self {
         Self {
             incarnation: None,
-            last_used: BTreeMap::new(),
-            by_last_used: BTreeMap::new(),
-            uses_count: 0,
+            blocks: RecentKeys::new(MAX_BLOCKS),
             next_seq_index: None,
             confidence_ratio: 1.0,
         }
@@ -45,9 +41,7 @@
     /// confidence.
     pub(super) fn cached_tokens(&self, call: &ModelCall) -> Tokens {
         let blocks = &call.prefix_blocks;
-        let known = blocks
-            .iter()
-            .take_while(|block| self.last_used.contains_key(block));
+        let known = self.blocks.leading(blocks.iter().copied());
         let (known, all) = (known.count() as f64, blocks.len().max(1) as f64);
         let cached = call.prompt_tokens.get() as f64 * known / all * self.confidence_ratio;
         Tokens::new(cached as u64)
@@ -56,22 +50,7 @@
     /// Adds blocks that the engine prefills or has stored.
     pub(super) fn store(&mut self, blocks: &[BlockHash]) {
         for block in blocks {
-            self.uses_count += 1;
-            if let Some(earlier) = self.last_used.insert(*block, self.uses_count) {
-                self.by_last_used.remove(&earlier);
-            }
-            self.by_last_used.insert(self.uses_count, *block);
-        }
-        while self.by_last_used.len() > MAX_BLOCKS {
-            if let Some((_, block)) = self.by_last_used.pop_first() {
-                self.last_used.remove(&block);
-            }
-        }
-    }
-
-    fn evict(&mut self, block: BlockHash) {
-        if let Some(used) = self.last_used.remove(&block) {
-            self.by_last_used.remove(&used);
+            self.blocks.insert(*block, ());
         }
     }
 
@@ -96,8 +75,7 @@
         }
         self.incarnation = Some(batch.incarnation);
         if batch.is_snapshot {
-            self.last_used.clear();
-            self.by_last_used.clear();
+            self.blocks = RecentKeys::new(MAX_BLOCKS);
             self.confidence_ratio = 1.0;
             self.next_seq_index = Some(batch.first_seq_index);
             batch
@@ -124,7 +102,9 @@
     fn apply_change(&mut self, change: CacheChange) {
         match change {
             CacheChange::Stored(block) => self.store(&[block]),
-            CacheChange::Evicted(block) => self.evict(block),
+            CacheChange::Evicted(block) => {
+                self.blocks.remove(&block);
+            }
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod placement;
 pub mod plan;
 pub mod platform;
+pub mod prefix;
 pub mod request;
 pub mod routing;
 pub mod stream;
--- a/crates/core/tests/common/crash_fleet.rs
+++ b/crates/core/tests/common/crash_fleet.rs
@@ -158,6 +158,7 @@
                 output_tokens: Tokens::new(600),
             }),
             fingerprints: parts.to_vec(),
+            prefix: Default::default(),
             content,
             age_ms: Millis::ZERO,
         }));
--- a/crates/core/tests/common/dispatch/node.rs
+++ b/crates/core/tests/common/dispatch/node.rs
@@ -134,6 +134,7 @@
                 output_tokens: Tokens::new(1_600),
             }),
             fingerprints: Vec::new(),
+            prefix: Default::default(),
             content: Fingerprint::new(call.get()),
             age_ms: Millis::ZERO,
         }));
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -169,7 +169,7 @@
 impl Replay {
     pub(crate) fn new(policy: Policy, daemons_len: usize, engines_len: u16, seed: u64) -> Self {
         let settings = DispatchSettings::try_from(RawDispatchSettings::default()).unwrap();
-        let daemon = |index| Dispatcher::new(settings, vm(index), id("a"));
+        let daemon = |index| Dispatcher::new(settings.clone(), vm(index), id("a"));
         let mut replay = Self {
             policy,
             profile: profile(),
@@ -206,7 +206,7 @@
         let mut replay = Self::new(Policy::Dispatcher, 0, engines_len, seed);
         let settings = DispatchSettings::try_from(RawDispatchSettings::default()).unwrap();
         for index in 0..daemons_len {
-            let daemon = Dispatcher::new(settings, vm(index), id("a"));
+            let daemon = Dispatcher::new(settings.clone(), vm(index), id("a"));
             replay.daemons.push(daemon);
             replay.learn(0, index, engines_len);
             for other in 0..index {
@@ -308,6 +308,7 @@
                 output_tokens: Tokens::new(u64::from(events) * 51),
             }),
             fingerprints: Vec::new(),
+            prefix: Default::default(),
             content: Fingerprint::new(tag),
             age_ms: Millis::ZERO,
         }));
--- a/crates/core/tests/common/limited_fleet.rs
+++ b/crates/core/tests/common/limited_fleet.rs
@@ -173,6 +173,7 @@
                 output_tokens: Tokens::new(600),
             }),
             fingerprints: Vec::new(),
+            prefix: Default::default(),
             content: Fingerprint::new(call.get()),
             age_ms: Millis::ZERO,
         }));
--- a/crates/core/tests/common/linked_fleet.rs
+++ b/crates/core/tests/common/linked_fleet.rs
@@ -201,6 +201,7 @@
                 output_tokens: Tokens::new(600),
             }),
             fingerprints: Vec::new(),
+            prefix: Default::default(),
             content: Fingerprint::new(call.get()),
             age_ms: Millis::ZERO,
         }));
--- a/crates/core/tests/dispatch_load.rs
+++ b/crates/core/tests/dispatch_load.rs
@@ -250,6 +250,7 @@
             output_tokens: Tokens::new(100),
         }),
         fingerprints: Vec::new(),
+        prefix: Default::default(),
         content: Fingerprint::new(number),
         age_ms: Millis::ZERO,
     }
--- a/crates/core/tests/peer_message_bytes.rs
+++ b/crates/core/tests/peer_message_bytes.rs
@@ -10,8 +10,9 @@
         QuarantinedFingerprint, RateLimitReport, UpstreamChange,
     },
     fleet::{UpstreamIncarnation, UpstreamRecord},
-    ids::{CatalogVersion, Fingerprint, SendId, StoreEra, StoreVersion},
+    ids::{BlockHash, CatalogVersion, Fingerprint, SendId, StoreEra, StoreVersion},
     path::RelayOffer,
+    prefix::{PrefixPart, PrefixReport},
     units::{Millis, RequestsPerSecond, Time, Tokens},
     watch::StorePosition,
 };
@@ -212,6 +213,24 @@
     assert_eq!(hex(&encoded), "1100020100");
 }
 
+/// Guards against a changed layout of prefix reports: daemons of two builds exchange them during an upgrade.
+#[test]
+fn a_prefix_report_keeps_its_bytes() {
+    let reports = ExtensionMessage::CachedPrefixes(vec![PrefixReport {
+        send: Some(SendId::new(300)),
+        upstream: incarnation(),
+        parts: vec![PrefixPart {
+            end: BlockHash::new(7),
+            tokens: Tokens::new(2_000),
+        }],
+        used_ms: Millis::new(20),
+    }]);
+    let frame = ExtensionFrame::try_from(&reports).unwrap();
+    assert_eq!(ExtensionMessage::try_from(&frame).unwrap(), reports);
+    let encoded = postcard::to_stdvec(&DispatchMessage::Extension(frame)).unwrap();
+    assert_snapshot!(hex(&encoded), @"");
+}
+
 /// Guards against a message of a later build that makes this one fail or lose the messages beside it.
 #[test]
 fn a_kind_of_a_later_build_is_left_out_of_a_batch() {
--- a/crates/io/src/telemetry/metric.rs
+++ b/crates/io/src/telemetry/metric.rs
@@ -154,6 +154,24 @@
         Unit::Count,
         "Fingerprints of requests suspected of ending upstreams, by verdict (quarantined, cleared)",
     );
+    /// Tokens in the stated parts of prompts that were sent.
+    pub const PREFIX_TOKENS: Self = counter(
+        "persimmon_prefix_tokens_total",
+        Unit::Count,
+        "Tokens in the stated parts of prompts sent, by belief (held, missing at the upstream)",
+    );
+    /// First events that showed whether a prefix was held.
+    pub const PREFIX_CHECKS: Self = counter(
+        "persimmon_prefix_checks_total",
+        Unit::Count,
+        "First events that showed whether a prefix was held, by result (hit, miss)",
+    );
+    /// Tokens of prefixes that upstreams are no longer believed to hold.
+    pub const PREFIX_DROPPED_TOKENS: Self = counter(
+        "persimmon_prefix_dropped_tokens_total",
+        Unit::Count,
+        "Tokens of prefixes no longer believed held, by reason (miss, gone, broken_off)",
+    );
     /// Transmissions and connections by way of peers.
     pub const RELAYED: Self = counter(
         "persimmon_relayed_total",
@@ -191,7 +209,7 @@
 }
 
 /// All metrics of a daemon.
-pub const ALL_METRICS: [Metric; 23] = [
+pub const ALL_METRICS: [Metric; 26] = [
     Metric::REQUESTS,
     Metric::REFUSALS,
     Metric::FIRST_TOKEN,
@@ -209,6 +227,9 @@
     Metric::UPSTREAM_NOTICES,
     Metric::UPSTREAM_CRASHES,
     Metric::FINGERPRINTS,
+    Metric::PREFIX_TOKENS,
+    Metric::PREFIX_CHECKS,
+    Metric::PREFIX_DROPPED_TOKENS,
     Metric::RELAYED,
     Metric::LOST_DOMAINS,
     Metric::RELAYED_CONNECTIONS,
--- a/crates/io/src/transport/caller_listener.rs
+++ b/crates/io/src/transport/caller_listener.rs
@@ -192,6 +192,7 @@
             deadline_ms: request.deadline_ms,
             prompt: request.prompt,
             fingerprints: request.fingerprints,
+            prefix: request.prefix,
             content,
             age_ms: Millis::new(received_at.elapsed().as_millis() as u64),
         }));
--- a/crates/io/src/transport/dialect.rs
+++ b/crates/io/src/transport/dialect.rs
@@ -6,6 +6,7 @@
     catalog::ApiKey,
     dispatch::{Culprit, PromptSize, Refusal, ReserveOrder, SendPlan},
     ids::Fingerprint,
+    prefix::PromptPrefix,
     units::{Millis, RequestsPerSecond, UnitError},
 };
 use std::{fmt, sync::Arc};
@@ -26,6 +27,8 @@
     pub prompt: Option<PromptSize>,
     /// The parts of the prompt that other requests may share, in order.
     pub fingerprints: Vec<Fingerprint>,
+    /// The leading parts of the prompt with their tokens.
+    pub prefix: PromptPrefix,
     /// What the head says of the prompt.
     pub prompt_fingerprint: Fingerprint,
 }
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -48,6 +48,7 @@
             deadline_ms: Some(Millis::new(5_000)),
             prompt: None,
             fingerprints: Vec::new(),
+            prefix: Default::default(),
             prompt_fingerprint: Fingerprint::default(),
         })
     }
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -104,6 +104,42 @@
             DispatchRecord::FingerprintCleared { .. } => {
                 self.increment(Metric::FINGERPRINTS, &[("verdict", "cleared")]);
             }
+            DispatchRecord::PrefixUsed { .. }
+            | DispatchRecord::PrefixChecked { .. }
+            | DispatchRecord::PrefixesDropped { .. } => self.count_prefixes(record),
+            _ => {}
+        }
+    }
+
+    fn count_prefixes(&self, record: &DispatchRecord) {
+        match record {
+            DispatchRecord::PrefixUsed {
+                prefix_tokens,
+                held_tokens,
+                ..
+            } => {
+                let missing = prefix_tokens.saturating_sub(*held_tokens);
+                self.add(Metric::PREFIX_TOKENS, held_tokens.get(), "belief", "held");
+                self.add(Metric::PREFIX_TOKENS, missing.get(), "belief", "missing");
+            }
+            DispatchRecord::PrefixChecked {
+                is_hit,
+                dropped_tokens,
+                ..
+            } => {
+                let result = if *is_hit { "hit" } else { "miss" };
+                self.increment(Metric::PREFIX_CHECKS, &[("result", result)]);
+                let dropped = dropped_tokens.get();
+                self.add(Metric::PREFIX_DROPPED_TOKENS, dropped, "reason", "miss");
+            }
+            DispatchRecord::PrefixesDropped {
+                reason,
+                dropped_tokens,
+                ..
+            } => {
+                let dropped = dropped_tokens.get();
+                self.add(Metric::PREFIX_DROPPED_TOKENS, dropped, "reason", reason);
+            }
             _ => {}
         }
     }
@@ -157,6 +193,11 @@
     fn increment(&self, metric: Metric, labels: &[(&'static str, &str)]) {
         self.telemetry.counter(metric, labels).increment(1);
     }
+
+    fn add(&self, metric: Metric, count: u64, label: &'static str, value: &str) {
+        let labels = [(label, value)];
+        self.telemetry.counter(metric, &labels).increment(count);
+    }
 }
 
 const fn end_name(end: &SendOutcome) -> &'static str {
