--- a/crates/core/tests/prompt_prefixes.rs
+++ b/crates/core/tests/prompt_prefixes.rs
@@ -5,7 +5,14 @@
 #[path = "common/prefix_replay.rs"]
 mod prefix_replay;
 
+use dispatch::{id, profile};
 use insta::assert_snapshot;
+use persimmon_core::{
+    dispatch::{choose_engine, Candidate, Health, PlacementRequest},
+    engine::{EngineLoad, PendingPrefill},
+    prefix::CachedPrefix,
+    units::{Millis, Tokens},
+};
 use prefix_replay::{Affinity, Load, Measured, PrefixReplay, Trouble};
 
 const SEED: u64 = 1;
@@ -87,3 +94,71 @@
     }
     assert_snapshot!(all);
 }
+
+/// Two engines of which the second holds 20,000 tokens of the prompt.
+fn candidates() -> [Candidate; 2] {
+    let saved_ms = profile().prefill_ms(Tokens::new(20_000));
+    [0.0, 1.0].map(|probability_ratio| Candidate {
+        upstream: id(&format!("engine-{probability_ratio}")),
+        load: EngineLoad::default(),
+        prefix: CachedPrefix {
+            tokens: Tokens::new(20_000),
+            saved_ms,
+            probability_ratio,
+            ..CachedPrefix::default()
+        },
+        requests_len: 0,
+        slots_len: 16,
+        recent_requests: 0,
+        health: Health::default(),
+        same_domain: true,
+        jitter_requests: 0.0,
+    })
+}
+
+fn chosen(change: impl Fn(&mut Candidate)) -> usize {
+    let mut candidates = candidates();
+    change(&mut candidates[1]);
+    let profile = profile();
+    let request = PlacementRequest {
+        profile: &profile,
+        prompt_tokens: Tokens::new(21_000),
+        output_tokens: Tokens::new(1_000),
+        target_ms: 300.0,
+        left_ms: 2_000.0,
+        min_pause_target_ms: Some(Millis::new(250)),
+    };
+    choose_engine(&candidates, &request)
+        .unwrap()
+        .candidate_index
+}
+
+/// Guards against a prefix that outweighs what the choice counts already: a longer wait, memory, slots, failures.
+#[test]
+fn a_held_prefix_overrides_nothing() {
+    let waiting = |remaining_ms: f64, memory_tokens: u64| PendingPrefill {
+        remaining_ms,
+        remaining_tokens: Tokens::new(1_000),
+        memory_tokens: Tokens::new(memory_tokens),
+        for_other_engine: false,
+    };
+    assert_eq!(chosen(|_| {}), 1);
+    assert_eq!(
+        chosen(|held| held.load.prefills = vec![waiting(60.0, 0)]),
+        1
+    );
+    assert_eq!(
+        chosen(|held| held.load.prefills = vec![waiting(400.0, 0)]),
+        0
+    );
+    assert_eq!(
+        chosen(|held| held.load.prefills = vec![waiting(0.0, 300_000)]),
+        0
+    );
+    assert_eq!(
+        chosen(|held| held.load.prefills = vec![waiting(0.0, 0); 16]),
+        0
+    );
+    assert_eq!(chosen(|held| held.health.failure_ratio = 1.0), 0);
+    assert_eq!(chosen(|held| held.prefix.probability_ratio = 0.01), 0);
+}
