--- a/crates/core/tests/prompt_prefixes.rs
+++ b/crates/core/tests/prompt_prefixes.rs
@@ -124,7 +124,7 @@
         profile: &profile,
         prompt_tokens: Tokens::new(21_000),
         output_tokens: Tokens::new(1_000),
-        target_ms: 300.0,
+        target_ms: 200.0,
         left_ms: 2_000.0,
         min_pause_target_ms: Some(Millis::new(250)),
     };
