--- a/crates/core/examples/dispatch_decision_time.rs
+++ b/crates/core/examples/dispatch_decision_time.rs
@@ -4,10 +4,15 @@
 #[path = "../tests/common/dispatch/mod.rs"]
 mod dispatch;
 
-use dispatch::{id, node::Node};
+use dispatch::{id, node::Node, upstream, ENGINES, KEY};
 use persimmon_core::{
-    dispatch::{DispatchEvent, DispatchMessage, InFlightReport},
-    ids::SendId,
+    catalog::ApiKey,
+    dispatch::{
+        Call, DispatchEvent, DispatchMessage, DispatchSettings, ExtensionFrame, ExtensionMessage,
+        InFlightReport, PromptSize, RawDispatchSettings,
+    },
+    ids::{CallId, Fingerprint, SendId},
+    prefix::{PrefixReport, PromptPart, PromptPrefix, RawPrefixRetention, RawPrefixSettings},
     units::{Millis, Tokens},
 };
 use std::time::Instant;
@@ -33,8 +38,72 @@
     }
 }
 
+/// Sixteen parts of 250 tokens, the first of which are common.
+fn prefix(number: u64) -> PromptPrefix {
+    let part = |index: u64| PromptPart {
+        id: Fingerprint::new(if index < 12 { index } else { index + number }),
+        tokens: Tokens::new(250),
+    };
+    (0..16).map(part).collect()
+}
+
+/// Turns prefixes on; all engines hold some.
+fn hold_prefixes(node: &mut Node, engines_len: u16) {
+    let retention = RawPrefixRetention {
+        keep_ms: 60_000,
+        keep_tokens: 100_000,
+    };
+    let raw = RawDispatchSettings {
+        prefix: Some(RawPrefixSettings {
+            services: [(id(ENGINES), retention)].into(),
+        }),
+        ..RawDispatchSettings::default()
+    };
+    let settings = DispatchSettings::try_from(raw).expect("valid settings");
+    node.step(DispatchEvent::Reload(Box::new(settings)));
+    let reports = (1..=engines_len).map(|number| PrefixReport {
+        send: None,
+        upstream: upstream(ENGINES, number).incarnation(),
+        parts: prefix(0).parts().to_vec(),
+        cached_tokens: Tokens::ZERO,
+        used_ms: Millis::ZERO,
+    });
+    let message = ExtensionMessage::CachedPrefixes(reports.collect());
+    let frame = ExtensionFrame::try_from(&message).expect("a message that can be encoded");
+    node.step(DispatchEvent::PeerMessage {
+        vm: id("vm-1"),
+        message: DispatchMessage::Extension(frame),
+    });
+}
+
+/// A call with a stated prefix that its caller gives up at once.
+fn call_with_prefix(node: &mut Node, round: u32) {
+    let number = 1_000_000 + u64::from(round);
+    let call = CallId::new(number);
+    node.step(DispatchEvent::Arrived(Box::new(Call {
+        id: call,
+        request_id: format!("request-{number}").into(),
+        host: "cells.example".into(),
+        path: "/alarm/x".into(),
+        key: Some(ApiKey::from(KEY)),
+        deadline_ms: None,
+        prompt: Some(PromptSize {
+            prompt_tokens: Tokens::new(5_000),
+            output_tokens: Tokens::new(1_600),
+        }),
+        fingerprints: Vec::new(),
+        prefix: prefix(number),
+        content: Fingerprint::new(number),
+        age_ms: Millis::ZERO,
+    })));
+    node.step(DispatchEvent::CallerLeft { call });
+}
+
 fn main() {
-    println!("engines, one request (us), one long prompt (us), one peer message (us)");
+    println!(
+        "engines, one request (us), one long prompt (us), one peer message (us), \
+         one request with 16 held parts and its end (us)"
+    );
     for engines_len in [16, 54, 100] {
         let mut node = Node::ready(engines_len, 0);
         for peer in 1..62 {
@@ -62,8 +131,10 @@
                 message,
             });
         });
+        hold_prefixes(&mut node, engines_len);
+        let prefix_us = time(&mut node, call_with_prefix);
         println!(
-            "{engines_len}, {request_us:.0}, {long_us:.0}, {:.1}",
+            "{engines_len}, {request_us:.0}, {long_us:.0}, {:.1}, {prefix_us:.0}",
             message_us / 2.0
         );
     }
