--- a/crates/core/tests/common/prefix_replay.rs
+++ b/crates/core/tests/common/prefix_replay.rs
@@ -37,7 +37,9 @@
 pub(crate) const KEEP_MS: u64 = 30_000;
 /// Tokens that the engine that is short of memory keeps.
 const SHORT_KEEP_TOKENS: u64 = 3_000;
-/// The engine in trouble, and when the trouble begins.
+/// The engine that is short of memory: the last one in the daemons' order, which has no requests in flight at times.
+const SHORT: usize = 5;
+/// The engine that ends: the first one in that order, which gets most requests.
 const TROUBLED: usize = 0;
 const TROUBLE_AT_MS: u64 = 4_000;
 /// Exponent of the popularity of prefixes by rank.
@@ -200,7 +202,7 @@
         let engine = |index| CachingEngine {
             engine: Engine::default(),
             cache: Cache::new(match load.trouble {
-                Some(Trouble::ShortOfMemory) if index == TROUBLED => SHORT_KEEP_TOKENS,
+                Some(Trouble::ShortOfMemory) if index == SHORT => SHORT_KEEP_TOKENS,
                 _ => KEEP_TOKENS,
             }),
             queue: Vec::new(),
--- a/crates/core/tests/prefix_reports.rs
+++ b/crates/core/tests/prefix_reports.rs
@@ -33,6 +33,8 @@
 struct Done {
     sent: Vec<SendPlan>,
     held_tokens: Vec<u64>,
+    probability_percent: u32,
+    hits: Vec<bool>,
     dropped: Vec<String>,
     all: String,
 }
@@ -86,9 +88,15 @@
                 DispatchAction::Send(plan) => done.sent.push(*plan),
                 DispatchAction::Notify { message, .. } => self.add_reports(message),
                 DispatchAction::Log(record) => match *record {
-                    DispatchRecord::PrefixUsed { held_tokens, .. } => {
+                    DispatchRecord::PrefixUsed {
+                        held_tokens,
+                        probability_percent,
+                        ..
+                    } => {
                         done.held_tokens.push(held_tokens.get());
+                        done.probability_percent = probability_percent;
                     }
+                    DispatchRecord::PrefixChecked { is_hit, .. } => done.hits.push(is_hit),
                     DispatchRecord::ExtensionDropped { error, .. } => done.dropped.push(error),
                     _ => {}
                 },
@@ -279,6 +287,47 @@
     );
 }
 
+/// Guards against a daemon that goes on to count on a prefix although first events come too late for it, and
+/// against one that takes an event that is late for another reason as a sign.
+#[test]
+fn first_events_show_what_was_held() {
+    let mut daemon = Daemon::new("vm-1", "vm-2", Some(settings(Some(600_000))));
+    daemon.served(&[1]);
+    // 181 ms without the prefix, 31 ms with it.
+    for (first_ms, hits, percent) in [
+        (40, vec![true], 99),
+        (190, vec![false], 99),
+        (900, vec![], 89),
+    ] {
+        daemon.served(&[2]);
+        let done = daemon.call(&[1]);
+        assert_eq!(done.probability_percent, percent);
+        let SendPlan { call, send, .. } = done.sent[0];
+        daemon.node.now = daemon.node.now + ms(first_ms);
+        let seen = daemon.step(DispatchEvent::FirstByte { call, send });
+        assert_eq!(seen.hits, hits, "{first_ms} ms");
+        let end = SendOutcome::Delivered;
+        daemon.step(DispatchEvent::Ended { call, send, end });
+    }
+}
+
+/// Guards against a belief in prefixes at an upstream that stops requests for lack of memory.
+#[test]
+fn a_request_that_breaks_off_ends_the_belief() {
+    let mut daemon = Daemon::new("vm-1", "vm-2", Some(settings(Some(10_000))));
+    daemon.served(&[1]);
+    let SendPlan { call, send, .. } = daemon.call(&[2]).sent[0];
+    let end = SendOutcome::Failed {
+        status: 500,
+        not_run: false,
+        wrong_upstream: false,
+        culprit: None,
+        retry_after_ms: None,
+    };
+    daemon.step(DispatchEvent::Ended { call, send, end });
+    assert_eq!(daemon.served(&[1]), [0]);
+}
+
 /// Guards against a report that reaches peers which can't read it, and against a peer that learns nothing.
 #[test]
 fn peers_that_read_reports_learn_what_upstreams_hold() {
