--- a/crates/core/src/dispatch/choose.rs
+++ b/crates/core/src/dispatch/choose.rs
@@ -5,6 +5,7 @@
     catalog::EngineProfile,
     engine::{EngineLoad, Prediction},
     ids::UpstreamId,
+    prefix::CachedPrefix,
     speed::SlowdownRatio,
     units::{Millis, Tokens},
 };
@@ -57,6 +58,8 @@
     pub upstream: UpstreamId,
     /// The load of the upstream if it is an engine, else empty.
     pub load: EngineLoad,
+    /// The part of the call's prompt that the upstream is believed to hold.
+    pub prefix: CachedPrefix,
     /// Number of requests in flight at the upstream.
     pub requests_len: usize,
     /// Number of requests that the upstream processes concurrently.
@@ -152,14 +155,15 @@
     request: &PlacementRequest<'_>,
     long: bool,
 ) -> Option<EngineChoice> {
+    let prompt_tokens = request.prompt_tokens;
     let choices = candidates.iter().enumerate().map(|(index, candidate)| {
-        let load = &candidate.load;
-        let prediction = load.predict(
-            &candidate.profile(request.profile),
-            request.prompt_tokens,
-            request.output_tokens,
-            1,
-        );
+        let profile = &candidate.profile(request.profile);
+        let predict = |tokens| {
+            let load = &candidate.load;
+            load.predict(profile, tokens, request.output_tokens, 1)
+        };
+        let (prefix, whole) = (&candidate.prefix, predict(prompt_tokens));
+        let prediction = prefix.shorten(whole, profile, prompt_tokens, predict);
         let order = position_cost(index, candidates.len(), long);
         EngineChoice {
             candidate_index: index,
@@ -170,7 +174,8 @@
             preference_requests: order
                 + failure_cost(request, candidate.health)
                 + spare_slots_cost(candidate, request.profile)
-                + candidate.jitter_requests,
+                + candidate.jitter_requests
+                + prefix.displaced_cost(request.target_ms),
         }
     });
     let fitting = choices.filter(|choice| {
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -16,6 +16,7 @@
     fleet::Fleet,
     ids::{CallId, CatalogVersion, FailureDomain, Fingerprint, SendId, StoreEra, UpstreamId, VmId},
     path::{LinkTable, RelayTable},
+    prefix::PrefixTable,
     returns::PromiseTable,
     sharing::{SentWorkTable, ShareTable},
     speed::SpeedTable,
@@ -161,6 +162,7 @@
     pub(super) crash_checks: CrashChecks,
     pub(super) ejection_reports: EjectionReports,
     pub(super) quarantine: Quarantine,
+    pub(super) prefixes: PrefixTable,
     pub(super) outbox: Outbox,
     /// Work of workspaces, if their shares are used.
     pub(super) sharing: Option<ShareTable>,
@@ -209,6 +211,7 @@
             crash_checks: CrashChecks::default(),
             ejection_reports: EjectionReports::default(),
             quarantine: Quarantine::default(),
+            prefixes: PrefixTable::new(settings.prefix.clone()),
             outbox: Outbox::default(),
             sharing: settings.sharing.clone().map(ShareTable::new),
             sent_work: SentWorkTable::default(),
@@ -289,6 +292,7 @@
             self.ejection_reports.next_wakeup(),
             self.restore.next_wakeup(),
             self.outbox.due_at(),
+            self.prefixes.due_at(),
             due,
         ]);
         times.flatten().fold(self.last_tick + tick_ms, Time::min)
@@ -383,6 +387,7 @@
         self.place_waiting(out);
         self.schedule_speed_report(out.now);
         self.report_upstream_bytes(out);
+        self.report_prefixes(out, false);
         self.progress_outbox(out);
         self.progress_shutdown(out);
         self.update_ready(out);
@@ -398,6 +403,7 @@
         self.operators.update_settings(settings.operators);
         self.upstreams.update_settings(settings.upstreams);
         self.update_sharing(settings.sharing.clone());
+        self.prefixes.set_settings(settings.prefix.clone());
         let changed = self.settings != settings;
         self.settings = settings;
         out.log(DispatchRecord::Reloaded { changed });
@@ -415,6 +421,7 @@
         let Some(send) = send else { return };
         self.settle_sent_work(out.now, send);
         self.upstream_bytes.table.on_ended(out.now, send);
+        self.record_prefix_end(out.now, send);
         if self.in_flight.end(out.now, InFlightId::own(send)) {
             self.notify_batched(out.now, DispatchMessage::Ended(send));
         }
--- a/crates/core/src/dispatch/outbox.rs
+++ b/crates/core/src/dispatch/outbox.rs
@@ -97,6 +97,7 @@
 
     fn flush_outbox(&mut self, out: &mut Out<'_>) {
         self.queue_promise_reports(out);
+        self.report_prefixes(out, true);
         self.outbox.due_at = None;
         self.outbox.promises_sent_at = out.now;
         if self.promises.has_unreported() {
--- a/crates/core/src/dispatch/settings.rs
+++ b/crates/core/src/dispatch/settings.rs
@@ -1,10 +1,11 @@
 //! Settings of the dispatcher.
 
 use crate::{
+    memory_budget::{MemorySettings, RawMemorySettings},
+    prefix::{PrefixSettings, RawPrefixSettings},
     returns::{RawReturnsSettings, ReturnsSettings},
     sharing::{RawSharingSettings, SharingSettings},
     speed::{RawSpeedSettings, SpeedSettings},
-    memory_budget::{MemorySettings, RawMemorySettings},
     units::{Millis, RangeCheck, RangeError},
     watch::WatchSettings,
 };
@@ -64,6 +65,8 @@
     pub returns: Option<RawReturnsSettings>,
     /// Memory budget; none if bytes are not counted.
     pub memory: Option<RawMemorySettings>,
+    /// Prompt prefixes that upstreams still cache; without it, choices disregard them.
+    pub prefix: Option<RawPrefixSettings>,
 }
 
 impl Default for RawDispatchSettings {
@@ -83,6 +86,7 @@
             sharing: None,
             returns: None,
             memory: None,
+            prefix: None,
         }
     }
 }
@@ -116,6 +120,8 @@
     pub returns: Option<ReturnsSettings>,
     /// Memory budget; none if bytes are not counted.
     pub memory: Option<MemorySettings>,
+    /// Prompt prefixes that upstreams still cache, if choices regard them.
+    pub prefix: Option<PrefixSettings>,
 }
 
 impl TryFrom<RawDispatchSettings> for DispatchSettings {
@@ -163,6 +169,7 @@
             sharing: raw.sharing.map(SharingSettings::try_from).transpose()?,
             returns: raw.returns.map(ReturnsSettings::try_from).transpose()?,
             memory: raw.memory.map(MemorySettings::try_from).transpose()?,
+            prefix: raw.prefix.map(PrefixSettings::try_from).transpose()?,
         })
     }
 }
--- a/crates/core/tests/common/dispatch/mod.rs
+++ b/crates/core/tests/common/dispatch/mod.rs
@@ -171,6 +171,7 @@
         deadline_ms: Some(ms(1_500)),
         prompt: None,
         fingerprints: Vec::new(),
+        prefix: Default::default(),
         content: Fingerprint::new(number),
         body_bytes: ByteCount::ZERO,
         age_ms: Millis::ZERO,
--- a/crates/core/tests/common/dispatch/node.rs
+++ b/crates/core/tests/common/dispatch/node.rs
@@ -146,6 +146,7 @@
                 output_tokens: Tokens::new(1_600),
             }),
             fingerprints: Vec::new(),
+            prefix: Default::default(),
             content: Fingerprint::new(call.get()),
             body_bytes: self.body_bytes,
             age_ms: Millis::ZERO,
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -434,6 +434,7 @@
             fingerprints: Vec::new(),
             content: Fingerprint::new(content),
             body_bytes: ByteCount::ZERO,
+            prefix: Default::default(),
             age_ms: Millis::ZERO,
         }));
         self.handle(now, daemon, event);
--- a/crates/core/tests/common/limited_fleet.rs
+++ b/crates/core/tests/common/limited_fleet.rs
@@ -173,6 +173,7 @@
                 output_tokens: Tokens::new(600),
             }),
             fingerprints: Vec::new(),
+            prefix: Default::default(),
             content: Fingerprint::new(call.get()),
             body_bytes: ByteCount::ZERO,
             age_ms: Millis::ZERO,
--- a/crates/core/tests/retry_promises.rs
+++ b/crates/core/tests/retry_promises.rs
@@ -252,7 +252,9 @@
         deadline_ms: None,
         prompt: None,
         fingerprints: Vec::new(),
+        prefix: Default::default(),
         content: Fingerprint::new(content),
+        body_bytes: Default::default(),
         age_ms: Millis::ZERO,
     })))
 }
--- a/crates/io/src/transport/caller_listener.rs
+++ b/crates/io/src/transport/caller_listener.rs
@@ -233,6 +233,7 @@
             deadline_ms: request.deadline_ms,
             prompt: request.prompt,
             fingerprints: request.fingerprints,
+            prefix: request.prefix,
             content,
             body_bytes: ByteCount::new(body.len() as u64),
             age_ms: Millis::new(received_at.elapsed().as_millis() as u64),
