--- a/crates/io/src/telemetry/metric.rs
+++ b/crates/io/src/telemetry/metric.rs
@@ -203,7 +203,7 @@
 }
 
 /// All metrics of a daemon.
-pub const ALL_METRICS: [Metric; 23] = [
+pub const ALL_METRICS: [Metric; 25] = [
     Metric::REQUESTS,
     Metric::REFUSALS,
     Metric::FIRST_TOKEN,
--- a/crates/persimmond/src/gateway/run.rs
+++ b/crates/persimmond/src/gateway/run.rs
@@ -66,7 +66,7 @@
     let control = Control {
         vm: settings.vm.clone(),
         dispatcher: Dispatcher::new(
-            settings.dispatch,
+            settings.dispatch.clone(),
             settings.vm.clone(),
             settings.domain.clone(),
         ),
