--- a/crates/core/examples/dispatch_decision_time.rs
+++ b/crates/core/examples/dispatch_decision_time.rs
@@ -93,6 +93,7 @@
         }),
         fingerprints: Vec::new(),
         prefix: prefix(number),
+        body_bytes: Default::default(),
         content: Fingerprint::new(number),
         age_ms: Millis::ZERO,
     })));
