--- a/crates/core/tests/common/dispatch/mod.rs
+++ b/crates/core/tests/common/dispatch/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod engine;
 pub(crate) mod node;
 pub(crate) mod replay;
+pub(crate) mod site;
 
 use persimmon_core::{
     catalog::{
@@ -46,7 +47,7 @@
     }
 }
 
-fn route(name: &str, kind: CallKind, service: &str, target: u64, timeout: u64) -> Route {
+pub(super) fn route(name: &str, kind: CallKind, service: &str, target: u64, timeout: u64) -> Route {
     Route {
         name: name.into(),
         host: "cells.example".into(),
@@ -68,7 +69,7 @@
     }
 }
 
-fn streaming(pause: u64) -> CallKind {
+pub(super) fn streaming(pause: u64) -> CallKind {
     CallKind::Streaming {
         resumable: true,
         pause_target_ms: ms(pause),
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -2,15 +2,18 @@
 //! policies. It runs in virtual time and is deterministic for a seed.
 
 use super::{
-    attempts, batch, catalog,
-    engine::{Engine, Job, Progress},
-    id, profile, upstream_list, KEY,
+    attempts, batch,
+    engine::{is_ticket_of, Engine, Job, Progress},
+    id,
+    site::Site,
+    upstream_list, KEY,
 };
 use persimmon_core::{
-    catalog::{ApiKey, EngineProfile},
+    catalog::ApiKey,
     dispatch::{
         Call, DispatchAction, DispatchEvent, DispatchMessage, DispatchSettings, Dispatcher,
-        PromptSize, RawDispatchSettings, SendOutcome, SendPlan,
+        OrderKind, OrderOutcome, PromptSize, RawDispatchSettings, ReserveOrder, SendOutcome,
+        SendPlan,
     },
     ids::{CallId, FailureDomain, Fingerprint, VmId},
     path::PathEnd,
@@ -103,27 +106,34 @@
     pub(crate) refused: u32,
     /// Callers who left before the first event.
     pub(crate) left: u32,
+    /// Requests of a daemon that was killed.
+    pub(crate) lost: u32,
+    /// Late responses by cause: the first event, a gap, or both.
+    pub(crate) late_by: [u32; 3],
 }
 
 /// The results for callers.
 #[derive(Debug, PartialEq)]
 pub(crate) struct Outcome {
     pub(crate) kinds: [Tally; 3],
+    pub(crate) names: [&'static str; 3],
+    /// Times that an engine ran out of KV memory.
+    pub(crate) overruns_count: u32,
     /// Credit earned, as a share of the credit for all answers on time.
     pub(crate) credit: f64,
 }
 
 impl fmt::Display for Outcome {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (kind, tally) in KINDS.iter().zip(self.kinds) {
+        for (name, tally) in self.names.iter().zip(self.kinds) {
             let Tally {
                 asked,
                 on_time,
                 late,
                 refused,
                 left,
+                ..
             } = tally;
-            let name = kind.name;
             writeln!(
                 f,
                 "{name}: {asked} asked, {on_time} on time, {late} late, {refused} refused, {left} left"
@@ -148,10 +158,11 @@
 
 pub(crate) struct Replay {
     policy: Policy,
-    profile: EngineProfile,
+    pub(super) site: Site,
     daemons: Vec<Dispatcher>,
     engines: Vec<Engine>,
     requests: BTreeMap<u64, Request>,
+    orders: Vec<(u64, usize, ReserveOrder)>,
     messages: Vec<(u64, usize, usize, DispatchMessage)>,
     /// Pairs of daemons that are not connected yet, and when they will be.
     connecting: Vec<(u64, usize, usize)>,
@@ -164,18 +175,48 @@
     /// Transmissions that fail, and when.
     failing: Vec<(u64, usize, SendPlan)>,
     failed_sends_count: usize,
+    pub(super) faults: Faults,
+}
+
+/// Faults of daemons in a replay.
+#[derive(Debug, Default)]
+pub(crate) struct Faults {
+    /// Messages between this pair of daemons take a second within this time.
+    pub(crate) slow_link: Option<(usize, usize, Range<u64>)>,
+    /// This daemon is killed at this time.
+    pub(crate) killed: Option<(u64, usize)>,
 }
 
 impl Replay {
     pub(crate) fn new(policy: Policy, daemons_len: usize, engines_len: u16, seed: u64) -> Self {
-        let settings = DispatchSettings::try_from(RawDispatchSettings::default()).unwrap();
+        let settings = RawDispatchSettings::default();
+        Self::on_site(
+            Site::first(),
+            settings,
+            policy,
+            daemons_len,
+            engines_len,
+            seed,
+        )
+    }
+
+    pub(crate) fn on_site(
+        site: Site,
+        settings: RawDispatchSettings,
+        policy: Policy,
+        daemons_len: usize,
+        engines_len: u16,
+        seed: u64,
+    ) -> Self {
+        let settings = DispatchSettings::try_from(settings).unwrap();
         let daemon = |index| Dispatcher::new(settings, vm(index), id("a"));
         let mut replay = Self {
             policy,
-            profile: profile(),
+            site,
             daemons: (0..daemons_len).map(daemon).collect(),
             engines: (0..engines_len).map(|_| Engine::default()).collect(),
             requests: BTreeMap::new(),
+            orders: Vec::new(),
             messages: Vec::new(),
             connecting: Vec::new(),
             held: Vec::new(),
@@ -185,6 +226,7 @@
             cut: None,
             failing: Vec::new(),
             failed_sends_count: 0,
+            faults: Faults::default(),
         };
         for to in 0..daemons_len {
             replay.learn(0, to, engines_len);
@@ -249,12 +291,18 @@
 
     fn outcome(&self) -> Outcome {
         let (mut owed, mut earned) = (0.0, 0.0);
-        for (kind, tally) in KINDS.iter().zip(self.tally) {
+        for (kind, tally) in self.site.kinds.iter().zip(self.tally) {
             owed += f64::from(tally.asked) * kind.worth;
             earned += f64::from(tally.on_time) * kind.worth + f64::from(tally.late) * kind.late;
         }
         Outcome {
             kinds: self.tally,
+            names: self.site.kinds.map(|kind| kind.name),
+            overruns_count: self
+                .engines
+                .iter()
+                .map(|engine| engine.overruns_count)
+                .sum(),
             credit: earned / owed,
         }
     }
@@ -268,14 +316,17 @@
     }
 
     fn arrive(&mut self, now: u64, kind: usize) {
-        let figures = KINDS[kind];
+        let figures = self.site.kinds[kind];
         let prompt = self.size(figures.mean, figures.spread).min(figures.max);
         let events = self
             .size(figures.events, 0.6)
             .clamp(1.0, figures.events * 2.5) as u32;
         let prompt = Tokens::new(prompt as u64);
         let tag = self.requests.len() as u64 + 1;
-        let daemon = (self.draw() * self.daemons.len() as f64) as usize;
+        let mut daemon = (self.draw() * self.daemons.len() as f64) as usize;
+        if self.is_killed(now, daemon) {
+            daemon = (daemon + 1) % self.daemons.len();
+        }
         self.tally[kind].asked += 1;
         self.requests.insert(
             tag,
@@ -305,7 +356,7 @@
             deadline_ms: None,
             prompt: Some(PromptSize {
                 prompt_tokens: prompt,
-                output_tokens: Tokens::new(u64::from(events) * 51),
+                output_tokens: Tokens::new(u64::from(events) * self.site.event_tokens),
             }),
             fingerprints: Vec::new(),
             content: Fingerprint::new(tag),
@@ -331,13 +382,22 @@
         request.engine = engine;
         let (prompt, events) = (request.prompt, request.events);
         let parts = helpers.len() + 1;
-        let read_ms = self.profile.prefill_ms(prompt) / parts as f64;
+        let read_ms = self.site.profile().prefill_ms(prompt) / parts as f64;
+        let held = self.engines.iter().flat_map(|engine| &engine.held);
+        let held = held.filter(|(ticket, _)| is_ticket_of(ticket, tag));
+        let held: Tokens = held.map(|(_, tokens)| *tokens).sum();
         let job = Job {
             tag,
             read_ms,
+            read_tokens: if self.site.reads_by_tokens {
+                prompt.get() as f64 / parts as f64
+            } else {
+                0.0
+            },
             is_helper: false,
             parts_open: helpers.len(),
-            context: prompt,
+            context: prompt.saturating_sub(held),
+            event_tokens: Tokens::new(self.site.event_tokens),
             events_left: events.max(1),
             last_event_ms: 0.0,
             begun: false,
@@ -370,6 +430,8 @@
     fn step(&mut self, now: u64) {
         self.connect(now);
         self.fail_sends(now);
+        self.answer_orders(now);
+        self.kill(now);
         let messages = std::mem::take(&mut self.messages);
         let (due, later): (Vec<_>, Vec<_>) = messages.into_iter().partition(|(at, ..)| *at <= now);
         self.messages = later;
@@ -389,7 +451,8 @@
         }
         self.departures(now);
         for engine in 0..self.engines.len() {
-            for progress in self.engines[engine].run_passes(now as f64, &self.profile) {
+            let profile = self.site.profile();
+            for progress in self.engines[engine].run_passes(now as f64, &profile) {
                 self.progress(now, progress);
             }
         }
@@ -402,8 +465,9 @@
 
     /// Removes the callers who leave because their first event takes too long.
     fn departures(&mut self, now: u64) {
+        let kinds = self.site.kinds;
         let impatient = |request: &Request| {
-            let kind = KINDS[request.kind];
+            let kind = kinds[request.kind];
             let wait_limit_ms = (kind.target * 4.0).max(kind.pause * 8.0).max(2_000.0);
             let waited = now as f64 - request.arrived;
             !request.done && request.first.is_none() && waited > wait_limit_ms
@@ -469,17 +533,26 @@
     fn finish(&mut self, tag: u64) {
         let request = self.requests.get_mut(&tag).unwrap();
         request.done = true;
-        let kind = KINDS[request.kind];
+        let kind = self.site.kinds[request.kind];
         let in_time = request.first.is_some_and(|first| first <= kind.target);
         let tally = &mut self.tally[request.kind];
         if in_time && request.pause <= kind.pause {
             tally.on_time += 1;
         } else {
             tally.late += 1;
+            let cause = match (in_time, request.pause <= kind.pause) {
+                (false, true) => 0,
+                (true, _) => 1,
+                (false, false) => 2,
+            };
+            tally.late_by[cause] += 1;
         }
     }
 
     fn handle(&mut self, now: u64, daemon: usize, event: DispatchEvent) {
+        if self.is_killed(now, daemon) {
+            return;
+        }
         let mut actions = Vec::new();
         self.daemons[daemon].handle(Time::from_ms(now), event, &mut actions);
         for action in actions {
@@ -491,7 +564,8 @@
                         addressed && *peer != daemon && self.is_connected(daemon, *peer)
                     });
                     let messages = peers.enumerate().map(|(notified_len, peer)| {
-                        let due = now + 1 + notified_len as u64 / PEERS_NOTIFIED_PER_MS;
+                        let spread_ms = notified_len as u64 / PEERS_NOTIFIED_PER_MS;
+                        let due = now + self.delay_ms(now, daemon, peer) + spread_ms;
                         (due, daemon, peer, message.clone())
                     });
                     let messages: Vec<_> = messages.collect();
@@ -502,6 +576,10 @@
                     request.done = true;
                     self.tally[request.kind].refused += 1;
                 }
+                DispatchAction::Order(order) if self.site.answers_orders => {
+                    self.orders
+                        .push((now + 2 * self.site.delay_ms, daemon, order));
+                }
                 DispatchAction::ReadStore(call) if call.after.is_some() => {
                     self.held
                         .push((now + call.wait_ms.get().max(1), daemon, call.topic));
@@ -511,6 +589,64 @@
         }
     }
 
+    /// Time that a message from one daemon takes to another.
+    fn delay_ms(&self, now: u64, from: usize, to: usize) -> u64 {
+        match &self.faults.slow_link {
+            Some((a, b, time))
+                if time.contains(&now) && [(*a, *b), (*b, *a)].contains(&(from, to)) =>
+            {
+                1_000
+            }
+            _ => self.site.delay_ms,
+        }
+    }
+
+    fn is_killed(&self, now: u64, daemon: usize) -> bool {
+        self.faults
+            .killed
+            .is_some_and(|(at, killed)| at <= now && killed == daemon)
+    }
+
+    /// Ends the requests of a daemon that is killed, and its links.
+    fn kill(&mut self, now: u64) {
+        let Some((_, killed)) = self.faults.killed.filter(|(at, _)| *at == now) else {
+            return;
+        };
+        for (tag, request) in &mut self.requests {
+            if request.daemon == killed && !request.done {
+                request.done = true;
+                self.tally[request.kind].lost += 1;
+                for engine in &mut self.engines {
+                    engine.forget(*tag);
+                }
+            }
+        }
+        for daemon in (0..self.daemons.len()).filter(|daemon| *daemon != killed) {
+            self.handle(now, daemon, DispatchEvent::PeerDown { vm: vm(killed) });
+        }
+    }
+
+    /// Executes due orders about reservations.
+    fn answer_orders(&mut self, now: u64) {
+        let orders = std::mem::take(&mut self.orders);
+        let (due, later): (Vec<_>, Vec<_>) = orders.into_iter().partition(|(at, ..)| *at <= now);
+        self.orders = later;
+        for (_, daemon, order) in due {
+            let profile = self.site.profile();
+            let engine = &mut self.engines[engine_index(order.address)];
+            let ticket = order.ticket;
+            let end = match order.kind {
+                OrderKind::Reserve { tokens, .. } => engine.reserve(&profile, &ticket, tokens),
+                OrderKind::Release => {
+                    engine.held.remove(&*ticket);
+                    OrderOutcome::Done
+                }
+            };
+            let kind = order.kind;
+            self.handle(now, daemon, DispatchEvent::OrderEnded { ticket, kind, end });
+        }
+    }
+
     fn fail_sends(&mut self, now: u64) {
         let failing = std::mem::take(&mut self.failing);
         let (due, later): (Vec<_>, Vec<_>) = failing.into_iter().partition(|(at, ..)| *at <= now);
@@ -529,16 +665,12 @@
 
     fn sent(&mut self, now: u64, daemon: usize, plan: SendPlan) {
         let tag = plan.call.get();
-        let index = |address: std::net::SocketAddr| match address.ip() {
-            std::net::IpAddr::V4(ip) => usize::from(ip.octets()[3]) - 1,
-            std::net::IpAddr::V6(_) => unreachable!(),
-        };
         let request = self.requests.get_mut(&tag).unwrap();
         request.sent = Some(plan.clone());
         let helpers: Vec<_> = plan
             .helpers
             .iter()
-            .map(|helper| index(helper.address))
+            .map(|helper| engine_index(helper.address))
             .collect();
         let cut = self.cut.as_ref().filter(|(_, time)| time.contains(&now));
         let fleet = self.daemons[daemon].fleet();
@@ -548,12 +680,12 @@
             self.failing.push((now + CONNECT_TIMEOUT_MS, daemon, plan));
             return;
         }
-        self.run(tag, index(plan.address), &helpers);
+        self.run(tag, engine_index(plan.address), &helpers);
     }
 
     fn learn(&mut self, now: u64, daemon: usize, engines_len: u16) {
         self.handle(now, daemon, DispatchEvent::Tick);
-        let operators = vec![Change::Catalog(Box::new(catalog(1)))];
+        let operators = vec![Change::Catalog(Box::new(self.site.catalog.clone()))];
         for (topic, changes) in [
             (Topic::Operators, operators),
             (Topic::Upstreams, upstream_list(engines_len, 0)),
@@ -575,6 +707,14 @@
     }
 }
 
+/// The engine at an address.
+fn engine_index(address: std::net::SocketAddr) -> usize {
+    match address.ip() {
+        std::net::IpAddr::V4(ip) => usize::from(ip.octets()[3]) - 1,
+        std::net::IpAddr::V6(_) => unreachable!(),
+    }
+}
+
 fn vm(index: usize) -> VmId {
     id(&format!("vm-{index}"))
 }
