--- a/crates/core/src/dispatch/in_flight.rs
+++ b/crates/core/src/dispatch/in_flight.rs
@@ -283,10 +283,19 @@
         0.0
     };
     let part_tokens = entry.prompt_tokens.get() as f64 / f64::from(entry.parts_len.max(1));
+    let is_helper = id.part_index > 0;
+    let own_context_tokens = entry.memory_tokens.saturating_sub(entry.output_tokens);
     PendingPrefill {
         remaining_ms,
         remaining_tokens: Tokens::new((part_tokens * remaining_ratio) as u64),
         memory_tokens: entry.memory_tokens,
-        for_other_engine: id.part_index > 0,
+        for_other_engine: is_helper,
+        context_tokens: if is_helper {
+            entry.memory_tokens
+        } else {
+            own_context_tokens
+        },
+        pause_target_ms: entry.pause_target_ms,
+        weight_requests: prompt_weight_requests(entry.prompt_tokens),
     }
 }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 mod extension;
 mod extension_peers;
 mod freshness;
+mod gap_demand;
 mod health;
 mod in_flight;
 mod in_flight_entry;
@@ -52,7 +53,9 @@
 pub use backoff::BackoffTable;
 pub use budget::RetryBudget;
 pub use call::{Call, PromptSize};
-pub use choose::{choose_engine, choose_plain, Candidate, EngineChoice, PlacementRequest};
+pub use choose::{
+    choose_engine, choose_plain, Candidate, EngineChoice, GapRequest, PlacementRequest,
+};
 pub use crash::{Crash, CrashReport};
 pub use dispatcher::Dispatcher;
 pub use event::DispatchEvent;
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -82,6 +82,12 @@
         let report = in_flight_report(out.now, send, &entry, placement.helpers.clone());
         self.notify_now(out.now, DispatchMessage::Started(report));
         self.slow_start.on_sent(out.now, &placement.upstream);
+        self.count_prompt(
+            out.now,
+            &placement.upstream,
+            entry.prompt_tokens,
+            entry.output_tokens,
+        );
         self.backoff.on_sent(out.now, &placement.upstream);
         self.health.on_sent(out.now, &placement.upstream);
         self.count_against_rate_limits(out.now, placement.upstreams());
--- a/crates/core/src/dispatch/settings.rs
+++ b/crates/core/src/dispatch/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the dispatcher.
 
 use crate::{
+    engine::gaps::{GapSettings, RawGapSettings},
     units::{Millis, RangeCheck, RangeError},
     watch::WatchSettings,
 };
@@ -47,6 +48,8 @@
     pub upstreams_pause_ms: u64,
     /// Timeout of a call to the store.
     pub store_timeout_ms: u64,
+    /// Prediction of gaps; off if absent.
+    pub gaps: Option<RawGapSettings>,
 }
 
 impl Default for RawDispatchSettings {
@@ -61,6 +64,7 @@
             operators_wait_ms: 800,
             upstreams_pause_ms: 1_000,
             store_timeout_ms: 1_000,
+            gaps: None,
         }
     }
 }
@@ -84,6 +88,8 @@
     pub operators: WatchSettings,
     /// How the daemon watches the list of upstreams.
     pub upstreams: WatchSettings,
+    /// Prediction of gaps; none if it is off.
+    pub gaps: Option<GapSettings>,
 }
 
 impl TryFrom<RawDispatchSettings> for DispatchSettings {
@@ -120,6 +126,7 @@
                 pause_ms: span("upstreams_pause_ms", raw.upstreams_pause_ms)?,
                 timeout_ms,
             },
+            gaps: raw.gaps.map(GapSettings::try_from).transpose()?,
         })
     }
 }
--- a/crates/core/src/engine/engine_load.rs
+++ b/crates/core/src/engine/engine_load.rs
@@ -46,6 +46,12 @@
     pub memory_tokens: Tokens,
     /// Whether this engine prefills a part of the prompt for another engine, which decodes.
     pub for_other_engine: bool,
+    /// Tokens of the prompt whose KV cache this engine keeps while the response is generated.
+    pub context_tokens: Tokens,
+    /// Maximum pause between events for the answer to count as on time.
+    pub pause_target_ms: Millis,
+    /// Cost of a late answer relative to other requests.
+    pub weight_requests: f64,
 }
 
 /// Requests on one engine, as reported by all daemons.
@@ -149,7 +155,6 @@
         } else {
             own_pass_ms.max(pass_ms)
         };
-        let free_tokens = self.free_tokens(profile);
         Prediction {
             prefill_done_ms,
             first_event_ms: prefill_done_ms + first_pass_ms,
@@ -157,10 +162,16 @@
             added_pause_ms: part_ms * pass_share,
             delayed_requests: self.delayed_requests(pause_ms, pass_ms + backlog_ms * pass_share),
             slot_free: self.requests_len() < profile.slots_len as usize,
-            missing_tokens: (prompt_tokens + output_tokens).saturating_sub(free_tokens),
+            missing_tokens: self.missing_tokens(profile, prompt_tokens + output_tokens),
+            own_gap_ms: 0.0,
         }
     }
 
+    /// The part of `tokens` that exceeds the free KV memory.
+    pub fn missing_tokens(&self, profile: &EngineProfile, tokens: Tokens) -> Tokens {
+        tokens.saturating_sub(self.free_tokens(profile))
+    }
+
     /// Total weight of the decoding requests whose pauses exceed the limit with `pause_ms`, but not
     /// with `before_ms`.
     fn delayed_requests(&self, pause_ms: f64, before_ms: f64) -> f64 {
--- /dev/null
+++ b/crates/core/src/engine/gaps/settings.rs
@@ -0,0 +1,64 @@
+//! Settings of the prediction of gaps.
+
+use crate::units::{Millis, RangeCheck, RangeError};
+use serde::Deserialize;
+
+/// Name of the settings section, used in errors.
+const SECTION: &str = "dispatch.gaps";
+
+/// Settings as written in the section `gaps` of the settings file.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawGapSettings {
+    /// Percentage of a gap target up to which a predicted gap is allowed.
+    pub limit_percent: u32,
+    /// Cost of a response whose gaps are broken by another prompt, in percent of that of a late response.
+    pub delayed_cost_percent: u32,
+    /// Time over which the arrival rates of prompts are counted.
+    pub rate_window_ms: u64,
+    /// Number of short requests for which long prompts leave memory at each engine.
+    pub room_requests: u32,
+}
+
+impl Default for RawGapSettings {
+    fn default() -> Self {
+        Self {
+            limit_percent: 90,
+            delayed_cost_percent: 200,
+            rate_window_ms: 3_000,
+            room_requests: 4,
+        }
+    }
+}
+
+/// Validated settings of the prediction of gaps.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GapSettings {
+    /// Percentage of a gap target up to which a predicted gap is allowed.
+    pub limit_percent: u32,
+    /// Cost of a response whose gaps are broken by another prompt, in percent of that of a late response.
+    pub delayed_cost_percent: u32,
+    /// Time over which the arrival rates of prompts are counted.
+    pub rate_window_ms: Millis,
+    /// Number of short requests for which long prompts leave memory at each engine.
+    pub room_requests: u32,
+}
+
+impl TryFrom<RawGapSettings> for GapSettings {
+    type Error = RangeError;
+
+    fn try_from(raw: RawGapSettings) -> Result<Self, RangeError> {
+        let check = RangeCheck::new(SECTION);
+        Ok(Self {
+            limit_percent: check.number("limit_percent", raw.limit_percent, 10, 100)?,
+            delayed_cost_percent: check.number(
+                "delayed_cost_percent",
+                raw.delayed_cost_percent,
+                0,
+                10_000,
+            )?,
+            rate_window_ms: check.span("rate_window_ms", raw.rate_window_ms, 250, 60_000)?,
+            room_requests: check.number("room_requests", raw.room_requests, 0, 1_000)?,
+        })
+    }
+}
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -2,6 +2,7 @@
 //! pauses that its prefill causes in other answers.
 
 mod engine_load;
+pub mod gaps;
 mod prediction;
 
 pub use engine_load::{DecodingRequest, EngineLoad, PendingPrefill};
--- a/crates/core/src/engine/prediction.rs
+++ b/crates/core/src/engine/prediction.rs
@@ -19,4 +19,6 @@
     pub slot_free: bool,
     /// KV memory, in tokens, that the engine lacks for the prompt and its whole answer.
     pub missing_tokens: Tokens,
+    /// Longest gap of its own response; zero if gaps are not predicted.
+    pub own_gap_ms: f64,
 }
