--- a/crates/core/src/dispatch/choose/cost.rs
+++ b/crates/core/src/dispatch/choose/cost.rs
@@ -60,7 +60,23 @@
 }
 
 /// Cost by position, by which short prompts fill engines from the front and long ones from the back.
-pub(super) fn position_cost(index: usize, candidates_len: usize, long: bool) -> f64 {
+pub(super) fn position_cost(
+    request: &PlacementRequest<'_>,
+    index: usize,
+    candidates_len: usize,
+    long: bool,
+) -> f64 {
+    // Short prompts spread over the engines that their rate needs, so that they do not queue at the first.
+    let front_len = if std::env::var("FLAT").is_ok() {
+        request.gaps.map_or(0, |gaps| gaps.demand.engines_len)
+    } else {
+        0
+    };
+    let index = if long {
+        index
+    } else {
+        index.saturating_sub(front_len)
+    };
     let last_index = candidates_len.saturating_sub(1).max(1) as f64;
     let position = index as f64 / last_index;
     POSITION_COST * if long { 1.0 - position } else { position }
@@ -81,7 +97,7 @@
     let (mut wait_weight, mut delayed_ratio) = (weight, 1.0);
     if let Some(gaps) = &request.gaps {
         late_ratio = late_ratio.max(gap_late_ratio(gaps, prediction.own_gap_ms));
-        wait_weight = 1.0;
+        wait_weight = std::env::var("WAIT").map_or(1.0, |v| v.parse::<f64>().unwrap() * weight);
         delayed_ratio = f64::from(gaps.settings.delayed_cost_percent) / 100.0;
     }
     let lost_ratio = (prediction.first_event_ms / request.left_ms.max(1.0)).min(1.0);
--- a/crates/core/src/dispatch/choose/groups.rs
+++ b/crates/core/src/dispatch/choose/groups.rs
@@ -4,11 +4,17 @@
     cost::{arrivals_cost, failure_cost, prompt_cost},
     forecast, predict, Candidate, EngineChoice, PlacementRequest,
 };
-use crate::{engine::Prediction, units::Tokens};
+use crate::{
+    engine::{DecodingRequest, Prediction},
+    units::Tokens,
+};
 
 /// Cost of each helper engine. Only breaks ties.
 const HELPER_COST: f64 = 0.01;
 
+/// Time of other engines' backlogs that a part of a prompt takes rather than delay one short response.
+const TIGHT_AVOIDANCE_MS: f64 = 500.0;
+
 /// Maximum number of engines that prefill one prompt: the answering one and the protocol's limit of
 /// 16 helpers.
 pub(in crate::dispatch) const ENGINES_PER_PROMPT_MAX_LEN: usize = 17;
@@ -25,7 +31,7 @@
             + load
                 .decoding
                 .iter()
-                .map(|answer| answer.weight_requests)
+                .map(|answer| answer.weight_requests * avoidance_ms(request, answer))
                 .sum::<f64>()
     };
     order.sort_by(|a, b| ready_ms(a).total_cmp(&ready_ms(b)).then(b.cmp(a)));
@@ -35,6 +41,24 @@
         .collect()
 }
 
+/// Time by which a response delays the choice of its engine for a part of a prompt, for each request that it
+/// weighs.
+fn avoidance_ms(request: &PlacementRequest<'_>, response: &DecodingRequest) -> f64 {
+    let part_ms =
+        request.profile.prefill_ms(request.prompt_tokens) / ENGINES_PER_PROMPT_MAX_LEN as f64;
+    match &request.gaps {
+        Some(gaps) => {
+            let limit_ms = response.pause_target_ms.get() as f64 * gaps.limit_ratio();
+            if part_ms + request.profile.pass_ms(0.0) > limit_ms {
+                TIGHT_AVOIDANCE_MS
+            } else {
+                1.0
+            }
+        }
+        None => 1.0,
+    }
+}
+
 fn build_group(
     candidates: &[Candidate],
     request: &PlacementRequest<'_>,
--- a/crates/core/src/dispatch/choose/mod.rs
+++ b/crates/core/src/dispatch/choose/mod.rs
@@ -7,7 +7,7 @@
 use crate::{
     catalog::EngineProfile,
     engine::{
-        gaps::{GapForecast, GapSettings, PromptPart, ShortDemand},
+        gaps::{GapForecast, GapSettings, LateLimits, PromptPart, ShortDemand},
         EngineLoad, Prediction,
     },
     ids::UpstreamId,
@@ -71,6 +71,8 @@
     pub settings: GapSettings,
     /// The call's own gap target.
     pub target_ms: Millis,
+    /// Latency target of short prompts: of the route with the shortest gap target.
+    pub short_target_ms: Millis,
     /// Demand of short prompts at all daemons.
     pub demand: ShortDemand,
 }
@@ -163,7 +165,8 @@
     let context_tokens = prompt_tokens.saturating_sub(prediction.missing_tokens);
     let forecast = forecast(load, request, gaps, parts_len, context_tokens, true);
     prediction.own_gap_ms = forecast.own_gap_ms;
-    prediction.first_event_ms += forecast.running_pass_ms;
+    prediction.prefill_done_ms = forecast.prefill_done_ms;
+    prediction.first_event_ms = forecast.first_event_ms;
     prediction.delayed_requests = forecast.delayed_requests;
     prediction
 }
@@ -184,7 +187,12 @@
         context_tokens,
         decodes,
     };
-    GapForecast::new(load, request.profile, part, gaps.limit_ratio())
+    let limits = LateLimits {
+        gap_ratio: gaps.limit_ratio(),
+        short_gap_target_ms: request.min_pause_target_ms.unwrap_or(Millis::ZERO),
+        short_target_ms: gaps.short_target_ms,
+    };
+    GapForecast::new(load, request.profile, part, limits)
 }
 
 fn choose_one(
@@ -195,7 +203,7 @@
     let choices = candidates.iter().enumerate().map(|(index, candidate)| {
         let load = &candidate.load;
         let prediction = predict(load, request, 1, long);
-        let order = position_cost(index, candidates.len(), long);
+        let order = position_cost(request, index, candidates.len(), long);
         EngineChoice {
             candidate_index: index,
             helpers: Vec::new(),
--- a/crates/core/src/dispatch/gap_demand.rs
+++ b/crates/core/src/dispatch/gap_demand.rs
@@ -8,7 +8,7 @@
     catalog::{CallKind, EngineProfile},
     engine::gaps::PromptArrival,
     ids::UpstreamId,
-    units::{Time, Tokens},
+    units::{Millis, Time, Tokens},
 };
 
 impl Dispatcher {
@@ -63,9 +63,13 @@
         let arrivals = self.short_arrivals.get(&open.service.name);
         let demand =
             arrivals.map(|arrivals| arrivals.short_demand(now, settings.rate_window_ms, profile));
+        let catalog = self.catalog.as_ref();
+        let short_target_ms =
+            catalog.and_then(|catalog| catalog.tightest_latency_target_ms(&open.service.name));
         Some(GapRequest {
             settings,
             target_ms,
+            short_target_ms: short_target_ms.unwrap_or(Millis::ZERO),
             demand: demand.unwrap_or_default(),
         })
     }
--- a/crates/core/src/dispatch/in_flight.rs
+++ b/crates/core/src/dispatch/in_flight.rs
@@ -204,8 +204,14 @@
                 profile.prefill_ms(entry.prompt_tokens) / f64::from(entry.parts_len.max(1));
             let remaining_ms = (total_ms - spent_ms).max(0.0);
             spent_ms = (spent_ms - total_ms).max(0.0);
-            load.prefills
-                .push(prefilling_request(id, entry, remaining_ms, total_ms));
+            let waited_ms = now.since(entry.sent_at).get() as f64;
+            load.prefills.push(prefilling_request(
+                id,
+                entry,
+                remaining_ms,
+                total_ms,
+                waited_ms,
+            ));
         }
         load
     }
@@ -276,6 +282,7 @@
     entry: &InFlightEntry,
     remaining_ms: f64,
     total_ms: f64,
+    waited_ms: f64,
 ) -> PendingPrefill {
     let remaining_ratio = if total_ms > 0.0 {
         remaining_ms / total_ms
@@ -287,6 +294,8 @@
     let own_context_tokens = entry.memory_tokens.saturating_sub(entry.output_tokens);
     PendingPrefill {
         remaining_ms,
+        total_ms,
+        waited_ms,
         remaining_tokens: Tokens::new((part_tokens * remaining_ratio) as u64),
         memory_tokens: entry.memory_tokens,
         for_other_engine: is_helper,
--- a/crates/core/src/engine/engine_load.rs
+++ b/crates/core/src/engine/engine_load.rs
@@ -11,7 +11,7 @@
 const PAUSE_LIMIT_RATIO: f64 = 0.9;
 
 /// Share of the first pass after which a request that is alone on an engine emits its first event.
-const IDLE_FIRST_EVENT_RATIO: f64 = 0.4;
+pub(super) const IDLE_FIRST_EVENT_RATIO: f64 = 0.4;
 
 /// Share of an engine's KV memory that can be allocated.
 const USABLE_MEMORY_RATIO: f64 = 0.98;
@@ -40,6 +40,10 @@
 pub struct PendingPrefill {
     /// Remaining prefill time.
     pub remaining_ms: f64,
+    /// Prefill time of the whole prompt, or of this engine's part of it.
+    pub total_ms: f64,
+    /// Time since the request was sent.
+    pub waited_ms: f64,
     /// Tokens not prefilled yet.
     pub remaining_tokens: Tokens,
     /// KV memory that it occupies on this engine until its answer ends, in tokens.
--- a/crates/core/src/engine/gaps/forecast.rs
+++ b/crates/core/src/engine/gaps/forecast.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     catalog::EngineProfile,
-    engine::{EngineLoad, PendingPrefill},
+    engine::{engine_load::IDLE_FIRST_EVENT_RATIO, EngineLoad, PendingPrefill},
     units::{Millis, Tokens},
 };
 
@@ -19,51 +19,106 @@
     pub decodes: bool,
 }
 
-/// What a further prompt means for the gaps at an engine.
+impl PromptPart {
+    /// Time that the part adds to each decode step.
+    fn sequence_ms(&self, profile: &EngineProfile) -> f64 {
+        if self.decodes || self.context_tokens > Tokens::ZERO {
+            profile.sequence_ms(self.context_tokens)
+        } else {
+            0.0
+        }
+    }
+}
+
+/// When gaps, and the first events of short prompts, count as late.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LateLimits {
+    /// Share of a gap target up to which a predicted gap is allowed.
+    pub gap_ratio: f64,
+    /// Gap target of short prompts: the shortest of the service.
+    pub short_gap_target_ms: Millis,
+    /// Latency target of short prompts.
+    pub short_target_ms: Millis,
+}
+
+/// What a further prompt means for an engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GapForecast {
+    /// Time until the part is prefilled.
+    pub prefill_done_ms: f64,
+    /// Time until the first event, if the engine decodes the response.
+    pub first_event_ms: f64,
     /// Longest gap of the prompt's own response.
     pub own_gap_ms: f64,
-    /// Weight of the responses whose gaps would newly exceed their limits: those being decoded, and those
-    /// whose prompts wait here for their prefill.
+    /// Weight of the responses that would newly be late: those whose gaps would exceed their limits, and
+    /// short ones that wait here for their first event.
     pub delayed_requests: f64,
-    /// Mean time until the running pass ends, before which no prefill begins.
-    pub running_pass_ms: f64,
+}
+
+/// Duration of passes at an engine, without a further prompt or with it.
+#[derive(Clone, Copy, Debug)]
+struct Passes {
+    /// The decode steps of a pass that prefills.
+    decode_ms: f64,
+    /// Time until all that waits is prefilled.
+    prefill_done_ms: f64,
+    /// Decode steps of a pass when all that waits decodes.
+    after_ms: f64,
+    /// Longest pass.
+    longest_ms: f64,
+}
+
+impl Passes {
+    fn new(load: &EngineLoad, profile: &EngineProfile, part: Option<PromptPart>) -> Self {
+        let decoding_ms = sequences_ms(profile, load.decoding.iter().map(|r| r.context_tokens));
+        let decode_ms = load.pass_ms(profile);
+        let pending = load.prefills.iter().filter(|prefill| will_decode(prefill));
+        let pending_ms = sequences_ms(profile, pending.map(|prefill| prefill.context_tokens));
+        let own_ms = part.map_or(0.0, |part| part.sequence_ms(profile));
+        let (mut tokens, mut prefill_ms) = (0, 0.0);
+        for prefill in &load.prefills {
+            tokens += prefill.remaining_tokens.get();
+            prefill_ms += unfinished_ms(prefill, decode_ms);
+        }
+        if let Some(part) = part {
+            tokens += part.prefill_tokens.get();
+            prefill_ms += part.prefill_ms;
+        }
+        let per_pass_tokens = profile.pass_prefill_max_tokens().get().max(1);
+        let passes = tokens.max(1).div_ceil(per_pass_tokens) as f64;
+        let share = (per_pass_tokens as f64 / tokens.max(1) as f64).min(1.0);
+        let after_ms = profile.pass_ms(decoding_ms + pending_ms + own_ms);
+        // No prefill begins before the running pass ends: half a pass on average.
+        let prefill_done_ms = decode_ms / 2.0 + decode_ms * passes + prefill_ms;
+        Self {
+            decode_ms,
+            prefill_done_ms,
+            after_ms,
+            longest_ms: (decode_ms + prefill_ms * share).max(after_ms),
+        }
+    }
 }
 
 impl GapForecast {
-    /// Forecast for `part` at an engine with `load`. A gap may be `limit_ratio` of its target.
+    /// Forecast for `part` at an engine with `load`.
     pub fn new(
         load: &EngineLoad,
         profile: &EngineProfile,
         part: PromptPart,
-        limit_ratio: f64,
+        limits: LateLimits,
     ) -> Self {
-        let decoding_ms: f64 =
-            sequences_ms(profile, load.decoding.iter().map(|r| r.context_tokens));
-        let pending = load.prefills.iter().filter(|prefill| will_decode(prefill));
-        let pending_ms = sequences_ms(profile, pending.map(|prefill| prefill.context_tokens));
-        let takes_part = part.decodes || part.context_tokens > Tokens::ZERO;
-        let own_ms = if takes_part {
-            profile.sequence_ms(part.context_tokens)
+        let before = Passes::new(load, profile, None);
+        let after = Passes::new(load, profile, Some(part));
+        let first_pass_ms = if load.decoding.is_empty() {
+            after.after_ms * IDLE_FIRST_EVENT_RATIO
         } else {
-            0.0
+            after.after_ms
         };
-        let pass_ms = load.pass_ms(profile);
-        let pass_before_ms = profile.pass_ms(decoding_ms + pending_ms);
-        let pass_after_ms = profile.pass_ms(decoding_ms + pending_ms + own_ms);
-        let backlog_ms = load.backlog_ms();
-        let waiting_tokens: Tokens = load.prefills.iter().map(|p| p.remaining_tokens).sum();
-        let stall_before_ms = pass_ms + longest_share(profile, waiting_tokens) * backlog_ms;
-        let all_tokens = waiting_tokens + part.prefill_tokens;
-        let all_ms = backlog_ms + part.prefill_ms;
-        let stall_after_ms = pass_ms + longest_share(profile, all_tokens) * all_ms;
-        let before_ms = stall_before_ms.max(pass_before_ms);
-        let after_ms = stall_after_ms.max(pass_after_ms);
         Self {
-            own_gap_ms: if part.decodes { pass_after_ms } else { 0.0 },
-            delayed_requests: delayed_requests(load, before_ms, after_ms, limit_ratio),
-            running_pass_ms: pass_ms / 2.0,
+            prefill_done_ms: after.prefill_done_ms,
+            first_event_ms: after.prefill_done_ms + first_pass_ms,
+            own_gap_ms: after.after_ms,
+            delayed_requests: delayed_requests(load, before, after, limits),
         }
     }
 }
@@ -77,21 +132,37 @@
     !prefill.for_other_engine || prefill.context_tokens > Tokens::ZERO
 }
 
-/// Largest share of the waiting prompts that is prefilled within one pass.
-fn longest_share(profile: &EngineProfile, tokens: Tokens) -> f64 {
-    let per_pass_tokens = profile.pass_prefill_max_tokens().get().max(1);
-    (per_pass_tokens as f64 / tokens.get().max(1) as f64).min(1.0)
+/// Prefill time that a waiting prompt still takes. Its prefill begins with the next pass, and its part of the
+/// engine's time ends with that pass.
+fn unfinished_ms(prefill: &PendingPrefill, pass_ms: f64) -> f64 {
+    if prefill.waited_ms < pass_ms {
+        prefill.total_ms
+    } else {
+        prefill.remaining_ms
+    }
 }
 
-fn delayed_requests(load: &EngineLoad, before_ms: f64, after_ms: f64, limit_ratio: f64) -> f64 {
-    let weight = |target_ms: Millis, weight_requests: f64| {
-        let limit_ms = target_ms.get() as f64 * limit_ratio;
-        let is_newly_delayed = after_ms > limit_ms && before_ms <= limit_ms;
-        f64::from(u8::from(is_newly_delayed)) * weight_requests
+fn delayed_requests(load: &EngineLoad, before: Passes, after: Passes, limits: LateLimits) -> f64 {
+    let breaks_gap = |target_ms: Millis| {
+        let limit_ms = target_ms.get() as f64 * limits.gap_ratio;
+        after.longest_ms > limit_ms && before.longest_ms <= limit_ms
+    };
+    let breaks_latency = |prefill: &PendingPrefill| {
+        let left_ms = limits.short_target_ms.get() as f64 - prefill.waited_ms;
+        prefill.pause_target_ms == limits.short_gap_target_ms
+            && after.prefill_done_ms + after.decode_ms > left_ms
+            && before.prefill_done_ms + before.decode_ms <= left_ms
     };
-    let decoding = load.decoding.iter().filter(|r| !r.holds_kv_only);
-    let decoding = decoding.map(|r| weight(r.pause_target_ms, r.weight_requests));
-    let pending = load.prefills.iter().filter(|p| !p.for_other_engine);
-    let pending = pending.map(|p| weight(p.pause_target_ms, p.weight_requests));
-    decoding.chain(pending).sum()
+    let decoding = load
+        .decoding
+        .iter()
+        .filter(|response| !response.holds_kv_only && breaks_gap(response.pause_target_ms));
+    let pending = load.prefills.iter().filter(|prefill| {
+        !prefill.for_other_engine
+            && (breaks_gap(prefill.pause_target_ms) || breaks_latency(prefill))
+    });
+    let decoding = decoding.map(|response| response.weight_requests);
+    decoding
+        .chain(pending.map(|prefill| prefill.weight_requests))
+        .sum()
 }
--- a/crates/core/src/engine/gaps/mod.rs
+++ b/crates/core/src/engine/gaps/mod.rs
@@ -6,5 +6,5 @@
 mod settings;
 
 pub use arrivals::{PromptArrival, PromptArrivals, ShortDemand};
-pub use forecast::{GapForecast, PromptPart};
+pub use forecast::{GapForecast, LateLimits, PromptPart};
 pub use settings::{GapSettings, RawGapSettings};
