--- a/crates/core/src/catalog/validated.rs
+++ b/crates/core/src/catalog/validated.rs
@@ -32,8 +32,8 @@
     version: CatalogVersion,
     routes: HashMap<String, Vec<Arc<Route>>>,
     services: BTreeMap<ServiceName, Arc<Service>>,
-    /// Shortest pause target of the streaming routes to each service, and the latency target of that route.
-    tightest_targets_ms: BTreeMap<ServiceName, (Millis, Millis)>,
+    /// Pause and latency targets of the streaming routes to each service, the shortest pause target first.
+    streaming_targets_ms: BTreeMap<ServiceName, Vec<(Millis, Millis)>>,
     limits: CallerLimits,
     keys: Option<HashMap<ApiKey, KeyHolder>>,
 }
@@ -63,14 +63,14 @@
 
     /// The lowest pause target among the streaming routes to a service.
     pub fn min_pause_target_ms(&self, service: &ServiceName) -> Option<Millis> {
-        let targets_ms = self.tightest_targets_ms.get(service);
-        targets_ms.map(|(pause_target_ms, _)| *pause_target_ms)
+        let (pause_target_ms, _) = self.streaming_targets_ms(service).first()?;
+        Some(*pause_target_ms)
     }
 
-    /// The latency target of the streaming route to a service that has the lowest pause target.
-    pub fn tightest_latency_target_ms(&self, service: &ServiceName) -> Option<Millis> {
-        let targets_ms = self.tightest_targets_ms.get(service);
-        targets_ms.map(|(_, latency_target_ms)| *latency_target_ms)
+    /// The pause and latency targets of the streaming routes to a service, in order of the pause target.
+    pub fn streaming_targets_ms(&self, service: &ServiceName) -> &[(Millis, Millis)] {
+        let targets_ms = self.streaming_targets_ms.get(service);
+        targets_ms.map_or(&[], Vec::as_slice)
     }
 
     /// Whether callers of routes that are not public need a key.
@@ -91,10 +91,10 @@
         let named = raw.services.into_iter();
         let services: BTreeMap<_, _> = named.map(|s| (s.name.clone(), Arc::new(s))).collect();
         let mut routes: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
-        let mut tightest_targets_ms = BTreeMap::new();
+        let mut streaming_targets_ms = BTreeMap::new();
         for route in raw.routes {
             check_route(&route, &services)?;
-            record_pause_target(&route, &mut tightest_targets_ms);
+            record_pause_target(&route, &mut streaming_targets_ms);
             let host = host_name(&route.host);
             routes.entry(host).or_default().push(Arc::new(route));
         }
@@ -105,7 +105,7 @@
             version: raw.version,
             routes,
             services,
-            tightest_targets_ms,
+            streaming_targets_ms,
             limits: raw.limits,
             keys: raw.keys.map(|keys| keys.into_iter().collect()),
         })
@@ -114,7 +114,7 @@
 
 fn record_pause_target(
     route: &Route,
-    tightest_targets_ms: &mut BTreeMap<ServiceName, (Millis, Millis)>,
+    streaming_targets_ms: &mut BTreeMap<ServiceName, Vec<(Millis, Millis)>>,
 ) {
     let CallKind::Streaming {
         pause_target_ms, ..
@@ -126,11 +126,11 @@
         return;
     }
     for target in &route.targets {
-        let targets_ms = (pause_target_ms, route.target_latency_ms);
-        let tightest_ms = tightest_targets_ms
+        let targets_ms = streaming_targets_ms
             .entry(target.service.clone())
-            .or_insert(targets_ms);
-        *tightest_ms = targets_ms.min(*tightest_ms);
+            .or_default();
+        targets_ms.push((pause_target_ms, route.target_latency_ms));
+        targets_ms.sort_unstable();
     }
 }
 
--- a/crates/core/src/dispatch/choose/cost.rs
+++ b/crates/core/src/dispatch/choose/cost.rs
@@ -27,6 +27,10 @@
 /// Longest pause of an engine for which a request that arrives meanwhile is still on time.
 const ARRIVAL_PAUSE_MAX_MS: f64 = 60.0;
 
+/// Share of the short prompts expected at an engine that a pause makes late. Most of them go to other engines,
+/// because daemons know of the pause within a message's delay.
+const DISPLACED_RATIO: f64 = 0.3;
+
 /// Slots that are left free while other engines have more free ones: daemons that choose in the same
 /// millisecond do not see each other's choices.
 const SPARE_SLOTS_LEN: usize = 2;
@@ -53,30 +57,14 @@
     let blocked_ms = blocked_ms.clamp(0.0, prediction.added_pause_ms);
     let blocked_s = blocked_ms / 1_000.0;
     let arrivals_per_s = match &request.gaps {
-        Some(gaps) => gaps.short_arrivals_per_s(index),
+        Some(gaps) => DISPLACED_RATIO * gaps.short_arrivals_per_s(index),
         None => candidate.recent_requests as f64,
     };
     LATE_COST_RATIO * arrivals_per_s * blocked_s
 }
 
 /// Cost by position, by which short prompts fill engines from the front and long ones from the back.
-pub(super) fn position_cost(
-    request: &PlacementRequest<'_>,
-    index: usize,
-    candidates_len: usize,
-    long: bool,
-) -> f64 {
-    // Short prompts spread over the engines that their rate needs, so that they do not queue at the first.
-    let front_len = if std::env::var("FLAT").is_ok() {
-        request.gaps.map_or(0, |gaps| gaps.demand.engines_len)
-    } else {
-        0
-    };
-    let index = if long {
-        index
-    } else {
-        index.saturating_sub(front_len)
-    };
+pub(super) fn position_cost(index: usize, candidates_len: usize, long: bool) -> f64 {
     let last_index = candidates_len.saturating_sub(1).max(1) as f64;
     let position = index as f64 / last_index;
     POSITION_COST * if long { 1.0 - position } else { position }
@@ -94,20 +82,19 @@
     let used_ratio = used_ratio.min(LATE_FROM_RATIO);
     let span = LATE_FROM_RATIO - ON_TIME_RATIO;
     let mut late_ratio = ((used_ratio - ON_TIME_RATIO) / span).clamp(0.0, 1.0);
-    let (mut wait_weight, mut delayed_ratio) = (weight, 1.0);
+    let mut wait_weight = weight;
     if let Some(gaps) = &request.gaps {
         late_ratio = late_ratio.max(gap_late_ratio(gaps, prediction.own_gap_ms));
-        wait_weight = std::env::var("WAIT").map_or(1.0, |v| v.parse::<f64>().unwrap() * weight);
-        delayed_ratio = f64::from(gaps.settings.delayed_cost_percent) / 100.0;
+        wait_weight = 1.0;
     }
     let lost_ratio = (prediction.first_event_ms / request.left_ms.max(1.0)).min(1.0);
     let late = LATE_COST_RATIO * late_ratio + (1.0 - LATE_COST_RATIO) * lost_ratio;
     let own = weight * late + wait_weight * FIRST_EVENT_WAIT_COST * used_ratio;
-    own + LATE_COST_RATIO * delayed_ratio * prediction.delayed_requests
+    own + LATE_COST_RATIO * prediction.delayed_requests
 }
 
 /// How certain it is that a response with this longest gap is late, from 0 to 1.
-fn gap_late_ratio(gaps: &GapRequest, gap_ms: f64) -> f64 {
+fn gap_late_ratio(gaps: &GapRequest<'_>, gap_ms: f64) -> f64 {
     let used_ratio = gap_ms / (gaps.target_ms.get() as f64).max(1.0);
     let from_ratio = gaps.limit_ratio();
     ((used_ratio - from_ratio) / (LATE_FROM_RATIO - from_ratio)).clamp(0.0, 1.0)
--- a/crates/core/src/dispatch/choose/groups.rs
+++ b/crates/core/src/dispatch/choose/groups.rs
@@ -13,7 +13,10 @@
 const HELPER_COST: f64 = 0.01;
 
 /// Time of other engines' backlogs that a part of a prompt takes rather than delay one short response.
-const TIGHT_AVOIDANCE_MS: f64 = 500.0;
+const TIGHT_AVOIDANCE_MS: f64 = 100.0;
+
+/// Share of the latency target that the prefill of a part may take.
+const PARTS_TARGET_RATIO: f64 = 0.5;
 
 /// Maximum number of engines that prefill one prompt: the answering one and the protocol's limit of
 /// 16 helpers.
@@ -44,8 +47,9 @@
 /// Time by which a response delays the choice of its engine for a part of a prompt, for each request that it
 /// weighs.
 fn avoidance_ms(request: &PlacementRequest<'_>, response: &DecodingRequest) -> f64 {
-    let part_ms =
-        request.profile.prefill_ms(request.prompt_tokens) / ENGINES_PER_PROMPT_MAX_LEN as f64;
+    let prefill_ms = request.profile.prefill_ms(request.prompt_tokens);
+    let parts_len = (prefill_ms / (request.target_ms * PARTS_TARGET_RATIO).max(1.0)).ceil();
+    let part_ms = prefill_ms / parts_len.clamp(2.0, ENGINES_PER_PROMPT_MAX_LEN as f64);
     match &request.gaps {
         Some(gaps) => {
             let limit_ms = response.pause_target_ms.get() as f64 * gaps.limit_ratio();
--- a/crates/core/src/dispatch/choose/mod.rs
+++ b/crates/core/src/dispatch/choose/mod.rs
@@ -61,23 +61,23 @@
     /// Shortest pause target of all routes of the service.
     pub min_pause_target_ms: Option<Millis>,
     /// What the prediction of gaps takes; none if it is off.
-    pub gaps: Option<GapRequest>,
+    pub gaps: Option<GapRequest<'a>>,
 }
 
 /// What the prediction of gaps takes for a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct GapRequest {
+pub struct GapRequest<'a> {
     /// The settings.
     pub settings: GapSettings,
     /// The call's own gap target.
     pub target_ms: Millis,
-    /// Latency target of short prompts: of the route with the shortest gap target.
-    pub short_target_ms: Millis,
+    /// Gap and latency targets of the service's routes, the shortest gap target first.
+    pub targets_ms: &'a [(Millis, Millis)],
     /// Demand of short prompts at all daemons.
     pub demand: ShortDemand,
 }
 
-impl GapRequest {
+impl GapRequest<'_> {
     /// Share of a gap target up to which a predicted gap is allowed.
     fn limit_ratio(&self) -> f64 {
         f64::from(self.settings.limit_percent) / 100.0
@@ -176,7 +176,7 @@
 fn forecast(
     load: &EngineLoad,
     request: &PlacementRequest<'_>,
-    gaps: &GapRequest,
+    gaps: &GapRequest<'_>,
     parts_len: usize,
     context_tokens: Tokens,
     decodes: bool,
@@ -189,8 +189,8 @@
     };
     let limits = LateLimits {
         gap_ratio: gaps.limit_ratio(),
-        short_gap_target_ms: request.min_pause_target_ms.unwrap_or(Millis::ZERO),
-        short_target_ms: gaps.short_target_ms,
+        targets_ms: gaps.targets_ms,
+        short_weight_ratio: f64::from(gaps.settings.delayed_cost_percent) / 100.0,
     };
     GapForecast::new(load, request.profile, part, limits)
 }
@@ -203,7 +203,7 @@
     let choices = candidates.iter().enumerate().map(|(index, candidate)| {
         let load = &candidate.load;
         let prediction = predict(load, request, 1, long);
-        let order = position_cost(request, index, candidates.len(), long);
+        let order = position_cost(index, candidates.len(), long);
         EngineChoice {
             candidate_index: index,
             helpers: Vec::new(),
--- a/crates/core/src/dispatch/gap_demand.rs
+++ b/crates/core/src/dispatch/gap_demand.rs
@@ -8,7 +8,7 @@
     catalog::{CallKind, EngineProfile},
     engine::gaps::PromptArrival,
     ids::UpstreamId,
-    units::{Millis, Time, Tokens},
+    units::{Time, Tokens},
 };
 
 impl Dispatcher {
@@ -46,12 +46,12 @@
     }
 
     /// What the choice of an engine takes for a call; none if gaps are not predicted.
-    pub(super) fn gap_request(
-        &self,
+    pub(super) fn gap_request<'a>(
+        &'a self,
         now: Time,
         open: &OpenCall,
         profile: &EngineProfile,
-    ) -> Option<GapRequest> {
+    ) -> Option<GapRequest<'a>> {
         let settings = self.settings.gaps?;
         let CallKind::Streaming {
             pause_target_ms: target_ms,
@@ -63,13 +63,11 @@
         let arrivals = self.short_arrivals.get(&open.service.name);
         let demand =
             arrivals.map(|arrivals| arrivals.short_demand(now, settings.rate_window_ms, profile));
-        let catalog = self.catalog.as_ref();
-        let short_target_ms =
-            catalog.and_then(|catalog| catalog.tightest_latency_target_ms(&open.service.name));
+        let catalog = self.catalog.as_ref()?;
         Some(GapRequest {
             settings,
             target_ms,
-            short_target_ms: short_target_ms.unwrap_or(Millis::ZERO),
+            targets_ms: catalog.streaming_targets_ms(&open.service.name),
             demand: demand.unwrap_or_default(),
         })
     }
--- a/crates/core/src/engine/gaps/forecast.rs
+++ b/crates/core/src/engine/gaps/forecast.rs
@@ -32,13 +32,13 @@
 
 /// When gaps, and the first events of short prompts, count as late.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LateLimits {
+pub struct LateLimits<'a> {
     /// Share of a gap target up to which a predicted gap is allowed.
     pub gap_ratio: f64,
-    /// Gap target of short prompts: the shortest of the service.
-    pub short_gap_target_ms: Millis,
-    /// Latency target of short prompts.
-    pub short_target_ms: Millis,
+    /// Gap and latency targets of the service's routes, the shortest gap target first.
+    pub targets_ms: &'a [(Millis, Millis)],
+    /// Factor of the weight of delayed short responses.
+    pub short_weight_ratio: f64,
 }
 
 /// What a further prompt means for an engine.
@@ -51,7 +51,7 @@
     /// Longest gap of the prompt's own response.
     pub own_gap_ms: f64,
     /// Weight of the responses that would newly be late: those whose gaps would exceed their limits, and
-    /// short ones that wait here for their first event.
+    /// those that wait here for their first event.
     pub delayed_requests: f64,
 }
 
@@ -105,7 +105,7 @@
         load: &EngineLoad,
         profile: &EngineProfile,
         part: PromptPart,
-        limits: LateLimits,
+        limits: LateLimits<'_>,
     ) -> Self {
         let before = Passes::new(load, profile, None);
         let after = Passes::new(load, profile, Some(part));
@@ -142,27 +142,52 @@
     }
 }
 
-fn delayed_requests(load: &EngineLoad, before: Passes, after: Passes, limits: LateLimits) -> f64 {
+impl LateLimits<'_> {
+    /// Latency target of the route with this gap target. Requests in flight are known by the latter only.
+    fn latency_target_ms(&self, gap_target_ms: Millis) -> Option<Millis> {
+        let mut targets_ms = self.targets_ms.iter();
+        let found = targets_ms.find(|(gap_ms, _)| *gap_ms == gap_target_ms);
+        found.map(|(_, latency_ms)| *latency_ms)
+    }
+
+    fn weight(&self, gap_target_ms: Millis, weight_requests: f64) -> f64 {
+        let shortest = self.targets_ms.first();
+        if shortest.is_some_and(|(shortest_ms, _)| *shortest_ms == gap_target_ms) {
+            weight_requests * self.short_weight_ratio
+        } else {
+            weight_requests
+        }
+    }
+}
+
+fn delayed_requests(
+    load: &EngineLoad,
+    before: Passes,
+    after: Passes,
+    limits: LateLimits<'_>,
+) -> f64 {
     let breaks_gap = |target_ms: Millis| {
         let limit_ms = target_ms.get() as f64 * limits.gap_ratio;
         after.longest_ms > limit_ms && before.longest_ms <= limit_ms
     };
     let breaks_latency = |prefill: &PendingPrefill| {
-        let left_ms = limits.short_target_ms.get() as f64 - prefill.waited_ms;
-        prefill.pause_target_ms == limits.short_gap_target_ms
-            && after.prefill_done_ms + after.decode_ms > left_ms
-            && before.prefill_done_ms + before.decode_ms <= left_ms
+        limits
+            .latency_target_ms(prefill.pause_target_ms)
+            .is_some_and(|target_ms| {
+                let left_ms = target_ms.get() as f64 - prefill.waited_ms;
+                after.prefill_done_ms + after.decode_ms > left_ms
+                    && before.prefill_done_ms + before.decode_ms <= left_ms
+            })
     };
     let decoding = load
         .decoding
         .iter()
-        .filter(|response| !response.holds_kv_only && breaks_gap(response.pause_target_ms));
+        .filter(|r| !r.holds_kv_only && breaks_gap(r.pause_target_ms));
     let pending = load.prefills.iter().filter(|prefill| {
         !prefill.for_other_engine
             && (breaks_gap(prefill.pause_target_ms) || breaks_latency(prefill))
     });
-    let decoding = decoding.map(|response| response.weight_requests);
-    decoding
-        .chain(pending.map(|prefill| prefill.weight_requests))
-        .sum()
+    let decoding = decoding.map(|r| limits.weight(r.pause_target_ms, r.weight_requests));
+    let pending = pending.map(|p| limits.weight(p.pause_target_ms, p.weight_requests));
+    decoding.chain(pending).sum()
 }
--- a/crates/core/src/engine/gaps/settings.rs
+++ b/crates/core/src/engine/gaps/settings.rs
@@ -12,7 +12,8 @@
 pub struct RawGapSettings {
     /// Percentage of a gap target up to which a predicted gap is allowed.
     pub limit_percent: u32,
-    /// Cost of a response whose gaps are broken by another prompt, in percent of that of a late response.
+    /// Cost of a late response of the kind with the shortest gap target that another prompt delays, in percent of
+    /// that of other late responses.
     pub delayed_cost_percent: u32,
     /// Time over which the arrival rates of prompts are counted.
     pub rate_window_ms: u64,
@@ -24,7 +25,7 @@
     fn default() -> Self {
         Self {
             limit_percent: 90,
-            delayed_cost_percent: 200,
+            delayed_cost_percent: 150,
             rate_window_ms: 3_000,
             room_requests: 4,
         }
@@ -36,7 +37,8 @@
 pub struct GapSettings {
     /// Percentage of a gap target up to which a predicted gap is allowed.
     pub limit_percent: u32,
-    /// Cost of a response whose gaps are broken by another prompt, in percent of that of a late response.
+    /// Cost of a late response of the kind with the shortest gap target that another prompt delays, in percent of
+    /// that of other late responses.
     pub delayed_cost_percent: u32,
     /// Time over which the arrival rates of prompts are counted.
     pub rate_window_ms: Millis,
