--- a/crates/core/src/engine/gaps/arrivals.rs
+++ b/crates/core/src/engine/gaps/arrivals.rs
@@ -70,8 +70,8 @@
         }
         if let Some(last) = self.intervals.back_mut() {
             last.short_len = last.short_len.saturating_add(1);
-            last.prompt_tokens = last.prompt_tokens + arrival.prompt_tokens;
-            last.output_tokens = last.output_tokens + arrival.output_tokens;
+            last.prompt_tokens += arrival.prompt_tokens;
+            last.output_tokens += arrival.output_tokens;
         }
     }
 
