--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -55,6 +55,7 @@
                     tries_count: 0,
                     sending: None,
                     first_at: None,
+                    longest_gap_ms: None,
                     may_have_run: false,
                     waiting_since: None,
                     reserving: None,
--- a/crates/core/src/dispatch/choose/cost.rs
+++ b/crates/core/src/dispatch/choose/cost.rs
@@ -27,10 +27,6 @@
 /// Longest pause of an engine for which a request that arrives meanwhile is still on time.
 const ARRIVAL_PAUSE_MAX_MS: f64 = 60.0;
 
-/// Share of the short prompts expected at an engine that a pause makes late. Most of them go to other engines,
-/// because daemons know of the pause within a message's delay.
-const DISPLACED_RATIO: f64 = 0.3;
-
 /// Slots that are left free while other engines have more free ones: daemons that choose in the same
 /// millisecond do not see each other's choices.
 const SPARE_SLOTS_LEN: usize = 2;
@@ -48,19 +44,11 @@
 }
 
 /// Cost of a pause to the requests that arrive meanwhile, estimated from the last second.
-pub(super) fn arrivals_cost(
-    request: &PlacementRequest<'_>,
-    (index, candidate): (usize, &Candidate),
-    prediction: &Prediction,
-) -> f64 {
+pub(super) fn arrivals_cost(candidate: &Candidate, prediction: &Prediction) -> f64 {
     let blocked_ms = prediction.pause_ms - ARRIVAL_PAUSE_MAX_MS;
     let blocked_ms = blocked_ms.clamp(0.0, prediction.added_pause_ms);
     let blocked_s = blocked_ms / 1_000.0;
-    let arrivals_per_s = match &request.gaps {
-        Some(gaps) => DISPLACED_RATIO * gaps.short_arrivals_per_s(index),
-        None => candidate.recent_requests as f64,
-    };
-    LATE_COST_RATIO * arrivals_per_s * blocked_s
+    LATE_COST_RATIO * candidate.recent_requests as f64 * blocked_s
 }
 
 /// Cost by position, by which short prompts fill engines from the front and long ones from the back.
--- a/crates/core/src/dispatch/choose/groups.rs
+++ b/crates/core/src/dispatch/choose/groups.rs
@@ -15,6 +15,10 @@
 /// Time of other engines' backlogs that a part of a prompt takes rather than delay one short response.
 const TIGHT_AVOIDANCE_MS: f64 = 100.0;
 
+/// Time that a pseudo-random cost of one request is worth in the order of engines: daemons that place long
+/// prompts within a message's delay of each other choose different engines.
+const JITTER_MS: f64 = 3_000.0;
+
 /// Share of the latency target that the prefill of a part may take.
 const PARTS_TARGET_RATIO: f64 = 0.5;
 
@@ -31,6 +35,9 @@
     let ready_ms = |index: &usize| {
         let load = &candidates[*index].load;
         load.backlog_ms()
+            + request
+                .gaps
+                .map_or(0.0, |_| candidates[*index].jitter_requests * JITTER_MS)
             + load
                 .decoding
                 .iter()
@@ -73,7 +80,7 @@
         .map(|index| {
             let load = &candidates[*index].load;
             let parts_len = members.len();
-            (*index, predict(load, request, parts_len, true))
+            (*index, predict(load, request, parts_len))
         })
         .collect();
     let with_slot = predictions.iter().filter(|(_, own)| own.slot_free);
@@ -88,7 +95,7 @@
         others.collect(),
         prediction.missing_tokens,
     )?;
-    let mut arrivals = arrivals_cost(request, (answering, &candidates[answering]), &prediction);
+    let mut arrivals = arrivals_cost(&candidates[answering], &prediction);
     for (helper, own) in predictions.iter().filter(|(index, _)| *index != answering) {
         let held = helpers.iter().find(|(index, _)| index == helper);
         let held_tokens = held.map_or(Tokens::ZERO, |(_, tokens)| *tokens);
@@ -101,7 +108,7 @@
             members.len(),
             held_tokens,
         );
-        arrivals += arrivals_cost(request, (*helper, &candidates[*helper]), own);
+        arrivals += arrivals_cost(&candidates[*helper], own);
     }
     let health = candidates[answering].health;
     let helper_cost = HELPER_COST * helpers.len() as f64;
@@ -140,15 +147,7 @@
     mut helpers: Vec<usize>,
     missing_tokens: Tokens,
 ) -> Option<Vec<(usize, Tokens)>> {
-    let free = |index: &usize| {
-        let load = &candidates[*index].load;
-        let room = request
-            .gaps
-            .as_ref()
-            .map(|gaps| gaps.room_tokens(load, request.profile));
-        load.free_tokens(request.profile)
-            .saturating_sub(room.unwrap_or(Tokens::ZERO))
-    };
+    let free = |index: &usize| candidates[*index].load.free_tokens(request.profile);
     helpers.sort_by_key(|index| std::cmp::Reverse(free(index)));
     let mut left_tokens = missing_tokens;
     let mut taken = Vec::new();
--- a/crates/core/src/dispatch/choose/mod.rs
+++ b/crates/core/src/dispatch/choose/mod.rs
@@ -7,7 +7,7 @@
 use crate::{
     catalog::EngineProfile,
     engine::{
-        gaps::{GapForecast, GapSettings, LateLimits, PromptPart, ShortDemand},
+        gaps::{GapForecast, GapSettings, LateLimits, PromptPart},
         EngineLoad, Prediction,
     },
     ids::UpstreamId,
@@ -73,8 +73,6 @@
     pub target_ms: Millis,
     /// Gap and latency targets of the service's routes, the shortest gap target first.
     pub targets_ms: &'a [(Millis, Millis)],
-    /// Demand of short prompts at all daemons.
-    pub demand: ShortDemand,
 }
 
 impl GapRequest<'_> {
@@ -82,22 +80,6 @@
     fn limit_ratio(&self) -> f64 {
         f64::from(self.settings.limit_percent) / 100.0
     }
-
-    /// Short prompts that are expected at the engine with this index. They fill engines from the front.
-    fn short_arrivals_per_s(&self, index: usize) -> f64 {
-        if index < self.demand.engines_len {
-            self.demand.per_s / self.demand.engines_len as f64
-        } else {
-            0.0
-        }
-    }
-
-    /// Memory that a long prompt leaves at an engine for short requests, in tokens.
-    fn room_tokens(&self, load: &EngineLoad, profile: &EngineProfile) -> Tokens {
-        let free_len = (profile.slots_len as usize).saturating_sub(load.requests_len() + 1);
-        let requests_len = (self.settings.room_requests as usize).min(free_len) as u64;
-        Tokens::new(self.demand.mean_tokens.get() * requests_len)
-    }
 }
 
 /// The chosen engine and its helpers.
@@ -146,22 +128,12 @@
 }
 
 /// Predicts the effect of the call's prompt if `parts_len` engines prefill it, with its gaps if they count.
-fn predict(
-    load: &EngineLoad,
-    request: &PlacementRequest<'_>,
-    parts_len: usize,
-    long: bool,
-) -> Prediction {
+fn predict(load: &EngineLoad, request: &PlacementRequest<'_>, parts_len: usize) -> Prediction {
     let (profile, prompt_tokens) = (request.profile, request.prompt_tokens);
     let mut prediction = load.predict(profile, prompt_tokens, request.output_tokens, parts_len);
     let Some(gaps) = &request.gaps else {
         return prediction;
     };
-    if long {
-        let room_tokens = gaps.room_tokens(load, profile);
-        prediction.missing_tokens =
-            load.missing_tokens(profile, prompt_tokens + request.output_tokens + room_tokens);
-    }
     let context_tokens = prompt_tokens.saturating_sub(prediction.missing_tokens);
     let forecast = forecast(load, request, gaps, parts_len, context_tokens, true);
     prediction.own_gap_ms = forecast.own_gap_ms;
@@ -202,14 +174,14 @@
 ) -> Option<EngineChoice> {
     let choices = candidates.iter().enumerate().map(|(index, candidate)| {
         let load = &candidate.load;
-        let prediction = predict(load, request, 1, long);
+        let prediction = predict(load, request, 1);
         let order = position_cost(index, candidates.len(), long);
         EngineChoice {
             candidate_index: index,
             helpers: Vec::new(),
             prediction,
             cost_requests: prompt_cost(request, &prediction)
-                + arrivals_cost(request, (index, candidate), &prediction),
+                + arrivals_cost(candidate, &prediction),
             preference_requests: order
                 + failure_cost(request, candidate.health)
                 + spare_slots_cost(candidate, request.profile)
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -12,12 +12,8 @@
         extension_peers::ExtensionPeers, freshness::FreshnessState, outbox::Outbox,
         placement::Placement, reservation::Reservations, restore::RestoreState, shutdown::Shutdown,
     },
-    engine::gaps::PromptArrivals,
     fleet::Fleet,
-    ids::{
-        CallId, CatalogVersion, FailureDomain, Fingerprint, SendId, ServiceName, StoreEra,
-        UpstreamId, VmId,
-    },
+    ids::{CallId, CatalogVersion, FailureDomain, Fingerprint, SendId, StoreEra, UpstreamId, VmId},
     path::{LinkTable, RelayTable},
     units::{Millis, Time},
     watch::{Topic, TopicWatch},
@@ -78,6 +74,8 @@
     pub(super) tries_count: u32,
     pub(super) sending: Option<Sending>,
     pub(super) first_at: Option<Time>,
+    /// Longest gap between two events of the response, once it is complete.
+    pub(super) longest_gap_ms: Option<Millis>,
     pub(super) may_have_run: bool,
     pub(super) waiting_since: Option<Time>,
     /// The placement for which memory is being reserved.
@@ -147,7 +145,6 @@
     pub(super) backoff: BackoffTable,
     pub(super) rate_limits: RateLimitTable,
     pub(super) slow_start: SlowStartLimiter,
-    pub(super) short_arrivals: BTreeMap<ServiceName, PromptArrivals>,
     pub(super) links: LinkTable,
     pub(super) relays: RelayTable,
     pub(super) budget: RetryBudget,
@@ -186,7 +183,6 @@
             backoff: BackoffTable::default(),
             rate_limits: RateLimitTable::default(),
             slow_start: SlowStartLimiter::default(),
-            short_arrivals: BTreeMap::new(),
             links: LinkTable::default(),
             relays: RelayTable::default(),
             budget: RetryBudget::new(
@@ -221,6 +217,9 @@
         match event {
             DispatchEvent::Arrived(call) => self.on_arrived(&mut out, *call),
             DispatchEvent::FirstByte { call, send } => self.on_first_byte(&mut out, call, send),
+            DispatchEvent::LongestGap { call, send, gap_ms } => {
+                self.on_longest_gap(call, send, gap_ms);
+            }
             DispatchEvent::Ended { call, send, end } => self.on_ended(&mut out, call, send, end),
             DispatchEvent::Stalled {
                 call,
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -41,6 +41,15 @@
         /// Duration of the silence.
         silent_ms: Millis,
     },
+    /// The longest gap between two events of a streamed response that is complete. Sent before its `Ended`.
+    LongestGap {
+        /// The call.
+        call: CallId,
+        /// The transmission.
+        send: SendId,
+        /// The gap, over all transmissions that the response came from.
+        gap_ms: Millis,
+    },
     /// A transmission ended.
     Ended {
         /// The call.
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -118,12 +118,6 @@
 
     fn on_peer_started(&mut self, now: Time, index: u32, report: &InFlightReport) {
         self.slow_start.on_sent(now, &report.upstream);
-        self.count_prompt(
-            now,
-            &report.upstream,
-            report.prompt_tokens,
-            report.output_tokens,
-        );
         self.health.on_sent(now, &report.upstream);
         let helpers = report.helpers.iter().map(|helper| &helper.upstream);
         let upstreams = std::iter::once(&report.upstream).chain(helpers);
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -197,7 +197,7 @@
             output_tokens: prompt.output_tokens,
             target_ms: open.on_time_deadline().since(now).get() as f64,
             left_ms,
-            gaps: self.gap_request(now, open, profile),
+            gaps: self.gap_request(open),
             min_pause_target_ms: catalog.and_then(|c| c.min_pause_target_ms(&open.service.name)),
         };
         let choice =
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -11,6 +11,39 @@
 use serde_with::{serde_as, DisplayFromStr};
 use std::sync::Arc;
 
+/// Which target a response missed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LateCause {
+    /// The first event was late.
+    FirstEvent,
+    /// A gap was too long.
+    Gap,
+    /// Both.
+    Both,
+}
+
+impl LateCause {
+    /// The cause; none for a response that missed no target.
+    pub const fn new(first_event_late: bool, gap_missed: bool) -> Option<Self> {
+        match (first_event_late, gap_missed) {
+            (true, true) => Some(Self::Both),
+            (true, false) => Some(Self::FirstEvent),
+            (false, true) => Some(Self::Gap),
+            (false, false) => None,
+        }
+    }
+
+    /// Its name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::FirstEvent => "first_event",
+            Self::Gap => "gap",
+            Self::Both => "both",
+        }
+    }
+}
+
 /// What a change of an upstream's state is based on.
 #[serde_as]
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
@@ -74,6 +107,9 @@
         predicted_ms: Option<Millis>,
         /// Number of helper engines that prefill parts of the prompt.
         helpers_len: usize,
+        /// The helper engines.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
+        helpers: Vec<UpstreamId>,
         /// Time left for the complete answer.
         left_ms: Millis,
         /// Version of the catalog in use.
@@ -170,6 +206,15 @@
         tries_count: u32,
         /// HTTP status of the failure, if one was relayed.
         status: Option<u16>,
+        /// Longest gap between two events, if the answer was streamed with more than one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        longest_gap_ms: Option<Millis>,
+        /// Whether that gap is within the route's gap target.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        gap_kept: Option<bool>,
+        /// Why the answer was late, if it was.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        late: Option<LateCause>,
     },
     /// A caller left before its answer was complete.
     CallerLeft {
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -2,7 +2,7 @@
 
 use super::{
     dispatcher::{Dispatcher, OpenCall, Out, Sending},
-    DispatchAction, DispatchMessage, DispatchRecord, InFlightId, Refusal, RefusalReason,
+    DispatchAction, DispatchMessage, DispatchRecord, InFlightId, LateCause, Refusal, RefusalReason,
     SendOutcome,
 };
 use crate::{
@@ -293,6 +293,10 @@
             return;
         };
         let first_at = open.first_at;
+        let gap_kept = open.gap_kept();
+        let is_answer = status.is_none();
+        let first_late = first_at.is_some_and(|first_at| first_at > open.on_time_deadline());
+        let late = LateCause::new(first_late, gap_kept == Some(false)).filter(|_| is_answer);
         out.log(DispatchRecord::Answered {
             request: Arc::clone(&open.call.request_id),
             class: open.route.kind.name(),
@@ -302,6 +306,9 @@
             age_ms: open.age_ms(out.now),
             tries_count: open.tries_count,
             status,
+            longest_gap_ms: open.longest_gap_ms,
+            gap_kept,
+            late,
         });
     }
 
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -82,12 +82,6 @@
         let report = in_flight_report(out.now, send, &entry, placement.helpers.clone());
         self.notify_now(out.now, DispatchMessage::Started(report));
         self.slow_start.on_sent(out.now, &placement.upstream);
-        self.count_prompt(
-            out.now,
-            &placement.upstream,
-            entry.prompt_tokens,
-            entry.output_tokens,
-        );
         self.backoff.on_sent(out.now, &placement.upstream);
         self.health.on_sent(out.now, &placement.upstream);
         self.count_against_rate_limits(out.now, placement.upstreams());
@@ -154,6 +148,11 @@
             limit_per_s: self.rate_limits.per_s(&placement.upstream),
             predicted_ms: placement.predicted_ms.map(|ms| Millis::new(ms as u64)),
             helpers_len: placement.helpers.len(),
+            helpers: placement
+                .helpers
+                .iter()
+                .map(|helper| helper.upstream.clone())
+                .collect(),
             left_ms: open.left_ms(out.now),
             catalog: catalog.unwrap_or_default(),
             knowledge_ms: self.knowledge_ms(out.now).unwrap_or_default(),
--- a/crates/core/src/engine/gaps/settings.rs
+++ b/crates/core/src/engine/gaps/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the prediction of gaps.
 
-use crate::units::{Millis, RangeCheck, RangeError};
+use crate::units::{RangeCheck, RangeError};
 use serde::Deserialize;
 
 /// Name of the settings section, used in errors.
@@ -15,10 +15,6 @@
     /// Cost of a late response of the kind with the shortest gap target that another prompt delays, in percent of
     /// that of other late responses.
     pub delayed_cost_percent: u32,
-    /// Time over which the arrival rates of prompts are counted.
-    pub rate_window_ms: u64,
-    /// Number of short requests for which long prompts leave memory at each engine.
-    pub room_requests: u32,
 }
 
 impl Default for RawGapSettings {
@@ -26,8 +22,6 @@
         Self {
             limit_percent: 90,
             delayed_cost_percent: 150,
-            rate_window_ms: 3_000,
-            room_requests: 4,
         }
     }
 }
@@ -40,10 +34,6 @@
     /// Cost of a late response of the kind with the shortest gap target that another prompt delays, in percent of
     /// that of other late responses.
     pub delayed_cost_percent: u32,
-    /// Time over which the arrival rates of prompts are counted.
-    pub rate_window_ms: Millis,
-    /// Number of short requests for which long prompts leave memory at each engine.
-    pub room_requests: u32,
 }
 
 impl TryFrom<RawGapSettings> for GapSettings {
@@ -59,8 +49,6 @@
                 0,
                 10_000,
             )?,
-            rate_window_ms: check.span("rate_window_ms", raw.rate_window_ms, 250, 60_000)?,
-            room_requests: check.number("room_requests", raw.room_requests, 0, 1_000)?,
         })
     }
 }
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -175,7 +175,7 @@
     /// Transmissions that fail, and when.
     failing: Vec<(u64, usize, SendPlan)>,
     failed_sends_count: usize,
-    pub(super) faults: Faults,
+    pub(crate) faults: Faults,
 }
 
 /// Faults of daemons in a replay.
--- a/crates/io/src/telemetry/metric.rs
+++ b/crates/io/src/telemetry/metric.rs
@@ -101,6 +101,12 @@
         Unit::Count,
         "Requests that wait for a place at an upstream",
     );
+    /// Complete responses that missed a target.
+    pub const LATE_RESPONSES: Self = counter(
+        "persimmon_late_responses_total",
+        Unit::Count,
+        "Complete responses that missed a target, by class and by the target that they missed",
+    );
     /// Absolute error of the predicted time of a request's first event.
     pub const FIRST_EVENT_ERROR: Self = histogram(
         "persimmon_first_event_error_seconds",
@@ -191,7 +197,7 @@
 }
 
 /// All metrics of a daemon.
-pub const ALL_METRICS: [Metric; 23] = [
+pub const ALL_METRICS: [Metric; 24] = [
     Metric::REQUESTS,
     Metric::REFUSALS,
     Metric::FIRST_TOKEN,
@@ -200,6 +206,7 @@
     Metric::OLDEST_OVERDUE,
     Metric::SENDS_FAILED,
     Metric::WAITING_REQUESTS,
+    Metric::LATE_RESPONSES,
     Metric::FIRST_EVENT_ERROR,
     Metric::GRANTS,
     Metric::GENERATION,
--- a/crates/io/src/transport/call_task.rs
+++ b/crates/io/src/transport/call_task.rs
@@ -139,6 +139,10 @@
             return Step::Stop;
         };
         let delivered = matches!(reply, Reply::Done);
+        if let (true, Some(gap)) = (delivered, events.longest_gap()) {
+            let gap_ms = Millis::new(gap.as_millis() as u64);
+            self.event(DispatchEvent::LongestGap { call, send, gap_ms });
+        }
         self.event(DispatchEvent::Ended { call, send, end });
         if delivered {
             return Step::Stop;
--- a/crates/io/src/transport/event_stream.rs
+++ b/crates/io/src/transport/event_stream.rs
@@ -1,7 +1,9 @@
 //! Splits a server-sent event stream, so that callers get complete events, each once and in order.
 
 use bytes::{Bytes, BytesMut};
+use std::time::Duration;
 use thiserror::Error;
+use tokio::time::Instant;
 
 /// Separator that ends an event.
 const EVENT_END: &[u8] = b"\n\n";
@@ -34,6 +36,8 @@
     partial: BytesMut,
     last_id: Option<String>,
     resumed: bool,
+    last_event_at: Option<Instant>,
+    longest_gap: Option<Duration>,
 }
 
 impl EventStream {
@@ -43,6 +47,19 @@
         self.resumed = self.last_id.is_some();
     }
 
+    /// Records that complete events were received at `now`.
+    pub fn on_events(&mut self, now: Instant) {
+        if let Some(last_at) = self.last_event_at.replace(now) {
+            let gap = now.saturating_duration_since(last_at);
+            self.longest_gap = self.longest_gap.max(Some(gap));
+        }
+    }
+
+    /// Longest time between two receipts of events; none if there was only one.
+    pub const fn longest_gap(&self) -> Option<Duration> {
+        self.longest_gap
+    }
+
     /// Id of the last event that was forwarded.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -210,6 +210,7 @@
         if complete.is_empty() {
             continue;
         }
+        events.on_events(Instant::now());
         if first {
             first = false;
             (signals.on_first)();
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -160,7 +160,7 @@
         loop {
             match self.event().await {
                 DispatchEvent::Ended { end, .. } => return end,
-                DispatchEvent::FirstByte { .. } => {}
+                DispatchEvent::FirstByte { .. } | DispatchEvent::LongestGap { .. } => {}
                 other => panic!("{other:?}"),
             }
         }
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -53,8 +53,13 @@
                 status,
                 first_ms,
                 predicted_ms,
+                late,
                 ..
             } => {
+                if let Some(cause) = late {
+                    let labels = [("class", *class), ("cause", cause.name())];
+                    self.increment(Metric::LATE_RESPONSES, &labels);
+                }
                 let outcome = if status.is_some() {
                     "failure_passed_on"
                 } else {
