--- a/crates/core/examples/dispatch_decision_time.rs
+++ b/crates/core/examples/dispatch_decision_time.rs
@@ -1,12 +1,15 @@
 //! Measures the time that a dispatcher takes for one request and for one message from a peer, by
-//! number of engines: `cargo run --release -p persimmon-core --example dispatch_decision_time`.
+//! number of engines, without and with the prediction of gaps: `cargo run --release -p persimmon-core --example dispatch_decision_time`.
 
 #[path = "../tests/common/dispatch/mod.rs"]
 mod dispatch;
 
 use dispatch::{id, node::Node};
 use persimmon_core::{
-    dispatch::{DispatchEvent, DispatchMessage, InFlightReport},
+    dispatch::{
+        DispatchEvent, DispatchMessage, DispatchSettings, InFlightReport, RawDispatchSettings,
+    },
+    engine::gaps::RawGapSettings,
     ids::SendId,
     units::{Millis, Tokens},
 };
@@ -34,9 +37,18 @@
 }
 
 fn main() {
-    println!("engines, one request (us), one long prompt (us), one peer message (us)");
-    for engines_len in [16, 54, 100] {
+    println!(
+        "engines, gaps, median and 99th percentile (us) of: request, long prompt, peer message"
+    );
+    let cases = [16, 54, 78, 100].map(|engines_len| [(engines_len, false), (engines_len, true)]);
+    for (engines_len, predicts_gaps) in cases.into_iter().flatten() {
         let mut node = Node::ready(engines_len, 0);
+        let raw = RawDispatchSettings {
+            gaps: predicts_gaps.then(RawGapSettings::default),
+            ..RawDispatchSettings::default()
+        };
+        let settings = DispatchSettings::try_from(raw).expect("valid settings");
+        node.step(DispatchEvent::Reload(Box::new(settings)));
         for peer in 1..62 {
             let vm = id(&format!("vm-{peer}"));
             node.step(DispatchEvent::PeerUp { vm });
@@ -62,22 +74,23 @@
                 message,
             });
         });
-        println!(
-            "{engines_len}, {request_us:.0}, {long_us:.0}, {:.1}",
-            message_us / 2.0
-        );
+        println!("{engines_len}, {predicts_gaps}, {request_us:?}, {long_us:?}, {message_us:?}");
     }
 }
 
-/// Mean time of a step in microseconds. Each request is cancelled after it, so that the load stays
+/// Median and 99th percentile of the time of a step, in microseconds. Each request is cancelled after it, so that the load stays
 /// constant.
-fn time(node: &mut Node, step: impl Fn(&mut Node, u32)) -> f64 {
-    let mut spent = std::time::Duration::ZERO;
+fn time(node: &mut Node, step: impl Fn(&mut Node, u32)) -> (u128, u128) {
+    let mut spent_us = Vec::new();
     for round in 0..ROUNDS_COUNT {
         let begun = Instant::now();
         step(node, round);
-        spent += begun.elapsed();
+        spent_us.push(begun.elapsed().as_micros());
         node.cancel_last_call();
     }
-    spent.as_secs_f64() * 1e6 / f64::from(ROUNDS_COUNT)
+    spent_us.sort_unstable();
+    (
+        spent_us[spent_us.len() / 2],
+        spent_us[spent_us.len() * 99 / 100],
+    )
 }
--- a/crates/core/src/dispatch/choose/groups.rs
+++ b/crates/core/src/dispatch/choose/groups.rs
@@ -15,10 +15,6 @@
 /// Time of other engines' backlogs that a part of a prompt takes rather than delay one short response.
 const TIGHT_AVOIDANCE_MS: f64 = 100.0;
 
-/// Time that a pseudo-random cost of one request is worth in the order of engines: daemons that place long
-/// prompts within a message's delay of each other choose different engines.
-const JITTER_MS: f64 = 3_000.0;
-
 /// Share of the latency target that the prefill of a part may take.
 const PARTS_TARGET_RATIO: f64 = 0.5;
 
@@ -35,9 +31,6 @@
     let ready_ms = |index: &usize| {
         let load = &candidates[*index].load;
         load.backlog_ms()
-            + request
-                .gaps
-                .map_or(0.0, |_| candidates[*index].jitter_requests * JITTER_MS)
             + load
                 .decoding
                 .iter()
@@ -147,7 +140,13 @@
     mut helpers: Vec<usize>,
     missing_tokens: Tokens,
 ) -> Option<Vec<(usize, Tokens)>> {
-    let free = |index: &usize| candidates[*index].load.free_tokens(request.profile);
+    let room_tokens = request
+        .gaps
+        .map_or(Tokens::ZERO, |gaps| gaps.settings.room_tokens);
+    let free = |index: &usize| {
+        let free_tokens = candidates[*index].load.free_tokens(request.profile);
+        free_tokens.saturating_sub(room_tokens)
+    };
     helpers.sort_by_key(|index| std::cmp::Reverse(free(index)));
     let mut left_tokens = missing_tokens;
     let mut taken = Vec::new();
--- a/crates/core/src/dispatch/choose/mod.rs
+++ b/crates/core/src/dispatch/choose/mod.rs
@@ -134,6 +134,12 @@
     let Some(gaps) = &request.gaps else {
         return prediction;
     };
+    if is_long(request) {
+        prediction.missing_tokens = load.missing_tokens(
+            profile,
+            prompt_tokens + request.output_tokens + gaps.settings.room_tokens,
+        );
+    }
     let context_tokens = prompt_tokens.saturating_sub(prediction.missing_tokens);
     let forecast = forecast(load, request, gaps, parts_len, context_tokens, true);
     prediction.own_gap_ms = forecast.own_gap_ms;
--- a/crates/core/src/engine/gaps/settings.rs
+++ b/crates/core/src/engine/gaps/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the prediction of gaps.
 
-use crate::units::{RangeCheck, RangeError};
+use crate::units::{RangeCheck, RangeError, Tokens};
 use serde::Deserialize;
 
 /// Name of the settings section, used in errors.
@@ -15,6 +15,9 @@
     /// Cost of a late response of the kind with the shortest gap target that another prompt delays, in percent of
     /// that of other late responses.
     pub delayed_cost_percent: u32,
+    /// Memory, in tokens, that a long prompt leaves free at an engine for short requests that other daemons place
+    /// at the same time.
+    pub room_tokens: u64,
 }
 
 impl Default for RawGapSettings {
@@ -22,6 +25,7 @@
         Self {
             limit_percent: 90,
             delayed_cost_percent: 150,
+            room_tokens: 30_000,
         }
     }
 }
@@ -34,6 +38,9 @@
     /// Cost of a late response of the kind with the shortest gap target that another prompt delays, in percent of
     /// that of other late responses.
     pub delayed_cost_percent: u32,
+    /// Memory that a long prompt leaves free at an engine for short requests that other daemons place at the same
+    /// time.
+    pub room_tokens: Tokens,
 }
 
 impl TryFrom<RawGapSettings> for GapSettings {
@@ -49,6 +56,12 @@
                 0,
                 10_000,
             )?,
+            room_tokens: Tokens::new(check.number(
+                "room_tokens",
+                raw.room_tokens,
+                0,
+                10_000_000,
+            )?),
         })
     }
 }
