--- a/crates/core/src/catalog/validated.rs
+++ b/crates/core/src/catalog/validated.rs
@@ -32,7 +32,8 @@
     version: CatalogVersion,
     routes: HashMap<String, Vec<Arc<Route>>>,
     services: BTreeMap<ServiceName, Arc<Service>>,
-    min_pause_targets_ms: BTreeMap<ServiceName, Millis>,
+    /// Pause and latency targets of the streaming routes to each service, the shortest pause target first.
+    streaming_targets_ms: BTreeMap<ServiceName, Vec<(Millis, Millis)>>,
     limits: CallerLimits,
     keys: Option<HashMap<ApiKey, KeyHolder>>,
 }
@@ -62,7 +63,14 @@
 
     /// The lowest pause target among the streaming routes to a service.
     pub fn min_pause_target_ms(&self, service: &ServiceName) -> Option<Millis> {
-        self.min_pause_targets_ms.get(service).copied()
+        let (pause_target_ms, _) = self.streaming_targets_ms(service).first()?;
+        Some(*pause_target_ms)
+    }
+
+    /// The pause and latency targets of the streaming routes to a service, in order of the pause target.
+    pub fn streaming_targets_ms(&self, service: &ServiceName) -> &[(Millis, Millis)] {
+        let targets_ms = self.streaming_targets_ms.get(service);
+        targets_ms.map_or(&[], Vec::as_slice)
     }
 
     /// Whether callers of routes that are not public need a key.
@@ -83,10 +91,10 @@
         let named = raw.services.into_iter();
         let services: BTreeMap<_, _> = named.map(|s| (s.name.clone(), Arc::new(s))).collect();
         let mut routes: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
-        let mut min_pause_targets_ms = BTreeMap::new();
+        let mut streaming_targets_ms = BTreeMap::new();
         for route in raw.routes {
             check_route(&route, &services)?;
-            record_pause_target(&route, &mut min_pause_targets_ms);
+            record_pause_target(&route, &mut streaming_targets_ms);
             let host = host_name(&route.host);
             routes.entry(host).or_default().push(Arc::new(route));
         }
@@ -97,14 +105,17 @@
             version: raw.version,
             routes,
             services,
-            min_pause_targets_ms,
+            streaming_targets_ms,
             limits: raw.limits,
             keys: raw.keys.map(|keys| keys.into_iter().collect()),
         })
     }
 }
 
-fn record_pause_target(route: &Route, min_pause_targets_ms: &mut BTreeMap<ServiceName, Millis>) {
+fn record_pause_target(
+    route: &Route,
+    streaming_targets_ms: &mut BTreeMap<ServiceName, Vec<(Millis, Millis)>>,
+) {
     let CallKind::Streaming {
         pause_target_ms, ..
     } = route.kind
@@ -115,10 +126,11 @@
         return;
     }
     for target in &route.targets {
-        let min_ms = min_pause_targets_ms
+        let targets_ms = streaming_targets_ms
             .entry(target.service.clone())
-            .or_insert(pause_target_ms);
-        *min_ms = pause_target_ms.min(*min_ms);
+            .or_default();
+        targets_ms.push((pause_target_ms, route.target_latency_ms));
+        targets_ms.sort_unstable();
     }
 }
 
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -81,6 +81,8 @@
     pub(super) tries_count: u32,
     pub(super) sending: Option<Sending>,
     pub(super) first_at: Option<Time>,
+    /// Longest gap between two events of the response, once it is complete.
+    pub(super) longest_gap_ms: Option<Millis>,
     pub(super) may_have_run: bool,
     pub(super) waiting_since: Option<Time>,
     /// The placement for which memory is being reserved.
@@ -238,6 +240,9 @@
             DispatchEvent::Arrived(call) => self.on_arrived(&mut out, *call),
             DispatchEvent::MemoryRefused(refusal) => self.on_memory_refused(&mut out, refusal),
             DispatchEvent::FirstByte { call, send } => self.on_first_byte(&mut out, call, send),
+            DispatchEvent::LongestGap { call, send, gap_ms } => {
+                self.on_longest_gap(call, send, gap_ms);
+            }
             DispatchEvent::Ended { call, send, end } => self.on_ended(&mut out, call, send, end),
             DispatchEvent::Stalled {
                 call,
--- a/crates/core/src/dispatch/in_flight.rs
+++ b/crates/core/src/dispatch/in_flight.rs
@@ -212,8 +212,14 @@
                 / f64::from(entry.parts_len.max(1));
             let remaining_ms = (total_ms - spent_ms).max(0.0);
             spent_ms = (spent_ms - total_ms).max(0.0);
-            load.prefills
-                .push(prefilling_request(id, entry, remaining_ms, total_ms));
+            let waited_ms = now.since(entry.sent_at).get() as f64;
+            load.prefills.push(prefilling_request(
+                id,
+                entry,
+                remaining_ms,
+                total_ms,
+                waited_ms,
+            ));
         }
         load
     }
@@ -285,6 +291,7 @@
     entry: &InFlightEntry,
     remaining_ms: f64,
     total_ms: f64,
+    waited_ms: f64,
 ) -> PendingPrefill {
     let remaining_ratio = if total_ms > 0.0 {
         remaining_ms / total_ms
@@ -293,10 +300,21 @@
     };
     let prefill_tokens = entry.prompt_tokens.saturating_sub(entry.cached_tokens);
     let part_tokens = prefill_tokens.get() as f64 / f64::from(entry.parts_len.max(1));
+    let is_helper = id.part_index > 0;
+    let own_context_tokens = entry.memory_tokens.saturating_sub(entry.output_tokens);
     PendingPrefill {
         remaining_ms,
+        total_ms,
+        waited_ms,
         remaining_tokens: Tokens::new((part_tokens * remaining_ratio) as u64),
         memory_tokens: entry.memory_tokens,
-        for_other_engine: id.part_index > 0,
+        for_other_engine: is_helper,
+        context_tokens: if is_helper {
+            entry.memory_tokens
+        } else {
+            own_context_tokens
+        },
+        pause_target_ms: entry.pause_target_ms,
+        weight_requests: prompt_weight_requests(entry.prompt_tokens),
     }
 }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 mod extension;
 mod extension_peers;
 mod freshness;
+mod gaps;
 mod health;
 mod in_flight;
 mod in_flight_entry;
@@ -58,7 +59,9 @@
 pub use backoff::BackoffTable;
 pub use budget::RetryBudget;
 pub use call::{Call, PromptSize};
-pub use choose::{choose_engine, choose_plain, Candidate, EngineChoice, PlacementRequest};
+pub use choose::{
+    choose_engine, choose_plain, Candidate, EngineChoice, GapRequest, PlacementRequest,
+};
 pub use crash::{Crash, CrashReport};
 pub use dispatcher::Dispatcher;
 pub use event::DispatchEvent;
@@ -75,7 +78,7 @@
 pub use quarantine::{Quarantine, QuarantinedFingerprint};
 pub use rate_limit::{RateLimitTable, RateStatement};
 pub use rate_notice::RateLimitNotice;
-pub use record::{DispatchRecord, UpstreamSource};
+pub use record::{DispatchRecord, LateCause, UpstreamSource};
 pub use refusal::{Refusal, RefusalReason};
 pub use relay::RelayRefusal;
 pub use reservation::{OrderKind, OrderOutcome, ReserveOrder};
--- a/crates/core/src/dispatch/return_time.rs
+++ b/crates/core/src/dispatch/return_time.rs
@@ -81,6 +81,7 @@
             profile,
             prompt_tokens: prompt.prompt_tokens,
             output_tokens: prompt.output_tokens,
+            gaps: self.gap_request(open),
             target_ms: open.route.target_latency_ms.get() as f64,
             left_ms,
             min_pause_target_ms: catalog.and_then(|c| c.min_pause_target_ms(&open.service.name)),
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -157,6 +157,11 @@
             limit_per_s: self.rate_limits.per_s(&placement.upstream),
             predicted_ms: placement.predicted_ms.map(|ms| Millis::new(ms as u64)),
             helpers_len: placement.helpers.len(),
+            helpers: placement
+                .helpers
+                .iter()
+                .map(|helper| helper.upstream.clone())
+                .collect(),
             left_ms: open.left_ms(out.now),
             catalog: catalog.unwrap_or_default(),
             knowledge_ms: self.knowledge_ms(out.now).unwrap_or_default(),
--- a/crates/core/src/dispatch/settings.rs
+++ b/crates/core/src/dispatch/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the dispatcher.
 
 use crate::{
+    engine::gaps::{GapSettings, RawGapSettings},
     memory_budget::{MemorySettings, RawMemorySettings},
     prefix::{PrefixSettings, RawPrefixSettings},
     returns::{RawReturnsSettings, ReturnsSettings},
@@ -67,6 +68,8 @@
     pub memory: Option<RawMemorySettings>,
     /// Prompt prefixes that upstreams still cache; without it, choices disregard them.
     pub prefix: Option<RawPrefixSettings>,
+    /// Prediction of gaps; off if absent.
+    pub gaps: Option<RawGapSettings>,
 }
 
 impl Default for RawDispatchSettings {
@@ -87,6 +90,7 @@
             returns: None,
             memory: None,
             prefix: None,
+            gaps: None,
         }
     }
 }
@@ -122,6 +126,8 @@
     pub memory: Option<MemorySettings>,
     /// Prompt prefixes that upstreams still cache, if choices regard them.
     pub prefix: Option<PrefixSettings>,
+    /// Prediction of gaps; none if it is off.
+    pub gaps: Option<GapSettings>,
 }
 
 impl TryFrom<RawDispatchSettings> for DispatchSettings {
@@ -170,6 +176,7 @@
             returns: raw.returns.map(ReturnsSettings::try_from).transpose()?,
             memory: raw.memory.map(MemorySettings::try_from).transpose()?,
             prefix: raw.prefix.map(PrefixSettings::try_from).transpose()?,
+            gaps: raw.gaps.map(GapSettings::try_from).transpose()?,
         })
     }
 }
--- a/crates/core/src/engine/engine_load.rs
+++ b/crates/core/src/engine/engine_load.rs
@@ -11,7 +11,7 @@
 const PAUSE_LIMIT_RATIO: f64 = 0.9;
 
 /// Share of the first pass after which a request that is alone on an engine emits its first event.
-const IDLE_FIRST_EVENT_RATIO: f64 = 0.4;
+pub(super) const IDLE_FIRST_EVENT_RATIO: f64 = 0.4;
 
 /// Share of an engine's KV memory that can be allocated.
 const USABLE_MEMORY_RATIO: f64 = 0.98;
@@ -40,12 +40,22 @@
 pub struct PendingPrefill {
     /// Remaining prefill time.
     pub remaining_ms: f64,
+    /// Prefill time of the whole prompt, or of this engine's part of it.
+    pub total_ms: f64,
+    /// Time since the request was sent.
+    pub waited_ms: f64,
     /// Tokens not prefilled yet.
     pub remaining_tokens: Tokens,
     /// KV memory that it occupies on this engine until its answer ends, in tokens.
     pub memory_tokens: Tokens,
     /// Whether this engine prefills a part of the prompt for another engine, which decodes.
     pub for_other_engine: bool,
+    /// Tokens of the prompt whose KV cache this engine keeps while the response is generated.
+    pub context_tokens: Tokens,
+    /// Maximum pause between events for the answer to count as on time.
+    pub pause_target_ms: Millis,
+    /// Cost of a late answer relative to other requests.
+    pub weight_requests: f64,
 }
 
 /// Requests on one engine, as reported by all daemons.
@@ -149,7 +159,6 @@
         } else {
             own_pass_ms.max(pass_ms)
         };
-        let free_tokens = self.free_tokens(profile);
         Prediction {
             prefill_done_ms,
             first_event_ms: prefill_done_ms + first_pass_ms,
@@ -157,10 +166,16 @@
             added_pause_ms: part_ms * pass_share,
             delayed_requests: self.delayed_requests(pause_ms, pass_ms + backlog_ms * pass_share),
             slot_free: self.requests_len() < profile.slots_len as usize,
-            missing_tokens: (prompt_tokens + output_tokens).saturating_sub(free_tokens),
+            missing_tokens: self.missing_tokens(profile, prompt_tokens + output_tokens),
+            own_gap_ms: 0.0,
         }
     }
 
+    /// The part of `tokens` that exceeds the free KV memory.
+    pub fn missing_tokens(&self, profile: &EngineProfile, tokens: Tokens) -> Tokens {
+        tokens.saturating_sub(self.free_tokens(profile))
+    }
+
     /// Total weight of the decoding requests whose pauses exceed the limit with `pause_ms`, but not
     /// with `before_ms`.
     fn delayed_requests(&self, pause_ms: f64, before_ms: f64) -> f64 {
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -4,15 +4,17 @@
 use super::{
     attempts, batch,
     callers::{Attempt, Callers, Refused, ReturnTally},
-    catalog,
-    engine::{Engine, Job, Progress},
-    id, profile, upstream_list, ENGINES, KEY,
+    engine::{is_ticket_of, Engine, Job, Progress},
+    id,
+    site::Site,
+    upstream_list, ENGINES, KEY,
 };
 use persimmon_core::{
-    catalog::{ApiKey, EngineProfile, RawCatalog},
+    catalog::{ApiKey, RawCatalog},
     dispatch::{
         Call, DispatchAction, DispatchEvent, DispatchMessage, DispatchRecord, DispatchSettings,
-        Dispatcher, PromptSize, RawDispatchSettings, SendOutcome, SendPlan,
+        Dispatcher, OrderKind, OrderOutcome, PromptSize, RawDispatchSettings, ReserveOrder,
+        SendOutcome, SendPlan,
     },
     ids::{CallId, FailureDomain, Fingerprint, VmId},
     path::PathEnd,
@@ -116,6 +118,10 @@
     pub(crate) refused: u32,
     /// Callers who left before the first event.
     pub(crate) left: u32,
+    /// Requests of a daemon that was killed.
+    pub(crate) lost: u32,
+    /// Late responses by cause: the first event, a gap, or both.
+    pub(crate) late_by: [u32; 3],
 }
 
 impl Tally {
@@ -126,6 +132,8 @@
             late: self.late + other.late,
             refused: self.refused + other.refused,
             left: self.left + other.left,
+            lost: self.lost + other.lost,
+            late_by: [0, 1, 2].map(|cause| self.late_by[cause] + other.late_by[cause]),
         }
     }
 }
@@ -134,21 +142,24 @@
 #[derive(Debug, PartialEq)]
 pub(crate) struct Outcome {
     pub(crate) kinds: [Tally; 3],
+    pub(crate) names: [&'static str; 3],
+    /// Times that an engine ran out of KV memory.
+    pub(crate) overruns_count: u32,
     /// Credit earned, as a share of the credit for all answers on time.
     pub(crate) credit: f64,
 }
 
 impl fmt::Display for Outcome {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (kind, tally) in KINDS.iter().zip(self.kinds) {
+        for (name, tally) in self.names.iter().zip(self.kinds) {
             let Tally {
                 asked,
                 on_time,
                 late,
                 refused,
                 left,
+                ..
             } = tally;
-            let name = kind.name;
             writeln!(
                 f,
                 "{name}: {asked} asked, {on_time} on time, {late} late, {refused} refused, {left} left"
@@ -176,17 +187,17 @@
 
 pub(crate) struct Replay {
     policy: Policy,
-    profile: EngineProfile,
+    pub(super) site: Site,
     daemons: Vec<Dispatcher>,
     engines: Vec<Engine>,
     requests: BTreeMap<u64, Request>,
+    orders: Vec<(u64, usize, ReserveOrder)>,
     messages: Vec<(u64, usize, usize, DispatchMessage)>,
     /// Pairs of daemons that are not connected yet, and when they will be.
     connecting: Vec<(u64, usize, usize)>,
     held: Vec<(u64, usize, Topic)>,
     rng: ChaCha8Rng,
     rounds: usize,
-    catalog: RawCatalog,
     callers: Vec<Caller>,
     /// Time until the first peer has a message.
     pub(crate) message_delay_ms: u64,
@@ -200,6 +211,16 @@
     failed_sends_count: usize,
     /// What refused callers do.
     retries: Callers,
+    pub(crate) faults: Faults,
+}
+
+/// Faults of daemons in a replay.
+#[derive(Debug, Default)]
+pub(crate) struct Faults {
+    /// Messages between this pair of daemons take a second within this time.
+    pub(crate) slow_link: Option<(usize, usize, Range<u64>)>,
+    /// This daemon is killed at this time.
+    pub(crate) killed: Option<(u64, usize)>,
 }
 
 impl Replay {
@@ -215,12 +236,24 @@
         engines_len: u16,
         seed: u64,
         settings: RawDispatchSettings,
+    ) -> Self {
+        let site = Site::first();
+        Self::on_site(site, settings, policy, daemons_len, engines_len, seed)
+    }
+
+    pub(crate) fn on_site(
+        site: Site,
+        settings: RawDispatchSettings,
+        policy: Policy,
+        daemons_len: usize,
+        engines_len: u16,
+        seed: u64,
     ) -> Self {
         let caller = Caller {
             key: KEY,
             rate_ratio: 1.0,
         };
-        let mut replay = Self::empty(policy, engines_len, seed, catalog(1), vec![caller]);
+        let mut replay = Self::empty(policy, engines_len, seed, site, vec![caller]);
         replay.connect_all(&settings, daemons_len, engines_len);
         replay
     }
@@ -232,7 +265,11 @@
         catalog: RawCatalog,
         callers: Vec<Caller>,
     ) -> Self {
-        let mut replay = Self::empty(Policy::Dispatcher, engines_len, seed, catalog, callers);
+        let site = Site {
+            catalog,
+            ..Site::first()
+        };
+        let mut replay = Self::empty(Policy::Dispatcher, engines_len, seed, site, callers);
         replay.connect_all(settings, daemons_len, engines_len);
         replay
     }
@@ -241,28 +278,29 @@
         policy: Policy,
         engines_len: u16,
         seed: u64,
-        catalog: RawCatalog,
+        site: Site,
         callers: Vec<Caller>,
     ) -> Self {
         Self {
             policy,
-            profile: profile(),
+            message_delay_ms: site.delay_ms,
+            site,
             daemons: Vec::new(),
             engines: (0..engines_len).map(|_| Engine::default()).collect(),
             requests: BTreeMap::new(),
+            orders: Vec::new(),
             messages: Vec::new(),
             connecting: Vec::new(),
             held: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             rounds: 0,
             tallies: vec![Default::default(); callers.len()],
-            catalog,
             callers,
-            message_delay_ms: 1,
             held_counts: BTreeMap::new(),
             cut: None,
             failing: Vec::new(),
             failed_sends_count: 0,
+            faults: Faults::default(),
             retries: Callers::default(),
         }
     }
@@ -364,12 +402,18 @@
             let tallies = self.tallies.iter().map(|kinds| kinds[kind]);
             tallies.fold(Tally::default(), Tally::add)
         });
-        for (kind, tally) in KINDS.iter().zip(kinds) {
+        for (kind, tally) in self.site.kinds.iter().zip(kinds) {
             owed += f64::from(tally.asked) * kind.worth;
             earned += f64::from(tally.on_time) * kind.worth + f64::from(tally.late) * kind.late;
         }
         Outcome {
             kinds,
+            names: self.site.kinds.map(|kind| kind.name),
+            overruns_count: self
+                .engines
+                .iter()
+                .map(|engine| engine.overruns_count)
+                .sum(),
             credit: earned / owed,
         }
     }
@@ -386,14 +430,17 @@
     }
 
     fn arrive(&mut self, now: u64, caller: usize, kind: usize) {
-        let figures = KINDS[kind];
+        let figures = self.site.kinds[kind];
         let prompt = self.size(figures.mean, figures.spread).min(figures.max);
         let events = self
             .size(figures.events, 0.6)
             .clamp(1.0, figures.events * 2.5) as u32;
         let prompt = Tokens::new(prompt as u64);
         let tag = self.requests.len() as u64 + 1;
-        let daemon = (self.draw() * self.daemons.len() as f64) as usize;
+        let mut daemon = (self.draw() * self.daemons.len() as f64) as usize;
+        if self.is_killed(now, daemon) {
+            daemon = (daemon + 1) % self.daemons.len();
+        }
         self.tallies[caller][kind].asked += 1;
         let request = Request {
             kind,
@@ -415,7 +462,7 @@
 
     fn ask(&mut self, now: u64, tag: u64, request: Request) {
         let (daemon, prompt, events) = (request.daemon, request.prompt, request.events);
-        let (figures, content) = (KINDS[request.kind], request.attempt.content);
+        let (figures, content) = (self.site.kinds[request.kind], request.attempt.content);
         let key = self.callers[request.caller].key;
         let deadline_ms = Millis::new(request.deadline_at - now);
         self.requests.insert(tag, request);
@@ -432,7 +479,7 @@
             deadline_ms: Some(deadline_ms),
             prompt: Some(PromptSize {
                 prompt_tokens: prompt,
-                output_tokens: Tokens::new(u64::from(events) * 51),
+                output_tokens: Tokens::new(u64::from(events) * self.site.event_tokens),
             }),
             fingerprints: Vec::new(),
             content: Fingerprint::new(content),
@@ -472,8 +519,9 @@
         let mut spare_slots_len = self.spare_slots_len(now, daemon);
         let request = self.requests.get_mut(&tag).unwrap();
         request.done = true;
-        let ready_ms = self.profile.prefill_ms(request.prompt) + 2.0 * self.profile.pass_ms(0.0);
-        if now as f64 + ready_ms > request.arrived + KINDS[request.kind].target {
+        let profile = self.site.profile();
+        let ready_ms = profile.prefill_ms(request.prompt) + 2.0 * profile.pass_ms(0.0);
+        if now as f64 + ready_ms > request.arrived + self.site.kinds[request.kind].target {
             // A late call leaves free slots to the arrivals that can be on time.
             spare_slots_len = 0;
         }
@@ -500,7 +548,7 @@
         let daemon = &self.daemons[daemon];
         let free_len = |number: u16| {
             let upstream = id(&format!("{ENGINES}-{number}"));
-            let slots_len = self.profile.slots_len as usize;
+            let slots_len = self.site.profile().slots_len as usize;
             slots_len.saturating_sub(daemon.in_flight().requests_len(&upstream))
         };
         let free_len: usize = (1..=self.engines.len() as u16).map(free_len).sum();
@@ -525,13 +573,22 @@
         request.engine = engine;
         let (prompt, events) = (request.prompt, request.events);
         let parts = helpers.len() + 1;
-        let read_ms = self.profile.prefill_ms(prompt) / parts as f64;
+        let read_ms = self.site.profile().prefill_ms(prompt) / parts as f64;
+        let held = self.engines.iter().flat_map(|engine| &engine.held);
+        let held = held.filter(|(ticket, _)| is_ticket_of(ticket, tag));
+        let held: Tokens = held.map(|(_, tokens)| *tokens).sum();
         let job = Job {
             tag,
             read_ms,
+            read_tokens: if self.site.reads_by_tokens {
+                prompt.get() as f64 / parts as f64
+            } else {
+                0.0
+            },
             is_helper: false,
             parts_open: helpers.len(),
-            context: prompt,
+            context: prompt.saturating_sub(held),
+            event_tokens: Tokens::new(self.site.event_tokens),
             events_left: events.max(1),
             last_event_ms: 0.0,
             begun: false,
@@ -565,6 +622,8 @@
         self.connect(now);
         self.fail_sends(now);
         self.repeats(now);
+        self.answer_orders(now);
+        self.kill(now);
         let messages = std::mem::take(&mut self.messages);
         let (due, later): (Vec<_>, Vec<_>) = messages.into_iter().partition(|(at, ..)| *at <= now);
         self.messages = later;
@@ -584,7 +643,8 @@
         }
         self.departures(now);
         for engine in 0..self.engines.len() {
-            for progress in self.engines[engine].run_passes(now as f64, &self.profile) {
+            let profile = self.site.profile();
+            for progress in self.engines[engine].run_passes(now as f64, &profile) {
                 self.progress(now, progress);
             }
         }
@@ -597,8 +657,9 @@
 
     /// Removes the callers who leave because their first event takes too long.
     fn departures(&mut self, now: u64) {
+        let kinds = self.site.kinds;
         let impatient = |request: &Request| {
-            let kind = KINDS[request.kind];
+            let kind = kinds[request.kind];
             let wait_limit_ms = (kind.target * 4.0).max(kind.pause * 8.0).max(2_000.0);
             let waited = now as f64 - request.arrived;
             !request.done && request.first.is_none() && waited > wait_limit_ms
@@ -664,17 +725,26 @@
     fn finish(&mut self, tag: u64) {
         let request = self.requests.get_mut(&tag).unwrap();
         request.done = true;
-        let kind = KINDS[request.kind];
+        let kind = self.site.kinds[request.kind];
         let in_time = request.first.is_some_and(|first| first <= kind.target);
         let tally = &mut self.tallies[request.caller][request.kind];
         if in_time && request.pause <= kind.pause {
             tally.on_time += 1;
         } else {
             tally.late += 1;
+            let cause = match (in_time, request.pause <= kind.pause) {
+                (false, true) => 0,
+                (true, _) => 1,
+                (false, false) => 2,
+            };
+            tally.late_by[cause] += 1;
         }
     }
 
     fn handle(&mut self, now: u64, daemon: usize, event: DispatchEvent) {
+        if self.is_killed(now, daemon) {
+            return;
+        }
         let mut actions = Vec::new();
         self.daemons[daemon].handle(Time::from_ms(now), event, &mut actions);
         for action in actions {
@@ -686,9 +756,8 @@
                         addressed && *peer != daemon && self.is_connected(daemon, *peer)
                     });
                     let messages = peers.enumerate().map(|(notified_len, peer)| {
-                        let due = now
-                            + self.message_delay_ms
-                            + notified_len as u64 / PEERS_NOTIFIED_PER_MS;
+                        let spread_ms = notified_len as u64 / PEERS_NOTIFIED_PER_MS;
+                        let due = now + self.delay_ms(now, daemon, peer) + spread_ms;
                         (due, daemon, peer, message.clone())
                     });
                     let messages: Vec<_> = messages.collect();
@@ -702,6 +771,10 @@
                 DispatchAction::Refuse { call, refusal } => {
                     self.on_refused(now, daemon, call.get(), refusal.retry_after_ms);
                 }
+                DispatchAction::Order(order) if self.site.answers_orders => {
+                    self.orders
+                        .push((now + 2 * self.site.delay_ms, daemon, order));
+                }
                 DispatchAction::ReadStore(call) if call.after.is_some() => {
                     self.held
                         .push((now + call.wait_ms.get().max(1), daemon, call.topic));
@@ -711,6 +784,64 @@
         }
     }
 
+    /// Time that a message from one daemon takes to another.
+    fn delay_ms(&self, now: u64, from: usize, to: usize) -> u64 {
+        match &self.faults.slow_link {
+            Some((a, b, time))
+                if time.contains(&now) && [(*a, *b), (*b, *a)].contains(&(from, to)) =>
+            {
+                1_000
+            }
+            _ => self.message_delay_ms,
+        }
+    }
+
+    fn is_killed(&self, now: u64, daemon: usize) -> bool {
+        self.faults
+            .killed
+            .is_some_and(|(at, killed)| at <= now && killed == daemon)
+    }
+
+    /// Ends the requests of a daemon that is killed, and its links.
+    fn kill(&mut self, now: u64) {
+        let Some((_, killed)) = self.faults.killed.filter(|(at, _)| *at == now) else {
+            return;
+        };
+        for (tag, request) in &mut self.requests {
+            if request.daemon == killed && !request.done {
+                request.done = true;
+                self.tallies[request.caller][request.kind].lost += 1;
+                for engine in &mut self.engines {
+                    engine.forget(*tag);
+                }
+            }
+        }
+        for daemon in (0..self.daemons.len()).filter(|daemon| *daemon != killed) {
+            self.handle(now, daemon, DispatchEvent::PeerDown { vm: vm(killed) });
+        }
+    }
+
+    /// Executes due orders about reservations.
+    fn answer_orders(&mut self, now: u64) {
+        let orders = std::mem::take(&mut self.orders);
+        let (due, later): (Vec<_>, Vec<_>) = orders.into_iter().partition(|(at, ..)| *at <= now);
+        self.orders = later;
+        for (_, daemon, order) in due {
+            let profile = self.site.profile();
+            let engine = &mut self.engines[engine_index(order.address)];
+            let ticket = order.ticket;
+            let end = match order.kind {
+                OrderKind::Reserve { tokens, .. } => engine.reserve(&profile, &ticket, tokens),
+                OrderKind::Release => {
+                    engine.held.remove(&*ticket);
+                    OrderOutcome::Done
+                }
+            };
+            let kind = order.kind;
+            self.handle(now, daemon, DispatchEvent::OrderEnded { ticket, kind, end });
+        }
+    }
+
     fn fail_sends(&mut self, now: u64) {
         let failing = std::mem::take(&mut self.failing);
         let (due, later): (Vec<_>, Vec<_>) = failing.into_iter().partition(|(at, ..)| *at <= now);
@@ -729,16 +860,12 @@
 
     fn sent(&mut self, now: u64, daemon: usize, plan: SendPlan) {
         let tag = plan.call.get();
-        let index = |address: std::net::SocketAddr| match address.ip() {
-            std::net::IpAddr::V4(ip) => usize::from(ip.octets()[3]) - 1,
-            std::net::IpAddr::V6(_) => unreachable!(),
-        };
         let request = self.requests.get_mut(&tag).unwrap();
         request.sent = Some(plan.clone());
         let helpers: Vec<_> = plan
             .helpers
             .iter()
-            .map(|helper| index(helper.address))
+            .map(|helper| engine_index(helper.address))
             .collect();
         let cut = self.cut.as_ref().filter(|(_, time)| time.contains(&now));
         let fleet = self.daemons[daemon].fleet();
@@ -748,12 +875,12 @@
             self.failing.push((now + CONNECT_TIMEOUT_MS, daemon, plan));
             return;
         }
-        self.run(tag, index(plan.address), &helpers);
+        self.run(tag, engine_index(plan.address), &helpers);
     }
 
     fn learn(&mut self, now: u64, daemon: usize, engines_len: u16) {
         self.handle(now, daemon, DispatchEvent::Tick);
-        let operators = vec![Change::Catalog(Box::new(self.catalog.clone()))];
+        let operators = vec![Change::Catalog(Box::new(self.site.catalog.clone()))];
         for (topic, changes) in [
             (Topic::Operators, operators),
             (Topic::Upstreams, upstream_list(engines_len, 0)),
@@ -775,6 +902,14 @@
     }
 }
 
+/// The engine at an address.
+fn engine_index(address: std::net::SocketAddr) -> usize {
+    match address.ip() {
+        std::net::IpAddr::V4(ip) => usize::from(ip.octets()[3]) - 1,
+        std::net::IpAddr::V6(_) => unreachable!(),
+    }
+}
+
 fn vm(index: usize) -> VmId {
     id(&format!("vm-{index}"))
 }
--- a/crates/core/tests/common/prefix_replay.rs
+++ b/crates/core/tests/common/prefix_replay.rs
@@ -395,9 +395,11 @@
                 tag,
                 read_ms: self.profile.prefill_ms(request.prompt)
                     - self.profile.prefill_ms(Tokens::new(held)),
+                read_tokens: 0.0,
                 is_helper: false,
                 parts_open: 0,
                 context: request.prompt,
+                event_tokens: Tokens::ZERO,
                 events_left: EVENTS_LEN,
                 last_event_ms: 0.0,
                 begun: false,
--- a/crates/core/tests/prompt_prefixes.rs
+++ b/crates/core/tests/prompt_prefixes.rs
@@ -128,6 +128,7 @@
         target_ms: 200.0,
         left_ms: 2_000.0,
         min_pause_target_ms: Some(Millis::new(250)),
+        gaps: None,
     };
     choose_engine(&candidates, &request)
         .unwrap()
@@ -139,9 +140,14 @@
 fn a_held_prefix_overrides_nothing() {
     let waiting = |remaining_ms: f64, memory_tokens: u64| PendingPrefill {
         remaining_ms,
+        total_ms: remaining_ms,
+        waited_ms: 0.0,
         remaining_tokens: Tokens::new(1_000),
         memory_tokens: Tokens::new(memory_tokens),
         for_other_engine: false,
+        context_tokens: Tokens::ZERO,
+        pause_target_ms: Millis::ZERO,
+        weight_requests: 0.0,
     };
     assert_eq!(chosen(|_| {}), 1);
     assert_eq!(
