--- a/crates/core/tests/dispatch_gaps.rs
+++ b/crates/core/tests/dispatch_gaps.rs
@@ -79,7 +79,7 @@
 /// must be worth no less with the component than without it, and short ones on time must be more.
 #[test]
 fn bursts_gain_more_than_they_lose() {
-    let play = |settings| {
+    let play = |settings: RawDispatchSettings| {
         let seeds = 1..=8;
         let outcomes: Vec<_> = seeds
             .map(|seed| deployment(settings.clone(), seed).play(&hard_load_bursts()))
