--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -20,6 +20,7 @@
 mod health;
 mod in_flight;
 mod in_flight_entry;
+mod late_cause;
 mod leaving;
 mod links;
 mod message;
@@ -63,6 +64,7 @@
 pub use health::{Health, HealthTable};
 pub use in_flight::InFlightTable;
 pub use in_flight_entry::{HelperAssignment, InFlightEntry, InFlightId, Phase};
+pub use late_cause::LateCause;
 pub use leaving::LeavingNotice;
 pub use message::{
     DispatchMessage, InFlightReport, QuarantineMessage, RateLimitReport, UpstreamChange,
@@ -72,7 +74,7 @@
 pub use quarantine::{Quarantine, QuarantinedFingerprint};
 pub use rate_limit::{RateLimitTable, RateStatement};
 pub use rate_notice::RateLimitNotice;
-pub use record::{DispatchRecord, LateCause, UpstreamSource};
+pub use record::{DispatchRecord, UpstreamSource};
 pub use refusal::{Refusal, RefusalReason};
 pub use relay::RelayRefusal;
 pub use reservation::{OrderKind, OrderOutcome, ReserveOrder};
