Put back two bounds of the shares, as known failures

Two tests of the shares had been given easier checks after they failed: the order of urgency for each small workspace, and cut-off daemons that serve small workspaces no less.

--- a/crates/core/tests/common/prefix_replay.rs
+++ b/crates/core/tests/common/prefix_replay.rs
@@ -399,7 +399,7 @@
                 is_helper: false,
                 parts_open: 0,
                 context: request.prompt,
-                event_tokens: Tokens::ZERO,
+                event_tokens: Tokens::new(51),
                 events_left: EVENTS_LEN,
                 last_event_ms: 0.0,
                 begun: false,
--- a/crates/core/tests/workspace_floods.rs
+++ b/crates/core/tests/workspace_floods.rs
@@ -208,3 +208,38 @@
         );
     }
 }
+
+/// Guards against a small workspace whose more urgent requests are served less often than its others.
+#[test]
+#[ignore = "known fault, see KNOWN-RED.txt"]
+fn a_more_urgent_kind_is_not_served_worse_in_any_workspace() {
+    let on = Flood::run(Case {
+        is_shared: true,
+        priorities: Some([0, 1, 2]),
+        ..Case::default()
+    });
+    for callers in &on.0 {
+        let served = Flood::served_ratios(std::slice::from_ref(callers));
+        assert!(
+            served.is_sorted_by(|urgent, other| urgent >= other),
+            "{served:?}"
+        );
+    }
+}
+
+/// Guards against shares that serve small workspaces less while daemons hear nothing of each other.
+#[test]
+#[ignore = "known fault, see KNOWN-RED.txt"]
+fn daemons_that_are_cut_off_serve_small_workspaces_no_less() {
+    let cut_off = Case {
+        is_cut_off: true,
+        ..Case::default()
+    };
+    let off = Flood::run(cut_off).small_served_ratio();
+    let on = Flood::run(Case {
+        is_shared: true,
+        ..cut_off
+    });
+    let on = on.small_served_ratio();
+    assert!(on >= off, "{on} of {off}");
+}
