--- a/crates/core/src/memory_budget/settings.rs
+++ b/crates/core/src/memory_budget/settings.rs
@@ -24,7 +24,7 @@
 const UNREAD_TIMEOUT_MIN_MS: u64 = 500;
 const UNREAD_TIMEOUT_MAX_MS: u64 = 600_000;
 
-/// Largest `upstream_min_kb`.
+/// Largest `upstream_min_kib`.
 const UPSTREAM_MIN_MAX_KB: u64 = 1 << 20;
 
 const fn megabytes(mb: u64) -> ByteCount {
@@ -35,25 +35,25 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields, expecting = "an object")]
 pub struct RawMemorySettings {
-    /// Memory limit of the VM.
-    pub vm_limit_mb: u64,
+    /// Memory limit of the VM, in MiB.
+    pub vm_limit_mib: u64,
     /// What the daemon may hold for callers, upstreams and peers; none for three quarters of what the process
     /// itself leaves of the VM's memory.
     #[serde(default)]
-    pub budget_mb: Option<u64>,
+    pub budget_mib: Option<u64>,
     /// Time after which a caller that takes no bytes of its response is disconnected.
     #[serde(default = "default_unread_timeout_ms")]
     pub unread_timeout_ms: u64,
-    /// ByteCount of requests in flight that every upstream is assumed to bear.
-    #[serde(default = "default_upstream_min_kb")]
-    pub upstream_min_kb: u64,
+    /// Size, in KiB, of the requests in flight that every upstream is assumed to bear.
+    #[serde(default = "default_upstream_min_kib")]
+    pub upstream_min_kib: u64,
 }
 
 const fn default_unread_timeout_ms() -> u64 {
     20_000
 }
 
-const fn default_upstream_min_kb() -> u64 {
+const fn default_upstream_min_kib() -> u64 {
     1_024
 }
 
@@ -64,7 +64,7 @@
     pub budget_bytes: ByteCount,
     /// Time after which a caller that takes no bytes of its response is disconnected.
     pub unread_timeout_ms: Millis,
-    /// ByteCount of requests in flight that every upstream is assumed to bear.
+    /// Size, in KiB, of the requests in flight that every upstream is assumed to bear.
     pub upstream_min_bytes: ByteCount,
 }
 
@@ -73,14 +73,14 @@
 
     fn try_from(raw: RawMemorySettings) -> Result<Self, RangeError> {
         let check = RangeCheck::new(SECTION);
-        let vm_limit_mb = check.number(
-            "vm_limit_mb",
-            raw.vm_limit_mb,
+        let vm_limit_mib = check.number(
+            "vm_limit_mib",
+            raw.vm_limit_mib,
             PROCESS_MB + BUDGET_MIN_MB * 2,
             VM_LIMIT_MAX_MB,
         )?;
-        let left_mb = vm_limit_mb - PROCESS_MB;
-        let budget_mb = raw.budget_mb.unwrap_or(left_mb * BUDGET_PERCENT / 100);
+        let left_mb = vm_limit_mib - PROCESS_MB;
+        let budget_mib = raw.budget_mib.unwrap_or(left_mb * BUDGET_PERCENT / 100);
         let unread_timeout_ms = check.span(
             "unread_timeout_ms",
             raw.unread_timeout_ms,
@@ -88,14 +88,14 @@
             UNREAD_TIMEOUT_MAX_MS,
         )?;
         let min_kb = check.number(
-            "upstream_min_kb",
-            raw.upstream_min_kb,
+            "upstream_min_kib",
+            raw.upstream_min_kib,
             1,
             UPSTREAM_MIN_MAX_KB,
         )?;
         Ok(Self {
             budget_bytes: check
-                .number("budget_mb", budget_mb, BUDGET_MIN_MB, left_mb)
+                .number("budget_mib", budget_mib, BUDGET_MIN_MB, left_mb)
                 .map(megabytes)?,
             unread_timeout_ms,
             upstream_min_bytes: ByteCount::new(min_kb << 10),
--- a/crates/core/tests/memory_budget.rs
+++ b/crates/core/tests/memory_budget.rs
@@ -28,12 +28,12 @@
 
 const MIN: ByteCount = kb(1_024);
 
-fn raw_settings(vm_limit_mb: u64, budget_mb: Option<u64>) -> RawMemorySettings {
+fn raw_settings(vm_limit_mib: u64, budget_mib: Option<u64>) -> RawMemorySettings {
     RawMemorySettings {
-        vm_limit_mb,
-        budget_mb,
+        vm_limit_mib,
+        budget_mib,
         unread_timeout_ms: 20_000,
-        upstream_min_kb: 1_024,
+        upstream_min_kib: 1_024,
     }
 }
 
@@ -51,7 +51,7 @@
             ..raw_settings(512, None)
         },
         RawMemorySettings {
-            upstream_min_kb: 0,
+            upstream_min_kib: 0,
             ..raw_settings(512, None)
         },
     ]
@@ -62,11 +62,11 @@
     assert_snapshot!(lines.join("\n"), @"
     75497472 bytes
     100663296 bytes
-    dispatch.memory.budget_mb is 97: give 8 to 96
-    dispatch.memory.budget_mb is 7: give 8 to 96
-    dispatch.memory.vm_limit_mb is 64: give 80 to 1048576
+    dispatch.memory.budget_mib is 97: give 8 to 96
+    dispatch.memory.budget_mib is 7: give 8 to 96
+    dispatch.memory.vm_limit_mib is 64: give 80 to 1048576
     dispatch.memory.unread_timeout_ms is 0: give 500 to 600000
-    dispatch.memory.upstream_min_kb is 0: give 1 to 1048576
+    dispatch.memory.upstream_min_kib is 0: give 1 to 1048576
     ");
 }
 
--- a/crates/io/tests/settings.rs
+++ b/crates/io/tests/settings.rs
@@ -142,11 +142,11 @@
 fn an_invalid_memory_section_is_named() {
     let file = std::env::temp_dir().join(format!("persimmon-gateway-{}.json", std::process::id()));
     let sections = [
-        json!({"vm_limit_mb": 160}),
-        json!({"vm_limit_mb": 160, "budget_mb": 160}),
-        json!({"vm_limit_mb": -160}),
-        json!({"budget_mb": 72}),
-        json!({"vm_limit_mb": 160, "limit": 1}),
+        json!({"vm_limit_mib": 160}),
+        json!({"vm_limit_mib": 160, "budget_mib": 160}),
+        json!({"vm_limit_mib": -160}),
+        json!({"budget_mib": 72}),
+        json!({"vm_limit_mib": 160, "limit": 1}),
     ];
     let lines = sections.map(|memory| {
         let settings = json!({
@@ -173,9 +173,9 @@
     fs::remove_file(&file).unwrap();
     assert_snapshot!(lines.join("\n"), @"
     75497472
-    gateway.json: dispatch.memory.budget_mb = `160`: give 8 to 96
-    gateway.json: dispatch.memory.vm_limit_mb = `-160`: invalid value: integer `-160`, expected u64 at line 1 column 68
-    gateway.json: dispatch.memory = `{...}`: missing field `vm_limit_mb` at line 1 column 65
-    gateway.json: dispatch.memory.limit = `1`: unknown field `limit`, expected one of `vm_limit_mb`, `budget_mb`, `unread_timeout_ms`, `upstream_min_kb` at line 1 column 57
+    gateway.json: dispatch.memory.budget_mib = `160`: give 8 to 96
+    gateway.json: dispatch.memory.vm_limit_mib = `-160`: invalid value: integer `-160`, expected u64 at line 1 column 69
+    gateway.json: dispatch.memory = `{...}`: missing field `vm_limit_mib` at line 1 column 66
+    gateway.json: dispatch.memory.limit = `1`: unknown field `limit`, expected one of `vm_limit_mib`, `budget_mib`, `unread_timeout_ms`, `upstream_min_kib` at line 1 column 57
     ");
 }
--- a/crates/io/tests/slow_callers.rs
+++ b/crates/io/tests/slow_callers.rs
@@ -53,12 +53,12 @@
     lost_len: Rc<Cell<usize>>,
 }
 
-fn memory(budget_mb: u64) -> Arc<Memory> {
+fn memory(budget_mib: u64) -> Arc<Memory> {
     let raw = RawMemorySettings {
-        vm_limit_mb: 160,
-        budget_mb: Some(budget_mb),
+        vm_limit_mib: 160,
+        budget_mib: Some(budget_mib),
         unread_timeout_ms: 4_000,
-        upstream_min_kb: 1_024,
+        upstream_min_kib: 1_024,
     };
     Memory::new(MemorySettings::try_from(raw).unwrap())
 }
