--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -54,6 +54,8 @@
     pub(super) expected_ms: Option<f64>,
     /// Helper engines that prefill parts of the prompt.
     pub(super) helpers: Vec<UpstreamId>,
+    /// Whether the first event of this transmission has come.
+    pub(super) has_begun: bool,
     /// Whether the upstream has been silent for long enough that the link is checked.
     pub(super) is_silent: bool,
     /// The peer by way of which it goes.
@@ -106,6 +108,13 @@
         self.sending.as_ref().map(|sending| sending.send)
     }
 
+    /// Whether the transmission in progress has had its first event.
+    pub(super) fn has_begun(&self) -> bool {
+        self.sending
+            .as_ref()
+            .is_some_and(|sending| sending.has_begun)
+    }
+
     /// When the call is given up. While it is at an upstream, that is a little after its deadline, so
     /// that the upstream can report the timeout itself.
     pub(super) fn give_up_at(&self) -> Time {
--- a/crates/core/src/dispatch/reservation.rs
+++ b/crates/core/src/dispatch/reservation.rs
@@ -1,7 +1,7 @@
 //! Reservations of KV memory at helper engines, for prompts that exceed the memory of one engine.
 
 use super::{
-    dispatcher::{Dispatcher, Out},
+    dispatcher::{Dispatcher, OpenCall, Out},
     placement::Placement,
     DispatchAction, DispatchRecord, DispatchSettings, RefusalReason, SendOutcome,
 };
@@ -317,11 +317,10 @@
         }
     }
 
-    /// Whether the first event of a call's answer has come.
+    /// Whether the first event of a call's transmission has come. That of an earlier transmission says nothing of
+    /// the engines that have memory reserved now.
     fn has_begun(&self, call: CallId) -> bool {
-        self.calls
-            .get(&call)
-            .is_some_and(|open| open.first_at.is_some())
+        self.calls.get(&call).is_some_and(OpenCall::has_begun)
     }
 
     /// Time from a reservation within which its request must begin.
@@ -350,7 +349,7 @@
                     State::Releasing => RELEASE_RETRY_MS,
                 };
             let open = self.calls.get(&reservation.call);
-            let has_begun = open.is_some_and(|open| open.first_at.is_some());
+            let has_begun = open.is_some_and(OpenCall::has_begun);
             let hold_ms = reservation.hold_ms(out.now, has_begun, &self.settings);
             orders.push(order(ticket, reservation, hold_ms));
         }
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -59,6 +59,7 @@
         let is_first = open.first_at.is_none();
         open.first_at.get_or_insert(out.now);
         if let Some(sending) = &mut open.sending {
+            sending.has_begun = true;
             sending.is_silent = false;
         }
         if is_first {
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -71,6 +71,7 @@
                 .iter()
                 .map(|h| h.upstream.clone())
                 .collect(),
+            has_begun: false,
             is_silent: false,
             relay: None,
         });
--- a/crates/core/tests/unused_reservations.rs
+++ b/crates/core/tests/unused_reservations.rs
@@ -10,7 +10,7 @@
 use persimmon_core::{
     dispatch::{
         DispatchEvent, DispatchMessage, InFlightReport, OrderKind, OrderOutcome, RefusalReason,
-        ReserveOrder, SendPlan,
+        ReserveOrder, SendOutcome, SendPlan,
     },
     ids::{CallId, SendId},
     units::{Millis, Time, Tokens},
@@ -148,3 +148,30 @@
         |seen: &Seen| matches!(seen, Seen::Refuse(_, RefusalReason::NoCapacity, false, _));
     assert!(seen.iter().all(refused), "{seen:?}");
 }
+
+/// Guards against memory that is kept for a resumed answer at an engine that never begins: the first event came
+/// from the engine before.
+#[test]
+fn memory_is_not_kept_for_a_resumed_answer_that_does_not_begin() {
+    let (mut node, mut leases, call, plan) = sent_with_reservations(8);
+    let send = plan.send;
+    node.step(DispatchEvent::FirstByte { call, send });
+    let lost = SendOutcome::Lost {
+        reason: "reset".to_owned(),
+        stalled: false,
+    };
+    leases.0.clear();
+    let seen = node.ends(&plan, lost);
+    let reserves =
+        |seen: &Seen| matches!(seen, Seen::Order(order) if order.kind != OrderKind::Release);
+    let reserved: Vec<_> = seen.into_iter().filter(reserves).collect();
+    assert!(!reserved.is_empty());
+    leases.execute(&mut node, &reserved, true);
+    for _ in 0..1_300 {
+        let seen = node.pass(ms(10));
+        let reserved: Vec<_> = seen.into_iter().filter(reserves).collect();
+        leases.execute(&mut node, &reserved, true);
+    }
+    let longest_ms = leases.longest_ms();
+    assert!(longest_ms < IDLE_MAX_MS, "{longest_ms}");
+}
