Review case 5: a crashing request that comes with another query

Cause: the fingerprint of a request takes in its query, so a request that crashes servers and comes again with the same path, caller and body, but another query, is never quarantined.

--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 pub mod crashing_part;
+pub mod crashing_request;
 pub mod restored_key;
 pub mod slow_reader;
 
