--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -126,9 +126,8 @@
 
 /// Sends a signal to a process that this program started.
 pub fn signal(pid: u32, name: &str) -> Result<(), String> {
-    let status = Command::new("kill")
-        .arg(format!("-{name}"))
-        .arg(pid.to_string())
+    let status = Command::new("sh")
+        .args(["-c", &format!("kill -{name} {pid}")])
         .status();
     match status {
         Ok(status) if status.success() => Ok(()),
