--- a/review/new/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -41,6 +41,7 @@
     let mut config = Config {
         tenants: tenants.collect(),
         spare_routes_len: 20,
+        cold_per_s: 0,
         version: 0,
     };
     config.write(&store, record, "the first one");
@@ -148,6 +149,7 @@
     let mut config = Config {
         tenants: tenants.collect(),
         spare_routes_len: 20,
+        cold_per_s: 0,
         version: 0,
     };
     config.write(&store, record, "the first one");
@@ -243,6 +245,7 @@
     let mut config = Config {
         tenants: tenants.collect(),
         spare_routes_len: 20,
+        cold_per_s: 0,
         version: 0,
     };
     config.write(&store, record, "the first one");
@@ -333,9 +336,18 @@
     }
 }
 
-/// A server that sends an answer a second time: the copy of an answer that a request was not run is taken for the
-/// answer to the next request, which runs and is sent to another server.
-pub fn second_answer(setup: &Setup<'_>) -> Verdict {
+/// Requests a second that a cold server takes.
+const COLD_PER_S: u32 = 36;
+
+/// The bound of the rule: `coldPerS` x `coldOverage` + `coldSlack`.
+const COLD_MAX_LEN: usize = 59;
+
+/// Requests within a second that a cold server bears; it crashes "at a rate well above" its own.
+const COLD_BEARS_LEN: usize = 65;
+
+/// A gateway is killed and starts again while servers are cold: until it has found its peers, it gives a cold server
+/// the rate that it takes from all.
+pub fn cold_servers(setup: &Setup<'_>) -> Verdict {
     let Setup {
         trouble,
         folder,
@@ -351,32 +363,49 @@
     let mut config = Config {
         tenants: tenants.collect(),
         spare_routes_len: 20,
+        cold_per_s: COLD_PER_S,
         version: 0,
     };
     config.write(&store, record, "the first one");
-    let doubles_each = if *trouble { 34 } else { 0 };
-    let faulty = Server::start_with(
-        "i-orders-1",
-        "orders",
-        "north",
-        2,
-        doubles_each,
-        &store,
-        record,
-    );
-    let sound = Server::start_with("i-orders-2", "orders", "north", 2, 0, &store, record);
-    let (address, _) = store.listen();
-    let gateway = Gateway::start("front-a", "north", address, folder, record);
-    if !gateway.wait_ready(READY) {
-        return Verdict::NotRun("front-a isn't ready".to_owned());
+    let start_server = |n: usize, cold_for| {
+        let id = format!("i-orders-{n}");
+        let cold = (cold_for, COLD_BEARS_LEN);
+        Server::start_with(&id, "orders", "north", cold, &store, record)
+    };
+    let warm: Vec<_> = (1..=2).map(|n| start_server(n, Duration::ZERO)).collect();
+    let mut gateways = Vec::new();
+    for name in ["front-a", "front-b"] {
+        let (address, _) = store.listen();
+        gateways.push(Gateway::start(name, "north", address, folder, record));
     }
-    sleep_ms(1_000);
-    let clients: Vec<_> = (0..8u64)
-        .map(|client| {
+    for gateway in &gateways {
+        if !gateway.wait_ready(READY) {
+            return Verdict::NotRun(format!("{} isn't ready", gateway.name));
+        }
+    }
+    sleep_ms(6_000);
+    let calm = Request {
+        attempt: "calm",
+        method: "POST",
+        path: "/release/1",
+        key: "key-3-a",
+        deadline_ms: 2_500,
+        body_len: 600,
+    };
+    if client::send(gateways[1].front, &calm, record) != 200 {
+        return Verdict::NotRun("a calm request fails".to_owned());
+    }
+    // About ninety requests a second at each gateway.
+    let until = record.now() + Duration::from_secs(7);
+    let mut clients = Vec::new();
+    for (g, gateway) in gateways.iter().enumerate() {
+        for n in 0..18 {
             let (front, record) = (gateway.front, Arc::clone(record));
-            thread::spawn(move || {
-                for n in 0..520 {
-                    let attempt = format!("c{client}-{n}");
+            clients.push(thread::spawn(move || {
+                let mut count = 0;
+                while record.now() < until {
+                    count += 1;
+                    let attempt = format!("g{g}-{n}-{count}");
                     let request = Request {
                         attempt: &attempt,
                         method: "POST",
@@ -386,27 +415,53 @@
                         body_len: 600,
                     };
                     client::send(front, &request, &record);
-                    sleep_ms(60 + client * 7);
+                    sleep_ms(170);
                 }
-            })
-        })
+            }));
+        }
+    }
+    sleep_ms(2_000);
+    for server in &warm {
+        server.lose_power();
+    }
+    if *trouble {
+        gateways[1].kill();
+    }
+    sleep_ms(800);
+    let cold_from = record.now();
+    record.line("the servers are back under new ids, cold for 3 s");
+    let servers: Vec<_> = (3..=4)
+        .map(|n| start_server(n, Duration::from_secs(3)))
         .collect();
+    sleep_ms(200);
+    if *trouble {
+        gateways[1].spawn();
+    }
     for client in clients {
         let _ = client.join();
     }
-    let mut counts = std::collections::BTreeMap::new();
-    for run in faulty.runs().iter().chain(&sound.runs()) {
-        *counts.entry(run.attempt.clone()).or_insert(0) += 1;
-    }
-    let twice: Vec<_> = counts.iter().filter(|(_, count)| **count > 1).collect();
-    for (attempt, count) in &twice {
+    let cold_to = cold_from + Duration::from_millis(3_000);
+    let mut verdict = Verdict::Held;
+    for (n, server) in servers.iter().enumerate() {
+        let arrivals = server.arrivals();
+        let cold = arrivals
+            .iter()
+            .filter(|at| **at >= cold_from && **at < cold_to);
+        let cold: Vec<_> = cold.copied().collect();
+        let within = |from: &Duration| {
+            let second = cold
+                .iter()
+                .filter(|at| *at >= from && **at < *from + Duration::from_secs(1));
+            second.count()
+        };
+        let most_len = cold.iter().map(within).max().unwrap_or(0);
         record.line(&format!(
-            "{attempt}, which isn't idempotent, ran {count} times"
+            "server i-orders-{} got {most_len} requests within a second while it was cold; {COLD_MAX_LEN} are allowed",
+            n + 3
         ));
+        if most_len > COLD_MAX_LEN {
+            verdict = Verdict::Broken;
+        }
     }
-    if twice.is_empty() {
-        Verdict::Held
-    } else {
-        Verdict::Broken
-    }
+    verdict
 }
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -1,81 +1,157 @@
-//! A caller: one request on a new connection.
+//! A client's request on a connection of its own.
 
-use crate::http::{self, Message};
+use crate::{http, record::Record};
 use std::{
-    io::{BufReader, Read, Write},
+    io::{self, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
-    time::Duration,
+    thread,
+    time::{Duration, Instant},
 };
 
-/// What a caller sees of its request.
-#[derive(Debug, Default)]
-pub struct Answer {
-    /// 0 if no answer came.
-    pub status: u16,
-    pub head: Message,
-    pub body: Vec<u8>,
-    /// Whether the answer came to its end.
-    pub complete: bool,
+pub struct Request<'a> {
+    pub attempt: &'a str,
+    pub method: &'a str,
+    pub path: &'a str,
+    pub key: &'a str,
+    pub deadline_ms: u64,
+    pub body_len: usize,
 }
 
-impl Answer {
-    pub fn summary(&self) -> String {
-        if self.status == 0 {
-            return "no answer".to_owned();
-        }
+impl Request<'_> {
+    pub fn head(&self) -> String {
+        let Self {
+            attempt,
+            method,
+            path,
+            key,
+            deadline_ms,
+            body_len,
+        } = self;
         format!(
-            "{} id={} stamp={} {} bytes{}",
-            self.status,
-            self.head.header("attempt-id").unwrap_or("-"),
-            self.head.header("response-stamp").unwrap_or("-"),
-            self.body.len(),
-            if self.complete { "" } else { ", broken off" }
+            "{method} {path} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {attempt}\r\n\
+             Deadline-Ms: {deadline_ms}\r\nKey: {key}\r\nContent-Length: {body_len}\r\n\r\n"
         )
     }
 }
 
-/// Sends a request and reads its answer.
-pub fn call(
-    address: SocketAddr,
-    first: &str,
-    headers: &[(&str, &str)],
-    body: &[u8],
-    limit: Duration,
-) -> Answer {
-    let mut answer = Answer::default();
-    let _ = exchange(address, first, headers, body, limit, &mut answer);
-    answer
+/// Sends a request and returns the status of its answer; 0 if the connection ends or hangs without one.
+pub fn send(address: SocketAddr, request: &Request<'_>, record: &Record) -> u16 {
+    let exchange = || -> std::io::Result<u16> {
+        let mut stream = TcpStream::connect(address)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(Duration::from_millis(request.deadline_ms + 500)))?;
+        let mut bytes = request.head().into_bytes();
+        bytes.extend(vec![b'b'; request.body_len]);
+        stream.write_all(&bytes)?;
+        let answer = http::read(&mut BufReader::new(stream))?;
+        Ok(answer.map_or(0, |answer| answer.status()))
+    };
+    record.line(&format!(
+        "client sends {} ({} {}) with key {}",
+        request.attempt, request.method, request.path, request.key
+    ));
+    match exchange() {
+        Ok(status) => {
+            record.line(&format!("client gets {status} for {}", request.attempt));
+            status
+        }
+        Err(error) => {
+            record.line(&format!(
+                "client gets no answer for {}: {error}",
+                request.attempt
+            ));
+            0
+        }
+    }
 }
 
-fn exchange(
-    address: SocketAddr,
-    first: &str,
-    headers: &[(&str, &str)],
-    body: &[u8],
-    limit: Duration,
-    answer: &mut Answer,
-) -> std::io::Result<()> {
-    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(limit))?;
-    stream.write_all(&http::encode(first, headers, body))?;
-    let mut reader = BufReader::new(stream);
-    let Some(head) = http::read_head(&mut reader)? else {
-        return Ok(());
-    };
-    answer.status = head.status();
-    answer.head = head;
-    if http::is_chunked(&answer.head) {
-        while let Some(chunk) = http::read_chunk(&mut reader)? {
-            answer.body.extend_from_slice(&chunk);
+/// How a request ended whose body was sent slowly.
+pub struct UploadEnd {
+    /// 0 without an answer.
+    pub status: u16,
+    pub sent_all: bool,
+    /// From the last byte of the request to the end.
+    pub waited_ms: u128,
+}
+
+/// A connection that is kept after its first request.
+pub struct KeptConnection {
+    stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl KeptConnection {
+    pub fn open(address: SocketAddr, request: &Request<'_>, record: &Record) -> io::Result<Self> {
+        let mut stream = TcpStream::connect(address)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(Duration::from_millis(9_000)))?;
+        let mut reader = BufReader::new(stream.try_clone()?);
+        record.line(&format!("client sends {}", request.attempt));
+        let mut bytes = request.head().into_bytes();
+        bytes.extend(vec![b'b'; request.body_len]);
+        stream.write_all(&bytes)?;
+        let answer = http::read(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        record.line(&format!(
+            "client gets {} for {}, and keeps the connection",
+            answer.status(),
+            request.attempt
+        ));
+        Ok(Self { stream, reader })
+    }
+
+    /// Sends a request whose body takes `span_ms`.
+    pub fn upload(mut self, request: &Request<'_>, span_ms: u64, record: &Record) -> UploadEnd {
+        let mut end = UploadEnd {
+            status: 0,
+            sent_all: false,
+            waited_ms: 0,
+        };
+        let mut sent_at = Instant::now();
+        let mut exchange = || -> io::Result<u16> {
+            record.line(&format!(
+                "client begins to send {} over {span_ms} ms",
+                request.attempt
+            ));
+            self.stream.write_all(request.head().as_bytes())?;
+            const PARTS: usize = 10;
+            for _ in 0..PARTS {
+                thread::sleep(Duration::from_millis(span_ms / PARTS as u64));
+                self.stream
+                    .write_all(&vec![b'b'; request.body_len / PARTS])?;
+            }
+            record.line(&format!("client has sent all of {}", request.attempt));
+            end.sent_all = true;
+            sent_at = Instant::now();
+            let answer = http::read(&mut self.reader)?;
+            Ok(answer.map_or(0, |answer| answer.status()))
+        };
+        match exchange() {
+            Ok(status) => end.status = status,
+            Err(error) => record.line(&format!("{}: {error}", request.attempt)),
         }
-    } else if let Some(len) = answer.head.header("content-length") {
-        let mut body = vec![0; len.parse().unwrap_or(0)];
-        reader.read_exact(&mut body)?;
-        answer.body = body;
-    } else {
-        reader.read_to_end(&mut answer.body)?;
+        end.waited_ms = sent_at.elapsed().as_millis();
+        record.line(&format!(
+            "{} ends with status {} (0: no answer), {} ms after its last byte",
+            request.attempt, end.status, end.waited_ms
+        ));
+        end
     }
-    answer.complete = true;
-    Ok(())
+}
+
+/// Starts a client that takes its answer slowly: 4 KB each 200 ms.
+pub fn read_slowly(address: SocketAddr, request: &Request<'_>, record: &Record) {
+    let mut stream = TcpStream::connect(address).expect("the gateway listens");
+    stream
+        .write_all(request.head().as_bytes())
+        .expect("the gateway reads");
+    record.line(&format!(
+        "a client sends {} and takes 4 KB of its answer each 200 ms",
+        request.attempt
+    ));
+    thread::spawn(move || {
+        let mut part = vec![0; 4 << 10];
+        while stream.read(&mut part).is_ok_and(|len| len > 0) {
+            thread::sleep(Duration::from_millis(200));
+        }
+    });
 }
--- a/review/new/standin/config.rs
+++ b/review/standin/config.rs
@@ -7,6 +7,8 @@
     pub tenants: Vec<(String, Vec<String>)>,
     /// Number of routes that get no requests.
     pub spare_routes_len: usize,
+    /// Requests a second that a cold server takes; 0 if servers are never cold.
+    pub cold_per_s: u32,
     pub version: u64,
 }
 
@@ -62,11 +64,12 @@
         let tenants: Vec<_> = tenants.collect();
         format!(
             "{{\"version\":{},\"routes\":[{}],\"services\":[{{\"name\":\"orders\",\"healthPath\":\"/health\",\
-             \"maxConnections\":110,\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":0.0,\"coldPerS\":0.0}}],\
+             \"maxConnections\":110,\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":3.0,\"coldPerS\":{}.0}}],\
              \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
              \"idleTimeoutMs\":15000}},\"tenants\":[{}]}}",
             self.version,
             routes.join(","),
+            self.cold_per_s,
             tenants.join(",")
         )
     }
--- a/review/new/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -4,9 +4,9 @@
 use std::{
     fs::{self, File, OpenOptions},
     io::{BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::{self, Child, Command, Stdio},
     sync::Arc,
     thread,
     time::{Duration, Instant},
@@ -28,18 +28,21 @@
     record: Arc<Record>,
 }
 
+/// A loopback address of this run alone, so that its ports meet neither those of other runs nor those of outgoing
+/// connections.
+fn own_ip() -> Ipv4Addr {
+    let [_, _, high, low] = process::id().to_be_bytes();
+    Ipv4Addr::new(127, 128 | high >> 1, low, 1 + (high & 1))
+}
+
 fn tcp_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    let listener = TcpListener::bind((own_ip(), 0)).unwrap();
+    listener.local_addr().unwrap()
 }
 
 fn udp_address() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    let socket = UdpSocket::bind((own_ip(), 0)).unwrap();
+    socket.local_addr().unwrap()
 }
 
 impl Gateway {
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -1,177 +1,166 @@
-//! A small JSON reader, enough for the bodies that the gateway sends.
+//! JSON and base64, as far as the store's calls need them.
 
 use std::collections::BTreeMap;
 
 #[derive(Clone, Debug, PartialEq)]
-pub enum Value {
+pub enum Json {
     Null,
     Bool(bool),
     Number(f64),
     Text(String),
-    List(Vec<Value>),
-    Object(BTreeMap<String, Value>),
+    List(Vec<Json>),
+    Object(BTreeMap<String, Json>),
 }
 
-impl Value {
-    pub fn get(&self, key: &str) -> &Value {
+impl Json {
+    pub fn get(&self, key: &str) -> Option<&Json> {
         match self {
-            Self::Object(fields) => fields.get(key).unwrap_or(&Value::Null),
-            _ => &Value::Null,
+            Json::Object(fields) => fields.get(key),
+            _ => None,
         }
     }
 
-    pub fn text(&self) -> &str {
-        match self {
-            Self::Text(text) => text,
-            _ => "",
+    pub fn text(&self, key: &str) -> String {
+        match self.get(key) {
+            Some(Json::Text(text)) => text.clone(),
+            _ => String::new(),
         }
     }
 
-    pub fn number(&self) -> f64 {
-        match self {
-            Self::Number(number) => *number,
-            _ => 0.0,
+    pub fn number(&self, key: &str) -> u64 {
+        match self.get(key) {
+            Some(Json::Number(number)) => *number as u64,
+            _ => 0,
         }
     }
 
-    pub fn list(&self) -> &[Value] {
-        match self {
-            Self::List(values) => values,
+    pub fn list(&self, key: &str) -> &[Json] {
+        match self.get(key) {
+            Some(Json::List(items)) => items,
             _ => &[],
         }
     }
 }
 
-pub fn parse(text: &str) -> Option<Value> {
-    let mut parser = Parser {
-        bytes: text.as_bytes(),
-        at: 0,
-    };
-    parser.value()
-}
-
-struct Parser<'a> {
-    bytes: &'a [u8],
-    at: usize,
+pub fn parse(text: &str) -> Option<Json> {
+    let chars: Vec<char> = text.chars().collect();
+    let mut at = 0;
+    value(&chars, &mut at)
 }
 
-impl Parser<'_> {
-    fn skip(&mut self) {
-        while self
-            .bytes
-            .get(self.at)
-            .is_some_and(|byte| byte.is_ascii_whitespace())
-        {
-            self.at += 1;
-        }
-    }
-
-    fn take(&mut self, byte: u8) -> Option<()> {
-        self.skip();
-        (self.bytes.get(self.at) == Some(&byte)).then(|| self.at += 1)
-    }
-
-    fn word(&mut self, word: &str, value: Value) -> Option<Value> {
-        let end = self.at + word.len();
-        (self.bytes.get(self.at..end)? == word.as_bytes()).then(|| {
-            self.at = end;
-            value
-        })
-    }
-
-    fn value(&mut self) -> Option<Value> {
-        self.skip();
-        match self.bytes.get(self.at)? {
-            b'{' => self.object(),
-            b'[' => self.array(),
-            b'"' => self.string().map(Value::Text),
-            b't' => self.word("true", Value::Bool(true)),
-            b'f' => self.word("false", Value::Bool(false)),
-            b'n' => self.word("null", Value::Null),
-            _ => self.number(),
-        }
-    }
-
-    fn number(&mut self) -> Option<Value> {
-        let start = self.at;
-        while self
-            .bytes
-            .get(self.at)
-            .is_some_and(|byte| b"+-.eE0123456789".contains(byte))
-        {
-            self.at += 1;
-        }
-        let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
-        text.parse().ok().map(Value::Number)
+fn skip_space(chars: &[char], at: &mut usize) {
+    while chars.get(*at).is_some_and(|c| c.is_whitespace()) {
+        *at += 1;
     }
+}
 
-    fn string(&mut self) -> Option<String> {
-        self.take(b'"')?;
-        let mut text = Vec::new();
-        loop {
-            let byte = *self.bytes.get(self.at)?;
-            self.at += 1;
-            match byte {
-                b'"' => return String::from_utf8(text).ok(),
-                b'\\' => {
-                    let escaped = *self.bytes.get(self.at)?;
-                    self.at += 1;
-                    text.push(match escaped {
-                        b'n' => b'\n',
-                        b't' => b'\t',
-                        other => other,
-                    });
+fn value(chars: &[char], at: &mut usize) -> Option<Json> {
+    skip_space(chars, at);
+    match chars.get(*at)? {
+        '{' => {
+            *at += 1;
+            let mut fields = BTreeMap::new();
+            loop {
+                skip_space(chars, at);
+                match chars.get(*at)? {
+                    '}' => {
+                        *at += 1;
+                        return Some(Json::Object(fields));
+                    }
+                    ',' => *at += 1,
+                    _ => {
+                        let key = string(chars, at)?;
+                        skip_space(chars, at);
+                        *at += 1;
+                        fields.insert(key, value(chars, at)?);
+                    }
                 }
-                other => text.push(other),
             }
         }
-    }
-
-    fn array(&mut self) -> Option<Value> {
-        self.take(b'[')?;
-        let mut values = Vec::new();
-        if self.take(b']').is_some() {
-            return Some(Value::List(values));
+        '[' => {
+            *at += 1;
+            let mut items = Vec::new();
+            loop {
+                skip_space(chars, at);
+                match chars.get(*at)? {
+                    ']' => {
+                        *at += 1;
+                        return Some(Json::List(items));
+                    }
+                    ',' => *at += 1,
+                    _ => items.push(value(chars, at)?),
+                }
+            }
         }
-        loop {
-            values.push(self.value()?);
-            if self.take(b',').is_none() {
-                self.take(b']')?;
-                return Some(Value::List(values));
+        '"' => string(chars, at).map(Json::Text),
+        't' => word(chars, at, "true", Json::Bool(true)),
+        'f' => word(chars, at, "false", Json::Bool(false)),
+        'n' => word(chars, at, "null", Json::Null),
+        _ => {
+            let from = *at;
+            while chars
+                .get(*at)
+                .is_some_and(|c| "+-.eE0123456789".contains(*c))
+            {
+                *at += 1;
             }
+            let number: String = chars[from..*at].iter().collect();
+            number.parse().ok().map(Json::Number)
         }
     }
+}
 
-    fn object(&mut self) -> Option<Value> {
-        self.take(b'{')?;
-        let mut fields = BTreeMap::new();
-        if self.take(b'}').is_some() {
-            return Some(Value::Object(fields));
-        }
-        loop {
-            self.skip();
-            let key = self.string()?;
-            self.take(b':')?;
-            fields.insert(key, self.value()?);
-            if self.take(b',').is_none() {
-                self.take(b'}')?;
-                return Some(Value::Object(fields));
+fn word(chars: &[char], at: &mut usize, word: &str, value: Json) -> Option<Json> {
+    let len = word.chars().count();
+    let found: String = chars.get(*at..*at + len)?.iter().collect();
+    *at += len;
+    (found == word).then_some(value)
+}
+
+fn string(chars: &[char], at: &mut usize) -> Option<String> {
+    if chars.get(*at)? != &'"' {
+        return None;
+    }
+    *at += 1;
+    let mut text = String::new();
+    loop {
+        let c = *chars.get(*at)?;
+        *at += 1;
+        match c {
+            '"' => return Some(text),
+            '\\' => {
+                let escaped = *chars.get(*at)?;
+                *at += 1;
+                match escaped {
+                    'n' => text.push('\n'),
+                    't' => text.push('\t'),
+                    'r' => text.push('\r'),
+                    'u' => {
+                        let code: String = chars.get(*at..*at + 4)?.iter().collect();
+                        *at += 4;
+                        let code = u32::from_str_radix(&code, 16).ok()?;
+                        text.push(char::from_u32(code)?);
+                    }
+                    other => text.push(other),
+                }
             }
+            other => text.push(other),
         }
     }
 }
 
-const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
-pub fn base64(bytes: &[u8]) -> String {
+pub fn to_base64(bytes: &[u8]) -> String {
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let group = chunk.iter().enumerate().fold(0u32, |group, (index, byte)| {
-            group | u32::from(*byte) << (16 - 8 * index)
-        });
+        let mut group = [0u8; 3];
+        group[..chunk.len()].copy_from_slice(chunk);
+        let bits = u32::from(group[0]) << 16 | u32::from(group[1]) << 8 | u32::from(group[2]);
         for index in 0..4 {
             if index <= chunk.len() {
-                text.push(DIGITS[(group >> (18 - 6 * index)) as usize & 63] as char);
+                let sextet = bits >> (18 - 6 * index) & 63;
+                text.push(ALPHABET[sextet as usize] as char);
             } else {
                 text.push('=');
             }
@@ -179,3 +168,20 @@
     }
     text
 }
+
+pub fn from_base64(text: &str) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let (mut bits, mut len) = (0u32, 0);
+    for c in text.bytes() {
+        let Some(sextet) = ALPHABET.iter().position(|a| *a == c) else {
+            continue;
+        };
+        bits = bits << 6 | sextet as u32;
+        len += 6;
+        if len >= 8 {
+            len -= 8;
+            bytes.push((bits >> len & 255) as u8);
+        }
+    }
+    bytes
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,49 +1,71 @@
-//! Stand-ins and cases of the review. One program: `standin CASE FOLDER GATEWAY`.
+//! Stand-ins and scripts of the review's cases. Usage: standin CASE FOLDER. Exits with 1 if the rule was broken,
+//! 0 if it held, and 2 if the case couldn't run.
 
 mod cases;
 mod client;
-mod deployment;
+mod config;
+mod gateway;
 mod http;
 mod json;
 mod record;
 mod server;
 mod store;
 
-use cases::crashing_part;
-use std::{path::PathBuf, process::exit};
+use std::{path::Path, process::ExitCode, sync::Arc};
 
-fn main() {
+/// What a case found.
+pub enum Verdict {
+    Broken,
+    Held,
+    NotRun(String),
+}
+
+fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
-    let [_, case, folder, gateway] = args.as_slice() else {
-        eprintln!("usage: standin CASE FOLDER GATEWAY");
-        exit(2);
+    let [_, case, folder] = args.as_slice() else {
+        eprintln!("usage: standin CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let folder = Path::new(folder);
+    let record = match record::Record::create(&folder.join("record.txt")) {
+        Ok(record) => Arc::new(record),
+        Err(error) => {
+            eprintln!("record.txt can't be written: {error}");
+            return ExitCode::from(2);
+        }
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
+    let temporary = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
+    if std::fs::create_dir_all(&temporary).is_err() {
+        return ExitCode::from(2);
+    }
     let setup = cases::Setup {
-        folder: PathBuf::from(folder),
-        gateway: PathBuf::from(gateway),
         trouble,
+        folder: &temporary,
+        record: Arc::clone(&record),
     };
-    let outcome = match case.as_str() {
-        "restored-key" => cases::restored_key::run(&setup),
-        "slow-reader" => cases::slow_reader::run(&setup),
-        "crashing-part-of-many" => crashing_part::run(&setup, &crashing_part::MANY_PARTS),
-        "crashing-part-first-event" => crashing_part::run(&setup, &crashing_part::FIRST_EVENT),
-        "crashing-part-burst" => crashing_part::run(&setup, &crashing_part::BURST),
-        other => Err(format!("no case {other}")),
+    let verdict = match case.as_str() {
+        "stale-freshness" => cases::stale_freshness(&setup),
+        "restored-copy" => cases::restored_copy(&setup),
+        "unanswered-at-stop" => cases::unanswered_at_stop(&setup),
+        "cold-servers" => cases::cold_servers(&setup),
+        _ => Verdict::NotRun(format!("no case {case}")),
     };
-    match outcome {
-        Ok(true) => {
-            println!("the rule held");
-            exit(0)
+    if std::env::var("KEEP").is_err() {
+        let _ = std::fs::remove_dir_all(&temporary);
+    }
+    match verdict {
+        Verdict::Broken => {
+            record.line("the rule was broken");
+            ExitCode::from(1)
         }
-        Ok(false) => {
-            println!("the rule was broken");
-            exit(1)
+        Verdict::Held => {
+            record.line("the rule held");
+            ExitCode::SUCCESS
         }
-        Err(reason) => {
-            eprintln!("the case couldn't run: {reason}");
-            exit(2)
+        Verdict::NotRun(why) => {
+            record.line(&format!("the case couldn't run: {why}"));
+            ExitCode::from(2)
         }
     }
 }
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -1,42 +1,34 @@
-//! The record of a run: what was sent, answered and run.
+//! The record of a case: what was sent, answered and run, with the time since the start.
 
 use std::{
     fs::File,
-    io::{BufWriter, Write},
+    io::Write,
     path::Path,
-    sync::{Arc, Mutex},
-    time::Instant,
+    sync::Mutex,
+    time::{Duration, Instant},
 };
 
-#[derive(Clone)]
 pub struct Record {
+    file: Mutex<File>,
     start: Instant,
-    file: Arc<Mutex<BufWriter<File>>>,
 }
 
 impl Record {
-    pub fn create(folder: &Path) -> Result<Self, String> {
-        let file = File::create(folder.join("record.txt")).map_err(|error| error.to_string())?;
+    pub fn create(path: &Path) -> std::io::Result<Self> {
         Ok(Self {
+            file: Mutex::new(File::create(path)?),
             start: Instant::now(),
-            file: Arc::new(Mutex::new(BufWriter::new(file))),
         })
     }
 
-    /// Seconds since the start of the run.
-    pub fn now(&self) -> f64 {
-        self.start.elapsed().as_secs_f64()
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
     }
 
     pub fn line(&self, text: &str) {
         let mut file = self.file.lock().unwrap();
-        let _ = writeln!(file, "{:8.3}  {text}", self.now());
-    }
-
-    /// Writes a line to the record and to standard output.
-    pub fn say(&self, text: &str) {
-        self.line(text);
-        println!("{text}");
-        let _ = self.file.lock().unwrap().flush();
+        let at = self.start.elapsed().as_secs_f64();
+        let _ = writeln!(file, "{at:9.3} s  {text}");
+        let _ = file.flush();
     }
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -1,299 +1,245 @@
-//! A stand-in for the platform's store: rows, their changes, and transactions.
+//! A stand-in for the platform's store. Each gateway calls it at a port of its own, so that it can turn single
+//! machines away.
 
-use crate::{
-    http::{self, Message},
-    json::{self, Value},
-};
+use crate::{http, json};
 use std::{
     collections::BTreeMap,
-    io::{self, BufReader, Write},
+    io::{BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{
-        atomic::{AtomicBool, Ordering},
-        Arc, Condvar, Mutex,
-    },
+    sync::{Arc, Condvar, Mutex, MutexGuard},
     thread,
     time::{Duration, Instant},
 };
 
-/// Time that a call takes.
+/// Latency of a call.
 const CALL_TIME: Duration = Duration::from_millis(4);
 
+type Key = (String, String);
+
+#[derive(Clone, Default)]
+struct Rows(BTreeMap<Key, (Vec<u8>, u64)>);
+
+/// A copy of the rows.
 #[derive(Clone)]
-struct Row {
-    table: String,
-    part: String,
-    key: String,
-    /// In base64; none if the row was removed.
-    value: Option<String>,
+pub struct Copy {
+    rows: Rows,
     version: u64,
 }
 
-#[derive(Clone, Default)]
+#[derive(Default)]
 struct State {
-    /// Answers state it once it is above zero.
     era: u64,
-    /// Reads of earlier versions get 410.
-    history_from: u64,
     version: u64,
-    rows: BTreeMap<(String, String, String), Row>,
-    changes: Vec<Row>,
-}
-
-/// A copy of all that the store holds.
-pub struct StoreCopy(State);
-
-struct Shared {
-    state: Mutex<State>,
-    away: AtomicBool,
-    changed: Condvar,
-    start: Instant,
+    rows: Rows,
+    changes: Vec<(u64, Key, Option<Vec<u8>>)>,
+    history_from: u64,
+    down: bool,
+    turned_away: Vec<bool>,
 }
 
 #[derive(Clone)]
 pub struct Store {
-    shared: Arc<Shared>,
-    pub address: SocketAddr,
+    state: Arc<(Mutex<State>, Condvar)>,
+    start: Instant,
 }
 
 impl Store {
-    pub fn start() -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let store = Self {
-            address: listener.local_addr()?,
-            shared: Arc::new(Shared {
-                state: Mutex::default(),
-                away: AtomicBool::new(false),
-                changed: Condvar::new(),
-                start: Instant::now(),
-            }),
-        };
-        let serving = store.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = serving.clone();
-                thread::spawn(move || store.serve(stream));
-            }
-        });
-        Ok(store)
-    }
-
-    /// Writes a row as an operator or a server does.
-    pub fn put(&self, table: &str, key: &str, value: &str) {
-        if self.is_away() {
-            return;
+    pub fn new() -> Self {
+        Self {
+            state: Arc::default(),
+            start: Instant::now(),
         }
-        self.write(table, "", key, Some(json::base64(value.as_bytes())));
     }
 
-    pub fn remove(&self, table: &str, key: &str) {
-        if self.is_away() {
-            return;
-        }
-        self.write(table, "", key, None);
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.0.lock().unwrap()
     }
 
-    pub fn copy(&self) -> StoreCopy {
-        StoreCopy(self.shared.state.lock().unwrap().clone())
+    /// Opens a port for one gateway.
+    pub fn listen(&self) -> (SocketAddr, usize) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut state = self.lock();
+        state.turned_away.push(false);
+        let port = state.turned_away.len() - 1;
+        drop(state);
+        let store = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = store.clone();
+                thread::spawn(move || {
+                    let _ = store.serve(stream, port);
+                });
+            }
+        });
+        (address, port)
     }
 
-    /// While the store is away, it closes each connection on which a call comes.
-    pub fn set_away(&self, away: bool) {
-        self.shared.away.store(away, Ordering::SeqCst);
-        self.shared.changed.notify_all();
+    /// Whether calls at a port get 503.
+    pub fn turn_away(&self, port: usize, away: bool) {
+        self.lock().turned_away[port] = away;
+        self.state.1.notify_all();
     }
 
-    /// Comes back from a copy. Versions are given out again from that of the copy.
-    pub fn restore(&self, copy: &StoreCopy) {
-        let mut state = self.shared.state.lock().unwrap();
-        let era = state.era + 1;
-        *state = copy.0.clone();
-        state.era = era;
-        state.history_from = state.version;
-        state.changes.clear();
+    /// Whether all calls get 503.
+    pub fn set_down(&self, down: bool) {
+        self.lock().down = down;
+        self.state.1.notify_all();
     }
 
-    fn is_away(&self) -> bool {
-        self.shared.away.load(Ordering::SeqCst)
+    pub fn put(&self, table: &str, key: &str, value: &str) {
+        let mut state = self.lock();
+        state.version += 1;
+        let version = state.version;
+        let key = (table.to_owned(), key.to_owned());
+        let value = value.as_bytes().to_vec();
+        state.rows.0.insert(key.clone(), (value.clone(), version));
+        state.changes.push((version, key, Some(value)));
+        self.state.1.notify_all();
     }
 
-    fn write(&self, table: &str, part: &str, key: &str, value: Option<String>) {
-        let mut state = self.shared.state.lock().unwrap();
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut state = self.lock();
         state.version += 1;
         let version = state.version;
-        state.apply(table, part, key, value, version);
-        drop(state);
-        self.shared.changed.notify_all();
+        let key = (table.to_owned(), key.to_owned());
+        state.rows.0.remove(&key);
+        state.changes.push((version, key, None));
+        self.state.1.notify_all();
     }
 
-    fn serve(&self, stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else {
-            return;
-        };
-        let mut reader = BufReader::new(stream);
-        while let Ok(Some(request)) = http::read_request(&mut reader) {
-            if self.is_away() {
-                return;
-            }
-            let (status, body) = self.answer(&request);
-            thread::sleep(CALL_TIME);
-            if self.is_away() {
-                return;
-            }
-            let first = format!("HTTP/1.1 {status} X");
-            let era = self.shared.state.lock().unwrap().era.to_string();
-            let headers = [
-                ("Content-Type", "application/json"),
-                ("Store-Era", era.as_str()),
-            ];
-            let answer = http::encode(&first, &headers, body.as_bytes());
-            if writer.write_all(&answer).is_err() {
-                return;
-            }
+    pub fn copy(&self) -> Copy {
+        let state = self.lock();
+        Copy {
+            rows: state.rows.clone(),
+            version: state.version,
         }
     }
 
-    fn answer(&self, request: &Message) -> (u16, String) {
-        match (request.method(), request.path()) {
-            ("GET", "/api/rows-get") => self.rows(request),
-            ("GET", "/api/rows-feed") => self.feed(request),
-            ("POST", "/api/rows-tx") => self.transaction(request),
-            _ => (404, "{}".to_owned()),
-        }
+    /// Comes back from a copy, in the next era.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = self.lock();
+        state.era += 1;
+        state.rows = copy.rows.clone();
+        state.version = copy.version;
+        state.history_from = copy.version;
+        state.changes.clear();
+        self.state.1.notify_all();
     }
 
-    fn now_ms(&self) -> u128 {
-        self.shared.start.elapsed().as_millis()
+    fn serve(&self, stream: TcpStream, port: usize) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut writer = stream.try_clone()?;
+        let mut reader = BufReader::new(stream);
+        while let Some(call) = http::read(&mut reader)? {
+            thread::sleep(CALL_TIME);
+            let (status, body) = self.answer(&call, port);
+            let era = self.lock().era.to_string();
+            let headers = [("Content-Type", "application/json"), ("Store-Era", &era)];
+            writer.write_all(&http::response(status, &headers, body.as_bytes()))?;
+        }
+        Ok(())
     }
 
-    fn rows(&self, request: &Message) -> (u16, String) {
-        let table = request.query("table").unwrap_or_default();
-        let part = request.query("part").unwrap_or_default();
-        let from = request.query("from").unwrap_or_default();
-        let state = self.shared.state.lock().unwrap();
-        let rows = state
-            .rows
-            .values()
-            .filter(|row| row.table == table && row.part == part && row.key >= from);
-        let rows: Vec<_> = rows.map(row_text).collect();
-        let body = format!(
-            r#"{{"rows":[{}],"morePages":false,"ver":{},"nowMs":{}}}"#,
-            rows.join(","),
-            state.version,
-            self.now_ms()
-        );
-        (200, body)
+    fn is_away(state: &State, port: usize) -> bool {
+        state.down || state.turned_away[port]
     }
 
-    fn feed(&self, request: &Message) -> (u16, String) {
-        let number = |name| request.query(name).and_then(|text| text.parse().ok());
-        let table = request.query("table").unwrap_or_default();
-        let after: u64 = number("after").unwrap_or(0);
-        let wait = Duration::from_millis(number("waitMs").unwrap_or(0));
-        let until = Instant::now() + wait;
-        let mut state = self.shared.state.lock().unwrap();
-        loop {
-            if after < state.history_from || after > state.version {
-                return (410, "{}".to_owned());
-            }
-            if self.is_away() {
-                return (503, "{}".to_owned());
-            }
-            let changes = state.changes.iter();
-            let rows: Vec<_> = changes
-                .filter(|row| row.table == table && row.version > after)
-                .map(row_text)
+    fn answer(&self, call: &http::Message, port: usize) -> (&'static str, String) {
+        let unavailable = ("503 Service Unavailable", String::new());
+        if Self::is_away(&self.lock(), port) {
+            return unavailable;
+        }
+        let target = call.word(1);
+        let table = call.query("table").unwrap_or_default();
+        if target.starts_with("/api/rows-get") {
+            let from = call.query("from").unwrap_or_default();
+            let state = self.lock();
+            let rows = state.rows.0.iter();
+            let rows = rows.filter(|((t, key), _)| *t == table && *key >= from);
+            let rows: Vec<_> = rows
+                .map(|(key, (value, version))| row(key, Some(value), *version))
                 .collect();
-            let left = until.saturating_duration_since(Instant::now());
-            if !rows.is_empty() || left.is_zero() {
-                let body = format!(
-                    r#"{{"rows":[{}],"ver":{},"nowMs":{}}}"#,
-                    rows.join(","),
-                    state.version,
-                    self.now_ms()
-                );
-                return (200, body);
+            return ("200 OK", self.page(&rows, state.version));
+        }
+        if target.starts_with("/api/rows-feed") {
+            let number = |key| call.query(key).and_then(|text| text.parse::<u64>().ok());
+            let after = number("after").unwrap_or(0);
+            let until = Instant::now() + Duration::from_millis(number("waitMs").unwrap_or(0));
+            let mut state = self.lock();
+            let era = state.era;
+            loop {
+                if Self::is_away(&state, port) {
+                    return unavailable;
+                }
+                if state.era != era || state.history_from > after || state.version < after {
+                    return ("410 Gone", String::new());
+                }
+                let changes = state.changes.iter();
+                let changes =
+                    changes.filter(|(version, (t, _), _)| *t == table && *version > after);
+                let rows: Vec<_> = changes
+                    .map(|(version, key, value)| row(key, value.as_ref(), *version))
+                    .collect();
+                let left = until.saturating_duration_since(Instant::now());
+                if !rows.is_empty() || left.is_zero() {
+                    return ("200 OK", self.page(&rows, state.version));
+                }
+                state = self.state.1.wait_timeout(state, left).unwrap().0;
             }
-            state = self.shared.changed.wait_timeout(state, left).unwrap().0;
         }
+        if target.starts_with("/api/rows-tx") {
+            return self.transaction(&String::from_utf8_lossy(&call.body));
+        }
+        ("404 Not Found", String::new())
     }
 
-    fn transaction(&self, request: &Message) -> (u16, String) {
-        let Some(body) = json::parse(&String::from_utf8_lossy(&request.body)) else {
-            return (400, "{}".to_owned());
+    fn transaction(&self, body: &str) -> (&'static str, String) {
+        let Some(call) = json::parse(body) else {
+            return ("400 Bad Request", String::new());
         };
-        let mut state = self.shared.state.lock().unwrap();
-        let expected = body.get("expected").list();
-        let differs = expected
-            .iter()
-            .any(|row| state.version_of(row) != row.get("ver").number() as u64);
-        if differs {
-            let found = expected
-                .iter()
-                .filter_map(|row| state.rows.get(&key_of(row)));
-            let found: Vec<_> = found.map(row_text).collect();
-            let text = format!(
-                r#"{{"rows":[{}],"ver":{},"nowMs":{}}}"#,
-                found.join(","),
-                state.version,
-                self.now_ms()
-            );
-            return (412, text);
+        let key_of = |entry: &json::Json| (entry.text("table"), entry.text("key"));
+        let mut state = self.lock();
+        let mut found = Vec::new();
+        let mut holds = true;
+        for expected in call.list("expected") {
+            let key = key_of(expected);
+            let known = state.rows.0.get(&key);
+            holds &= known.map_or(0, |(_, version)| *version) == expected.number("ver");
+            if let Some((value, version)) = known {
+                found.push(row(&key, Some(value), *version));
+            }
+        }
+        if !holds {
+            return ("412 Precondition Failed", self.page(&found, state.version));
         }
         state.version += 1;
         let version = state.version;
-        for row in body.get("puts").list() {
-            let (table, part, key) = key_of(row);
-            let value = Some(row.get("value").text().to_owned());
-            state.apply(&table, &part, &key, value, version);
+        for put in call.list("puts") {
+            let key = key_of(put);
+            let value = json::from_base64(&put.text("value"));
+            state.rows.0.insert(key.clone(), (value.clone(), version));
+            state.changes.push((version, key, Some(value)));
         }
-        for row in body.get("remove").list() {
-            let (table, part, key) = key_of(row);
-            state.apply(&table, &part, &key, None, version);
-        }
-        drop(state);
-        self.shared.changed.notify_all();
-        let text = format!(r#"{{"ver":{version},"nowMs":{}}}"#, self.now_ms());
-        (200, text)
+        self.state.1.notify_all();
+        let now_ms = self.start.elapsed().as_millis();
+        (
+            "200 OK",
+            format!("{{\"ver\":{version},\"nowMs\":{now_ms}}}"),
+        )
     }
-}
 
-impl State {
-    fn version_of(&self, row: &Value) -> u64 {
-        self.rows.get(&key_of(row)).map_or(0, |row| row.version)
+    fn page(&self, rows: &[String], version: u64) -> String {
+        let now_ms = self.start.elapsed().as_millis();
+        let rows = rows.join(",");
+        format!("{{\"rows\":[{rows}],\"morePages\":false,\"ver\":{version},\"nowMs\":{now_ms}}}")
     }
-
-    fn apply(&mut self, table: &str, part: &str, key: &str, value: Option<String>, version: u64) {
-        let row = Row {
-            table: table.to_owned(),
-            part: part.to_owned(),
-            key: key.to_owned(),
-            value,
-            version,
-        };
-        let id = (table.to_owned(), part.to_owned(), key.to_owned());
-        if row.value.is_some() {
-            self.rows.insert(id, row.clone());
-        } else {
-            self.rows.remove(&id);
-        }
-        self.changes.push(row);
-    }
-}
-
-fn key_of(row: &Value) -> (String, String, String) {
-    let text = |name| row.get(name).text().to_owned();
-    (text("table"), text("part"), text("key"))
 }
 
-fn row_text(row: &Row) -> String {
-    let rest = match &row.value {
-        Some(value) => format!(r#""value":"{value}""#),
-        None => r#""removed":true"#.to_owned(),
+fn row((table, key): &Key, value: Option<&Vec<u8>>, version: u64) -> String {
+    let rest = match value {
+        Some(value) => format!("\"value\":\"{}\"", json::to_base64(value)),
+        None => "\"removed\":true".to_owned(),
     };
-    format!(
-        r#"{{"table":"{}","part":"{}","key":"{}","ver":{},{rest}}}"#,
-        row.table, row.part, row.key, row.version
-    )
+    format!("{{\"table\":\"{table}\",\"part\":\"\",\"key\":\"{key}\",\"ver\":{version},{rest}}}")
 }
