--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# The store comes back from a copy that holds a revoked key; a gateway starts again meanwhile.
+# A gateway is killed and starts again; the store turns it away while a key is taken away.
 # 1: the rule was broken, 0: it held, 2: the case couldn't run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/review/standin target/release/persimmon-gateway; do
     [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-exec target/review/standin restored-key review/1 target/release/persimmon-gateway
+exec target/review/standin stale-freshness review/1
