Test: the stand-in of an upstream announces that it closes a connection

Cause: the upstream of transport.rs closes each connection after one response, but the first response of a_rate_limit_in_any_response_is_reported did not say so. The pool kept the connection, and the next request was sent on it if that came before the close was seen. It was lost, and the test saw one end more.

Traced: if the stand-in waits 20 ms before it closes, the test fails in each run, with the additional end as its second line. With the announcement and the same wait it passes.

Change: each response of the stand-in has Connection: close.

--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -151,7 +151,8 @@
     }
 }
 
-/// Starts an upstream that reads one request on each connection and sends the next of `responses`.
+/// Starts an upstream that reads one request on each connection, sends the next of `responses` and closes the
+/// connection, as the response says: otherwise the next request may be sent on it before the close is seen.
 async fn upstream(responses: &'static [&'static [u8]]) -> SocketAddr {
     let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = socket.local_addr().unwrap();
@@ -160,12 +161,21 @@
             let (mut stream, _) = socket.accept().await.unwrap();
             let mut head = [0; 4_096];
             let _ = stream.read(&mut head).await.unwrap();
-            stream.write_all(response).await.unwrap();
+            stream.write_all(&closing(response)).await.unwrap();
         }
     });
     address
 }
 
+/// A response that announces the end of its connection.
+fn closing(response: &[u8]) -> Vec<u8> {
+    const HEAD_END: &[u8] = b"\r\n\r\n";
+    let mut windows = response.windows(HEAD_END.len());
+    let head_len = windows.position(|window| window == HEAD_END).unwrap();
+    let (head, rest) = response.split_at(head_len);
+    [head, b"\r\nconnection: close", rest].concat()
+}
+
 /// Reads what a caller receives until its connection closes or nothing arrives for 300 ms.
 async fn received(mut caller: TcpStream) -> String {
     let mut bytes = Vec::new();
