Freshness reports for a predecessor don't count, and a new process replaces its predecessor's links

Cause: a reader of the store returns the clock value of a follower's last request. It kept that of the dead process for the new one, as links were told apart by VM only: the new process connects before the loss of the old link is noticed, so no PeerDown came. The new process took the value, which lay in its future, and its knowledge never aged.

Ruled out: the lease itself (without a report, keys are refused in time) and a catalog that peers pass on (500 keys are too many for that).

Change: a clock value counts only if this process has sent it and it is news; others are logged and counted. In the mesh, each process has a key of its own, which it keeps under another certificate authority. The first link of another process closes those of its predecessor and reports PeerDown before PeerUp, so that all that is kept for a peer is dropped; frames of the old process that are still buffered are too.

Tests, both failing before: a_report_that_answers_no_own_request_proves_ nothing (the call was sent, 5.2 s after the last own read), and a_process_that_starts_again_replaces_its_predecessor (no PeerDown in 10 s). daemons_that_rely_on_readers_ask_a_store_that_is_down_less_often had a reader report a clock that it never got; it now reports that of the follower's latest request, which is older, and asserts the same.

--- a/crates/core/src/dispatch/freshness.rs
+++ b/crates/core/src/dispatch/freshness.rs
@@ -4,7 +4,8 @@
 //!
 //! A follower sends its own clock to the readers. After its next contact with the store, a reader
 //! returns that clock value, and the follower's knowledge counts as current at that time. So delays
-//! of the messages never make knowledge look newer than it is.
+//! of the messages never make knowledge look newer than it is. A clock value counts only if this process
+//! has sent it: a reader may still return that of the process that ran on this VM before.
 
 use super::{
     dispatcher::{Dispatcher, Out},
@@ -15,7 +16,7 @@
     units::{Millis, Time},
     watch::{StorePosition, Topic},
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Number of daemons that read the store: the first ones by name. There are two because one may be
 /// frozen or cut off.
@@ -24,11 +25,28 @@
 /// Time after which a follower repeats a request that was not answered.
 const REQUEST_RETRY_MS: Millis = Millis::new(700);
 
-/// The followers of this daemon, and the schedule of its own requests.
+/// Most requests that are remembered: all that may be answered within the longest lease of keys.
+const REQUESTS_MAX_LEN: usize = 64;
+
+/// The followers of this daemon, and its own requests.
 #[derive(Debug, Default)]
 pub(super) struct FreshnessState {
     followers: BTreeMap<VmId, Follower>,
     next_request_at: Time,
+    /// When this process sent the requests whose reports would be news.
+    requested_at: BTreeSet<Time>,
+}
+
+impl FreshnessState {
+    /// Records a request, and forgets those that are not later than what is known.
+    fn on_request(&mut self, now: Time, fresh_at: Option<Time>) {
+        self.requested_at
+            .retain(|asked_at| Some(*asked_at) > fresh_at);
+        self.requested_at.insert(now);
+        while self.requested_at.len() > REQUESTS_MAX_LEN {
+            self.requested_at.pop_first();
+        }
+    }
 }
 
 /// A follower's latest request.
@@ -51,14 +69,21 @@
             return;
         }
         self.freshness.next_request_at = out.now + REQUEST_RETRY_MS;
-        for reader in self.peers.keys().take(STORE_READERS_LEN) {
-            out.act(DispatchAction::Notify {
-                to: Some(reader.clone()),
-                message: DispatchMessage::FreshnessRequest { asked_at: out.now },
-            });
+        let readers: Vec<_> = self.peers.keys().take(STORE_READERS_LEN).cloned().collect();
+        for reader in readers {
+            self.send_freshness_request(out, reader);
         }
     }
 
+    fn send_freshness_request(&mut self, out: &mut Out<'_>, reader: VmId) {
+        self.freshness
+            .on_request(out.now, self.operators.fresh_at());
+        out.act(DispatchAction::Notify {
+            to: Some(reader),
+            message: DispatchMessage::FreshnessRequest { asked_at: out.now },
+        });
+    }
+
     /// Whether this daemon relies on readers: enough peers come before it by name.
     pub(super) fn follows_readers(&self) -> bool {
         let last_reader = self.peers.keys().nth(STORE_READERS_LEN - 1);
@@ -110,9 +135,18 @@
         position: StorePosition,
     ) {
         let knowledge_ms = self.knowledge_ms(out.now);
+        let news_at = asked_at.filter(|asked_at| Some(*asked_at) > self.operators.fresh_at());
+        let confirmed_at = news_at.filter(|at| self.freshness.requested_at.contains(at));
+        if let (Some(asked_at), None) = (news_at, confirmed_at) {
+            out.log(DispatchRecord::FreshnessReportIgnored {
+                member: peer.clone(),
+                asked_at,
+                knowledge_ms,
+            });
+        }
         if self
             .operators
-            .on_peer_confirmation(out.now, asked_at, changed, position)
+            .on_peer_confirmation(out.now, confirmed_at, changed, position)
         {
             out.log(DispatchRecord::Dependency {
                 dependency: Topic::Operators.name(),
@@ -122,10 +156,7 @@
             });
         }
         if asked_at.is_some() && self.follows_readers() {
-            out.act(DispatchAction::Notify {
-                to: Some(peer),
-                message: DispatchMessage::FreshnessRequest { asked_at: out.now },
-            });
+            self.send_freshness_request(out, peer);
         }
     }
 }
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -6,7 +6,7 @@
     path::PathAttempts,
     sharing::ShareHolder,
     speed::SlowdownRatio,
-    units::{ByteCount, Millis, RequestsPerSecond, Tokens},
+    units::{ByteCount, Millis, RequestsPerSecond, Time, Tokens},
     watch::StorePosition,
 };
 use serde::Serialize;
@@ -492,6 +492,18 @@
         /// Whether the peer is connected.
         connected: bool,
     },
+    /// A freshness report answers a request that this process has not sent. It shows nothing of how current the
+    /// own knowledge is.
+    FreshnessReportIgnored {
+        /// The peer that sent it.
+        member: VmId,
+        /// The clock of the unknown request.
+        #[serde_as(as = "DisplayFromStr")]
+        asked_at: Time,
+        /// Time since the daemon's knowledge of operators' writes was current.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        knowledge_ms: Option<Millis>,
+    },
     /// A row of the store can't be parsed, or belongs to another topic.
     Unreadable {
         /// The row's key.
--- a/crates/core/tests/dispatch_follow.rs
+++ b/crates/core/tests/dispatch_follow.rs
@@ -70,6 +70,24 @@
     );
 }
 
+/// Advances time until the daemon asks the readers for reports, and returns the clock that it sends them.
+fn next_request(node: &mut Node) -> Time {
+    loop {
+        node.now = node.dispatcher.next_wakeup().max(node.now + ms(1));
+        let actions = act(node, DispatchEvent::Tick);
+        let asked_at = actions.iter().find_map(|action| match action {
+            DispatchAction::Notify {
+                message: DispatchMessage::FreshnessRequest { asked_at },
+                ..
+            } => Some(*asked_at),
+            _ => None,
+        });
+        if let Some(asked_at) = asked_at {
+            return asked_at;
+        }
+    }
+}
+
 fn is_served(node: &mut Node) -> bool {
     matches!(node.call("status", 0).1[..], [Seen::Send(_)])
 }
@@ -121,7 +139,7 @@
         "{relying_len} of {reader_len}"
     );
     // A reader's report of the store's return is enough to serve again.
-    let asked_at = relying.now;
+    let asked_at = next_request(&mut relying);
     report_freshness(&mut relying, Some(asked_at), 1, 10);
     assert!(is_served(&mut relying));
 }
@@ -177,6 +195,38 @@
     );
 }
 
+/// A process that was killed and started again got the clock of its predecessor from a reader, which lay in its
+/// future, and served a revoked key for as long as that one had run (review case 1, rule CONFIG).
+#[test]
+fn a_report_that_answers_no_own_request_proves_nothing() {
+    let reports = |mut node: Node, asked_at: fn(&Node) -> Time| {
+        let asked_at = asked_at(&node);
+        report_freshness(&mut node, Some(asked_at), 1, 10);
+        node.store_fails(Topic::Operators);
+        pass(&mut node, 5_200);
+        node.call("status", 0).1
+    };
+    let alone_before_reader = || {
+        let mut node = Node::named("vm-5");
+        node.step(DispatchEvent::PeerUp { vm: id("vm-0") });
+        node.learn(2, 2);
+        node
+    };
+    let clocks: [fn(&Node) -> Time; 2] = [|node| node.now + ms(18_000), |node| node.now + ms(1)];
+    for asked_at in clocks {
+        for node in [alone_before_reader(), follower()] {
+            let seen = reports(node, asked_at);
+            assert!(
+                matches!(
+                    seen[..],
+                    [Seen::Refuse(_, RefusalReason::KnowledgeTooOld, ..)]
+                ),
+                "{seen:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn change_reported_by_a_reader_is_read_without_delay() {
     let mut node = follower();
--- a/crates/io/src/peer/identity.rs
+++ b/crates/io/src/peer/identity.rs
@@ -1,6 +1,7 @@
 //! The TLS identity of a daemon and the TLS and transport settings for its peers.
 
 use super::{Keys, PeerError};
+use bytes::Bytes;
 use persimmon_core::ids::VmId;
 use quinn::{
     crypto::rustls::{QuicClientConfig, QuicServerConfig},
@@ -41,6 +42,9 @@
 /// than its writer.
 const MESH_STREAM_WINDOW_BYTES: VarInt = VarInt::from_u32(256 << 10);
 
+/// Name of a daemon's own certificate in errors.
+const VM_CERTIFICATE: &str = "VM certificate";
+
 /// ALPN protocol name in the TLS handshake. Its number changes with the encoding of messages: daemons
 /// of builds with different encodings don't connect.
 const ALPN_PROTOCOL: &[u8] = b"persimmonfront/5";
@@ -86,7 +90,7 @@
         keys: &Keys,
         transport: &Arc<TransportConfig>,
     ) -> Result<Self, PeerError> {
-        let certificate = certificate(&keys.own.certificate, "VM certificate")?;
+        let certificate = certificate(&keys.own.certificate, VM_CERTIFICATE)?;
         let named = vm_of(&certificate)?;
         if named != *vm {
             return Err(PeerError::VmMismatch {
@@ -117,15 +121,29 @@
     }
 }
 
+/// The public key in a peer's certificate. In a mesh, each process has a key of its own.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct ProcessKey(Bytes);
+
 /// Returns the VM that the peer's certificate names.
 pub(super) fn peer_of(connection: &Connection) -> Result<VmId, PeerError> {
+    vm_of(&certificate_of(connection)?)
+}
+
+/// Returns the key of the peer's process.
+pub(super) fn process_of(connection: &Connection) -> Result<ProcessKey, PeerError> {
+    let certificate = certificate_of(connection)?;
+    let (_, parsed) =
+        parse_x509_certificate(&certificate).map_err(|e| malformed(VM_CERTIFICATE, &e))?;
+    Ok(ProcessKey(Bytes::copy_from_slice(parsed.public_key().raw)))
+}
+
+fn certificate_of(connection: &Connection) -> Result<CertificateDer<'static>, PeerError> {
     let chain = connection
         .peer_identity()
         .and_then(|any| any.downcast::<Chain>().ok());
-    match chain.as_deref().map(Vec::as_slice) {
-        Some([first, ..]) => vm_of(first),
-        _ => Err(PeerError::Connection("the peer sent no certificate".into())),
-    }
+    let first = chain.and_then(|chain| chain.into_iter().next());
+    first.ok_or_else(|| PeerError::Connection("the peer sent no certificate".into()))
 }
 
 type Chain = Vec<CertificateDer<'static>>;
@@ -191,7 +209,7 @@
 }
 
 fn vm_of(certificate: &CertificateDer<'_>) -> Result<VmId, PeerError> {
-    let what = "VM certificate";
+    let what = VM_CERTIFICATE;
     let (_, parsed) = parse_x509_certificate(certificate).map_err(|e| malformed(what, &e))?;
     let name = parsed
         .subject()
--- a/crates/io/src/peer/keys.rs
+++ b/crates/io/src/peer/keys.rs
@@ -6,7 +6,7 @@
     BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
     KeyUsagePurpose,
 };
-use std::{fs, path::Path};
+use std::{fmt, fs, path::Path};
 
 /// The DNS name that every daemon's certificate carries; the VM is in the common name.
 pub(super) const SERVER_NAME: &str = "persimmond";
@@ -20,6 +20,28 @@
     pub key: String,
 }
 
+/// A private key as PEM.
+#[derive(Clone, Eq, PartialEq)]
+pub struct PrivateKeyPem(String);
+
+impl PrivateKeyPem {
+    /// Generates a key.
+    ///
+    /// # Errors
+    ///
+    /// The library can't generate it.
+    pub fn generate() -> Result<Self, PeerError> {
+        let key = KeyPair::generate().map_err(|e| malformed("VM key", &e))?;
+        Ok(Self(key.serialize_pem()))
+    }
+}
+
+impl fmt::Debug for PrivateKeyPem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("PrivateKeyPem(..)")
+    }
+}
+
 /// The keys of one daemon: its own certificate and key, and the CA certificate.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Keys {
@@ -58,6 +80,15 @@
     ///
     /// This is no CA, or the library can't generate or sign the certificate.
     pub fn new_vm(&self, vm: &VmId) -> Result<Keys, PeerError> {
+        self.sign_vm(vm, &PrivateKeyPem::generate()?)
+    }
+
+    /// Generates the certificate of one VM for a key that it has, signed by this CA.
+    ///
+    /// # Errors
+    ///
+    /// This is no CA, `key` is malformed, or the library can't sign the certificate.
+    pub fn sign_vm(&self, vm: &VmId, key: &PrivateKeyPem) -> Result<Keys, PeerError> {
         let ca_key = KeyPair::from_pem(&self.key).map_err(|e| malformed("CA key", &e))?;
         let issuer = Issuer::from_ca_cert_pem(&self.certificate, ca_key)
             .map_err(|e| malformed("CA certificate", &e))?;
@@ -70,7 +101,7 @@
             ExtendedKeyUsagePurpose::ServerAuth,
             ExtendedKeyUsagePurpose::ClientAuth,
         ];
-        let key = KeyPair::generate().map_err(|e| malformed("VM key", &e))?;
+        let key = KeyPair::from_pem(&key.0).map_err(|e| malformed("VM key", &e))?;
         let certificate = params
             .signed_by(&key, &issuer)
             .map_err(|e| malformed("VM certificate", &e))?;
--- a/crates/io/src/peer/mesh.rs
+++ b/crates/io/src/peer/mesh.rs
@@ -2,7 +2,7 @@
 
 use super::{
     connection,
-    identity::{self, Identity},
+    identity::{self, Identity, ProcessKey},
     keys::SERVER_NAME,
     relay_stream::{RelayRequest, RelaySink, RelayStream},
     PeerError,
@@ -16,7 +16,7 @@
     message::Member,
     path::PathEnd,
 };
-use quinn::{ClientConfig, Connection, Endpoint, RecvStream};
+use quinn::{ClientConfig, Connection, Endpoint, RecvStream, VarInt};
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     sync::Notify,
@@ -40,6 +40,9 @@
 /// Number of failed dials after which a peer is no longer dialled and has to connect by itself.
 const DIALS_MAX_COUNT: u32 = 60;
 
+/// Code with which links to a process are closed whose VM has started another one.
+const REPLACED_CODE: VarInt = VarInt::from_u32(2);
+
 /// Receives the events of a mesh.
 pub type MeshSink = Rc<dyn Fn(DispatchEvent)>;
 
@@ -67,9 +70,36 @@
 /// A connection to a peer and the queue of messages to send on it.
 struct Link {
     connection: Connection,
+    /// The process at its other end.
+    process: ProcessKey,
     outbox: Sender<Bytes>,
 }
 
+impl Link {
+    fn is_on(&self, connection: &Connection) -> bool {
+        self.connection.stable_id() == connection.stable_id()
+    }
+}
+
+impl Peer {
+    /// Adds a link. Removes those to other processes, which have ended: a VM runs one process at a time, and its
+    /// connections are noticed to be lost only after their idle timeout. Returns whether there were any.
+    fn add_link(&mut self, link: Link) -> bool {
+        let links_len = self.links.len();
+        self.links.retain(|known| {
+            let is_same = known.process == link.process;
+            if !is_same {
+                known.connection.close(REPLACED_CODE, b"replaced");
+            }
+            is_same
+        });
+        let is_restart = self.links.len() < links_len;
+        self.dials_count = 0;
+        self.links.push(link);
+        is_restart
+    }
+}
+
 impl std::fmt::Debug for Mesh {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Mesh")
@@ -254,18 +284,26 @@
 
     /// Sends and receives messages on a connection until it ends.
     async fn run_connection(self: &Rc<Self>, vm: VmId, connection: Connection) {
+        let process = match identity::process_of(&connection) {
+            Ok(process) => process,
+            Err(error) => return log::warn!(peer:% = vm; "peer connection rejected: {error}"),
+        };
         let (outbox, queue) = flume::unbounded();
         let link = Link {
             connection: connection.clone(),
+            process: process.clone(),
             outbox,
         };
-        let is_first = {
+        let (is_first, is_restart) = {
             let mut peers = self.peers.borrow_mut();
             let peer = peers.entry(vm.clone()).or_default();
-            peer.dials_count = 0;
-            peer.links.push(link);
-            peer.links.len() == 1
+            let is_restart = peer.add_link(link);
+            (peer.links.len() == 1, is_restart)
         };
+        if is_restart {
+            log::info!(peer:% = vm; "the peer's process has been replaced by another one");
+            (self.sink)(DispatchEvent::PeerDown { vm: vm.clone() });
+        }
         if is_first {
             (self.sink)(DispatchEvent::PeerUp { vm: vm.clone() });
         }
@@ -273,27 +311,49 @@
         let relays = Rc::clone(&self.relays);
         spawn_local(accept_relays(connection.clone(), vm.clone(), relays));
         while let Ok(stream) = connection.accept_uni().await {
-            spawn_local(read(stream, vm.clone(), Rc::clone(&self.sink)));
+            let mesh = Rc::clone(self);
+            spawn_local(mesh.read(stream, vm.clone(), process.clone()));
         }
         self.drop_link(&vm, &connection);
     }
 
+    /// Passes on the messages of a stream, until it ends or no link to the process is left: a message that is
+    /// still buffered then would bring back what the core has forgotten of the process.
+    async fn read(self: Rc<Self>, mut stream: RecvStream, vm: VmId, process: ProcessKey) {
+        while let Ok(encoded) = connection::read_frame(&mut stream).await {
+            if !self.is_linked(&vm, &process) {
+                return;
+            }
+            match postcard::from_bytes(&encoded) {
+                Ok(message) => (self.sink)(DispatchEvent::PeerMessage {
+                    vm: vm.clone(),
+                    message,
+                }),
+                Err(error) => log::warn!(peer:% = vm; "peer message can't be decoded: {error}"),
+            }
+        }
+    }
+
+    fn is_linked(&self, vm: &VmId, process: &ProcessKey) -> bool {
+        let peers = self.peers.borrow();
+        let peer = peers.get(vm);
+        peer.is_some_and(|peer| peer.links.iter().any(|link| link.process == *process))
+    }
+
     fn drop_link(&self, vm: &VmId, connection: &Connection) {
         let event = {
             let mut peers = self.peers.borrow_mut();
             let Some(peer) = peers.get_mut(vm) else {
                 return;
             };
-            let id = connection.stable_id();
-            let was_first = peer
-                .links
-                .first()
-                .is_some_and(|l| l.connection.stable_id() == id);
-            peer.links.retain(|link| link.connection.stable_id() != id);
+            let Some(index) = peer.links.iter().position(|link| link.is_on(connection)) else {
+                return;
+            };
+            peer.links.remove(index);
             if peer.links.is_empty() {
                 peer.disconnected_at = Some(Instant::now());
             }
-            match (was_first, peer.links.is_empty()) {
+            match (index == 0, peer.links.is_empty()) {
                 (_, true) => Some(DispatchEvent::PeerDown { vm: vm.clone() }),
                 (true, false) => Some(DispatchEvent::PeerUp { vm: vm.clone() }),
                 (false, false) => None,
@@ -333,15 +393,3 @@
         });
     }
 }
-
-async fn read(mut stream: RecvStream, vm: VmId, sink: MeshSink) {
-    while let Ok(encoded) = connection::read_frame(&mut stream).await {
-        match postcard::from_bytes(&encoded) {
-            Ok(message) => sink(DispatchEvent::PeerMessage {
-                vm: vm.clone(),
-                message,
-            }),
-            Err(error) => log::warn!(peer:% = vm; "peer message can't be decoded: {error}"),
-        }
-    }
-}
--- a/crates/io/src/peer/mod.rs
+++ b/crates/io/src/peer/mod.rs
@@ -11,7 +11,7 @@
 
 pub use errors::PeerError;
 pub use identity::Identity;
-pub use keys::{KeyPairPem, Keys};
+pub use keys::{KeyPairPem, Keys, PrivateKeyPem};
 pub use mesh::{Mesh, MeshSink};
 pub use quic_link::{EventSink, QuicLink};
 pub use relay_stream::{RelayRequest, RelaySink, RelayStream, RelayWriter};
--- a/crates/io/src/telemetry/metric.rs
+++ b/crates/io/src/telemetry/metric.rs
@@ -142,6 +142,12 @@
         Unit::Count,
         "Restores of the store from an older copy that this daemon noticed, by topic",
     );
+    /// Reports of how current the knowledge is that answer no request of this process.
+    pub const FRESHNESS_IGNORED: Self = counter(
+        "persimmon_freshness_reports_ignored_total",
+        Unit::Count,
+        "Freshness reports of peers that answer no request of this process",
+    );
     /// What upstreams said about themselves in answers.
     pub const UPSTREAM_NOTICES: Self = counter(
         "persimmon_upstream_notices_total",
@@ -263,7 +269,7 @@
 }
 
 /// All metrics of a daemon.
-pub const ALL_METRICS: [Metric; 35] = [
+pub const ALL_METRICS: [Metric; 36] = [
     Metric::REQUESTS,
     Metric::REFUSALS,
     Metric::FIRST_TOKEN,
@@ -279,6 +285,7 @@
     Metric::MEMBERS,
     Metric::STORE_CALLS,
     Metric::STORE_RESTORES,
+    Metric::FRESHNESS_IGNORED,
     Metric::UPSTREAM_NOTICES,
     Metric::UPSTREAM_CRASHES,
     Metric::FINGERPRINTS,
--- a/crates/io/tests/mesh.rs
+++ b/crates/io/tests/mesh.rs
@@ -87,6 +87,41 @@
     });
 }
 
+/// A process that was killed and started again connects before the link to its predecessor is noticed to be lost.
+/// What was known of the predecessor was kept for the new process (review case 1, rule CONFIG).
+#[test]
+fn a_process_that_starts_again_replaces_its_predecessor() {
+    run(async {
+        let ca = KeyPairPem::new_ca().unwrap();
+        let (one, killed) = (node(&ca, "vm-1"), node(&ca, "vm-2"));
+        one.mesh.update_members(vec![killed.member.clone()]);
+        assert!(matches!(one.event().await, DispatchEvent::PeerUp { .. }));
+        assert!(matches!(killed.event().await, DispatchEvent::PeerUp { .. }));
+        let started = node(&ca, "vm-2");
+        started.mesh.update_members(vec![one.member.clone()]);
+        assert!(matches!(
+            started.event().await,
+            DispatchEvent::PeerUp { .. }
+        ));
+        let vm_two = &started.member.vm;
+        assert!(matches!(one.event().await, DispatchEvent::PeerDown { vm } if vm == *vm_two));
+        assert!(matches!(one.event().await, DispatchEvent::PeerUp { vm } if vm == *vm_two));
+        let message = DispatchMessage::Ended(SendId::new(1));
+        killed.mesh.send(None, &message);
+        one.mesh.send(Some(vm_two), &message);
+        assert!(matches!(
+            started.event().await,
+            DispatchEvent::PeerMessage { .. }
+        ));
+        assert!(matches!(
+            killed.event().await,
+            DispatchEvent::PeerDown { .. }
+        ));
+        assert!(one.events.is_empty());
+        assert_eq!(one.mesh.connections_len(), 1);
+    });
+}
+
 #[test]
 fn a_catalog_that_is_passed_on_arrives_unchanged() {
     run(async {
--- a/crates/persimmond/src/gateway/control.rs
+++ b/crates/persimmond/src/gateway/control.rs
@@ -149,6 +149,7 @@
         | DispatchRecord::CatalogHeld { .. }
         | DispatchRecord::CatalogRefused { .. }
         | DispatchRecord::DomainHeld { .. }
+        | DispatchRecord::FreshnessReportIgnored { .. }
         | DispatchRecord::OrderFailed { .. }
         | DispatchRecord::StoreRestored { .. }
         | DispatchRecord::Unreadable { .. }
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -90,6 +90,9 @@
             DispatchRecord::StoreRestored { dependency, .. } => {
                 self.increment(Metric::STORE_RESTORES, &[("topic", dependency)]);
             }
+            DispatchRecord::FreshnessReportIgnored { .. } => {
+                self.increment(Metric::FRESHNESS_IGNORED, &[]);
+            }
             DispatchRecord::UpstreamLeaving { reported_by, .. } => {
                 self.count_notice("leaving", reported_by.is_some());
             }
--- a/crates/persimmond/src/gateway/peers.rs
+++ b/crates/persimmond/src/gateway/peers.rs
@@ -9,7 +9,7 @@
     watch::StoreError,
 };
 use persimmon_io::{
-    peer::{Identity, KeyPairPem, Mesh, MeshSink, PeerError, RelaySink},
+    peer::{Identity, KeyPairPem, Mesh, MeshSink, PeerError, PrivateKeyPem, RelaySink},
     settings::GatewaySettings,
     transport::{ByteStream, LocalFuture, MetadataStore, RelayDialer},
 };
@@ -124,6 +124,8 @@
     store: Rc<dyn MetadataStore>,
     mesh: Rc<Mesh>,
     member: Member,
+    /// The key of this process. Peers tell processes of a VM apart by it.
+    key: PrivateKeyPem,
     /// The certificate authority in use, as stored.
     ca: Vec<u8>,
     /// Whether the store has the entry and the authority, as far as is known.
@@ -140,7 +142,8 @@
         let KeyPairPem { certificate, key } = KeyPairPem::new_ca()?;
         let proposed = serde_json::to_vec(&StoredCa { certificate, key })?;
         let ca = store.shared_secret(CA_SECRET, &proposed).await?;
-        let identity = identity(&settings.vm, &ca)?;
+        let key = PrivateKeyPem::generate()?;
+        let identity = identity(&settings.vm, &key, &ca)?;
         let address = settings.listen.peers;
         let member = Member {
             vm: settings.vm.clone(),
@@ -160,6 +163,7 @@
             store: Rc::clone(store),
             mesh,
             member,
+            key,
             ca,
             is_registered: true,
         })
@@ -183,7 +187,7 @@
     async fn restore_ca(&mut self) -> Result<(), JoinError> {
         let stored = self.store.shared_secret(CA_SECRET, &self.ca).await?;
         if stored != self.ca {
-            let identity = identity(&self.member.vm, &stored)?;
+            let identity = identity(&self.member.vm, &self.key, &stored)?;
             self.mesh.set_identity(&identity);
             self.ca = stored;
             log::warn!("the store has another certificate authority; new connections use it");
@@ -193,8 +197,8 @@
 }
 
 /// This daemon's identity, signed by the stored certificate authority.
-fn identity(vm: &VmId, stored_ca: &[u8]) -> Result<Identity, JoinError> {
+fn identity(vm: &VmId, own_key: &PrivateKeyPem, stored_ca: &[u8]) -> Result<Identity, JoinError> {
     let StoredCa { certificate, key } = serde_json::from_slice(stored_ca)?;
-    let keys = KeyPairPem { certificate, key }.new_vm(vm)?;
+    let keys = KeyPairPem { certificate, key }.sign_vm(vm, own_key)?;
     Ok(Identity::for_mesh(vm, &keys)?)
 }
