Soak: the store checks a condition and writes under one lock

Cause: Store::write of the soak's store checked the expected versions under one lock and wrote under others. Two gateways that started in the same moment both stored a certificate authority under the condition that there was none, each used its own, and they were never connected (NotReady in lost_links).

Traced: with 5 ms between the check and the write, the test callers_are_served_while_links_hang ends with NotReady in 2 of 2 runs on the old code; with the same pause inside the lock, 2 of 2 runs pass.

Change: one lock over the check and all writes of a call. No check or time limit changes.

--- a/crates/soak/src/testbed/store.rs
+++ b/crates/soak/src/testbed/store.rs
@@ -168,6 +168,16 @@
 
     fn change(&self, table: &str, key: String, value: Option<Vec<u8>>) {
         let mut state = self.lock();
+        self.change_locked(&mut state, table, key, value);
+    }
+
+    fn change_locked(
+        &self,
+        state: &mut StoreState,
+        table: &str,
+        key: String,
+        value: Option<Vec<u8>>,
+    ) {
         let version = *self.version.borrow() + 1;
         let row = StoredRow {
             table: table.to_owned(),
@@ -291,32 +301,35 @@
             .collect()
     }
 
+    /// Writes all rows, if those in `expected` have the versions that they must have. No other write comes between
+    /// the check and the write.
     fn write(&self, expected: &[RowCondition], puts: Vec<RowPut>) -> Response<Full<Bytes>> {
-        let (as_expected, found) = {
-            let state = self.lock();
-            let current = |row: &RowCondition| {
+        let mut state = self.lock();
+        let found: Vec<_> = expected
+            .iter()
+            .map(|row| {
                 let key = (row.table.clone(), row.key.clone());
                 state.rows.get(&key).cloned()
-            };
-            let as_expected = expected.iter().all(|row| {
-                let version = current(row).map_or(0, |current| current.version);
-                version == row.version
-            });
-            let found: Vec<_> = expected.iter().filter_map(current).collect();
-            (as_expected, found)
-        };
-        if !as_expected {
-            let version = *self.version.borrow();
-            return http_response(
-                StatusCode::PRECONDITION_FAILED,
-                page_body(&found, version, self.uptime_ms()),
-            );
-        }
-        for put in puts {
-            self.change(&put.table, put.key, Some(put.value));
+            })
+            .collect();
+        let as_expected = expected.iter().zip(&found).all(|(row, current)| {
+            row.version == current.as_ref().map_or(0, |current| current.version)
+        });
+        if as_expected {
+            for put in puts {
+                self.change_locked(&mut state, &put.table, put.key, Some(put.value));
+            }
         }
         let version = *self.version.borrow();
-        http_response(StatusCode::OK, transaction_body(version, self.uptime_ms()))
+        drop(state);
+        if as_expected {
+            return http_response(StatusCode::OK, transaction_body(version, self.uptime_ms()));
+        }
+        let found: Vec<_> = found.into_iter().flatten().collect();
+        http_response(
+            StatusCode::PRECONDITION_FAILED,
+            page_body(&found, version, self.uptime_ms()),
+        )
     }
 
     fn uptime_ms(&self) -> Millis {
