Connections are kept only if responses on them have request ids

Cause: a refusal without a request id was matched with whatever request was on its connection. A faulty server that writes an earlier refusal once more, after the next request was sent, made that request count as not run: it went to another server, or its caller was told to repeat it.

Ruled out by reading: what the HTTP library hands back (only requests that it has not begun to send), refusals that are cut (lost), relays (lost once written) and moves (only of calls that may be repeated).

Change: a connection goes back to the pool for callers' requests only if its response had the id of its request, which a copy then has too. Orders, whose responses have no ids, have connections of their own. The soak has upstreams that repeat refusals, drawn apart from other faults.

--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -3,7 +3,7 @@
 use super::{
     held_response::{self, HeldResponse},
     memory::Memory,
-    pool::{ConnectionLimits, PooledConnection},
+    pool::{ConnectionLimits, PooledConnection, Traffic},
     reply::{CallerLeft, Reply},
     signals::Signals,
     silence::{wait_reporting_stalls, Patience},
@@ -116,7 +116,7 @@
     if !head.status.is_success() {
         let limit = time_left(out, first_byte_timeout);
         let body = read_body(out, reply, body, FAILURE_MAX_BYTES, limit, signals).await?;
-        out.pool.release(connection, &head);
+        release(out, connection, &head, &parsed);
         let end = SendOutcome::Failed {
             status: head.status.as_u16(),
             not_run: parsed.not_run,
@@ -135,10 +135,23 @@
         (signals.on_first)();
         reply.full(end_to_end(&head), body)?;
     }
-    out.pool.release(connection, &head);
+    release(out, connection, &head, &parsed);
     Ok(())
 }
 
+/// Keeps a connection for the next request, if its response had the id of the request: a copy of the response
+/// that comes later is then told apart from the next response.
+fn release(
+    out: &Outgoing<'_>,
+    connection: PooledConnection,
+    head: &response::Parts,
+    parsed: &ResponseHead,
+) {
+    if parsed.request_id.is_some() {
+        out.pool.release(connection, head);
+    }
+}
+
 /// Sends the request and waits for the head of its response.
 async fn send_request(
     out: &Outgoing<'_>,
@@ -147,6 +160,7 @@
     signals: Signals<'_>,
 ) -> Result<(Response<Incoming>, PooledConnection), Outcome> {
     let limits = ConnectionLimits {
+        traffic: Traffic::Requests,
         idle_max_ms: if out.plan.repeatable {
             Millis::new(u64::MAX)
         } else {
--- a/crates/io/src/transport/pool.rs
+++ b/crates/io/src/transport/pool.rs
@@ -74,6 +74,7 @@
 
 struct IdleConnection {
     connection: Connection,
+    carries: Traffic,
     since: Instant,
     idle_timeout: Duration,
 }
@@ -101,9 +102,21 @@
     }
 }
 
+/// What a connection carries. The two kinds share no connections, because a faulty server may write a response
+/// once more: the copy of one without a request id would be taken for the response to the next request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Traffic {
+    /// Callers' requests, each of whose responses had the id of its request.
+    Requests,
+    /// Calls of this daemon itself, whose responses have no ids.
+    Calls,
+}
+
 /// Which connections a request may use.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimits {
+    /// What the connections carry.
+    pub traffic: Traffic,
     /// Longest idle time of a pooled connection that is reused.
     pub idle_max_ms: Millis,
     /// Most open connections to the address.
@@ -113,6 +126,7 @@
 impl Default for ConnectionLimits {
     fn default() -> Self {
         Self {
+            traffic: Traffic::Calls,
             idle_max_ms: IDLE_MAX_MS,
             connections_max_len: u32::MAX,
         }
@@ -122,6 +136,7 @@
 /// A connection in use by one request.
 pub struct PooledConnection {
     connection: Connection,
+    carries: Traffic,
     address: SocketAddr,
 }
 
@@ -162,6 +177,7 @@
                 Ok(response) => {
                     let connection = PooledConnection {
                         connection,
+                        carries: limits.traffic,
                         address,
                     };
                     return Ok((response, connection));
@@ -234,6 +250,7 @@
         });
         let PooledConnection {
             connection,
+            carries,
             address,
         } = connection;
         if let UpstreamPath::Relay(peer) = &connection.path {
@@ -244,6 +261,7 @@
         let mut hosts = self.hosts.borrow_mut();
         hosts.entry(address).or_default().idle.push(IdleConnection {
             connection,
+            carries,
             since: Instant::now(),
             idle_timeout,
         });
@@ -361,7 +379,8 @@
             !idle.connection.sender.is_closed() && idle.since.elapsed() < idle.idle_timeout
         });
         let is_usable = |idle: &IdleConnection| {
-            idle.since.elapsed() < limits.idle_max_ms.duration()
+            idle.carries == limits.traffic
+                && idle.since.elapsed() < limits.idle_max_ms.duration()
                 && idle.connection.sender.is_ready()
         };
         let is_direct_lost = plan.paths.first() != Some(&UpstreamPath::Direct);
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -35,6 +35,7 @@
 struct Fixture {
     hub: Arc<Hub>,
     events: Receiver<DispatchEvent>,
+    pool: Rc<Pool>,
     address: SocketAddr,
     last_send: SendId,
     drain: watch::Sender<DrainState>,
@@ -49,9 +50,10 @@
         let (sender, events) = flume::unbounded();
         let hub = Arc::new(Hub::new(sender));
         let (drain, drain_changes) = watch::channel(DrainState::Open);
+        let pool = Rc::new(Pool::default());
         let listener = CallerListener::new(
             Arc::clone(&hub),
-            Rc::new(Pool::default()),
+            Rc::clone(&pool),
             Rc::new(TestDialect),
             CallerListener::default_limits(),
             100,
@@ -63,6 +65,7 @@
         Self {
             hub,
             events,
+            pool,
             address,
             last_send: SendId::default(),
             drain,
@@ -491,6 +494,77 @@
     });
 }
 
+/// Starts an upstream that answers the first request on each connection with `refusal`, and the second one with
+/// another copy of it, once it has begun to run that request. The receiver gets the requests that ran.
+async fn repeating_upstream(refusal: &'static [u8]) -> (SocketAddr, Receiver<String>) {
+    let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = socket.local_addr().unwrap();
+    let (run, runs) = flume::unbounded();
+    spawn_local(async move {
+        loop {
+            let (mut stream, _) = socket.accept().await.unwrap();
+            let run = run.clone();
+            spawn_local(async move {
+                let mut head = [0; 4_096];
+                let _ = stream.read(&mut head).await;
+                stream.write_all(refusal).await.unwrap();
+                let len = stream.read(&mut head).await.unwrap_or(0);
+                if len > 0 {
+                    let request = String::from_utf8_lossy(&head[..len]).into_owned();
+                    run.send(request).unwrap();
+                    // The gateway may have closed the connection.
+                    let _ = stream.write_all(refusal).await;
+                }
+            });
+        }
+    });
+    (address, runs)
+}
+
+/// An upstream wrote an earlier refusal once more on a kept connection: a request that it was running counted as
+/// not run, and was sent to another upstream (rules TWICE and REFUSED).
+#[test]
+fn a_copy_of_a_refusal_does_not_refuse_the_next_request() {
+    let refusals: [&[u8]; 3] = [
+        b"HTTP/1.1 503 No\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 503 No\r\nx-id: 7\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 421 Other\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+    ];
+    for refusal in refusals {
+        run(async {
+            let (mut fixture, _caller, call) = Fixture::with_call().await;
+            let (upstream, runs) = repeating_upstream(refusal).await;
+            fixture.send(call, upstream, false);
+            let not_run = |end: &SendOutcome| !end.may_have_run();
+            assert!(not_run(&fixture.end().await));
+            let request = b"POST /x HTTP/1.1\r\nhost: a\r\nx-id: 8\r\ncontent-length: 2\r\n\r\nhi";
+            let _next_caller = fixture.caller_with(request).await;
+            let next_call = fixture.arrived().await;
+            fixture.send(next_call, upstream, false);
+            let end = fixture.end().await;
+            let has_run = runs.try_recv().is_ok();
+            assert!(!(has_run && not_run(&end)), "{end:?}");
+        });
+    }
+}
+
+/// The answer to an order has no request id, so that a copy of it could be taken for that to a caller's request.
+#[test]
+fn callers_requests_do_not_use_the_connections_of_orders() {
+    run(async {
+        let (mut fixture, _caller, call) = Fixture::with_call().await;
+        let (upstream, runs) =
+            repeating_upstream(b"HTTP/1.1 409 Full\r\ncontent-length: 0\r\n\r\n").await;
+        let order = Request::new(Full::new(Bytes::new()));
+        let target = Target::direct(upstream);
+        let answer = fixture.pool.call(&target, order, STEP_TIMEOUT).await;
+        assert_eq!(answer.unwrap().status(), 409);
+        fixture.send(call, upstream, false);
+        assert!(matches!(fixture.end().await, SendOutcome::Failed { .. }));
+        assert!(runs.try_recv().is_err());
+    });
+}
+
 #[test]
 fn discarded_connections_are_not_used_again() {
     run(async {
--- a/crates/soak/src/fault/inject.rs
+++ b/crates/soak/src/fault/inject.rs
@@ -101,6 +101,7 @@
             Fault::UpstreamTruncates(index) => {
                 self.grey_failure(index, GreyFailure::Truncates, span).await
             }
+            Fault::UpstreamRepeatsRefusals(index) => self.repeat_refusals(index, span).await,
             Fault::UpstreamCold(index) => self.upstream(index).set_cold(COLD_TIME),
             Fault::DomainDrain(index) => self.drain_domain(index, span).await,
             Fault::KeyRotation => self.change_catalog(CatalogWriter::rotate_key),
@@ -277,6 +278,13 @@
         self.record_fault(&component, false);
     }
 
+    async fn repeat_refusals(&self, index: usize, span: Duration) {
+        let upstream = self.upstream(index);
+        upstream.proxy.set_link(Link::RefusalsRepeated);
+        self.grey_failure(index, GreyFailure::Rejects, span).await;
+        upstream.proxy.set_link(Link::Open);
+    }
+
     async fn drain_domain(&self, index: usize, span: Duration) {
         let domain = match domain(index) {
             Ok(domain) => domain,
--- a/crates/soak/src/fault/schedule.rs
+++ b/crates/soak/src/fault/schedule.rs
@@ -90,6 +90,8 @@
     UpstreamSheds(usize),
     /// An upstream truncates some answers.
     UpstreamTruncates(usize),
+    /// An upstream rejects some requests, and writes each refusal once more when the next request comes.
+    UpstreamRepeatsRefusals(usize),
     /// An upstream becomes cold.
     UpstreamCold(usize),
     /// A failure domain is taken out of service.
@@ -121,6 +123,9 @@
 /// The same for upstreams that state a rate.
 const RATE_SEED_MASK: u64 = 0x5eed_4a7e;
 
+/// The same for upstreams that repeat refusals.
+const REPEAT_SEED_MASK: u64 = 0x5eed_2e9e;
+
 /// The same for daemons that lose their links to upstreams.
 const LINKS_SEED_MASK: u64 = 0x5eed_11c5;
 
@@ -157,6 +162,9 @@
     scheduled_faults.extend(schedule_apart(seed ^ RATE_SEED_MASK, span, |index| {
         vec![Fault::UpstreamStatesRate(index)]
     }));
+    scheduled_faults.extend(schedule_apart(seed ^ REPEAT_SEED_MASK, span, |index| {
+        vec![Fault::UpstreamRepeatsRefusals(index)]
+    }));
     scheduled_faults.extend(schedule_links(seed ^ LINKS_SEED_MASK, span));
     scheduled_faults.sort_by_key(|scheduled| scheduled.at_ms);
     scheduled_faults
--- a/crates/soak/src/testbed/proxy.rs
+++ b/crates/soak/src/testbed/proxy.rs
@@ -20,6 +20,9 @@
 /// Size of the buffer for forwarded bytes.
 const CHUNK_BYTES: usize = 16 << 10;
 
+/// Beginnings of responses that refuse a request.
+const REFUSALS: [&[u8]; 2] = [b"HTTP/1.1 503", b"HTTP/1.1 421"];
+
 /// Time after which a connection that is not accepted shows that a listener's queue is full.
 const QUEUE_FULL_TIMEOUT: Duration = Duration::from_millis(20);
 
@@ -43,6 +46,8 @@
     NewRefused,
     /// Open connections get no more bytes, and are reset at the end; new ones hang.
     Hanging,
+    /// The target writes each refusal once more, when the next request is on its way.
+    RefusalsRepeated,
 }
 
 impl Link {
@@ -158,12 +163,22 @@
     }
     let (from_caller, to_caller) = caller.into_split();
     let (from_target, to_target) = target_stream.into_split();
-    let requests = forward(from_caller, to_target, link.clone(), |link| {
-        matches!(link, Link::Stalled | Link::Hanging)
-    });
-    let responses = forward(from_target, to_caller, link.clone(), |link| {
-        matches!(link, Link::Stalled | Link::ResponsesStalled | Link::Hanging)
-    });
+    let (requests_len, next_request) = watch::channel(0);
+    let requests = Direction {
+        from: from_caller,
+        to: to_target,
+        link: link.clone(),
+        stalls: |link| matches!(link, Link::Stalled | Link::Hanging),
+        kind: Kind::Requests(requests_len),
+    };
+    let responses = Direction {
+        from: from_target,
+        to: to_caller,
+        link: link.clone(),
+        stalls: |link| matches!(link, Link::Stalled | Link::ResponsesStalled | Link::Hanging),
+        kind: Kind::Responses(next_request),
+    };
+    let (requests, responses) = (requests.forward(), responses.forward());
     tokio::select! {
         () = wait_broken(&mut link) => Ok(()),
         ended = async { tokio::try_join!(requests, responses) } => ended.map(drop),
@@ -180,26 +195,50 @@
     }
 }
 
-/// Forwards bytes until the end of the stream, then shuts the other side down. Blocks while `stalls`
-/// holds for the link.
-async fn forward(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    mut link: watch::Receiver<Link>,
+/// Which way bytes go, and the number of chunks of requests.
+enum Kind {
+    Requests(watch::Sender<u64>),
+    Responses(watch::Receiver<u64>),
+}
+
+/// One direction of a connection.
+struct Direction {
+    from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+    link: watch::Receiver<Link>,
+    /// The states of the link in which bytes are withheld.
     stalls: fn(Link) -> bool,
-) -> io::Result<()> {
-    let mut chunk = vec![0; CHUNK_BYTES];
-    loop {
-        let len = from.read(&mut chunk).await?;
-        let resumed = link.wait_for(|link| !stalls(*link)).await;
-        let state = resumed.map_or(Link::Open, |link| *link);
-        if let Link::Slow(delay) = state {
-            sleep(delay).await;
-        }
-        if len == 0 {
-            return to.shutdown().await;
+    kind: Kind,
+}
+
+impl Direction {
+    /// Forwards bytes until the end of the stream, then shuts the other side down.
+    async fn forward(mut self) -> io::Result<()> {
+        let mut chunk = vec![0; CHUNK_BYTES];
+        loop {
+            let len = self.from.read(&mut chunk).await?;
+            let stalls = self.stalls;
+            let resumed = self.link.wait_for(|link| !stalls(*link)).await;
+            let state = resumed.map_or(Link::Open, |link| *link);
+            if let Link::Slow(delay) = state {
+                sleep(delay).await;
+            }
+            if len == 0 {
+                return self.to.shutdown().await;
+            }
+            self.to.write_all(&chunk[..len]).await?;
+            match &mut self.kind {
+                Kind::Requests(chunks_len) => chunks_len.send_modify(|len| *len += 1),
+                Kind::Responses(next) if state == Link::RefusalsRepeated => {
+                    let is_refusal = REFUSALS.iter().any(|begin| chunk[..len].starts_with(begin));
+                    next.mark_unchanged();
+                    if is_refusal && next.changed().await.is_ok() {
+                        self.to.write_all(&chunk[..len]).await?;
+                    }
+                }
+                Kind::Responses(_) => {}
+            }
         }
-        to.write_all(&chunk[..len]).await?;
     }
 }
 
