Streams: the events before a broken one are forwarded

Cause: the splitter records the id of each event, and returned an error in place of all events of a chunk if one of them could not be forwarded. The next upstream was asked to go on after events that the caller had not got.

Change: the events before the error come with it and are forwarded, then the response counts as lost.

Test: events_that_come_with_a_broken_one_are_forwarded; before, the caller got events 1, 3 and 4, after, 1 to 4.

--- a/crates/io/src/transport/event_stream.rs
+++ b/crates/io/src/transport/event_stream.rs
@@ -66,14 +66,15 @@
     }
 
     /// Adds received bytes and returns the events that are now complete and were not forwarded
-    /// before.
-    ///
-    /// # Errors
-    ///
-    /// An event is too long, or a resumed stream leaves events out.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
+    /// before. The events before an error come with it: where the stream is resumed, they count as forwarded.
+    pub fn push(&mut self, bytes: &[u8]) -> (Bytes, Result<(), EventError>) {
         self.partial.extend_from_slice(bytes);
         let mut complete = BytesMut::new();
+        let checked = self.split_events(&mut complete);
+        (complete.freeze(), checked)
+    }
+
+    fn split_events(&mut self, complete: &mut BytesMut) -> Result<(), EventError> {
         while let Some(len) = event_len(&self.partial) {
             let event = self.partial.split_to(len);
             if self.is_new(&event)? {
@@ -83,7 +84,7 @@
         if self.partial.len() > EVENT_MAX_BYTES {
             return Err(EventError::TooLong);
         }
-        Ok(complete.freeze())
+        Ok(())
     }
 
     /// Bytes of the incomplete event.
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -223,20 +223,18 @@
             continue;
         };
         held.receive(reply, &data).await?;
-        let complete = events
-            .push(&data)
-            .map_err(|error| lost(error.to_string()))?;
+        let (complete, checked) = events.push(&data);
         let complete = held.send(complete, events.partial_len());
-        if complete.is_empty() {
-            continue;
-        }
-        events.on_events(Instant::now());
-        if first {
-            first = false;
-            (signals.on_first)();
-            patience = Patience::between_events(out.plan);
+        if !complete.is_empty() {
+            events.on_events(Instant::now());
+            if first {
+                first = false;
+                (signals.on_first)();
+                patience = Patience::between_events(out.plan);
+            }
+            forward(out, reply, head, complete).await?;
         }
-        forward(out, reply, head, complete).await?;
+        checked.map_err(|error| lost(error.to_string()))?;
     }
     let partial = events.take_partial();
     if !partial.is_empty() {
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -713,6 +713,33 @@
     });
 }
 
+/// The events before a gap counted as forwarded, but were dropped if they came with the event after it: they were
+/// missing from the stream that the next upstream went on with (rule ORDER).
+#[test]
+fn events_that_come_with_a_broken_one_are_forwarded() {
+    run(async {
+        let (mut fixture, caller, call) = Fixture::with_call().await;
+        let responses: &[&[u8]] = &[
+            b"HTTP/1.1 200 OK\r\nx-signed: 1\r\ncontent-length: 99\r\n\r\nid: 1\ndata: a\n\n",
+            b"HTTP/1.1 200 OK\r\nx-signed: 1\r\ncontent-length: 30\r\n\r\nid: 2\ndata: b\n\nid: 4\ndata: d\n\n",
+            b"HTTP/1.1 200 OK\r\nx-signed: 1\r\ncontent-length: 30\r\n\r\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n",
+        ];
+        let upstream = upstream(responses).await;
+        for _ in 1..responses.len() {
+            fixture.send(call, upstream, true);
+            assert!(matches!(fixture.end().await, SendOutcome::Lost { .. }));
+        }
+        fixture.send(call, upstream, true);
+        assert_eq!(fixture.end().await, SendOutcome::Delivered);
+        let received = received(caller).await;
+        let events = received.lines().filter(|line| line.starts_with("id: "));
+        assert_eq!(
+            events.collect::<Vec<_>>(),
+            ["id: 1", "id: 2", "id: 3", "id: 4"]
+        );
+    });
+}
+
 #[test]
 fn a_stream_that_can_not_be_resumed_is_truncated() {
     run(async {
