Streams go on only with responses of their kind and events with ids

Cause: of a response that continues a stream only the signature and the request id were checked. One of status 200 with plain text, or of status 204, was taken for the rest of the stream, and an event without an id was forwarded wherever it stood, also where an upstream wrote the head of a response into a stream without framing.

Change: the response must have the status and the content type of the one that began the stream. After an event with an id, an event without one ends its response as lost, other than comments. A stream without event ids can't be resumed.

Test: an_error_in_place_of_the_rest_of_a_stream_is_not_forwarded, seven answers over real sockets; before, it ended at the first one, which was delivered as the complete rest of the stream.

--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -209,6 +209,9 @@
     head: &response::Parts,
     mut body: Incoming,
 ) -> Result<(), Outcome> {
+    events
+        .check_head(head)
+        .map_err(|error| lost(error.to_string()))?;
     let has_framing = head.headers.contains_key(header::CONTENT_LENGTH)
         || head.headers.contains_key(header::TRANSFER_ENCODING);
     let mut patience = Patience::first_byte(out.plan).less(out.sent_at.elapsed());
@@ -232,6 +235,7 @@
                 (signals.on_first)();
                 patience = Patience::between_events(out.plan);
             }
+            events.begin(head);
             forward(out, reply, head, complete).await?;
         }
         checked.map_err(|error| lost(error.to_string()))?;
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -788,6 +788,62 @@
     });
 }
 
+/// A stream broke off, and the upstream that was to go on with it answered with an error of status 200, or wrote
+/// an error in place of an event: callers found its text in their stream, or the stream ended as complete (rules
+/// ORDER and MIXED).
+#[test]
+fn an_error_in_place_of_the_rest_of_a_stream_is_not_forwarded() {
+    let begun = "HTTP/1.1 200 OK\r\nx-signed: 1\r\ncontent-type: text/event-stream\r\n";
+    let broken_off = format!("{begun}content-length: 99\r\n\r\nid: 1\ndata: a\n\n");
+    let framed =
+        |head: &str, body: &str| format!("{head}content-length: {}\r\n\r\n{body}", body.len());
+    let signed = "HTTP/1.1 200 OK\r\nx-signed: 2\r\n";
+    let plain = format!("{signed}content-type: text/plain\r\n");
+    let no_content = "HTTP/1.1 204 No\r\nx-signed: 2\r\ncontent-type: text/event-stream\r\n\r\n";
+    let head_as_data =
+        format!("{begun}\r\nid: 1\ndata: a\n\nHTTP/1.1 500 Oops\r\nx-signed: 1\r\n\r\noops\n\n");
+    let cases = [
+        (
+            "text",
+            broken_off.clone(),
+            framed(&plain, "try again\n\nlater\n\n"),
+        ),
+        ("empty text", broken_off.clone(), framed(&plain, "")),
+        ("no content", broken_off.clone(), no_content.to_owned()),
+        (
+            "event without id",
+            broken_off.clone(),
+            framed(begun, "event: error\ndata: try again\n\n"),
+        ),
+        ("text as events", broken_off, framed(begun, "try again\n\n")),
+        ("head as data", head_as_data, framed(begun, "oops\n\n")),
+        (
+            "no ids",
+            format!("{begun}content-length: 99\r\n\r\ndata: a\n\n"),
+            framed(begun, "data: a\n\ndata: b\n\n"),
+        ),
+    ];
+    for (name, first, second) in cases {
+        run(async {
+            let (mut fixture, caller, call) = Fixture::with_call().await;
+            for response in [first, second] {
+                let response: &'static [u8] = response.into_bytes().leak();
+                let responses: &'static [&'static [u8]] = vec![response].leak();
+                let upstream = upstream(responses).await;
+                fixture.send(call, upstream, true);
+                let end = fixture.end().await;
+                assert!(matches!(end, SendOutcome::Lost { .. }), "{name}: {end:?}");
+            }
+            fixture.hub.send_command(call, CallCommand::Abort);
+            let text = received(caller).await;
+            assert_eq!(text.matches("data: a").count(), 1, "{name}: {text}");
+            for foreign in ["again", "oops", "Oops", "\n0\n"] {
+                assert!(!text.contains(foreign), "{name}: {text}");
+            }
+        });
+    }
+}
+
 /// Without `Connection: close`, callers keep using connections to a daemon that is shutting down
 /// and their next requests are refused there.
 #[test]
