Entries of upstreams with impossible numbers name no upstream

Cause: what can be decoded was believed. With 4,294,967,295 slots, a list of 32 GiB is made once the upstream asks for a backoff or states a rate (by reading). With a start or a count of writes near 2^64, the upstream's own later entries counted as older. Deep nesting, numbers and ports that are out of range were refused already, row by row.

Change: the core checks the numbers of each registration, whether it was read as a change, in the whole list, or reported by a peer. One that fails is logged and names no upstream.

--- a/crates/core/src/dispatch/store_updates.rs
+++ b/crates/core/src/dispatch/store_updates.rs
@@ -7,7 +7,7 @@
 };
 use crate::{
     catalog::{Catalog, RawCatalog},
-    fleet::{SnapshotKind, UpstreamRecord},
+    fleet::{RecordError, SnapshotKind, UpstreamRecord},
     ids::{FailureDomain, UpstreamId, VmId},
     units::{Millis, Time},
     watch::{Batch, Change, ReconnectStatus, StoreError, StorePosition, Topic},
@@ -247,7 +247,10 @@
         let mut records = Vec::new();
         for change in batch.changes {
             match change {
-                Change::Upstream(record) => records.push(*record),
+                Change::Upstream(record) => match record.check() {
+                    Ok(()) => records.push(*record),
+                    Err(error) => log_impossible(out, &record.id, error),
+                },
                 change => log_unreadable(out, change),
             }
         }
@@ -265,9 +268,16 @@
         }
     }
 
-    /// Adds or updates an upstream.
+    /// Adds or updates an upstream, or removes it if its entry can't be that of an upstream.
     fn on_record(&mut self, out: &mut Out<'_>, record: UpstreamRecord, source: &UpstreamSource) {
         let upstream = record.id.clone();
+        if let Err(error) = record.check() {
+            log_impossible(out, &upstream, error);
+            if self.fleet.on_removed(&upstream) {
+                self.forget_upstream(out, &upstream, "gone", source);
+            }
+            return;
+        }
         let state = if record.draining { "draining" } else { "ready" };
         let known = self.fleet.get(&upstream).map(|known| &known.record);
         // A delayed write of an earlier start says nothing of the running process.
@@ -362,6 +372,13 @@
     }
 }
 
+fn log_impossible(out: &mut Out<'_>, upstream: &UpstreamId, error: RecordError) {
+    out.log(DispatchRecord::Unreadable {
+        key: upstream.to_string(),
+        reason: error.to_string(),
+    });
+}
+
 fn log_unreadable(out: &mut Out<'_>, change: Change) {
     let record = match change {
         Change::Unreadable { key, reason } => DispatchRecord::Unreadable { key, reason },
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -3,5 +3,5 @@
 mod record;
 mod registry;
 
-pub use record::{Upstream, UpstreamIncarnation, UpstreamRecord};
+pub use record::{RecordError, Upstream, UpstreamIncarnation, UpstreamRecord};
 pub use registry::{Fleet, SnapshotKind};
--- a/crates/core/tests/dispatch_follow.rs
+++ b/crates/core/tests/dispatch_follow.rs
@@ -15,6 +15,7 @@
         DispatchAction, DispatchEvent, DispatchMessage, InFlightReport, OperatorChange,
         RefusalReason, SendOutcome, UpstreamChange,
     },
+    fleet::UpstreamRecord,
     ids::{SendId, VmId},
     units::{Millis, Time, Tokens},
     watch::{Change, StoreError, Topic},
@@ -311,6 +312,52 @@
     assert!(known.is_some());
 }
 
+/// An entry of another writer with numbers that are too large: an upstream of 4 billion slots that asked for a
+/// backoff made daemons allocate 32 GiB, and one from the far future hid the upstream's own later entries (rule
+/// LOST). Read from the store, listed by it or reported by a peer, it names no upstream.
+#[test]
+fn an_entry_with_impossible_numbers_names_no_upstream() {
+    let odd: [fn(&mut UpstreamRecord); 4] = [
+        |record| record.slots_len = u32::MAX,
+        |record| record.started_unix_ms = u64::MAX,
+        |record| record.writes_count = u64::MAX,
+        |record| record.address.set_port(0),
+    ];
+    let learn: [fn(&mut Node, UpstreamRecord); 3] = [
+        |node, record| drop(node.upstreams(false, vec![Change::Upstream(Box::new(record))])),
+        |node, record| {
+            let mut all = upstream_list(2, 2);
+            all.push(Change::Upstream(Box::new(record)));
+            node.upstreams(true, all);
+        },
+        |node, record| {
+            let changes = vec![UpstreamChange::Registered(record)];
+            let (after, position) = (position(1), position(3));
+            let message = DispatchMessage::UpstreamChanges {
+                after,
+                position,
+                changes,
+            };
+            receive(node, message);
+        },
+    ];
+    for change in odd {
+        for learn in learn {
+            let mut node = follower();
+            let own = dispatch::upstream(dispatch::PLAIN, 103);
+            let mut record = own.clone();
+            change(&mut record);
+            learn(&mut node, record);
+            let fleet = node.dispatcher.fleet();
+            assert!(fleet.get(&own.id).is_none());
+            assert!(fleet.get(&id("orders-101")).is_some());
+            let upstream = own.id.clone();
+            node.upstreams(false, vec![Change::Upstream(Box::new(own))]);
+            assert!(node.dispatcher.fleet().get(&upstream).is_some());
+        }
+    }
+}
+
 #[test]
 fn the_first_reader_passes_changes_on_but_no_large_catalog() {
     let changes = |vm: &str, peer: &str, raw: RawCatalog| {
