--- a/crates/core/src/dispatch/freshness.rs
+++ b/crates/core/src/dispatch/freshness.rs
@@ -25,7 +25,8 @@
 /// Time after which a follower repeats a request that was not answered.
 const REQUEST_RETRY_MS: Millis = Millis::new(700);
 
-/// Most requests that are remembered: all that may be answered within the longest lease of keys.
+/// Most requests that are remembered. Readers answer the latest one that they got; older ones matter only where
+/// messages are late.
 const REQUESTS_MAX_LEN: usize = 64;
 
 /// The followers of this daemon, and its own requests.
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -1,9 +1,11 @@
 //! One transmission of a call to an upstream, and the forwarding of its response to the caller.
 
 use super::{
+    connection_limits::{ConnectionLimits, Traffic},
+    event_stream::EventError,
     held_response::{self, HeldResponse},
     memory::Memory,
-    pool::{ConnectionLimits, PooledConnection, Traffic},
+    pool::PooledConnection,
     reply::{CallerLeft, Reply},
     signals::Signals,
     silence::{wait_reporting_stalls, Patience},
@@ -68,6 +70,12 @@
     }
 }
 
+impl From<EventError> for Outcome {
+    fn from(error: EventError) -> Self {
+        lost(error.to_string()).into()
+    }
+}
+
 impl From<PoolError> for Outcome {
     fn from(error: PoolError) -> Self {
         Self::Ended(match error {
@@ -209,9 +217,7 @@
     head: &response::Parts,
     mut body: Incoming,
 ) -> Result<(), Outcome> {
-    events
-        .check_head(head)
-        .map_err(|error| lost(error.to_string()))?;
+    events.check_head(head)?;
     let has_framing = head.headers.contains_key(header::CONTENT_LENGTH)
         || head.headers.contains_key(header::TRANSFER_ENCODING);
     let mut patience = Patience::first_byte(out.plan).less(out.sent_at.elapsed());
@@ -238,7 +244,7 @@
             events.begin(head);
             forward(out, reply, head, complete).await?;
         }
-        checked.map_err(|error| lost(error.to_string()))?;
+        checked?;
     }
     let partial = events.take_partial();
     if !partial.is_empty() {
--- a/crates/io/src/transport/pool.rs
+++ b/crates/io/src/transport/pool.rs
@@ -1,6 +1,10 @@
 //! HTTP connection pool for upstreams and the store.
 
-use super::{connector::NotConnected, Connector, Target};
+use super::{
+    connection_limits::{ConnectionLimits, Traffic, IDLE_MAX_MS},
+    connector::NotConnected,
+    Connector, Target,
+};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,7 +16,6 @@
 use persimmon_core::{
     ids::VmId,
     path::{PathAttempt, PathAttempts, PathEnd, PathPlan, UpstreamPath},
-    units::Millis,
 };
 use std::{
     cell::{Cell, RefCell},
@@ -27,9 +30,6 @@
     time::{timeout, Instant},
 };
 
-/// Longest idle time of a pooled connection whose server states none.
-const IDLE_MAX_MS: Millis = Millis::from_secs(4);
-
 /// A pooled connection is discarded this long before the idle time that its server states.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -102,37 +102,6 @@
     }
 }
 
-/// What a connection carries. The two kinds share no connections, because a faulty server may write a response
-/// once more: the copy of one without a request id would be taken for the response to the next request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Traffic {
-    /// Callers' requests, each of whose responses had the id of its request.
-    Requests,
-    /// Calls of this daemon itself, whose responses have no ids.
-    Calls,
-}
-
-/// Which connections a request may use.
-#[derive(Clone, Copy, Debug)]
-pub struct ConnectionLimits {
-    /// What the connections carry.
-    pub traffic: Traffic,
-    /// Longest idle time of a pooled connection that is reused.
-    pub idle_max_ms: Millis,
-    /// Most open connections to the address.
-    pub connections_max_len: u32,
-}
-
-impl Default for ConnectionLimits {
-    fn default() -> Self {
-        Self {
-            traffic: Traffic::Calls,
-            idle_max_ms: IDLE_MAX_MS,
-            connections_max_len: u32::MAX,
-        }
-    }
-}
-
 /// A connection in use by one request.
 pub struct PooledConnection {
     connection: Connection,
