--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -19,6 +19,7 @@
     units::{Millis, RequestsPerSecond},
 };
 use persimmon_io::transport::{CallCommand, CallerListener, DrainState, Hub, Pool, Target};
+use socket2::SockRef;
 use std::{cell::Cell, io::ErrorKind, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -548,6 +549,108 @@
     }
 }
 
+/// How an upstream ends a connection on which it got a second request.
+#[derive(Clone, Copy, Debug)]
+enum ConnectionEnd {
+    /// Right after its first response, whatever comes.
+    AfterResponse,
+    /// After the first byte of the request, so that the rest resets the connection.
+    WithinRequest,
+    /// After the whole request.
+    AfterRequest,
+    /// After the whole request, by a reset.
+    Reset,
+    /// Within the head of its response.
+    WithinHead,
+    /// After an interim response.
+    AfterInterim,
+}
+
+/// Starts an upstream that serves the first request on its first connection and ends that connection when it gets
+/// the second one. It serves all requests on other connections. The receiver gets the requests that it read whole.
+async fn ending_upstream(end: ConnectionEnd) -> (SocketAddr, Receiver<String>) {
+    const RESPONSE: &str =
+        "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ncontent-length: 2\r\n\r\nok";
+    let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = socket.local_addr().unwrap();
+    let (run, runs) = flume::unbounded();
+    spawn_local(async move {
+        for connection in 0.. {
+            let (mut stream, _) = socket.accept().await.unwrap();
+            let run = run.clone();
+            spawn_local(async move {
+                let mut head = [0; 4_096];
+                let len = stream.read(&mut head).await.unwrap();
+                let request = String::from_utf8_lossy(&head[..len]).into_owned();
+                let id = if request.contains("x-id: 8") {
+                    "8"
+                } else {
+                    "7"
+                };
+                run.send(id.to_owned()).unwrap();
+                let response = RESPONSE.replace("ID", id);
+                stream.write_all(response.as_bytes()).await.unwrap();
+                if connection > 0 || matches!(end, ConnectionEnd::AfterResponse) {
+                    return;
+                }
+                if matches!(end, ConnectionEnd::WithinRequest) {
+                    let _ = stream.read(&mut head[..1]).await;
+                    return;
+                }
+                if stream.read(&mut head).await.is_ok_and(|len| len > 0) {
+                    run.send("8".to_owned()).unwrap();
+                }
+                let written: &[u8] = match end {
+                    ConnectionEnd::WithinHead => b"HTTP/1.1 200 OK\r\nx-id: 8\r\n",
+                    ConnectionEnd::AfterInterim => b"HTTP/1.1 102 Processing\r\n\r\n",
+                    _ => b"",
+                };
+                // The gateway may be gone.
+                let _ = stream.write_all(written).await;
+                if matches!(end, ConnectionEnd::Reset) {
+                    SockRef::from(&stream)
+                        .set_linger(Some(Duration::ZERO))
+                        .unwrap();
+                }
+            });
+        }
+    });
+    (address, runs)
+}
+
+/// However a kept connection ends, a request that an upstream has read is not sent again, and does not count as not
+/// run (rules TWICE and REFUSED).
+#[test]
+fn a_request_that_was_read_on_a_kept_connection_is_not_sent_again() {
+    let ends = [
+        ConnectionEnd::AfterResponse,
+        ConnectionEnd::WithinRequest,
+        ConnectionEnd::AfterRequest,
+        ConnectionEnd::Reset,
+        ConnectionEnd::WithinHead,
+        ConnectionEnd::AfterInterim,
+    ];
+    let next = b"POST /x HTTP/1.1\r\nhost: a\r\nx-id: 8\r\ncontent-length: 2\r\n\r\nhi";
+    for end in ends {
+        run(async {
+            let (mut fixture, _caller, call) = Fixture::with_call().await;
+            let (upstream, runs) = ending_upstream(end).await;
+            fixture.send(call, upstream, false);
+            assert_eq!(fixture.end().await, SendOutcome::Delivered);
+            let _next_caller = fixture.caller_with(next).await;
+            let next_call = fixture.arrived().await;
+            fixture.send(next_call, upstream, false);
+            let outcome = fixture.end().await;
+            let runs_len = runs.try_iter().filter(|id| id == "8").count();
+            assert!(runs_len <= 1, "{end:?}: {runs_len} runs, {outcome:?}");
+            assert!(
+                runs_len == 0 || outcome.may_have_run(),
+                "{end:?}: {outcome:?}"
+            );
+        });
+    }
+}
+
 /// The answer to an order has no request id, so that a copy of it could be taken for that to a caller's request.
 #[test]
 fn callers_requests_do_not_use_the_connections_of_orders() {
