--- a/crates/core/tests/dispatch_follow.rs
+++ b/crates/core/tests/dispatch_follow.rs
@@ -312,8 +312,8 @@
     assert!(known.is_some());
 }
 
-/// An entry of another writer with numbers that are too large: an upstream of 4 billion slots that asked for a
-/// backoff made daemons allocate 32 GiB, and one from the far future hid the upstream's own later entries (rule
+/// An entry of another writer with numbers that are too large: with 4 billion slots, an upstream that asks for a
+/// backoff would make daemons allocate 32 GiB, and one from the far future hid the upstream's own later entries (rule
 /// LOST). Read from the store, listed by it or reported by a peer, it names no upstream.
 #[test]
 fn an_entry_with_impossible_numbers_names_no_upstream() {
