Logs and metrics tell why a failed transmission is not sent again

The line send_failed said pass_failure for five different reasons, and nothing told what a retry budget was or what was left of it, so the hypotheses of the incident could not be told apart. It now has the reason (retry) and the state of the budget (calls, retries, what is allowed, the number of daemons that the fixed part is divided by); persimmon_retry_decisions_total counts by reason, and persimmon_sharing_daemons shows that number. What is decided does not change: the existing tests of the dispatcher pass.

--- a/crates/core/src/dispatch/budget.rs
+++ b/crates/core/src/dispatch/budget.rs
@@ -4,12 +4,26 @@
     ids::ServiceName,
     units::{Millis, Time},
 };
+use serde::Serialize;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Part of the budget that daemons use. The rest is a margin, because daemons come and go and each
 /// counts on its own.
 const BUDGET_USE_RATIO: f64 = 0.8;
 
+/// Use of a service's retry budget by one daemon, as it is logged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct BudgetState {
+    /// Calls that count.
+    pub calls_len: usize,
+    /// Retries that count.
+    pub retries_len: usize,
+    /// Retries that are allowed with these calls.
+    pub allowed_len: usize,
+    /// Number of daemons by which the allowance is divided.
+    pub daemons_len: usize,
+}
+
 /// Calls and retries of one service in the window.
 #[derive(Debug, Default)]
 struct Window {
@@ -54,15 +68,26 @@
 
     /// Takes one retry from the budget. Returns false if none is left.
     pub fn take(&mut self, now: Time, service: &ServiceName, daemons_len: usize) -> bool {
+        let state = self.state(now, service, daemons_len);
+        let allowed = state.retries_len < state.allowed_len;
+        if allowed {
+            self.window(now, service).retries.push_back(now);
+        }
+        allowed
+    }
+
+    /// The use of a service's budget.
+    pub fn state(&mut self, now: Time, service: &ServiceName, daemons_len: usize) -> BudgetState {
         let ratio = f64::from(self.percent) / 100.0;
         let own_allowance = f64::from(self.allowance_requests) / daemons_len.max(1) as f64;
         let window = self.window(now, service);
         let limit = (window.calls.len() as f64 * ratio + own_allowance) * BUDGET_USE_RATIO;
-        let allowed = ((window.retries.len() + 1) as f64) <= limit;
-        if allowed {
-            window.retries.push_back(now);
+        BudgetState {
+            calls_len: window.calls.len(),
+            retries_len: window.retries.len(),
+            allowed_len: limit as usize,
+            daemons_len,
         }
-        allowed
     }
 
     fn window(&mut self, now: Time, service: &ServiceName) -> &mut Window {
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -355,7 +355,7 @@
     /// Number of daemons that limits are divided by: the most that were connected at once, because
     /// daemons that became unreachable still use their shares. After a start a minimum is assumed, as
     /// peers may not be connected yet.
-    pub(super) fn sharing_daemons_len(&self, now: Time) -> usize {
+    pub fn sharing_daemons_len(&self, now: Time) -> usize {
         let assumed_len = if now < Time::START + PEERS_CONNECT_MS {
             SHARING_DAEMONS_ASSUMED_LEN
         } else {
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -25,6 +25,7 @@
 mod leaving;
 mod links;
 mod message;
+mod next_step;
 mod operator_changes;
 mod outbox;
 mod outcome;
@@ -58,7 +59,7 @@
 
 pub use action::DispatchAction;
 pub use backoff::BackoffTable;
-pub use budget::RetryBudget;
+pub use budget::{BudgetState, RetryBudget};
 pub use call::{Call, PromptSize};
 pub use choose::{
     choose_engine, choose_plain, Candidate, EngineChoice, GapRequest, PlacementRequest,
@@ -75,6 +76,7 @@
 pub use message::{
     DispatchMessage, InFlightReport, QuarantineMessage, RateLimitReport, UpstreamChange,
 };
+pub use next_step::RetryVerdict;
 pub use operator_changes::OperatorChange;
 pub use outcome::{Culprit, SendOutcome};
 pub use quarantine::{Quarantine, QuarantinedFingerprint};
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -1,6 +1,9 @@
 //! Log records of the dispatcher's decisions. Variant and field names are the names in the log.
 
-use super::{LateCause, OrderKind, OrderOutcome, RefusalReason, RelayRefusal, SendOutcome};
+use super::{
+    BudgetState, LateCause, OrderKind, OrderOutcome, RefusalReason, RelayRefusal, RetryVerdict,
+    SendOutcome,
+};
 use crate::{
     ids::{CatalogVersion, FailureDomain, Fingerprint, SendId, ServiceName, UpstreamId, VmId},
     path::PathAttempts,
@@ -206,6 +209,11 @@
         end: SendOutcome,
         /// The next step: `send_again`, `pass_failure`, `give_up` or `wait`.
         next: &'static str,
+        /// Why the request is sent again, or is not.
+        retry: RetryVerdict,
+        /// The retry budget of the service before that, if it was asked.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        budget: Option<BudgetState>,
         /// Time since the request was sent.
         after_ms: Millis,
     },
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -3,6 +3,7 @@
 use super::{
     cached_prefixes::PrefixLoss,
     dispatcher::{Dispatcher, OpenCall, Out, Sending},
+    next_step::{Decision, NextStep, RetryVerdict},
     DispatchAction, DispatchMessage, DispatchRecord, InFlightId, LateCause, Refusal, RefusalReason,
     SendOutcome,
 };
@@ -12,36 +13,12 @@
 };
 use std::sync::Arc;
 
-/// Maximum number of transmissions of one call, including those that reached no upstream.
-const SENDS_MAX_COUNT: u32 = 4;
-
-/// A call with less time left than this is not sent again.
-const RETRY_REMAINING_MIN_MS: Millis = Millis::new(50);
-
 /// An engine may be silent for this multiple of its predicted backlog.
 const SILENCE_FACTOR: f64 = 2.0;
 
 /// Lowest HTTP status of a server error, for which a retry at another upstream may succeed.
 pub(super) const SERVER_FAILURE_STATUS: u16 = 500;
 
-/// Next step after a failed transmission.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum NextStep {
-    SendAgain,
-    PassFailure,
-    GiveUp(RefusalReason),
-}
-
-impl NextStep {
-    const fn name(self) -> &'static str {
-        match self {
-            Self::SendAgain => "send_again",
-            Self::PassFailure => "pass_failure",
-            Self::GiveUp(_) => "give_up",
-        }
-    }
-}
-
 impl Dispatcher {
     /// Handles the first event of an answer, or a complete answer.
     pub(super) fn on_first_byte(&mut self, out: &mut Out<'_>, call: CallId, send: SendId) {
@@ -162,20 +139,21 @@
             .then(|| self.find_placement(out.now, open).ok())
             .flatten();
         self.record_outcome(out, call, sending, end);
-        let other = other.filter(|_| self.next_step(out.now, call, end) == NextStep::SendAgain);
-        out.log(DispatchRecord::SendFailed {
-            request: self.request_id(call),
-            send,
-            upstream: sending.upstream.clone(),
-            end: end.clone(),
-            next: if other.is_some() {
-                "send_again"
-            } else {
-                "wait"
-            },
-            after_ms: out.now.since(sending.sent_at),
-        });
-        let Some(placement) = other else {
+        let decision = if other.is_some() {
+            self.next_step(out.now, call, end)
+        } else if may_move {
+            Decision::wait(RetryVerdict::NoRoom)
+        } else {
+            Decision::wait(RetryVerdict::NotRepeatable)
+        };
+        let sends_again = decision.next == NextStep::SendAgain;
+        let next = if sends_again {
+            NextStep::SendAgain
+        } else {
+            NextStep::Wait
+        };
+        self.log_send_failed(out, call, sending, end, Decision { next, ..decision });
+        let Some(placement) = other.filter(|_| sends_again) else {
             return false;
         };
         self.end_transmission(out, call, Some(send));
@@ -247,22 +225,18 @@
         }
         self.avoid_domain(call, &sending, &end);
         self.avoid_helpers(out, call, &sending, &end);
-        let next = self.next_step(out.now, call, &end);
-        out.log(DispatchRecord::SendFailed {
-            request: self.request_id(call),
-            send,
-            upstream: sending.upstream.clone(),
-            end: end.clone(),
-            next: next.name(),
-            after_ms: out.now.since(sending.sent_at),
-        });
+        let decision = self.next_step(out.now, call, &end);
+        let next = decision.next;
+        self.log_send_failed(out, call, &sending, &end, decision);
         match (next, end) {
             (NextStep::SendAgain, _) => self.place_call(out, call),
             (NextStep::PassFailure, SendOutcome::Failed { status, .. }) => {
                 out.act(DispatchAction::PassFailure { call });
                 self.finish(out, call, &sending, Some(status));
             }
-            (NextStep::PassFailure, _) => self.give_up(out, call, RefusalReason::UpstreamFailed),
+            (NextStep::PassFailure | NextStep::Wait, _) => {
+                self.give_up(out, call, RefusalReason::UpstreamFailed);
+            }
             (NextStep::GiveUp(reason), _) => self.give_up(out, call, reason),
         }
     }
@@ -277,48 +251,6 @@
         is_plain && is_own_answer
     }
 
-    fn next_step(&mut self, now: Time, call: CallId, end: &SendOutcome) -> NextStep {
-        let sharing_daemons_len = self.sharing_daemons_len(now);
-        let Some(open) = self.calls.get(&call) else {
-            return NextStep::GiveUp(RefusalReason::UpstreamFailed);
-        };
-        let otherwise = match end {
-            SendOutcome::Failed { not_run: true, .. }
-            | SendOutcome::NotSent { .. }
-            | SendOutcome::Busy => NextStep::GiveUp(if open.may_have_run {
-                RefusalReason::UpstreamFailed
-            } else {
-                RefusalReason::UpstreamsRefused
-            }),
-            SendOutcome::Failed { .. } if open.first_at.is_some() => {
-                NextStep::GiveUp(RefusalReason::UpstreamFailed)
-            }
-            SendOutcome::Failed { .. } => NextStep::PassFailure,
-            SendOutcome::Lost { .. } | SendOutcome::Delivered => {
-                NextStep::GiveUp(RefusalReason::UpstreamFailed)
-            }
-        };
-        let retry_may_help = match end {
-            SendOutcome::Failed {
-                status, not_run, ..
-            } => *not_run || *status >= SERVER_FAILURE_STATUS,
-            _ => true,
-        };
-        let repeatable = !end.may_have_run()
-            || (open.route.kind.repeatable() && open.reached_count < open.route.max_attempts);
-        let in_time = open.left_ms(now) > RETRY_REMAINING_MIN_MS;
-        let tries_left = open.tries_count < SENDS_MAX_COUNT;
-        let retry = retry_may_help && repeatable && in_time && tries_left;
-        let service = open.service.name.clone();
-        // A request that reached no upstream adds no load there, so its retry costs no budget.
-        let never_sent = matches!(end, SendOutcome::NotSent { .. } | SendOutcome::Busy);
-        if retry && (never_sent || self.budget.take(now, &service, sharing_daemons_len)) {
-            NextStep::SendAgain
-        } else {
-            otherwise
-        }
-    }
-
     fn finish(&mut self, out: &mut Out<'_>, call: CallId, sending: &Sending, status: Option<u16>) {
         let Some(open) = self.calls.remove(&call) else {
             return;
--- a/crates/io/src/telemetry/metric.rs
+++ b/crates/io/src/telemetry/metric.rs
@@ -95,6 +95,18 @@
         Unit::Count,
         "Transmissions to upstreams without a whole answer, by how they ended and what followed",
     );
+    /// Failed transmissions by whether another one followed, and why not.
+    pub const RETRY_DECISIONS: Self = counter(
+        "persimmon_retry_decisions_total",
+        Unit::Count,
+        "Failed transmissions, by whether the request was sent again and why not",
+    );
+    /// Daemons by which bounds over the fleet are divided.
+    pub const SHARING_DAEMONS: Self = gauge(
+        "persimmon_sharing_daemons",
+        Unit::Count,
+        "Daemons by which this one divides bounds that hold for all of them together",
+    );
     /// Requests that are queued for a free slot at an upstream.
     pub const WAITING_REQUESTS: Self = gauge(
         "persimmon_waiting_requests",
@@ -269,7 +281,7 @@
 }
 
 /// All metrics of a daemon.
-pub const ALL_METRICS: [Metric; 36] = [
+pub const ALL_METRICS: [Metric; 38] = [
     Metric::REQUESTS,
     Metric::REFUSALS,
     Metric::FIRST_TOKEN,
@@ -277,6 +289,8 @@
     Metric::OPEN_REQUESTS,
     Metric::OLDEST_OVERDUE,
     Metric::SENDS_FAILED,
+    Metric::RETRY_DECISIONS,
+    Metric::SHARING_DAEMONS,
     Metric::WAITING_REQUESTS,
     Metric::LATE_RESPONSES,
     Metric::FIRST_EVENT_ERROR,
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -27,11 +27,14 @@
             DispatchRecord::Sent { class, .. } => {
                 self.increment(Metric::ATTEMPTS, &[("class", class)]);
             }
-            DispatchRecord::SendFailed { end, next, .. } => {
+            DispatchRecord::SendFailed {
+                end, next, retry, ..
+            } => {
                 self.increment(
                     Metric::SENDS_FAILED,
                     &[("end", end_name(end)), ("next", next)],
                 );
+                self.increment(Metric::RETRY_DECISIONS, &[("verdict", retry.name())]);
             }
             DispatchRecord::Refused {
                 reason,
@@ -210,6 +213,7 @@
         set(Metric::OPEN_REQUESTS, dispatcher.open_len());
         set(Metric::WAITING_REQUESTS, dispatcher.waiting_len());
         set(Metric::MEMBERS, dispatcher.members_len());
+        set(Metric::SHARING_DAEMONS, dispatcher.sharing_daemons_len(now));
         set(Metric::LOST_DOMAINS, dispatcher.lost_domains_len());
         set(Metric::RELAYED_CONNECTIONS, dispatcher.relayed_len());
         set(Metric::SHARE_HOLDERS, dispatcher.share_holders_len());
