--- a/crates/core/tests/common/dispatch/node.rs
+++ b/crates/core/tests/common/dispatch/node.rs
@@ -50,7 +50,8 @@
         Self::on("vm-0", raw)
     }
 
-    fn on(vm: &str, raw: RawDispatchSettings) -> Self {
+    /// A daemon on this VM with these settings, without a catalog or upstreams.
+    pub(crate) fn on(vm: &str, raw: RawDispatchSettings) -> Self {
         let settings = DispatchSettings::try_from(raw).unwrap();
         Self {
             dispatcher: Dispatcher::new(settings, id(vm), id("a")),
