The retry budget holds over all processes: retries are paid from what a process has earned itself

Cause: a budget was a count over a sliding window in the memory of one process. A process that started had a whole window's budget, and the fixed part was divided by 16 or by the peers it had met. Nor do counts of single daemons add up without restarts: callers who move earn retries at two daemons, and retries that waited for an upstream counted when they were granted, not when they were sent.

Now a daemon sends in a window at most half of what it has itself earned in two: a part of a retry with each call, and its part of the allowance with time. The number of daemons comes from one place (roster.rs): the list in the store, which only grows, and links; a new VM has no part of the allowance until all that were listed before it know it. A retry counts when it is sent, and one that has waited until there is no room ends the call.

The same number divides the rate of cold upstreams, stated rate limits and connections.

--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -61,6 +61,8 @@
                     first_at: None,
                     longest_gap_ms: None,
                     may_have_run: false,
+                    has_arrived: false,
+                    is_retry_granted: false,
                     waiting_since: None,
                     reserving: None,
                     groups_count: 0,
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -10,8 +10,8 @@
     dispatch::{
         backoff::BackoffTable, crash_check::CrashChecks, ejection_report::EjectionReports,
         extension_peers::ExtensionPeers, freshness::FreshnessState, outbox::Outbox,
-        placement::Placement, reservation::Reservations, restore::RestoreState, shutdown::Shutdown,
-        upstream_bytes::UpstreamBytes,
+        placement::Placement, reservation::Reservations, restore::RestoreState, roster::Roster,
+        shutdown::Shutdown, upstream_bytes::UpstreamBytes,
     },
     fleet::Fleet,
     ids::{CallId, CatalogVersion, FailureDomain, Fingerprint, SendId, StoreEra, UpstreamId, VmId},
@@ -37,12 +37,6 @@
 /// Time beyond a call's deadline for which an upstream may still report the timeout itself.
 const OVERDUE_SLACK_MS: Millis = Millis::new(60);
 
-/// Time after a start within which peers may not be connected yet.
-const PEERS_CONNECT_MS: Millis = Millis::new(5_000);
-
-/// Least number of daemons that limits are divided by until `PEERS_CONNECT_MS` after a start.
-const SHARING_DAEMONS_ASSUMED_LEN: usize = 16;
-
 /// A transmission in progress.
 #[derive(Clone, Debug)]
 pub(super) struct Sending {
@@ -54,6 +48,8 @@
     pub(super) expected_ms: Option<f64>,
     /// Helper engines that prefill parts of the prompt.
     pub(super) helpers: Vec<UpstreamId>,
+    /// Whether an upstream may have got the request before. It then counts against the retry budget.
+    pub(super) is_repeat: bool,
     /// Whether the first event of this transmission has come.
     pub(super) has_begun: bool,
     /// Whether the upstream has been silent for long enough that the link is checked.
@@ -86,6 +82,10 @@
     /// Longest gap between two events of the response, once it is complete.
     pub(super) longest_gap_ms: Option<Millis>,
     pub(super) may_have_run: bool,
+    /// Whether an earlier transmission may have reached an upstream, be it one that refused.
+    pub(super) has_arrived: bool,
+    /// Whether a retry was granted that is not sent yet.
+    pub(super) is_retry_granted: bool,
     pub(super) waiting_since: Option<Time>,
     /// The placement for which memory is being reserved.
     pub(super) reserving: Option<Placement>,
@@ -185,7 +185,7 @@
     pub(super) peers: BTreeMap<VmId, u32>,
     pub(super) extension_peers: ExtensionPeers,
     pub(super) last_peer_index: u32,
-    pub(super) max_members_len: usize,
+    pub(super) roster: Roster,
     pub(super) last_send: SendId,
     pub(super) ready: Option<bool>,
     pub(super) shutdown: Option<Shutdown>,
@@ -196,6 +196,7 @@
     /// A dispatcher without a catalog, upstreams or peers.
     pub fn new(settings: DispatchSettings, vm: VmId, domain: FailureDomain) -> Self {
         Self {
+            roster: Roster::new(vm.clone()),
             vm,
             domain,
             catalog: None,
@@ -233,7 +234,6 @@
             peers: BTreeMap::new(),
             extension_peers: ExtensionPeers::default(),
             last_peer_index: OWN_DAEMON_INDEX,
-            max_members_len: 1,
             last_send: SendId::default(),
             ready: None,
             shutdown: None,
@@ -281,6 +281,9 @@
             DispatchEvent::StoreAnswered { topic, answer } => {
                 self.on_store_answer(&mut out, topic, answer)
             }
+            DispatchEvent::DaemonsListed { vms, age_ms } => {
+                self.roster.on_listed(now, now - age_ms, vms);
+            }
             DispatchEvent::PeerUp { vm } => self.on_peer_up(&mut out, vm),
             DispatchEvent::PeerDown { vm } => self.on_peer_down(&mut out, &vm),
             DispatchEvent::PeerMessage { vm, message } => {
@@ -352,22 +355,14 @@
         &self.in_flight
     }
 
-    /// Number of daemons that limits are divided by: the most that were connected at once, because
-    /// daemons that became unreachable still use their shares. After a start a minimum is assumed, as
-    /// peers may not be connected yet.
-    pub fn sharing_daemons_len(&self, now: Time) -> usize {
-        let assumed_len = if now < Time::START + PEERS_CONNECT_MS {
-            SHARING_DAEMONS_ASSUMED_LEN
-        } else {
-            1
-        };
-        self.max_members_len.max(assumed_len)
+    /// Number of daemons that bounds over all of them are divided by.
+    pub fn sharing_daemons_len(&self) -> usize {
+        self.roster.len()
     }
 
-    /// Share of the daemons that were connected at once that still are, this one included. Those that became
-    /// unreachable may still send.
+    /// Share of the daemons that this one hears, itself included. The others may still send.
     pub(super) fn heard_share_ratio(&self) -> f64 {
-        (self.members_len() as f64 / self.max_members_len as f64).min(1.0)
+        (self.members_len() as f64 / self.roster.len() as f64).min(1.0)
     }
 
     /// Time since the daemon's knowledge of operators' writes was current.
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -118,6 +118,13 @@
         /// The answer.
         answer: Result<Box<Batch>, StoreError>,
     },
+    /// The list of daemons was read from the store.
+    DaemonsListed {
+        /// The VMs of all daemons that have registered, this one included.
+        vms: Vec<VmId>,
+        /// Time since the read was sent.
+        age_ms: Millis,
+    },
     /// A connection to a peer was established.
     PeerUp {
         /// The peer's VM.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -45,6 +45,7 @@
 mod retry;
 mod return_calls;
 mod return_time;
+mod roster;
 mod send;
 mod send_plan;
 mod settings;
@@ -59,7 +60,7 @@
 
 pub use action::DispatchAction;
 pub use backoff::BackoffTable;
-pub use budget::{BudgetState, RetryBudget};
+pub use budget::{AllowanceShare, BudgetState, RetryBudget};
 pub use call::{Call, PromptSize};
 pub use choose::{
     choose_engine, choose_plain, Candidate, EngineChoice, GapRequest, PlacementRequest,
--- a/crates/core/src/dispatch/next_step.rs
+++ b/crates/core/src/dispatch/next_step.rs
@@ -1,13 +1,13 @@
 //! Decides what follows a failed transmission.
 
 use super::{
-    budget::BudgetState,
+    budget::{AllowanceShare, BudgetState},
     dispatcher::{Dispatcher, OpenCall, Out, Sending},
     retry::SERVER_FAILURE_STATUS,
     DispatchRecord, RefusalReason, SendOutcome,
 };
 use crate::{
-    ids::CallId,
+    ids::{CallId, ServiceName},
     units::{Millis, Time},
 };
 use serde::Serialize;
@@ -98,7 +98,7 @@
 }
 
 impl Dispatcher {
-    /// Decides what follows a failed transmission, and takes a retry from the budget if it is sent again.
+    /// Decides what follows a failed transmission. A retry that is granted counts against the budget when it is sent.
     pub(super) fn next_step(&mut self, now: Time, call: CallId, end: &SendOutcome) -> Decision {
         let Some(open) = self.calls.get(&call) else {
             return Decision {
@@ -111,20 +111,20 @@
         let (verdict, budget) = match obstacle(now, open, end) {
             Some(verdict) => (verdict, None),
             // A request that reached no upstream adds no load there, so its retry costs no budget.
-            None if matches!(end, SendOutcome::NotSent { .. } | SendOutcome::Busy) => {
-                (RetryVerdict::Free, None)
-            }
+            None if !open.has_arrived && !end.may_have_arrived() => (RetryVerdict::Free, None),
             None => {
                 let service = open.service.name.clone();
-                let sharing_daemons_len = self.sharing_daemons_len(now);
-                let state = self.budget.state(now, &service, sharing_daemons_len);
-                if self.budget.take(now, &service, sharing_daemons_len) {
+                let state = self.retry_budget_state(now, &service);
+                if state.left_len > 0 {
                     (RetryVerdict::Granted, Some(state))
                 } else {
                     (RetryVerdict::NoBudget, Some(state))
                 }
             }
         };
+        if let (RetryVerdict::Granted, Some(open)) = (verdict, self.calls.get_mut(&call)) {
+            open.is_retry_granted = true;
+        }
         let next = match verdict {
             RetryVerdict::Granted | RetryVerdict::Free => NextStep::SendAgain,
             _ => otherwise,
@@ -136,6 +136,45 @@
         }
     }
 
+    /// The retry budget of a service, beside the retries that wait for an upstream.
+    fn retry_budget_state(&mut self, now: Time, service: &ServiceName) -> BudgetState {
+        let waits = |open: &&OpenCall| open.is_retry_granted && open.service.name == *service;
+        let waiting_len = self.calls.values().filter(waits).count();
+        let share = self.allowance_share(now);
+        self.budget.state(now, service, share, waiting_len)
+    }
+
+    /// This daemon's part of the allowance of retries; none if it may use none.
+    fn allowance_share(&self, now: Time) -> Option<AllowanceShare> {
+        Some(AllowanceShare {
+            daemons_len: self.roster.len(),
+            since: self.roster.share_since(now)?,
+        })
+    }
+
+    /// Counts a call that is about to be sent, if an upstream may have got it before. If the budget has no room for it any
+    /// more, the call ends, and the result is false: retries that waited must not go out beside those of a later window.
+    pub(super) fn take_granted_retry(&mut self, out: &mut Out<'_>, call: CallId) -> bool {
+        let share = self.allowance_share(out.now);
+        let Some(open) = self.calls.get_mut(&call) else {
+            return false;
+        };
+        open.is_retry_granted = false;
+        if !open.has_arrived || self.budget.take(out.now, &open.service.name, share) {
+            return true;
+        }
+        let reason = refusal_reason(open);
+        let service = open.service.name.clone();
+        let budget = self.retry_budget_state(out.now, &service);
+        out.log(DispatchRecord::RetryWithdrawn {
+            request: self.request_id(call),
+            service,
+            budget,
+        });
+        self.give_up(out, call, reason);
+        false
+    }
+
     pub(super) fn log_send_failed(
         &self,
         out: &mut Out<'_>,
@@ -162,11 +201,7 @@
     match end {
         SendOutcome::Failed { not_run: true, .. }
         | SendOutcome::NotSent { .. }
-        | SendOutcome::Busy => NextStep::GiveUp(if open.may_have_run {
-            RefusalReason::UpstreamFailed
-        } else {
-            RefusalReason::UpstreamsRefused
-        }),
+        | SendOutcome::Busy => NextStep::GiveUp(refusal_reason(open)),
         SendOutcome::Failed { .. } if open.first_at.is_some() => {
             NextStep::GiveUp(RefusalReason::UpstreamFailed)
         }
@@ -177,6 +212,15 @@
     }
 }
 
+/// Why a call is refused that is not sent again.
+const fn refusal_reason(open: &OpenCall) -> RefusalReason {
+    if open.may_have_run {
+        RefusalReason::UpstreamFailed
+    } else {
+        RefusalReason::UpstreamsRefused
+    }
+}
+
 /// Why a call can't be sent again, whatever the budget; none if it can.
 fn obstacle(now: Time, open: &OpenCall, end: &SendOutcome) -> Option<RetryVerdict> {
     let may_help = match end {
--- a/crates/core/src/dispatch/outcome.rs
+++ b/crates/core/src/dispatch/outcome.rs
@@ -69,6 +69,11 @@
 }
 
 impl SendOutcome {
+    /// Whether the upstream may have got the request, be it to refuse it.
+    pub const fn may_have_arrived(&self) -> bool {
+        !matches!(self, Self::Busy | Self::NotSent { .. })
+    }
+
     /// Whether the upstream may have run the request.
     pub const fn may_have_run(&self) -> bool {
         !matches!(
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -23,7 +23,7 @@
     /// Handles a new connection: the peer learns what this daemon has in flight and which catalog it uses.
     pub(super) fn on_peer_up(&mut self, out: &mut Out<'_>, vm: VmId) {
         self.peer_index(vm.clone());
-        self.max_members_len = self.max_members_len.max(self.members_len());
+        self.roster.on_linked(out.now, &vm);
         let message = DispatchMessage::Snapshot(self.in_flight.own_reports(out.now));
         out.log(DispatchRecord::Peer {
             member: vm.clone(),
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -321,13 +321,7 @@
         } else {
             health.is_ejected(now)
         };
-        let cold_per_s = open.service.cold_per_s;
-        let cold_left_len = if now < upstream.cold_until && cold_per_s > 0.0 {
-            let share_per_s = (cold_per_s * self.heard_share_ratio()).max(1.0);
-            self.slow_start.remaining_len(now, &record.id, share_per_s)
-        } else {
-            usize::MAX
-        };
+        let cold_left_len = self.cold_left_len(now, open.service.cold_per_s, upstream);
         let ejected = ejected || health.is_on_trial(now);
         let rate_credit_len = self.rate_credit_len(now, &record.id);
         let left_len = cold_left_len.min(rate_credit_len.unwrap_or(usize::MAX));
--- a/crates/core/src/dispatch/queue_wait.rs
+++ b/crates/core/src/dispatch/queue_wait.rs
@@ -91,7 +91,7 @@
     /// its rate limit.
     fn hold_ms(&self, now: Time, upstream: &Upstream, queued_len: usize) -> f64 {
         let id = &upstream.record.id;
-        let share_ratio = self.rate_share_ratio(now);
+        let share_ratio = self.heard_share_ratio();
         let backoff_ms = self.backoff.left_ms(now, id).get() as f64;
         let rate_ms = self.rate_limits.wait_ms(now, id, share_ratio, queued_len);
         backoff_ms.max(rate_ms)
--- a/crates/core/src/dispatch/rate_notice.rs
+++ b/crates/core/src/dispatch/rate_notice.rs
@@ -111,16 +111,9 @@
         self.fleet.is_current(incarnation) || !self.fleet.loaded()
     }
 
-    /// Share of upstreams' rate limits that this daemon and its connected peers may use together. What is
-    /// left is for daemons that became unreachable and still send.
-    pub(super) fn rate_share_ratio(&self, now: Time) -> f64 {
-        let members_len = self.members_len() as f64;
-        (members_len / self.sharing_daemons_len(now) as f64).min(1.0)
-    }
-
     /// Number of requests that an upstream takes now; none if it has no rate limit.
     pub(super) fn rate_credit_len(&self, now: Time, upstream: &UpstreamId) -> Option<usize> {
-        let share_ratio = self.rate_share_ratio(now);
+        let share_ratio = self.heard_share_ratio();
         self.rate_limits.credit_len(now, upstream, share_ratio)
     }
 
@@ -130,7 +123,7 @@
         now: Time,
         upstreams: impl Iterator<Item = &'a UpstreamId>,
     ) {
-        let share_ratio = self.rate_share_ratio(now);
+        let share_ratio = self.heard_share_ratio();
         for upstream in upstreams {
             self.rate_limits.on_sent(now, upstream, share_ratio);
         }
--- a/crates/core/src/dispatch/record.rs
+++ b/crates/core/src/dispatch/record.rs
@@ -217,6 +217,15 @@
         /// Time since the request was sent.
         after_ms: Millis,
     },
+    /// A retry that was granted waited until the budget had no room for it any more.
+    RetryWithdrawn {
+        /// The request id that the caller chose.
+        request: Arc<str>,
+        /// The service.
+        service: ServiceName,
+        /// The retry budget.
+        budget: BudgetState,
+    },
     /// An order about a reservation failed, or its result is unknown.
     OrderFailed {
         /// The reservation; its name begins with the request id.
--- a/crates/core/src/dispatch/retry.rs
+++ b/crates/core/src/dispatch/retry.rs
@@ -161,6 +161,7 @@
         if let Some(open) = self.calls.get_mut(&call) {
             open.sending = None;
             open.may_have_run = true;
+            open.has_arrived = true;
             open.reached_count += 1;
         }
         self.start(out, call, placement);
@@ -208,6 +209,10 @@
         };
         open.is_trial = false;
         open.may_have_run |= end.may_have_run();
+        open.has_arrived |= end.may_have_arrived();
+        if sending.is_repeat && !end.may_have_arrived() {
+            self.budget.refund(&open.service.name, sending.sent_at);
+        }
         if end.may_have_run() {
             open.reached_count += 1;
         }
--- a/crates/core/src/dispatch/send.rs
+++ b/crates/core/src/dispatch/send.rs
@@ -48,6 +48,9 @@
 impl Dispatcher {
     /// Sends a call to the upstream that was found for it, and reports the request to all peers.
     pub(super) fn send(&mut self, out: &mut Out<'_>, id: CallId, placement: Placement) {
+        if !self.take_granted_retry(out, id) {
+            return;
+        }
         let send = self.last_send.next();
         let Some(plan) = self.plan(out.now, id, send, &placement) else {
             return;
@@ -71,6 +74,7 @@
                 .iter()
                 .map(|h| h.upstream.clone())
                 .collect(),
+            is_repeat: open.has_arrived,
             has_begun: false,
             is_silent: false,
             relay: None,
@@ -119,8 +123,7 @@
             started_unix_ms: upstream.record.started_unix_ms,
             address: upstream.record.address,
             paths: self.path_plan(now, &upstream.record),
-            connections_max_len: (connections / self.sharing_daemons_len(now) as f64).max(1.0)
-                as u32,
+            connections_max_len: (connections / self.roster.len() as f64).max(1.0) as u32,
             workspace: open.holder.as_ref().map(|holder| holder.workspace.clone()),
             deadline_ms: left_ms,
             repeatable: open.route.kind.repeatable(),
--- a/crates/core/src/dispatch/slow_start.rs
+++ b/crates/core/src/dispatch/slow_start.rs
@@ -1,6 +1,8 @@
 //! Slow start: limits the request rate of cold upstreams over all daemons.
 
+use super::{contention::hash_ratio, dispatcher::Dispatcher};
 use crate::{
+    fleet::Upstream,
     ids::UpstreamId,
     units::{Millis, Time},
 };
@@ -35,9 +37,9 @@
         times.map_or(0, |times| times.iter().rev().take_while(recent).count())
     }
 
-    /// Number of requests that may still go to an upstream now if it takes `per_s` requests a second.
-    pub fn remaining_len(&self, now: Time, upstream: &UpstreamId, per_s: f64) -> usize {
-        (per_s as usize).saturating_sub(self.recent_len(now, upstream))
+    /// Number of requests that may still go to an upstream now if it takes `max_len` requests a second.
+    pub fn remaining_len(&self, now: Time, upstream: &UpstreamId, max_len: usize) -> usize {
+        max_len.saturating_sub(self.recent_len(now, upstream))
     }
 
     /// Removes an upstream that is gone.
@@ -45,3 +47,27 @@
         self.sent.remove(upstream);
     }
 }
+
+impl Dispatcher {
+    /// Number of requests that may go to an upstream now, by its rate while it is cold. The daemons that hear each other
+    /// use their share of it together.
+    pub(super) fn cold_left_len(&self, now: Time, cold_per_s: f64, upstream: &Upstream) -> usize {
+        if now >= upstream.cold_until || cold_per_s <= 0.0 {
+            return usize::MAX;
+        }
+        // What the process before this one and its peers have just sent is not known.
+        if now < Time::START + RECENT_SPAN_MS {
+            return 0;
+        }
+        let id = &upstream.record.id;
+        let share_per_s = cold_per_s * self.heard_share_ratio();
+        let max_len = if share_per_s < 1.0 {
+            let second_index = now.since(Time::START).get() / RECENT_SPAN_MS.get();
+            let drawn = hash_ratio(&format!("{}\n{id}\n{second_index}", self.vm));
+            usize::from(drawn < share_per_s)
+        } else {
+            share_per_s as usize
+        };
+        self.slow_start.remaining_len(now, id, max_len)
+    }
+}
--- a/crates/core/tests/common/dispatch/replay.rs
+++ b/crates/core/tests/common/dispatch/replay.rs
@@ -4,6 +4,7 @@
 use super::{
     attempts, batch,
     callers::{Attempt, Callers, Refused, ReturnTally},
+    daemons_listed,
     engine::{is_ticket_of, Engine, Job, Progress},
     id,
     site::Site,
@@ -311,6 +312,7 @@
         self.daemons = (0..daemons_len).map(daemon).collect();
         for to in 0..daemons_len {
             self.learn(0, to, engines_len);
+            self.handle(0, to, daemons_listed((0..daemons_len).map(vm)));
             for from in (0..daemons_len).filter(|from| *from != to) {
                 self.handle(0, to, DispatchEvent::PeerUp { vm: vm(from) });
             }
@@ -346,6 +348,7 @@
             let daemon = Dispatcher::new(settings.clone(), vm(index), id("a"));
             replay.daemons.push(daemon);
             replay.learn(0, index, engines_len);
+            replay.handle(0, index, daemons_listed((0..daemons_len).map(vm)));
             for other in 0..index {
                 let span_ms = (connect_ms.1 - connect_ms.0) as f64;
                 let at = connect_ms.0 + (replay.draw() * span_ms) as u64;
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -213,7 +213,7 @@
         set(Metric::OPEN_REQUESTS, dispatcher.open_len());
         set(Metric::WAITING_REQUESTS, dispatcher.waiting_len());
         set(Metric::MEMBERS, dispatcher.members_len());
-        set(Metric::SHARING_DAEMONS, dispatcher.sharing_daemons_len(now));
+        set(Metric::SHARING_DAEMONS, dispatcher.sharing_daemons_len());
         set(Metric::LOST_DOMAINS, dispatcher.lost_domains_len());
         set(Metric::RELAYED_CONNECTIONS, dispatcher.relayed_len());
         set(Metric::SHARE_HOLDERS, dispatcher.share_holders_len());
--- a/crates/persimmond/src/gateway/peers.rs
+++ b/crates/persimmond/src/gateway/peers.rs
@@ -2,16 +2,19 @@
 
 use crate::daemon::unix_ms;
 use persimmon_core::{
+    dispatch::DispatchEvent,
     fleet::UpstreamIncarnation,
     ids::{Incarnation, VmId},
     message::Member,
     path::PathEnd,
+    units::Time,
     watch::StoreError,
 };
 use persimmon_io::{
     peer::{Identity, KeyPairPem, Mesh, MeshSink, PeerError, PrivateKeyPem, RelaySink},
     settings::GatewaySettings,
     transport::{ByteStream, LocalFuture, MetadataStore, RelayDialer},
+    BootClock,
 };
 use serde::{Deserialize, Serialize};
 use std::{cell::RefCell, rc::Rc, time::Duration};
@@ -123,6 +126,7 @@
 struct Membership {
     store: Rc<dyn MetadataStore>,
     mesh: Rc<Mesh>,
+    events: MeshSink,
     member: Member,
     /// The key of this process. Peers tell processes of a VM apart by it.
     key: PrivateKeyPem,
@@ -162,6 +166,7 @@
         Ok(Self {
             store: Rc::clone(store),
             mesh,
+            events: Rc::clone(&sinks.events),
             member,
             key,
             ca,
@@ -176,7 +181,12 @@
             self.restore_ca().await?;
             self.store.register_member(&self.member).await?;
         }
+        let clock = BootClock::start();
         let members = self.store.members().await?;
+        (self.events)(DispatchEvent::DaemonsListed {
+            vms: members.iter().map(|member| member.vm.clone()).collect(),
+            age_ms: clock.now().since(Time::START),
+        });
         self.is_registered = members.contains(&self.member);
         self.mesh.update_members(members);
         Ok(())
