An event stream that ends before its first event is not a whole response

Operators of similar systems saw servers that stopped within the head of a response, and callers who got a 200 with an empty or short body, framed as whole. Played over loopback: five kinds of heads and five of bodies, stopped after each byte, by an orderly close and by a reset. Within the head nothing is ever delivered, nor within a body that has a length or chunks. One case was: an event stream without a length or chunks whose connection closes right after its head was answered with 200 and content-length 0. It now counts as lost, so that the call goes on elsewhere. A body whose only end is that of its connection is still whole if that end is orderly, as the protocol says.

--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -256,6 +256,9 @@
         forward(out, reply, head, partial).await?;
     }
     if !reply.is_streaming() {
+        if !has_framing && is_event_stream(head) {
+            return Err(lost("stream ended before its first event").into());
+        }
         reply.full(end_to_end(head), Bytes::new())?;
     }
     Ok(reply.end().await?)
