An answer to an order is read up to 64 KiB

Operators of similar systems report a faulty server that sent bytes without end, all of which were kept until the VM ran out of memory.

--- a/crates/io/src/transport/mod.rs
+++ b/crates/io/src/transport/mod.rs
@@ -34,7 +34,7 @@
 pub use memory::{Memory, MemoryUsage};
 pub use orders::send_order;
 pub use page_listener::{serve_pages, Page};
-pub use pool::{Pool, PoolError};
+pub use pool::{CallLimits, Pool, PoolError};
 pub use relay::serve_relay;
 pub use response_body::{ResponseBody, TruncatedResponse};
 pub use store::{LocalFuture, MetadataStore};
--- a/crates/io/src/transport/orders.rs
+++ b/crates/io/src/transport/orders.rs
@@ -1,6 +1,6 @@
 //! Sends reservation orders to engines.
 
-use super::{Dialect, Hub, Pool, PoolError, Target};
+use super::{CallLimits, Dialect, Hub, Pool, PoolError, Target};
 use http_body_util::Full;
 use persimmon_core::{
     dispatch::{DispatchEvent, LeavingNotice, OrderOutcome, RateLimitNotice, ReserveOrder},
@@ -9,8 +9,11 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
-/// Time limit for an engine's answer to an order.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Limits of an engine's answer to an order. It has a few numbers, and many orders may be open.
+const ORDER_LIMITS: CallLimits = CallLimits {
+    time: Duration::from_millis(400),
+    body_max_bytes: 64 << 10,
+};
 
 /// Sends an order to an engine and reports the outcome to the control thread.
 pub async fn send_order(
@@ -22,7 +25,7 @@
     let sent_at = Instant::now();
     let request = dialect.order_request(&order).map(Full::new);
     let target = Target::upstream(order.address, order.incarnation(), order.paths.clone());
-    let end = match pool.call(&target, request, ORDER_TIMEOUT).await {
+    let end = match pool.call(&target, request, ORDER_LIMITS).await {
         Ok(answer) => {
             let (head, _) = answer.into_parts();
             let parsed = dialect.parse_response(&head);
--- a/crates/io/src/transport/pool.rs
+++ b/crates/io/src/transport/pool.rs
@@ -33,8 +33,14 @@
 /// A pooled connection is discarded this long before the idle time that its server states.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
-/// Longest response body that [`Pool::call`] reads.
-const BODY_MAX_BYTES: usize = 16 << 20;
+/// Limits of a call whose response is read completely.
+#[derive(Clone, Copy, Debug)]
+pub struct CallLimits {
+    /// Time until the response is complete.
+    pub time: Duration,
+    /// Longest body of the response.
+    pub body_max_bytes: usize,
+}
 
 /// Why a request got no response.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
@@ -171,16 +177,16 @@
         }
     }
 
-    /// Sends a request and reads the complete response within `limit`.
+    /// Sends a request and reads the complete response within `limits`.
     ///
     /// # Errors
     ///
-    /// No complete response arrives in time.
+    /// No complete response arrives in time, or it is too long.
     pub async fn call(
         &self,
         target: &Target,
         request: Request<Full<Bytes>>,
-        limit: Duration,
+        limits: CallLimits,
     ) -> Result<Response<Bytes>, PoolError> {
         let address = target.address;
         let lost = |reason: String| PoolError::Lost { address, reason };
@@ -189,12 +195,12 @@
                 .send(target, request, ConnectionLimits::default(), &|_| {})
                 .await?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, BODY_MAX_BYTES).collect().await;
+            let body = Limited::new(body, limits.body_max_bytes).collect().await;
             let body = body.map_err(|error| lost(error.to_string()))?.to_bytes();
             self.release(connection, &head);
             Ok(Response::from_parts(head, body))
         };
-        timeout(limit, exchange)
+        timeout(limits.time, exchange)
             .await
             .unwrap_or_else(|_| Err(lost("timed out".to_owned())))
     }
--- a/crates/io/tests/faulty_upstreams.rs
+++ b/crates/io/tests/faulty_upstreams.rs
@@ -5,9 +5,15 @@
 #[path = "common/transport_fixture.rs"]
 mod transport_fixture;
 
-use persimmon_core::dispatch::SendOutcome;
+use dialect::TestDialect;
+use persimmon_core::{
+    dispatch::{DispatchEvent, OrderKind, ReserveOrder, SendOutcome},
+    path::PathPlan,
+    units::{Millis, Tokens},
+};
+use persimmon_io::transport::{send_order, Hub, Pool};
 use socket2::SockRef;
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
@@ -21,6 +27,9 @@
 /// held, and what the sockets hold on the way.
 const ENDLESS_MAX_BYTES: usize = 6 << 20;
 
+/// Most of an answer to an order: it has a few numbers, and many orders can be open.
+const ORDER_ANSWER_MAX_BYTES: usize = 1 << 20;
+
 /// Starts an upstream that answers with `head`, then with `filler` again and again until the connection is
 /// closed, with at most 64 KiB in its socket. The receiver then gets the number of bytes that it sent.
 async fn endless_upstream(
@@ -134,6 +143,38 @@
     });
 }
 
+/// The answer to an order was read up to 16 MB. As many orders as there are long prompts can be open, so that a few
+/// faulty engines could fill the memory of a VM.
+#[test]
+fn an_answer_without_end_to_an_order_is_not_kept() {
+    run(async {
+        let (upstream, sent) = endless_upstream(b"HTTP/1.1 200 OK\r\n\r\n", b"a").await;
+        let (sender, events) = flume::unbounded();
+        let order = ReserveOrder {
+            ticket: "t".into(),
+            upstream: "upstream-1".parse().unwrap(),
+            started_unix_ms: 7,
+            address: upstream,
+            paths: PathPlan::direct(),
+            kind: OrderKind::Reserve {
+                tokens: Tokens::new(1),
+                hold_ms: Millis::new(1_000),
+            },
+        };
+        let hub = Arc::new(Hub::new(sender));
+        spawn_local(send_order(
+            Rc::new(Pool::default()),
+            Rc::new(TestDialect),
+            hub,
+            order,
+        ));
+        let event = timeout(STEP_TIMEOUT, events.recv_async()).await;
+        assert!(matches!(event, Ok(Ok(DispatchEvent::OrderEnded { .. }))));
+        let sent_bytes = timeout(STEP_TIMEOUT, sent).await.unwrap().unwrap();
+        assert!(sent_bytes < ORDER_ANSWER_MAX_BYTES, "{sent_bytes}");
+    });
+}
+
 /// How an upstream ends its connection.
 #[derive(Clone, Copy, Debug)]
 enum End {
--- a/crates/io/tests/relay.rs
+++ b/crates/io/tests/relay.rs
@@ -17,7 +17,8 @@
 use persimmon_io::{
     peer::{KeyPairPem, Mesh},
     transport::{
-        serve_relay, ByteStream, Connector, Hub, LocalFuture, Pool, PoolError, RelayDialer, Target,
+        serve_relay, ByteStream, CallLimits, Connector, Hub, LocalFuture, Pool, PoolError,
+        RelayDialer, Target,
     },
 };
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
@@ -28,6 +29,12 @@
     time::timeout,
 };
 
+/// Limits of a call of the daemon itself.
+const LIMITS: CallLimits = CallLimits {
+    time: STEP_TIMEOUT,
+    body_max_bytes: 1 << 20,
+};
+
 #[derive(Debug)]
 struct MeshRelays(Rc<Mesh>);
 
@@ -136,7 +143,7 @@
 
 async fn call(pool: &Pool, target: &Target) -> Result<Response<Bytes>, PoolError> {
     let request = Request::new(Full::new(Bytes::from_static(b"request")));
-    pool.call(target, request, STEP_TIMEOUT).await
+    pool.call(target, request, LIMITS).await
 }
 
 const COMPLETE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
