Soak: the retry budget over all daemons, counted from what upstreams get

A new invariant counts in each window of ten seconds what a service got beyond the first arrival of each request, rejections too. Daemons of a test can have another grace period, and tests can be run with the gateway of another build (PERSIMMON_TEST_GATEWAY).

--- a/crates/soak/src/fault/inject.rs
+++ b/crates/soak/src/fault/inject.rs
@@ -47,6 +47,9 @@
     let span = scheduled.span_ms.duration();
     match scheduled.fault {
         Fault::DaemonKill(index) => injector.kill(index),
+        Fault::DaemonsKilled => {
+            (0..injector.deployment.daemons.len()).for_each(|index| injector.kill(index));
+        }
         Fault::DaemonTerminate(index) => injector.terminate(index).await,
         Fault::DaemonPause(index) => injector.pause(index, span).await,
         Fault::DaemonReload(index) => drop(injector.daemon(index).signal(Signal::Reload)),
@@ -98,6 +101,7 @@
             Fault::UpstreamRejects(index) => {
                 self.grey_failure(index, GreyFailure::Rejects, span).await
             }
+            Fault::UpstreamsFail => self.fail_upstreams(span).await,
             Fault::UpstreamTruncates(index) => {
                 self.grey_failure(index, GreyFailure::Truncates, span).await
             }
@@ -108,6 +112,7 @@
             Fault::RouteChange => self.change_catalog(CatalogWriter::toggle_route),
             // `inject` handles those of daemons.
             Fault::DaemonKill(_)
+            | Fault::DaemonsKilled
             | Fault::DaemonTerminate(_)
             | Fault::DaemonPause(_)
             | Fault::DaemonReload(_)
@@ -278,6 +283,18 @@
         self.record_fault(&component, false);
     }
 
+    async fn fail_upstreams(&self, span: Duration) {
+        let failing = |failure: GreyFailure, started| {
+            for upstream in &self.deployment.upstreams {
+                self.record_fault(&Component::from(&upstream.id()), started);
+                upstream.set_grey_failure(failure);
+            }
+        };
+        failing(GreyFailure::Fails, true);
+        sleep(span).await;
+        failing(GreyFailure::Off, false);
+    }
+
     async fn repeat_refusals(&self, index: usize, span: Duration) {
         let upstream = self.upstream(index);
         upstream.proxy.set_link(Link::RefusalsRepeated);
--- a/crates/soak/src/fault/schedule.rs
+++ b/crates/soak/src/fault/schedule.rs
@@ -40,6 +40,8 @@
 pub enum Fault {
     /// A daemon is killed.
     DaemonKill(usize),
+    /// All daemons are killed.
+    DaemonsKilled,
     /// A daemon is asked to shut down gracefully.
     DaemonTerminate(usize),
     /// A daemon's process is suspended.
@@ -80,6 +82,8 @@
     UpstreamSlow(usize),
     /// An upstream runs some requests and answers them with status 500.
     UpstreamErrors(usize),
+    /// All upstreams fail most requests.
+    UpstreamsFail,
     /// An upstream rejects some requests without running them.
     UpstreamRejects(usize),
     /// An upstream says in its answers that it leaves, and stops.
@@ -133,6 +137,13 @@
 const LINKS_PAUSE_MS: u64 = 14_000;
 const LINKS_MAX_LEN: u64 = 3;
 
+/// The same for herds of kills while upstreams fail, of which a run has one.
+const HERDS_SEED_MASK: u64 = 0x5eed_4e2d;
+
+/// Number of herds, and time between two. All are within a window of the retry budget.
+const HERDS_LEN: u64 = 4;
+const HERDS_PAUSE_MS: u64 = 2_200;
+
 /// The faults of a run: overlapping series, the last of which starts more than [`SPAN_MAX_MS`]
 /// before `span` is over.
 pub fn schedule(seed: u64, span: Duration) -> Vec<ScheduledFault> {
@@ -166,6 +177,7 @@
         vec![Fault::UpstreamRepeatsRefusals(index)]
     }));
     scheduled_faults.extend(schedule_links(seed ^ LINKS_SEED_MASK, span));
+    scheduled_faults.extend(schedule_herds(seed ^ HERDS_SEED_MASK, span));
     scheduled_faults.sort_by_key(|scheduled| scheduled.at_ms);
     scheduled_faults
 }
@@ -215,6 +227,28 @@
     scheduled_faults
 }
 
+/// All daemons are killed several times within one window of the retry budget, while all upstreams fail.
+fn schedule_herds(seed: u64, span: Duration) -> Vec<ScheduledFault> {
+    let span_ms = HERDS_LEN * HERDS_PAUSE_MS;
+    let latest_ms = (span.as_millis() as u64).saturating_sub(span_ms + SPAN_MAX_MS);
+    if latest_ms <= LEAD_MS {
+        return Vec::new();
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let at_ms = LEAD_MS + rng.next_u64() % (latest_ms - LEAD_MS);
+    let herds = (1..=HERDS_LEN).map(|index| ScheduledFault {
+        at_ms: Millis::new(at_ms + index * HERDS_PAUSE_MS),
+        span_ms: Millis::ZERO,
+        fault: Fault::DaemonsKilled,
+    });
+    let failing = ScheduledFault {
+        at_ms: Millis::new(at_ms),
+        span_ms: Millis::new(span_ms),
+        fault: Fault::UpstreamsFail,
+    };
+    herds.chain([failing]).collect()
+}
+
 fn fault(kind: u64, index: usize) -> Fault {
     let faults = [
         Fault::DaemonKill(index),
--- a/crates/soak/src/history/indexed.rs
+++ b/crates/soak/src/history/indexed.rs
@@ -45,6 +45,8 @@
     pub deadline_ms: Millis,
     /// Runs at upstreams.
     pub runs: Vec<UpstreamRun>,
+    /// When upstreams rejected it without running it.
+    pub rejected_at: Vec<Time>,
     /// Status and body check of the answer.
     pub answer: Option<(u16, BodyCheck)>,
     /// When the answer, or the connection, ended.
@@ -107,6 +109,7 @@
                     key,
                     deadline_ms,
                     runs: Vec::new(),
+                    rejected_at: Vec::new(),
                     answer: None,
                     ended_at: None,
                     left_at: None,
@@ -156,6 +159,9 @@
                     ended_at: None,
                 });
             }),
+            Observation::Rejected { request_id } => {
+                self.update_request(&request_id, |request| request.rejected_at.push(at));
+            }
             Observation::RunEnded {
                 request_id,
                 upstream,
--- a/crates/soak/src/history/observation.rs
+++ b/crates/soak/src/history/observation.rs
@@ -65,6 +65,11 @@
         /// Time that the caller allows for the answer.
         deadline_ms: Millis,
     },
+    /// An upstream got a request and rejected it without running it.
+    Rejected {
+        /// Id of the request.
+        request_id: Arc<str>,
+    },
     /// A caller received an answer, complete or not.
     Answered {
         /// Id of the request.
--- a/crates/soak/src/invariant/mod.rs
+++ b/crates/soak/src/invariant/mod.rs
@@ -1,6 +1,7 @@
 //! Invariants of a run, checked against what callers, upstreams and operators observed.
 
 mod answers;
+mod budget;
 mod changes;
 mod limits;
 mod links;
@@ -8,6 +9,8 @@
 mod runs;
 mod stops;
 
+pub(crate) use budget::ALLOWANCE_REQUESTS;
+
 use crate::history::IndexedHistory;
 use std::fmt;
 
@@ -29,7 +32,7 @@
 type Check = fn(&IndexedHistory) -> Vec<String>;
 
 /// All invariants with their names. Output shows the names.
-const INVARIANTS: [(&str, Check); 19] = [
+const INVARIANTS: [(&str, Check); 20] = [
     ("whole answers only", answers::complete),
     ("refusals are true", answers::refused_not_run),
     ("answered in time", answers::by_deadline),
@@ -51,6 +54,7 @@
     ("changes once known hold", changes::known_changes),
     ("backoff of upstreams is kept", limits::backoff),
     ("rates that upstreams state are kept", rates::stated_rates),
+    ("retry budget of all daemons", budget::retries),
     ("revoked keys are refused", changes::revoked_keys),
     ("dropped routes are not served", changes::removed_routes),
     ("cold upstreams and memory", limits::cold_and_memory),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,7 +5,7 @@
     fault::{inject, schedule, ScheduledFault},
     history::{Clock, History, IndexedHistory},
     invariant::{violations, Violation},
-    testbed::{Deployment, DeploymentSize},
+    testbed::{Deployment, DeploymentSize, DispatchOptions},
     SoakError,
 };
 use argh::FromArgs;
@@ -31,6 +31,9 @@
 /// Time from the end of the load to the final check, for the last answers.
 const FINAL_ANSWERS_TIME: Duration = Duration::from_secs(11);
 
+/// Time from the request to stop until a daemon exits (`graceS` of the sites).
+const GRACE_S: f64 = 8.0;
+
 /// Run gateways under seeded faults, and check what callers and upstreams observe.
 #[derive(Clone, Debug, FromArgs)]
 pub struct SoakArgs {
@@ -127,6 +130,7 @@
         daemons_len: args.daemons_len,
         engines_len: args.engines_len,
         servers_len: args.servers_len,
+        dispatch: DispatchOptions { grace_s: GRACE_S },
     };
     let deployment = Arc::new(Deployment::start(size, &args.program, folder, &history).await?);
     let balancer = Balancer::start(&deployment.daemons);
--- a/crates/soak/src/test_deployment.rs
+++ b/crates/soak/src/test_deployment.rs
@@ -4,7 +4,8 @@
     caller::{Connection, RequestSpec, ResponseSpec},
     fault::{inject, Fault, ScheduledFault},
     history::{BodyCheck, Clock, History, IndexedHistory},
-    testbed::{Deployment, DeploymentSize, ROUTES},
+    invariant::{violations, Violation},
+    testbed::{Deployment, DeploymentSize, DispatchOptions, ROUTES},
     SoakError,
 };
 use persimmon_core::{
@@ -26,6 +27,7 @@
     daemons_len: 2,
     engines_len: 3,
     servers_len: 2,
+    dispatch: DispatchOptions { grace_s: 8.0 },
 };
 
 /// Deadline of the requests.
@@ -57,10 +59,24 @@
     ///
     /// The deployment can't be started.
     pub fn start(program: &Path, folder: &Path) -> Result<Self, SoakError> {
+        Self::start_with(program, folder, SIZE)
+    }
+
+    /// The same, with daemons that exit this time after they were asked to stop.
+    ///
+    /// # Errors
+    ///
+    /// The deployment can't be started.
+    pub fn with_grace(program: &Path, folder: &Path, grace_s: f64) -> Result<Self, SoakError> {
+        let dispatch = DispatchOptions { grace_s };
+        Self::start_with(program, folder, DeploymentSize { dispatch, ..SIZE })
+    }
+
+    fn start_with(program: &Path, folder: &Path, size: DeploymentSize) -> Result<Self, SoakError> {
         let runtime = Builder::new_multi_thread().enable_all().build()?;
         let history = History::new(Clock::start());
         let deployment = runtime.block_on(async {
-            let deployment = Deployment::start(SIZE, program, folder, &history).await?;
+            let deployment = Deployment::start(size, program, folder, &history).await?;
             deployment.wait_connected().await?;
             Ok::<_, SoakError>(deployment)
         })?;
@@ -123,6 +139,14 @@
         }
     }
 
+    /// Invariants that were violated so far.
+    pub fn violations(&self) -> Vec<Violation> {
+        violations(&IndexedHistory::new(
+            self.history.clock().now(),
+            self.history.observations(),
+        ))
+    }
+
     /// Paths of the daemons' logs.
     pub fn logs(&self) -> Vec<PathBuf> {
         let daemons = self.deployment.daemons.iter();
--- a/crates/soak/src/testbed/daemon.rs
+++ b/crates/soak/src/testbed/daemon.rs
@@ -6,6 +6,7 @@
 };
 use crate::{
     history::{Component, DaemonIndex, History, Observation},
+    invariant::ALLOWANCE_REQUESTS,
     SoakError,
 };
 use rustix::process::{kill_process, Pid, Signal as SystemSignal};
@@ -81,6 +82,23 @@
     pub(crate) network: Network,
     pub(crate) index: DaemonIndex,
     pub(crate) domain: &'a str,
+    pub(crate) dispatch: DispatchOptions,
+}
+
+/// Settings of the dispatchers of a deployment.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DispatchOptions {
+    /// Time from the request to stop until the process exits.
+    pub(crate) grace_s: f64,
+}
+
+impl DispatchOptions {
+    fn settings(self) -> serde_json::Value {
+        json!({
+            "grace_s": self.grace_s,
+            "retry_allowance_requests": ALLOWANCE_REQUESTS,
+        })
+    }
 }
 
 /// A gateway process and its proxied links.
@@ -114,6 +132,7 @@
             network,
             index,
             domain,
+            ..
         } = spec;
         let [callers, readiness, metrics, peers] = PORTS.map(|port| network.address(index, port));
         let store = Proxy::start(Some(store)).await?;
@@ -127,6 +146,7 @@
             "store": store.address(),
             "upstream_source": callers.ip(),
             "descriptors_max_len": 1_000,
+            "dispatch": spec.dispatch.settings(),
         });
         fs::write(&settings, text.to_string())?;
         let mut links = Vec::new();
--- a/crates/soak/src/testbed/deployment.rs
+++ b/crates/soak/src/testbed/deployment.rs
@@ -1,7 +1,7 @@
 //! The deployment under test.
 
 use super::{
-    daemon::{DaemonSpec, Network},
+    daemon::{DaemonSpec, DispatchOptions, Network},
     store::{Store, StoreCopy, StoreMode},
     upstream::{RestartableUpstream, ENTRY_TTL},
     CatalogWriter, Daemon,
@@ -50,6 +50,7 @@
     pub(crate) daemons_len: usize,
     pub(crate) engines_len: usize,
     pub(crate) servers_len: usize,
+    pub(crate) dispatch: DispatchOptions,
 }
 
 impl Deployment {
@@ -84,6 +85,7 @@
                 network,
                 index,
                 domain,
+                dispatch: size.dispatch,
             };
             let daemon = Daemon::start(spec, program, folder, address, &upstreams, history).await?;
             daemons.push(daemon);
--- a/crates/soak/src/testbed/mod.rs
+++ b/crates/soak/src/testbed/mod.rs
@@ -10,7 +10,7 @@
 mod upstream;
 
 pub(crate) use catalog::{CatalogWriter, HOST, ROUTES};
-pub(crate) use daemon::{Daemon, Signal};
+pub(crate) use daemon::{Daemon, DispatchOptions, Signal};
 pub(crate) use deployment::{domain, Deployment, DeploymentSize};
 pub(crate) use proxy::{Link, Proxy};
 pub(crate) use store::StoreMode;
--- a/crates/soak/src/testbed/upstream/incarnation.rs
+++ b/crates/soak/src/testbed/upstream/incarnation.rs
@@ -202,13 +202,21 @@
         if grey_failure == GreyFailure::Rejects
             || self.in_flight_requests.load(Ordering::Relaxed) >= SLOTS_LEN + QUEUE_LEN
         {
+            self.record_rejected(&request);
             return Ok(response_with_body(not_run_head(), Bytes::new()));
         }
         self.run(&head, request, grey_failure).await
     }
 
+    fn record_rejected(&self, request: &UpstreamRequest) {
+        self.history.record(Observation::Rejected {
+            request_id: request.request_id.as_str().into(),
+        });
+    }
+
     /// Turns a request away, and asks for no more until the time is over.
     fn shed(&self, request: &UpstreamRequest) -> Response<Body> {
+        self.record_rejected(request);
         let now = Instant::now();
         let until = *self.lock().sheds_until.get_or_insert(now + SHED_TIME);
         let for_ms = Millis::new(until.saturating_duration_since(now).as_millis() as u64);
@@ -280,7 +288,7 @@
         deadline: Instant,
     ) -> Result<Response<Body>, NoAnswer> {
         let request_id = Arc::clone(&guard.request_id);
-        if grey_failure == GreyFailure::Errors {
+        if matches!(grey_failure, GreyFailure::Errors | GreyFailure::Fails) {
             let head_failed = answer_head(StatusCode::INTERNAL_SERVER_ERROR, &request_id, "failed");
             return Ok(response_with_body(
                 head_failed,
--- a/crates/soak/tests/common/mod.rs
+++ b/crates/soak/tests/common/mod.rs
@@ -2,8 +2,14 @@
 
 use std::{env, path::PathBuf, process::Command};
 
+/// Names the gateway of another build, to compare.
+const OTHER_GATEWAY: &str = "PERSIMMON_TEST_GATEWAY";
+
 /// Builds the gateway in the profile of this test and returns its path.
 pub(crate) fn gateway() -> PathBuf {
+    if let Some(program) = env::var_os(OTHER_GATEWAY) {
+        return program.into();
+    }
     let test = env::current_exe().unwrap();
     let profile = test.ancestors().nth(2).unwrap();
     let mut build = Command::new(env!("CARGO"));
--- a/crates/soak/tests/explain.rs
+++ b/crates/soak/tests/explain.rs
@@ -11,11 +11,17 @@
     TestDeployment,
 };
 use persimmonctl::{args::ExplainArgs, explain};
-use std::{env, fs, time::Duration};
+use std::{
+    env, fs,
+    time::{Duration, Instant},
+};
 
 /// Duration of a fault that outlasts the test.
 const WHOLE_TEST: Duration = Duration::from_secs(30);
 
+/// Time within which a daemon writes the line on the end of a request that it has answered.
+const LAST_LINE_TIMEOUT: Duration = Duration::from_secs(2);
+
 fn start_deployment(name: &str) -> TestDeployment {
     let folder = env::temp_dir().join(format!("persimmon-explain-{name}"));
     TestDeployment::start(&gateway(), &folder).unwrap()
@@ -28,7 +34,13 @@
         request: request_id.to_owned(),
         logs: deployment.logs(),
     };
-    let explanation = explain(&args).unwrap();
+    let mut explanation = explain(&args).unwrap();
+    // A daemon answers its caller first, and writes its last line about the request a moment later.
+    let until = Instant::now() + LAST_LINE_TIMEOUT;
+    while !explanation.contains("=> ") && Instant::now() < until {
+        deployment.wait(Duration::from_millis(10));
+        explanation = explain(&args).unwrap();
+    }
     let kept = ["end", "next", "may_have_run", "reason", "tries_count"];
     let lines = explanation.lines().skip(1).map(|line| {
         let (mark, rest) = line.split_at(3);
