A planned stop takes no request that it would cut off

Operators of similar systems report requests that came late in the grace period of a planned stop, were passed on and cut without an answer, orders among them. Here a process accepts requests for three seconds, whatever its grace is, and gives open calls up in the last sixth: with a grace of three seconds, those that came in the last half second were sent and never answered. An order is now refused at once if its time goes on beyond the moment at which open calls are given up, and nothing is taken after it.

The hub now refuses those that the control thread has not seen, and all that come.

--- a/crates/core/src/dispatch/shutdown.rs
+++ b/crates/core/src/dispatch/shutdown.rs
@@ -4,7 +4,10 @@
     dispatcher::{Dispatcher, Out},
     DispatchAction, DispatchMessage, DispatchRecord, RefusalReason,
 };
-use crate::units::{Millis, Time};
+use crate::{
+    catalog::CallKind,
+    units::{Millis, Time},
+};
 
 /// Time for which requests are still accepted after the request to stop: the load balancer checks
 /// readiness once a second and removes a daemon after two failed checks.
@@ -48,12 +51,29 @@
 
     /// Whether new requests are refused because of the shutdown.
     pub(super) fn refuses_new(&self, now: Time) -> bool {
-        let shutdown = self.shutdown.as_ref();
-        shutdown.is_some_and(|shutdown| now.since(shutdown.requested_at) >= ACCEPT_AFTER_STOP_MS)
+        self.shutdown.as_ref().is_some_and(|shutdown| {
+            now.since(shutdown.requested_at) >= ACCEPT_AFTER_STOP_MS
+                || shutdown.aborted_at.is_some()
+        })
+    }
+
+    /// Whether a request that ends by `deadline_at` is refused because the process may exit before. One that may be
+    /// repeated is taken: its caller can go elsewhere if it is broken off.
+    pub(super) fn may_cut_off(&self, kind: CallKind, deadline_at: Time) -> bool {
+        self.shutdown.as_ref().is_some_and(|shutdown| {
+            !kind.repeatable() && deadline_at > shutdown.requested_at + self.abort_after_ms()
+        })
+    }
+
+    /// Time from the request to stop until open calls are given up.
+    fn abort_after_ms(&self) -> Millis {
+        let grace_ms = self.settings.grace_ms;
+        grace_ms.saturating_sub(Millis::new(grace_ms.get() / ABORT_GRACE_DIVISOR))
     }
 
     /// Performs the steps of the shutdown that are due.
     pub(super) fn progress_shutdown(&mut self, out: &mut Out<'_>) {
+        let abort_after_ms = self.abort_after_ms();
         let Some(shutdown) = &mut self.shutdown else {
             return;
         };
@@ -62,9 +82,6 @@
             shutdown.idle_closed = true;
             out.act(DispatchAction::CloseIdleConnections);
         }
-        let grace_ms = self.settings.grace_ms;
-        let abort_after_ms =
-            grace_ms.saturating_sub(Millis::new(grace_ms.get() / ABORT_GRACE_DIVISOR));
         let is_idle = self.calls.is_empty() && self.relays.relayed_len() == 0;
         let done = age_ms >= ACCEPT_AFTER_STOP_MS && is_idle;
         if shutdown.aborted_at.is_none() && (done || age_ms >= abort_after_ms) {
--- a/crates/io/src/transport/hub.rs
+++ b/crates/io/src/transport/hub.rs
@@ -2,8 +2,9 @@
 
 use flume::{Receiver, Sender};
 use persimmon_core::{
-    dispatch::{DispatchEvent, Refusal, SendPlan},
+    dispatch::{DispatchEvent, Refusal, RefusalReason, SendPlan},
     ids::{CallId, RelayId},
+    units::Millis,
 };
 use std::{
     collections::HashMap,
@@ -24,6 +25,13 @@
     Abort,
 }
 
+/// Refusal of a call that the control thread does not see any more.
+const STOPPED: Refusal = Refusal {
+    reason: RefusalReason::Stopping,
+    may_have_run: false,
+    retry_after_ms: Some(Millis::ZERO),
+};
+
 /// Registry of open calls: carries commands to their tasks and events to the control thread.
 #[derive(Debug)]
 pub struct Hub {
@@ -35,7 +43,16 @@
 #[derive(Debug, Default)]
 struct Calls {
     last_id: CallId,
-    open: HashMap<CallId, Sender<CallCommand>>,
+    open: HashMap<CallId, OpenCall>,
+    /// Whether the control thread has ended.
+    is_stopped: bool,
+}
+
+#[derive(Debug)]
+struct OpenCall {
+    commands: Sender<CallCommand>,
+    /// Whether the control thread has decided about it.
+    is_commanded: bool,
 }
 
 #[derive(Debug, Default)]
@@ -60,7 +77,17 @@
         let mut calls = self.lock();
         calls.last_id = calls.last_id.next();
         let id = calls.last_id;
-        calls.open.insert(id, commands);
+        if calls.is_stopped {
+            // The receiver gets it before any event of this call could be handled.
+            let _ = commands.send(CallCommand::Refuse(STOPPED));
+        }
+        calls.open.insert(
+            id,
+            OpenCall {
+                commands,
+                is_commanded: false,
+            },
+        );
         (id, inbox)
     }
 
@@ -71,9 +98,18 @@
 
     /// Sends a command to a call's task. It is ignored if the call has ended.
     pub fn send_command(&self, call: CallId, command: CallCommand) {
-        let task = self.lock().open.get(&call).cloned();
-        if let Some(task) = task {
-            let _ = task.send(command);
+        if let Some(open) = self.lock().open.get_mut(&call) {
+            open.is_commanded = true;
+            let _ = open.commands.send(command);
+        }
+    }
+
+    /// Refuses the calls that the control thread has not seen, and all that come. Called when it has ended.
+    pub fn stop(&self) {
+        let mut calls = self.lock();
+        calls.is_stopped = true;
+        for open in calls.open.values().filter(|open| !open.is_commanded) {
+            let _ = open.commands.send(CallCommand::Refuse(STOPPED));
         }
     }
 
--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -805,6 +805,19 @@
     });
 }
 
+/// While a process held an answer for a slow caller after its control thread had ended, it read requests and never
+/// answered them (LOST, review/3).
+#[test]
+fn requests_that_the_control_thread_does_not_see_are_refused() {
+    run(async {
+        let (fixture, unseen, _call) = Fixture::with_call().await;
+        fixture.hub.stop();
+        assert!(received(unseen).await.starts_with("HTTP/1.1 503"));
+        let late = fixture.caller().await;
+        assert!(received(late).await.starts_with("HTTP/1.1 503"));
+    });
+}
+
 #[test]
 fn a_refused_connection_counts_as_not_sent() {
     run(async {
--- a/crates/persimmond/src/gateway/traffic.rs
+++ b/crates/persimmond/src/gateway/traffic.rs
@@ -215,6 +215,7 @@
             }
             links.start(job);
         }
+        links.hub.stop();
         if let (Some(memory), Some(since)) = (memory, draining_since) {
             // Responses that are complete but not read yet are held here, and no call is open for them.
             let grace = self.settings.dispatch.grace_ms.duration();
