--- a/crates/soak/tests/late_requests.rs
+++ b/crates/soak/tests/late_requests.rs
@@ -17,11 +17,18 @@
 
 const CALLERS_LEN: usize = 8;
 
+/// Indexes of the plain servers.
+const PLAIN_SERVERS: [usize; 2] = [3, 4];
+
 /// An order that was taken late in the grace period was sent to its upstream and cut off without an answer (LOST).
 #[test]
 fn orders_that_come_late_in_a_planned_stop_are_not_cut_off() {
     let folder = env::temp_dir().join("persimmon-late-requests");
     let deployment = TestDeployment::with_grace(&gateway(), &folder, GRACE_S).unwrap();
+    // An order takes longer than the process needs to exit.
+    for server in PLAIN_SERVERS {
+        deployment.inject(Fault::UpstreamSlow(server), SENDING_TIME * 2);
+    }
     deployment.inject(Fault::DaemonTerminate(0), Duration::ZERO);
     let until = Instant::now() + SENDING_TIME;
     let send_all = &|caller: usize| {
--- a/crates/soak/tests/restarts_while_failing.rs
+++ b/crates/soak/tests/restarts_while_failing.rs
@@ -9,6 +9,9 @@
     time::{Duration, Instant},
 };
 
+/// Window of the retry budget.
+const WINDOW: Duration = Duration::from_secs(10);
+
 /// Time for which upstreams fail, within one window of the retry budget.
 const FAILING_TIME: Duration = Duration::from_millis(9_000);
 
@@ -19,7 +22,7 @@
 const CALLERS_LEN: usize = 16;
 
 /// Time after which a caller sends its next request.
-const THINK_TIME: Duration = Duration::from_millis(30);
+const THINK_TIME: Duration = Duration::from_millis(60);
 
 /// Each process began the budget of its service anew (BUDGET, on days with kills while upstreams fail).
 #[test]
@@ -27,7 +30,7 @@
     let folder = env::temp_dir().join("persimmon-restarts-while-failing");
     let deployment = TestDeployment::start(&gateway(), &folder).unwrap();
     let started_at = Instant::now();
-    let until = started_at + FAILING_TIME + HERDS_PAUSE;
+    let until = started_at + WINDOW + FAILING_TIME;
     let send_all = |caller: usize| {
         let mut number = 0;
         while Instant::now() < until {
@@ -41,8 +44,8 @@
             let send_all = &send_all;
             scope.spawn(move || send_all(caller));
         }
-        // Calls of a while earn the budget that the first processes use.
-        deployment.wait(HERDS_PAUSE);
+        // The calls of a whole window have earned the budget that the first processes use.
+        deployment.wait(WINDOW);
         deployment.inject(Fault::UpstreamsFail, FAILING_TIME);
         for _ in 0..HERDS_LEN {
             deployment.wait(HERDS_PAUSE);
