A planned stop with a short grace accepts requests for half of its time

The first fix refused a call that may not be repeated if its time limit goes on beyond the moment at which open calls are given up. With a limit of ten seconds that refuses every order from the signal on, though nearly all end in a fraction of it. Now all kinds are accepted for half of the time until that moment, three seconds at most, and none after it.

--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -40,7 +40,9 @@
                 let is_returning = self.is_returning(out, &call, &service, fingerprint);
                 self.budget.on_call(out.now, &service.name);
                 let age_ms = call.age_ms;
-                let limit_ms = time_limit_ms(&call, &route);
+                let limit_ms = call
+                    .deadline_ms
+                    .map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
                 let arrived_at = out.now - age_ms;
                 call.fingerprints.push(fingerprint);
                 let open = OpenCall {
@@ -109,10 +111,6 @@
         let target = route.target(&call.request_id);
         let service = target.and_then(|target| catalog.service(&target.service));
         let service = service.ok_or_else(no_route)?;
-        let left_ms = time_limit_ms(call, route).saturating_sub(call.age_ms);
-        if self.may_cut_off(route.kind, now + left_ms) {
-            return Err(refuse(RefusalReason::Stopping, Some(Millis::ZERO)));
-        }
         Ok(Admitted {
             route: Arc::clone(route),
             service: Arc::clone(service),
@@ -176,12 +174,6 @@
     }
 }
 
-/// Longest time that a call may take: what its caller or its route allows.
-fn time_limit_ms(call: &Call, route: &Route) -> Millis {
-    let deadline_ms = call.deadline_ms.unwrap_or(route.timeout_ms);
-    deadline_ms.min(route.timeout_ms)
-}
-
 /// The fingerprint of a request: its content, by the workspace of its caller. Callers with keys of one
 /// workspace count as one.
 fn request_fingerprint(call: &Call, holder: Option<&KeyHolder>) -> Fingerprint {
--- a/crates/core/src/dispatch/shutdown.rs
+++ b/crates/core/src/dispatch/shutdown.rs
@@ -4,12 +4,9 @@
     dispatcher::{Dispatcher, Out},
     DispatchAction, DispatchMessage, DispatchRecord, RefusalReason,
 };
-use crate::{
-    catalog::CallKind,
-    units::{Millis, Time},
-};
+use crate::units::{Millis, Time};
 
-/// Time for which requests are still accepted after the request to stop: the load balancer checks
+/// Longest time for which requests are accepted after the request to stop: the load balancer checks
 /// readiness once a second and removes a daemon after two failed checks.
 const ACCEPT_AFTER_STOP_MS: Millis = Millis::new(3_000);
 
@@ -52,17 +49,15 @@
     /// Whether new requests are refused because of the shutdown.
     pub(super) fn refuses_new(&self, now: Time) -> bool {
         self.shutdown.as_ref().is_some_and(|shutdown| {
-            now.since(shutdown.requested_at) >= ACCEPT_AFTER_STOP_MS
-                || shutdown.aborted_at.is_some()
+            now.since(shutdown.requested_at) >= self.accept_ms() || shutdown.aborted_at.is_some()
         })
     }
 
-    /// Whether a request that ends by `deadline_at` is refused because the process may exit before. One that may be
-    /// repeated is taken: its caller can go elsewhere if it is broken off.
-    pub(super) fn may_cut_off(&self, kind: CallKind, deadline_at: Time) -> bool {
-        self.shutdown.as_ref().is_some_and(|shutdown| {
-            !kind.repeatable() && deadline_at > shutdown.requested_at + self.abort_after_ms()
-        })
+    /// Time from the request to stop for which requests are still accepted. In a short grace period, those that come last
+    /// have as much time to end as they were accepted for.
+    fn accept_ms(&self) -> Millis {
+        let half_ms = Millis::new(self.abort_after_ms().get() / 2);
+        ACCEPT_AFTER_STOP_MS.min(half_ms)
     }
 
     /// Time from the request to stop until open calls are given up.
@@ -73,17 +68,17 @@
 
     /// Performs the steps of the shutdown that are due.
     pub(super) fn progress_shutdown(&mut self, out: &mut Out<'_>) {
-        let abort_after_ms = self.abort_after_ms();
+        let (accept_ms, abort_after_ms) = (self.accept_ms(), self.abort_after_ms());
         let Some(shutdown) = &mut self.shutdown else {
             return;
         };
         let age_ms = out.now.since(shutdown.requested_at);
-        if age_ms >= ACCEPT_AFTER_STOP_MS && !shutdown.idle_closed {
+        if age_ms >= accept_ms && !shutdown.idle_closed {
             shutdown.idle_closed = true;
             out.act(DispatchAction::CloseIdleConnections);
         }
         let is_idle = self.calls.is_empty() && self.relays.relayed_len() == 0;
-        let done = age_ms >= ACCEPT_AFTER_STOP_MS && is_idle;
+        let done = age_ms >= accept_ms && is_idle;
         if shutdown.aborted_at.is_none() && (done || age_ms >= abort_after_ms) {
             shutdown.aborted_at = Some(out.now);
             let open: Vec<_> = self.calls.keys().copied().collect();
