--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 
 mod action;
 mod admit;
+mod answer;
 mod backoff;
 mod budget;
 mod cached_prefixes;
@@ -59,6 +60,7 @@
 mod workspace_shares;
 
 pub use action::DispatchAction;
+pub use answer::{AnswerOrigin, ConnectionUse, StatedRequest};
 pub use backoff::BackoffTable;
 pub use budget::{AllowanceShare, BudgetState, RetryBudget};
 pub use call::{Call, PromptSize};
--- a/crates/core/src/dispatch/outcome.rs
+++ b/crates/core/src/dispatch/outcome.rs
@@ -1,5 +1,6 @@
 //! Outcomes of transmissions to upstreams.
 
+use super::AnswerOrigin;
 use crate::{ids::UpstreamId, path::PathAttempts, units::Millis};
 use serde::Serialize;
 use std::{net::SocketAddr, str::FromStr};
@@ -47,6 +48,9 @@
         /// Time for which the upstream wants no more requests from this daemon.
         #[serde(skip_serializing_if = "Option::is_none")]
         retry_after_ms: Option<Millis>,
+        /// What shows that the answer is this request's.
+        #[serde(flatten)]
+        origin: AnswerOrigin,
     },
     /// Nothing was sent: this daemon's connections to the upstream are all in use.
     Busy,
--- a/crates/core/tests/common/budget_fleet.rs
+++ b/crates/core/tests/common/budget_fleet.rs
@@ -5,7 +5,10 @@
 
 use super::dispatch::{batch, id, ms, node::Node, plain_call};
 use persimmon_core::{
-    dispatch::{DispatchAction, DispatchEvent, DispatchMessage, RawDispatchSettings, SendOutcome},
+    dispatch::{
+        AnswerOrigin, DispatchAction, DispatchEvent, DispatchMessage, RawDispatchSettings,
+        SendOutcome,
+    },
     ids::{CallId, SendId, VmId},
     path::PathAttempts,
     units::Time,
@@ -391,6 +394,7 @@
                 wrong_upstream: false,
                 culprit: None,
                 retry_after_ms: None,
+                origin: AnswerOrigin::default(),
             },
         }
     }
--- a/crates/core/tests/dispatch_rules.rs
+++ b/crates/core/tests/dispatch_rules.rs
@@ -10,8 +10,8 @@
 };
 use persimmon_core::{
     dispatch::{
-        Culprit, DispatchEvent, OrderKind, OrderOutcome, RawDispatchSettings, RefusalReason,
-        SendOutcome, SendPlan,
+        AnswerOrigin, Culprit, DispatchEvent, OrderKind, OrderOutcome, RawDispatchSettings,
+        RefusalReason, SendOutcome, SendPlan,
     },
     ids::VmId,
     watch::{Change, Topic},
@@ -117,6 +117,7 @@
         wrong_upstream: false,
         culprit: None,
         retry_after_ms: None,
+        origin: AnswerOrigin::default(),
     };
     let seen = node.ends(&plan, full());
     let second = sent(&seen).clone();
@@ -139,6 +140,7 @@
         wrong_upstream: false,
         culprit: None,
         retry_after_ms: None,
+        origin: AnswerOrigin::default(),
     };
     assert_eq!(node.ends(&plan, end), [Seen::PassFailure(call)]);
 }
@@ -273,6 +275,7 @@
         wrong_upstream: false,
         culprit,
         retry_after_ms: None,
+        origin: AnswerOrigin::default(),
     }
 }
 
@@ -585,6 +588,7 @@
         wrong_upstream: false,
         culprit: None,
         retry_after_ms: None,
+        origin: AnswerOrigin::default(),
     };
     assert_eq!(node.ends(&second, end), [Seen::AbortAnswer(call)]);
 }
--- a/crates/core/tests/prefix_reports.rs
+++ b/crates/core/tests/prefix_reports.rs
@@ -8,9 +8,9 @@
 use persimmon_core::{
     catalog::ApiKey,
     dispatch::{
-        Call, DispatchAction, DispatchEvent, DispatchMessage, DispatchRecord, DispatchSettings,
-        ExtensionFrame, ExtensionKind, ExtensionMessage, PromptSize, RawDispatchSettings,
-        SendOutcome, SendPlan,
+        AnswerOrigin, Call, DispatchAction, DispatchEvent, DispatchMessage, DispatchRecord,
+        DispatchSettings, ExtensionFrame, ExtensionKind, ExtensionMessage, PromptSize,
+        RawDispatchSettings, SendOutcome, SendPlan,
     },
     ids::{CallId, Fingerprint, SendId},
     prefix::{PrefixReport, PromptPart, PromptPrefix, RawPrefixRetention, RawPrefixSettings},
@@ -324,6 +324,7 @@
         wrong_upstream: false,
         culprit: None,
         retry_after_ms: None,
+        origin: AnswerOrigin::default(),
     };
     daemon.step(DispatchEvent::Ended { call, send, end });
     assert_eq!(daemon.served(&[1]), [0]);
--- a/crates/core/tests/retry_promises.rs
+++ b/crates/core/tests/retry_promises.rs
@@ -13,9 +13,9 @@
 use persimmon_core::{
     catalog::ApiKey,
     dispatch::{
-        Call, DispatchAction, DispatchEvent, DispatchMessage, DispatchRecord, DispatchSettings,
-        Dispatcher, ExtensionFrame, ExtensionKind, ExtensionMessage, RawDispatchSettings,
-        RefusalReason, SendOutcome, SendPlan,
+        AnswerOrigin, Call, DispatchAction, DispatchEvent, DispatchMessage, DispatchRecord,
+        DispatchSettings, Dispatcher, ExtensionFrame, ExtensionKind, ExtensionMessage,
+        RawDispatchSettings, RefusalReason, SendOutcome, SendPlan,
     },
     ids::{CallId, Fingerprint, ServiceName},
     returns::{
@@ -290,6 +290,7 @@
         wrong_upstream: false,
         culprit: None,
         retry_after_ms: None,
+        origin: AnswerOrigin::default(),
     };
     let seen = node.ends(&plans[0], end);
     let reason = RefusalReason::UpstreamsRefused;
--- a/crates/core/tests/upstream_notices.rs
+++ b/crates/core/tests/upstream_notices.rs
@@ -11,8 +11,8 @@
 };
 use persimmon_core::{
     dispatch::{
-        DispatchAction, DispatchEvent, DispatchMessage, LeavingNotice, RefusalReason, SendOutcome,
-        SendPlan,
+        AnswerOrigin, DispatchAction, DispatchEvent, DispatchMessage, LeavingNotice, RefusalReason,
+        SendOutcome, SendPlan,
     },
     fleet::UpstreamIncarnation,
     ids::UpstreamId,
@@ -179,6 +179,7 @@
         wrong_upstream: false,
         culprit: None,
         retry_after_ms,
+        origin: AnswerOrigin::default(),
     }
 }
 
--- a/crates/io/src/telemetry/metric.rs
+++ b/crates/io/src/telemetry/metric.rs
@@ -101,6 +101,12 @@
         Unit::Count,
         "Failed transmissions, by whether the request was sent again and why not",
     );
+    /// Responses that refuse a request, by what shows whose they are.
+    pub const UPSTREAM_REFUSALS: Self = counter(
+        "persimmon_upstream_refusals_total",
+        Unit::Count,
+        "Refusals by upstreams, by what the connection had carried and which request they name",
+    );
     /// Daemons by which bounds over the fleet are divided.
     pub const SHARING_DAEMONS: Self = gauge(
         "persimmon_sharing_daemons",
@@ -281,7 +287,7 @@
 }
 
 /// All metrics of a daemon.
-pub const ALL_METRICS: [Metric; 38] = [
+pub const ALL_METRICS: [Metric; 39] = [
     Metric::REQUESTS,
     Metric::REFUSALS,
     Metric::FIRST_TOKEN,
@@ -290,6 +296,7 @@
     Metric::OLDEST_OVERDUE,
     Metric::SENDS_FAILED,
     Metric::RETRY_DECISIONS,
+    Metric::UPSTREAM_REFUSALS,
     Metric::SHARING_DAEMONS,
     Metric::WAITING_REQUESTS,
     Metric::LATE_RESPONSES,
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -16,7 +16,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use persimmon_core::{
-    dispatch::{SendOutcome, SendPlan},
+    dispatch::{AnswerOrigin, SendOutcome, SendPlan, StatedRequest},
     units::Millis,
 };
 use std::{sync::Arc, time::Duration};
@@ -119,6 +119,10 @@
     let (head, body) = response.into_parts();
     let parsed = out.dialect.parse_response(&head);
     report_notices(&parsed, signals);
+    let origin = AnswerOrigin {
+        connection: connection.used,
+        stated: stated_request(out, &parsed),
+    };
     check(out, &head, &parsed)?;
     report_lifted_limit(out, &parsed, signals);
     if !head.status.is_success() {
@@ -131,6 +135,7 @@
             wrong_upstream: parsed.wrong_upstream,
             culprit: parsed.culprit,
             retry_after_ms: parsed.retry_after_ms,
+            origin,
         };
         let failure = Response::from_parts(end_to_end(&head), body);
         return Err(Outcome::Failure(end, Box::new(failure)));
@@ -147,6 +152,15 @@
     Ok(())
 }
 
+/// Which request the response states that it belongs to.
+fn stated_request(out: &Outgoing<'_>, parsed: &ResponseHead) -> StatedRequest {
+    match &parsed.request_id {
+        None => StatedRequest::Unstated,
+        Some(request_id) if request_id == out.request_id => StatedRequest::Own,
+        Some(_) => StatedRequest::Other,
+    }
+}
+
 /// Keeps a connection for the next request, if its response had the id of the request: a copy of the response
 /// that comes later is then told apart from the next response.
 fn release(
--- a/crates/io/src/transport/pool.rs
+++ b/crates/io/src/transport/pool.rs
@@ -14,12 +14,14 @@
 };
 use hyper_util::rt::TokioIo;
 use persimmon_core::{
+    dispatch::ConnectionUse,
     ids::VmId,
     path::{PathAttempt, PathAttempts, PathEnd, PathPlan, UpstreamPath},
 };
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
+    hash::{BuildHasher, BuildHasherDefault, DefaultHasher},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -76,6 +78,27 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     path: UpstreamPath,
+    /// Hashes of the ids of the requests that it has carried.
+    carried: HashSet<u64>,
+    carried_len: u32,
+}
+
+impl Connection {
+    /// What it had carried before a request, which is recorded as carried.
+    fn carry(&mut self, request_id: Option<&str>) -> ConnectionUse {
+        let is_first = self.carried_len == 0;
+        self.carried_len = self.carried_len.saturating_add(1);
+        let is_new_id = request_id.is_none_or(|id| self.carried.insert(hash(id)));
+        match (is_first, is_new_id) {
+            (true, _) => ConnectionUse::New,
+            (false, true) => ConnectionUse::Kept,
+            (false, false) => ConnectionUse::Repeated,
+        }
+    }
+}
+
+fn hash(request_id: &str) -> u64 {
+    BuildHasherDefault::<DefaultHasher>::default().hash_one(request_id)
 }
 
 struct IdleConnection {
@@ -113,6 +136,8 @@
     connection: Connection,
     carries: Traffic,
     address: SocketAddr,
+    /// What it had carried before the request.
+    pub(super) used: ConnectionUse,
 }
 
 impl Pool {
@@ -148,12 +173,14 @@
         loop {
             let (mut connection, reused) = self.connection(target, limits).await?;
             on_path(&connection.path);
+            let used = connection.carry(target.request.as_deref());
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let connection = PooledConnection {
                         connection,
                         carries: limits.traffic,
                         address,
+                        used,
                     };
                     return Ok((response, connection));
                 }
@@ -227,6 +254,7 @@
             connection,
             carries,
             address,
+            used: _,
         } = connection;
         if let UpstreamPath::Relay(peer) = &connection.path {
             if self.stopping_relays.borrow().contains(peer) {
@@ -342,6 +370,8 @@
         Ok(Connection {
             sender,
             path: connected.path,
+            carried: HashSet::new(),
+            carried_len: 0,
         })
     }
 }
--- a/crates/persimmond/src/gateway/meter.rs
+++ b/crates/persimmond/src/gateway/meter.rs
@@ -35,6 +35,7 @@
                     &[("end", end_name(end)), ("next", next)],
                 );
                 self.increment(Metric::RETRY_DECISIONS, &[("verdict", retry.name())]);
+                self.count_refusal(end);
             }
             DispatchRecord::Refused {
                 reason,
@@ -237,6 +238,23 @@
         }
     }
 
+    /// Counts a response that says that the request was not run.
+    fn count_refusal(&self, end: &SendOutcome) {
+        let SendOutcome::Failed {
+            not_run: true,
+            origin,
+            ..
+        } = end
+        else {
+            return;
+        };
+        let labels = [
+            ("connection", origin.connection.name()),
+            ("stated", origin.stated.name()),
+        ];
+        self.increment(Metric::UPSTREAM_REFUSALS, &labels);
+    }
+
     fn increment(&self, metric: Metric, labels: &[(&'static str, &str)]) {
         self.telemetry.counter(metric, labels).increment(1);
     }
