--- a/crates/soak/src/fault/inject.rs
+++ b/crates/soak/src/fault/inject.rs
@@ -4,8 +4,8 @@
 use crate::{
     history::{Component, History, Observation},
     testbed::{
-        domain, CatalogWriter, Daemon, Deployment, GreyFailure, Link, Proxy, RestartableUpstream,
-        Signal, StoreMode,
+        domain, CatalogWriter, Daemon, Deployment, GreyFailure, Link, Misbehavior, Proxy,
+        RestartableUpstream, Signal, StoreMode,
     },
 };
 use persimmon_core::units::RequestsPerSecond;
@@ -106,6 +106,13 @@
                 self.grey_failure(index, GreyFailure::Truncates, span).await
             }
             Fault::UpstreamRepeatsRefusals(index) => self.repeat_refusals(index, span).await,
+            Fault::UpstreamMisbehaves(misbehavior, index) => {
+                self.upstream_link(index, Link::Misbehaves(misbehavior), span)
+                    .await
+            }
+            Fault::UpstreamsMisbehave(misbehavior) => {
+                self.misbehave_everywhere(misbehavior, span).await
+            }
             Fault::UpstreamCold(index) => self.upstream(index).set_cold(COLD_TIME),
             Fault::DomainDrain(index) => self.drain_domain(index, span).await,
             Fault::KeyRotation => self.change_catalog(CatalogWriter::rotate_key),
@@ -295,6 +302,21 @@
         failing(GreyFailure::Off, false);
     }
 
+    async fn misbehave_everywhere(&self, misbehavior: Misbehavior, span: Duration) {
+        let upstreams = &self.deployment.upstreams;
+        let ids = upstreams.iter().map(|upstream| upstream.id());
+        let components: Vec<_> = ids.map(|id| Component::from(&id)).collect();
+        let set_links = |link: Link, started| {
+            for (upstream, component) in upstreams.iter().zip(&components) {
+                self.record_fault(component, started);
+                upstream.proxy.set_link(link);
+            }
+        };
+        set_links(Link::Misbehaves(misbehavior), true);
+        sleep(span).await;
+        set_links(Link::Open, false);
+    }
+
     async fn repeat_refusals(&self, index: usize, span: Duration) {
         let upstream = self.upstream(index);
         upstream.proxy.set_link(Link::RefusalsRepeated);
--- a/crates/soak/src/fault/schedule.rs
+++ b/crates/soak/src/fault/schedule.rs
@@ -1,5 +1,6 @@
 //! Seeded schedules of faults.
 
+use crate::testbed::Misbehavior;
 use persimmon_core::units::Millis;
 use rand_chacha::{
     rand_core::{Rng, SeedableRng},
@@ -96,6 +97,10 @@
     UpstreamTruncates(usize),
     /// An upstream rejects some requests, and writes each refusal once more when the next request comes.
     UpstreamRepeatsRefusals(usize),
+    /// An upstream misbehaves after its responses.
+    UpstreamMisbehaves(Misbehavior, usize),
+    /// All upstreams misbehave after their responses.
+    UpstreamsMisbehave(Misbehavior),
     /// An upstream becomes cold.
     UpstreamCold(usize),
     /// A failure domain is taken out of service.
@@ -130,6 +135,14 @@
 /// The same for upstreams that repeat refusals.
 const REPEAT_SEED_MASK: u64 = 0x5eed_2e9e;
 
+/// The same for upstreams that misbehave while daemons are disturbed, of which a run has one stretch.
+const MISBEHAVIOR_SEED_MASK: u64 = 0x5eed_3b17;
+
+/// Duration of the stretch, the number of disturbed daemons in it, and their longest pause.
+const MISBEHAVIOR_MS: u64 = 6_000;
+const DISTURBED_LEN: u64 = 6;
+const DISTURBED_MAX_MS: u64 = 900;
+
 /// The same for daemons that lose their links to upstreams.
 const LINKS_SEED_MASK: u64 = 0x5eed_11c5;
 
@@ -177,6 +190,7 @@
         vec![Fault::UpstreamRepeatsRefusals(index)]
     }));
     scheduled_faults.extend(schedule_links(seed ^ LINKS_SEED_MASK, span));
+    scheduled_faults.extend(schedule_misbehavior(seed ^ MISBEHAVIOR_SEED_MASK, span));
     scheduled_faults.extend(schedule_herds(seed ^ HERDS_SEED_MASK, span));
     scheduled_faults.sort_by_key(|scheduled| scheduled.at_ms);
     scheduled_faults
@@ -249,6 +263,36 @@
     herds.chain([failing]).collect()
 }
 
+/// All upstreams misbehave for a time, in which daemons are paused, killed and stopped.
+fn schedule_misbehavior(seed: u64, span: Duration) -> Vec<ScheduledFault> {
+    let latest_ms = (span.as_millis() as u64).saturating_sub(MISBEHAVIOR_MS + SPAN_MAX_MS);
+    if latest_ms <= LEAD_MS {
+        return Vec::new();
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let at_ms = LEAD_MS + rng.next_u64() % (latest_ms - LEAD_MS);
+    let misbehavior = ScheduledFault {
+        at_ms: Millis::new(at_ms),
+        span_ms: Millis::new(MISBEHAVIOR_MS),
+        fault: Fault::UpstreamsMisbehave(Misbehavior::Drawn(seed)),
+    };
+    let disturbed = (0..DISTURBED_LEN).map(|_| {
+        let index = rng.next_u64() as usize % 1_000;
+        let faults = [
+            Fault::DaemonPause(index),
+            Fault::DaemonPause(index),
+            Fault::DaemonKill(index),
+            Fault::DaemonTerminate(index),
+        ];
+        ScheduledFault {
+            at_ms: Millis::new(at_ms + rng.next_u64() % MISBEHAVIOR_MS),
+            span_ms: Millis::new(rng.next_u64() % DISTURBED_MAX_MS),
+            fault: faults[rng.next_u64() as usize % faults.len()],
+        }
+    });
+    disturbed.chain([misbehavior]).collect()
+}
+
 fn fault(kind: u64, index: usize) -> Fault {
     let faults = [
         Fault::DaemonKill(index),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,3 +14,4 @@
 pub use errors::SoakError;
 pub use run::{run, soak, SoakArgs, SoakReport};
 pub use test_deployment::{Outcome, TestDeployment};
+pub use testbed::{ExtraBytes, ExtraTime, Misbehavior, EXTRA_BYTES};
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -78,6 +78,8 @@
     pub requests_len: usize,
     /// Requests with a complete answer.
     pub complete_len: usize,
+    /// Requests that may run once at most.
+    pub run_once_len: usize,
     /// Faults injected.
     pub faults_len: usize,
     /// Violated invariants.
@@ -92,10 +94,11 @@
             Ok(report) => {
                 failed |= !report.violations.is_empty();
                 println!(
-                    "seed {seed}: {} faults, {} of {} requests served whole, {} breaches",
+                    "seed {seed}: {} faults, {} of {} requests served whole, {} that may run once, {} breaches",
                     report.faults_len,
                     report.complete_len,
                     report.requests_len,
+                    report.run_once_len,
                     report.violations.len()
                 );
                 for violation in &report.violations {
@@ -206,6 +209,11 @@
         seed,
         requests_len: indexed.requests.len(),
         complete_len: complete.count(),
+        run_once_len: indexed
+            .requests
+            .iter()
+            .filter(|request| !request.kind.repeatable())
+            .count(),
         faults_len,
         violations: violations(&indexed),
     }
--- a/crates/soak/src/testbed/mod.rs
+++ b/crates/soak/src/testbed/mod.rs
@@ -4,14 +4,17 @@
 mod catalog;
 mod daemon;
 mod deployment;
+mod misbehavior;
 mod no_answer;
 mod proxy;
+mod response_framing;
 mod store;
 mod upstream;
 
 pub(crate) use catalog::{CatalogWriter, HOST, ROUTES};
 pub(crate) use daemon::{Daemon, DispatchOptions, Signal};
 pub(crate) use deployment::{domain, Deployment, DeploymentSize};
+pub use misbehavior::{ExtraBytes, ExtraTime, Misbehavior, EXTRA_BYTES};
 pub(crate) use proxy::{Link, Proxy};
 pub(crate) use store::StoreMode;
 pub(crate) use upstream::{GreyFailure, RestartableUpstream};
--- a/crates/soak/src/testbed/proxy.rs
+++ b/crates/soak/src/testbed/proxy.rs
@@ -1,10 +1,18 @@
 //! A TCP proxy on loopback that injects link faults.
 
+use super::{
+    misbehavior::{Aftermath, ExtraTime, Misbehavior},
+    response_framing::ResponseFraming,
+};
+use rand_chacha::ChaCha8Rng;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::{
     io,
     net::{Ipv4Addr, SocketAddr},
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc, Mutex, PoisonError,
+    },
     time::Duration,
 };
 use tokio::{
@@ -48,6 +56,8 @@
     Hanging,
     /// The target writes each refusal once more, when the next request is on its way.
     RefusalsRepeated,
+    /// The target misbehaves after its responses.
+    Misbehaves(Misbehavior),
 }
 
 impl Link {
@@ -63,6 +73,7 @@
     address: SocketAddr,
     target: Arc<Mutex<Option<SocketAddr>>>,
     link: Arc<watch::Sender<Link>>,
+    connections_count: Arc<AtomicU64>,
 }
 
 impl Proxy {
@@ -81,6 +92,7 @@
             address: listener.local_addr()?,
             target: Arc::new(Mutex::new(target)),
             link: Arc::new(watch::Sender::new(Link::Open)),
+            connections_count: Arc::default(),
         };
         tokio::spawn(proxy.clone().accept(listener));
         Ok(proxy)
@@ -129,10 +141,11 @@
 
     fn forward(&self, caller: TcpStream) {
         let (target, link) = (Arc::clone(&self.target), self.link.subscribe());
+        let connection = self.connections_count.fetch_add(1, Ordering::Relaxed);
         tokio::spawn(async move {
             let target = *target.lock().unwrap_or_else(PoisonError::into_inner);
             // An error closes both sides, like a normal end; nothing else to do.
-            let _ = relay(caller, target, link).await;
+            let _ = relay(caller, target, link, connection).await;
         });
     }
 }
@@ -154,6 +167,7 @@
     caller: TcpStream,
     target: Option<SocketAddr>,
     mut link: watch::Receiver<Link>,
+    connection: u64,
 ) -> io::Result<()> {
     reset_on_close(&caller)?;
     let Some(target) = target else { return Ok(()) };
@@ -176,7 +190,11 @@
         to: to_caller,
         link: link.clone(),
         stalls: |link| matches!(link, Link::Stalled | Link::ResponsesStalled | Link::Hanging),
-        kind: Kind::Responses(next_request),
+        kind: Kind::Responses(Box::new(Responses {
+            next_request,
+            framing: ResponseFraming::default(),
+            rng: Misbehavior::generator(connection),
+        })),
     };
     let (requests, responses) = (requests.forward(), responses.forward());
     tokio::select! {
@@ -198,7 +216,14 @@
 /// Which way bytes go, and the number of chunks of requests.
 enum Kind {
     Requests(watch::Sender<u64>),
-    Responses(watch::Receiver<u64>),
+    Responses(Box<Responses>),
+}
+
+/// The responses on a connection, and the number of chunks of requests.
+struct Responses {
+    next_request: watch::Receiver<u64>,
+    framing: ResponseFraming,
+    rng: ChaCha8Rng,
 }
 
 /// One direction of a connection.
@@ -226,22 +251,83 @@
             if len == 0 {
                 return self.to.shutdown().await;
             }
-            self.to.write_all(&chunk[..len]).await?;
+            let received = &chunk[..len];
             match &mut self.kind {
-                Kind::Requests(chunks_len) => chunks_len.send_modify(|len| *len += 1),
-                Kind::Responses(next) if state == Link::RefusalsRepeated => {
-                    let is_refusal = REFUSALS.iter().any(|begin| chunk[..len].starts_with(begin));
-                    next.mark_unchanged();
-                    if is_refusal && next.changed().await.is_ok() {
-                        self.to.write_all(&chunk[..len]).await?;
+                Kind::Requests(chunks_len) => {
+                    self.to.write_all(received).await?;
+                    chunks_len.send_modify(|len| *len += 1);
+                }
+                Kind::Responses(responses) => {
+                    let is_open = responses.write(&mut self.to, state, received).await?;
+                    if !is_open {
+                        return self.to.shutdown().await;
                     }
                 }
-                Kind::Responses(_) => {}
             }
         }
     }
 }
 
+impl Responses {
+    /// Writes received bytes, and what comes after the response if they complete one. Returns false if no more
+    /// responses follow.
+    async fn write(
+        &mut self,
+        to: &mut OwnedWriteHalf,
+        state: Link,
+        received: &[u8],
+    ) -> io::Result<bool> {
+        let complete = self.framing.push(received);
+        let aftermath = match (state, complete) {
+            (Link::Misbehaves(misbehavior), Some(last)) => {
+                misbehavior.aftermath(&mut self.rng, &last)
+            }
+            _ => Aftermath::Nothing,
+        };
+        if let Aftermath::Extra {
+            bytes,
+            time: ExtraTime::AtOnce,
+            ..
+        } = &aftermath
+        {
+            to.write_all(&[received, bytes].concat()).await?;
+            return Ok(true);
+        }
+        to.write_all(received).await?;
+        self.next_request.mark_unchanged();
+        match aftermath {
+            Aftermath::Nothing => {
+                let is_refusal = REFUSALS.iter().any(|begin| received.starts_with(begin));
+                if state == Link::RefusalsRepeated && is_refusal {
+                    self.wait_for_request().await?;
+                    to.write_all(received).await?;
+                }
+            }
+            Aftermath::Extra { bytes, time, delay } => {
+                if time != ExtraTime::Later {
+                    self.wait_for_request().await?;
+                }
+                if time != ExtraTime::AfterNextRequest {
+                    sleep(delay).await;
+                }
+                to.write_all(&bytes).await?;
+            }
+            Aftermath::HalfClose => return Ok(false),
+            Aftermath::ResetAfterNextRequest => {
+                self.wait_for_request().await?;
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+        }
+        Ok(true)
+    }
+
+    /// Waits until the target has been sent the next request.
+    async fn wait_for_request(&mut self) -> io::Result<()> {
+        let changed = self.next_request.changed().await;
+        changed.map_err(|_| io::ErrorKind::ConnectionReset.into())
+    }
+}
+
 /// Makes a close reset the connection, as the exit of a process does.
 fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
     SockRef::from(stream).set_linger(Some(Duration::ZERO))
