Each order for memory has a connection of its own

Answers to orders name no request, so that bytes after the answer to one were taken for the answer to the next: a prompt is then sent with memory that its engine has refused, or memory stays reserved that counts as released.

Only the first response on a connection is shown to be an order's answer. Calls say whether they share connections; orders don't, calls of the store do, as it sends no other bytes.

--- a/crates/io/tests/transport.rs
+++ b/crates/io/tests/transport.rs
@@ -9,17 +9,19 @@
 
 use bytes::Bytes;
 use common::hanging;
+use dialect::TestDialect;
 use flume::Receiver;
 use http::Request;
 use http_body_util::Full;
 use insta::assert_snapshot;
 use persimmon_core::{
-    dispatch::{DispatchEvent, SendOutcome},
-    units::{Millis, RequestsPerSecond},
+    dispatch::{DispatchEvent, OrderKind, OrderOutcome, ReserveOrder, SendOutcome},
+    path::PathPlan,
+    units::{Millis, RequestsPerSecond, Tokens},
 };
-use persimmon_io::transport::{CallCommand, CallLimits, DrainState, Pool, Target};
+use persimmon_io::transport::{send_order, CallCommand, CallLimits, DrainState, Pool, Target};
 use socket2::SockRef;
-use std::{cell::Cell, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, io::ErrorKind, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
@@ -33,6 +35,7 @@
 const LIMITS: CallLimits = CallLimits {
     time: STEP_TIMEOUT,
     body_max_bytes: 1 << 20,
+    shares_connection: true,
 };
 
 #[test]
@@ -512,6 +515,69 @@
     });
 }
 
+/// Starts an engine that accepts its first order and refuses all others. If an order comes on a connection that has
+/// carried another one, its answer comes after the bytes of an acceptance.
+async fn engine_with_one_place() -> SocketAddr {
+    const ACCEPTED: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    const REFUSED: &[u8] = b"HTTP/1.1 409 Full\r\ncontent-length: 0\r\n\r\n";
+    let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = socket.local_addr().unwrap();
+    let orders_len = Rc::new(Cell::new(0));
+    spawn_local(async move {
+        loop {
+            let (mut stream, _) = socket.accept().await.unwrap();
+            let orders_len = Rc::clone(&orders_len);
+            spawn_local(async move {
+                let mut head = [0; 4_096];
+                while stream.read(&mut head).await.is_ok_and(|len| len > 0) {
+                    let is_first = orders_len.replace(orders_len.get() + 1) == 0;
+                    let answer = if is_first { ACCEPTED } else { REFUSED };
+                    stream.write_all(answer).await.unwrap();
+                    // The next order comes on this connection, if it is kept.
+                    if stream.read(&mut head).await.is_ok_and(|len| len > 0) {
+                        stream
+                            .write_all(&[ACCEPTED, REFUSED].concat())
+                            .await
+                            .unwrap();
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Bytes after the answer to an order were taken for the answer to the next one: a prompt was sent with memory that
+/// its engine had refused.
+#[test]
+fn an_order_is_not_answered_by_bytes_after_the_answer_to_another() {
+    run(async {
+        let fixture = Fixture::start().await;
+        let address = engine_with_one_place().await;
+        let mut ends = Vec::new();
+        for ticket in ["first", "second"] {
+            let order = ReserveOrder {
+                ticket: ticket.into(),
+                upstream: "upstream-1".parse().unwrap(),
+                started_unix_ms: 7,
+                address,
+                paths: PathPlan::direct(),
+                kind: OrderKind::Reserve {
+                    tokens: Tokens::new(1_000),
+                    hold_ms: Millis::new(5_000),
+                },
+            };
+            let (pool, hub) = (Rc::clone(&fixture.pool), Arc::clone(&fixture.hub));
+            send_order(pool, Rc::new(TestDialect), hub, order).await;
+            let DispatchEvent::OrderEnded { end, .. } = fixture.event().await else {
+                panic!("no end of the order");
+            };
+            ends.push(end);
+        }
+        assert_eq!(ends, [OrderOutcome::Done, OrderOutcome::Refused]);
+    });
+}
+
 #[test]
 fn discarded_connections_are_not_used_again() {
     run(async {
