--- a/crates/io/src/transport/connection_limits.rs
+++ b/crates/io/src/transport/connection_limits.rs
@@ -5,8 +5,8 @@
 /// Longest idle time of a pooled connection whose server states none.
 pub(super) const IDLE_MAX_MS: Millis = Millis::from_secs(4);
 
-/// What a connection carries. The two kinds share no connections, because a faulty server may write a response
-/// once more: the copy of one without a request id would be taken for the response to the next request.
+/// What a connection carries. The two kinds share no connections: calls of this daemon don't name themselves, so that
+/// nothing tells a late response to one of them from the next response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Traffic {
     /// Callers' requests, each of whose responses had the id of its request.
--- a/crates/io/src/transport/mod.rs
+++ b/crates/io/src/transport/mod.rs
@@ -4,6 +4,7 @@
 mod accept;
 mod call_task;
 mod caller_listener;
+mod carried;
 mod connection_limits;
 mod connector;
 mod dialect;
--- a/crates/io/src/transport/pool.rs
+++ b/crates/io/src/transport/pool.rs
@@ -1,6 +1,7 @@
 //! HTTP connection pool for upstreams and the store.
 
 use super::{
+    carried::Carried,
     connection_limits::{ConnectionLimits, Traffic, IDLE_MAX_MS},
     connector::NotConnected,
     Connector, Target,
@@ -22,7 +23,6 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
-    hash::{BuildHasher, BuildHasherDefault, DefaultHasher},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -36,9 +36,6 @@
 /// A pooled connection is discarded this long before the idle time that its server states.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
-/// Requests that a connection may carry. The ids of all of them are known, so that none is carried twice.
-const CARRIED_MAX_LEN: usize = 1_024;
-
 /// Limits of a call whose response is read completely.
 #[derive(Clone, Copy, Debug)]
 pub struct CallLimits {
@@ -85,27 +82,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     path: UpstreamPath,
-    /// Hashes of the ids of the requests that it has carried.
-    carried: HashSet<u64>,
-    carried_len: u32,
-}
-
-impl Connection {
-    /// What it had carried before a request, which is recorded as carried.
-    fn carry(&mut self, request_id: Option<&str>) -> ConnectionUse {
-        let is_first = self.carried_len == 0;
-        self.carried_len = self.carried_len.saturating_add(1);
-        let is_new_id = request_id.is_none_or(|id| self.carried.insert(hash(id)));
-        match (is_first, is_new_id) {
-            (true, _) => ConnectionUse::New,
-            (false, true) => ConnectionUse::Kept,
-            (false, false) => ConnectionUse::Repeated,
-        }
-    }
-}
-
-fn hash(request_id: &str) -> u64 {
-    BuildHasherDefault::<DefaultHasher>::default().hash_one(request_id)
+    carried: Carried,
 }
 
 struct IdleConnection {
@@ -180,7 +157,7 @@
         loop {
             let (mut connection, reused) = self.connection(target, limits).await?;
             on_path(&connection.path);
-            let used = connection.carry(target.request.as_deref());
+            let used = connection.carried.record(target.request.as_deref());
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let connection = PooledConnection {
@@ -274,7 +251,7 @@
                 return;
             }
         }
-        if connection.carried.len() >= CARRIED_MAX_LEN {
+        if connection.carried.is_full() {
             return;
         }
         let mut hosts = self.hosts.borrow_mut();
@@ -386,8 +363,7 @@
         Ok(Connection {
             sender,
             path: connected.path,
-            carried: HashSet::new(),
-            carried_len: 0,
+            carried: Carried::default(),
         })
     }
 }
@@ -400,10 +376,10 @@
             !idle.connection.sender.is_closed() && idle.since.elapsed() < idle.idle_timeout
         });
         let plan = &target.paths;
-        let request = target.request.as_deref().map(hash);
+        let request = target.request.as_deref();
         let is_usable = |idle: &IdleConnection| {
             idle.carries == limits.traffic
-                && request.is_none_or(|request| !idle.connection.carried.contains(&request))
+                && !request.is_some_and(|request| idle.connection.carried.has(request))
                 && idle.since.elapsed() < limits.idle_max_ms.duration()
                 && idle.connection.sender.is_ready()
         };
