--- a/crates/io/src/transport/orders.rs
+++ b/crates/io/src/transport/orders.rs
@@ -13,7 +13,6 @@
 const ORDER_LIMITS: CallLimits = CallLimits {
     time: Duration::from_millis(400),
     body_max_bytes: 64 << 10,
-    shares_connection: false,
 };
 
 /// Sends an order to an engine and reports the outcome to the control thread.
--- a/crates/io/src/transport/pool.rs
+++ b/crates/io/src/transport/pool.rs
@@ -18,7 +18,6 @@
     dispatch::ConnectionUse,
     ids::VmId,
     path::{PathAttempt, PathAttempts, PathEnd, UpstreamPath},
-    units::Millis,
 };
 use std::{
     cell::{Cell, RefCell},
@@ -43,9 +42,6 @@
     pub time: Duration,
     /// Longest body of the response.
     pub body_max_bytes: usize,
-    /// Whether the connection may have carried other calls, and may carry more. Nothing then tells a late response
-    /// to one of them from that to this call.
-    pub shares_connection: bool,
 }
 
 /// Why a request got no response.
@@ -201,20 +197,14 @@
     ) -> Result<Response<Bytes>, PoolError> {
         let address = target.address;
         let lost = |reason: String| PoolError::Lost { address, reason };
-        let mut connection_limits = ConnectionLimits::default();
-        if !limits.shares_connection {
-            connection_limits.idle_max_ms = Millis::ZERO;
-        }
         let exchange = async {
             let (response, connection) = self
-                .send(target, request, connection_limits, &|_| {})
+                .send(target, request, ConnectionLimits::default(), &|_| {})
                 .await?;
             let (head, body) = response.into_parts();
             let body = Limited::new(body, limits.body_max_bytes).collect().await;
             let body = body.map_err(|error| lost(error.to_string()))?.to_bytes();
-            if limits.shares_connection {
-                self.release(connection, &head);
-            }
+            self.release(connection, &head);
             Ok(Response::from_parts(head, body))
         };
         timeout(limits.time, exchange)
