--- a/crates/soak/src/testbed/misbehavior.rs
+++ b/crates/soak/src/testbed/misbehavior.rs
@@ -20,6 +20,10 @@
 /// Longest run of arbitrary bytes.
 const ARBITRARY_MAX_BYTES: u64 = 48;
 
+/// Number of equally likely draws after a response, and the last one that has additional bytes follow.
+const DRAWS_LEN: usize = 16;
+const LAST_EXTRA_DRAW: usize = 7;
+
 /// Backoff that an additional refusal asks for.
 const BACKOFF_MS: Millis = Millis::new(300);
 
@@ -142,15 +146,15 @@
     }
 }
 
-/// One of all ways to misbehave; none for half of the responses. Most send additional bytes.
+/// One of all ways to misbehave, most often additional bytes; none for half of the responses.
 fn draw(rng: &mut ChaCha8Rng, seed: u64) -> Option<Misbehavior> {
-    let drawn = (rng.next_u64() ^ seed) as usize;
-    let kind = EXTRA_BYTES[drawn / 16 % EXTRA_BYTES.len()];
-    let time = EXTRA_TIMES[drawn / 1_024 % EXTRA_TIMES.len()];
-    match drawn % 16 {
+    let [way, kind, time] = [(); 3].map(|()| (rng.next_u64() ^ seed) as usize);
+    let kind = EXTRA_BYTES[kind % EXTRA_BYTES.len()];
+    let time = EXTRA_TIMES[time % EXTRA_TIMES.len()];
+    match way % DRAWS_LEN {
         0 => Some(Misbehavior::HalfClose),
         1 => Some(Misbehavior::ResetAfterNextRequest),
-        2..8 => Some(Misbehavior::Extra(kind, time)),
+        2..=LAST_EXTRA_DRAW => Some(Misbehavior::Extra(kind, time)),
         _ => None,
     }
 }
