--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of the second review's scripts. They use the standard library only.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+rustc --edition 2021 -O -o target/review-2/standin review/standin-2/main.rs
--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,217 @@
+//! The cases.
+
+use crate::{
+    store::Store,
+    world::{configuration, Client, Gateway, Record, Server, SIGKILL, SIGTERM},
+};
+use std::{
+    path::PathBuf,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+/// `revokeMs` of the deployments.
+const REVOKE_TIME: Duration = Duration::from_millis(5_000);
+
+/// Time for a gateway to become ready.
+const READY_TIME: Duration = Duration::from_secs(10);
+
+pub struct Setting {
+    pub root: PathBuf,
+    pub folder: PathBuf,
+    pub record: Record,
+    pub has_trouble: bool,
+}
+
+/// A running deployment with one server.
+struct Deployment {
+    store: Arc<Store>,
+    server: Arc<Server>,
+    gateways: Vec<Gateway>,
+    client: Client,
+    record: Record,
+}
+
+impl Deployment {
+    fn start(setting: &Setting, gateways_len: usize, keys: &[&str]) -> Result<Self, String> {
+        let record = setting.record.clone();
+        let store = Store::start();
+        store.put("op", "config", &configuration(1, keys));
+        let server = Server::start("i-1", &record);
+        server.register(&store, "desk", "a");
+        let gateways = (1..=gateways_len).map(|number| {
+            let name = format!("front-{number:02}");
+            Gateway::prepare(&name, "a", &store, &setting.root, &setting.folder)
+        });
+        let mut gateways: Vec<_> = gateways.collect();
+        for gateway in &mut gateways {
+            gateway.start();
+        }
+        for gateway in &gateways {
+            if !gateway.await_ready(READY_TIME) {
+                return Err(format!("{} does not become ready", gateway.name));
+            }
+        }
+        Ok(Self {
+            client: Client::new(&record),
+            store,
+            server,
+            gateways,
+            record,
+        })
+    }
+
+    fn put_configuration(&self, version: u64, keys: &[&str]) -> Instant {
+        self.store
+            .put("op", "config", &configuration(version, keys));
+        let acknowledged_at = Instant::now();
+        self.record
+            .line(&format!("the store acknowledges configuration {version} with keys {keys:?}"));
+        acknowledged_at
+    }
+
+    /// Sends a request with a key to a gateway and tells whether it ran.
+    fn runs(&self, gateway: usize, key: &str) -> bool {
+        let (id, _) = self.client.ask(&self.gateways[gateway], key);
+        self.server.has_run(&id)
+    }
+
+    /// Asks all gateways with a revoked key, and returns the breaches of those by which it runs.
+    fn accepting(&self, key: &str, revoked_at: Instant) -> Vec<String> {
+        let mut breaches = Vec::new();
+        for (index, gateway) in self.gateways.iter().enumerate() {
+            let sent_ms = revoked_at.elapsed().as_millis();
+            if self.runs(index, key) {
+                breaches.push(format!(
+                    "CONFIG: {} runs a request whose key was revoked {sent_ms} ms before",
+                    gateway.name
+                ));
+            }
+        }
+        breaches
+    }
+
+    fn check_served(&self, key: &str) -> Result<(), String> {
+        let all = 0..self.gateways.len();
+        match all.into_iter().find(|gateway| !self.runs(*gateway, key)) {
+            Some(gateway) => Err(format!("{} does not serve {key}", self.gateways[gateway].name)),
+            None => Ok(()),
+        }
+    }
+}
+
+fn sleep_until(at: Instant) {
+    thread::sleep(at.saturating_duration_since(Instant::now()));
+}
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// The store comes back from a copy with a key that was revoked since. One gateway is killed and started again before
+/// the operator's write is repeated.
+pub fn restored(setting: &Setting) -> Result<Vec<String>, String> {
+    let mut deployment = Deployment::start(setting, 3, &["key-kept", "key-revoked"])?;
+    thread::sleep(ms(4_000));
+    for key in ["key-kept", "key-revoked"] {
+        deployment.check_served(key)?;
+    }
+    let copy = deployment.store.copy();
+    let revoked_at = deployment.put_configuration(2, &["key-kept"]);
+    sleep_until(revoked_at + ms(2_500));
+    if (0..3).any(|gateway| deployment.runs(gateway, "key-revoked")) {
+        return Err("the revocation is not known after 2.5 s".to_owned());
+    }
+    if setting.has_trouble {
+        sleep_until(revoked_at + ms(3_900));
+        deployment.record.line("the store is away");
+        deployment.store.set_away(true);
+        sleep_until(revoked_at + ms(4_200));
+        deployment.store.restore(&copy);
+        deployment.store.set_away(false);
+        deployment.record.line("the store is back from a copy");
+        deployment.record.line("front-03 is killed");
+        let killed = &mut deployment.gateways[2];
+        killed.signal(SIGKILL);
+        killed.wait();
+        sleep_until(revoked_at + ms(4_700));
+        killed.start();
+        deployment.record.line("front-03 is started");
+        if !deployment.gateways[2].await_ready(READY_TIME) {
+            return Err("front-03 does not become ready again".to_owned());
+        }
+    }
+    sleep_until(revoked_at + REVOKE_TIME + ms(100));
+    let mut breaches = Vec::new();
+    while Instant::now() < revoked_at + ms(7_500) {
+        breaches.extend(deployment.accepting("key-revoked", revoked_at));
+        thread::sleep(ms(100));
+    }
+    if setting.has_trouble {
+        deployment.put_configuration(2, &["key-kept"]);
+    }
+    thread::sleep(ms(2_000));
+    deployment.check_served("key-kept")?;
+    Ok(breaches)
+}
+
+/// Number of gateways in [`overtaken`].
+const FLEET_LEN: usize = 40;
+
+/// The first gateway is restarted by plan while configurations come in quick succession. The second one has no path
+/// to the store for a moment.
+pub fn overtaken(setting: &Setting) -> Result<Vec<String>, String> {
+    let mut deployment = Deployment::start(setting, FLEET_LEN, &["key-kept", "key-0"])?;
+    thread::sleep(ms(4_000));
+    let mut version = 1;
+    let mut breaches = Vec::new();
+    for round in 1..=6 {
+        let revoked = format!("key-{round}");
+        deployment.put_configuration(version + 1, &["key-kept", &revoked]);
+        version += 1;
+        thread::sleep(ms(2_500));
+        deployment.check_served(&revoked)?;
+        deployment.record.line("front-01 gets SIGTERM");
+        let first = &mut deployment.gateways[0];
+        first.signal(SIGTERM);
+        first.wait();
+        deployment.record.line("front-01 has ended");
+        thread::sleep(ms(300));
+        first.start();
+        let started_at = Instant::now();
+        deployment.record.line("front-01 is started");
+        let mut cut = false;
+        let mut revoked_at = started_at;
+        for step in 0..6u64 {
+            sleep_until(started_at + ms(60 * step + 10 * round));
+            if step == 1 && setting.has_trouble {
+                deployment.gateways[1].store_path.set_cut(true);
+                deployment.record.line("the path from front-02 to the store is cut");
+                cut = true;
+            }
+            version += 1;
+            let keys: &[&str] = if step == 5 {
+                &["key-kept"]
+            } else {
+                &["key-kept", &revoked]
+            };
+            revoked_at = deployment.put_configuration(version, keys);
+        }
+        sleep_until(started_at + ms(500));
+        if cut {
+            deployment.gateways[1].store_path.set_cut(false);
+            deployment.record.line("the path from front-02 to the store is mended");
+        }
+        sleep_until(revoked_at + REVOKE_TIME + ms(500));
+        breaches.extend(deployment.accepting(&revoked, revoked_at));
+        if !breaches.is_empty() {
+            // Whether time alone ends it.
+            sleep_until(revoked_at + ms(20_000));
+            breaches.extend(deployment.accepting(&revoked, revoked_at));
+            break;
+        }
+    }
+    deployment.check_served("key-kept")?;
+    Ok(breaches)
+}
