--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -160,6 +160,13 @@
 /// Number of gateways in [`overtaken`].
 const FLEET_LEN: usize = 40;
 
+/// Time from the first gateway's reading of the list of gateways to the first configuration, one for each round.
+const OFFSETS_MS: [u64; 6] = [10, 0, 30, 60, 100, 150];
+
+/// Number of configurations in a round, and the time between two of them.
+const CONFIGURATIONS_LEN: u64 = 5;
+const GAP_MS: u64 = 60;
+
 /// The first gateway is restarted by plan while configurations come in quick succession. The second one has no path
 /// to the store for a moment.
 pub fn overtaken(setting: &Setting) -> Result<Vec<String>, String> {
@@ -167,10 +174,10 @@
     thread::sleep(ms(4_000));
     let mut version = 1;
     let mut breaches = Vec::new();
-    for round in 1..=6 {
-        let revoked = format!("key-{round}");
-        deployment.put_configuration(version + 1, &["key-kept", &revoked]);
+    for (round, offset_ms) in OFFSETS_MS.into_iter().enumerate() {
+        let revoked = format!("key-{}", round + 1);
         version += 1;
+        deployment.put_configuration(version, &["key-kept", &revoked]);
         thread::sleep(ms(2_500));
         deployment.check_served(&revoked)?;
         deployment.record.line("front-01 gets SIGTERM");
@@ -179,28 +186,34 @@
         first.wait();
         deployment.record.line("front-01 has ended");
         thread::sleep(ms(300));
-        first.start();
-        let started_at = Instant::now();
+        let reads_len = deployment.store.reads_len("members");
+        deployment.gateways[0].start();
         deployment.record.line("front-01 is started");
-        let mut cut = false;
-        let mut revoked_at = started_at;
-        for step in 0..6u64 {
-            sleep_until(started_at + ms(60 * step + 10 * round));
+        let limit = Instant::now() + READY_TIME;
+        while deployment.store.reads_len("members") == reads_len {
+            if Instant::now() > limit {
+                return Err("front-01 does not read the list of gateways".to_owned());
+            }
+            thread::sleep(ms(1));
+        }
+        let listed_at = Instant::now();
+        let mut revoked_at = listed_at;
+        for step in 0..CONFIGURATIONS_LEN {
+            sleep_until(listed_at + ms(offset_ms + GAP_MS * step));
             if step == 1 && setting.has_trouble {
                 deployment.gateways[1].store_path.set_cut(true);
                 deployment.record.line("the path from front-02 to the store is cut");
-                cut = true;
             }
             version += 1;
-            let keys: &[&str] = if step == 5 {
+            let keys: &[&str] = if step + 1 == CONFIGURATIONS_LEN {
                 &["key-kept"]
             } else {
                 &["key-kept", &revoked]
             };
             revoked_at = deployment.put_configuration(version, keys);
         }
-        sleep_until(started_at + ms(500));
-        if cut {
+        sleep_until(revoked_at + ms(200));
+        if setting.has_trouble {
             deployment.gateways[1].store_path.set_cut(false);
             deployment.record.line("the path from front-02 to the store is mended");
         }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -46,6 +46,8 @@
     /// Changes up to this version are no longer kept.
     history_from: u64,
     is_away: bool,
+    /// Number of reads of all rows, by table.
+    reads: BTreeMap<String, u64>,
 }
 
 #[derive(Debug)]
@@ -160,8 +162,15 @@
         }
     }
 
-    fn rows(&self, table: &str, from: &str) -> (u16, String) {
+    /// How often all rows of a table were read.
+    pub fn reads_len(&self, table: &str) -> u64 {
         let state = self.state.lock().unwrap();
+        state.reads.get(table).copied().unwrap_or_default()
+    }
+
+    fn rows(&self, table: &str, from: &str) -> (u16, String) {
+        let mut state = self.state.lock().unwrap();
+        *state.reads.entry(table.to_owned()).or_default() += 1;
         let start = (table.to_owned(), from.to_owned());
         let of_table = state.rows.range(start..);
         let mut rows: Vec<_> = of_table
