--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     store::Store,
-    world::{configuration, Client, Gateway, Record, Server, SIGKILL, SIGTERM},
+    world::{configuration, Client, Gateway, Record, Server, SIGTERM},
 };
 use std::{
     path::PathBuf,
@@ -109,54 +109,6 @@
     Duration::from_millis(ms)
 }
 
-/// The store comes back from a copy with a key that was revoked since. One gateway is killed and started again before
-/// the operator's write is repeated.
-pub fn restored(setting: &Setting) -> Result<Vec<String>, String> {
-    let mut deployment = Deployment::start(setting, 3, &["key-kept", "key-revoked"])?;
-    thread::sleep(ms(4_000));
-    for key in ["key-kept", "key-revoked"] {
-        deployment.check_served(key)?;
-    }
-    let copy = deployment.store.copy();
-    let revoked_at = deployment.put_configuration(2, &["key-kept"]);
-    sleep_until(revoked_at + ms(2_500));
-    if (0..3).any(|gateway| deployment.runs(gateway, "key-revoked")) {
-        return Err("the revocation is not known after 2.5 s".to_owned());
-    }
-    if setting.has_trouble {
-        sleep_until(revoked_at + ms(4_300));
-        deployment.record.line("the store is away");
-        deployment.store.set_away(true);
-        sleep_until(revoked_at + ms(4_600));
-        deployment.store.restore(&copy);
-        deployment.store.set_away(false);
-        deployment.record.line("the store is back from a copy");
-        deployment.record.line("front-03 is killed");
-        let killed = &mut deployment.gateways[2];
-        killed.signal(SIGKILL);
-        killed.wait();
-        sleep_until(revoked_at + ms(4_900));
-        killed.start();
-        deployment.record.line("front-03 is started");
-        if !deployment.gateways[2].await_ready(READY_TIME) {
-            return Err("front-03 does not become ready again".to_owned());
-        }
-    }
-    sleep_until(revoked_at + REVOKE_TIME + ms(100));
-    let mut breaches = Vec::new();
-    while Instant::now() < revoked_at + ms(6_100) {
-        breaches.extend(deployment.accepting("key-revoked", revoked_at));
-        thread::sleep(ms(100));
-    }
-    if setting.has_trouble {
-        // The operator's write is repeated 1.5 s after the store is back.
-        deployment.put_configuration(2, &["key-kept"]);
-    }
-    thread::sleep(ms(2_000));
-    deployment.check_served("key-kept")?;
-    Ok(breaches)
-}
-
 /// Number of gateways in [`overtaken`].
 const FLEET_LEN: usize = 40;
 
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -22,7 +22,6 @@
         has_trouble: env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let verdict = match case.as_str() {
-        "restored" => cases::restored(&setting),
         "overtaken" => cases::overtaken(&setting),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -1,5 +1,4 @@
-//! A stand-in for the platform's store: tables of rows, conditional writes, a feed of changes with long polling, and
-//! restores from an older copy.
+//! A stand-in for the platform's store: tables of rows, conditional writes, and a feed of changes with long polling.
 
 use crate::{
     http::{self, Message},
@@ -21,7 +20,7 @@
 const PAGE_MAX_LEN: usize = 500;
 
 /// A row; its value is base64 text.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 struct Row {
     value: String,
     ver: u64,
@@ -29,23 +28,12 @@
 
 type Rows = BTreeMap<(String, String), Row>;
 
-/// A copy of all rows, with the version of the store at that time.
-#[derive(Clone, Debug)]
-pub struct StoreCopy {
-    rows: Rows,
-    ver: u64,
-}
-
 #[derive(Debug, Default)]
 struct State {
-    era: u64,
     ver: u64,
     rows: Rows,
     /// Changes by version; no value if the row was removed.
     history: Vec<(u64, String, String, Option<String>)>,
-    /// Changes up to this version are no longer kept.
-    history_from: u64,
-    is_away: bool,
     /// Number of reads of all rows, by table.
     reads: BTreeMap<String, u64>,
 }
@@ -87,32 +75,6 @@
         self.changed.notify_all();
     }
 
-    /// Copies all rows.
-    pub fn copy(&self) -> StoreCopy {
-        let state = self.state.lock().unwrap();
-        StoreCopy {
-            rows: state.rows.clone(),
-            ver: state.ver,
-        }
-    }
-
-    /// Refuses all calls, or takes them again.
-    pub fn set_away(&self, is_away: bool) {
-        self.state.lock().unwrap().is_away = is_away;
-        self.changed.notify_all();
-    }
-
-    /// Comes back from a copy: versions after its version are given out again.
-    pub fn restore(&self, copy: &StoreCopy) {
-        let mut state = self.state.lock().unwrap();
-        state.era += 1;
-        state.rows = copy.rows.clone();
-        state.ver = copy.ver;
-        state.history.clear();
-        state.history_from = copy.ver;
-        self.changed.notify_all();
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else {
@@ -122,10 +84,9 @@
         while let Ok(Some(call)) = http::read(&mut reader) {
             thread::sleep(CALL_DELAY);
             let (status, body) = self.answer(&call);
-            let era = self.state.lock().unwrap().era;
             let headers = [
                 ("Content-Type", "application/json".to_owned()),
-                ("Store-Era", era.to_string()),
+                ("Store-Era", "0".to_owned()),
             ];
             if http::respond(&mut writer, status, &headers, body.as_bytes()).is_err() {
                 return;
@@ -134,9 +95,6 @@
     }
 
     fn answer(&self, call: &Message) -> (u16, String) {
-        if self.state.lock().unwrap().is_away {
-            return (503, "{}".to_owned());
-        }
         let (_, target) = call.call();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let query: BTreeMap<_, _> = query
@@ -192,12 +150,8 @@
     fn feed(&self, table: &str, after: u64, wait_ms: u64) -> (u16, String) {
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.state.lock().unwrap();
-        let era = state.era;
         loop {
-            if state.is_away {
-                return (503, "{}".to_owned());
-            }
-            if state.era != era || after < state.history_from || after > state.ver {
+            if after > state.ver {
                 return (410, "{}".to_owned());
             }
             let changes = state.history.iter();
