--- /dev/null
+++ b/review/standin-3/case_slow_reader.rs
@@ -0,0 +1,1 @@
+pub fn run(_record: &str, _has_trouble: bool) -> i32 { 2 }
