Review: a resumed stream ends as complete when its second server crashes

Cause: a response without framing that ends before its first event counts as broken off only where nothing was forwarded before it.

--- a/review/standin-3/lab.rs
+++ b/review/standin-3/lab.rs
@@ -209,6 +209,7 @@
 /// A server as a process of its own, which is started again some seconds after it has crashed.
 pub struct Server {
     stop: Arc<Mutex<bool>>,
+    process: Arc<Mutex<Option<u32>>>,
     thread: Option<thread::JoinHandle<()>>,
 }
 
@@ -231,12 +232,14 @@
     pub fn start(store: &Store, settings: ServerSettings, sink: Sink) -> Self {
         let stop = Arc::new(Mutex::new(false));
         let (store, stopped) = (store.clone(), Arc::clone(&stop));
+        let process = Arc::<Mutex<Option<u32>>>::default();
+        let running = Arc::clone(&process);
         let address = free_address();
         let thread = thread::spawn(move || {
             let mut start = 0;
             while !*stopped.lock().unwrap() {
                 start += 1;
-                run_server(&store, &settings, address, start, &sink, &stopped);
+                run_server(&store, &settings, address, start, &sink, (&stopped, &running));
                 let until = Instant::now() + settings.back_after;
                 while Instant::now() < until && !*stopped.lock().unwrap() {
                     thread::sleep(Duration::from_millis(20));
@@ -245,9 +248,21 @@
         });
         Self {
             stop,
+            process,
             thread: Some(thread),
         }
     }
+
+    /// What ends the process that runs now, as a crash does.
+    pub fn killer(&self) -> impl Fn() + Send + Sync + 'static {
+        let process = Arc::clone(&self.process);
+        move || {
+            if let Some(id) = *process.lock().unwrap() {
+                // The process has not been waited for while its id stands here.
+                unsafe { kill(id as i32, SIGKILL) };
+            }
+        }
+    }
 }
 
 impl Drop for Server {
@@ -265,7 +280,7 @@
     address: SocketAddr,
     start: u32,
     sink: &Sink,
-    stopped: &Arc<Mutex<bool>>,
+    (stopped, process): (&Mutex<bool>, &Mutex<Option<u32>>),
 ) {
     let id = format!("{}-{start}", settings.name);
     let program = std::env::current_exe().expect("the program's path");
@@ -275,6 +290,7 @@
         .stdout(Stdio::piped())
         .spawn();
     let mut child = child.expect("a server can be started");
+    *process.lock().unwrap() = Some(child.id());
     let out = child.stdout.take().expect("its output");
     let (told, teller) = (Arc::clone(sink), id.clone());
     let reader = thread::spawn(move || {
@@ -286,10 +302,15 @@
     let mut sequence = 0;
     let mut beat_at = Instant::now();
     loop {
-        if !matches!(child.try_wait(), Ok(None)) {
-            break;
+        {
+            let mut process = process.lock().unwrap();
+            if !matches!(child.try_wait(), Ok(None)) {
+                *process = None;
+                break;
+            }
         }
         if *stopped.lock().unwrap() {
+            *process.lock().unwrap() = None;
             let _ = child.kill();
             let _ = child.wait();
             break;
