Review: a restored store ends an evacuation that the operator did not end

Cause: a failure domain that a restored store does not list is returned to service after ten seconds, whether or not the operator has written again.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -2,6 +2,7 @@
 //! held, and 2 if it couldn't run.
 
 mod case_poison;
+mod case_restore;
 mod case_resumed;
 mod case_slow_reader;
 mod http;
@@ -19,6 +20,7 @@
     let code = match words[1..] {
         ["server", id, address, mode] => server::run(id, address, mode),
         ["poison", record] => case_poison::run(record, has_trouble),
+        ["restore", record] => case_restore::run(record, has_trouble),
         ["resumed", record] => case_resumed::run(record, has_trouble),
         ["slow-reader", record] => case_slow_reader::run(record, has_trouble),
         _ => {
