Review: ports of the third review's stand-ins are not those of outgoing connections

Its ports were free when they were chosen, but an outgoing connection could take them before the process bound them. Done: ports from 20,000 to 31,999, each given out once; the last line of the log of a gateway that is not ready is printed.

--- a/review/standin-3/lab.rs
+++ b/review/standin-3/lab.rs
@@ -8,7 +8,10 @@
     net::{SocketAddr, TcpListener, UdpSocket},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc, Mutex,
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -74,14 +77,31 @@
     now.map_or(0, |now| now.as_millis() as u64)
 }
 
+/// Ports below those that the system gives to outgoing connections, so that none is taken before its process binds it.
+const PORTS: std::ops::Range<u32> = 20_000..32_000;
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// Returns the next address at which `bind` succeeds. Each is given out once.
+fn next_address<T>(bind: impl Fn(SocketAddr) -> std::io::Result<T>) -> SocketAddr {
+    let first = std::process::id() * 131;
+    for _ in PORTS {
+        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = PORTS.start + (first + step) % PORTS.len() as u32;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no port is free");
+}
+
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
+    next_address(TcpListener::bind)
 }
 
 fn free_udp_address() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("its address")
+    next_address(UdpSocket::bind)
 }
 
 /// A gateway, started with the command of the deploy file.
@@ -165,6 +185,9 @@
             }
             thread::sleep(Duration::from_millis(50));
         }
+        let log = fs::read_to_string(&self.log).unwrap_or_default();
+        let last = log.lines().last().unwrap_or_default();
+        println!("{} was not ready within 10 s; its last line: {last}", self.name);
         false
     }
 }
