Review: the first of several answers of the store counts as its latest state

Cause: TopicWatch::on_answer sets fresh_at to the time at which the call was sent for any answer. The store bounds an answer of rows-feed (1 MB), so that one may end before the newest change. A gateway that missed more than that takes the first answer for the latest state, serves keys that a later change takes away, and confirms that age to its followers.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -2,6 +2,7 @@
 //! held, and 2 if it couldn't run.
 
 mod case_cold;
+mod case_history;
 mod case_poison;
 mod case_restore;
 mod case_resumed;
@@ -22,6 +23,7 @@
         ["server", id, address, mode] => server::run(id, address, mode),
         ["poison", record] => case_poison::run(record, has_trouble),
         ["cold", record] => case_cold::run(record, has_trouble),
+        ["history", record] => case_history::run(record, has_trouble),
         ["restore", record] => case_restore::run(record, has_trouble),
         ["resumed", record] => case_resumed::run(record, has_trouble),
         ["slow-reader", record] => case_slow_reader::run(record, has_trouble),
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -8,11 +8,17 @@
     collections::BTreeMap,
     io,
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Condvar, Mutex,
+    },
     thread,
     time::{Duration, Instant},
 };
 
+/// Bytes of rows in one answer, as for `rows-get`. An answer has one row at least.
+const ANSWER_MAX_BYTES: usize = 1 << 20;
+
 /// Time that each call takes.
 const CALL_TIME: Duration = Duration::from_millis(4);
 
@@ -50,6 +56,18 @@
     pub address: SocketAddr,
 }
 
+/// An address at which the store can refuse all calls.
+pub struct Door {
+    pub address: SocketAddr,
+    is_refusing: Arc<AtomicBool>,
+}
+
+impl Door {
+    pub fn set_refusing(&self, is_refusing: bool) {
+        self.is_refusing.store(is_refusing, Ordering::Relaxed);
+    }
+}
+
 impl Store {
     pub fn start() -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -58,14 +76,29 @@
             started_at: Instant::now(),
             address: listener.local_addr()?,
         };
-        let serving = store.clone();
+        store.listen(listener, Arc::default());
+        Ok(store)
+    }
+
+    /// Another address of the store, at which it can refuse all calls.
+    pub fn open_door(&self) -> io::Result<Door> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let door = Door {
+            address: listener.local_addr()?,
+            is_refusing: Arc::default(),
+        };
+        self.listen(listener, Arc::clone(&door.is_refusing));
+        Ok(door)
+    }
+
+    fn listen(&self, listener: TcpListener, is_refusing: Arc<AtomicBool>) {
+        let serving = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = serving.clone();
-                thread::spawn(move || store.serve(Connection::new(stream)));
+                let (store, is_refusing) = (serving.clone(), Arc::clone(&is_refusing));
+                thread::spawn(move || store.serve(Connection::new(stream), &is_refusing));
             }
         });
-        Ok(store)
     }
 
     /// Writes a row, as the operator or a server does.
@@ -123,17 +156,21 @@
         self.state.1.notify_all();
     }
 
-    fn serve(&self, mut connection: Connection) {
+    fn serve(&self, mut connection: Connection, is_refusing: &AtomicBool) {
         while let Ok(head) = connection.head() {
             let Ok(body) = connection.body(&head) else {
                 return;
             };
             thread::sleep(CALL_TIME);
-            let (status, text) = if self.state.0.lock().unwrap().is_down {
-                ("503 Service Unavailable", String::new())
+            let refusal = ("503 Service Unavailable", String::new());
+            let refuses = || is_refusing.load(Ordering::Relaxed) || self.state.0.lock().unwrap().is_down;
+            let answer = if refuses() {
+                refusal.clone()
             } else {
                 self.answer(&head, &body)
             };
+            // A call that was held is refused too.
+            let (status, text) = if refuses() { refusal } else { answer };
             let era = self.state.0.lock().unwrap().era.to_string();
             let fields = [("Content-Type", "application/json"), ("Store-Era", &*era)];
             if connection
@@ -185,10 +222,24 @@
             }
             let changes = state.changes.iter();
             let changes = changes.filter(|((known, _), row)| known == table && row.version > after);
-            let rows: Vec<_> = changes.map(|(key, row)| row_text(key, row)).collect();
+            let mut rows: Vec<String> = Vec::new();
+            let (mut version, mut bytes) = (state.version, 0);
+            for (key, row) in changes {
+                let text = row_text(key, row);
+                bytes += text.len();
+                if bytes > ANSWER_MAX_BYTES && !rows.is_empty() {
+                    break;
+                }
+                // To continue, the caller resumes from the last change in the answer.
+                version = row.version;
+                rows.push(text);
+            }
+            if bytes <= ANSWER_MAX_BYTES {
+                version = state.version;
+            }
             let left = until.saturating_duration_since(Instant::now());
             if !rows.is_empty() || left.is_zero() {
-                return ("200 OK", self.page(&rows, state.version));
+                return ("200 OK", self.page(&rows, version));
             }
             state = self.state.1.wait_timeout(state, left).unwrap().0;
         }
