A body is whole only where its end shows it

Cause: the end of a body was judged by whether any transmission had forwarded anything, by the presence of a header, or not at all. The kernel ends the connections of a killed process in order.

Change: `BodyEnd::verdict` decides what the end of a body proves, from its framing and from what this transmission brought. The end of a connection proves nothing before the first new event; after it, and for plain bodies, a new connection tells whether the upstream has ended. That connection is kept for the next request. What is not whole is a lost answer, which the next attempt resumes or which is broken off at once.

The stand-in of `faulty_upstreams.rs` ended its listener with its only connection, as a killed process does; it goes on now, as the test means, and its check is the same.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -62,8 +62,8 @@
 
 pub use action::DispatchAction;
 pub use answer::{
-    promises_not_run, AnswerOrigin, AnswerVerdict, ConnectionUse, Doubt, ResponseClaims,
-    StatedRequest,
+    promises_not_run, AnswerOrigin, AnswerVerdict, BodyContent, BodyEnd, BodyFraming, BrokenOff,
+    ConnectionUse, Doubt, EndVerdict, ResponseClaims, StatedRequest,
 };
 pub use backoff::BackoffTable;
 pub use budget::{AllowanceShare, BudgetState, RetryBudget};
--- a/crates/io/src/transport/event_stream.rs
+++ b/crates/io/src/transport/event_stream.rs
@@ -73,6 +73,8 @@
     partial: BytesMut,
     last_id: Option<String>,
     resumed: bool,
+    /// Whether the present response has brought an event that the caller lacked.
+    has_new_event: bool,
     last_event_at: Option<Instant>,
     longest_gap: Option<Duration>,
 }
@@ -82,6 +84,7 @@
     pub fn resume(&mut self) {
         self.partial.clear();
         self.resumed = self.last_id.is_some();
+        self.has_new_event = false;
     }
 
     /// Records that the caller gets the response with this head.
@@ -148,6 +151,11 @@
         Ok(())
     }
 
+    /// Whether the present response has brought an event that the caller lacked. Comments are none.
+    pub const fn has_new_event(&self) -> bool {
+        self.has_new_event
+    }
+
     /// Bytes of the incomplete event.
     pub fn partial_len(&self) -> usize {
         self.partial.len()
@@ -165,10 +173,12 @@
             .as_deref()
             .and_then(|last| last.parse::<u64>().ok());
         let Some(id) = event_id(event) else {
-            return match last {
-                Some(last) if !is_comment(event) => Err(EventError::NoId { last }),
-                _ => Ok(true),
-            };
+            let is_event = !is_comment(event);
+            if let (Some(last), true) = (last, is_event) {
+                return Err(EventError::NoId { last });
+            }
+            self.has_new_event |= is_event;
+            return Ok(true);
         };
         if self.resumed {
             if let (Some(last), Ok(received)) = (last, id.parse::<u64>()) {
@@ -181,6 +191,7 @@
             }
         }
         self.last_id = Some(id);
+        self.has_new_event = true;
         Ok(true)
     }
 }
--- a/crates/io/src/transport/exchange.rs
+++ b/crates/io/src/transport/exchange.rs
@@ -1,6 +1,7 @@
 //! One transmission of a call to an upstream, and the forwarding of its response to the caller.
 
 use super::{
+    body_end::{confirm_whole, framing, stream_content},
     connection_limits::{ConnectionLimits, Traffic},
     event_stream::EventError,
     held_response::{self, HeldResponse},
@@ -18,7 +19,8 @@
 use hyper::{body::Incoming, ext::ReasonPhrase};
 use persimmon_core::{
     dispatch::{
-        AnswerOrigin, AnswerVerdict, Doubt, ResponseClaims, SendOutcome, SendPlan, StatedRequest,
+        AnswerOrigin, AnswerVerdict, BodyContent, BodyEnd, BodyFraming, Doubt, ResponseClaims,
+        SendOutcome, SendPlan, StatedRequest,
     },
     units::Millis,
 };
@@ -134,7 +136,8 @@
     report_lifted_limit(out, &claims, &parsed, signals);
     if !head.status.is_success() {
         let limit = time_left(out, first_byte_timeout);
-        let body = read_body(out, reply, body, FAILURE_MAX_BYTES, limit, signals).await?;
+        let body = Opaque::new(&head, body, FAILURE_MAX_BYTES);
+        let body = read_body(out, reply, body, limit, signals).await?;
         release(out, connection, &head, &claims);
         let end = SendOutcome::Failed {
             status: claims.status,
@@ -151,7 +154,8 @@
         forward_stream(out, reply, events, signals, &head, body).await?;
     } else {
         let limit = out.plan.deadline_ms.duration();
-        let body = read_body(out, reply, body, RESPONSE_MAX_BYTES, limit, signals).await?;
+        let body = Opaque::new(&head, body, RESPONSE_MAX_BYTES);
+        let body = read_body(out, reply, body, limit, signals).await?;
         (signals.on_first)();
         reply.full(end_to_end(&head), body)?;
     }
@@ -218,7 +222,30 @@
     events: &EventStream,
     signals: Signals<'_>,
 ) -> Result<(Response<Incoming>, PooledConnection), Outcome> {
-    let limits = ConnectionLimits {
+    let patience = Patience::first_byte(out.plan);
+    let target = target(out);
+    let sent = out.pool.send(
+        &target,
+        request(out, events),
+        connection_limits(out),
+        signals.on_path,
+    );
+    Ok(wait_reporting_stalls(reply, patience, signals, sent).await??)
+}
+
+/// The upstream that the request is sent to.
+pub(super) fn target(out: &Outgoing<'_>) -> Target {
+    Target {
+        address: out.plan.address,
+        upstream: Some(out.plan.incarnation()),
+        request: Some(out.request_id.into()),
+        paths: out.plan.paths.clone(),
+    }
+}
+
+/// Which connections the request may use.
+pub(super) fn connection_limits(out: &Outgoing<'_>) -> ConnectionLimits {
+    ConnectionLimits {
         traffic: Traffic::Requests,
         idle_max_ms: if out.plan.repeatable {
             Millis::new(u64::MAX)
@@ -226,18 +253,7 @@
             NON_REPEATABLE_IDLE_MAX_MS
         },
         connections_max_len: out.plan.connections_max_len,
-    };
-    let patience = Patience::first_byte(out.plan);
-    let target = Target {
-        address: out.plan.address,
-        upstream: Some(out.plan.incarnation()),
-        request: Some(out.request_id.into()),
-        paths: out.plan.paths.clone(),
-    };
-    let sent = out
-        .pool
-        .send(&target, request(out, events), limits, signals.on_path);
-    Ok(wait_reporting_stalls(reply, patience, signals, sent).await??)
+    }
 }
 
 /// Reports what the upstream states about itself, in whatever response.
@@ -274,8 +290,7 @@
     mut body: Incoming,
 ) -> Result<(), Outcome> {
     events.check_head(head)?;
-    let has_framing = head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING);
+    let framing = framing(head, &body);
     let mut patience = Patience::first_byte(out.plan).less(out.sent_at.elapsed());
     let mut first = true;
     let mut held = HeldResponse::begin(out.memory, reply).await?;
@@ -302,19 +317,21 @@
         }
         checked?;
     }
-    let partial = events.take_partial();
-    if !partial.is_empty() {
-        // An event stream that ends within an event was broken off, even if its framing is complete.
-        if !has_framing || reply.is_streaming() || is_event_stream(head) {
-            return Err(lost("stream ended within an event").into());
-        }
-        let partial = held.send(partial, 0);
-        forward(out, reply, head, partial).await?;
+    let end = BodyEnd {
+        framing,
+        content: stream_content(
+            events,
+            framing,
+            is_event_stream(head) || reply.is_streaming(),
+        ),
+    };
+    confirm_whole(out, reply, end, signals).await?;
+    let rest = events.take_partial();
+    if !rest.is_empty() {
+        let rest = held.send(rest, 0);
+        forward(out, reply, head, rest).await?;
     }
     if !reply.is_streaming() {
-        if !has_framing && is_event_stream(head) {
-            return Err(lost("stream ended before its first event").into());
-        }
         reply.full(end_to_end(head), Bytes::new())?;
     }
     Ok(reply.end().await?)
@@ -338,18 +355,40 @@
     Ok(reply.chunk(chunk).await?)
 }
 
+/// A body that is read completely before it is forwarded.
+struct Opaque {
+    framing: BodyFraming,
+    body: Incoming,
+    max_bytes: usize,
+}
+
+impl Opaque {
+    fn new(head: &response::Parts, body: Incoming, max_bytes: usize) -> Self {
+        Self {
+            framing: framing(head, &body),
+            body,
+            max_bytes,
+        }
+    }
+}
+
 async fn read_body(
     out: &Outgoing<'_>,
     reply: &mut Reply,
-    body: Incoming,
-    max_bytes: usize,
+    body: Opaque,
     limit: Duration,
     signals: Signals<'_>,
 ) -> Result<Bytes, Outcome> {
-    let collected = held_response::collect(out.memory, body, max_bytes);
+    let end = BodyEnd {
+        framing: body.framing,
+        content: BodyContent::Opaque,
+    };
+    let collected = held_response::collect(out.memory, body.body, body.max_bytes);
     let patience = Patience::unchecked(limit);
     let collected = wait_reporting_stalls(reply, patience, signals, collected).await?;
-    Ok(collected.map_err(lost)?)
+    let collected = collected.map_err(lost)?;
+    confirm_whole(out, reply, end, signals).await?;
+    Ok(collected)
 }
 
 fn request(out: &Outgoing<'_>, events: &EventStream) -> Request<OutgoingBody> {
@@ -392,7 +431,8 @@
     limit.saturating_sub(out.sent_at.elapsed())
 }
 
-fn lost(reason: impl Into<String>) -> SendOutcome {
+/// The end of a transmission whose answer did not arrive whole.
+pub(super) fn lost(reason: impl Into<String>) -> SendOutcome {
     SendOutcome::Lost {
         reason: reason.into(),
         stalled: false,
--- a/crates/io/src/transport/mod.rs
+++ b/crates/io/src/transport/mod.rs
@@ -2,6 +2,7 @@
 //! and a task for each request, which carries out the dispatcher's commands.
 
 mod accept;
+mod body_end;
 mod call_task;
 mod caller_listener;
 mod caller_stream;
--- a/crates/io/src/transport/pool.rs
+++ b/crates/io/src/transport/pool.rs
@@ -221,6 +221,24 @@
         }
     }
 
+    /// Whether an upstream's process has ended, as far as a new connection shows it. One that opens is kept for the
+    /// next request.
+    pub async fn has_ended(&self, target: &Target, limits: ConnectionLimits) -> bool {
+        let open_len = self.open_len(target.address);
+        if open_len.get() >= limits.connections_max_len {
+            return self.check(target).await.show_ended();
+        }
+        match self.open(target, open_len).await {
+            Ok(connection) => {
+                let idle_timeout = IDLE_MAX_MS.duration();
+                self.keep(target.address, connection, limits.traffic, idle_timeout);
+                false
+            }
+            Err(PoolError::NotSent { attempts, .. }) => attempts.show_ended(),
+            Err(PoolError::Exhausted { .. } | PoolError::Lost { .. }) => false,
+        }
+    }
+
     /// Returns a connection to the pool after its response has been read completely, unless the
     /// server closes the connection.
     pub fn release(&self, connection: PooledConnection, head: &http::response::Parts) {
@@ -245,6 +263,16 @@
         if connection.carried.is_full() {
             return;
         }
+        self.keep(address, connection, carries, idle_timeout);
+    }
+
+    fn keep(
+        &self,
+        address: SocketAddr,
+        connection: Connection,
+        carries: Traffic,
+        idle_timeout: Duration,
+    ) {
         let mut hosts = self.hosts.borrow_mut();
         hosts.entry(address).or_default().idle.push(IdleConnection {
             connection,
@@ -254,6 +282,12 @@
         });
     }
 
+    /// The count of open connections to an address.
+    fn open_len(&self, address: SocketAddr) -> Rc<Cell<u32>> {
+        let mut hosts = self.hosts.borrow_mut();
+        Rc::clone(&hosts.entry(address).or_default().open_len)
+    }
+
     /// Drops idle connections by way of a peer that is about to stop, and does not keep others after their
     /// responses.
     pub fn discard_relayed(&self, peer: &VmId) {
--- a/crates/io/tests/faulty_upstreams.rs
+++ b/crates/io/tests/faulty_upstreams.rs
@@ -162,7 +162,7 @@
     Reset,
 }
 
-/// Starts an upstream that writes these bytes in answer to a request, and ends the connection.
+/// Starts an upstream that writes these bytes in answer to a request, ends the connection, and goes on.
 async fn stopping_upstream(written: Vec<u8>, end: End) -> SocketAddr {
     let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = socket.local_addr().unwrap();
@@ -178,6 +178,12 @@
                 .set_linger(Some(Duration::ZERO))
                 .unwrap();
         }
+        drop(stream);
+        // An upstream whose process has ended refuses connections: then its orderly end proves nothing.
+        let mut others = Vec::new();
+        while let Ok((other, _)) = socket.accept().await {
+            others.push(other);
+        }
     });
     address
 }
