Only an answer without rows, or all entries, show the store's latest state

The gateway's followers could take its false age over.

Cause: an answer of the store was taken for its latest state. One time stood for "the store answered" and for "nothing is newer". An answer whose rows all mean nothing here counted as one without rows, and only the first answer after an outage counted as after it.

Change: `Batch::shows_latest` decides. `TopicWatch` keeps both times: `answered_at` tells outages; `fresh_at` is what keys, refusals, readiness and reports rest on. The call after changes goes out at once, held for what is left of the time of the one before. If changes still come when the knowledge is 1.6 s old, all entries are read. The stores of the core's fleet and of the soak bound their answers, and the fleet's has rows without meaning.

Ruled out: operators' changes that peers pass on made nothing look newer.

--- a/crates/core/src/dispatch/operator_changes.rs
+++ b/crates/core/src/dispatch/operator_changes.rs
@@ -90,6 +90,7 @@
             let batch = Batch {
                 position,
                 after: Some(after),
+                has_rows: true,
                 changes: changes.into_iter().map(Change::from).collect(),
             };
             self.on_operators(out, batch, false);
--- a/crates/core/src/dispatch/store_updates.rs
+++ b/crates/core/src/dispatch/store_updates.rs
@@ -39,7 +39,11 @@
             Topic::Operators => &mut self.operators,
             Topic::Upstreams => &mut self.upstreams,
         };
-        let knowledge_ms = watch.fresh_at().map(|fresh_at| out.now.since(fresh_at));
+        let known_at = match topic {
+            Topic::Operators => watch.fresh_at(),
+            Topic::Upstreams => watch.answered_at(),
+        };
+        let knowledge_ms = known_at.map(|known_at| out.now.since(known_at));
         let dependency = |reachable, detail| DispatchRecord::Dependency {
             dependency: topic.name(),
             reachable,
@@ -207,9 +211,9 @@
     ) {
         let pause_ms = self.settings.upstreams.pause_ms.get();
         let due_ms = Millis::new(pause_ms + READER_RANK_DELAY_MS.get() * self.reader_rank() as u64);
-        let status = self
-            .upstreams
-            .on_peer_changes(out.now, after, position, due_ms);
+        let status =
+            self.upstreams
+                .on_peer_changes(out.now, after, position, !changes.is_empty(), due_ms);
         let Some(reconnect) = status else {
             return;
         };
--- a/crates/core/src/watch/change.rs
+++ b/crates/core/src/watch/change.rs
@@ -59,6 +59,8 @@
     pub position: StorePosition,
     /// Position after which `changes` lists all changes; none if it lists all entries.
     pub after: Option<StorePosition>,
+    /// Whether the answer had rows. Those that mean nothing here are not among `changes`.
+    pub has_rows: bool,
     /// The entries or changes, oldest first.
     pub changes: Vec<Change>,
 }
@@ -68,6 +70,12 @@
     pub const fn is_snapshot(&self) -> bool {
         self.after.is_none()
     }
+
+    /// Whether it shows that nothing is newer than its position. The store returns all entries as of one moment, and
+    /// no rows only if there are none. Changes may be the first of many: the store bounds its answers.
+    pub const fn shows_latest(&self) -> bool {
+        self.is_snapshot() || !self.has_rows
+    }
 }
 
 /// Why a call to the store failed.
--- a/crates/core/src/watch/topic_watch.rs
+++ b/crates/core/src/watch/topic_watch.rs
@@ -1,4 +1,7 @@
 //! Schedules the calls that watch one topic of the store, and tracks how current the state is.
+//!
+//! Two facts are kept apart. An answer shows that the store can be read, whatever it says. That the known state is the
+//! store's latest is shown only by an answer without rows, by all entries, or by a peer that has had one of these.
 
 use super::{
     history::{Extension, KnownHistory},
@@ -31,6 +34,10 @@
 /// changes in quick succession are read by one call.
 const CHANGE_BATCH_DELAY_MS: Millis = Millis::new(150);
 
+/// Age of the known state at which all entries are read, if answers still have changes: one answer then shows the latest
+/// state, however many changes there are and however few of them fit in an answer.
+const CATCH_UP_MAX_MS: Millis = Millis::new(1_600);
+
 /// Timing of the calls for a topic.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct WatchSettings {
@@ -61,7 +68,18 @@
     topic: Topic,
     settings: WatchSettings,
     history: KnownHistory,
+    /// Latest time at which the known state was shown to be the store's latest.
     fresh_at: Option<Time>,
+    /// Latest time at which the store was read, here or by a peer that passed on what it read.
+    answered_at: Option<Time>,
+    /// Whether the last answer showed the latest state.
+    is_latest: bool,
+    /// Whether changes since an outage are still being read.
+    is_after_outage: bool,
+    /// Position of the latest change that peers reported and that is missing here.
+    missed_up_to: Option<StorePosition>,
+    /// Whether the next call reads all entries, although changes could be read.
+    reads_all: bool,
     sent_at: Option<Time>,
     requested_wait_ms: Millis,
     due_at: Time,
@@ -92,6 +110,11 @@
             settings,
             history: KnownHistory::default(),
             fresh_at: None,
+            answered_at: None,
+            is_latest: false,
+            is_after_outage: false,
+            missed_up_to: None,
+            reads_all: false,
             sent_at: None,
             requested_wait_ms: Millis::ZERO,
             due_at: Time::START,
@@ -112,10 +135,10 @@
             return None;
         }
         self.sent_at = Some(now);
-        let position = self.history.position();
+        let position = self.history.position().filter(|_| !self.reads_all);
         let long_poll = position.is_some() && self.failures_count == 0 && !self.is_follower;
         let wait_ms = if long_poll {
-            self.settings.wait_ms
+            self.hold_ms(now)
         } else {
             Millis::ZERO
         };
@@ -128,9 +151,18 @@
         })
     }
 
-    /// Handles an answer. The state was current when the call was sent. If the answer has no
-    /// changes and the store held the call for the whole wait time, the state was current until the
-    /// end of that time.
+    /// How long the store may hold the next call. The calls after changes are held for what is left of the time of
+    /// the one before, so that the latest state is shown as soon as without changes.
+    fn hold_ms(&self, now: Time) -> Millis {
+        let wait_ms = self.settings.wait_ms;
+        match self.fresh_at {
+            Some(fresh_at) if !self.is_latest => wait_ms.saturating_sub(now.since(fresh_at)),
+            _ => wait_ms,
+        }
+    }
+
+    /// Handles an answer. If it shows the latest state, that was known when the call was sent, or at the end of the
+    /// wait time, if the store held the call for so long.
     ///
     /// Returns none if the answer can't be used: it is of an era before the known one, or it has the
     /// changes since a position of another era. All entries are read again then.
@@ -155,30 +187,68 @@
                 return None;
             }
         };
-        let gap_ms = self.fresh_at.map(|fresh_at| sent_at.since(fresh_at));
-        let recovered = self.failures_count > 0;
-        let unchanged = !batch.is_snapshot() && !has_changes;
+        self.reads_all = false;
+        self.is_latest = batch.shows_latest();
         let held_until = sent_at + self.requested_wait_ms;
-        let fresh_at = if unchanged && held_until <= now {
+        let as_of = if !batch.is_snapshot() && self.is_latest && held_until <= now {
             held_until
         } else {
             sent_at
         };
-        self.fresh_at = self.fresh_at.max(Some(fresh_at));
-        self.failures_count = 0;
-        self.due_at = if self.is_follower {
-            fresh_at + FOLLOWER_MAX_AGE_MS
-        } else {
-            now + self.settings.pause_ms
-        };
+        let after_outage = self.on_read(sent_at, as_of, self.is_latest);
+        if self.is_latest {
+            self.fresh_at = self.fresh_at.max(Some(as_of));
+        }
+        let recovered = std::mem::take(&mut self.failures_count) > 0;
+        self.schedule(now);
         Some(ReconnectStatus {
-            after_outage: may_miss_expiry(gap_ms),
+            after_outage,
             recovered,
             restored,
             overtaken,
         })
     }
 
+    /// Records that the store was read, as of a time. Returns whether entries may have expired unnoticed before. That
+    /// holds for all changes of that time, until the latest state is shown.
+    fn on_read(&mut self, sent_at: Time, as_of: Time, is_latest: bool) -> bool {
+        let gap_ms = self.answered_at.map(|at| sent_at.since(at));
+        self.answered_at = self.answered_at.max(Some(as_of));
+        let after_outage = self.is_after_outage || may_miss_expiry(gap_ms);
+        self.is_after_outage = after_outage && !is_latest;
+        after_outage
+    }
+
+    /// Schedules the call after an answer: at once if there may be more changes. A follower learns from readers
+    /// whether there are.
+    fn schedule(&mut self, now: Time) {
+        let fresh_at = self.fresh_at.unwrap_or(Time::START);
+        let follower_due_at = fresh_at + FOLLOWER_MAX_AGE_MS;
+        if self.is_latest {
+            self.due_at = if self.is_follower {
+                follower_due_at
+            } else {
+                now + self.settings.pause_ms
+            };
+            return;
+        }
+        let age_ms = self.fresh_at.map(|fresh_at| now.since(fresh_at));
+        let max_ms = CATCH_UP_MAX_MS.max(self.settings.wait_ms + self.settings.wait_ms);
+        self.reads_all = age_ms.is_none_or(|age_ms| age_ms >= max_ms);
+        let is_missing = self.missed_up_to > self.history.position();
+        self.due_at = if self.is_follower && !self.reads_all && !is_missing {
+            follower_due_at.max(now)
+        } else {
+            now
+        };
+    }
+
+    /// Schedules a call that reads changes which a peer has reported and which are missing here.
+    fn on_missing(&mut self, now: Time, position: StorePosition) {
+        self.missed_up_to = self.missed_up_to.max(Some(position));
+        self.due_at = self.due_at.min(now + CHANGE_BATCH_DELAY_MS);
+    }
+
     /// Handles news that the store is in an era: if that is newer than the known one, the history
     /// since the known position is void, and all entries are read again by `due_at`.
     pub fn on_era(&mut self, era: StoreEra, due_at: Time) {
@@ -193,7 +263,8 @@
         self.due_at = due_at;
     }
 
-    /// Handles changes that a peer read from the store, from position `after` to `position`. Returns
+    /// Handles what a peer read of the store, from position `after` to `position`. That shows that the store can be
+    /// read, but the message may be late, so it doesn't show the latest state. Returns
     /// the state of the connection before them if they are to be applied: they follow the known
     /// position without a gap, and nothing after them is known. This daemon's next call is then postponed
     /// by `due_ms`. Changes after a gap show that the store can be read and that there is something to
@@ -204,22 +275,22 @@
         now: Time,
         after: StorePosition,
         position: StorePosition,
+        has_changes: bool,
         due_ms: Millis,
     ) -> Option<ReconnectStatus> {
         self.on_era(position.era, now + CHANGE_BATCH_DELAY_MS);
-        match self.history.on_changes(after, position, true) {
+        match self.history.on_changes(after, position, has_changes) {
             Extension::Continues => {}
             Extension::Gap => {
-                self.due_at = self.due_at.min(now + CHANGE_BATCH_DELAY_MS);
+                self.on_missing(now, position);
                 return None;
             }
             Extension::Overtaken | Extension::OtherEra => return None,
         }
-        let gap_ms = self.fresh_at.map(|fresh_at| now.since(fresh_at));
-        self.fresh_at = Some(now);
+        let after_outage = self.on_read(now, now, !has_changes);
         self.due_at = self.due_at.max(now + due_ms);
         Some(ReconnectStatus {
-            after_outage: may_miss_expiry(gap_ms),
+            after_outage,
             recovered: false,
             restored: false,
             overtaken: false,
@@ -244,7 +315,7 @@
                 true
             }
             Extension::Gap => {
-                self.due_at = self.due_at.min(now + CHANGE_BATCH_DELAY_MS);
+                self.on_missing(now, position);
                 false
             }
             Extension::Overtaken | Extension::OtherEra => false,
@@ -283,13 +354,14 @@
         }
         self.on_era(era, now + CHANGE_BATCH_DELAY_MS);
         if self.history.on_unchanged(confirmed) != Extension::Continues {
-            self.due_at = self.due_at.min(now + CHANGE_BATCH_DELAY_MS);
+            self.on_missing(now, confirmed.changed);
             return false;
         }
         let Some(asked_at) = asked_at else {
             return false;
         };
         self.fresh_at = self.fresh_at.max(Some(asked_at));
+        self.answered_at = self.answered_at.max(Some(asked_at));
         if !self.is_follower {
             return false;
         }
@@ -331,6 +403,11 @@
         self.failures_count > 0
     }
 
+    /// Latest time at which the store was read, here or by a peer. Whether the latest state is known, it doesn't tell.
+    pub const fn answered_at(&self) -> Option<Time> {
+        self.answered_at
+    }
+
     /// Time up to which all changes that the store acknowledged are known.
     pub const fn fresh_at(&self) -> Option<Time> {
         self.fresh_at
--- a/crates/core/tests/common/dispatch/mod.rs
+++ b/crates/core/tests/common/dispatch/mod.rs
@@ -157,6 +157,7 @@
     Batch {
         position,
         after: (!whole).then(|| position_in(position.era.get(), 0)),
+        has_rows: !changes.is_empty(),
         changes,
     }
 }
--- a/crates/core/tests/common/store_fleet.rs
+++ b/crates/core/tests/common/store_fleet.rs
@@ -49,6 +49,12 @@
     Domain(usize),
     /// An upstream writes its entry: a new one, one that drains, or none any more.
     Upstream(usize),
+    /// A row is written among those of operators that daemons don't read.
+    OtherRow,
+    /// The store gives at most so many rows in an answer.
+    AnswersMax {
+        rows_len: usize,
+    },
     /// The store comes back from a copy without its last writes.
     Restore {
         lost_len: usize,
@@ -97,24 +103,27 @@
     Domain(&'static str, bool),
     Upstream(Box<UpstreamRecord>),
     UpstreamRemoved(UpstreamId),
+    /// A row of operators that means nothing to daemons.
+    Other,
 }
 
 impl Written {
     const fn topic(&self) -> Topic {
         match self {
-            Self::Catalog(_) | Self::Domain(..) => Topic::Operators,
+            Self::Catalog(_) | Self::Domain(..) | Self::Other => Topic::Operators,
             Self::Upstream(_) | Self::UpstreamRemoved(_) => Topic::Upstreams,
         }
     }
 
-    fn change(&self) -> Change {
-        match self {
+    fn change(&self) -> Option<Change> {
+        Some(match self {
             Self::Catalog(version) => Change::Catalog(Box::new(written_catalog(*version))),
             Self::Domain(domain, true) => Change::DomainWithdrawn(id(domain)),
             Self::Domain(domain, false) => Change::DomainReturned(id(domain)),
             Self::Upstream(record) => Change::Upstream(record.clone()),
             Self::UpstreamRemoved(upstream) => Change::UpstreamRemoved(upstream.clone()),
-        }
+            Self::Other => return None,
+        })
     }
 }
 
@@ -147,6 +156,10 @@
     eras: Vec<Vec<Write>>,
     restored_at_ms: Vec<u64>,
     history_from: u64,
+    /// Most rows in an answer with changes.
+    answer_max_len: usize,
+    /// Calls that were answered.
+    calls_count: u64,
 }
 
 impl Store {
@@ -183,6 +196,7 @@
                 Written::UpstreamRemoved(upstream) => {
                     truth.upstreams.remove(upstream);
                 }
+                Written::Other => {}
             }
         }
         truth
@@ -195,12 +209,13 @@
         writes.any(|write| matches!(&write.written, Written::UpstreamRemoved(id) if id == upstream))
     }
 
-    /// The first change of operators after a position up to another one.
+    /// The first change of operators after a position up to another one. A row that means nothing is none.
     fn change_between(&self, after: StorePosition, position: StorePosition) -> Option<u64> {
         let writes = &self.eras[position.era.get() as usize];
         let mut changes = writes
             .iter()
             .filter(|write| write.written.topic() == Topic::Operators)
+            .filter(|write| write.written.change().is_some())
             .map(|write| write.version);
         changes.find(|version| {
             let at = position_in(position.era.get(), *version);
@@ -208,7 +223,14 @@
         })
     }
 
-    fn answer(&self, call: &WatchCall, is_over: bool) -> Option<Result<Batch, StoreError>> {
+    /// The answer to a call; none as long as the call is held. Changes may be the first of many, and the position may be
+    /// any from that of the last row up to the next one.
+    fn answer(
+        &self,
+        call: &WatchCall,
+        is_over: bool,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<Result<Batch, StoreError>> {
         let position = position_in(self.era(), self.version());
         let of_topic = |write: &&Write| write.written.topic() == call.topic;
         let Some(after) = call.after.map(|after| after.version.get()) else {
@@ -233,14 +255,19 @@
             return Some(Err(StoreError::HistoryGone));
         }
         let later = self.writes().iter().filter(|write| write.version > after);
-        let changes: Vec<_> = later
-            .filter(of_topic)
-            .map(|write| write.written.change())
-            .collect();
-        (is_over || !changes.is_empty()).then_some(Ok(Batch {
+        let later: Vec<_> = later.filter(of_topic).collect();
+        let rows = &later[..later.len().min(self.answer_max_len)];
+        let position = rows.last().map_or(position, |last| {
+            let next = later.get(rows.len()).map(|next| next.version);
+            let up_to = next.unwrap_or(self.version() + 1);
+            position_in(self.era(), rng.random_range(last.version..up_to))
+        });
+        let changes = rows.iter().filter_map(|write| write.written.change());
+        (is_over || !rows.is_empty()).then_some(Ok(Batch {
             position,
             after: call.after,
-            changes,
+            has_rows: !rows.is_empty(),
+            changes: changes.collect(),
         }))
     }
 }
@@ -289,15 +316,19 @@
 impl StoreFleet {
     /// Daemons that have read the store and are linked to each other.
     pub(crate) fn new(seed: u64, daemons_len: usize) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let answer_max_len = [1, 2, 5, 500][rng.random_range(0..4)];
         let mut fleet = Self {
             vms: Vec::new(),
             store: Store {
                 eras: vec![Vec::new()],
                 restored_at_ms: vec![0],
                 history_from: 0,
+                answer_max_len,
+                calls_count: 0,
             },
             calls: Vec::new(),
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            rng,
             now_ms: 0,
             events_count: 0,
             down_until_ms: 0,
@@ -332,6 +363,8 @@
                 self.write(Written::Domain(domain, !is_out));
             }
             Trouble::Upstream(index) => self.write_upstream(index % UPSTREAMS.len()),
+            Trouble::OtherRow => self.write(Written::Other),
+            Trouble::AnswersMax { rows_len } => self.store.answer_max_len = rows_len,
             Trouble::Restore { lost_len } => {
                 let writes = self.store.writes();
                 // The first writes are those of the start.
@@ -502,6 +535,21 @@
         }
     }
 
+    /// Number of calls that the store has answered.
+    pub(crate) const fn store_calls_count(&self) -> u64 {
+        self.store.calls_count
+    }
+
+    /// The oldest knowledge of operators' writes that a daemon has.
+    pub(crate) fn oldest_knowledge_ms(&self) -> Option<u64> {
+        let ages = self.vms.iter().map(|vm| {
+            let own_now = Time::START + ms(self.now_ms - vm.started_ms);
+            let known_ms = vm.dispatcher.as_ref()?.knowledge_ms(own_now)?;
+            Some(known_ms.get())
+        });
+        ages.collect::<Option<Vec<_>>>()?.into_iter().max()
+    }
+
     /// Lets all troubles end, and checks that all daemons then know everything.
     pub(crate) fn settle(&mut self) {
         self.down_until_ms = 0;
@@ -602,7 +650,9 @@
                 Some(Err(StoreError::Refused { status: 503 }))
             } else {
                 let is_over = self.now_ms >= call.held_until_ms;
-                self.store.answer(&call.call, is_over)
+                let answer = self.store.answer(&call.call, is_over, &mut self.rng);
+                self.store.calls_count += u64::from(answer.is_some());
+                answer
             };
             let (until_ms, late_ms) = vm.late_answers;
             let late_ms = if self.now_ms < until_ms { late_ms } else { 0 };
--- a/crates/soak/src/testbed/store.rs
+++ b/crates/soak/src/testbed/store.rs
@@ -39,6 +39,9 @@
 /// One in this many calls gets no answer in [`StoreMode::LosesAnswers`].
 const LOSE_EVERY: u64 = 3;
 
+/// Most rows in an answer. The platform states no bound for changes, so that any has to do.
+const ROWS_MAX_LEN: usize = 3;
+
 /// Health of the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) enum StoreMode {
@@ -244,14 +247,15 @@
             StoreCall::Rows { table, from_key } => {
                 let state = self.lock();
                 let all = state.rows.values();
-                let selected: Vec<_> = all
+                let mut selected = all
                     .filter(|row| row.table == table && row.key >= from_key)
-                    .cloned()
-                    .collect();
+                    .cloned();
+                let page: Vec<_> = selected.by_ref().take(ROWS_MAX_LEN).collect();
+                let more_pages = selected.next().is_some();
                 let version = *self.version.borrow();
                 http_response(
                     StatusCode::OK,
-                    page_body(&selected, version, self.uptime_ms()),
+                    page_body(&page, more_pages, version, self.uptime_ms()),
                 )
             }
             StoreCall::Changes {
@@ -271,34 +275,38 @@
                 if self.lock().history_dropped_until > after || seen < after {
                     return None;
                 }
-                let selected = self.changes_after(table, after);
+                let (selected, up_to) = self.changes_after(table, after);
                 if !selected.is_empty() || version.changed().await.is_err() {
-                    return Some((seen, selected));
+                    return Some((up_to.unwrap_or(seen), selected));
                 }
             }
         };
         match timeout(wait_ms.duration(), first).await {
             Ok(None) => http_response(StatusCode::GONE, String::new()),
-            Ok(Some((seen, selected))) => {
-                http_response(StatusCode::OK, page_body(&selected, seen, self.uptime_ms()))
-            }
+            Ok(Some((seen, selected))) => http_response(
+                StatusCode::OK,
+                page_body(&selected, false, seen, self.uptime_ms()),
+            ),
             Err(_) => {
                 let seen = *self.version.borrow();
                 http_response(
                     StatusCode::OK,
-                    page_body(&[], seen.max(after), self.uptime_ms()),
+                    page_body(&[], false, seen.max(after), self.uptime_ms()),
                 )
             }
         }
     }
 
-    fn changes_after(&self, table: &str, after: u64) -> Vec<StoredRow> {
+    /// The first changes of a table after a version, and the last one's version if there are more.
+    fn changes_after(&self, table: &str, after: u64) -> (Vec<StoredRow>, Option<u64>) {
         let state = self.lock();
         let changes = state.changes.iter();
-        changes
+        let mut changes = changes
             .filter(|row| row.table == table && row.version > after)
-            .cloned()
-            .collect()
+            .cloned();
+        let first: Vec<_> = changes.by_ref().take(ROWS_MAX_LEN).collect();
+        let last = first.last().map(|row| row.version);
+        (first, last.filter(|_| changes.next().is_some()))
     }
 
     /// Writes all rows, if those in `expected` have the versions that they must have. No other write comes between
@@ -328,7 +336,7 @@
         let found: Vec<_> = found.into_iter().flatten().collect();
         http_response(
             StatusCode::PRECONDITION_FAILED,
-            page_body(&found, version, self.uptime_ms()),
+            page_body(&found, false, version, self.uptime_ms()),
         )
     }
 
