The soak's upstreams write streams without framing

One in four streams now ends with its connection, and breaks off within an event where its upstream ends or fails.

--- a/crates/soak/src/testbed/upstream/incarnation.rs
+++ b/crates/soak/src/testbed/upstream/incarnation.rs
@@ -16,7 +16,7 @@
     },
 };
 use bytes::Bytes;
-use http::{request, Request, Response, StatusCode};
+use http::{request, Request, Response, StatusCode, Version};
 use http_body_util::{channel::Channel, BodyExt};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
@@ -41,12 +41,18 @@
 use tokio::{
     net::TcpListener,
     sync::watch,
-    time::{sleep_until, Instant},
+    time::{sleep, sleep_until, Instant},
 };
 
 /// Requests that an upstream accepts beyond its slots.
 const QUEUE_LEN: u32 = 6;
 
+/// One in this many streams has neither a length nor chunks.
+const UNFRAMED_EVERY: u64 = 4;
+
+/// Time in which the streams of an upstream that ends write their last bytes.
+const CONNECTIONS_END_DELAY: Duration = Duration::from_millis(5);
+
 /// Time for which an upstream that sheds wants no more requests.
 const SHED_TIME: Duration = Duration::from_millis(2_500);
 
@@ -148,8 +154,13 @@
                 let service = service_fn(|request| Arc::clone(&this).answer(request));
                 let connection = http1::Builder::new();
                 let served = connection.serve_connection(TokioIo::new(stream), service);
+                let has_ended = async {
+                    // Fails where the upstream is gone, which has ended then.
+                    let _ = ended.wait_for(|ended| *ended).await;
+                    sleep(CONNECTIONS_END_DELAY).await;
+                };
                 tokio::select! {
-                    _ = ended.wait_for(|ended| *ended) => {}
+                    () = has_ended => {}
                     _ = served => {}
                 }
             });
@@ -318,16 +329,24 @@
             ));
         }
         let (sender, body) = Channel::<Bytes, NoAnswer>::new(1);
+        let is_framed = self.requests_count.load(Ordering::Relaxed) % UNFRAMED_EVERY != 0;
         let head_ok = head_ok.header("content-type", "text/event-stream");
         let stream = EventWriter {
             guard,
             response_spec,
             first_index: last_event.map_or(1, |last| last + 1),
             truncates: grey_failure == GreyFailure::Truncates,
+            is_framed,
             deadline,
         };
         tokio::spawn(stream.write(sender));
+        let version = if is_framed {
+            Version::HTTP_11
+        } else {
+            Version::HTTP_10
+        };
         Ok(head_ok
+            .version(version)
             .body(body.boxed())
             .unwrap_or_else(|_| empty_response(StatusCode::BAD_GATEWAY)))
     }
--- a/crates/soak/src/testbed/upstream/stream.rs
+++ b/crates/soak/src/testbed/upstream/stream.rs
@@ -6,12 +6,17 @@
 use http_body_util::channel::Sender;
 use tokio::time::{sleep, sleep_until, Instant};
 
+/// Beginning of an event, as which a stream ends that is broken off without framing.
+const EVENT_PART: &[u8] = b"id: ";
+
 /// Writes the events of one streamed response.
 pub(super) struct EventWriter {
     pub(super) guard: RunGuard,
     pub(super) response_spec: ResponseSpec,
     pub(super) first_index: u64,
     pub(super) truncates: bool,
+    /// Whether the stream has a framing. Without one, it is broken off within an event, and ends with its connection.
+    pub(super) is_framed: bool,
     pub(super) deadline: Instant,
 }
 
@@ -25,8 +30,13 @@
             _ = ended.wait_for(|ended| *ended) => false,
             () = sleep_until(self.deadline) => false,
         };
-        if !complete {
-            sender.abort(NoAnswer);
+        match (complete, self.is_framed) {
+            (true, _) => {}
+            (false, true) => sender.abort(NoAnswer),
+            (false, false) => {
+                // Fails where the caller is gone.
+                let _ = sender.send_data(Bytes::from_static(EVENT_PART)).await;
+            }
         }
     }
 
