Attempts that end in the last millisecond are refused for the deadline

What callers saw: a 503 `no_capacity` in place of `deadline_exceeded`, within a millisecond of the deadline.

Cause: an attempt gets the rest of its request's time in whole milliseconds, so that it may end just before the request. The entry daemon then looked for another owner, which no owner can be with no time left.

Change: with less than a millisecond left, the request is refused as it is at its deadline.

--- a/crates/core/src/entry/entry_daemon.rs
+++ b/crates/core/src/entry/entry_daemon.rs
@@ -357,8 +357,7 @@
                 if request.refuse_by > ctx.now {
                     return Some(request);
                 }
-                let text = "the request's time is up: give it more, or come back later";
-                entry.cancel_and_refuse(ctx, view, request, RefusalCode::DeadlineExceeded, text)
+                entry.refuse_late(ctx, view, request)
             });
         }
     }
--- a/crates/core/src/entry/grant_requests.rs
+++ b/crates/core/src/entry/grant_requests.rs
@@ -33,6 +33,10 @@
         mut request: OpenRequest,
     ) -> Option<OpenRequest> {
         self.abandon_resume(ctx, view, &mut request);
+        if request.remaining(ctx.now) == Millis::ZERO {
+            // Attempts get whole milliseconds, so that they may end just before the request does.
+            return self.refuse_late(ctx, view, request);
+        }
         while request.tried.len() < self.settings.max_owners_count as usize {
             let query = RouteQuery {
                 spec: &request.spec,
--- a/crates/core/src/entry/responses.rs
+++ b/crates/core/src/entry/responses.rs
@@ -47,6 +47,17 @@
         self.send_final_response(ctx, &request, FinalResponse::Complete)
     }
 
+    /// Refuses a request whose time is up.
+    pub(super) fn refuse_late(
+        &mut self,
+        ctx: &mut Context<'_>,
+        view: &View<'_>,
+        request: OpenRequest,
+    ) -> Option<OpenRequest> {
+        let text = "the request's time is up: give it more, or come back later";
+        self.cancel_and_refuse(ctx, view, request, RefusalCode::DeadlineExceeded, text)
+    }
+
     /// Cancels all work of a request and refuses it.
     pub(super) fn cancel_and_refuse(
         &mut self,
